Check histories of concurrent runs in virtual time

Cores of four entry instances run in one process on a loop whose time is virtual; hypothesis picks kills, pauses, cuts, outages, lost and late messages. The workers' own record is checked: one place, capacity, ends, checkpoints, closed zones, versions.

--- a/flamingoweir/scheduling/_desk.py
+++ b/flamingoweir/scheduling/_desk.py
@@ -28,7 +28,7 @@
     encode_spec,
 )
 from ._fleet import FleetView
-from ._job import JobSpec
+from ._job import ENDED_STATES, JobSpec
 from ._keys import cancel_key, inbox_key, job_key, outcome_prefix, shard_of
 from ._placement import fits_ever
 
@@ -61,6 +61,15 @@
     unheard_shards: list[str] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Tally:
+    """Counts collected for a `JobStatus`."""
+
+    by_state: Counter[str] = field(default_factory=Counter)
+    reasons: list[str] = field(default_factory=list)
+    unheard: list[str] = field(default_factory=list)
+
+
 #: Asks a shard's owner about a job: counts by state and reasons, or None.
 AskShard = Callable[[str, str], Awaitable[dict | None]]
 
@@ -157,29 +166,23 @@
     async def show(self, job: str) -> JobStatus:
         """Return how a job stands; raises FlamingoweirError."""
         spec = await self._find(job)
-        by_state: Counter[str] = Counter()
-        reasons: list[str] = []
-        unheard: list[str] = []
-        for row in await self._scan(outcome_prefix(job)):
-            outcome = orjson.loads(row.value)
-            by_state.update(outcome["by_state"])
-            reasons.extend(outcome["details"])
-        ended = sum(by_state.values())
-        if ended < spec.tasks:
-            for shard in self._shards_of(spec):
-                word = await self._ask(shard, job)
-                if word is None:
-                    unheard.append(shard)
-                    continue
-                by_state.update(word["by_state"])
-                reasons.extend(word["reasons"])
+        while True:
+            rows = await self._scan(outcome_prefix(job))
+            tally = _tally_outcomes(rows)
+            if sum(tally.by_state.values()) >= spec.tasks:
+                break
+            await self._ask_owners(spec, tally)
+            if len(await self._scan(outcome_prefix(job))) == len(rows):
+                break
+        by_state, reasons = tally.by_state, tally.reasons
+        ended = sum(by_state[state] for state in ENDED_STATES)
         if ended < spec.tasks and await self._read(cancel_key(job)) is not None:
             reasons.append("the job is being cancelled")
         missing = spec.tasks - sum(by_state.values())
         if missing > 0:
             by_state["submitted"] = missing
         state = _overall_state(spec, by_state)
-        return JobStatus(spec, state, dict(by_state), reasons, unheard)
+        return JobStatus(spec, state, dict(by_state), reasons, tally.unheard)
 
     async def list_jobs(self, team: str, after: str, limit: int) -> list[JobSpec]:
         """Return declared jobs in the order of their ids, of one team or of all."""
@@ -207,6 +210,15 @@
                 words.append(word)
         return words
 
+    async def _ask_owners(self, spec: JobSpec, tally: "Tally") -> None:
+        for shard in self._shards_of(spec):
+            word = await self._ask(shard, spec.id)
+            if word is None:
+                tally.unheard.append(shard)
+                continue
+            tally.by_state.update(word["by_state"])
+            tally.reasons.extend(word["reasons"])
+
     def _shards_of(self, spec: JobSpec) -> list[str]:
         return [shard_of(zone, spec.id, self._shards_per_zone) for zone in spec.zones]
 
@@ -289,6 +301,15 @@
     )
 
 
+def _tally_outcomes(rows: list[Row]) -> Tally:
+    tally = Tally()
+    for row in rows:
+        outcome = orjson.loads(row.value)
+        tally.by_state.update(outcome["by_state"])
+        tally.reasons.extend(outcome["details"])
+    return tally
+
+
 def _overall_state(spec: JobSpec, by_state: Counter[str]) -> str:
     ended = by_state["done"] + by_state["failed"] + by_state["cancelled"]
     if ended >= spec.tasks:
--- a/flamingoweir/scheduling/_owner.py
+++ b/flamingoweir/scheduling/_owner.py
@@ -149,6 +149,7 @@
         self.journal = journal
         self.state = state
         self.sessions = SessionTable()
+        self.unrecorded: dict[str, Outcome] = {}
         self.placer = Placer(context, state, self.sessions)
         self._scaler = ServiceScaler(context, state, self.sessions)
         self._mover = ZoneMover(context, state, self.sessions)
@@ -372,8 +373,9 @@
         for name, job in list(self.state.by_job.items()):
             if job.live or job.spec.kind is JobKind.SERVICE:
                 continue
-            self._add(batch, JobForgotten(name))
             outcome = Outcome.of(job)
+            self.unrecorded[name] = outcome
+            self._add(batch, JobForgotten(name))
             if not outcome.by_state:
                 continue
             key = outcome_key(
@@ -385,6 +387,7 @@
             log.info("job_ended_here", job=name, shard=self.context.shard)
 
     def _publish(self, batch: Batch) -> None:
+        self.unrecorded.clear()
         for worker, identity in batch.ended:
             session = self.sessions.by_worker.get(worker)
             if session is not None:
--- a/flamingoweir/scheduling/_questions.py
+++ b/flamingoweir/scheduling/_questions.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from ._job import Job, TaskState, split_task_id
+from ._outcome import Outcome
 from ._owner import ShardOwner
 
 
@@ -10,7 +11,8 @@
     """Return a job's tasks in this shard by state, and why some wait."""
     job = owner.state.by_job.get(name)
     if job is None:
-        return {"by_state": {}, "reasons": []}
+        outcome = owner.unrecorded.get(name, Outcome({}, []))
+        return {"by_state": outcome.by_state, "reasons": outcome.details}
     by_state: Counter[str] = Counter()
     for task in job.by_index.values():
         if task.state is TaskState.MOVED:
--- /dev/null
+++ b/tests/test_run_once.py
@@ -0,0 +1,251 @@
+"""Concurrent runs under faults, checked from the workers' own record.
+
+Several entry instances' cores run in one process on virtual time; hypothesis
+chooses jobs and faults. See docs/design/0009-history-checking.md.
+"""
+
+import os
+
+import anyio
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from flamingoweir.errors import FlamingoweirError
+from tests.utils.builders import make_resources, make_spec, make_timings
+from tests.utils.fleet import Fleet
+from tests.utils.history import History
+from tests.utils.virtual_time import run_virtual
+
+EXAMPLES = int(os.environ.get("HISTORY_EXAMPLES", "40"))
+FAULT_PERIOD_S = 60.0
+QUIET_LIMIT_S = 600.0
+ZONES = ("gwynedd", "powys")
+
+faults = st.tuples(
+    st.floats(0.0, FAULT_PERIOD_S),
+    st.sampled_from(
+        (
+            "kill",
+            "pause",
+            "store_down",
+            "store_cut",
+            "lossy",
+            "worker_cut",
+            "worker_restart",
+            "zones_cut",
+            "zone_out",
+            "race",
+            "cancel",
+            "submit",
+        )
+    ),
+    st.integers(0, 7),
+    st.floats(0.5, 40.0),
+)
+plans = st.lists(faults, min_size=1, max_size=6)
+
+
+class Run:
+    """One run: a fleet, a plan of faults, and what is noted on the way."""
+
+    def __init__(self, fleet: Fleet):
+        self.fleet = fleet
+        self.history = History(
+            list(fleet.worker_by_name.values()), fleet.rate_by_worker, fleet.incidents
+        )
+        self.jobs: list[str] = []
+        self.out_since: dict[str, float] = {}
+
+    def node(self, number: int):
+        nodes = self.fleet.live_nodes()
+        return nodes[number % len(nodes)] if nodes else None
+
+    async def submit(self, number: int, **fields) -> None:
+        node = self.node(number)
+        if node is None or not node.directory.by_name:
+            return
+        spec = make_spec(id=f"job-{len(self.jobs)}-{number}", **fields)
+        try:
+            await node.desk.jobs.submit(spec)
+        except FlamingoweirError:
+            return
+        self.jobs.append(spec.id)
+
+    async def change(self, number: int, path: str, value: str) -> bool:
+        node = self.node(number)
+        if node is None or not node.peers.is_introduced:
+            return False
+        team = "operators" if path.startswith("zones") else "planning"
+        change_id = f"c{anyio.current_time()}-{number}-{value}"
+        try:
+            await node.store.propose(change_id, team, {path: value}, None, "")
+        except FlamingoweirError:
+            return False
+        node.peers.announce()
+        return True
+
+    async def watch(self) -> None:
+        while True:
+            for node in self.fleet.live_nodes():
+                if node.store.is_known:
+                    self.history.versions[node.process].append(node.store.tree.version)
+            await anyio.sleep(0.25)
+
+    async def inject(self, at_s: float, kind: str, number: int, length_s: float):
+        await anyio.sleep(at_s)
+        await getattr(self, f"_{kind}")(number, length_s)
+
+    def _member(self, number: int) -> str:
+        shard = f"{ZONES[number % 2]}/0"
+        owner = self.fleet.owner_name(shard)
+        names = list(self.fleet.by_name)
+        return owner if owner and number < 6 else names[number % len(names)]
+
+    async def _kill(self, number, length_s):
+        name = self._member(number)
+        if self.fleet.by_name[name].node is None:
+            return
+        self.fleet.kill(name)
+        await anyio.sleep(length_s)
+        self.fleet.start_member(name)
+
+    async def _pause(self, number, length_s):
+        process = self.fleet.by_name[self._member(number)].process
+        process.paused = True
+        await anyio.sleep(length_s)
+        process.resume()
+
+    async def _store_down(self, number, length_s):
+        self.fleet.table.down = True
+        await anyio.sleep(length_s)
+        self.fleet.table.down = False
+
+    async def _store_cut(self, number, length_s):
+        await self._cut(self._member(number), "store", length_s)
+
+    async def _lossy(self, number, length_s):
+        self.fleet.network.loss = 0.2
+        await anyio.sleep(length_s)
+        self.fleet.network.loss = 0.0
+
+    async def _worker_cut(self, number, length_s):
+        names = list(self.fleet.worker_by_name)
+        name = names[number % len(names)]
+        until_s = anyio.current_time() + length_s
+        self.fleet.cut_worker(name, until_s)
+        await anyio.sleep(length_s)
+        self.fleet.join_worker(name)
+
+    async def _worker_restart(self, number, length_s):
+        names = list(self.fleet.worker_by_name)
+        self.fleet.restart_worker(names[number % len(names)])
+
+    async def _zones_cut(self, number, length_s):
+        pairs = [
+            (one.name, other.name)
+            for one in self.fleet.by_name.values()
+            for other in self.fleet.by_name.values()
+            if one.zone < other.zone
+        ]
+        self.fleet.network.cut.update(pairs)
+        await anyio.sleep(length_s)
+        self.fleet.network.cut.difference_update(pairs)
+
+    async def _cut(self, one, other, length_s):
+        self.fleet.network.cut.add((one, other))
+        await anyio.sleep(length_s)
+        self.fleet.network.cut.discard((one, other))
+
+    async def _zone_out(self, number, length_s):
+        zone = ZONES[number % 2]
+        if zone in self.out_since:
+            return
+        if not await self.change(number, f"zones/{zone}/state", "out"):
+            return
+        from_s = anyio.current_time()
+        self.out_since[zone] = from_s
+        await anyio.sleep(length_s)
+        self.history.closed.append((zone, from_s, anyio.current_time()))
+        for attempt in range(200):
+            if await self.change(number + attempt, f"zones/{zone}/state", "in"):
+                break
+            await anyio.sleep(1.0)
+        del self.out_since[zone]
+
+    async def _race(self, number, length_s):
+        async with anyio.create_task_group() as tasks:
+            for operator in range(4):
+                tasks.start_soon(
+                    self.change, number + operator, "teams/planning/weight", "2"
+                )
+
+    async def _cancel(self, number, length_s):
+        node = self.node(number)
+        if node is None or not self.jobs:
+            return
+        try:
+            await node.desk.jobs.cancel(self.jobs[number % len(self.jobs)], "planning")
+        except FlamingoweirError:
+            return
+
+    async def _submit(self, number, length_s):
+        await self.submit(number, tasks=5, job_class="run-7")
+
+    async def settle(self) -> None:
+        """Wait until every acknowledged job has ended."""
+        with anyio.fail_after(QUIET_LIMIT_S):
+            for job in self.jobs:
+                await self._wait_for(job)
+
+    async def _wait_for(self, job: str) -> None:
+        while True:
+            node = self.node(0)
+            try:
+                status = await node.desk.jobs.show(job)
+            except FlamingoweirError:
+                await anyio.sleep(1.0)
+                continue
+            if status.state in ("done", "failed", "cancelled"):
+                self.history.ended.append((job, anyio.current_time()))
+                return
+            await anyio.sleep(1.0)
+
+
+async def run_plan(plan, seed: int) -> History:
+    async with anyio.create_task_group() as tasks:
+        fleet = Fleet(tasks, ZONES, 2, 2, seed, make_timings())
+        run = Run(fleet)
+        fleet.start()
+        tasks.start_soon(run.watch)
+        await anyio.sleep(3.0)
+        await run.submit(0, tasks=12, job_class="run-9")
+        await run.submit(1, tasks=6, job_class="run-25", needs=make_resources(4))
+        await run.submit(2, tasks=3, job_class="fail-2", retries=1)
+        async with anyio.create_task_group() as injections:
+            for fault in plan:
+                injections.start_soon(run.inject, *fault)
+        await run.settle()
+        tasks.cancel_scope.cancel()
+    return run.history
+
+
+@pytest.mark.filterwarnings("ignore::hypothesis.errors.HypothesisWarning")
+@hypothesis.settings(
+    max_examples=EXAMPLES,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+@hypothesis.given(plan=plans, seed=st.integers(0, 2**32))
+def test_tasks_run_once_whatever_fails(plan, seed):
+    history = run_virtual(run_plan, plan, seed)
+    history.check(make_timings().zone_out_bound_s)
+
+
+def test_tasks_run_once_when_nothing_fails():
+    history = run_virtual(run_plan, [], 1)
+    history.check(make_timings().zone_out_bound_s)
+    assert len(history.ended) == 3
--- /dev/null
+++ b/tests/utils/fleet.py
@@ -0,0 +1,322 @@
+"""Several nodes' cores, workers and a platform in one process and virtual time."""
+
+import contextvars
+import random
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from flamingoweir.daemon import Node, NodeLinks
+from flamingoweir.membership import PeerUnreachable
+from flamingoweir.metrics import NoMetrics
+from flamingoweir.platform import TableUnavailable, TransactionUnknown
+from flamingoweir.settings import Scheduling, Timings
+from flamingoweir.standins import (
+    MemoryInstanceList,
+    MemoryObjectStore,
+    MemoryTable,
+    StandinWorker,
+)
+from flamingoweir.upstreams import AttemptStatus, Command, WorkerUnreachable
+from tests.utils.builders import make_entry, make_resources, make_settings, make_worker
+from tests.utils.virtual_time import Process, VirtualClock, current_process
+
+NETWORK_S = 0.001
+TIMEOUT_S = 1.0
+LONG_S = 1e9
+
+
+def run_time(command: Command) -> tuple[float, AttemptStatus]:
+    """Return 12 s for class ``run-12``, and a failure after 3 s for ``fail-3``."""
+    if command.job_class.startswith("service:"):
+        return LONG_S, AttemptStatus.DONE
+    kind, _, seconds = command.job_class.partition("-")
+    ending = AttemptStatus.FAILED if kind == "fail" else AttemptStatus.DONE
+    return float(seconds or 5), ending
+
+
+class Network:
+    """Who can't reach whom, and what is lost or late."""
+
+    def __init__(self, tasks: TaskGroup, seed: int):
+        self.random = random.Random(seed)
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self._tasks = tasks
+        self._context = contextvars.copy_context()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        return (one, other) in self.cut or (other, one) in self.cut
+
+    def deliver_late(self, function: Callable[[], object]) -> None:
+        delay_s = self.random.uniform(0.5, 20.0)
+
+        async def deliver() -> None:
+            await anyio.sleep(delay_s)
+            result = function()
+            if result is not None:
+                await result
+
+        self._context.run(self._tasks.start_soon, deliver)
+
+    def is_lost(self) -> bool:
+        return self.random.random() < self.loss
+
+
+class TableLink:
+    """The table as one node reaches it."""
+
+    def __init__(self, node: str, table: MemoryTable, network: Network):
+        self._node = node
+        self._table = table
+        self._network = network
+
+    async def transact(self, preconditions, writes):
+        await self._reach()
+        if self._network.is_lost():
+            kind = self._network.random.randrange(3)
+            if kind == 0:
+                self._network.deliver_late(
+                    lambda: self._transact_quietly(preconditions, writes)
+                )
+            if kind == 1:
+                await self._table.transact(preconditions, writes)
+            await anyio.sleep(TIMEOUT_S)
+            raise TransactionUnknown("lost")
+        return await self._table.transact(preconditions, writes)
+
+    async def get(self, key):
+        await self._reach()
+        return await self._table.get(key)
+
+    async def scan(self, prefix, after="", limit=1000):
+        await self._reach()
+        return await self._table.scan(prefix, after, limit)
+
+    async def _transact_quietly(self, preconditions, writes) -> None:
+        try:
+            await self._table.transact(preconditions, writes)
+        except Exception:
+            return
+
+    async def _reach(self) -> None:
+        await anyio.sleep(NETWORK_S)
+        if self._network.is_cut(self._node, "store"):
+            await anyio.sleep(TIMEOUT_S)
+            raise TableUnavailable("cut off")
+
+
+class ListLink:
+    """The list as one node reaches it."""
+
+    def __init__(self, node: str, source: MemoryInstanceList, network: Network):
+        self._node = node
+        self._source = source
+        self._network = network
+
+    async def instances(self):
+        await anyio.sleep(NETWORK_S)
+        if self._network.is_cut(self._node, "store"):
+            raise TableUnavailable("cut off")
+        return await self._source.instances()
+
+
+class FakeWorkerLink:
+    """A worker as one node reaches it."""
+
+    def __init__(self, node: str, worker: StandinWorker, network: Network):
+        self._node = node
+        self._worker = worker
+        self._network = network
+
+    async def exchange(self, message):
+        await anyio.sleep(NETWORK_S)
+        if self._network.is_cut(self._node, self._worker.name):
+            await anyio.sleep(TIMEOUT_S)
+            raise WorkerUnreachable("cut off")
+        if self._network.is_lost():
+            kind = self._network.random.randrange(3)
+            if kind == 0:
+                self._network.deliver_late(lambda: self._deliver(message))
+            if kind == 1:
+                self._worker.exchange(message)
+            await anyio.sleep(TIMEOUT_S)
+            raise WorkerUnreachable("lost")
+        report = self._worker.exchange(message)
+        await anyio.sleep(NETWORK_S)
+        return report
+
+    def _deliver(self, message) -> None:
+        self._worker.exchange(message)
+
+
+class FakePeerTransport:
+    """A peer as one node reaches it."""
+
+    def __init__(self, node: str, peer: str, fleet: "Fleet"):
+        self._node = node
+        self._peer = peer
+        self._fleet = fleet
+
+    async def call(self, request):
+        await anyio.sleep(NETWORK_S)
+        fleet = self._fleet
+        member = fleet.by_name.get(self._peer)
+        if fleet.network.is_cut(self._node, self._peer):
+            await anyio.sleep(TIMEOUT_S)
+            raise PeerUnreachable("cut off")
+        if member is None or member.node is None:
+            raise PeerUnreachable("refused", refused=True)
+        if member.process.paused:
+            await anyio.sleep(TIMEOUT_S)
+            raise PeerUnreachable("no answer")
+        return await member.node.peers.answer(request)
+
+    async def aclose(self) -> None:
+        return
+
+
+class Member:
+    """An entry instance and the process that runs it now, if any."""
+
+    def __init__(self, name: str, zone: str, clock: VirtualClock):
+        self.name = name
+        self.zone = zone
+        self.clock = clock
+        self.process = Process()
+        self.node: Node | None = None
+        self.scope = anyio.CancelScope()
+
+
+class Fleet:
+    """Entry instances, workers and a platform.
+
+    Parameters
+    ----------
+    tasks : TaskGroup
+        Runs everything.
+    zones : sequence of str
+        The zones.
+    entries, workers : int
+        Entry instances and workers in each zone.
+    seed : int
+        For the network's and the nodes' random numbers.
+    """
+
+    def __init__(
+        self,
+        tasks: TaskGroup,
+        zones=("gwynedd", "powys"),
+        entries: int = 2,
+        workers: int = 2,
+        seed: int = 0,
+        timings: Timings | None = None,
+        scheduling: Scheduling | None = None,
+    ):
+        self.tasks = tasks
+        self.zones = list(zones)
+        self.network = Network(tasks, seed)
+        self.table = MemoryTable()
+        self.objects = MemoryObjectStore()
+        self.instances = MemoryInstanceList()
+        self.by_name: dict[str, Member] = {}
+        self.worker_by_name: dict[str, StandinWorker] = {}
+        self.rate_by_worker: dict[str, float] = {}
+        self.incidents: list[tuple[str, float, float]] = []
+        self._timings = timings
+        self._scheduling = scheduling or Scheduling()
+        self._random = random.Random(seed)
+        drift = (timings or make_settings().timings).drift / 3
+        for zone in self.zones:
+            for number in range(workers):
+                self._add_worker(zone, number, drift)
+            for number in range(entries):
+                self._add_member(f"{zone}-e{number}", zone, drift)
+
+    def start(self) -> None:
+        for name in self.by_name:
+            self.start_member(name)
+
+    def start_member(self, name: str) -> None:
+        member = self.by_name[name]
+        member.process = Process()
+        member.scope = anyio.CancelScope()
+        settings = make_settings(name, member.zone, scheduling=self._scheduling)
+        if self._timings is not None:
+            settings = make_settings(
+                name, member.zone, timings=self._timings, scheduling=self._scheduling
+            )
+        links = NodeLinks(
+            TableLink(name, self.table, self.network),
+            self.objects,
+            ListLink(name, self.instances, self.network),
+            lambda worker: FakeWorkerLink(
+                name, self.worker_by_name[worker.name], self.network
+            ),
+            lambda runner: None,
+            lambda address: FakePeerTransport(name, address, self),
+        )
+        seed = self._random.getrandbits(64)
+        member.node = Node(
+            settings, links, member.clock, random.Random(seed), NoMetrics()
+        )
+        context = contextvars.copy_context()
+        context.run(current_process.set, member.process)
+        context.run(self.tasks.start_soon, self._run_member, member, member.node)
+
+    async def _run_member(self, member: Member, node: Node) -> None:
+        with member.scope:
+            node.instance = make_entry(member.name, member.zone)
+            node.peers.instance = node.instance
+            await node.run()
+
+    def kill(self, name: str) -> None:
+        member = self.by_name[name]
+        member.node = None
+        member.scope.cancel()
+        if member.process.paused:
+            member.process.resume()
+
+    def live_nodes(self) -> list[Node]:
+        found = []
+        for member in self.by_name.values():
+            if member.node is not None and not member.process.paused:
+                found.append(member.node)
+        return found
+
+    def owner_name(self, shard: str) -> str | None:
+        for member in self.by_name.values():
+            if member.node and shard in member.node.keeper.owner_by_shard:
+                return member.name
+        return None
+
+    def restart_worker(self, name: str) -> None:
+        now_s = anyio.current_time()
+        self.incidents.append((name, now_s, now_s))
+        self.worker_by_name[name].restart()
+
+    def cut_worker(self, name: str, until_s: float) -> None:
+        self.incidents.append((name, anyio.current_time(), until_s))
+        for member in self.by_name:
+            self.network.cut.add((member, name))
+
+    def join_worker(self, name: str) -> None:
+        for member in self.by_name:
+            self.network.cut.discard((member, name))
+
+    def _add_worker(self, zone: str, number: int, drift: float) -> None:
+        name = f"{zone}-w{number}"
+        worker = make_worker(name, zone, capacity=make_resources(8, 32_000))
+        rate = 1 + self._random.uniform(-drift, drift)
+        self.rate_by_worker[name] = rate
+        clock = VirtualClock(rate)
+        self.worker_by_name[name] = StandinWorker(
+            name, worker.capacity, clock, run_time, self.objects
+        )
+        self.instances.add(worker)
+
+    def _add_member(self, name: str, zone: str, drift: float) -> None:
+        clock = VirtualClock(1 + self._random.uniform(-drift, drift))
+        self.by_name[name] = Member(name, zone, clock)
+        self.instances.add(make_entry(name, zone))
--- /dev/null
+++ b/tests/utils/virtual_time.py
@@ -0,0 +1,86 @@
+"""An event loop whose time passes only while nothing is left to do.
+
+Tasks that run in the context of a `Process` stand still while it is paused, as
+those of a process stopped by a signal do.
+"""
+
+import asyncio
+import contextvars
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from flamingoweir.clock import Clock
+
+current_process: contextvars.ContextVar["Process | None"] = contextvars.ContextVar(
+    "current_process", default=None
+)
+
+
+class Process:
+    """A group of tasks that can be paused."""
+
+    def __init__(self) -> None:
+        self.paused = False
+        self._held: list[tuple] = []
+
+    def hold(self, callback, args, context) -> None:
+        self._held.append((callback, args, context))
+
+    def resume(self) -> None:
+        self.paused = False
+        held, self._held = self._held, []
+        loop = asyncio.get_running_loop()
+        for callback, args, context in held:
+            loop.call_soon(callback, *args, context=context)
+
+
+class _Selector:
+    """Passes time instead of waiting for sockets."""
+
+    def __init__(self, loop: "VirtualTimeLoop", selector):
+        self._loop = loop
+        self._selector = selector
+
+    def select(self, timeout):
+        if timeout is None:
+            raise RuntimeError("every task waits for something that never comes")
+        self._loop.virtual_s += timeout
+        return []
+
+    def __getattr__(self, name):
+        return getattr(self._selector, name)
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """See the module."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.virtual_s = 1000.0
+        self._selector = _Selector(self, self._selector)
+
+    def time(self) -> float:
+        return self.virtual_s
+
+    def call_soon(self, callback, *args, context=None):
+        holder = (context or contextvars.copy_context()).get(current_process)
+        if holder is not None and holder.paused:
+            holder.hold(callback, args, context)
+            return asyncio.Handle(callback, args, self, context)
+        return super().call_soon(callback, *args, context=context)
+
+
+class VirtualClock(Clock):
+    """A clock that runs a little fast or slow."""
+
+    def __init__(self, rate: float = 1.0):
+        self._rate = rate
+
+    def now(self) -> float:
+        return anyio.current_time() * self._rate
+
+
+def run_virtual(function: Callable[..., Awaitable], *args):
+    """Run an async function to its end in virtual time."""
+    return anyio.run(function, *args, backend_options={"loop_factory": VirtualTimeLoop})
