--- a/flamingoweir/standins/_worker.py
+++ b/flamingoweir/standins/_worker.py
@@ -100,6 +100,7 @@
         self.name = name
         self.capacity = capacity
         self.record: list[WorkerEvent] = []
+        self.refusals: list[AttemptReport] = []
         self._clock = clock
         self._run_time = run_time
         self._objects = objects
@@ -193,6 +194,7 @@
             command.task, command.attempt, AttemptStatus.REFUSED, detail=detail
         )
         fence.ended[AttemptId(command.task, command.attempt)] = report
+        self.refusals.append(report)
 
     def _checkpoint(self, fence: ShardFence, attempt: Attempt) -> None:
         command = attempt.command
--- a/tests/test_run_once.py
+++ b/tests/test_run_once.py
@@ -55,7 +55,7 @@
             list(fleet.worker_by_name.values()), fleet.rate_by_worker, fleet.incidents
         )
         self.jobs: list[str] = []
-        self.out_since: dict[str, float] = {}
+        self.out: set[str] = set()
 
     def node(self, number: int):
         nodes = self.fleet.live_nodes()
@@ -159,19 +159,18 @@
 
     async def _zone_out(self, number, length_s):
         zone = ZONES[number % 2]
-        if zone in self.out_since:
-            return
-        if not await self.change(number, f"zones/{zone}/state", "out"):
+        if zone in self.out:
             return
+        self.out.add(zone)
+        accepted = await self.change(number, f"zones/{zone}/state", "out")
         from_s = anyio.current_time()
-        self.out_since[zone] = from_s
         await anyio.sleep(length_s)
-        self.history.closed.append((zone, from_s, anyio.current_time()))
-        for attempt in range(200):
-            if await self.change(number + attempt, f"zones/{zone}/state", "in"):
-                break
+        if accepted:
+            self.history.closed.append((zone, from_s, anyio.current_time()))
+        while not await self.change(number, f"zones/{zone}/state", "in"):
+            number += 1
             await anyio.sleep(1.0)
-        del self.out_since[zone]
+        self.out.discard(zone)
 
     async def _race(self, number, length_s):
         async with anyio.create_task_group() as tasks:
@@ -226,6 +225,8 @@
             for fault in plan:
                 injections.start_soon(run.inject, *fault)
         await run.settle()
+        for worker in fleet.worker_by_name.values():
+            worker.advance()
         tasks.cancel_scope.cancel()
     return run.history
 
--- a/tests/utils/history.py
+++ b/tests/utils/history.py
@@ -74,6 +74,10 @@
                     assert used.fits_in(worker.capacity), f"{event} makes {used}"
                     continue
                 used = used - event.needs
+            for refusal in worker.refusals:
+                assert refusal.detail != "capacity", (
+                    f"guard of {worker.name}: {refusal}"
+                )
 
     def check_after_end(self) -> None:
         done_by_task: dict[str, WorkerEvent] = {}
