Prove what callers are told, golden sessions, shutdown

Over HTTP: reset before and after, crossed, short, late answers, dead and leaving runners, bad input, keys, streaming, and a shutdown with 100 requests in flight.

--- a/flamingoweir/daemon/_standalone.py
+++ b/flamingoweir/daemon/_standalone.py
@@ -50,21 +50,34 @@
 
 
 class Standins:
-    """Platform, workers and runners of one zone on loopback."""
+    """Platform, workers and runners of one zone on loopback.
+
+    Attributes
+    ----------
+    instances, table, objects
+        The platform.
+    worker_by_name, runner_by_name : dict
+        The workers and runners.
+    platform_port : int
+        Where the platform listens.
+    """
 
     def __init__(self, zone: str):
         self.zone = zone
         self.instances = MemoryInstanceList()
+        self.table = MemoryTable()
+        self.objects = MemoryObjectStore()
+        self.worker_by_name: dict[str, StandinWorker] = {}
+        self.runner_by_name: dict[str, StandinRunner] = {}
         self.platform_port = 0
         self._servers: list[HttpServer] = []
 
     async def start(self, tasks: TaskGroup) -> None:
         """Start all servers in a task group."""
-        objects = MemoryObjectStore()
-        app = PlatformApp(MemoryTable(), objects, self.instances)
+        app = PlatformApp(self.table, self.objects, self.instances)
         self.platform_port = await self._serve(tasks, app)
         for number in range(1, WORKERS + 1):
-            await self._add_worker(tasks, number, objects)
+            await self._add_worker(tasks, number)
         for number in range(1, RUNNERS + 1):
             await self._add_runner(tasks, number)
 
@@ -73,13 +86,12 @@
         for server in self._servers:
             server.stop()
 
-    async def _add_worker(
-        self, tasks: TaskGroup, number: int, objects: MemoryObjectStore
-    ) -> None:
+    async def _add_worker(self, tasks: TaskGroup, number: int) -> None:
         name = f"worker-{number}"
         worker = StandinWorker(
-            name, WORKER_CAPACITY, MonotonicClock(), run_time, objects
+            name, WORKER_CAPACITY, MonotonicClock(), run_time, self.objects
         )
+        self.worker_by_name[name] = worker
         port = await self._serve(tasks, WorkerApp(worker))
         self.instances.add(
             Instance(
@@ -95,6 +107,7 @@
     async def _add_runner(self, tasks: TaskGroup, number: int) -> None:
         name = f"runner-{number}"
         runner = StandinRunner(name, service_s=SERVICE_S)
+        self.runner_by_name[name] = runner
         port = await self._serve(tasks, RunnerApp(runner))
         self.instances.add(
             Instance(
--- a/flamingoweir/routing/_router.py
+++ b/flamingoweir/routing/_router.py
@@ -322,7 +322,7 @@
     def _note_error(self, runner: Runner, error: RunnerError) -> None:
         self._metrics.incr("requests.runner_errors")
         if error.leaving:
-            runner.leaving = True
+            runner.note_leaving()
         if error.blame and runner.note_failure():
             self._metrics.incr("runners.ejected")
             log.warning("runner_ejected", runner=runner.instance.name, why=str(error))
--- a/flamingoweir/routing/_runner.py
+++ b/flamingoweir/routing/_runner.py
@@ -9,6 +9,7 @@
 
 LOAD_FRESH_S = 1.0
 LATENCY_WEIGHT = 0.1
+LEAVING_WORD_S = 30.0
 
 
 @dataclass(slots=True)
@@ -35,8 +36,8 @@
         When it may be probed, if it is ejected.
     ejections : int
         Ejections since its last whole answer.
-    leaving : bool
-        Whether it said that it is leaving.
+    leaving_until_s : float
+        Until when its word that it is leaving counts; it may come back.
     """
 
     instance: Instance
@@ -50,11 +51,15 @@
     failures: int = 0
     ejected_until_s: float = float("-inf")
     ejections: int = 0
-    leaving: bool = False
+    leaving_until_s: float = float("-inf")
 
     def is_leaving(self) -> bool:
         """Return whether it gets nothing new, by its own word or the platform's."""
-        return self.leaving or self.instance.leaving
+        return self.instance.leaving or self.clock.now() < self.leaving_until_s
+
+    def note_leaving(self) -> None:
+        """Take the runner's word that it is leaving."""
+        self.leaving_until_s = self.clock.now() + LEAVING_WORD_S
 
     def is_ejected(self) -> bool:
         """Return whether it gets nothing because it fails.
--- a/flamingoweir/settings/__init__.py
+++ b/flamingoweir/settings/__init__.py
@@ -3,6 +3,7 @@
 from ._ini import SettingsError, load_settings, parse_settings
 from ._model import (
     InstanceSettings,
+    PlatformSettings,
     Requests,
     Scheduling,
     Settings,
@@ -11,6 +12,7 @@
 
 __all__ = [
     "InstanceSettings",
+    "PlatformSettings",
     "Requests",
     "Scheduling",
     "Settings",
--- a/flamingoweir/standins/__init__.py
+++ b/flamingoweir/standins/__init__.py
@@ -1,7 +1,7 @@
 """Stand-ins for the platform, workers and runners, small and in memory."""
 
 from ._platform import MemoryInstanceList, MemoryObjectStore, MemoryTable
-from ._runner import StandinRunner
+from ._runner import RunnerFault, StandinRunner
 from ._servers import PlatformApp, RunnerApp, WorkerApp
 from ._worker import StandinWorker, WorkerEvent
 
@@ -11,6 +11,7 @@
     "MemoryTable",
     "PlatformApp",
     "RunnerApp",
+    "RunnerFault",
     "StandinRunner",
     "StandinWorker",
     "WorkerApp",
--- a/flamingoweir/standins/_servers.py
+++ b/flamingoweir/standins/_servers.py
@@ -43,6 +43,11 @@
     await send({"type": "http.response.body", "body": body})
 
 
+def reset(send) -> None:
+    """Reset the connection; ASGI has no word for it, so uvicorn's is used."""
+    send.__self__.transport.abort()
+
+
 class PlatformApp:
     """Table service, object store and list of instances as an ASGI application."""
 
@@ -156,17 +161,25 @@
         request_id = headers.get(b"x-request-id", b"").decode("latin-1")
         fault = self.runner.next_fault()
         if fault is RunnerFault.RESET_BEFORE:
-            raise ConnectionResetError("planned")
+            reset(send)
+            return
         if fault is RunnerFault.REFUSE or self.runner.leaving:
-            await answer(send, 503, b"", [(b"x-runner-refused", b"1")])
+            await self._refuse(send)
             return
         body = await read_body(receive)
         await self.runner.execute(request_id, _asked_service_s(headers))
         await self._answer(send, fault, request_id, body)
 
+    async def _refuse(self, send) -> None:
+        headers = [(b"x-runner-refused", b"1")]
+        if self.runner.leaving:
+            headers.append((b"x-runner-leaving", b"1"))
+        await answer(send, 503, b"", headers)
+
     async def _answer(self, send, fault, request_id: str, body: bytes) -> None:
         if fault is RunnerFault.RESET_AFTER:
-            raise ConnectionResetError("planned")
+            reset(send)
+            return
         if fault is RunnerFault.LATE:
             await anyio.sleep(self.runner.late_s)
         if fault is RunnerFault.CROSSED:
--- /dev/null
+++ b/tests/test_caller_session.py
@@ -0,0 +1,59 @@
+"""Golden file of a whole caller session over HTTP."""
+
+import anyio
+
+from flamingoweir.settings import Requests
+from flamingoweir.standins import RunnerFault
+from tests.test_callers_http import BODY, plan, send
+from tests.utils.local import run_local
+
+NAMED = ((b"x-maker-name", "જીવાભાઈ".encode()), (b"x-request-id", b"r-1"))
+SESSION = [
+    ("a quote", "/call/quotes/price?pairs=2", BODY, NAMED, None),
+    ("an unknown service", "/call/clogs/price", BODY, (), None),
+    ("an odd id", "/call/quotes/price", BODY, ((b"x-request-id", b"\xff"),), None),
+    ("a large order", "/call/quotes/order", b"x" * 2000, (), None),
+    ("a runner that fails", "/call/quotes/order", BODY, (), RunnerFault.ERROR),
+    ("a lost answer", "/call/quotes/order", BODY, (), RunnerFault.RESET_AFTER),
+    ("a crossed answer", "/call/quotes/order", BODY, (), RunnerFault.CROSSED),
+    (
+        "a keyed order",
+        "/call/quotes/order",
+        BODY,
+        ((b"idempotency-key", b"k-1"), (b"x-request-id", b"r-2")),
+        None,
+    ),
+    (
+        "the same key",
+        "/call/quotes/order",
+        BODY,
+        ((b"idempotency-key", b"k-1"), (b"x-request-id", b"r-3")),
+        None,
+    ),
+]
+SHOWN = (
+    b"content-type",
+    b"x-flamingoweir-verdict",
+    b"x-flamingoweir-replayed",
+    b"retry-after",
+)
+
+
+def test_caller_session(snapshot):
+    async def scenario() -> list[str]:
+        shown = []
+        requests = Requests(max_body_bytes=1000, retry_budget=0.0)
+        async with run_local(requests=requests) as local:
+            for number, (title, path, body, headers, fault) in enumerate(SESSION):
+                plan(local, *([fault] * 10 if fault else ()))
+                if not any(name == b"x-request-id" for name, _ in headers):
+                    headers = (*headers, (b"x-request-id", b"s-%d" % number))
+                status, answered, content = await send(local, path, body, headers)
+                lines = [f"# {title}", f"POST {path}", f"{status}"]
+                for name in SHOWN:
+                    if name in answered:
+                        lines.append(f"{name.decode()}: {answered[name].decode()}")
+                shown.append("\n".join([*lines, content.decode(), ""]))
+        return shown
+
+    assert "\n".join(anyio.run(scenario)) == snapshot
--- /dev/null
+++ b/tests/test_callers_http.py
@@ -0,0 +1,270 @@
+"""Callers over HTTP: answers, verdicts, bad input, shutdown."""
+
+import anyio
+import httpcore
+import orjson
+import pytest
+
+from flamingoweir.settings import Requests
+from flamingoweir.standins import RunnerFault
+from flamingoweir.transport import new_connection, split_address
+from tests.utils.local import run_local
+
+BODY = "મેકર: જીવાભાઈ".encode()
+
+
+async def send(local, path, body=b"", headers=(), method="POST"):
+    """Send one request over a connection of its own."""
+    host, port = split_address(local.address)
+    connection = new_connection(host, port)
+    try:
+        response = await connection.handle_async_request(
+            httpcore.Request(
+                method,
+                f"http://{local.address}{path}",
+                headers=[
+                    (b"host", local.address.encode()),
+                    (b"content-length", str(len(body)).encode()),
+                    *headers,
+                ],
+                content=body,
+            )
+        )
+        content = b"".join([part async for part in response.stream])
+    finally:
+        await connection.aclose()
+    by_name = {name.lower(): value for name, value in response.headers}
+    return response.status, by_name, content
+
+
+def error_of(content: bytes) -> tuple[str, str]:
+    error = orjson.loads(content)["error"]
+    return error["code"], error["verdict"]
+
+
+def plan(local, *faults: RunnerFault) -> None:
+    for runner in local.standins.runner_by_name.values():
+        runner.faults = list(faults)
+
+
+def executed(local, request_id: str) -> int:
+    runners = local.standins.runner_by_name.values()
+    return sum(runner.executed.get(request_id, 0) for runner in runners)
+
+
+def test_a_whole_answer_comes_back():
+    async def scenario():
+        async with run_local() as local:
+            status, headers, content = await send(
+                local, "/call/quotes/price?size=7", BODY, [(b"x-request-id", b"q-1")]
+            )
+            assert (status, content) == (200, BODY)
+            assert headers[b"x-request-id"] == b"q-1"
+            assert headers[b"x-flamingoweir-verdict"] == b"ran"
+            assert executed(local, "q-1") == 1
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("fault", "runs"),
+    [
+        (RunnerFault.RESET_BEFORE, 0),
+        (RunnerFault.RESET_AFTER, 1),
+        (RunnerFault.CROSSED, 1),
+        (RunnerFault.SHORT, 1),
+    ],
+)
+def test_a_bad_answer_reaches_nobody_and_runs_at_most_once(fault, runs):
+    async def scenario():
+        async with run_local() as local:
+            plan(local, fault, fault)
+            status, _, content = await send(
+                local, "/call/quotes/order", BODY, [(b"x-request-id", b"o-1")]
+            )
+            assert status == 502
+            assert error_of(content) == ("runner_failed", "may_have_run")
+            assert executed(local, "o-1") == runs
+            plan(local)
+            status, _, content = await send(local, "/call/quotes/order", b"next")
+            assert (status, content) == (200, b"next")
+
+    anyio.run(scenario)
+
+
+def test_a_late_answer_reaches_nobody():
+    async def scenario():
+        async with run_local() as local:
+            plan(local, RunnerFault.LATE)
+            for runner in local.standins.runner_by_name.values():
+                runner.late_s = 0.6
+            status, _, content = await send(
+                local,
+                "/call/quotes/order",
+                BODY,
+                [(b"x-flamingoweir-timeout-ms", b"200")],
+            )
+            assert status == 504
+            assert error_of(content) == ("deadline_exceeded", "may_have_run")
+            plan(local)
+            for number in range(20):
+                text = b"%d" % number
+                status, _, content = await send(local, "/call/quotes/order", text)
+                assert (status, content) == (200, text)
+
+    anyio.run(scenario)
+
+
+def test_a_runner_that_refuses_is_passed_over():
+    async def scenario():
+        async with run_local() as local:
+            for runner in list(local.standins.runner_by_name.values())[:2]:
+                runner.leaving = True
+            for _ in range(10):
+                status, _, _ = await send(local, "/call/quotes/order", BODY)
+                assert status == 200
+
+    anyio.run(scenario)
+
+
+def test_a_dead_runner_is_not_run():
+    async def scenario():
+        async with run_local(requests=Requests(retry_budget=0.0)) as local:
+            for runner in local.daemon.node.router.runners("quotes"):
+                runner.link._port = 9
+            codes = set()
+            for _ in range(12):
+                _, _, content = await send(local, "/call/quotes/order", BODY)
+                codes.add(error_of(content))
+            assert codes == {("runner_failed", "not_run")}
+
+    anyio.run(scenario)
+
+
+def test_large_bodies_are_streamed_both_ways():
+    async def scenario():
+        async with run_local() as local:
+            body = bytes(range(256)) * 4096
+            status, _, content = await send(local, "/call/quotes/upload", body)
+            assert status == 200
+            assert content == body
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status", "code"),
+    [
+        ("/call/nothing/x", [], 404, "unknown_service"),
+        ("/call//x", [], 400, "bad_request"),
+        ("/call/%E0%AA%AE/x", [], 400, "bad_request"),
+        ("/call/quotes/x", [(b"x-request-id", b"a b")], 400, "bad_request"),
+        ("/call/quotes/x", [(b"x-flamingoweir-idempotent", b"y")], 400, "bad_request"),
+        (
+            "/call/quotes/x",
+            [(b"x-flamingoweir-timeout-ms", b"-1")],
+            400,
+            "bad_request",
+        ),
+        ("/v1/nothing", [], 404, "not_found"),
+        ("/v1/jobs", [], 400, "bad_request"),
+        ("/v1/zones/nowhere/out", [], 404, "not_found"),
+    ],
+)
+def test_bad_input_gets_a_code_and_was_not_run(path, headers, status, code):
+    async def scenario():
+        async with run_local() as local:
+            answered, _, content = await send(local, path, b"", headers)
+            assert (answered, error_of(content)) == (status, (code, "not_run"))
+            assert (await send(local, "/call/quotes/x", BODY))[0] == 200
+
+    anyio.run(scenario)
+
+
+def test_an_oversized_body_is_refused():
+    async def scenario():
+        async with run_local(requests=Requests(max_body_bytes=100)) as local:
+            status, _, content = await send(local, "/call/quotes/x", b"x" * 101)
+            assert (status, error_of(content)) == (413, ("body_too_large", "not_run"))
+
+    anyio.run(scenario)
+
+
+def test_garbage_on_a_connection_leaves_the_daemon_alone():
+    async def scenario():
+        async with run_local() as local:
+            host, port = split_address(local.address)
+            for garbage in (b"\x00\x01\x02\r\n\r\n", b"GET / HTTP/9\r\n\r\n", b"POST"):
+                async with await anyio.connect_tcp(host, port) as stream:
+                    await stream.send(garbage)
+            own = local.daemon.node.instance.address
+            async with await anyio.connect_tcp(*split_address(own)) as stream:
+                await stream.send(b"\xff\xff\xff\xff garbage")
+            assert (await send(local, "/call/quotes/x", BODY))[0] == 200
+
+    anyio.run(scenario)
+
+
+def test_a_key_runs_once_and_gives_the_same_answer():
+    async def scenario():
+        async with run_local() as local:
+            headers = [(b"idempotency-key", b"order-17")]
+            first = await send(local, "/call/quotes/order", BODY, headers)
+            again = await send(local, "/call/quotes/order", BODY, headers)
+            assert (first[0], first[2]) == (again[0], again[2]) == (200, BODY)
+            assert again[1][b"x-flamingoweir-replayed"] == b"1"
+            runners = local.standins.runner_by_name.values()
+            assert sum(len(runner.executed) for runner in runners) == 1
+
+    anyio.run(scenario)
+
+
+def test_a_key_whose_outcome_is_unknown_is_not_run_again():
+    async def scenario():
+        async with run_local() as local:
+            plan(local, RunnerFault.RESET_AFTER)
+            headers = [(b"idempotency-key", b"order-18")]
+            await send(local, "/call/quotes/order", BODY, headers)
+            plan(local)
+            status, _, content = await send(local, "/call/quotes/order", BODY, headers)
+            assert status == 409
+            assert error_of(content) == ("duplicate_key", "may_have_run")
+
+    anyio.run(scenario)
+
+
+def test_a_key_is_refused_as_not_run_while_the_store_is_away():
+    async def scenario():
+        async with run_local() as local:
+            local.standins.table.down = True
+            headers = [(b"idempotency-key", b"order-19")]
+            status, _, content = await send(local, "/call/quotes/order", BODY, headers)
+            assert status == 503
+            assert error_of(content) == ("store_unavailable", "not_run")
+            assert (await send(local, "/call/quotes/order", BODY))[0] == 200
+
+    anyio.run(scenario)
+
+
+def test_shutdown_finishes_a_hundred_requests_in_flight():
+    async def scenario():
+        async with run_local() as local:
+            answers = []
+
+            async def call(number: int) -> None:
+                text = b"%d" % number * (1 if number % 2 else 100_000)
+                headers = [(b"x-standin-service-ms", b"300")]
+                status, _, content = await send(
+                    local, "/call/quotes/order", text, headers
+                )
+                answers.append((status, content == text))
+
+            async with anyio.create_task_group() as callers:
+                for number in range(100):
+                    callers.start_soon(call, number)
+                while local.daemon.node.router.in_flight < 100:
+                    await anyio.sleep(0.01)
+                assert await local.daemon.shut_down()
+            assert answers == [(200, True)] * 100
+
+    anyio.run(scenario)
--- /dev/null
+++ b/tests/test_operator_session.py
@@ -0,0 +1,82 @@
+"""Golden file of a whole operator session over HTTP."""
+
+import io
+import re
+
+import anyio
+import anyio.to_thread
+
+from flamingoweir.cli import main
+from flamingoweir.environment import Environment
+from tests.utils.local import run_local
+
+SESSION = [
+    "health",
+    "zone list",
+    "workers",
+    "runners",
+    "peers",
+    "job submit --id rounds --zones zone-1 --tasks 3 --processors 2",
+    "job submit --id rounds --zones zone-1 --tasks 3 --processors 2",
+    "job submit --id rounds --zones zone-1 --tasks 4",
+    "job submit --id giant --zones zone-1 --processors 500",
+    "job submit --id lost --zones nowhere",
+    "job submit --id bad --zones zone-1 --tasks 0",
+    "job show rounds --wait-done",
+    "job list",
+    "--team other job cancel rounds",
+    "job cancel rounds",
+    "job show nothing",
+    "explain rounds/0",
+    "explain rounds",
+    "settings get",
+    "--team rounds settings set teams/rounds/weight 2",
+    "--team rounds settings set teams/rounds/weight 3 --expected 1",
+    "--team rounds settings set teams/rounds/weight 4 --expected 1",
+    "--team other settings set teams/rounds/weight 9",
+    "--team rounds settings set teams/rounds/weight none",
+    "--team rounds settings set teams/rounds/colour red",
+    "--team rounds settings unset teams/rounds/weight",
+    "settings get teams/rounds",
+    "settings history",
+    "settings diff 1 2",
+    "--team shops service declare makers --instances zone-1=2 --processors 0.5",
+    "--team shops service declare makers --instances zone-1",
+    "service list",
+    "zone out zone-1 --wait",
+    "zone list",
+    "job submit --id later --zones zone-1 --tasks 2",
+    "zone in zone-1 --wait",
+    "job show later --wait-done",
+    "zone out zone-9",
+    "--json zone list",
+]
+MOMENT = re.compile(r"\d{4}-\d\d-\d\dT[0-9:+]+")
+
+
+def run_tool(address: str, line: str) -> str:
+    """Run one command and return what a person sees."""
+    words = line.split()
+    wait = "--wait-done" in words
+    if wait:
+        words.remove("--wait-done")
+        poll = Environment(io.StringIO(), io.StringIO(), {})
+        main(["--address", address, *words, "--watch"], poll)
+    env = Environment(io.StringIO(), io.StringIO(), {})
+    status = main(["--address", address, *words], env)
+    out = MOMENT.sub("MOMENT", env.stdout.getvalue())
+    err = env.stderr.getvalue()
+    return f"$ flamingoweir {' '.join(words)}\n{out}{err}exit {status.value}\n"
+
+
+def test_operator_session(snapshot):
+    async def scenario() -> list[str]:
+        shown = []
+        async with run_local() as local:
+            for line in SESSION:
+                shown.append(
+                    await anyio.to_thread.run_sync(run_tool, local.address, line)
+                )
+        return shown
+
+    assert "\n".join(anyio.run(scenario)) == snapshot
--- /dev/null
+++ b/tests/utils/local.py
@@ -0,0 +1,45 @@
+"""A daemon and its stand-ins over HTTP on loopback, in this process."""
+
+import contextlib
+import dataclasses
+
+import anyio
+
+from flamingoweir.daemon._main import Daemon
+from flamingoweir.daemon._standalone import Standins
+from flamingoweir.settings import InstanceSettings, PlatformSettings, Settings
+from flamingoweir.transport import HttpClient
+
+HOST = "127.0.0.1"
+
+
+class Local:
+    """What a test needs of the running system."""
+
+    def __init__(self, daemon: Daemon, standins: Standins):
+        self.daemon = daemon
+        self.standins = standins
+        self.address = f"{HOST}:{daemon.http.port}"
+        self.client = HttpClient(self.address, 200, 20.0)
+
+
+@contextlib.asynccontextmanager
+async def run_local(**sections):
+    """Run a daemon until the block ends."""
+    own = InstanceSettings(http_port=0, peer_port=0, notice_s=0.0)
+    settings = Settings(**{"instance": own, **sections})
+    async with anyio.create_task_group() as tasks:
+        standins = Standins(own.zone)
+        await standins.start(tasks)
+        platform = PlatformSettings(address=f"{HOST}:{standins.platform_port}")
+        daemon = Daemon(dataclasses.replace(settings, platform=platform))
+        await tasks.start(daemon.run)
+        standins.instances.add(daemon.node.instance)
+        local = Local(daemon, standins)
+        while daemon.node.why_not_ready() or not daemon.node.keeper.owner_by_shard:
+            await anyio.sleep(0.01)
+        try:
+            yield local
+        finally:
+            await local.client.aclose()
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/utils/runners.py
@@ -0,0 +1,77 @@
+"""Runners in memory, reached without a network."""
+
+import anyio
+
+from flamingoweir.errors import Verdict
+from flamingoweir.routing import AnswerHead, CallerRequest, RequestBody, RunnerError
+from flamingoweir.standins import RunnerFault, StandinRunner
+
+
+class FakeAnswer:
+    def __init__(self, head: AnswerHead, body: bytes, short: bool):
+        self.head = head
+        self._body = body
+        self._short = short
+
+    async def parts(self):
+        yield self._body
+        if self._short:
+            raise RunnerError("short", Verdict.MAY_HAVE_RUN)
+
+    async def aclose(self) -> None:
+        return
+
+
+class FakeRunnerLink:
+    """The way to a runner; a caller that gives up leaves the runner working."""
+
+    def __init__(self, runner: StandinRunner, tasks: anyio.abc.TaskGroup):
+        self.runner = runner
+        self._tasks = tasks
+
+    async def send(self, request: CallerRequest) -> FakeAnswer:
+        await anyio.sleep(0.001)
+        fault = self.runner.next_fault()
+        if fault is RunnerFault.REFUSE:
+            raise RunnerError("refused", Verdict.NOT_RUN, blame=False)
+        if fault is RunnerFault.RESET_BEFORE:
+            raise RunnerError("reset", Verdict.MAY_HAVE_RUN)
+        body = b"".join([part async for part in request.body.parts()])
+        done = anyio.Event()
+        self._tasks.start_soon(self._execute, request.id, done)
+        await done.wait()
+        if fault is RunnerFault.RESET_AFTER:
+            raise RunnerError("reset", Verdict.MAY_HAVE_RUN)
+        if fault is RunnerFault.CROSSED:
+            raise RunnerError("crossed", Verdict.MAY_HAVE_RUN)
+        if fault is RunnerFault.LATE:
+            await anyio.sleep(self.runner.late_s)
+        status = 500 if fault is RunnerFault.ERROR else 200
+        head = AnswerHead(status, [], len(body), self.runner.in_flight)
+        return FakeAnswer(head, body, fault is RunnerFault.SHORT)
+
+    async def aclose(self) -> None:
+        return
+
+    async def _execute(self, request_id: str, done: anyio.Event) -> None:
+        await self.runner.execute(request_id)
+        done.set()
+
+
+def make_request(number: int, idempotent: bool, deadline_s: float) -> CallerRequest:
+    text = f"order {number}".encode()
+
+    async def receive() -> tuple[bytes, bool]:
+        return text, False
+
+    return CallerRequest(
+        f"request-{number}",
+        "quotes",
+        "shops",
+        "POST",
+        b"/price",
+        [(b"content-length", str(len(text)).encode())],
+        RequestBody(receive, 1000),
+        idempotent,
+        deadline_s,
+    )
