Follow the table of outages row by row; measure first slopes

Ten scenarios in virtual time: store away for all, for the owner, for a zone; zone cut from both; zone out with batch and services; owner dead or drained. Found and mended: an owner blocked in a commit during an outage neither evicted in a zone taken out nor noticed that a worker had seen its successor; that now runs beside the commit.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is run as ``python -m benchmarks.NAME``."""
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,334 @@
+"""Slopes for docs/CAPACITY.md: bytes and microseconds per unit of state.
+
+Run ``python -m benchmarks.slopes``. Figures are of the real code on one core, with
+a table in memory; each is printed with the sizes that it was fitted to.
+"""
+
+import gc
+import io
+import os
+import random
+import resource
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import anyio
+import orjson
+
+from flamingoweir import logs
+from flamingoweir.clock import MonotonicClock
+from flamingoweir.membership import Directory, Hold, Ping, Pong, Request
+from flamingoweir.membership._wire import encode_frame
+from flamingoweir.metrics import NoMetrics
+from flamingoweir.platform import Instance, InstanceKind
+from flamingoweir.resources import Resources
+from flamingoweir.scheduling import JobSpec, OwnerContext, ShardOwner, ShardState
+from flamingoweir.scheduling._events import TaskAssigned, TasksAdded, encode_events
+from flamingoweir.scheduling._journal import Journal
+from flamingoweir.scheduling._session import Assignment, WorkerSession
+from flamingoweir.settings import Scheduling, Timings
+from flamingoweir.standins import (
+    MemoryInstanceList,
+    MemoryObjectStore,
+    MemoryTable,
+    StandinWorker,
+)
+from flamingoweir.tree import Change, SettingsTree
+from flamingoweir.upstreams import (
+    AttemptStatus,
+    Command,
+    CommandKind,
+    WorkerExchange,
+    encode_report,
+)
+
+CAPACITY = Resources(64_000, 250_000, 2)
+
+
+class OpenFleet:
+    """A fleet in which every zone is open and nothing else is known."""
+
+    def may_start(self, zone: str) -> bool:
+        """Return whether tasks may be started."""
+        return True
+
+    def open_zones(self) -> list[str]:
+        """Return the open zones."""
+        return ["powys"]
+
+    def open_shards(self) -> int:
+        """Return how many shards there are."""
+        return 1
+
+    def shard_room(self, shard: str) -> None:
+        """Return nothing: no other shard is known."""
+
+    def running_elsewhere(self, service: str, shard: str) -> int:
+        """Return 0."""
+        return 0
+
+
+def make_spec(name: str, tasks: int, processors_milli: int = 1000) -> JobSpec:
+    """Return a batch job."""
+    return JobSpec(name, "team", tasks, Resources(processors_milli, 2000), ["powys"])
+
+
+def make_worker(number: int) -> Instance:
+    """Return a worker."""
+    return Instance(
+        f"powys-w{number}",
+        InstanceKind.WORKER,
+        "powys",
+        f"rack-{number // 8}",
+        "127.0.0.1:1",
+        capacity=CAPACITY,
+    )
+
+
+def measure_bytes(build: Callable[[int], object], sizes: tuple[int, int]) -> float:
+    """Return the bytes that one more unit takes."""
+    taken = []
+    for size in sizes:
+        gc.collect()
+        tracemalloc.start()
+        kept = build(size)
+        taken.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+        del kept
+    return (taken[1] - taken[0]) / (sizes[1] - sizes[0])
+
+
+def report(name: str, value: float, unit: str) -> None:
+    """Print one figure."""
+    print(f"{name:52s} {value:12.1f} {unit}")
+
+
+def build_tasks(count: int) -> ShardState:
+    """Return a state with tasks of jobs of 100."""
+    state = ShardState()
+    for number in range(count // 100):
+        state.apply(TasksAdded(make_spec(f"job-{number:06d}", 100), 0, 100))
+    return state
+
+
+def build_jobs(count: int) -> ShardState:
+    """Return a state with jobs of one task."""
+    state = ShardState()
+    for number in range(count):
+        state.apply(TasksAdded(make_spec(f"job-{number:06d}", 1), 0, 1))
+    return state
+
+
+def build_assignments(count: int) -> list[Assignment]:
+    """Return assignments of one job."""
+    spec = make_spec("job-000001", 100)
+    return [Assignment(spec, number, 1) for number in range(count)]
+
+
+def build_sessions(count: int) -> list[WorkerSession]:
+    """Return sessions with idle workers."""
+    clock, timings = MonotonicClock(), Timings()
+    sessions = []
+    for number in range(count):
+        sessions.append(
+            WorkerSession(
+                make_worker(number),
+                None,
+                "powys/0",
+                1,
+                None,
+                lambda: True,
+                lambda: None,
+                clock,
+                timings,
+                0.0,
+            )
+        )
+    return sessions
+
+
+def build_tree(count: int) -> SettingsTree:
+    """Return a tree with as many values."""
+    tree = SettingsTree()
+    for number in range(count):
+        path = f"teams/team-{number}/weight"
+        tree.by_path[path] = str(number)
+    return tree
+
+
+def measure_memory() -> None:
+    """Print bytes per unit of state."""
+    report("state: a queued task", measure_bytes(build_tasks, (1000, 21_000)), "B")
+    report("state: a job of one task", measure_bytes(build_jobs, (100, 5100)), "B")
+    report("state: an assignment", measure_bytes(build_assignments, (100, 10_100)), "B")
+    report("state: a worker's session", measure_bytes(build_sessions, (10, 1010)), "B")
+    report("state: a settings value", measure_bytes(build_tree, (100, 10_100)), "B")
+    usage_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    report("resident: interpreter with everything imported", usage_kb / 1024, "MB")
+
+
+def measure_messages() -> None:
+    """Print bytes per message."""
+    assigned = [TaskAssigned("job-000001", n, "powys-w12", 1) for n in range(100)]
+    report("journal: an assignment", len(encode_events(assigned)) / 100, "B")
+    hold = Hold("powys/0", 3, 10, 5000, {})
+    pong = Pong("powys-e1", "powys", 1, 5, True, -1, [hold], 1, False)
+    ping = Request(ping=Ping("powys-e1", "powys", "10.0.0.1:8081", 1, False))
+    size = len(encode_frame(pong)) + len(encode_frame(ping))
+    report("peer: a ping and its pong", size, "B")
+    exchange = WorkerExchange("powys/0", 1, "w:1", 1.0, 1.0)
+    idle = len(orjson.dumps(exchange, default=tuple))
+    report("worker: an idle exchange's body", idle, "B")
+    report("worker: a START command", command_bytes() - idle, "B")
+    report("worker: an attempt in a report", attempt_bytes(), "B")
+    change = Change(
+        1, "change-1", "rounds", "teams/rounds", {"teams/rounds/weight": "2"}
+    )
+    report("settings: a change", len(orjson.dumps(change)), "B")
+
+
+def command_bytes() -> int:
+    """Return the size of an exchange with one START."""
+    command = Command(CommandKind.START, "job-000001/12", 1, Resources(1000, 2000))
+    exchange = WorkerExchange("powys/0", 1, "w:1", 1.0, 1.0, [command])
+    return len(orjson.dumps(exchange, default=tuple))
+
+
+def attempt_bytes() -> int:
+    """Return how much one running attempt adds to a report."""
+    worker = StandinWorker(
+        "powys-w1",
+        CAPACITY,
+        MonotonicClock(),
+        lambda command: (1e9, AttemptStatus.DONE),
+        MemoryObjectStore(),
+    )
+    empty = worker.exchange(WorkerExchange("powys/0", 1))
+    command = Command(CommandKind.START, "job-000001/12", 1, Resources(1000, 2000))
+    until_s = empty.clock_s + 1000
+    full = worker.exchange(
+        WorkerExchange("powys/0", 1, empty.incarnation, until_s, until_s, [command])
+    )
+    return len(encode_report(full)) - len(encode_report(empty))
+
+
+async def create_owner(workers: int) -> ShardOwner:
+    """Return an owner with idle workers that have answered."""
+    table, objects, clock = MemoryTable(), MemoryObjectStore(), MonotonicClock()
+    instances = MemoryInstanceList()
+    directory = Directory(instances, clock)
+    timings = Timings()
+    journal = Journal(table, objects, "powys/0", "e1:1", clock, timings)
+    await journal.acquire(None)
+    context = OwnerContext(
+        "powys",
+        "powys/0",
+        table,
+        directory,
+        SettingsTree(),
+        OpenFleet(),
+        lambda worker: None,
+        clock,
+        timings,
+        Scheduling(),
+        NoMetrics(),
+    )
+    owner = ShardOwner(context, journal, ShardState(), 0.0)
+    for session in build_sessions(workers):
+        session.view.incarnation = "w:1"
+        owner.sessions.by_worker[session.instance.name] = session
+    return owner
+
+
+async def measure_placement() -> None:
+    """Print microseconds per placement by number of workers."""
+    for workers in (30, 233, 2800):
+        owner = await create_owner(workers)
+        tasks = min(400, workers * 30)
+        owner.state.apply(TasksAdded(make_spec("job", tasks), 0, tasks))
+        started_s = time.process_time()
+        choices = owner.placer.decide()
+        spent_s = time.process_time() - started_s
+        name = f"placement: a task among {workers} workers"
+        report(name, spent_s / len(choices) * 1e6, "us")
+
+
+async def measure_commits() -> None:
+    """Print what a commit costs and how its rows grow with starts."""
+    for starts in (1, 10, 100):
+        owner = await create_owner(233)
+        owner.state.apply(
+            TasksAdded(make_spec("job", 100 * starts, 10), 0, 100 * starts)
+        )
+        table = owner.context.table
+        rows = table.rows_written
+        started_s = time.process_time()
+        for number in range(100):
+            first = number * starts
+            events = [
+                TaskAssigned("job", first + n, "powys-w1", 1) for n in range(starts)
+            ]
+            for event in events:
+                owner.state.apply(event)
+            await owner.journal.commit(events)
+        spent_s = time.process_time() - started_s
+        written = (table.rows_written - rows) / 100 / starts
+        report(f"commit of {starts} starts: rows a start", written, "rows")
+        report(
+            f"commit of {starts} starts: time a start",
+            spent_s / 100 / starts * 1e6,
+            "us",
+        )
+
+
+async def measure_exchange() -> None:
+    """Print what composing and absorbing an exchange costs the owner."""
+    for attempts in (0, 12, 48):
+        owner = await create_owner(1)
+        session = next(iter(owner.sessions.by_worker.values()))
+        worker = StandinWorker(
+            "powys-w0",
+            CAPACITY,
+            MonotonicClock(),
+            lambda command: (1e9, AttemptStatus.DONE),
+            MemoryObjectStore(),
+        )
+        session._lease = owner.journal.lease
+        session.view.incarnation = ""
+        session._absorb(session._compose(), worker.exchange(session._compose()))
+        for assignment in build_assignments(attempts):
+            session.assign(assignment)
+        for _ in range(2):
+            message = session._compose()
+            session._absorb(message, worker.exchange(message))
+        rounds = 2000
+        spent_s = 0.0
+        for _ in range(rounds):
+            started_s = time.process_time()
+            message = session._compose()
+            body = orjson.dumps(message, default=tuple)
+            spent_s += time.process_time() - started_s
+            reported = worker.exchange(message)
+            started_s = time.process_time()
+            session._absorb(message, reported)
+            spent_s += time.process_time() - started_s
+        assert body
+        name = f"exchange with {attempts} attempts, without HTTP"
+        report(name, spent_s / rounds * 1e6, "us")
+
+
+def main() -> None:
+    """Measure everything."""
+    logs.configure(io.StringIO(), "error")
+    random.seed(1)
+    print(f"# {os.cpu_count()} cores")
+    measure_memory()
+    measure_messages()
+    anyio.run(measure_placement)
+    anyio.run(measure_commits)
+    anyio.run(measure_exchange)
+
+
+if __name__ == "__main__":
+    main()
--- a/flamingoweir/scheduling/_owner.py
+++ b/flamingoweir/scheduling/_owner.py
@@ -178,7 +178,7 @@
         """Serve the shard until stopped; raises OwnershipLost."""
         async with anyio.create_task_group() as tasks:
             self._adopt(tasks)
-            tasks.start_soon(self._watch_lease, tasks.cancel_scope)
+            tasks.start_soon(self._watch, tasks.cancel_scope)
             while not self._stopping:
                 self._follow_directory(tasks)
                 await self._tick()
@@ -186,10 +186,16 @@
                 await anyio.sleep(self.context.timings.tick_s)
             tasks.cancel_scope.cancel()
         if not self._stopping:
-            raise OwnershipLost("the lease ran out")
+            raise OwnershipLost("the lease ran out or a worker saw a newer owner")
 
-    async def _watch_lease(self, scope: anyio.CancelScope) -> None:
-        while self.journal.lease.may_command():
+    async def _watch(self, scope: anyio.CancelScope) -> None:
+        """Order attempts to end and notice the loss of the shard.
+
+        A commit may take as long as an outage of the store; this goes on.
+        """
+        while self.journal.lease.may_command() and not self.sessions.any_fenced():
+            self._order_cancelled()
+            self._mover.evict()
             await anyio.sleep(self.context.timings.poll_s)
         scope.cancel()
 
@@ -198,15 +204,11 @@
         return min(timings.poll_s, timings.shard_lease_s / 3)
 
     async def _tick(self) -> None:
-        if self.sessions.any_fenced():
-            raise OwnershipLost("a worker has seen a newer owner")
         batch = Batch()
         self._take_ends(batch)
         await self._take_inbox(batch)
         for event in self._scaler.decide():
             self._add(batch, event)
-        self._order_cancelled()
-        self._mover.evict()
         self._move_out(batch)
         self._withdraw_unreachable(batch)
         self._place(batch)
--- /dev/null
+++ b/tests/test_outages.py
@@ -0,0 +1,257 @@
+"""The rows of the table of outages in docs/OPERATIONS.md, in virtual time."""
+
+import itertools
+
+import anyio
+import pytest
+
+from flamingoweir.errors import ErrorCode, FlamingoweirError
+from tests.utils.builders import make_resources, make_spec, make_timings
+from tests.utils.fleet import Fleet
+from tests.utils.history import History
+from tests.utils.virtual_time import run_virtual
+
+ZONES = ("gwynedd", "powys")
+TIMINGS = make_timings()
+BOUND_S = TIMINGS.zone_out_bound_s
+
+
+async def start_fleet(tasks, **fields) -> Fleet:
+    fleet = Fleet(tasks, ZONES, 2, 2, seed=5, timings=TIMINGS, **fields)
+    fleet.start()
+    await anyio.sleep(4.0)
+    return fleet
+
+
+def zone_node(fleet: Fleet, zone: str):
+    return next(node for node in fleet.live_nodes() if node.instance.zone == zone)
+
+
+async def submit(fleet: Fleet, zone: str, **fields):
+    spec = make_spec(zones=[zone], **fields)
+    await zone_node(fleet, zone).desk.jobs.submit(spec)
+    await anyio.sleep(2.0)
+    return spec
+
+
+def events(fleet: Fleet, kind: str, since_s: float = 0.0) -> list:
+    for worker in fleet.worker_by_name.values():
+        worker.advance()
+    history = History(list(fleet.worker_by_name.values()), fleet.rate_by_worker)
+    return [
+        event
+        for event in history.events()
+        if event.kind == kind and event.at_s >= since_s
+    ]
+
+
+def cut_store(fleet: Fleet, zone: str | None = None) -> None:
+    for member in fleet.by_name.values():
+        if zone in (None, member.zone):
+            fleet.network.cut.add((member.name, "store"))
+
+
+def cut_zones(fleet: Fleet) -> None:
+    for one in fleet.by_name.values():
+        for other in fleet.by_name.values():
+            if one.zone != other.zone:
+                fleet.network.cut.add((one.name, other.name))
+
+
+async def take_out(fleet: Fleet, by: str, zone: str) -> float:
+    node = zone_node(fleet, by)
+    values = {f"zones/{zone}/state": "out"}
+    await node.store.propose("zone-out", "operators", values, None, "")
+    node.peers.announce()
+    return anyio.current_time()
+
+
+async def finish(fleet: Fleet, spec) -> str:
+    with anyio.fail_after(300):
+        for node in itertools.cycle(fleet.live_nodes()):
+            try:
+                status = await node.desk.jobs.show(spec.id)
+                if status.state in ("done", "failed", "cancelled"):
+                    return status.state
+            except FlamingoweirError:
+                pass
+            await anyio.sleep(1.0)
+
+
+def run_scenario(scenario):
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            await scenario(tasks)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+def test_store_away_for_all_running_goes_on_and_assigned_tasks_start():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        spec = await submit(fleet, "gwynedd", tasks=16, job_class="run-20")
+        cut_store(fleet)
+        cut_s = anyio.current_time()
+        await anyio.sleep(45.0)
+        assert not events(fleet, "lapsed")
+        started = events(fleet, "start", cut_s + 10)
+        assert len(started) == 2 * 2, "two assigned ahead on each of two workers"
+        fleet.network.cut.clear()
+        assert await finish(fleet, spec) == "done"
+        assert len(events(fleet, "done")) == 16
+
+    run_scenario(scenario)
+
+
+def test_store_away_operators_are_told_that_nothing_was_done():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        cut_store(fleet)
+        node = zone_node(fleet, "gwynedd")
+        with pytest.raises(FlamingoweirError) as raised:
+            await node.desk.jobs.submit(make_spec())
+        assert raised.value.code is ErrorCode.STORE_UNAVAILABLE
+        with pytest.raises(FlamingoweirError) as raised:
+            await take_out(fleet, "gwynedd", "powys")
+        assert raised.value.code is ErrorCode.STORE_UNAVAILABLE
+
+    run_scenario(scenario)
+
+
+def test_store_away_for_the_owner_a_peer_takes_over_and_tasks_go_on():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        spec = await submit(fleet, "gwynedd", tasks=6, job_class="run-40")
+        owner = fleet.owner_name("gwynedd/0")
+        fleet.network.cut.add((owner, "store"))
+        await anyio.sleep(15.0)
+        holders = [
+            node.instance.name
+            for node in fleet.live_nodes()
+            if "gwynedd/0" in node.keeper.owner_by_shard
+        ]
+        assert len(holders) == 1
+        assert holders != [owner]
+        assert not events(fleet, "lapsed")
+        assert await finish(fleet, spec) == "done"
+        assert len(events(fleet, "start")) == 6
+
+    run_scenario(scenario)
+
+
+def test_zone_cut_from_the_platform_follows_its_peers():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        await submit(fleet, "gwynedd", tasks=40, job_class="run-8")
+        cut_store(fleet, "gwynedd")
+        cut_s = anyio.current_time()
+        await anyio.sleep(12.0)
+        assert events(fleet, "start", cut_s + BOUND_S), "starts by its peers' word"
+        out_s = await take_out(fleet, "powys", "gwynedd")
+        await anyio.sleep(20.0)
+        assert not events(fleet, "start", out_s + BOUND_S)
+        assert events(fleet, "checkpointed", out_s)
+
+    run_scenario(scenario)
+
+
+def test_zone_cut_from_both_stops_starting_and_goes_on_running():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        await submit(fleet, "gwynedd", tasks=40, job_class="run-8")
+        cut_store(fleet, "gwynedd")
+        cut_zones(fleet)
+        out_s = await take_out(fleet, "powys", "gwynedd")
+        await anyio.sleep(30.0)
+        assert not events(fleet, "start", out_s + BOUND_S)
+        assert not events(fleet, "lapsed")
+        assert len(events(fleet, "done")) >= 8
+
+    run_scenario(scenario)
+
+
+def test_zone_out_moves_batch_with_its_checkpoints():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        spec = make_spec(
+            zones=list(ZONES), tasks=4, job_class="run-30", needs=make_resources(4)
+        )
+        await zone_node(fleet, "gwynedd").desk.jobs.submit(spec)
+        await anyio.sleep(10.0)
+        zone = events(fleet, "start")[0].worker.partition("-")[0]
+        other = ZONES[1 - ZONES.index(zone)]
+        out_s = await take_out(fleet, zone, zone)
+        assert await finish(fleet, spec) == "done"
+        resumed = events(fleet, "start", out_s)
+        assert len(resumed) == 4
+        assert all(event.worker.startswith(other) for event in resumed)
+        assert all(event.checkpoint for event in resumed)
+        assert max(event.at_s for event in events(fleet, "done")) < out_s + 30
+
+    run_scenario(scenario)
+
+
+def test_zone_out_replaces_services_before_they_stop():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        node = zone_node(fleet, "powys")
+        value = '{"instances_by_zone": {"gwynedd": 2, "powys": 1}, "processors": 1}'
+        path = "teams/shops/services/quotes"
+        await node.store.propose("s", "shops", {path: value}, None, "")
+        await anyio.sleep(8.0)
+        assert len(events(fleet, "start")) == 3
+        out_s = await take_out(fleet, "powys", "gwynedd")
+        await anyio.sleep(20.0)
+        replaced = events(fleet, "start", out_s)
+        stopped = events(fleet, "stopped", out_s)
+        assert len(replaced) == len(stopped) == 2
+        assert max(event.at_s for event in replaced) < min(
+            event.at_s for event in stopped
+        )
+
+    run_scenario(scenario)
+
+
+def test_a_new_process_without_any_word_is_not_ready():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        name = "gwynedd-e0"
+        cut_store(fleet, "gwynedd")
+        cut_zones(fleet)
+        await anyio.sleep(10.0)
+        fleet.kill(name)
+        fleet.start_member(name)
+        await anyio.sleep(10.0)
+        assert fleet.by_name[name].node.why_not_ready()
+
+    run_scenario(scenario)
+
+
+def test_an_owner_that_dies_is_replaced_and_tasks_run_on():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        spec = await submit(fleet, "gwynedd", tasks=10, job_class="run-20")
+        fleet.kill(fleet.owner_name("gwynedd/0"))
+        died_s = anyio.current_time()
+        assert await finish(fleet, spec) == "done"
+        assert not events(fleet, "lapsed")
+        assert len(events(fleet, "start")) == 10
+        after = [event.at_s for event in events(fleet, "start", died_s)]
+        assert min(after) < died_s + 30
+
+    run_scenario(scenario)
+
+
+def test_a_drained_owner_hands_over_without_a_wait():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        await submit(fleet, "gwynedd", tasks=4, job_class="run-30")
+        owner = fleet.owner_name("gwynedd/0")
+        await fleet.by_name[owner].node.drain(0.0, 5.0)
+        await anyio.sleep(3.0)
+        successor = fleet.owner_name("gwynedd/0")
+        assert successor not in (None, owner)
+        assert not events(fleet, "lapsed")
+
+    run_scenario(scenario)
