--- /dev/null
+++ b/benchmarks/faults.py
@@ -0,0 +1,195 @@
+"""One run over real processes: owners killed and paused, the store away.
+
+Run ``python -m benchmarks.faults``. Prints what the workers' record shows: tasks in
+two places, workers over capacity, acknowledged jobs that did not end; and the time
+from an owner's death to the next start, work done during the outage, and the time
+from accepted to in force.
+"""
+
+import argparse
+import pathlib
+import random
+import signal
+import statistics
+import tempfile
+import time
+
+from benchmarks.process_fleet import ZONES, ProcessFleet
+
+TASK_S = 2.0
+JOBS = 12
+TASKS = 400
+
+
+def submit(fleet: ProcessFleet, number: int) -> str:
+    """Submit a job and return its id."""
+    job = f"job-{number}"
+    fleet.call(
+        fleet.daemons[number % len(fleet.daemons)],
+        "POST",
+        "/v1/jobs",
+        {
+            "id": job,
+            "zones": list(ZONES),
+            "tasks": TASKS,
+            "processors": 4.0,
+            "job_class": f"run-{TASK_S}",
+        },
+    )
+    return job
+
+
+def count_starts(fleet: ProcessFleet, since_s: float, until_s: float) -> int:
+    """Return how many attempts were started in a span of the monotonic clock."""
+    count = 0
+    for record in fleet.worker_records().values():
+        for event in record:
+            if event["kind"] == "start" and since_s <= event["at_s"] <= until_s:
+                count += 1
+    return count
+
+
+def kill_owner(fleet: ProcessFleet, zone: str) -> float:
+    """Kill a shard's owner, restart it, and return the gap without starts."""
+    owner = fleet.owner_of(f"{zone}/0")
+    owner.process.kill()
+    owner.process.wait()
+    died_s = time.monotonic()
+    time.sleep(20)
+    fleet.start(owner)
+    fleet.wait_ready(owner)
+    starts = [
+        event["at_s"]
+        for worker, record in fleet.worker_records().items()
+        if worker.startswith(zone)
+        for event in record
+        if event["kind"] == "start" and event["at_s"] > died_s
+    ]
+    assigned_before = 2 * TASK_S
+    later = [at_s for at_s in starts if at_s > died_s + assigned_before]
+    return min(later, default=died_s + 20) - died_s
+
+
+def pause_owner(fleet: ProcessFleet, zone: str, length_s: float) -> None:
+    """Stop an owner's process for longer than its lease."""
+    owner = fleet.owner_of(f"{zone}/0")
+    owner.process.send_signal(signal.SIGSTOP)
+    time.sleep(length_s)
+    owner.process.send_signal(signal.SIGCONT)
+
+
+def change_settings(fleet: ProcessFleet, count: int, pause_s: float) -> list[float]:
+    """Return seconds from accepted to in force everywhere, for each change."""
+    spans = []
+    for number in range(count):
+        daemon = fleet.daemons[number % len(fleet.daemons)]
+        accepted = fleet.call(
+            daemon,
+            "POST",
+            "/v1/settings",
+            {"values": {"teams/rounds/notice": str(1 + number)}},
+        )
+        accepted_s = time.monotonic()
+        waiting = list(fleet.daemons)
+        while waiting:
+            health = fleet.call(waiting[0], "GET", "/v1/health")
+            if health["settings_version"] >= accepted["version"]:
+                waiting.pop(0)
+        spans.append(time.monotonic() - accepted_s)
+        time.sleep(pause_s)
+    return spans
+
+
+def check_records(records: dict[str, list[dict]]) -> tuple[int, int, int]:
+    """Return starts, tasks in two places, and moments over capacity."""
+    events = sorted(
+        (event for record in records.values() for event in record),
+        key=lambda event: event["at_s"],
+    )
+    running: dict[str, str] = {}
+    used: dict[str, int] = {}
+    starts = doubled = over = 0
+    for event in events:
+        worker = event["worker"]
+        needs = event["needs"]["processors_milli"]
+        if event["kind"] == "start":
+            starts += 1
+            doubled += event["task"] in running
+            running[event["task"]] = worker
+            used[worker] = used.get(worker, 0) + needs
+            over += used[worker] > 64_000
+            continue
+        running.pop(event["task"], None)
+        used[worker] -= needs
+    return starts, doubled, over
+
+
+def wait_for_jobs(fleet: ProcessFleet, jobs: list[str], limit_s: float) -> list[str]:
+    """Return the jobs that have not ended in time."""
+    until_s = time.monotonic() + limit_s
+    left = list(jobs)
+    while left and time.monotonic() < until_s:
+        state = fleet.call(fleet.daemons[0], "GET", f"/v1/jobs/{left[0]}")["state"]
+        if state in ("done", "failed", "cancelled"):
+            left.pop(0)
+            continue
+        time.sleep(0.5)
+    return left
+
+
+def main() -> None:
+    """Run the plan and print what was seen."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--outage", type=float, default=60.0, metavar="SECONDS")
+    parser.add_argument("--ahead", type=int, default=2)
+    arguments = parser.parse_args()
+    random.seed(1)
+    folder = pathlib.Path(tempfile.mkdtemp())
+    fleet = ProcessFleet(
+        folder, settings=f"[scheduling]\nassign_ahead = {arguments.ahead}\n"
+    )
+    try:
+        idle = [(d.cpu_s(), d.resident_mb()) for d in fleet.daemons]
+        time.sleep(10)
+        cpu = [d.cpu_s() - i[0] for d, i in zip(fleet.daemons, idle, strict=True)]
+        print(f"idle: {max(cpu) / 10:.3%} of a core, {max(m for _, m in idle):.1f} MB")
+        spans = change_settings(fleet, 50, 0.05)
+        spans.sort()
+        print(
+            f"accepted to in force, 50 changes: "
+            f"median {statistics.median(spans):.3f} s, largest {spans[-1]:.3f} s"
+        )
+        before = fleet.call_platform("GET", "/counts")
+        began_s = time.monotonic()
+        jobs = [submit(fleet, number) for number in range(JOBS)]
+        time.sleep(10)
+        after = fleet.call_platform("GET", "/counts")
+        span_s = time.monotonic() - began_s
+        starts = count_starts(fleet, began_s, time.monotonic())
+        rows = after["rows_written"] - before["rows_written"]
+        reads = after["reads"] - before["reads"]
+        print(
+            f"steady: {starts / span_s:.1f} starts/s, {rows / span_s:.1f} rows/s, "
+            f"{rows / starts:.3f} rows a start, {reads / span_s:.1f} reads/s"
+        )
+        print(f"owner killed: next start after {kill_owner(fleet, 'powys'):.1f} s")
+        pause_owner(fleet, "gwynedd", 15)
+        jobs += [submit(fleet, JOBS + number) for number in range(JOBS)]
+        time.sleep(5)
+        out_s = time.monotonic()
+        fleet.call_platform("POST", "/faults", {"down": True})
+        time.sleep(arguments.outage)
+        fleet.call_platform("POST", "/faults", {"down": False})
+        back_s = time.monotonic()
+        ran = count_starts(fleet, out_s, back_s)
+        print(f"store away {arguments.outage:.0f} s: {ran} starts during the outage")
+        left = wait_for_jobs(fleet, jobs, 240)
+        starts, doubled, over = check_records(fleet.worker_records())
+        print(f"{starts} starts, {doubled} in two places, {over} over capacity")
+        print(f"jobs acknowledged {len(jobs)}, not ended {len(left)}")
+    finally:
+        print(f"exit codes {fleet.stop()}, logs in {folder}")
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -154,7 +154,7 @@
     """Return a tree with as many values."""
     tree = SettingsTree()
     for number in range(count):
-        path = f"teams/team-{number}/weight"
+        path = f"quotas/team-{number}/weight"
         tree.by_path[path] = str(number)
     return tree
 
@@ -184,9 +184,7 @@
     report("worker: an idle exchange's body", idle, "B")
     report("worker: a START command", command_bytes() - idle, "B")
     report("worker: an attempt in a report", attempt_bytes(), "B")
-    change = Change(
-        1, "change-1", "rounds", "teams/rounds", {"teams/rounds/weight": "2"}
-    )
+    change = Change(1, "change-1", "rounds", "quotas", {"quotas/rounds/weight": "2"})
     report("settings: a change", len(orjson.dumps(change)), "B")
 
 
--- /dev/null
+++ b/benchmarks/standin_server.py
@@ -0,0 +1,99 @@
+"""Platform, workers and runners of several zones in one process.
+
+Prints the platform's address and stops at end of file on standard input.
+"""
+
+import argparse
+import sys
+
+import anyio
+import anyio.to_thread
+
+from flamingoweir.clock import MonotonicClock
+from flamingoweir.daemon._server import HttpServer
+from flamingoweir.platform import Instance, InstanceKind
+from flamingoweir.resources import Resources
+from flamingoweir.standins import (
+    MemoryInstanceList,
+    MemoryObjectStore,
+    MemoryTable,
+    PlatformApp,
+    RunnerApp,
+    StandinRunner,
+    StandinWorker,
+    WorkerApp,
+)
+from flamingoweir.upstreams import AttemptStatus, Command
+
+HOST = "127.0.0.1"
+CAPACITY = Resources(64_000, 250_000, 2)
+LONG_S = 1e9
+
+
+def run_time(command: Command) -> tuple[float, AttemptStatus]:
+    """Return the seconds in a job class such as ``run-2.5``."""
+    if command.job_class.startswith("service:"):
+        return LONG_S, AttemptStatus.DONE
+    return float(command.job_class.partition("-")[2] or 1), AttemptStatus.DONE
+
+
+async def serve(zones: list[str], workers: int, runners: int, service_s: float) -> None:
+    """Serve until standard input ends."""
+    instances, objects = MemoryInstanceList(), MemoryObjectStore()
+    async with anyio.create_task_group() as tasks:
+        for number in range(workers):
+            zone = zones[number % len(zones)]
+            name = f"{zone}-w{number}"
+            worker = StandinWorker(name, CAPACITY, MonotonicClock(), run_time, objects)
+            port = await tasks.start(HttpServer(WorkerApp(worker), HOST, 0).run)
+            instances.add(
+                Instance(
+                    name,
+                    InstanceKind.WORKER,
+                    zone,
+                    f"{zone}-r{number // 8}",
+                    f"{HOST}:{port}",
+                    capacity=CAPACITY,
+                )
+            )
+        for number in range(runners):
+            zone = zones[number % len(zones)]
+            name = f"{zone}-x{number}"
+            runner = StandinRunner(name, service_s=service_s)
+            port = await tasks.start(HttpServer(RunnerApp(runner), HOST, 0).run)
+            instances.add(
+                Instance(
+                    name,
+                    InstanceKind.RUNNER,
+                    zone,
+                    "",
+                    f"{HOST}:{port}",
+                    service="quotes",
+                )
+            )
+        app = PlatformApp(MemoryTable(), objects, instances)
+        port = await tasks.start(HttpServer(app, HOST, 0).run)
+        print(f"{HOST}:{port}", flush=True)
+        await anyio.to_thread.run_sync(sys.stdin.read)
+        tasks.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Read arguments and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--zones", default="gwynedd,powys,morgannwg")
+    parser.add_argument("--workers", type=int, default=30)
+    parser.add_argument("--runners", type=int, default=30)
+    parser.add_argument("--service-ms", type=float, default=5.0)
+    arguments = parser.parse_args()
+    anyio.run(
+        serve,
+        arguments.zones.split(","),
+        arguments.workers,
+        arguments.runners,
+        arguments.service_ms / 1000,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/flamingoweir/cli/definition.py
+++ b/flamingoweir/cli/definition.py
@@ -10,7 +10,7 @@
   flamingoweir job submit --zones powys,gwynedd --tasks 40 --processors 2
   flamingoweir job show job-3f2a --watch
   flamingoweir zone out powys --wait
-  flamingoweir --team rounds settings set teams/rounds/weight 2
+  flamingoweir --team rounds settings set teams/rounds/notice "late start"
 """
 
 
--- a/flamingoweir/platform/__init__.py
+++ b/flamingoweir/platform/__init__.py
@@ -1,6 +1,6 @@
 """The platform: table service, object store and list of instances."""
 
-from ._http import HttpInstanceList, HttpObjectStore, HttpTable
+from ._http import HttpInstanceList, HttpObjectStore, HttpTable, parse_instance
 from ._protocols import (
     ABSENT,
     Instance,
@@ -15,7 +15,6 @@
     TransactionUnknown,
     Write,
 )
-from ._writing import commit_once
 
 __all__ = [
     "ABSENT",
@@ -33,5 +32,5 @@
     "TableUnavailable",
     "TransactionUnknown",
     "Write",
-    "commit_once",
+    "parse_instance",
 ]
--- a/flamingoweir/platform/_http.py
+++ b/flamingoweir/platform/_http.py
@@ -105,14 +105,15 @@
     async def instances(self) -> list[Instance]:
         """See `InstanceList.instances`."""
         answer = await _read(self._client, "/instances")
-        return [_parse_instance(fields) for fields in orjson.loads(answer.body)]
+        return [parse_instance(fields) for fields in orjson.loads(answer.body)]
 
 
 def _object_path(name: str) -> str:
     return f"/objects/{quote(name, safe='')}"
 
 
-def _parse_instance(fields: dict) -> Instance:
+def parse_instance(fields: dict) -> Instance:
+    """Read a line of the list."""
     fields["kind"] = InstanceKind(fields["kind"])
     fields["capacity"] = Resources(**fields["capacity"])
     return Instance(**fields)
--- a/flamingoweir/routing/_router.py
+++ b/flamingoweir/routing/_router.py
@@ -161,7 +161,7 @@
     def _enter(self, team: str) -> None:
         limit = float(
             self._tree.by_path.get(
-                f"teams/{team}/requests_in_flight", self._settings.team_limit
+                f"quotas/{team}/requests_in_flight", self._settings.team_limit
             )
         )
         used = self.in_flight_by_team.get(team, 0)
--- a/flamingoweir/scheduling/_fairness.py
+++ b/flamingoweir/scheduling/_fairness.py
@@ -68,7 +68,7 @@
         return ""
 
     def _weight(self, team: str) -> float:
-        return float(self._context.tree.by_path.get(f"teams/{team}/weight", 1.0))
+        return float(self._context.tree.by_path.get(f"quotas/{team}/weight", 1.0))
 
     def _batch_limit(self) -> float:
         """Return what plain batch may take, with tasks assigned ahead of room."""
@@ -82,7 +82,7 @@
         """Return this shard's part of a team's quota, even among open shards."""
         by_path = self._context.tree.by_path
         shards = max(1, self._context.fleet.open_shards())
-        prefix = f"teams/{team}/quota/"
+        prefix = f"quotas/{team}/"
         processors = float(by_path.get(prefix + "processors", UNLIMITED)) * 1000
         memory = float(by_path.get(prefix + "memory_mb", UNLIMITED))
         accelerators = float(by_path.get(prefix + "accelerators", UNLIMITED))
--- a/flamingoweir/standins/_servers.py
+++ b/flamingoweir/standins/_servers.py
@@ -11,6 +11,7 @@
     TableUnavailable,
     TransactionUnknown,
     Write,
+    parse_instance,
 )
 from ..upstreams import decode_exchange, encode_report
 from ._platform import MemoryInstanceList, MemoryObjectStore, MemoryTable
@@ -91,6 +92,12 @@
         if path.startswith("/objects/"):
             name = unquote(path.removeprefix("/objects/"))
             return await self._object(method, name, body)
+        if path == "/instances" and method == "PUT":
+            for fields in orjson.loads(body):
+                self.instances.add(parse_instance(fields))
+            return 200, b""
+        if path == "/counts":
+            return 200, orjson.dumps(self._counts())
         if path == "/instances":
             return 200, orjson.dumps(await self.instances.instances())
         if path == "/faults":
@@ -117,6 +124,13 @@
         content = await self.objects.get(name)
         return (404, b"") if content is None else (200, content)
 
+    def _counts(self) -> dict:
+        return {
+            "transactions": self.table.transactions,
+            "rows_written": self.table.rows_written,
+            "reads": self.table.reads,
+        }
+
     def _set_faults(self, faults: dict) -> tuple[int, bytes]:
         self.table.down = faults.get("down", self.table.down)
         self.objects.down = self.table.down
--- a/flamingoweir/tree/_paths.py
+++ b/flamingoweir/tree/_paths.py
@@ -56,12 +56,16 @@
 PATH_RULES = (
     _rule("zones/NAME/state", _check_state, "'in' or 'out'"),
     _rule(
-        "teams/NAME/quota/(processors|memory_mb|accelerators)",
+        "quotas/NAME/(processors|memory_mb|accelerators)",
         _check_amount,
         "a number that is not negative",
     ),
-    _rule("teams/NAME/weight", _check_positive, "a positive number"),
-    _rule("teams/NAME/requests_in_flight", _check_positive, "a positive number"),
+    _rule(
+        "quotas/NAME/(weight|requests_in_flight)",
+        _check_positive,
+        "a positive number",
+    ),
+    _rule("teams/NAME/notice", str, "any text"),
     _rule(
         "teams/NAME/services/NAME",
         ServiceValue.model_validate_json,
@@ -73,7 +77,7 @@
 
 
 def branch_of(path: str) -> str:
-    """Return the branch that a path lies in: a team's, ``zones`` or ``fleet``."""
+    """Return the branch that a path lies in: a team's, or one of the operators'."""
     parts = path.split("/")
     if parts[0] == "teams" and len(parts) > 1:
         return "/".join(parts[:2])
--- a/tests/test_run_once.py
+++ b/tests/test_run_once.py
@@ -176,7 +176,7 @@
         async with anyio.create_task_group() as tasks:
             for operator in range(4):
                 tasks.start_soon(
-                    self.change, number + operator, "teams/planning/weight", "2"
+                    self.change, number + operator, "teams/planning/notice", "2"
                 )
 
     async def _cancel(self, number, length_s):
