Learn what batch does to services, and act on it in steps

Pair effects are fitted from lagging latency and usage; a worker whose service is late has its worst class throttled to 50, then 25%, then one task moved and the class barred there for a while; each step waits until its effect has been measured. Placement asks whether more of a class would leave services on time.

--- a/flamingoweir/scheduling/_health.py
+++ b/flamingoweir/scheduling/_health.py
@@ -4,6 +4,7 @@
 
 from ..clock import Clock
 from ..logs import get_logger
+from ..metrics import Metrics
 from ..upstreams import AttemptStatus
 from ._job import JobSpec
 from ._session import AttemptEnd
@@ -40,8 +41,9 @@
 class WorkerHealth:
     """Tells failing workers from failing jobs."""
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, metrics: Metrics):
         self._clock = clock
+        self._metrics = metrics
         self._by_worker: dict[str, WorkerRecord] = {}
         self._done_by_class: dict[str, set[str]] = {}
 
@@ -90,4 +92,5 @@
         record.until_s = self._clock.now() + length_s
         record.rounds += 1
         record.failures = 0
+        self._metrics.incr("workers.quarantined")
         log.warning("worker_quarantined", worker=worker, seconds=length_s)
--- /dev/null
+++ b/flamingoweir/scheduling/_neighbourhood.py
@@ -0,0 +1,69 @@
+"""A worker's session as the interference package sees it."""
+
+from collections.abc import Iterator
+
+from ..clock import Clock
+from ..interference import BatchTask, ServiceTask
+from ..upstreams import CommandKind
+from ._job import JobKind
+from ._session import Standing, WorkerSession
+
+
+class SessionNeighbourhood:
+    """See `Neighbourhood`."""
+
+    def __init__(self, session: WorkerSession, clock: Clock):
+        self._session = session
+        self._clock = clock
+
+    @property
+    def name(self) -> str:
+        """The worker's name."""
+        return self._session.instance.name
+
+    @property
+    def worker_clock_s(self) -> float:
+        """The worker's own clock, as last reported."""
+        return self._session.view.clock_s
+
+    def services(self) -> Iterator[ServiceTask]:
+        """See `Neighbourhood.services`."""
+        for assignment in self._session.by_task.values():
+            report = assignment.report
+            if assignment.spec.kind is not JobKind.SERVICE or report is None:
+                continue
+            declared = max(1, assignment.spec.needs.processors_milli)
+            yield ServiceTask(
+                assignment.spec.job_class,
+                assignment.spec.latency_target_ms,
+                report.latency_ms,
+                report.processors_milli / declared,
+                report.measured_s,
+            )
+
+    def batch(self) -> Iterator[BatchTask]:
+        """See `Neighbourhood.batch`."""
+        capacity = max(1, self._session.capacity.processors_milli)
+        now_s = self._clock.now()
+        for assignment in self._session.by_task.values():
+            spec = assignment.spec
+            if spec.kind is JobKind.SERVICE or assignment.order is not None:
+                continue
+            if assignment.standing is Standing.AHEAD:
+                continue
+            started_s = assignment.started_s or now_s
+            yield BatchTask(
+                assignment.task,
+                spec.job_class,
+                spec.needs.processors_milli / capacity,
+                assignment.throttle_percent,
+                now_s - started_s,
+            )
+
+    def throttle(self, task: str, percent: int) -> None:
+        """See `Neighbourhood.throttle`."""
+        self._session.throttle(task, percent)
+
+    def evict(self, task: str) -> None:
+        """See `Neighbourhood.evict`."""
+        self._session.order_end(task, CommandKind.CHECKPOINT)
--- a/flamingoweir/scheduling/_owner.py
+++ b/flamingoweir/scheduling/_owner.py
@@ -7,6 +7,7 @@
 import orjson
 
 from ..clock import Clock
+from ..interference import POLICY_BY_NAME, InterferenceController
 from ..logs import get_logger
 from ..membership import Directory
 from ..metrics import Metrics
@@ -39,6 +40,7 @@
 from ._job import Job, JobKind, Task, TaskState, split_task_id
 from ._journal import Journal, OwnershipLost
 from ._keys import cancel_key, inbox_key, inbox_prefix, outcome_key, shard_of_worker
+from ._neighbourhood import SessionNeighbourhood
 from ._outcome import Outcome
 from ._placer import Placer
 from ._scaler import ServiceScaler
@@ -150,7 +152,12 @@
         self.state = state
         self.sessions = SessionTable()
         self.unrecorded: dict[str, Outcome] = {}
-        self.placer = Placer(context, state, self.sessions)
+        self.interference = InterferenceController(
+            POLICY_BY_NAME[context.scheduling.interference],
+            context.clock,
+            context.metrics,
+        )
+        self.placer = Placer(context, state, self.sessions, self.interference)
         self._scaler = ServiceScaler(context, state, self.sessions)
         self._mover = ZoneMover(context, state, self.sessions)
         self._unseen_lapse_s = unseen_lapse_s
@@ -196,9 +203,19 @@
         while self.journal.lease.may_command() and not self.sessions.any_fenced():
             self._order_cancelled()
             self._mover.evict()
+            self._watch_services()
             await anyio.sleep(self.context.timings.poll_s)
         scope.cancel()
 
+    def _watch_services(self) -> None:
+        if not self.interference.is_active:
+            return
+        for session in self.sessions.by_worker.values():
+            if session.services and session.view.reachable:
+                self.interference.watch(
+                    SessionNeighbourhood(session, self.context.clock)
+                )
+
     def _pause_s(self) -> float:
         timings = self.context.timings
         return min(timings.poll_s, timings.shard_lease_s / 3)
--- a/flamingoweir/scheduling/_placer.py
+++ b/flamingoweir/scheduling/_placer.py
@@ -3,13 +3,15 @@
 import heapq
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
+from ..interference import InterferenceController
 from ..logs import get_logger
 from ..resources import Resources
 from ._fairness import Fairness
 from ._health import WorkerHealth
 from ._job import Job, JobKind, JobSpec
+from ._neighbourhood import SessionNeighbourhood
 from ._placement import PLACEMENT_BY_NAME
 from ._preemption import carry_out, plan_eviction
 from ._refill import Refill
@@ -39,6 +41,14 @@
     worker: str
 
 
+class Shape(NamedTuple):
+    """What decides where a task may go."""
+
+    needs: Resources
+    job_class: str
+    plain: bool
+
+
 @dataclass(slots=True)
 class Round:
     """What one tick has given out so far.
@@ -51,8 +61,8 @@
         Tasks that wait on a worker for room.
     given : TeamUsage
         Needs of the tasks chosen in this tick.
-    full : set of (Resources, bool)
-        Needs that found no worker, and whether ahead of room was allowed.
+    full : set of Shape
+        Kinds of tasks that found no worker.
     choices : list of Choice
         The result.
     """
@@ -60,7 +70,7 @@
     rooms: RoomIndex
     ahead_by_worker: dict[str, int]
     given: TeamUsage = field(default_factory=TeamUsage)
-    full: set[tuple[Resources, bool]] = field(default_factory=set)
+    full: set[Shape] = field(default_factory=set)
     choices: list[Choice] = field(default_factory=list)
 
 
@@ -76,14 +86,19 @@
     """Places queued tasks: services, urgent jobs, then teams by fair share."""
 
     def __init__(
-        self, context: "OwnerContext", state: ShardState, sessions: SessionTable
+        self,
+        context: "OwnerContext",
+        state: ShardState,
+        sessions: SessionTable,
+        interference: InterferenceController,
     ):
-        self.health = WorkerHealth(context.clock)
+        self.health = WorkerHealth(context.clock, context.metrics)
         self.waiting_since_by_job: dict[str, float] = {}
         self.reason_by_job: dict[str, str] = {}
         self._context = context
         self._state = state
         self._sessions = sessions
+        self._interference = interference
         self._placement = PLACEMENT_BY_NAME[context.scheduling.placement]
         self._refill = Refill(context.clock, context.scheduling.refill_per_s)
         self._fairness = Fairness(context, sessions)
@@ -170,7 +185,8 @@
     def _choose(self, spec: JobSpec, index: int, turn: Round) -> str:
         """Give a task to a worker; return why not, or nothing."""
         plain = spec.kind is JobKind.BATCH and not spec.urgent
-        if (spec.needs, plain) in turn.full and not self._reservations.has(spec.id):
+        shape = Shape(spec.needs, spec.job_class, plain)
+        if shape in turn.full and not self._reservations.has(spec.id):
             return NO_ROOM
         reason = self._fairness.why_not(spec, turn.given)
         if reason:
@@ -181,7 +197,7 @@
         if worker is None and plain:
             worker = self._shortest_queue(spec, turn)
         if worker is None:
-            turn.full.add((spec.needs, plain))
+            turn.full.add(shape)
             return NO_ROOM
         turn.rooms.take(worker, spec.needs)
         turn.given.add(spec)
@@ -194,23 +210,51 @@
 
     def _best(self, spec: JobSpec, turn: Round) -> str | None:
         best, best_score = None, float("inf")
-        for name in turn.rooms.candidates(spec.needs, CANDIDATES_PER_TASK):
+        accepted = 0
+        for name in turn.rooms.candidates(spec.needs):
             if self._reservations.is_kept_from(name, spec):
                 continue
-            capacity = self._sessions.by_worker[name].capacity
-            candidate = Candidate(capacity, turn.rooms.room_by_worker[name])
+            session = self._sessions.by_worker[name]
+            room = turn.rooms.room_by_worker[name]
+            given = session.room - room
+            if not self._leaves_services_on_time(session, spec, given + spec.needs):
+                continue
+            candidate = Candidate(session.capacity, room)
             score = self._placement.rank(spec, candidate)
             if score < best_score:
                 best, best_score = name, score
+            accepted += 1
+            if accepted == CANDIDATES_PER_TASK:
+                break
         return best
 
+    def _leaves_services_on_time(
+        self, session: WorkerSession, spec: JobSpec, extra: Resources
+    ) -> bool:
+        if spec.kind is JobKind.SERVICE or spec.urgent:
+            return True
+        if not session.services:
+            return True
+        share = extra.processors_milli / max(1, session.capacity.processors_milli)
+        neighbourhood = SessionNeighbourhood(session, self._context.clock)
+        return self._interference.may_place(neighbourhood, spec.job_class, share)
+
     def _shortest_queue(self, spec: JobSpec, turn: Round) -> str | None:
-        """Return the worker with the fewest tasks waiting on it, below the limit."""
+        """Return the worker with the fewest tasks waiting on it, below the limit.
+
+        A worker that has room was passed over for its services' sake; a task
+        assigned ahead would be started there at once.
+        """
         best, best_count = None, self._context.scheduling.assign_ahead
         for name, count in turn.ahead_by_worker.items():
             if count >= best_count or self._reservations.is_kept_from(name, spec):
                 continue
-            if spec.needs.fits_in(self._sessions.by_worker[name].capacity):
+            session = self._sessions.by_worker[name]
+            if spec.needs.fits_in(turn.rooms.room_by_worker[name]):
+                continue
+            if not spec.needs.fits_in(session.capacity):
+                continue
+            if self._leaves_services_on_time(session, spec, Resources()):
                 best, best_count = name, count
         if best is not None:
             turn.ahead_by_worker[best] += 1
--- a/flamingoweir/scheduling/_room_index.py
+++ b/flamingoweir/scheduling/_room_index.py
@@ -20,19 +20,14 @@
         for worker, room in rooms:
             self._insert(worker, room)
 
-    def candidates(self, needs: Resources, limit: int) -> Iterator[str]:
-        """Yield up to ``limit`` workers that have room, the fullest bucket first."""
-        found = 0
+    def candidates(self, needs: Resources) -> Iterator[str]:
+        """Yield the workers that have room, the fullest bucket first."""
         for bucket in sorted(self._buckets):
             if bucket < _bucket(needs):
                 continue
             for worker in self._buckets[bucket]:
-                if not needs.fits_in(self.room_by_worker[worker]):
-                    continue
-                yield worker
-                found += 1
-                if found == limit:
-                    return
+                if needs.fits_in(self.room_by_worker[worker]):
+                    yield worker
 
     def take(self, worker: str, needs: Resources) -> None:
         """Lessen a worker's room."""
--- a/flamingoweir/scheduling/_session.py
+++ b/flamingoweir/scheduling/_session.py
@@ -21,7 +21,7 @@
     WorkerUnreachable,
 )
 from ..wakeup import Wakeup
-from ._job import JobSpec, task_id
+from ._job import JobKind, JobSpec, task_id
 from ._lease import ShardLease, worker_lapse_s
 from ._ledger import WorkerLedger
 from ._team_usage import TeamUsage
@@ -194,6 +194,7 @@
         self._delisted = False
         self._usage = usage
         self.promised = Resources()
+        self.services = 0
 
     def assign(self, assignment: Assignment) -> None:
         """Take a durable assignment; it is started when there is room."""
@@ -280,11 +281,15 @@
             await self._wakeup.wait(self._timings.heartbeat_s)
 
     def _hold(self, assignment: Assignment) -> None:
+        if assignment.spec.kind is JobKind.SERVICE:
+            self.services += 1
         self.by_task[assignment.task] = assignment
         self.promised = self.promised + assignment.spec.needs
         self._usage.add(assignment.spec)
 
     def _drop(self, assignment: Assignment) -> None:
+        if assignment.spec.kind is JobKind.SERVICE:
+            self.services -= 1
         del self.by_task[assignment.task]
         self.promised = self.promised - assignment.spec.needs
         self._usage.remove(assignment.spec)
--- a/flamingoweir/settings/_ini.py
+++ b/flamingoweir/settings/_ini.py
@@ -53,6 +53,9 @@
     ("scheduling", "placement"): Annotated[
         str, Field(pattern="^(dominant|best_fit|first_fit)$")
     ],
+    ("scheduling", "interference"): Annotated[
+        str, Field(pattern="^(ladder|evict|off)$")
+    ],
     ("requests", "retry_budget"): Fraction,
     ("requests", "hedge_after_s"): Annotated[float, Field(ge=0)],
     ("requests", "choice"): Annotated[
--- a/flamingoweir/settings/_model.py
+++ b/flamingoweir/settings/_model.py
@@ -117,7 +117,10 @@
     snapshot_entries : int
         Journal entries after which a snapshot is stored.
     placement : str
-        Name of the placement policy.
+        Name of the placement policy: dominant, best_fit or first_fit.
+    interference : str
+        What is done to batch that slows a service: ladder (throttle, then move),
+        evict, or off.
     refill_per_s : float
         Batch starts per worker and second after a zone has come back.
     """
@@ -126,6 +129,7 @@
     assign_ahead: int = 2
     snapshot_entries: int = 200
     placement: str = "dominant"
+    interference: str = "ladder"
     refill_per_s: float = 1.0
 
 
@@ -160,7 +164,7 @@
     eject_s : float
         Seconds until an ejected runner is probed.
     choice : str
-        Name of the runner choice policy.
+        Name of the runner choice policy: two_choices, random or round_robin.
     """
 
     slots_per_runner: int = 8
--- a/flamingoweir/upstreams/_protocols.py
+++ b/flamingoweir/upstreams/_protocols.py
@@ -120,6 +120,8 @@
         Processors used, as measured some time ago.
     latency_ms : float
         For a service, its recent tail latency, as measured some time ago.
+    measured_s : float
+        On the worker's clock, when usage and latency were measured.
     """
 
     task: str
@@ -129,6 +131,7 @@
     detail: str = ""
     processors_milli: int = 0
     latency_ms: float = 0.0
+    measured_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
