Spread services over workers and racks; a first policy experiment

Best fit packed all tasks of a service onto few workers, which a zone of mixed racks can't afford; they now go where the fewest of their kind are. Tuning goes on.

--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,466 @@
+"""Policy under load and faults: the real decisions on a seeded fake fleet.
+
+Run ``python -m benchmarks.policy [--seeds 10] [--plot FILE]``. One shard's owner
+decides in virtual time for workers whose services slow beside batch by effects that
+the policy does not know. Reports, against running alone and against no protection:
+p99 of the services' latency, batch work done, evictions and work lost.
+"""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import io
+import math
+import random
+import statistics
+from collections import deque
+from dataclasses import dataclass, field
+
+import anyio
+
+from benchmarks.slopes import OpenFleet
+from flamingoweir import logs
+from flamingoweir.clock import Clock
+from flamingoweir.interference import InterferenceController, Neighbourhood, NoControl
+from flamingoweir.membership import Directory
+from flamingoweir.metrics import NoMetrics
+from flamingoweir.platform import Instance, InstanceKind
+from flamingoweir.resources import Resources
+from flamingoweir.scheduling import (
+    JobKind,
+    JobSpec,
+    Journal,
+    OwnerContext,
+    ShardOwner,
+    ShardState,
+)
+from flamingoweir.scheduling._events import TasksAdded
+from flamingoweir.settings import Scheduling, Timings
+from flamingoweir.standins import (
+    MemoryInstanceList,
+    MemoryObjectStore,
+    MemoryTable,
+    StandinWorker,
+)
+from flamingoweir.tree import SettingsTree
+from flamingoweir.upstreams import AttemptStatus, Command, WorkerExchange
+from tests.utils.virtual_time import VirtualClock, run_virtual
+
+ZONE, SHARD = "powys", "powys/0"
+RUN_S = 900.0
+WARM_UP_S = 150.0
+USAGE_LAG_S = 30.0
+BASE_MS = 10.0
+TARGET_MS = 11.0
+RESTART_S = 2.0
+SERVICES = ("quotes", "orders")
+CLASSES = ("plan", "sums", "maps", "scan", "pack", "noisy")
+WAVE_PERIOD_S = 240.0
+WAVE_S = 80.0
+BROKEN_WORKERS = 2
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """A user's fleet."""
+
+    name: str
+    workers: int
+    processors: int
+    memory_mb: int
+
+
+DEPLOYMENTS = (
+    Deployment("tomen-dail", 30, 64, 250_000),
+    Deployment("kathiawar", 25, 32, 125_000),
+)
+
+
+@dataclass(frozen=True)
+class Policy:
+    """What is compared."""
+
+    name: str
+    placement: str
+    interference: str
+    threshold_only: bool = False
+
+
+POLICIES = (
+    Policy("no protection", "best_fit", "off"),
+    Policy("first fit", "first_fit", "off"),
+    Policy("threshold only", "best_fit", "off", threshold_only=True),
+    Policy("no throttling", "dominant", "evict"),
+    Policy("ladder", "dominant", "ladder"),
+)
+
+
+class World:
+    """What the policy does not know: effects, true sizes, load."""
+
+    def __init__(self, seed: int):
+        self.random = random.Random(seed)
+        self.effect = {}
+        for service in SERVICES:
+            mild = [0.0, 0.02, 0.05, 0.1, 0.2]
+            self.random.shuffle(mild)
+            for job_class, value in zip(CLASSES, [*mild, 1.2], strict=True):
+                spread = self.random.uniform(0.7, 1.3)
+                self.effect[(f"service:{service}", job_class)] = value * spread
+        self.size = {name: 2 ** self.random.uniform(-2, 2) for name in CLASSES}
+        self.phase = self.random.uniform(0, 2 * math.pi)
+
+    def load(self, now_s: float) -> float:
+        """Return the services' load, which shifts."""
+        return 0.6 + 0.3 * math.sin(self.phase + 2 * math.pi * now_s / 400)
+
+
+class NoisyWorker(StandinWorker):
+    """A worker whose services slow beside batch, and say so late."""
+
+    def __init__(self, world: World, broken: bool, *args):
+        super().__init__(*args)
+        self.world = world
+        self.broken = broken
+        self.samples: list[float] = []
+        self._measured: deque[tuple[float, dict[str, float]]] = deque()
+
+    def measure(self, now_s: float) -> None:
+        """Measure every service that runs here."""
+        self.advance()
+        attempts = [
+            attempt
+            for fence in self._by_shard.values()
+            for attempt in fence.by_task.values()
+        ]
+        load = self.world.load(now_s)
+        latency_by_task = {}
+        for attempt in attempts:
+            service = attempt.command.job_class
+            if not service.startswith("service:"):
+                continue
+            slowdown = 0.0
+            for other in attempts:
+                effect = self.world.effect.get((service, other.command.job_class))
+                if effect is None:
+                    continue
+                used = other.command.needs.processors_milli * other.rate
+                used *= min(2.0, self.world.size[other.command.job_class])
+                slowdown += effect * used / self.capacity.processors_milli
+            noise = self.world.random.lognormvariate(0, 0.01)
+            latency_by_task[attempt.command.task] = (
+                BASE_MS * (1 + load * slowdown) * noise
+            )
+        self.samples.extend(latency_by_task.values())
+        self._measured.append((now_s, latency_by_task))
+
+    def _running(self, fence):
+        now_s = self._clock.now()
+        while len(self._measured) > 1 and self._measured[1][0] <= now_s - USAGE_LAG_S:
+            self._measured.popleft()
+        moment_s, latency_by_task = self._measured[0] if self._measured else (0, {})
+        known = moment_s <= now_s - USAGE_LAG_S
+        load = self.world.load(moment_s)
+        reports = []
+        for report in super()._running(fence):
+            latency_ms = latency_by_task.get(report.task, 0.0) if known else 0.0
+            if latency_ms:
+                used = int(report.processors_milli * load)
+                report = dataclasses.replace(
+                    report,
+                    latency_ms=latency_ms,
+                    measured_s=moment_s,
+                    processors_milli=used,
+                )
+            reports.append(report)
+        return reports
+
+
+class DirectLink:
+    """A worker reached without a network."""
+
+    def __init__(self, worker: NoisyWorker):
+        self._worker = worker
+
+    async def exchange(self, message: WorkerExchange):
+        """See `WorkerLink.exchange`."""
+        await anyio.sleep(0.001)
+        return self._worker.exchange(message)
+
+
+class ThresholdOnly(InterferenceController):
+    """Evicts the largest neighbour of a late service every 10 s; learns nothing."""
+
+    is_active = True
+    pause_s = 10.0
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._acted_s: dict[str, float] = {}
+
+    def watch(self, worker: Neighbourhood) -> None:
+        """Evict if any service is over its target."""
+        late = [
+            item
+            for item in worker.services()
+            if item.target_ms and item.latency_ms > item.target_ms
+        ]
+        batch = list(worker.batch())
+        since_s = worker.worker_clock_s - self._acted_s.get(worker.name, 0.0)
+        if late and batch and since_s > self.pause_s:
+            self._acted_s[worker.name] = worker.worker_clock_s
+            worker.evict(max(batch, key=lambda item: item.share).task)
+
+    def may_place(self, worker, job_class: str, extra_share: float) -> bool:
+        """Return True."""
+        return True
+
+
+@dataclass
+class Result:
+    """What one run gave."""
+
+    p99_ratio: float
+    late_part: float
+    batch_work: float
+    evictions: int
+    lost_s: float
+    by_second: list[float] = field(default_factory=list)
+
+
+def make_job(world: World, number: int, job_class: str) -> JobSpec:
+    """Return a batch job."""
+    processors = world.random.choice((1, 2, 4))
+    if number % 10 == 9:
+        processors = 1000
+    needs = Resources(processors * 1000, processors * 1500)
+    return JobSpec(f"job-{number}", f"team-{number % 5}", 20, needs, [ZONE],
+                   job_class=job_class)  # fmt: skip
+
+
+def make_service(name: str, processors: int) -> JobSpec:
+    """Return a service's job."""
+    return JobSpec(
+        f"service.{name}.{ZONE}",
+        "shops",
+        0,
+        Resources(processors * 1000, processors * 2000),
+        [ZONE],
+        JobKind.SERVICE,
+        f"service:{name}",
+        retries=2**31,
+        latency_target_ms=TARGET_MS,
+    )
+
+
+def run_time_of(world: World, broken: bool):
+    """Return how long tasks of one worker take."""
+
+    def run_time(command: Command) -> tuple[float, AttemptStatus]:
+        if command.job_class.startswith("service:"):
+            return 1e9, AttemptStatus.DONE
+        if broken:
+            return 3.0, AttemptStatus.FAILED
+        length_s = 20 + hash_part(command.task) * 60
+        return length_s + RESTART_S * (command.attempt > 1), AttemptStatus.DONE
+
+    return run_time
+
+
+def hash_part(text: str) -> float:
+    """Return a number from 0 to 1 that depends on a text only."""
+    return random.Random(text).random()
+
+
+async def run_once(policy: Policy, deployment: Deployment, seed: int) -> Result:
+    """Run one policy on one fleet."""
+    world = World(seed)
+    clock: Clock = VirtualClock()
+    table, objects = MemoryTable(), MemoryObjectStore()
+    instances = MemoryInstanceList()
+    capacity = Resources(deployment.processors * 1000, deployment.memory_mb, 0)
+    worker_by_name = {}
+    for number in range(deployment.workers):
+        name = f"w{number}"
+        broken = number < BROKEN_WORKERS
+        worker_by_name[name] = NoisyWorker(
+            world, broken, name, capacity, clock, run_time_of(world, broken), objects
+        )
+        instances.add(
+            Instance(
+                name,
+                InstanceKind.WORKER,
+                ZONE,
+                f"rack-{number // 8}",
+                "127.0.0.1:1",
+                capacity=capacity,
+            )
+        )
+    directory = Directory(instances, clock)
+    await directory.refresh()
+    journal = Journal(table, objects, SHARD, "e1:1", clock, Timings())
+    await journal.acquire(None)
+    context = OwnerContext(
+        ZONE,
+        SHARD,
+        table,
+        directory,
+        SettingsTree(),
+        OpenFleet(),
+        lambda worker: DirectLink(worker_by_name[worker.name]),
+        clock,
+        Timings(),
+        Scheduling(placement=policy.placement, interference=policy.interference),
+        NoMetrics(),
+    )
+    state = ShardState()
+    owner = ShardOwner(context, journal, state, 0.0)
+    owner._scaler.decide = lambda: []
+    if policy.threshold_only:
+        controller = ThresholdOnly(NoControl(), clock, NoMetrics())
+        owner.interference = controller
+        owner.placer._interference = controller
+    for name in SERVICES:
+        spec = make_service(name, deployment.processors // 8)
+        state.apply(TasksAdded(spec, 0, deployment.workers))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(owner.run)
+        await drive(world, owner, worker_by_name, clock)
+        tasks.cancel_scope.cancel()
+    return summarise(worker_by_name, state)
+
+
+async def drive(world: World, owner: ShardOwner, worker_by_name, clock) -> None:
+    """Submit jobs so that some always wait, and measure every second."""
+    started_s = clock.now()
+    number = 0
+    while clock.now() - started_s < RUN_S:
+        spent_s = clock.now() - started_s
+        wave = spent_s % WAVE_PERIOD_S > WAVE_PERIOD_S - WAVE_S
+        waiting = sum(
+            len(job.queued)
+            for job in owner.state.by_job.values()
+            if job.spec.needs.processors_milli < 1000_000
+        )
+        while waiting < 400:
+            noisy = wave and world.random.random() < 0.5
+            job_class = "noisy" if noisy else world.random.choice(CLASSES[:-1])
+            spec = make_job(world, number, job_class)
+            owner.state.apply(TasksAdded(spec, 0, spec.tasks))
+            number += 1
+            waiting += spec.tasks if spec.needs.processors_milli < 1000_000 else 0
+        for worker in worker_by_name.values():
+            if spent_s < WARM_UP_S:
+                worker.samples.clear()
+            worker.measure(clock.now())
+        await anyio.sleep(1.0)
+
+
+def summarise(worker_by_name, state: ShardState) -> Result:
+    """Add up what the workers recorded."""
+    samples: list[float] = []
+    work = lost_s = 0.0
+    evictions = 0
+    for worker in worker_by_name.values():
+        samples.extend(worker.samples)
+        started = {}
+        for event in worker.record:
+            if event.kind == "start":
+                started[event.task] = event.at_s
+                continue
+            ran_s = event.at_s - started.get(event.task, event.at_s)
+            if event.kind == "done":
+                work += (20 + hash_part(event.task) * 60) * event.needs.processors_milli
+            if event.kind == "checkpointed":
+                evictions += 1
+                lost_s += RESTART_S
+            if event.kind == "failed":
+                lost_s += ran_s
+    samples.sort()
+    p99 = samples[int(0.99 * len(samples))] if samples else math.nan
+    late = sum(value > TARGET_MS for value in samples) / max(1, len(samples))
+    return Result(p99 / BASE_MS, late, work / 1000, evictions, lost_s)
+
+
+def measure(job: tuple[int, int, int]) -> tuple[int, int, Result]:
+    """Run one policy, deployment and seed in a process of its own."""
+    policy, deployment, seed = job
+    logs.configure(io.StringIO(), "error")
+    result = run_virtual(run_once, POLICIES[policy], DEPLOYMENTS[deployment], seed)
+    return policy, deployment, result
+
+
+def spread(values: list[float]) -> str:
+    """Return mean and standard deviation."""
+    deviation = statistics.stdev(values) if len(values) > 1 else 0.0
+    return f"{statistics.mean(values):7.3f} ± {deviation:5.3f}"
+
+
+def main() -> None:
+    """Compare all policies."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--processes", type=int, default=5)
+    parser.add_argument("--plot", metavar="FILE")
+    arguments = parser.parse_args()
+    jobs = [
+        (policy, deployment, seed)
+        for deployment in range(len(DEPLOYMENTS))
+        for policy in range(len(POLICIES))
+        for seed in range(arguments.seeds)
+    ]
+    results: dict[tuple[int, int], list[Result]] = {}
+    with concurrent.futures.ProcessPoolExecutor(arguments.processes) as pool:
+        for policy, deployment, result in pool.map(measure, jobs):
+            results.setdefault((deployment, policy), []).append(result)
+    for deployment, fleet in enumerate(DEPLOYMENTS):
+        print(f"\n{fleet.name}: {fleet.workers} workers, {arguments.seeds} seeds")
+        print(f"{'':16s} {'p99/alone':16s} {'late part':16s} {'work ratio':16s}"
+              f" {'evictions':16s} lost s")  # fmt: skip
+        base = results[(deployment, 0)]
+        for number, policy in enumerate(POLICIES):
+            found = results[(deployment, number)]
+            ratio = [
+                one.batch_work / other.batch_work
+                for one, other in zip(found, base, strict=True)
+            ]
+            print(
+                f"{policy.name:16s} {spread([r.p99_ratio for r in found])}"
+                f" {spread([r.late_part for r in found])} {spread(ratio)}"
+                f" {spread([r.evictions for r in found])}"
+                f" {statistics.mean(r.lost_s for r in found):8.0f}"
+            )
+    if arguments.plot:
+        draw(results, arguments.plot)
+
+
+def draw(results, path: str) -> None:
+    """Draw tail latency against batch work."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, len(DEPLOYMENTS), figsize=(11, 4))
+    for deployment, fleet in enumerate(DEPLOYMENTS):
+        base = results[(deployment, 0)]
+        for number, policy in enumerate(POLICIES):
+            found = results[(deployment, number)]
+            work = [
+                one.batch_work / other.batch_work
+                for one, other in zip(found, base, strict=True)
+            ]
+            axes[deployment].scatter(
+                work, [one.p99_ratio for one in found], label=policy.name, s=14
+            )
+        axes[deployment].axhline(1.1, linewidth=0.8, color="gray")
+        axes[deployment].set_title(fleet.name)
+        axes[deployment].set_xlabel("batch work, against no protection")
+        axes[deployment].set_ylabel("p99 of services, against alone")
+    axes[0].legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+if __name__ == "__main__":
+    main()
--- a/flamingoweir/interference/_effects.py
+++ b/flamingoweir/interference/_effects.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-PRIOR_EFFECT = 0.3
+PRIOR_EFFECT = 0.1
 LEARNING_RATE = 0.2
 FORGETTING = 0.002
 BASELINE_RISE = 0.002
--- a/flamingoweir/scheduling/_placer.py
+++ b/flamingoweir/scheduling/_placer.py
@@ -1,6 +1,7 @@
 """Decides in each tick which queued tasks go where."""
 
 import heapq
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
@@ -209,6 +210,8 @@
         return ""
 
     def _best(self, spec: JobSpec, turn: Round) -> str | None:
+        if spec.kind is JobKind.SERVICE:
+            return self._most_spread(spec, turn)
         best, best_score = None, float("inf")
         accepted = 0
         for name in turn.rooms.candidates(spec.needs):
@@ -228,6 +231,32 @@
                 break
         return best
 
+    def _most_spread(self, spec: JobSpec, turn: Round) -> str | None:
+        """Return the worker, then the rack, with the fewest tasks of a service."""
+        here, on_rack = self._count_placed(spec.id, turn)
+        best, best_score = None, None
+        for name in turn.rooms.candidates(spec.needs):
+            session = self._sessions.by_worker[name]
+            room = turn.rooms.room_by_worker[name]
+            free = room.processors_milli / max(1, session.capacity.processors_milli)
+            score = (here[name], on_rack[session.instance.rack], -free)
+            if best_score is None or score < best_score:
+                best, best_score = name, score
+        return best
+
+    def _count_placed(self, job: str, turn: Round) -> tuple[Counter, Counter]:
+        """Return a job's tasks by worker and by rack."""
+        here: Counter[str] = Counter()
+        for name, session in self._sessions.by_worker.items():
+            for assignment in session.by_task.values():
+                here[name] += assignment.spec.id == job
+        for choice in turn.choices:
+            here[choice.worker] += choice.job == job
+        on_rack: Counter[str] = Counter()
+        for name, count in here.items():
+            on_rack[self._sessions.by_worker[name].instance.rack] += count
+        return here, on_rack
+
     def _leaves_services_on_time(
         self, session: WorkerSession, spec: JobSpec, extra: Resources
     ) -> bool:
--- a/flamingoweir/scheduling/_session.py
+++ b/flamingoweir/scheduling/_session.py
@@ -60,8 +60,8 @@
         CHECKPOINT or STOP, once it has to end.
     throttle_percent : int
         Share of its processors that it should keep.
-    throttle_sent : int
-        Share that the worker was last told.
+    throttle_seen : int
+        Share that it keeps by the worker's last word.
     start_by_s : float
         On the worker's clock, until when a START sent may take effect.
     started_s : float
@@ -77,7 +77,7 @@
     standing: Standing = Standing.AHEAD
     order: CommandKind | None = None
     throttle_percent: int = 100
-    throttle_sent: int = 100
+    throttle_seen: int = 100
     start_by_s: float = 0.0
     started_s: float = 0.0
     report: AttemptReport | None = None
@@ -339,7 +339,7 @@
             return
         if assignment.order is not None:
             message.commands.append(Command(assignment.order, *assignment.identity))
-        if assignment.throttle_percent != assignment.throttle_sent:
+        if assignment.throttle_percent != assignment.throttle_seen:
             message.commands.append(
                 Command(
                     CommandKind.THROTTLE,
@@ -381,11 +381,13 @@
             if not matches:
                 self._strays.add(identity)
                 return
+            if assignment.standing is Standing.UNKNOWN:
+                assignment.throttle_percent = item.throttle_percent
             if assignment.standing is not Standing.RUNNING:
                 assignment.standing = Standing.RUNNING
                 assignment.started_s = now_s
             assignment.report = item
-            assignment.throttle_sent = assignment.throttle_percent
+            assignment.throttle_seen = item.throttle_percent
             return
         if identity in self._reported or identity in self._acknowledged:
             return
--- a/flamingoweir/upstreams/_protocols.py
+++ b/flamingoweir/upstreams/_protocols.py
@@ -122,6 +122,8 @@
         For a service, its recent tail latency, as measured some time ago.
     measured_s : float
         On the worker's clock, when usage and latency were measured.
+    throttle_percent : int
+        Share of its processors that it keeps.
     """
 
     task: str
@@ -132,6 +134,7 @@
     processors_milli: int = 0
     latency_ms: float = 0.0
     measured_s: float = 0.0
+    throttle_percent: int = 100
 
 
 @dataclass(frozen=True, slots=True)
