--- a/flamingoweir/interference/_controller.py
+++ b/flamingoweir/interference/_controller.py
@@ -21,8 +21,9 @@
 
 HISTORY_LIMIT_S = 120.0
 SAMPLE_PERIOD_S = 1.0
-RELAX_BELOW = 0.95
-ADMIT_BELOW = 0.98
+ADMIT_BELOW = 0.97
+SOON_S = 5.0
+HORIZON_S = 30.0
 BAR_S = 120.0
 SETTLE_S = 2.0
 
@@ -159,18 +160,22 @@
         batch = list(worker.batch())
         self._remember(record, worker.worker_clock_s, batch)
         fresh = [item for item in services if item.measured_s > record.measured_s]
-        if not fresh:
-            return
         for item in fresh:
-            self._learn(record, item)
-        record.measured_s = max(item.measured_s for item in fresh)
-        if record.measured_s < record.acted_s + SETTLE_S:
+            self._learn(worker, record, item)
+        if not services or not batch:
             return
-        worst = max(fresh, key=_pressure)
-        if _pressure(worst) > 1.0:
+        if fresh:
+            record.measured_s = max(item.measured_s for item in fresh)
+        settled = record.measured_s > record.acted_s + SETTLE_S
+        worst = max(services, key=_pressure)
+        if fresh and settled and _pressure(worst) > 1.0:
             self._press(worker, record, worst, batch)
-        elif all(_pressure(item) < RELAX_BELOW for item in fresh):
-            self._relax(worker, record, fresh, batch)
+            return
+        expected, threatened = self._expect(services, _shares(batch), SOON_S)
+        if expected > 1.0:
+            self._throttle_ahead(worker, threatened, batch)
+            return
+        self._relax(worker, services, threatened, batch)
 
     def may_place(
         self, worker: Neighbourhood, job_class: str, extra_share: float
@@ -185,13 +190,25 @@
             return False
         shares = _shares(worker.batch())
         shares[job_class] = shares.get(job_class, 0.0) + extra_share
-        for item in worker.services():
-            if not item.target_ms or not item.latency_ms:
+        services = [item for item in worker.services() if item.latency_ms]
+        expected, _ = self._expect(services, shares, HORIZON_S)
+        return expected <= ADMIT_BELOW
+
+    def _expect(
+        self, services: list[ServiceTask], shares: dict[str, float], ahead_s: float
+    ) -> tuple[float, ServiceTask | None]:
+        """Return the worst expected latency against its target, and whose it is."""
+        now_s = self._clock.now()
+        expected, threatened = 0.0, None
+        for item in services:
+            if not item.target_ms:
                 continue
-            predicted_ms = self.effects.predict(item.service, item.load, shares)
-            if predicted_ms > ADMIT_BELOW * item.target_ms:
-                return False
-        return True
+            latency_ms = self.effects.predict(
+                item.service, shares, now_s, now_s + ahead_s
+            )
+            if latency_ms > expected * item.target_ms:
+                expected, threatened = latency_ms / item.target_ms, item
+        return expected, threatened
 
     @staticmethod
     def _remember(record: WorkerRecord, clock_s: float, batch: list[BatchTask]) -> None:
@@ -201,13 +218,22 @@
         while clock_s - record.shares[0][0] > HISTORY_LIMIT_S:
             record.shares.popleft()
 
-    def _learn(self, record: WorkerRecord, item: ServiceTask) -> None:
+    def _learn(
+        self, worker: Neighbourhood, record: WorkerRecord, item: ServiceTask
+    ) -> None:
         shares: dict[str, float] = {}
         for moment_s, held in record.shares:
             if moment_s > item.measured_s:
                 break
             shares = held
-        self.effects.learn(item.service, item.latency_ms, item.load, shares)
+        self.effects.learn(
+            item.service,
+            item.latency_ms,
+            item.load,
+            shares,
+            self._clock.now(),
+            worker.worker_clock_s - item.measured_s,
+        )
 
     def _press(
         self,
@@ -217,8 +243,6 @@
         batch: list[BatchTask],
     ) -> None:
         """Take the next step against the likeliest neighbour."""
-        if not batch:
-            return
         culprit = self._worst_class(service, batch)
         tasks = [item for item in batch if item.job_class == culprit]
         kept_percent = max(item.throttle_percent for item in tasks)
@@ -246,35 +270,45 @@
             target_ms=service.target_ms,
         )
 
+    def _throttle_ahead(
+        self, worker: Neighbourhood, service: ServiceTask, batch: list[BatchTask]
+    ) -> None:
+        """Throttle whom a service is expected to be late for, before it is."""
+        candidates = [
+            item
+            for item in batch
+            if self._policy.next_step(item.throttle_percent) is Step.THROTTLE
+        ]
+        if not candidates:
+            return
+        culprit = self._worst_class(service, candidates)
+        for item in candidates:
+            if item.job_class == culprit:
+                worker.throttle(item.task, lower_throttle(item.throttle_percent))
+        self._metrics.incr("throttles")
+
     def _relax(
         self,
         worker: Neighbourhood,
-        record: WorkerRecord,
         services: list[ServiceTask],
+        threatened: ServiceTask | None,
         batch: list[BatchTask],
     ) -> None:
         """Ease the throttle of the class that would hurt least, if that is safe."""
         throttled = [item for item in batch if item.throttle_percent < 100]
-        if not throttled:
+        if not throttled or threatened is None:
             return
-        worst = max(services, key=_pressure)
-        mildest = min(throttled, key=lambda item: self._blame(worst, item))
-        percent = higher_throttle(mildest.throttle_percent)
+        mildest = min(throttled, key=lambda item: self._blame(threatened, item))
+        eased = [item for item in throttled if item.job_class == mildest.job_class]
         shares = _shares(batch)
-        for item in batch:
-            if item.job_class == mildest.job_class:
-                gain = (percent - item.throttle_percent) / 100
-                shares[item.job_class] += item.share * gain
-        for item in services:
-            if not item.target_ms:
-                continue
-            predicted_ms = self.effects.predict(item.service, item.load, shares)
-            if predicted_ms > ADMIT_BELOW * item.target_ms:
-                return
-        for item in batch:
-            if item.job_class == mildest.job_class:
-                worker.throttle(item.task, percent)
-        record.acted_s = worker.worker_clock_s
+        for item in eased:
+            gain = higher_throttle(item.throttle_percent) - item.throttle_percent
+            shares[item.job_class] += item.share * gain / 100
+        expected, _ = self._expect(services, shares, HORIZON_S)
+        if expected > ADMIT_BELOW:
+            return
+        for item in eased:
+            worker.throttle(item.task, higher_throttle(item.throttle_percent))
 
     def _worst_class(self, service: ServiceTask, batch: list[BatchTask]) -> str:
         """Return the class that slows a service the most."""
