--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -24,9 +24,10 @@
 from flamingoweir.platform import Instance, InstanceKind
 from flamingoweir.resources import Resources
 from flamingoweir.scheduling import JobSpec, OwnerContext, ShardOwner, ShardState
+from flamingoweir.scheduling._assignment import Assignment
 from flamingoweir.scheduling._events import TaskAssigned, TasksAdded, encode_events
 from flamingoweir.scheduling._journal import Journal
-from flamingoweir.scheduling._session import Assignment, WorkerSession
+from flamingoweir.scheduling._session import WorkerSession
 from flamingoweir.scheduling._team_usage import TeamUsage
 from flamingoweir.settings import Scheduling, Timings
 from flamingoweir.standins import (
--- a/flamingoweir/scheduling/__init__.py
+++ b/flamingoweir/scheduling/__init__.py
@@ -1,5 +1,7 @@
 """Jobs and tasks: who decides, what is durable, where tasks run."""
 
+from ._assignment import Assignment, Standing
+from ._context import OwnerContext
 from ._desk import JobDesk, JobStatus
 from ._events import decode_events, encode_events
 from ._fleet import FleetView, PeerFleetView, ShardRoom
@@ -8,10 +10,10 @@
 from ._keeper import ShardKeeper
 from ._keys import shard_of, shards_of_zone
 from ._ledger import Overcommit, WorkerLedger
-from ._owner import OwnerContext, ShardOwner
+from ._owner import ShardOwner
 from ._placement import PLACEMENT_BY_NAME, Placement
 from ._questions import describe_job, describe_task
-from ._session import Assignment, Standing, WorkerSession
+from ._session import WorkerSession
 from ._state import ShardState
 
 __all__ = [
--- /dev/null
+++ b/flamingoweir/scheduling/_assignment.py
@@ -0,0 +1,110 @@
+"""Tasks assigned to a worker, as their owner knows them."""
+
+import enum
+from dataclasses import dataclass
+
+from ..upstreams import AttemptId, AttemptReport, AttemptStatus, CommandKind
+from ._job import JobSpec, task_id
+
+
+class Standing(enum.StrEnum):
+    """What the owner knows of an assignment."""
+
+    #: Durable, not yet sent to the worker.
+    AHEAD = "ahead"
+    #: Sent, not yet confirmed.
+    SENT = "sent"
+    #: Seen running in the worker's inventory.
+    RUNNING = "running"
+    #: Made by an earlier owner; the worker has not been asked yet.
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class Assignment:
+    """A task durably assigned to a worker.
+
+    Attributes
+    ----------
+    spec : JobSpec
+        The task's job.
+    index, attempt : int, int
+        The task and the attempt.
+    resume_from : str
+        The checkpoint that the attempt starts from.
+    standing : Standing
+        What is known of it.
+    order : CommandKind or None
+        CHECKPOINT or STOP, once it has to end.
+    throttle_percent : int
+        Share of its processors that it should keep.
+    throttle_seen : int
+        Share that it keeps by the worker's last word.
+    start_by_s : float
+        On the worker's clock, until when a START sent may take effect.
+    started_s : float
+        On the owner's clock, when it was first seen running.
+    report : AttemptReport or None
+        The worker's latest word on it.
+    """
+
+    spec: JobSpec
+    index: int
+    attempt: int
+    resume_from: str = ""
+    standing: Standing = Standing.AHEAD
+    order: CommandKind | None = None
+    throttle_percent: int = 100
+    throttle_seen: int = 100
+    start_by_s: float = 0.0
+    started_s: float = 0.0
+    report: AttemptReport | None = None
+
+    @property
+    def task(self) -> str:
+        """The name that the worker knows the task by."""
+        return task_id(self.spec.id, self.index)
+
+    @property
+    def identity(self) -> AttemptId:
+        """The attempt."""
+        return AttemptId(self.task, self.attempt)
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """The confirmed or certain end of an attempt."""
+
+    worker: str
+    task: str
+    attempt: int
+    status: AttemptStatus
+    checkpoint: str = ""
+    detail: str = ""
+    ran_s: float = 0.0
+
+
+@dataclass(slots=True)
+class WorkerView:
+    """What the owner knows of a worker between exchanges.
+
+    Attributes
+    ----------
+    incarnation : str
+        The worker's life, as of its last report; empty before the first.
+    clock_s : float
+        The worker's clock in that report.
+    lapse_s : float
+        On the owner's clock, when every attempt there has surely ended unless
+        the worker answers.
+    reachable : bool
+        Whether the last exchange was answered.
+    silent_since_s : float
+        When the last exchange was answered, on the owner's clock.
+    """
+
+    incarnation: str = ""
+    clock_s: float = 0.0
+    lapse_s: float = 0.0
+    reachable: bool = False
+    silent_since_s: float = 0.0
--- a/flamingoweir/scheduling/_fairness.py
+++ b/flamingoweir/scheduling/_fairness.py
@@ -1,15 +1,11 @@
 """Who goes first, and how much a team may have."""
 
-from typing import TYPE_CHECKING
-
 from ..resources import Resources
+from ._context import OwnerContext
 from ._job import Job, JobKind, JobSpec
-from ._session import SessionTable
+from ._session_table import SessionTable
 from ._team_usage import TeamUsage
 
-if TYPE_CHECKING:
-    from ._owner import OwnerContext
-
 UNLIMITED = float("inf")
 
 
@@ -20,7 +16,7 @@
     share for its weight (Ghodsi et al., NSDI 2011), then priority.
     """
 
-    def __init__(self, context: "OwnerContext", sessions: SessionTable):
+    def __init__(self, context: OwnerContext, sessions: SessionTable):
         self._context = context
         self._sessions = sessions
         self._total = Resources()
--- a/flamingoweir/scheduling/_health.py
+++ b/flamingoweir/scheduling/_health.py
@@ -6,8 +6,8 @@
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..upstreams import AttemptStatus
+from ._assignment import AttemptEnd
 from ._job import JobSpec
-from ._session import AttemptEnd
 
 log = get_logger()
 
--- a/flamingoweir/scheduling/_keeper.py
+++ b/flamingoweir/scheduling/_keeper.py
@@ -12,11 +12,12 @@
 from ..platform import ObjectStore, Row, Table, TableUnavailable
 from ..settings import Timings
 from ..tree import services_of
+from ._assignment import Standing
+from ._context import OwnerContext
 from ._journal import Journal, OwnershipLost, decode_shard_row, shard_key
 from ._keys import shards_of_zone
 from ._lease import orphan_wait_s, takeover_wait_s, worker_lapse_s
-from ._owner import OwnerContext, ShardOwner
-from ._session import Standing
+from ._owner import ShardOwner
 
 log = get_logger()
 
--- a/flamingoweir/scheduling/_neighbourhood.py
+++ b/flamingoweir/scheduling/_neighbourhood.py
@@ -5,8 +5,9 @@
 from ..clock import Clock
 from ..interference import BatchTask, ServiceTask
 from ..upstreams import CommandKind
+from ._assignment import Standing
 from ._job import JobKind
-from ._session import Standing, WorkerSession
+from ._session import WorkerSession
 
 
 class SessionNeighbourhood:
--- a/flamingoweir/scheduling/_owner.py
+++ b/flamingoweir/scheduling/_owner.py
@@ -1,29 +1,23 @@
 """The owner of a shard: one loop that decides, commits, then tells workers."""
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
-
 import anyio
 import orjson
 
-from ..clock import Clock
 from ..interference import POLICY_BY_NAME, InterferenceController
 from ..logs import get_logger
-from ..membership import Directory
-from ..metrics import Metrics
 from ..platform import (
     Instance,
     InstanceKind,
     Precondition,
     Row,
-    Table,
     TableUnavailable,
     Write,
 )
-from ..settings import Scheduling, Timings
-from ..tree import SettingsTree
-from ..upstreams import AttemptId, AttemptStatus, CommandKind, WorkerLink
+from ..upstreams import AttemptId, AttemptStatus, CommandKind
 from ..wakeup import Wakeup
+from ._assignment import Assignment, AttemptEnd, Standing
+from ._batch import Batch
+from ._context import OwnerContext
 from ._events import (
     Event,
     JobCancelled,
@@ -36,7 +30,6 @@
     decode_events,
     encode_events,
 )
-from ._fleet import FleetView
 from ._job import Job, JobKind, Task, TaskState, split_task_id
 from ._journal import Journal, OwnershipLost
 from ._keys import cancel_key, inbox_key, inbox_prefix, outcome_key, shard_of_worker
@@ -44,13 +37,8 @@
 from ._outcome import Outcome
 from ._placer import Placer
 from ._scaler import ServiceScaler
-from ._session import (
-    Assignment,
-    AttemptEnd,
-    SessionTable,
-    Standing,
-    WorkerSession,
-)
+from ._session import WorkerSession
+from ._session_table import SessionTable
 from ._state import ShardState
 from ._zones import ZoneMover
 
@@ -61,70 +49,6 @@
 FAILURE_BACKOFF_LIMIT_S = 60.0
 
 
-@dataclass(slots=True)
-class Batch:
-    """What one commit carries.
-
-    Attributes
-    ----------
-    events : list of Event
-        Already applied to the state in memory; nobody is told before the commit.
-    preconditions, writes : list
-        Rows besides the shard's own.
-    assignments : list of (str, Assignment)
-        Assignments by worker, given to the sessions after the commit.
-    ended : list of (str, AttemptId)
-        Ends by worker, acknowledged after the commit.
-    """
-
-    events: list[Event] = field(default_factory=list)
-    preconditions: list[Precondition] = field(default_factory=list)
-    writes: list[Write] = field(default_factory=list)
-    assignments: list[tuple[str, Assignment]] = field(default_factory=list)
-    ended: list[tuple[str, AttemptId]] = field(default_factory=list)
-
-    def is_empty(self) -> bool:
-        """Return whether there is nothing to make durable."""
-        return not (self.events or self.writes)
-
-
-@dataclass(slots=True)
-class OwnerContext:
-    """What an owner needs of its instance.
-
-    Attributes
-    ----------
-    zone, shard : str
-        The shard and its zone.
-    table : Table
-        The platform's table.
-    directory : Directory
-        The platform's list.
-    tree : SettingsTree
-        The settings.
-    fleet : FleetView
-        Zones, permits and what other shards say of themselves.
-    connect_worker : callable
-        Makes the way to a worker.
-    clock, timings, scheduling : Clock, Timings, Scheduling
-        The instance's clock and settings.
-    metrics : Metrics
-        Where counts go.
-    """
-
-    zone: str
-    shard: str
-    table: Table
-    directory: Directory
-    tree: SettingsTree
-    fleet: FleetView
-    connect_worker: Callable[[Instance], WorkerLink]
-    clock: Clock
-    timings: Timings
-    scheduling: Scheduling
-    metrics: Metrics
-
-
 class ShardOwner:
     """Decides for one shard as long as the journal's lease lasts.
 
--- a/flamingoweir/scheduling/_placer.py
+++ b/flamingoweir/scheduling/_placer.py
@@ -4,11 +4,12 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from ..interference import InterferenceController
 from ..logs import get_logger
 from ..resources import Resources
+from ._context import OwnerContext
 from ._fairness import Fairness
 from ._health import WorkerHealth
 from ._job import Job, JobKind, JobSpec
@@ -18,13 +19,11 @@
 from ._refill import Refill
 from ._reservations import Reservations
 from ._room_index import RoomIndex
-from ._session import SessionTable, WorkerSession
+from ._session import WorkerSession
+from ._session_table import SessionTable
 from ._state import ShardState
 from ._team_usage import TeamUsage
 
-if TYPE_CHECKING:
-    from ._owner import OwnerContext
-
 log = get_logger()
 
 CHOICES_PER_TICK = 500
@@ -88,7 +87,7 @@
 
     def __init__(
         self,
-        context: "OwnerContext",
+        context: OwnerContext,
         state: ShardState,
         sessions: SessionTable,
         interference: InterferenceController,
--- a/flamingoweir/scheduling/_preemption.py
+++ b/flamingoweir/scheduling/_preemption.py
@@ -4,8 +4,9 @@
 
 from ..resources import Resources
 from ..upstreams import CommandKind
+from ._assignment import Assignment, Standing
 from ._job import JobKind, JobSpec
-from ._session import Assignment, Standing, WorkerSession
+from ._session import WorkerSession
 
 
 @dataclass(frozen=True, slots=True)
--- a/flamingoweir/scheduling/_scaler.py
+++ b/flamingoweir/scheduling/_scaler.py
@@ -1,17 +1,14 @@
 """Keeps as many tasks of each service as the settings tree wants."""
 
-from typing import TYPE_CHECKING
-
 from ..tree import ServiceDeclaration, services_of
+from ._assignment import Standing
+from ._context import OwnerContext
 from ._events import Event, TasksAdded, TasksRetired
 from ._job import ENDED_STATES, Job, JobKind, JobSpec
 from ._keys import shard_of
-from ._session import SessionTable, Standing
+from ._session_table import SessionTable
 from ._state import ShardState
 
-if TYPE_CHECKING:
-    from ._owner import OwnerContext
-
 REPLACE_LIMIT_S = 60.0
 SERVICE_RETRIES = 2**31
 
@@ -20,7 +17,7 @@
     """Compares services wanted with services held, in each tick."""
 
     def __init__(
-        self, context: "OwnerContext", state: ShardState, sessions: SessionTable
+        self, context: OwnerContext, state: ShardState, sessions: SessionTable
     ):
         self._context = context
         self._state = state
--- a/flamingoweir/scheduling/_session.py
+++ b/flamingoweir/scheduling/_session.py
@@ -1,8 +1,7 @@
 """The owner's dealings with one worker: one task of the event loop each."""
 
-import enum
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from ..clock import Clock
 from ..logs import get_logger
@@ -21,7 +20,9 @@
     WorkerUnreachable,
 )
 from ..wakeup import Wakeup
-from ._job import JobKind, JobSpec, task_id
+from ._assignment import Assignment, AttemptEnd, Standing, WorkerView
+from ._commands import pending_orders, start_command
+from ._job import JobKind
 from ._lease import ShardLease, worker_lapse_s
 from ._ledger import WorkerLedger
 from ._team_usage import TeamUsage
@@ -29,109 +30,6 @@
 log = get_logger()
 
 
-class Standing(enum.StrEnum):
-    """What the owner knows of an assignment."""
-
-    #: Durable, not yet sent to the worker.
-    AHEAD = "ahead"
-    #: Sent, not yet confirmed.
-    SENT = "sent"
-    #: Seen running in the worker's inventory.
-    RUNNING = "running"
-    #: Made by an earlier owner; the worker has not been asked yet.
-    UNKNOWN = "unknown"
-
-
-@dataclass(slots=True)
-class Assignment:
-    """A task durably assigned to a worker.
-
-    Attributes
-    ----------
-    spec : JobSpec
-        The task's job.
-    index, attempt : int, int
-        The task and the attempt.
-    resume_from : str
-        The checkpoint that the attempt starts from.
-    standing : Standing
-        What is known of it.
-    order : CommandKind or None
-        CHECKPOINT or STOP, once it has to end.
-    throttle_percent : int
-        Share of its processors that it should keep.
-    throttle_seen : int
-        Share that it keeps by the worker's last word.
-    start_by_s : float
-        On the worker's clock, until when a START sent may take effect.
-    started_s : float
-        On the owner's clock, when it was first seen running.
-    report : AttemptReport or None
-        The worker's latest word on it.
-    """
-
-    spec: JobSpec
-    index: int
-    attempt: int
-    resume_from: str = ""
-    standing: Standing = Standing.AHEAD
-    order: CommandKind | None = None
-    throttle_percent: int = 100
-    throttle_seen: int = 100
-    start_by_s: float = 0.0
-    started_s: float = 0.0
-    report: AttemptReport | None = None
-
-    @property
-    def task(self) -> str:
-        """The name that the worker knows the task by."""
-        return task_id(self.spec.id, self.index)
-
-    @property
-    def identity(self) -> AttemptId:
-        """The attempt."""
-        return AttemptId(self.task, self.attempt)
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptEnd:
-    """The confirmed or certain end of an attempt."""
-
-    worker: str
-    task: str
-    attempt: int
-    status: AttemptStatus
-    checkpoint: str = ""
-    detail: str = ""
-    ran_s: float = 0.0
-
-
-@dataclass(slots=True)
-class WorkerView:
-    """What the owner knows of a worker between exchanges.
-
-    Attributes
-    ----------
-    incarnation : str
-        The worker's life, as of its last report; empty before the first.
-    clock_s : float
-        The worker's clock in that report.
-    lapse_s : float
-        On the owner's clock, when every attempt there has surely ended unless
-        the worker answers.
-    reachable : bool
-        Whether the last exchange was answered.
-    silent_since_s : float
-        When the last exchange was answered, on the owner's clock.
-    """
-
-    incarnation: str = ""
-    clock_s: float = 0.0
-    lapse_s: float = 0.0
-    reachable: bool = False
-    silent_since_s: float = 0.0
-
-
 class WorkerSession:
     """Keeps leases, carries commands and reads the inventory of one worker.
 
@@ -305,9 +203,9 @@
             if not self._is_startable(assignment, starts_allowed):
                 continue
             assignment.start_by_s = start_by_s
-            message.commands.append(_start_command(assignment))
+            message.commands.append(start_command(assignment))
         for assignment in self.by_task.values():
-            self._add_orders(message, assignment)
+            message.commands.extend(pending_orders(assignment))
         for stray in self._strays:
             message.commands.append(Command(CommandKind.STOP, *stray))
         return WorkerExchange(
@@ -333,21 +231,6 @@
         assignment.standing = Standing.SENT
         return True
 
-    @staticmethod
-    def _add_orders(message: WorkerExchange, assignment: Assignment) -> None:
-        if assignment.standing is Standing.AHEAD:
-            return
-        if assignment.order is not None:
-            message.commands.append(Command(assignment.order, *assignment.identity))
-        if assignment.throttle_percent != assignment.throttle_seen:
-            message.commands.append(
-                Command(
-                    CommandKind.THROTTLE,
-                    *assignment.identity,
-                    throttle_percent=assignment.throttle_percent,
-                )
-            )
-
     def _absorb(self, message: WorkerExchange, report: WorkerReport) -> None:
         now_s = self._clock.now()
         view = self.view
@@ -469,34 +352,3 @@
             and item.spec.needs.fits_in(self.ledger.room)
             for item in self.by_task.values()
         )
-
-
-def _start_command(assignment: Assignment) -> Command:
-    return Command(
-        CommandKind.START,
-        assignment.task,
-        assignment.attempt,
-        assignment.spec.needs,
-        assignment.spec.job_class,
-        assignment.resume_from,
-    )
-
-
-@dataclass(slots=True)
-class SessionTable:
-    """All sessions of an owner, by worker, and what they add up to."""
-
-    by_worker: dict[str, WorkerSession] = field(default_factory=dict)
-    usage: TeamUsage = field(default_factory=TeamUsage)
-
-    def take_ends(self) -> list[AttemptEnd]:
-        """Return and clear the ends that all sessions have collected."""
-        ends = []
-        for session in self.by_worker.values():
-            ends.extend(session.ends)
-            session.ends.clear()
-        return ends
-
-    def any_fenced(self) -> bool:
-        """Return whether a worker has seen a newer owner."""
-        return any(session.fenced for session in self.by_worker.values())
--- a/flamingoweir/scheduling/_zones.py
+++ b/flamingoweir/scheduling/_zones.py
@@ -1,17 +1,15 @@
 """Empties a zone taken out, and moves waiting tasks to where there is room."""
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from ..upstreams import CommandKind
+from ._assignment import Standing
+from ._context import OwnerContext
 from ._job import Job, JobKind
 from ._keys import shard_of
-from ._session import SessionTable, Standing
+from ._session_table import SessionTable
 from ._state import ShardState
 
-if TYPE_CHECKING:
-    from ._owner import OwnerContext
-
 OVERFLOW_AFTER_S = 3.0
 TASKS_PER_MOVE = 500
 
@@ -30,7 +28,7 @@
     """Decides what leaves this shard."""
 
     def __init__(
-        self, context: "OwnerContext", state: ShardState, sessions: SessionTable
+        self, context: OwnerContext, state: ShardState, sessions: SessionTable
     ):
         self._context = context
         self._state = state
--- a/tests/test_safety_rules.py
+++ b/tests/test_safety_rules.py
@@ -10,8 +10,8 @@
 
 from flamingoweir.membership import StartPermit
 from flamingoweir.scheduling import Task, WorkerSession, _keeper, _owner, _session
+from flamingoweir.scheduling._assignment import Standing
 from flamingoweir.scheduling._journal import Journal
-from flamingoweir.scheduling._session import Standing
 from tests import test_outages
 from tests.test_run_once import run_plan
 from tests.utils.builders import make_timings
