Hedge idempotent requests; measure the request path

A request that waits hedge_after_s is sent to a second runner under the retry budget. The first test of it showed that a slow runner whose tries are given up never got a latency and so went on winning ties; a given-up try now counts as at least that slow.

--- /dev/null
+++ b/benchmarks/requests.py
@@ -0,0 +1,318 @@
+"""Runner choice, overload and retries, in virtual time; and one daemon's cost.
+
+Run ``python -m benchmarks.requests``. The first part routes through the real router
+of 8 entry instances to 27 runners with 8 slots each; the second sends requests over
+HTTP through one daemon and through a bare relay of our own.
+"""
+
+import argparse
+import io
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+import time
+
+import anyio
+import httpcore
+import uvicorn
+
+from benchmarks.process_fleet import HOST, ProcessFleet, free_port
+from flamingoweir import logs
+from flamingoweir.errors import FlamingoweirError, Verdict
+from flamingoweir.membership import Directory
+from flamingoweir.metrics import NoMetrics
+from flamingoweir.platform import Instance, InstanceKind
+from flamingoweir.routing import Router
+from flamingoweir.settings import Requests
+from flamingoweir.standins import MemoryInstanceList, RunnerFault, StandinRunner
+from flamingoweir.transport import new_connection
+from flamingoweir.tree import SettingsTree
+from tests.utils.runners import FakeRunnerLink, make_request
+from tests.utils.virtual_time import VirtualClock, run_virtual
+
+ENTRIES, RUNNERS, SLOTS = 8, 27, 8
+ZONES = ("gwynedd", "powys", "morgannwg")
+SERVICE_S = 0.05
+SLOW_PART, SLOW_FACTOR = 0.1, 5.0
+RUN_S = 15.0
+DEADLINE_S = 1.0
+
+
+class VaryingRunner(StandinRunner):
+    """A runner whose requests take an exponential time; some runners are slow."""
+
+    def __init__(self, name: str, mean_s: float, generator: random.Random):
+        super().__init__(name, slots=SLOTS)
+        self._mean_s = mean_s
+        self._random = generator
+
+    async def execute(self, request_id: str, service_s=None) -> None:
+        """See `StandinRunner.execute`."""
+        await super().execute(request_id, self._random.expovariate(1 / self._mean_s))
+
+
+class Load:
+    """An open stream of requests and what became of them."""
+
+    def __init__(self):
+        self.latencies: list[float] = []
+        self.refused: list[float] = []
+        self.failed = 0
+
+    async def call(self, router: Router, number: int) -> None:
+        """Send one request."""
+        began_s = anyio.current_time()
+        request = make_request(number, number % 2 == 0, began_s + DEADLINE_S)
+        await request.body.prefetch()
+        try:
+            await router.serve(request)
+        except FlamingoweirError as error:
+            spent_s = anyio.current_time() - began_s
+            if error.verdict is Verdict.NOT_RUN:
+                self.refused.append(spent_s)
+            else:
+                self.failed += 1
+            return
+        router.finish(request)
+        self.latencies.append(anyio.current_time() - began_s)
+
+    def percentile(self, part: float) -> float:
+        """Return a latency in milliseconds."""
+        ordered = sorted(self.latencies)
+        return ordered[int(part * (len(ordered) - 1))] * 1000 if ordered else 0.0
+
+
+async def run_load(choice: str, utilisation: float, seed: int, failing: float) -> tuple:
+    """Return the load, what the runners received, and the capacity a second."""
+    generator = random.Random(seed)
+    clock = VirtualClock()
+    load = Load()
+    async with anyio.create_task_group() as tasks:
+        instances = MemoryInstanceList()
+        runner_by_name = {}
+        capacity = 0.0
+        for number in range(RUNNERS):
+            name = f"x{number}"
+            slow = generator.random() < SLOW_PART
+            mean_s = SERVICE_S * (SLOW_FACTOR if slow else 1.0)
+            capacity += SLOTS / mean_s
+            runner = VaryingRunner(name, mean_s, generator)
+            if number < failing * RUNNERS:
+                runner.faults = [RunnerFault.RESET_AFTER] * 1_000_000
+            runner_by_name[name] = runner
+            zone = ZONES[number % len(ZONES)]
+            instances.add(
+                Instance(name, InstanceKind.RUNNER, zone, "", "", service="quotes")
+            )
+        directory = Directory(instances, clock)
+        await directory.refresh()
+        routers = [
+            Router(
+                ZONES[number % len(ZONES)],
+                directory,
+                SettingsTree(),
+                lambda i: FakeRunnerLink(runner_by_name[i.name], tasks),
+                lambda: ENTRIES,
+                Requests(choice=choice, team_limit=100_000),
+                clock,
+                random.Random(seed + number),
+                NoMetrics(),
+            )
+            for number in range(ENTRIES)
+        ]
+        for router in routers:
+            tasks.start_soon(pump, router)
+        number = 0
+        until_s = anyio.current_time() + RUN_S
+        while anyio.current_time() < until_s:
+            tasks.start_soon(load.call, routers[number % ENTRIES], number)
+            number += 1
+            await anyio.sleep(generator.expovariate(capacity * utilisation))
+        await anyio.sleep(3.0)
+        tasks.cancel_scope.cancel()
+    received = sum(runner.received for runner in runner_by_name.values())
+    return load, received, number, capacity
+
+
+async def pump(router: Router) -> None:
+    """Keep a router's queues moving, as its node does."""
+    while True:
+        router.pump()
+        await anyio.sleep(0.1)
+
+
+def compare_choices() -> None:
+    """Print latency by choice policy and load."""
+    print("choice        load   p50 ms   p99 ms   refused   p99 / two_choices")
+    for utilisation in (0.5, 0.8, 0.95):
+        base = 0.0
+        for choice in ("two_choices", "random", "round_robin"):
+            load, _, sent, _ = run_virtual(run_load, choice, utilisation, 1, 0.0)
+            p99 = load.percentile(0.99)
+            base = base or p99
+            print(
+                f"{choice:12s} {utilisation:5.0%} {load.percentile(0.5):8.1f}"
+                f" {p99:8.1f} {len(load.refused) / sent:9.2%} {p99 / base:8.2f}"
+            )
+
+
+def measure_overload() -> None:
+    """Print goodput and refusals at twice the capacity."""
+    load, _, sent, capacity = run_virtual(run_load, "two_choices", 2.0, 1, 0.0)
+    goodput = len(load.latencies) / RUN_S / capacity
+    late = sum(spent_s > DEADLINE_S + 0.01 for spent_s in load.refused)
+    print(
+        f"twice capacity: goodput {goodput:.1%} of capacity, {len(load.refused)} of "
+        f"{sent} refused, {late} after their deadline, {load.failed} may have run"
+    )
+
+
+def measure_retries() -> None:
+    """Print retry traffic when a third of the runners fail."""
+    load, received, sent, _ = run_virtual(run_load, "two_choices", 0.4, 1, 1 / 3)
+    print(
+        f"a third of the runners fail: {received / sent - 1:.1%} more tries than "
+        f"requests, {len(load.latencies) / sent:.1%} answered"
+    )
+
+
+async def relay(scope, receive, send) -> None:
+    """Pass one request on over a connection of our own, and the answer back."""
+    body = b""
+    while True:
+        message = await receive()
+        body += message.get("body", b"")
+        if not message.get("more_body"):
+            break
+    connection = relay.idle.pop() if relay.idle else new_connection(HOST, relay.port)
+    target = scope["raw_path"].removeprefix(b"/call/quotes")
+    response = await connection.handle_async_request(
+        httpcore.Request(
+            scope["method"],
+            httpcore.URL(
+                scheme=b"http", host=HOST.encode(), port=relay.port, target=target
+            ),
+            headers=[pair for pair in scope["headers"] if pair[0] != b"host"]
+            + [(b"host", HOST.encode())],
+            content=body,
+        )
+    )
+    content = b"".join([part async for part in response.stream])
+    await response.aclose()
+    relay.idle.append(connection)
+    headers = response.headers
+    await send(
+        {"type": "http.response.start", "status": response.status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": content})
+
+
+relay.idle = []
+relay.port = 0
+
+
+def run_relay(port: int, runner_port: int) -> None:
+    """Serve the bare relay."""
+    relay.port = runner_port
+    uvicorn.run(
+        relay, host=HOST, port=port, log_config=None, access_log=False, lifespan="off"
+    )
+
+
+async def drive(port: int, callers: int, requests: int) -> tuple[float, list[float]]:
+    """Return requests a second and latencies in milliseconds."""
+    latencies: list[float] = []
+    left = requests
+
+    async def caller() -> None:
+        nonlocal left
+        connection = new_connection(HOST, port)
+        while left > 0:
+            left -= 1
+            began_s = time.perf_counter()
+            response = await connection.handle_async_request(
+                httpcore.Request(
+                    "POST",
+                    f"http://{HOST}:{port}/call/quotes/price",
+                    headers=[(b"host", HOST.encode()), (b"content-length", b"200")],
+                    content=b"x" * 200,
+                )
+            )
+            async for _ in response.stream:
+                pass
+            await response.aclose()
+            latencies.append((time.perf_counter() - began_s) * 1000)
+        await connection.aclose()
+
+    began_s = time.perf_counter()
+    async with anyio.create_task_group() as tasks:
+        for _ in range(callers):
+            tasks.start_soon(caller)
+    return requests / (time.perf_counter() - began_s), sorted(latencies)
+
+
+def measure_daemon() -> None:
+    """Print what one daemon costs against the bare relay."""
+    fleet = ProcessFleet(
+        pathlib.Path(tempfile.mkdtemp()), daemons=1, workers=0, runners=9, service_ms=0
+    )
+    runners = fleet.call_platform("GET", "/instances")
+    runner_port = next(
+        line["address"].rpartition(":")[2]
+        for line in runners
+        if line["kind"] == "runner"
+    )
+    port = free_port()
+    bare = subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.requests", "--relay", str(port), runner_port]
+    )
+    time.sleep(2)
+    try:
+        for callers in (1, 8, 32):
+            for name, asked in (
+                ("bare relay", port),
+                ("daemon", fleet.daemons[0].http_port),
+            ):
+                anyio.run(drive, asked, callers, 200)
+                rate, latencies = anyio.run(drive, asked, callers, 3000)
+                print(
+                    f"{name:10s} {callers:3d} callers: {rate:7.0f} requests/s, "
+                    f"p50 {latencies[len(latencies) // 2]:6.2f} ms, "
+                    f"p99 {latencies[int(len(latencies) * 0.99)]:6.2f} ms"
+                )
+        print(f"daemon: {fleet.daemons[0].resident_mb():.1f} MB resident")
+    finally:
+        bare.terminate()
+        bare.wait()
+        fleet.stop()
+
+
+def main() -> None:
+    """Measure everything, or serve the relay."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--part",
+        choices=("choices", "overload", "retries", "daemon"),
+        action="append",
+        help="measure only this",
+    )
+    parser.add_argument("--relay", nargs=2, type=int, metavar=("PORT", "RUNNER"))
+    arguments = parser.parse_args()
+    logs.configure(io.StringIO(), "error")
+    if arguments.relay:
+        run_relay(*arguments.relay)
+        return
+    measure_by_part = {
+        "choices": compare_choices,
+        "overload": measure_overload,
+        "retries": measure_retries,
+        "daemon": measure_daemon,
+    }
+    for part in arguments.part or measure_by_part:
+        measure_by_part[part]()
+
+
+if __name__ == "__main__":
+    main()
--- a/flamingoweir/routing/_router.py
+++ b/flamingoweir/routing/_router.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import anyio
+from anyio.abc import TaskGroup
 
 from ..clock import Clock
 from ..errors import ErrorCode, FlamingoweirError, Verdict
@@ -50,6 +51,15 @@
     runner: str
 
 
+@dataclass(slots=True)
+class Race:
+    """Two tries at one request."""
+
+    answer: ServedAnswer | None = None
+    error: RunnerError | None = None
+    running: int = 0
+
+
 class Router:
     """Routes requests to the runners of their service.
 
@@ -183,6 +193,8 @@
             tries += 1
             runner = await self._admit(request, avoid, verdict)
             try:
+                if self._may_hedge(request):
+                    return await self._try_hedged(request, runner)
                 return await self._try(request, runner)
             except RunnerError as error:
                 self._note_error(runner, error)
@@ -282,6 +294,8 @@
                 "no answer within the deadline", Verdict.MAY_HAVE_RUN
             ) from error
         finally:
+            if answer is None:
+                runner.note_given_up(self._clock.now() - started_s)
             if not handed_over:
                 await self._end_try(request.service, runner, answer)
         if whole is not None:
@@ -290,6 +304,53 @@
         parts = self._stream(request, runner, answer)
         return ServedAnswer(answer.head, None, parts, runner.instance.name)
 
+    def _may_hedge(self, request: CallerRequest) -> bool:
+        return (
+            self._settings.hedge_after_s > 0
+            and request.idempotent
+            and request.body.can_replay()
+        )
+
+    async def _try_hedged(self, request: CallerRequest, runner: Runner) -> ServedAnswer:
+        """Try a second runner when the first is slow; the first answer wins."""
+        race = Race()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run_race, race, request, runner, tasks)
+            await anyio.sleep(self._settings.hedge_after_s)
+            spare = self._find_spare(request.service, runner)
+            if spare is not None and self._budget.take():
+                self._metrics.incr("requests.hedged")
+                spare.note_sent()
+                tasks.start_soon(self._run_race, race, request, spare, tasks)
+        if race.answer is None:
+            raise race.error
+        return race.answer
+
+    async def _run_race(
+        self, race: "Race", request: CallerRequest, runner: Runner, tasks: TaskGroup
+    ) -> None:
+        race.running += 1
+        try:
+            answer = await self._try(request, runner)
+        except RunnerError as error:
+            race.running -= 1
+            race.error = error
+            if not race.running:
+                tasks.cancel_scope.cancel()
+            return
+        if race.answer is not None:
+            if answer.parts is not None:
+                await answer.parts.aclose()
+            return
+        race.answer = answer
+        tasks.cancel_scope.cancel()
+
+    def _find_spare(self, service: str, busy: Runner) -> Runner | None:
+        """Return another runner that has room now."""
+        usable = self._usable(service, {busy.instance.name})
+        free = [runner for runner in self._with_room(usable) if runner is not busy]
+        return self._choice.choose(free) if free else None
+
     @staticmethod
     async def _read_small(answer: RunnerAnswer) -> bytes | None:
         length = answer.head.length
--- a/flamingoweir/routing/_runner.py
+++ b/flamingoweir/routing/_runner.py
@@ -112,6 +112,11 @@
             self.load = load
             self.load_s = self.clock.now()
 
+    def note_given_up(self, waited_s: float) -> None:
+        """Take a try without an answer into account: it was at least that slow."""
+        if waited_s > self.latency_s:
+            self.latency_s += LATENCY_WEIGHT * (waited_s - self.latency_s)
+
     def note_success(self) -> None:
         """Forget failures after a whole answer."""
         self.failures = 0
--- a/flamingoweir/scheduling/_session.py
+++ b/flamingoweir/scheduling/_session.py
@@ -105,13 +105,20 @@
         self._hold(assignment)
         self.ledger.force(assignment.task, assignment.spec.needs)
 
-    def order_end(self, task: str, kind: CommandKind) -> None:
-        """Have an attempt checkpointed or stopped; STOP goes before CHECKPOINT."""
+    def order_end(self, task: str, kind: CommandKind) -> bool:
+        """Have an attempt checkpointed or stopped; STOP goes before CHECKPOINT.
+
+        Returns
+        -------
+        bool
+            Whether that was not ordered before.
+        """
         assignment = self.by_task[task]
         if assignment.order in (kind, CommandKind.STOP):
-            return
+            return False
         assignment.order = kind
         self._wakeup.set()
+        return True
 
     def throttle(self, task: str, percent: int) -> None:
         """Have an attempt keep ``percent`` of its processors."""
--- a/flamingoweir/scheduling/_zones.py
+++ b/flamingoweir/scheduling/_zones.py
@@ -47,7 +47,8 @@
                     continue
                 if assignment.standing is Standing.AHEAD:
                     continue
-                session.order_end(assignment.task, CommandKind.CHECKPOINT)
+                if session.order_end(assignment.task, CommandKind.CHECKPOINT):
+                    self._context.metrics.incr("evictions.zone")
 
     def decide_moves(self) -> list[Move]:
         """Return the moves of this tick."""
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -15,6 +15,7 @@
 from flamingoweir.standins import MemoryInstanceList, RunnerFault, StandinRunner
 from flamingoweir.tree import SettingsTree
 from tests.utils.builders import ZONES, make_runner
+from tests.utils.fleet import Fleet
 from tests.utils.runners import FakeRunnerLink, make_request
 from tests.utils.virtual_time import VirtualClock, run_virtual
 
@@ -163,3 +164,55 @@
 def test_retries_stay_within_the_budget():
     received = run_virtual(send_retries, 1000)
     assert received <= 1000 + 10 + 1000 * Requests().retry_budget
+
+
+async def hedge(hedge_after_s: float) -> tuple[float, int]:
+    runners = [
+        StandinRunner("runner-0", service_s=5.0),
+        StandinRunner("runner-1", service_s=0.01),
+    ]
+    async with anyio.create_task_group() as outside:
+        router = await start_router(outside, runners, hedge_after_s=hedge_after_s)
+        slowest_s = 0.0
+        for number in range(20):
+            began_s = anyio.current_time()
+            told = Told(number, True)
+            await call(router, told)
+            slowest_s = max(slowest_s, anyio.current_time() - began_s)
+            assert told.verdict is Verdict.RAN
+        assert router.in_flight == 0
+        outside.cancel_scope.cancel()
+    return slowest_s, sum(runner.received for runner in runners)
+
+
+def test_a_slow_runner_is_overtaken_by_a_second_copy():
+    slowest_s, received = run_virtual(hedge, 0.1)
+    assert slowest_s < 1.0
+    assert received <= 20 + 10 + 20 * Requests().retry_budget
+
+
+async def leave(bound_s: float) -> int:
+    runners = [StandinRunner("runner-0"), StandinRunner("runner-1")]
+    async with anyio.create_task_group() as outside:
+        fleet = Fleet(outside, ZONES[:1], 1, 1)
+        fleet.instances.add(make_runner("runner-0"))
+        fleet.instances.add(make_runner("runner-1"))
+        link_by_name = {r.name: FakeRunnerLink(r, outside) for r in runners}
+        fleet.connect_runner = lambda instance: link_by_name[instance.name]
+        fleet.start()
+        await anyio.sleep(4.0)
+        router = fleet.live_nodes()[0].router
+        for number in range(20):
+            await call(router, Told(number, True))
+        assert runners[0].received
+        fleet.instances.add(make_runner("runner-0", leaving=True))
+        await anyio.sleep(bound_s)
+        before = runners[0].received
+        for number in range(20, 60):
+            await call(router, Told(number, True))
+        outside.cancel_scope.cancel()
+    return runners[0].received - before
+
+
+def test_a_leaving_runner_gets_nothing_after_the_bound():
+    assert run_virtual(leave, 3.0) == 0
--- a/tests/utils/fleet.py
+++ b/tests/utils/fleet.py
@@ -234,6 +234,7 @@
         self.worker_by_name: dict[str, StandinWorker] = {}
         self.rate_by_worker: dict[str, float] = {}
         self.incidents: list[tuple[str, float, float]] = []
+        self.connect_runner = lambda runner: None
         self._timings = timings
         self._scheduling = scheduling or Scheduling()
         self._random = random.Random(seed)
@@ -264,7 +265,7 @@
             lambda worker: FakeWorkerLink(
                 name, self.worker_by_name[worker.name], self.network
             ),
-            lambda runner: None,
+            lambda runner: self.connect_runner(runner),
             lambda address: FakePeerTransport(name, address, self),
         )
         seed = self._random.getrandbits(64)
