Name TCP when listening, so that answers are not held back

Cause: asyncio sets TCP_NODELAY only on sockets whose protocol is named; ours was made without, so the second write of an answer waited for the other side's delayed acknowledgement. Ruled out: httpcore (its sockets have the option), the stand-ins' own work.

--- /dev/null
+++ b/benchmarks/links.py
@@ -0,0 +1,74 @@
+"""Processor time of one call on each link, as the calling daemon pays it.
+
+Run ``python -m benchmarks.links``. The other side is a process of its own.
+"""
+
+import io
+import pathlib
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from benchmarks.process_fleet import HOST, ProcessFleet
+from flamingoweir import logs
+from flamingoweir.membership import Ping, Request, TcpPeerTransport
+from flamingoweir.platform import HttpTable, Precondition, Write
+from flamingoweir.transport import HttpClient
+from flamingoweir.upstreams import HttpWorkerLink, WorkerExchange
+
+CALLS = 1500
+
+
+async def measure(name: str, call: Callable[[], Awaitable[object]]) -> None:
+    """Print the processor time of a call."""
+    for _ in range(50):
+        await call()
+    began_s, began_cpu_s = time.perf_counter(), time.process_time()
+    for _ in range(CALLS):
+        await call()
+    cpu_us = (time.process_time() - began_cpu_s) / CALLS * 1e6
+    span_us = (time.perf_counter() - began_s) / CALLS * 1e6
+    print(f"{name:32s} {cpu_us:7.0f} us of processor, {span_us:7.0f} us in all")
+
+
+async def measure_all(fleet: ProcessFleet) -> None:
+    """Measure every link."""
+    worker = next(
+        line
+        for line in fleet.call_platform("GET", "/instances")
+        if line["kind"] == "worker"
+    )
+    link = HttpWorkerLink(HttpClient(worker["address"], 1, 5.0))
+    table = HttpTable(HttpClient(fleet.platform, 1, 5.0))
+    peer = TcpPeerTransport(f"{HOST}:{fleet.daemons[0].peer_port}")
+    ping = Request(ping=Ping("e", "powys", "", 0, False))
+    version = await table.transact([Precondition("bench", 0)], [Write("bench", "")])
+
+    async def commit() -> None:
+        nonlocal version
+        version = await table.transact(
+            [Precondition("bench", version)], [Write("bench", "x" * 200)]
+        )
+
+    await measure("worker exchange", lambda: link.exchange(WorkerExchange("s", 1)))
+    await measure("table read", lambda: table.get("bench"))
+    await measure("table transaction", commit)
+    await measure("peer ping", lambda: peer.call(ping))
+
+
+def main() -> None:
+    """Measure against one daemon and one worker."""
+    logs.configure(io.StringIO(), "error")
+    fleet = ProcessFleet(
+        pathlib.Path(tempfile.mkdtemp()), daemons=1, workers=1, runners=0
+    )
+    try:
+        anyio.run(measure_all, fleet)
+    finally:
+        fleet.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/flamingoweir/daemon/_server.py
+++ b/flamingoweir/daemon/_server.py
@@ -43,7 +43,8 @@
         )
         self._server = QuietServer(config)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        # asyncio sets TCP_NODELAY only where the protocol is named.
+        self._socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((host, port))
         self.port: int = self._socket.getsockname()[1]
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -1,5 +1,7 @@
 """Callers over HTTP: answers, verdicts, bad input, shutdown."""
 
+import socket
+
 import anyio
 import httpcore
 import orjson
@@ -246,6 +248,15 @@
     anyio.run(scenario)
 
 
+def test_answers_are_not_held_back_by_the_kernel():
+    async def scenario():
+        async with run_local() as local:
+            listening = local.daemon.http._socket
+            assert listening.proto == socket.IPPROTO_TCP
+
+    anyio.run(scenario)
+
+
 def test_shutdown_finishes_a_hundred_requests_in_flight():
     async def scenario():
         async with run_local() as local:
