Ask idle workers and remote peers less often

Cause: an idle daemon took 2.8% of a core, mostly exchanges with workers that run nothing (358 us each). Idle workers are asked every 3 s; remote peers are pinged every 4 s while the store answers (newer settings are still announced at once). A start's window counts from the worker's last word, so an older word is renewed first; without that the new test sees starts refused as late.

--- a/flamingoweir/membership/_peers.py
+++ b/flamingoweir/membership/_peers.py
@@ -33,6 +33,7 @@
 log = get_logger()
 
 REMOTE_PEERS_PER_ZONE = 3
+REMOTE_PING_FACTOR = 4
 
 
 class PeerService(Protocol):
@@ -270,10 +271,20 @@
             try:
                 while True:
                     await self._visit(peer)
-                    await wakeup.wait(self._timings.heartbeat_s)
+                    await wakeup.wait(self._pause_s(peer))
             finally:
                 await peer.transport.aclose()
 
+    def _pause_s(self, peer: Peer) -> float:
+        """Return the time between pings: remote peers matter while the store is away.
+
+        Then permits rest on their word; else they only pass on hints and settings,
+        and newer settings are announced at once.
+        """
+        if peer.zone == self.instance.zone or not self._store.reachable:
+            return self._timings.heartbeat_s
+        return REMOTE_PING_FACTOR * self._timings.heartbeat_s
+
     async def _visit(self, peer: Peer) -> None:
         was_reachable = peer.reachable
         try:
--- a/flamingoweir/scheduling/_session.py
+++ b/flamingoweir/scheduling/_session.py
@@ -29,6 +29,8 @@
 
 log = get_logger()
 
+IDLE_HEARTBEAT_FACTOR = 3
+
 
 class WorkerSession:
     """Keeps leases, carries commands and reads the inventory of one worker.
@@ -183,7 +185,13 @@
             self._absorb(message, report)
             if self._has_more_to_say():
                 continue
-            await self._wakeup.wait(self._timings.heartbeat_s)
+            await self._wakeup.wait(self._pause_s())
+
+    def _pause_s(self) -> float:
+        """Return the time until the next exchange; idle workers are asked less."""
+        if self.by_task or self._acknowledged:
+            return self._timings.heartbeat_s
+        return IDLE_HEARTBEAT_FACTOR * self._timings.heartbeat_s
 
     def _hold(self, assignment: Assignment) -> None:
         if assignment.spec.kind is JobKind.SERVICE:
@@ -204,7 +212,7 @@
         message = WorkerExchange(self._shard, self._epoch, view.incarnation)
         if not view.incarnation:
             return message
-        starts_allowed = self._may_start()
+        starts_allowed = self._may_start() and self._has_fresh_echo()
         start_by_s = view.clock_s + self._timings.start_window_s
         for assignment in self.by_task.values():
             if not self._is_startable(assignment, starts_allowed):
@@ -225,6 +233,15 @@
             list(self._acknowledged),
         )
 
+    def _has_fresh_echo(self) -> bool:
+        """Return whether a start sent now would reach the worker in its window.
+
+        Otherwise this exchange only asks for the worker's clock, and the starts
+        follow at once.
+        """
+        age_s = self._clock.now() - self.view.silent_since_s
+        return age_s < self._timings.start_window_s / 2
+
     def _is_startable(self, assignment: Assignment, allowed: bool) -> bool:
         if not allowed or assignment.order is not None:
             return False
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -301,3 +301,16 @@
         assert await finish(fleet, spec) == "done"
 
     run_scenario(scenario)
+
+
+def test_a_worker_that_was_idle_starts_tasks_without_a_refusal():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        await anyio.sleep(20.0)
+        for number in range(5):
+            await submit(fleet, "gwynedd", id=f"job-{number}", job_class="run-1")
+            await anyio.sleep(7.3)
+        assert len(events(fleet, "start")) == 20
+        assert not any(worker.refusals for worker in fleet.worker_by_name.values())
+
+    run_scenario(scenario)
