Let urgent and large tasks through tasks assigned ahead

Cause, found by two new tests: room was counted less what waits on a worker, so no eviction ever made room for an urgent task on a full fleet; and a large task was assigned ahead to a worker whose small tasks replaced each other before it. Evictions count what is committed and take back what waits; a task is assigned ahead only where one task's end can make its room.

--- a/flamingoweir/scheduling/_placer.py
+++ b/flamingoweir/scheduling/_placer.py
@@ -15,7 +15,7 @@
 from ._job import Job, JobKind, JobSpec
 from ._neighbourhood import SessionNeighbourhood
 from ._placement import PLACEMENT_BY_NAME
-from ._preemption import carry_out, plan_eviction
+from ._preemption import carry_out, clear_ahead, plan_eviction
 from ._refill import Refill
 from ._reservations import Reservations
 from ._room_index import RoomIndex
@@ -271,7 +271,8 @@
         """Return the worker with the fewest tasks waiting on it, below the limit.
 
         A worker that has room was passed over for its services' sake; a task
-        assigned ahead would be started there at once.
+        assigned ahead would be started there at once. One whose running tasks are
+        all smaller would keep a large task waiting behind others.
         """
         best, best_count = None, self._context.scheduling.assign_ahead
         for name, count in turn.ahead_by_worker.items():
@@ -280,7 +281,7 @@
             session = self._sessions.by_worker[name]
             if spec.needs.fits_in(turn.rooms.room_by_worker[name]):
                 continue
-            if not spec.needs.fits_in(session.capacity):
+            if not session.could_replace(spec.needs):
                 continue
             if self._leaves_services_on_time(session, spec, Resources()):
                 best, best_count = name, count
@@ -331,6 +332,7 @@
             if session.room.processors_milli > best_room:
                 best, best_room = name, session.room.processors_milli
         if best is not None:
+            clear_ahead(self._sessions.by_worker[best])
             self._reservations.keep(best, spec.id)
 
     def _forget_waits(self) -> None:
--- a/flamingoweir/scheduling/_preemption.py
+++ b/flamingoweir/scheduling/_preemption.py
@@ -53,7 +53,7 @@
 
 
 def _plan_on(needs: Resources, session: WorkerSession, now_s: float) -> Eviction | None:
-    room = session.room
+    room = session.ledger.room
     chosen: list[str] = []
     lost_s = 0.0
     for assignment in sorted(
@@ -78,6 +78,17 @@
 
 
 def carry_out(eviction: Eviction, session: WorkerSession) -> None:
-    """Have the attempts checkpointed."""
+    """Have the attempts checkpointed, and nothing else take their room."""
+    clear_ahead(session)
     for task in eviction.tasks:
         session.order_end(task, CommandKind.CHECKPOINT)
+
+
+def clear_ahead(session: WorkerSession) -> None:
+    """Have plain batch that waits on a worker for room taken back."""
+    for assignment in session.by_task.values():
+        spec = assignment.spec
+        if spec.kind is JobKind.SERVICE or spec.urgent:
+            continue
+        if assignment.standing is Standing.AHEAD:
+            assignment.order = CommandKind.STOP
--- a/flamingoweir/scheduling/_session.py
+++ b/flamingoweir/scheduling/_session.py
@@ -170,6 +170,13 @@
         """How many assignments wait on the worker to be started."""
         return sum(item.standing is Standing.AHEAD for item in self.by_task.values())
 
+    def could_replace(self, needs: Resources) -> bool:
+        """Return whether the end of one batch task would make room for another."""
+        return any(
+            item.spec.kind is JobKind.BATCH and needs.fits_in(item.spec.needs)
+            for item in self.by_task.values()
+        )
+
     async def run(self) -> None:
         """Exchange with the worker until the owner's right to command ends."""
         while self._lease.may_command() and not self.fenced:
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,118 @@
+"""Who gets a worker, and when, in virtual time."""
+
+import anyio
+
+from flamingoweir.errors import ErrorCode, FlamingoweirError
+from tests.test_outages import events, run_scenario, start_fleet, submit, zone_node
+from tests.utils.builders import make_resources, make_spec
+
+URGENT_START_S = 6.9
+
+
+def test_urgent_work_starts_in_time_on_a_full_fleet():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        await submit(fleet, "gwynedd", id="rounds", tasks=60, job_class="run-300")
+        asked_s = anyio.current_time()
+        await submit(
+            fleet,
+            "gwynedd",
+            id="storm",
+            tasks=1,
+            urgent=True,
+            needs=make_resources(6),
+        )
+        await anyio.sleep(URGENT_START_S)
+        started = [e for e in events(fleet, "start") if e.task.startswith("storm/")]
+        assert len(started) == 1
+        assert started[0].at_s - asked_s < URGENT_START_S
+        assert 0 < len(events(fleet, "checkpointed")) <= 3
+
+    run_scenario(scenario)
+
+
+def test_a_large_task_does_not_starve_among_small_ones():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        await submit(fleet, "gwynedd", id="small", tasks=400, job_class="run-7")
+        await submit(
+            fleet, "gwynedd", id="large", tasks=1, needs=make_resources(8), team="b"
+        )
+        await anyio.sleep(90.0)
+        assert any(e.task.startswith("large/") for e in events(fleet, "start"))
+
+    run_scenario(scenario)
+
+
+def test_teams_share_by_weight():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        node = zone_node(fleet, "gwynedd")
+        values = {"quotas/heavy/weight": "3"}
+        await node.store.propose("w", "operators", values, None, "")
+        for team in ("heavy", "light"):
+            await submit(
+                fleet,
+                "gwynedd",
+                id=team,
+                team=team,
+                tasks=200,
+                job_class="run-5",
+                needs=make_resources(1),
+            )
+        await anyio.sleep(60.0)
+        late = events(fleet, "start", anyio.current_time() - 40)
+        heavy = sum(e.task.startswith("heavy/") for e in late)
+        assert 0.65 < heavy / len(late) < 0.85
+
+    run_scenario(scenario)
+
+
+def test_a_quota_bounds_a_team():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        node = zone_node(fleet, "gwynedd")
+        values = {"quotas/planning/processors": "8"}
+        await node.store.propose("q", "operators", values, None, "")
+        await anyio.sleep(1.0)
+        await submit(fleet, "gwynedd", tasks=40, job_class="run-300")
+        await anyio.sleep(10.0)
+        assert len(events(fleet, "start")) == 2, "half of 8 processors, 2 a task"
+
+    run_scenario(scenario)
+
+
+def test_a_job_that_never_fits_is_refused_at_once():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        spec = make_spec(needs=make_resources(9))
+        try:
+            await zone_node(fleet, "powys").desk.jobs.submit(spec)
+        except FlamingoweirError as error:
+            assert error.code is ErrorCode.NEVER_FITS
+            return
+        raise AssertionError("accepted")
+
+    run_scenario(scenario)
+
+
+def test_a_worker_that_fails_what_others_run_is_quarantined():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        broken = fleet.worker_by_name["gwynedd-w0"]
+        good = broken._run_time
+        broken._run_time = lambda command: good(
+            type(command)(**{**_fields(command), "job_class": "fail-1"})
+        )
+        spec = await submit(fleet, "gwynedd", tasks=60, job_class="run-2", retries=8)
+        await anyio.sleep(40.0)
+        failed = events(fleet, "failed")
+        assert len(failed) <= 12
+        status = await zone_node(fleet, "gwynedd").desk.jobs.show(spec.id)
+        assert status.by_state.get("failed", 0) == 0
+
+    run_scenario(scenario)
+
+
+def _fields(command) -> dict:
+    return {name: getattr(command, name) for name in command.__slots__}
