--- a/tests/test_run_once.py
+++ b/tests/test_run_once.py
@@ -38,6 +38,8 @@
             "race",
             "cancel",
             "submit",
+            "urgent",
+            "service",
         )
     ),
     st.integers(0, 7),
@@ -72,7 +74,7 @@
             return
         self.jobs.append(spec.id)
 
-    async def change(self, number: int, path: str, value: str) -> bool:
+    async def change(self, number: int, path: str, value: str | None) -> bool:
         node = self.node(number)
         if node is None or not node.peers.is_introduced:
             return False
@@ -191,6 +193,17 @@
     async def _submit(self, number, length_s):
         await self.submit(number, tasks=5, job_class="run-7")
 
+    async def _urgent(self, number, length_s):
+        needs = make_resources(6)
+        await self.submit(number, tasks=2, job_class="run-4", urgent=True, needs=needs)
+
+    async def _service(self, number, length_s):
+        path = "teams/planning/services/quotes"
+        value = '{"instances_by_zone": {"gwynedd": 2, "powys": 1}, "processors": 2}'
+        if await self.change(number, path, value):
+            await anyio.sleep(length_s)
+            await self.change(number + 1, path, None)
+
     async def settle(self) -> None:
         """Wait until every acknowledged job has ended."""
         with anyio.fail_after(QUIET_LIMIT_S):
