--- a/flamingoweir/daemon/_dump.py
+++ b/flamingoweir/daemon/_dump.py
@@ -32,7 +32,9 @@
 
 
 def _runners(node: "Node") -> list:
-    return sorted(node.router.by_name.values(), key=lambda item: item.instance.name)
+    return sorted(
+        node.router.runners.by_name.values(), key=lambda item: item.instance.name
+    )
 
 
 def _describe_requests(node: "Node") -> dict:
--- a/flamingoweir/errors.py
+++ b/flamingoweir/errors.py
@@ -91,3 +91,21 @@
     def http_status(self) -> int:
         """The HTTP status that goes with the code."""
         return HTTP_STATUS_BY_CODE[self.code]
+
+
+def store_away() -> FlamingoweirError:
+    """Return the error for a change that never reached the store."""
+    return FlamingoweirError(
+        ErrorCode.STORE_UNAVAILABLE,
+        "the store can't be reached; nothing was changed, try again later",
+        retry_after_s=5.0,
+    )
+
+
+def outcome_unknown() -> FlamingoweirError:
+    """Return the error for a change that was sent to the store without an answer."""
+    return FlamingoweirError(
+        ErrorCode.OUTCOME_UNKNOWN,
+        "the store did not say whether it took the change; repeat it with the same id",
+        Verdict.MAY_HAVE_RUN,
+    )
--- a/flamingoweir/routing/_router.py
+++ b/flamingoweir/routing/_router.py
@@ -12,7 +12,7 @@
 from ..logs import get_logger
 from ..membership import Directory
 from ..metrics import Metrics
-from ..platform import Instance, InstanceKind
+from ..platform import Instance
 from ..settings import Requests
 from ..tree import SettingsTree
 from ._budget import RetryBudget
@@ -21,6 +21,7 @@
 from ._request import REPLAY_LIMIT_BYTES, AnswerHead, CallerRequest
 from ._runner import Runner
 from ._runner_http import RunnerAnswer, RunnerError, RunnerLink
+from ._runner_table import RunnerTable
 
 log = get_logger()
 
@@ -97,23 +98,17 @@
         generator: random.Random,
         metrics: Metrics,
     ):
-        self.by_name: dict[str, Runner] = {}
+        self.runners = RunnerTable(zone, directory, connect, instances, settings, clock)
         self.in_flight = 0
         self.in_flight_by_team: dict[str, int] = {}
         self.queue_by_service: dict[str, WaitQueue] = {}
-        self._zone = zone
-        self._directory = directory
         self._tree = tree
-        self._connect = connect
-        self._instances = instances
         self._settings = settings
         self._clock = clock
         self._random = generator
         self._metrics = metrics
         self._budget = RetryBudget(settings.retry_budget)
         self._choice = CHOICE_BY_NAME[settings.choice](generator)
-        self._by_service: dict[str, list[Runner]] = {}
-        self._revision = -1
 
     async def serve(self, request: CallerRequest) -> ServedAnswer:
         """Return a whole or streamed answer.
@@ -141,11 +136,6 @@
         if not left:
             del self.in_flight_by_team[request.team]
 
-    def runners(self, service: str) -> list[Runner]:
-        """Return all known runners of a service."""
-        self._follow_directory()
-        return self._by_service.get(service, [])
-
     def pump(self) -> None:
         """Let waiting requests go to runners that got room by other means.
 
@@ -155,18 +145,12 @@
         for service, queue in self.queue_by_service.items():
             if not len(queue):
                 continue
-            healthy = [
-                runner
-                for runner in self.runners(service)
-                if not runner.is_leaving() and not runner.is_ejected()
-            ]
-            for _ in self._with_room(healthy):
+            for _ in self.runners.free(service):
                 queue.release()
 
     async def aclose(self) -> None:
         """Close all idle connections."""
-        for runner in self.by_name.values():
-            await runner.link.aclose()
+        await self.runners.aclose()
 
     def _enter(self, team: str) -> None:
         limit = float(
@@ -237,8 +221,8 @@
     ) -> Runner:
         queue = self._queue(request.service)
         while True:
-            usable = self._usable(request.service, avoid)
-            free = self._with_room(usable)
+            usable = self.runners.usable(request.service, avoid)
+            free = self.runners.with_room(usable)
             if free and not len(queue):
                 return self._take(free)
             try:
@@ -247,7 +231,7 @@
                 self._metrics.incr(f"requests.refused.{error.code}")
                 error.verdict = verdict
                 raise
-            free = self._with_room(self._usable(request.service, avoid))
+            free = self.runners.with_room(self.runners.usable(request.service, avoid))
             if free:
                 return self._take(free)
 
@@ -256,28 +240,6 @@
         runner.note_sent()
         return runner
 
-    def _usable(self, service: str, avoid: set[str]) -> list[Runner]:
-        """Return runners that may get a request; raises FlamingoweirError."""
-        known = [runner for runner in self.runners(service) if not runner.is_leaving()]
-        if not known:
-            listed = bool(self.runners(service))
-            raise FlamingoweirError(
-                ErrorCode.NO_RUNNER if listed else ErrorCode.UNKNOWN_SERVICE,
-                f"service {service!r} has no runner"
-                + (" that stays" if listed else "; check its name"),
-                retry_after_s=1.0,
-            )
-        healthy = [runner for runner in known if not runner.is_ejected()]
-        fresh = [runner for runner in healthy if runner.instance.name not in avoid]
-        return fresh or healthy or known
-
-    def _with_room(self, runners: list[Runner]) -> list[Runner]:
-        """Return runners with room: those of this zone, or else of any."""
-        instances = max(1, self._instances())
-        free = [runner for runner in runners if runner.has_room(instances)]
-        near = [runner for runner in free if runner.instance.zone == self._zone]
-        return near or free
-
     async def _try(self, request: CallerRequest, runner: Runner) -> ServedAnswer:
         started_s = self._clock.now()
         left_s = request.deadline_s - started_s
@@ -347,8 +309,10 @@
 
     def _find_spare(self, service: str, busy: Runner) -> Runner | None:
         """Return another runner that has room now."""
-        usable = self._usable(service, {busy.instance.name})
-        free = [runner for runner in self._with_room(usable) if runner is not busy]
+        usable = self.runners.usable(service, {busy.instance.name})
+        free = [
+            runner for runner in self.runners.with_room(usable) if runner is not busy
+        ]
         return self._choice.choose(free) if free else None
 
     @staticmethod
@@ -394,21 +358,3 @@
             queue = WaitQueue(self._settings.queue_limit, self._clock)
             self.queue_by_service[service] = queue
         return queue
-
-    def _follow_directory(self) -> None:
-        if self._revision == self._directory.revision:
-            return
-        self._revision = self._directory.revision
-        by_name = {}
-        by_service: dict[str, list[Runner]] = {}
-        for instance in self._directory.of_kind(InstanceKind.RUNNER):
-            runner = self.by_name.get(instance.name)
-            if runner is None or runner.instance.address != instance.address:
-                runner = Runner(
-                    instance, self._connect(instance), self._clock, self._settings
-                )
-            runner.instance = instance
-            by_name[instance.name] = runner
-            by_service.setdefault(instance.service, []).append(runner)
-        self.by_name = by_name
-        self._by_service = by_service
--- a/flamingoweir/scheduling/_desk.py
+++ b/flamingoweir/scheduling/_desk.py
@@ -7,7 +7,7 @@
 import anyio
 import orjson
 
-from ..errors import ErrorCode, FlamingoweirError, Verdict
+from ..errors import ErrorCode, FlamingoweirError, outcome_unknown, store_away
 from ..membership import Directory
 from ..platform import (
     ABSENT,
@@ -261,13 +261,13 @@
         try:
             return await self._table.get(key)
         except TableUnavailable as error:
-            raise _store_away() from error
+            raise store_away() from error
 
     async def _scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
         try:
             return await self._table.scan(prefix, after, limit)
         except TableUnavailable as error:
-            raise _store_away() from error
+            raise store_away() from error
 
     async def _write(
         self, preconditions: list[Precondition], writes: list[Write]
@@ -284,21 +284,8 @@
                 pass
             await anyio.sleep(RETRY_PAUSE_S)
         if sent:
-            raise FlamingoweirError(
-                ErrorCode.OUTCOME_UNKNOWN,
-                "the store did not say whether it took the change; "
-                "repeat it with the same id",
-                Verdict.MAY_HAVE_RUN,
-            )
-        raise _store_away()
-
-
-def _store_away() -> FlamingoweirError:
-    return FlamingoweirError(
-        ErrorCode.STORE_UNAVAILABLE,
-        "the store can't be reached; nothing was changed, try again later",
-        retry_after_s=5.0,
-    )
+            raise outcome_unknown()
+        raise store_away()
 
 
 def _tally_outcomes(rows: list[Row]) -> Tally:
--- a/flamingoweir/tree/_store.py
+++ b/flamingoweir/tree/_store.py
@@ -5,7 +5,7 @@
 import orjson
 
 from ..clock import Clock
-from ..errors import ErrorCode, FlamingoweirError, Verdict
+from ..errors import ErrorCode, FlamingoweirError, outcome_unknown, store_away
 from ..platform import (
     ABSENT,
     ObjectStore,
@@ -125,8 +125,8 @@
             except TransactionUnknown:
                 sent = True
             except TableUnavailable as error:
-                raise _store_error(sent) from error
-        raise _store_error(sent)
+                raise (outcome_unknown() if sent else store_away()) from error
+        raise outcome_unknown() if sent else store_away()
 
     async def _try(
         self,
@@ -228,21 +228,6 @@
     return branch
 
 
-def _store_error(sent: bool) -> FlamingoweirError:
-    if sent:
-        return FlamingoweirError(
-            ErrorCode.OUTCOME_UNKNOWN,
-            "the store did not say whether it took the change; "
-            "repeat it with the same id",
-            Verdict.MAY_HAVE_RUN,
-        )
-    return FlamingoweirError(
-        ErrorCode.STORE_UNAVAILABLE,
-        "the store can't be reached; nothing was changed, try again later",
-        retry_after_s=5.0,
-    )
-
-
 def _decode_head(row: Row | None) -> TreeHead:
     return TreeHead(**orjson.loads(row.value)) if row else TreeHead()
 
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -132,7 +132,7 @@
 def test_a_dead_runner_is_not_run():
     async def scenario():
         async with run_local(requests=Requests(retry_budget=0.0)) as local:
-            for runner in local.daemon.node.router.runners("quotes"):
+            for runner in local.daemon.node.router.runners.of_service("quotes"):
                 runner.link._port = 9
             codes = set()
             for _ in range(12):
