--- a/flamingoweir/scheduling/_keeper.py
+++ b/flamingoweir/scheduling/_keeper.py
@@ -22,6 +22,7 @@
 log = get_logger()
 
 RELEASE_LIMIT_S = 5.0
+NEVER_S = float("-inf")
 
 
 @dataclass(slots=True)
@@ -33,19 +34,34 @@
     row : Row or None
         The row.
     since_s : float
-        When it was first seen so.
+        When it was first seen so, later by the time in which it could not be read:
+        the owner could not renew it then either.
+    read_s : float
+        When it was last read.
+    gap : bool
+        Whether a read has failed since.
     """
 
     row: Row | None = None
-    since_s: float = float("-inf")
+    since_s: float = NEVER_S
+    read_s: float = NEVER_S
+    gap: bool = False
 
     def note(self, row: Row | None, now_s: float) -> None:
         """Take a new look at the row."""
         old = self.row.version if self.row else 0
         new = row.version if row else 0
-        if self.since_s == float("-inf") or new != old:
+        if self.since_s == NEVER_S or new != old:
             self.row = row
             self.since_s = now_s
+        elif self.gap:
+            self.since_s += now_s - self.read_s
+        self.read_s = now_s
+        self.gap = False
+
+    def note_failure(self) -> None:
+        """Note that the row could not be read."""
+        self.gap = True
 
 
 class ShardKeeper:
@@ -130,6 +146,7 @@
             try:
                 row = await self._table.get(shard_key(shard))
             except TableUnavailable:
+                seen.note_failure()
                 await anyio.sleep(self._timings.poll_s)
                 continue
             seen.note(row, self._clock.now())
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -96,6 +96,7 @@
     async def scenario(tasks):
         fleet = await start_fleet(tasks)
         spec = await submit(fleet, "gwynedd", tasks=16, job_class="run-20")
+        owner = fleet.owner_name("gwynedd/0")
         cut_store(fleet)
         cut_s = anyio.current_time()
         await anyio.sleep(45.0)
@@ -103,6 +104,8 @@
         started = events(fleet, "start", cut_s + 10)
         assert len(started) == 2 * 2, "two assigned ahead on each of two workers"
         fleet.network.cut.clear()
+        await anyio.sleep(5.0)
+        assert fleet.owner_name("gwynedd/0") == owner
         assert await finish(fleet, spec) == "done"
         assert len(events(fleet, "done")) == 16
 
