Test what the interference package promises

Effects of three classes are found within 0.05 from 400 noisy samples; the ladder throttles before it evicts, waits for its effect to be measured, bars an evicted class, and eases throttles when the service is calm.

--- /dev/null
+++ b/tests/test_interference.py
@@ -0,0 +1,135 @@
+"""Effects learnt from lagging measurements, and the ladder against neighbours."""
+
+import random
+
+from flamingoweir.interference import (
+    BatchTask,
+    EvictOnly,
+    InterferenceController,
+    Ladder,
+    NoControl,
+    PairEffects,
+    ServiceTask,
+)
+from flamingoweir.metrics import NoMetrics
+
+TARGET_MS = 11.0
+
+
+class HandClock:
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def now(self) -> float:
+        return self.now_s
+
+
+class Worker:
+    """A worker whose service is as late as the test says."""
+
+    name = "powys-w1"
+
+    def __init__(self, classes: list[str]):
+        self.worker_clock_s = 0.0
+        self.latency_ms = 10.0
+        self.measured_s = 0.0
+        self.percent = {f"{name}/0": 100 for name in classes}
+        self.evicted: list[str] = []
+
+    def services(self):
+        return [
+            ServiceTask(
+                "service:quotes", TARGET_MS, self.latency_ms, 0.9, self.measured_s
+            )
+        ]
+
+    def batch(self):
+        found = []
+        for task, percent in self.percent.items():
+            if task not in self.evicted:
+                found.append(BatchTask(task, task.split("/")[0], 0.3, percent, 5.0))
+        return found
+
+    def throttle(self, task, percent):
+        self.percent[task] = percent
+
+    def evict(self, task, service):
+        self.evicted.append(task)
+
+
+def measure(controller, clock, worker, latency_ms: float, lag_s: float = 0.0) -> None:
+    clock.now_s += 1.0
+    worker.worker_clock_s += 1.0
+    worker.latency_ms = latency_ms
+    worker.measured_s = worker.worker_clock_s - lag_s
+    controller.watch(worker)
+
+
+def test_effects_are_found_among_several_classes():
+    generator = random.Random(1)
+    true = {"plan": 0.4, "sums": 0.05, "noisy": 1.2}
+    effects = PairEffects()
+    for second in range(400):
+        shares = {name: generator.uniform(0, 0.4) for name in true}
+        load = generator.uniform(0.3, 0.9)
+        slowdown = sum(true[name] * shares[name] for name in true)
+        latency_ms = 10 * (1 + load * slowdown) * generator.lognormvariate(0, 0.01)
+        effects.learn("quotes", latency_ms, load, shares, 1000.0 + second, 0.0)
+    for name, value in true.items():
+        assert abs(effects.effect("quotes", name) - value) < 0.05
+
+
+def test_an_unknown_class_is_met_with_caution():
+    effects = PairEffects()
+    assert effects.cautious_effect("quotes", "new") > effects.effect("quotes", "new")
+
+
+def test_the_ladder_throttles_before_it_evicts():
+    clock = HandClock()
+    controller = InterferenceController(Ladder(), clock, NoMetrics())
+    worker = Worker(["noisy"])
+    seen = []
+    for _ in range(12):
+        measure(controller, clock, worker, 14.0)
+        seen.append((worker.percent["noisy/0"], bool(worker.evicted)))
+    assert seen.index((25, False)) > seen.index((50, False))
+    assert seen.index((25, True)) > seen.index((25, False))
+
+
+def test_nothing_more_is_done_until_the_effect_was_measured():
+    clock = HandClock()
+    controller = InterferenceController(EvictOnly(), clock, NoMetrics())
+    worker = Worker(["noisy", "plan", "sums"])
+    measure(controller, clock, worker, 14.0)
+    assert len(worker.evicted) == 1
+    for _ in range(20):
+        measure(controller, clock, worker, 14.0, lag_s=30.0)
+    assert len(worker.evicted) == 1
+
+
+def test_an_evicted_class_is_not_placed_there_again_soon():
+    clock = HandClock()
+    controller = InterferenceController(EvictOnly(), clock, NoMetrics())
+    worker = Worker(["noisy"])
+    measure(controller, clock, worker, 14.0)
+    assert not controller.may_place(worker, "noisy", 0.01)
+
+
+def test_a_calm_service_gets_its_neighbours_eased():
+    clock = HandClock()
+    controller = InterferenceController(Ladder(), clock, NoMetrics())
+    worker = Worker(["sums"])
+    worker.percent["sums/0"] = 25
+    for _ in range(60):
+        measure(controller, clock, worker, 10.0)
+    assert worker.percent["sums/0"] == 100
+
+
+def test_without_control_nothing_is_done():
+    clock = HandClock()
+    controller = InterferenceController(NoControl(), clock, NoMetrics())
+    worker = Worker(["noisy"])
+    for _ in range(5):
+        measure(controller, clock, worker, 20.0)
+    assert not worker.evicted
+    assert worker.percent["noisy/0"] == 100
