--- a/flamingoweir/daemon/_node.py
+++ b/flamingoweir/daemon/_node.py
@@ -125,6 +125,7 @@
         self.keeper = ShardKeeper(
             self.process,
             self._owner_context,
+            lambda: self.directory.is_known,
             lambda: self.peers.live_in_zone(own.zone),
             own.zone,
             settings.scheduling.shards_per_zone,
@@ -210,7 +211,7 @@
             return "shutting down"
         if not self.store.is_known:
             return "no version of the settings is known yet"
-        if self.directory.read_s == float("-inf"):
+        if not self.directory.is_known:
             return "the platform's list has not been read yet"
         return ""
 
--- a/flamingoweir/membership/_directory.py
+++ b/flamingoweir/membership/_directory.py
@@ -24,6 +24,11 @@
         self._source = source
         self._clock = clock
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the list was ever read."""
+        return self.read_s > float("-inf")
+
     async def refresh(self) -> bool:
         """Read the list; return whether it could be read."""
         try:
--- a/flamingoweir/scheduling/_keeper.py
+++ b/flamingoweir/scheduling/_keeper.py
@@ -73,6 +73,9 @@
         This process's name, new with every start.
     context_for : callable
         Makes the context of an owner from the shard's name.
+    knows_fleet : callable
+        Whether the platform's list has been read, without which workers can't be
+        reached.
     live_instances : callable
         Names of the zone's entry instances that live and stay.
     zone : str
@@ -87,6 +90,7 @@
         self,
         instance: str,
         context_for: Callable[[str], OwnerContext],
+        knows_fleet: Callable[[], bool],
         live_instances: Callable[[], list[str]],
         zone: str,
         shards_per_zone: int,
@@ -99,6 +103,7 @@
         self.owner_by_shard: dict[str, ShardOwner] = {}
         self._instance = instance
         self._context_for = context_for
+        self._knows_fleet = knows_fleet
         self._live_instances = live_instances
         self._zone = zone
         self._shards = shards_of_zone(zone, shards_per_zone)
@@ -150,7 +155,7 @@
                 await anyio.sleep(self._timings.poll_s)
                 continue
             seen.note(row, self._clock.now())
-            if self._is_takeable(shard, seen):
+            if self._knows_fleet() and self._is_takeable(shard, seen):
                 await self._own(shard, seen)
                 seen = Observation()
             await anyio.sleep(self._timings.poll_s)
--- a/flamingoweir/scheduling/_owner.py
+++ b/flamingoweir/scheduling/_owner.py
@@ -154,9 +154,8 @@
         self._withdraw_unreachable(batch)
         self._place(batch)
         self._record_outcomes(batch)
-        if batch.is_empty() and not self.journal.lease.is_renewal_due():
-            return
-        await self.journal.commit(batch.events, batch.preconditions, batch.writes)
+        if not batch.is_empty() or self.journal.lease.is_renewal_due():
+            await self.journal.commit(batch.events, batch.preconditions, batch.writes)
         self._publish(batch)
         await self._snapshot()
 
@@ -384,6 +383,8 @@
             if session is None:
                 self._open(worker, tasks)
                 continue
+            if session.instance.address != worker.address:
+                session.relink(self.context.connect_worker(worker))
             session.follow(worker)
         for name, session in list(self.sessions.by_worker.items()):
             if name in listed:
--- a/flamingoweir/scheduling/_session.py
+++ b/flamingoweir/scheduling/_session.py
@@ -149,6 +149,12 @@
         """Take the worker's newest line on the platform's list."""
         self.instance = instance
         self.ledger.capacity = instance.capacity
+        self._delisted = False
+
+    def relink(self, link: WorkerLink) -> None:
+        """Reach the worker another way: its address has changed or become known."""
+        self._link = link
+        self._wakeup.set()
 
     def leave(self) -> None:
         """Note that the worker is no longer on the list."""
--- a/flamingoweir/standins/_worker.py
+++ b/flamingoweir/standins/_worker.py
@@ -145,6 +145,10 @@
             self._end_due(due)
         self._progress(now_s)
 
+    def unacknowledged(self) -> int:
+        """Return how many ended attempts have not been acknowledged."""
+        return sum(len(fence.ended) for fence in self._by_shard.values())
+
     @property
     def _incarnation(self) -> str:
         return f"{self.name}:{self._lives}"
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -251,6 +251,43 @@
     run_scenario(scenario)
 
 
+def test_ends_that_no_longer_matter_are_acknowledged_too():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        spec = await submit(fleet, "gwynedd", tasks=8, job_class="run-15")
+        fleet.cut_worker("gwynedd-w0", anyio.current_time() + 40.0)
+        await anyio.sleep(40.0)
+        fleet.join_worker("gwynedd-w0")
+        assert await finish(fleet, spec) == "done"
+        await anyio.sleep(5.0)
+        history_of(fleet).check(BOUND_S)
+        assert events(fleet, "lapsed")
+        for worker in fleet.worker_by_name.values():
+            assert worker.unacknowledged() == 0
+
+    run_scenario(scenario)
+
+
+def test_nobody_takes_a_shard_without_the_list_of_its_workers():
+    async def scenario(tasks):
+        timings = make_timings(worker_lease_s=40.0)
+        fleet = Fleet(tasks, ZONES, 1, 2, seed=5, timings=timings)
+        fleet.start()
+        await anyio.sleep(4.0)
+        spec = await submit(fleet, "gwynedd", tasks=8, job_class="run-60")
+        fleet.kill("gwynedd-e0")
+        fleet.instances.down = True
+        fleet.start_member("gwynedd-e0")
+        await anyio.sleep(15.0)
+        assert fleet.owner_name("gwynedd/0") is None
+        fleet.instances.down = False
+        assert await finish(fleet, spec) == "done"
+        assert not events(fleet, "lapsed")
+        assert len(events(fleet, "start")) == 8
+
+    run_scenario(scenario)
+
+
 def test_a_drained_owner_hands_over_without_a_wait():
     async def scenario(tasks):
         fleet = await start_fleet(tasks)
