Believe a worker that did finish what was held for lapsed

Attempts were never in two places: the lease had ended. Now attempts are held for lapsed only if the worker was asked after their lease had ended; an end that only the owner declared is not acknowledged before the worker has said how it did end; and a next attempt that was not sent is taken back when that was done. The new scenario (both workers of a zone cut off for 16 s while tasks of 8 s finish) has 8 starts; before, it started them again.

--- a/flamingoweir/scheduling/_owner.py
+++ b/flamingoweir/scheduling/_owner.py
@@ -169,6 +169,8 @@
             name, index = split_task_id(end.task)
             job = self.state.by_job.get(name)
             task = job.by_index.get(index) if job else None
+            if task is not None and end.status is AttemptStatus.DONE:
+                self._withdraw_next(batch, job, task, end)
             if task is None or task.attempt != end.attempt:
                 continue
             late = task.state is TaskState.QUEUED and end.status is AttemptStatus.DONE
@@ -182,6 +184,26 @@
             )
             self._note_end(job, task, end)
 
+    def _withdraw_next(
+        self, batch: Batch, job: Job, task: Task, end: AttemptEnd
+    ) -> None:
+        """Take the next attempt back if word comes that this one was done after all.
+
+        That is possible as long as the next attempt was not sent to its worker.
+        """
+        if task.state is not TaskState.ASSIGNED or task.attempt != end.attempt + 1:
+            return
+        session = self.sessions.by_worker.get(task.worker)
+        if session is None or not session.withdraw(end.task):
+            return
+        detail = "withdrawn: the attempt before it was done"
+        ended = TaskEnded(
+            job.spec.id, task.index, task.attempt, AttemptStatus.STOPPED, "", detail
+        )
+        self._add(batch, ended)
+        done = TaskEnded(job.spec.id, task.index, end.attempt, AttemptStatus.DONE)
+        self._add(batch, done)
+
     def _note_end(self, job: Job, task: Task, end: AttemptEnd) -> None:
         self.context.metrics.incr(f"attempts.{end.status}")
         log.info(
--- a/flamingoweir/scheduling/_session.py
+++ b/flamingoweir/scheduling/_session.py
@@ -91,6 +91,7 @@
         self._reported: set[AttemptId] = set()
         self._acknowledged: set[AttemptId] = set()
         self._strays: set[AttemptId] = set()
+        self._declared: set[AttemptId] = set()
         self._delisted = False
         self._usage = usage
         self.promised = Resources()
@@ -167,7 +168,13 @@
         return self._delisted and not self.by_task
 
     def acknowledge(self, identity: AttemptId) -> None:
-        """Note that an attempt's end is durable."""
+        """Note that an attempt's end is durable.
+
+        One that was only held for lapsed is acknowledged once the worker has said how
+        it did end.
+        """
+        if identity in self._declared:
+            return
         self._acknowledged.add(identity)
         self._reported.discard(identity)
 
@@ -199,10 +206,11 @@
             if self.is_over():
                 return
             message = self._compose()
+            sent_s = self._clock.now()
             try:
                 report = await self._link.exchange(message)
             except WorkerUnreachable as error:
-                self._note_silence(str(error))
+                self._note_silence(sent_s, str(error))
                 await self._wakeup.wait(self._timings.heartbeat_s)
                 continue
             self._absorb(message, report)
@@ -292,7 +300,7 @@
         view.silent_since_s = now_s
         view.lapse_s = now_s + worker_lapse_s(self._timings)
         if restarted:
-            self._end_sent("worker restarted")
+            self._end_sent("worker restarted", declared=False)
         if not report.accepted:
             return
         self._acknowledged.difference_update(message.acknowledged)
@@ -319,6 +327,9 @@
             assignment.report = item
             assignment.throttle_seen = item.throttle_percent
             return
+        if identity in self._declared:
+            self._declared.discard(identity)
+            self._reported.discard(identity)
         if identity in self._reported or identity in self._acknowledged:
             return
         if matches:
@@ -345,9 +356,11 @@
                 continue
             self._end(assignment, AttemptStatus.LAPSED, "", "not on the worker")
 
-    def _end_sent(self, detail: str) -> None:
+    def _end_sent(self, detail: str, declared: bool) -> None:
         for assignment in list(self.by_task.values()):
             if assignment.standing is not Standing.AHEAD:
+                if declared:
+                    self._declared.add(assignment.identity)
                 self._end(assignment, AttemptStatus.LAPSED, "", detail)
 
     def _end(
@@ -380,13 +393,17 @@
         self._wakeup.set()
         self._on_change()
 
-    def _note_silence(self, detail: str) -> None:
-        now_s = self._clock.now()
+    def _note_silence(self, sent_s: float, detail: str) -> None:
+        """Take a failed exchange into account.
+
+        Attempts are held for lapsed only if the worker was asked after their
+        leases had surely ended: one that answers then says how they did end.
+        """
         if self.view.reachable:
             log.warning("worker_silent", worker=self.instance.name, detail=detail)
         self.view.reachable = False
-        if now_s > self.view.lapse_s:
-            self._end_sent("worker unreachable beyond its lease")
+        if sent_s > self.view.lapse_s:
+            self._end_sent("worker unreachable beyond its lease", declared=True)
         self._on_change()
 
     def _has_more_to_say(self) -> bool:
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -268,6 +268,25 @@
     run_scenario(scenario)
 
 
+def test_work_done_while_cut_off_is_not_done_again():
+    async def scenario(tasks):
+        fleet = await start_fleet(tasks)
+        spec = await submit(fleet, "gwynedd", tasks=8, job_class="run-8")
+        for name in ("gwynedd-w0", "gwynedd-w1"):
+            fleet.cut_worker(name, anyio.current_time() + 16.0)
+        await anyio.sleep(16.0)
+        assert not events(fleet, "lapsed")
+        for name in ("gwynedd-w0", "gwynedd-w1"):
+            fleet.join_worker(name)
+        assert await finish(fleet, spec) == "done"
+        assert len(events(fleet, "start")) == 8
+        await anyio.sleep(5.0)
+        for worker in fleet.worker_by_name.values():
+            assert worker.unacknowledged() == 0
+
+    run_scenario(scenario)
+
+
 def test_nobody_takes_a_shard_without_the_list_of_its_workers():
     async def scenario(tasks):
         timings = make_timings(worker_lease_s=40.0)
