Test keys of abandoned requests, and requests under HUP and changes

Both promises held when first tested: a key whose request was abandoned answers duplicate_key, and 20 requests in flight are answered across a HUP and a change of settings.

--- a/flamingoweir/daemon/_main.py
+++ b/flamingoweir/daemon/_main.py
@@ -206,7 +206,7 @@
 
             async for number in received:
                 if number == signal.SIGHUP:
-                    _reload(env, path)
+                    reload_settings(env, path)
                     continue
                 if stopping:
                     log.warning("cut_off", requests=daemon.node.router.in_flight)
@@ -216,7 +216,7 @@
     return status
 
 
-def _reload(env: Environment, path: str | None) -> None:
+def reload_settings(env: Environment, path: str | None) -> None:
     """Read the settings again and take over the log level."""
     try:
         settings = load_daemon_settings(path, standalone=False)
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -1,5 +1,6 @@
 """Callers over HTTP: answers, verdicts, bad input, shutdown."""
 
+import io
 import socket
 
 import anyio
@@ -7,6 +8,8 @@
 import orjson
 import pytest
 
+from flamingoweir.daemon import reload_settings
+from flamingoweir.environment import Environment
 from flamingoweir.settings import Requests
 from flamingoweir.standins import RunnerFault
 from flamingoweir.transport import new_connection, split_address
@@ -265,6 +268,51 @@
     anyio.run(scenario)
 
 
+def test_a_key_holds_when_its_first_request_was_abandoned():
+    async def scenario():
+        async with run_local() as local:
+            router = local.daemon.node.router
+            key = (b"idempotency-key", b"order-20")
+            slow = (b"x-standin-service-ms", b"60000")
+            async with anyio.create_task_group() as callers:
+                callers.start_soon(send, local, "/call/quotes/x", BODY, [key, slow])
+                while not router.in_flight:
+                    await anyio.sleep(0.01)
+                callers.cancel_scope.cancel()
+            while router.in_flight:
+                await anyio.sleep(0.01)
+            status, _, content = await send(local, "/call/quotes/x", BODY, [key])
+            assert status == 409
+            assert error_of(content) == ("duplicate_key", "may_have_run")
+
+    anyio.run(scenario)
+
+
+def test_settings_change_and_hangup_drop_no_request():
+    async def scenario():
+        async with run_local() as local:
+            answers = []
+
+            async def call(number: int) -> None:
+                headers = [(b"x-standin-service-ms", b"200")]
+                status, _, _ = await send(local, "/call/quotes/x", BODY, headers)
+                answers.append(status)
+
+            async with anyio.create_task_group() as callers:
+                for number in range(20):
+                    callers.start_soon(call, number)
+                while local.daemon.node.router.in_flight < 20:
+                    await anyio.sleep(0.01)
+                reload_settings(Environment(stderr=io.StringIO()), None)
+                change = b'{"values": {"fleet/notice": "x"}}'
+                team = (b"x-flamingoweir-team", b"operators")
+                status, _, _ = await send(local, "/v1/settings", change, [team])
+                assert status == 200
+            assert answers == [200] * 20
+
+    anyio.run(scenario)
+
+
 def test_a_body_that_stops_half_way_was_not_run():
     async def scenario():
         requests = Requests(header_timeout_s=0.2)
