--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -18,7 +18,16 @@
 
 from flamingoweir import logs
 from flamingoweir.clock import MonotonicClock
-from flamingoweir.membership import Directory, Hold, Ping, Pong, Request
+from flamingoweir.membership import (
+    Directory,
+    Hold,
+    Peer,
+    Ping,
+    Pong,
+    Request,
+    TcpPeerTransport,
+)
+from flamingoweir.membership._peer import read_pong
 from flamingoweir.membership._wire import encode_frame
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.platform import Instance, InstanceKind
@@ -160,12 +169,27 @@
     return tree
 
 
+def build_peers(count: int) -> list[Peer]:
+    """Return peers that have answered."""
+    peers = []
+    for number in range(count):
+        name = f"powys-e{number}"
+        address = f"127.0.0.1:{10_000 + number}"
+        peer = Peer(name, "powys", address, TcpPeerTransport(address), MonotonicClock())
+        hold = Hold("powys/0", 3, 10, 5000, {})
+        pong = Pong(name, "powys", 1, 5, True, -1, [hold], number, False)
+        peer.word = read_pong(1000.0 + number, pong)
+        peers.append(peer)
+    return peers
+
+
 def measure_memory() -> None:
     """Print bytes per unit of state."""
     report("state: a queued task", measure_bytes(build_tasks, (1000, 21_000)), "B")
     report("state: a job of one task", measure_bytes(build_jobs, (100, 5100)), "B")
     report("state: an assignment", measure_bytes(build_assignments, (100, 10_100)), "B")
     report("state: a worker's session", measure_bytes(build_sessions, (10, 1010)), "B")
+    report("state: a peer", measure_bytes(build_peers, (10, 510)), "B")
     report("state: a settings value", measure_bytes(build_tree, (100, 10_100)), "B")
     usage_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     report("resident: interpreter with everything imported", usage_kb / 1024, "MB")
