--- /dev/null
+++ b/benchmarks/restart.py
@@ -0,0 +1,59 @@
+"""An entry instance is killed in the middle of a request that is not idempotent.
+
+Run ``python -m benchmarks.restart``. The caller then repeats it with the same
+idempotency key, on another instance and on the restarted one.
+"""
+
+import pathlib
+import tempfile
+import threading
+import time
+
+import httpcore
+
+from benchmarks.process_fleet import HOST, DaemonProcess, ProcessFleet
+
+
+def send(daemon: DaemonProcess, headers: dict[str, str]) -> str:
+    """Send one request and return its status and body, or how it broke."""
+    timeout = dict.fromkeys(("connect", "read", "write"), 20.0)
+    try:
+        response = httpcore.request(
+            "POST",
+            f"http://{HOST}:{daemon.http_port}/call/quotes/order",
+            headers=headers,
+            content=b"two pairs",
+            extensions={"timeout": timeout},
+        )
+    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        return type(error).__name__
+    return f"{response.status} {response.content.decode()}"
+
+
+def main() -> None:
+    """Kill an instance in mid-request and repeat the request elsewhere."""
+    fleet = ProcessFleet(
+        pathlib.Path(tempfile.mkdtemp()), daemons=2, workers=0, runners=3
+    )
+    try:
+        headers = {"idempotency-key": "order-1", "x-standin-service-ms": "3000"}
+        first: list[str] = []
+        caller = threading.Thread(
+            target=lambda: first.append(send(fleet.daemons[0], headers))
+        )
+        caller.start()
+        time.sleep(1.0)
+        fleet.daemons[0].process.kill()
+        fleet.daemons[0].process.wait()
+        caller.join()
+        print(f"first instance, killed: {first[0]}")
+        print(f"same key, other instance: {send(fleet.daemons[1], headers)}")
+        fleet.start(fleet.daemons[0])
+        fleet.wait_ready(fleet.daemons[0])
+        print(f"same key, restarted instance: {send(fleet.daemons[0], headers)}")
+    finally:
+        fleet.stop()
+
+
+if __name__ == "__main__":
+    main()
