--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -24,7 +24,7 @@
 from flamingoweir.membership import Directory
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.platform import Instance, InstanceKind
-from flamingoweir.routing import Router
+from flamingoweir.routing import Router, RunnerTable
 from flamingoweir.settings import Requests
 from flamingoweir.standins import MemoryInstanceList, RunnerFault, StandinRunner
 from flamingoweir.transport import new_connection
@@ -108,14 +108,19 @@
             )
         directory = Directory(instances, clock)
         await directory.refresh()
+        requests = Requests(choice=choice, team_limit=100_000)
         routers = [
             Router(
-                ZONES[number % len(ZONES)],
-                directory,
+                RunnerTable(
+                    ZONES[number % len(ZONES)],
+                    directory,
+                    lambda i: FakeRunnerLink(runner_by_name[i.name], tasks),
+                    lambda: ENTRIES,
+                    requests,
+                    clock,
+                ),
                 SettingsTree(),
-                lambda i: FakeRunnerLink(runner_by_name[i.name], tasks),
-                lambda: ENTRIES,
-                Requests(choice=choice, team_limit=100_000),
+                requests,
                 clock,
                 random.Random(seed + number),
                 NoMetrics(),
--- a/flamingoweir/daemon/_node.py
+++ b/flamingoweir/daemon/_node.py
@@ -21,7 +21,7 @@
     Table,
     TableUnavailable,
 )
-from ..routing import IdempotencyKeys, Router, RunnerLink
+from ..routing import IdempotencyKeys, Router, RunnerLink, RunnerTable
 from ..scheduling import (
     JobDesk,
     OwnerContext,
@@ -135,14 +135,19 @@
             settings.timings,
             metrics,
         )
-        self.router = Router(
+        runners = RunnerTable(
             own.zone,
             self.directory,
-            self.store.tree,
             links.runner,
             self._entry_instances,
             settings.requests,
             clock,
+        )
+        self.router = Router(
+            runners,
+            self.store.tree,
+            settings.requests,
+            clock,
             generator,
             metrics,
         )
--- a/flamingoweir/routing/__init__.py
+++ b/flamingoweir/routing/__init__.py
@@ -7,6 +7,7 @@
 from ._router import Router, ServedAnswer
 from ._runner import Runner
 from ._runner_http import HttpRunnerLink, RunnerError, RunnerLink
+from ._runner_table import RunnerTable
 
 __all__ = [
     "CHOICE_BY_NAME",
@@ -23,6 +24,7 @@
     "RunnerChoice",
     "RunnerError",
     "RunnerLink",
+    "RunnerTable",
     "ServedAnswer",
     "StoredAnswer",
     "TwoChoices",
--- a/flamingoweir/routing/_router.py
+++ b/flamingoweir/routing/_router.py
@@ -1,7 +1,7 @@
 """Serves one caller's request: admission, runner choice, retries, verdict."""
 
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 import anyio
@@ -10,9 +10,7 @@
 from ..clock import Clock
 from ..errors import ErrorCode, FlamingoweirError, Verdict
 from ..logs import get_logger
-from ..membership import Directory
 from ..metrics import Metrics
-from ..platform import Instance
 from ..settings import Requests
 from ..tree import SettingsTree
 from ._budget import RetryBudget
@@ -20,7 +18,7 @@
 from ._queue import WaitQueue
 from ._request import REPLAY_LIMIT_BYTES, AnswerHead, CallerRequest
 from ._runner import Runner
-from ._runner_http import RunnerAnswer, RunnerError, RunnerLink
+from ._runner_http import RunnerAnswer, RunnerError
 from ._runner_table import RunnerTable
 
 log = get_logger()
@@ -66,16 +64,10 @@
 
     Parameters
     ----------
-    zone : str
-        This instance's zone, whose runners are preferred.
-    directory : Directory
-        The platform's list.
+    runners : RunnerTable
+        The runners.
     tree : SettingsTree
         The settings, for teams' limits.
-    connect : callable
-        Makes the way to a runner.
-    instances : callable
-        How many entry instances share the runners.
     settings : Requests
         Limits.
     clock : Clock
@@ -88,17 +80,14 @@
 
     def __init__(
         self,
-        zone: str,
-        directory: Directory,
+        runners: RunnerTable,
         tree: SettingsTree,
-        connect: Callable[[Instance], RunnerLink],
-        instances: Callable[[], int],
         settings: Requests,
         clock: Clock,
         generator: random.Random,
         metrics: Metrics,
     ):
-        self.runners = RunnerTable(zone, directory, connect, instances, settings, clock)
+        self.runners = runners
         self.in_flight = 0
         self.in_flight_by_team: dict[str, int] = {}
         self.queue_by_service: dict[str, WaitQueue] = {}
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -10,7 +10,7 @@
 from flamingoweir.membership import Directory
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.platform import Instance
-from flamingoweir.routing import IdempotencyKeys, Router
+from flamingoweir.routing import IdempotencyKeys, Router, RunnerTable
 from flamingoweir.settings import Requests
 from flamingoweir.standins import (
     MemoryInstanceList,
@@ -58,13 +58,12 @@
     clock = VirtualClock()
     directory = Directory(instances, clock)
     await directory.refresh()
+    requests = Requests(**settings)
+    table = RunnerTable(ZONES[0], directory, connect, lambda: 1, requests, clock)
     return Router(
-        ZONES[0],
-        directory,
+        table,
         SettingsTree(),
-        connect,
-        lambda: 1,
-        Requests(**settings),
+        requests,
         clock,
         random.Random(1),
         NoMetrics(),
