--- /dev/null
+++ b/flamingoweir/scheduling/_inbox.py
@@ -0,0 +1,68 @@
+"""Rows by which others hand a shard jobs, cancellations and moved tasks."""
+
+from dataclasses import dataclass
+
+from ..platform import Row, Table, TableUnavailable
+from ._context import OwnerContext
+from ._events import (
+    Event,
+    JobCancelled,
+    TasksAdded,
+    TasksRestored,
+    decode_events,
+)
+from ._keys import cancel_key, inbox_prefix
+
+PAGE_ROWS = 100
+
+
+@dataclass(frozen=True, slots=True)
+class InboxItem:
+    """A row of the inbox and what it asks for."""
+
+    row: Row
+    events: list[Event]
+
+
+class Inbox:
+    """Reads a shard's inbox from time to time, or when nudged."""
+
+    def __init__(self, context: OwnerContext):
+        self._context = context
+        self._due_s = float("-inf")
+
+    def nudge(self) -> None:
+        """Read in the next tick."""
+        self._due_s = float("-inf")
+
+    async def read(self) -> list[InboxItem]:
+        """Return new items; none if no read is due or the store is away."""
+        now_s = self._context.clock.now()
+        if now_s < self._due_s:
+            return []
+        self._due_s = now_s + self._context.timings.poll_s
+        table = self._context.table
+        items = []
+        try:
+            rows = await table.scan(inbox_prefix(self._context.shard), "", PAGE_ROWS)
+            for row in rows:
+                items.append(InboxItem(row, await _read_events(table, row)))
+        except TableUnavailable:
+            return []
+        if len(rows) == PAGE_ROWS:
+            self.nudge()
+        return items
+
+
+async def _read_events(table: Table, row: Row) -> list[Event]:
+    """Return a row's events, with a cancellation for jobs cancelled meanwhile."""
+    events = decode_events(row.value)
+    cancelled = set()
+    for event in events:
+        if not isinstance(event, TasksAdded | TasksRestored):
+            continue
+        if await table.get(cancel_key(event.spec.id)) is not None:
+            cancelled.add(event.spec.id)
+    for name in sorted(cancelled):
+        events.append(JobCancelled(name))
+    return events
--- a/flamingoweir/scheduling/_owner.py
+++ b/flamingoweir/scheduling/_owner.py
@@ -9,7 +9,6 @@
     Instance,
     InstanceKind,
     Precondition,
-    Row,
     TableUnavailable,
     Write,
 )
@@ -24,15 +23,14 @@
     JobForgotten,
     TaskAssigned,
     TaskEnded,
-    TasksAdded,
     TasksMovedOut,
     TasksRestored,
-    decode_events,
     encode_events,
 )
+from ._inbox import Inbox
 from ._job import Job, JobKind, Task, TaskState, split_task_id
 from ._journal import Journal, OwnershipLost
-from ._keys import cancel_key, inbox_key, inbox_prefix, outcome_key, shard_of_worker
+from ._keys import inbox_key, outcome_key, shard_of_worker
 from ._neighbourhood import SessionNeighbourhood
 from ._outcome import Outcome
 from ._placer import Placer
@@ -44,7 +42,6 @@
 
 log = get_logger()
 
-INBOX_ROWS = 100
 FAILURE_BACKOFF_S = 1.0
 FAILURE_BACKOFF_LIMIT_S = 60.0
 
@@ -86,14 +83,14 @@
         self._mover = ZoneMover(context, state, self.sessions)
         self._unseen_lapse_s = unseen_lapse_s
         self._wakeup = Wakeup()
-        self._inbox_due_s = float("-inf")
+        self._inbox = Inbox(context)
         self._snapshot_due_s = float("-inf")
         self._directory_revision = -1
         self._stopping = False
 
     def nudge(self) -> None:
         """Look at the inbox in the next tick."""
-        self._inbox_due_s = float("-inf")
+        self._inbox.nudge()
         self._wakeup.set()
 
     def stop(self) -> None:
@@ -225,38 +222,16 @@
             )
 
     async def _take_inbox(self, batch: Batch) -> None:
-        now_s = self.context.clock.now()
-        if now_s < self._inbox_due_s:
-            return
-        self._inbox_due_s = now_s + self.context.timings.poll_s
-        try:
-            rows = await self.context.table.scan(
-                inbox_prefix(self.context.shard), "", INBOX_ROWS
-            )
-            for row in rows:
-                await self._adopt_row(batch, row)
-        except TableUnavailable:
-            return
-        if len(rows) == INBOX_ROWS:
-            self.nudge()
-
-    async def _adopt_row(self, batch: Batch, row: Row) -> None:
-        events = decode_events(row.value)
-        cancelled = set()
-        for event in events:
-            if not isinstance(event, TasksAdded | TasksRestored):
-                continue
-            mark = await self.context.table.get(cancel_key(event.spec.id))
-            if mark is not None:
-                cancelled.add(event.spec.id)
-        for event in events:
-            if isinstance(event, JobCancelled) and event.job not in self.state.by_job:
-                continue
-            self._add(batch, event)
-        for name in sorted(cancelled):
-            self._add(batch, JobCancelled(name))
-        batch.preconditions.append(Precondition(row.key, row.version))
-        batch.writes.append(Write(row.key, None))
+        for item in await self._inbox.read():
+            for event in item.events:
+                stranger = (
+                    isinstance(event, JobCancelled)
+                    and event.job not in self.state.by_job
+                )
+                if not stranger:
+                    self._add(batch, event)
+            batch.preconditions.append(Precondition(item.row.key, item.row.version))
+            batch.writes.append(Write(item.row.key, None))
 
     def _order_cancelled(self) -> None:
         for session in self.sessions.by_worker.values():
@@ -357,7 +332,7 @@
         for worker, identity in batch.ended:
             session = self.sessions.by_worker.get(worker)
             if session is not None:
-                session.acknowledge(identity)
+                session.ends.acknowledge(identity)
         for worker, assignment in batch.assignments:
             self.context.metrics.incr("tasks.assigned")
             self.sessions.by_worker[worker].assign(assignment)
--- a/flamingoweir/scheduling/_session.py
+++ b/flamingoweir/scheduling/_session.py
@@ -22,6 +22,7 @@
 from ..wakeup import Wakeup
 from ._assignment import Assignment, AttemptEnd, Standing, WorkerView
 from ._commands import pending_orders, start_command
+from ._end_book import EndBook
 from ._job import JobKind
 from ._lease import ShardLease, worker_lapse_s
 from ._ledger import WorkerLedger
@@ -74,7 +75,7 @@
         self.instance = instance
         self.ledger = WorkerLedger(instance.capacity)
         self.by_task: dict[str, Assignment] = {}
-        self.ends: list[AttemptEnd] = []
+        self.ends = EndBook()
         self.fenced = False
         self.view = WorkerView(
             lapse_s=unseen_lapse_s, silent_since_s=clock.now(), reachable=True
@@ -88,10 +89,7 @@
         self._clock = clock
         self._timings = timings
         self._wakeup = Wakeup()
-        self._reported: set[AttemptId] = set()
-        self._acknowledged: set[AttemptId] = set()
         self._strays: set[AttemptId] = set()
-        self._declared: set[AttemptId] = set()
         self._delisted = False
         self._usage = usage
         self.promised = Resources()
@@ -167,17 +165,6 @@
         """Return whether nothing on the worker is left to look after."""
         return self._delisted and not self.by_task
 
-    def acknowledge(self, identity: AttemptId) -> None:
-        """Note that an attempt's end is durable.
-
-        One that was only held for lapsed is acknowledged once the worker has said how
-        it did end.
-        """
-        if identity in self._declared:
-            return
-        self._acknowledged.add(identity)
-        self._reported.discard(identity)
-
     @property
     def capacity(self) -> Resources:
         """What the worker has."""
@@ -220,7 +207,7 @@
 
     def _pause_s(self) -> float:
         """Return the time until the next exchange; idle workers are asked less."""
-        if self.by_task or self._acknowledged:
+        if self.by_task or self.ends.durable:
             return self._timings.heartbeat_s
         return IDLE_HEARTBEAT_FACTOR * self._timings.heartbeat_s
 
@@ -261,7 +248,7 @@
             view.clock_s + self._timings.worker_lease_s,
             start_by_s,
             message.commands,
-            list(self._acknowledged),
+            list(self.ends.durable),
         )
 
     def _has_fresh_echo(self) -> bool:
@@ -303,7 +290,7 @@
             self._end_sent("worker restarted", declared=False)
         if not report.accepted:
             return
-        self._acknowledged.difference_update(message.acknowledged)
+        self.ends.durable.difference_update(message.acknowledged)
         self._strays.clear()
         seen = set()
         for item in report.attempts:
@@ -327,10 +314,7 @@
             assignment.report = item
             assignment.throttle_seen = item.throttle_percent
             return
-        if identity in self._declared:
-            self._declared.discard(identity)
-            self._reported.discard(identity)
-        if identity in self._reported or identity in self._acknowledged:
+        if not self.ends.is_news(identity):
             return
         if matches:
             detail = item.detail or assignment.order_reason
@@ -360,7 +344,7 @@
         for assignment in list(self.by_task.values()):
             if assignment.standing is not Standing.AHEAD:
                 if declared:
-                    self._declared.add(assignment.identity)
+                    self.ends.declare(assignment.identity)
                 self._end(assignment, AttemptStatus.LAPSED, "", detail)
 
     def _end(
@@ -388,8 +372,7 @@
         )
 
     def _report_end(self, end: AttemptEnd) -> None:
-        self._reported.add(AttemptId(end.task, end.attempt))
-        self.ends.append(end)
+        self.ends.tell(end)
         self._wakeup.set()
         self._on_change()
 
--- a/flamingoweir/scheduling/_session_table.py
+++ b/flamingoweir/scheduling/_session_table.py
@@ -18,8 +18,7 @@
         """Return and clear the ends that all sessions have collected."""
         ends = []
         for session in self.by_worker.values():
-            ends.extend(session.ends)
-            session.ends.clear()
+            ends.extend(session.ends.take())
         return ends
 
     def any_fenced(self) -> bool:
