--- a/benchmarks/links.py
+++ b/benchmarks/links.py
@@ -14,7 +14,7 @@
 from benchmarks.process_fleet import HOST, ProcessFleet
 from flamingoweir import logs
 from flamingoweir.membership import Ping, Request, TcpPeerTransport
-from flamingoweir.platform import HttpTable, Precondition, Write
+from flamingoweir.storage import HttpTable, Precondition, Write
 from flamingoweir.transport import HttpClient
 from flamingoweir.upstreams import HttpWorkerLink, WorkerExchange
 
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -24,7 +24,6 @@
 from flamingoweir.interference import InterferenceController, Neighbourhood, NoControl
 from flamingoweir.membership import Directory
 from flamingoweir.metrics import NoMetrics
-from flamingoweir.platform import Instance, InstanceKind
 from flamingoweir.resources import Resources
 from flamingoweir.scheduling import (
     JobKind,
@@ -42,6 +41,7 @@
     MemoryTable,
     StandinWorker,
 )
+from flamingoweir.storage import Instance, InstanceKind
 from flamingoweir.tree import SettingsTree
 from flamingoweir.upstreams import AttemptStatus, Command, WorkerExchange
 from tests.utils.virtual_time import VirtualClock, run_virtual
--- a/benchmarks/process_fleet.py
+++ b/benchmarks/process_fleet.py
@@ -12,7 +12,7 @@
 import httpcore
 import orjson
 
-from flamingoweir.platform import Instance, InstanceKind
+from flamingoweir.storage import Instance, InstanceKind
 
 HOST = "127.0.0.1"
 READY_LIMIT_S = 30.0
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -23,10 +23,10 @@
 from flamingoweir.errors import FlamingoweirError, Verdict
 from flamingoweir.membership import Directory
 from flamingoweir.metrics import NoMetrics
-from flamingoweir.platform import Instance, InstanceKind
 from flamingoweir.routing import Router, RunnerTable
 from flamingoweir.settings import Requests
 from flamingoweir.standins import MemoryInstanceList, RunnerFault, StandinRunner
+from flamingoweir.storage import Instance, InstanceKind
 from flamingoweir.transport import new_connection
 from flamingoweir.tree import SettingsTree
 from tests.utils.runners import FakeRunnerLink, make_request
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -17,7 +17,7 @@
 import orjson
 
 from flamingoweir import logs
-from flamingoweir.clock import MonotonicClock
+from flamingoweir.clock import BootClock
 from flamingoweir.membership import (
     Directory,
     Hold,
@@ -30,7 +30,6 @@
 from flamingoweir.membership._peer import read_pong
 from flamingoweir.membership._wire import encode_frame
 from flamingoweir.metrics import NoMetrics
-from flamingoweir.platform import Instance, InstanceKind
 from flamingoweir.resources import Resources
 from flamingoweir.scheduling import JobSpec, OwnerContext, ShardOwner, ShardState
 from flamingoweir.scheduling._assignment import Assignment
@@ -45,6 +44,7 @@
     MemoryTable,
     StandinWorker,
 )
+from flamingoweir.storage import Instance, InstanceKind
 from flamingoweir.tree import Change, SettingsTree
 from flamingoweir.upstreams import (
     AttemptStatus,
@@ -139,7 +139,7 @@
 
 def build_sessions(count: int) -> list[WorkerSession]:
     """Return sessions with idle workers."""
-    clock, timings = MonotonicClock(), Timings()
+    clock, timings = BootClock(), Timings()
     sessions = []
     for number in range(count):
         sessions.append(
@@ -175,7 +175,7 @@
     for number in range(count):
         name = f"powys-e{number}"
         address = f"127.0.0.1:{10_000 + number}"
-        peer = Peer(name, "powys", address, TcpPeerTransport(address), MonotonicClock())
+        peer = Peer(name, "powys", address, TcpPeerTransport(address), BootClock())
         hold = Hold("powys/0", 3, 10, 5000, {})
         pong = Pong(name, "powys", 1, 5, True, -1, [hold], number, False)
         peer.word = read_pong(1000.0 + number, pong)
@@ -225,7 +225,7 @@
     worker = StandinWorker(
         "powys-w1",
         CAPACITY,
-        MonotonicClock(),
+        BootClock(),
         lambda command: (1e9, AttemptStatus.DONE),
         MemoryObjectStore(),
     )
@@ -240,7 +240,7 @@
 
 async def create_owner(workers: int) -> ShardOwner:
     """Return an owner with idle workers that have answered."""
-    table, objects, clock = MemoryTable(), MemoryObjectStore(), MonotonicClock()
+    table, objects, clock = MemoryTable(), MemoryObjectStore(), BootClock()
     instances = MemoryInstanceList()
     directory = Directory(instances, clock)
     timings = Timings()
@@ -315,7 +315,7 @@
         worker = StandinWorker(
             "powys-w0",
             CAPACITY,
-            MonotonicClock(),
+            BootClock(),
             lambda command: (1e9, AttemptStatus.DONE),
             MemoryObjectStore(),
         )
--- a/benchmarks/standin_server.py
+++ b/benchmarks/standin_server.py
@@ -9,9 +9,8 @@
 import anyio
 import anyio.to_thread
 
-from flamingoweir.clock import MonotonicClock
+from flamingoweir.clock import BootClock
 from flamingoweir.daemon._server import HttpServer
-from flamingoweir.platform import Instance, InstanceKind
 from flamingoweir.resources import Resources
 from flamingoweir.standins import (
     MemoryInstanceList,
@@ -23,6 +22,7 @@
     StandinWorker,
     WorkerApp,
 )
+from flamingoweir.storage import Instance, InstanceKind
 from flamingoweir.upstreams import AttemptStatus, Command
 
 HOST = "127.0.0.1"
@@ -44,7 +44,7 @@
         for number in range(workers):
             zone = zones[number % len(zones)]
             name = f"{zone}-w{number}"
-            worker = StandinWorker(name, CAPACITY, MonotonicClock(), run_time, objects)
+            worker = StandinWorker(name, CAPACITY, BootClock(), run_time, objects)
             port = await tasks.start(HttpServer(WorkerApp(worker), HOST, 0).run)
             instances.add(
                 Instance(
--- a/flamingoweir/entry/_http.py
+++ b/flamingoweir/asgi.py
@@ -1,8 +1,8 @@
-"""Small pieces of ASGI shared by callers' and operators' sides."""
+"""Small pieces of ASGI shared by all HTTP sides."""
 
 import orjson
 
-from ..errors import FlamingoweirError
+from .errors import ErrorCode, FlamingoweirError
 
 VERDICT_HEADER = b"x-flamingoweir-verdict"
 REQUEST_ID_HEADER = b"x-request-id"
@@ -43,3 +43,24 @@
         }
     )
     await send({"type": "http.response.body", "body": body})
+
+
+async def read_body(receive, max_bytes: int) -> bytes:
+    """Read a whole request body; raises FlamingoweirError if it is too large."""
+    parts = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise FlamingoweirError(
+                ErrorCode.BAD_REQUEST, "the connection ended before the whole request"
+            )
+        part = message.get("body", b"")
+        size += len(part)
+        if size > max_bytes:
+            raise FlamingoweirError(
+                ErrorCode.BODY_TOO_LARGE, f"the body exceeds {max_bytes} bytes"
+            )
+        parts.append(part)
+        if not message.get("more_body"):
+            return b"".join(parts)
--- a/flamingoweir/clock.py
+++ b/flamingoweir/clock.py
@@ -12,9 +12,13 @@
         ...
 
 
-class MonotonicClock:
-    """The machine's monotonic clock, which also counts while a process is paused."""
+class BootClock:
+    """Time since the machine was started, suspensions included.
+
+    ``time.monotonic`` stands still while a machine is suspended; a lease judged by
+    it would seem to be held long after it has lapsed.
+    """
 
     def now(self) -> float:
         """Return seconds since an arbitrary start."""
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/flamingoweir/daemon/_daemon.py
@@ -0,0 +1,189 @@
+"""Runs a daemon with settings of our own: its servers, signals and shutdown."""
+
+import dataclasses
+import random
+import signal
+
+import anyio
+
+from .. import logs
+from ..clock import BootClock
+from ..entry import CallerApp, EntryApp, create_operator_app
+from ..environment import Environment
+from ..exit_status import ExitStatus
+from ..membership import TcpPeerTransport, serve_peers
+from ..metrics import create_metrics
+from ..routing import HttpRunnerLink
+from ..settings import Settings, SettingsError
+from ..storage import HttpInstanceList, HttpObjectStore, HttpTable, Instance
+from ..transport import HttpClient
+from ..upstreams import HttpWorkerLink
+from ._node import Node, NodeLinks
+from ._server import HttpServer
+from ._settings_check import load_daemon_settings
+
+WORKER_TIMEOUT_S = 1.0
+
+log = logs.get_logger()
+
+
+async def run_daemon(
+    settings: Settings, env: Environment, path: str | None
+) -> ExitStatus:
+    """Run one daemon until it is told to stop."""
+    daemon = Daemon(settings)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(daemon.run)
+        status = await _serve_signals(daemon, env, path)
+        tasks.cancel_scope.cancel()
+    return status
+
+
+class Daemon:
+    """A node and its servers.
+
+    Parameters
+    ----------
+    settings : Settings
+        All settings; ports of 0 are replaced by those taken.
+    """
+
+    def __init__(self, settings: Settings):
+        self._requested = settings
+        self.node: Node | None = None
+        self.http: HttpServer | None = None
+
+    async def run(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until cancelled; started once all ports listen."""
+        own = self._requested.instance
+        app = LateApp()
+        async with anyio.create_task_group() as tasks:
+            self.http = HttpServer(app, own.host, own.http_port)
+            peer_port = await tasks.start(
+                serve_peers, own.host, own.peer_port, self._answer_peer
+            )
+            self.node = self._create_node(self.http.port, peer_port)
+            app.target = self._create_app(self.node)
+            tasks.start_soon(self.node.run)
+            await tasks.start(self.http.run)
+            log.info(
+                "started",
+                instance=own.name,
+                zone=own.zone,
+                http_port=self.http.port,
+                peer_port=peer_port,
+            )
+            task_status.started()
+
+    async def shut_down(self) -> bool:
+        """Drain the node, then close the server; return whether nothing was cut."""
+        own = self._requested.instance
+        finished = await self.node.drain(own.notice_s, own.grace_s)
+        self.http.stop()
+        await self.node.router.aclose()
+        log.info("stopped", instance=own.name, cut_off=self.node.router.in_flight)
+        return finished
+
+    async def _answer_peer(self, request):
+        return await self.node.peers.answer(request)
+
+    def _create_node(self, http_port: int, peer_port: int) -> Node:
+        own = dataclasses.replace(
+            self._requested.instance, http_port=http_port, peer_port=peer_port
+        )
+        settings = dataclasses.replace(self._requested, instance=own)
+        clock = BootClock()
+        return Node(
+            settings,
+            connect_outside(settings, clock),
+            clock,
+            random.Random(),
+            create_metrics(own.statsd),
+        )
+
+    @staticmethod
+    def _create_app(node: Node) -> EntryApp:
+        callers = CallerApp(
+            node.router,
+            node.keys,
+            node.settings.requests,
+            lambda: node.refusing,
+            node.clock,
+            node.metrics,
+        )
+        return EntryApp(callers, create_operator_app(node.desk))
+
+
+class LateApp:
+    """An ASGI application that is known only after its port."""
+
+    def __init__(self):
+        self.target = None
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one request."""
+        await self.target(scope, receive, send)
+
+
+def connect_outside(settings: Settings, clock: BootClock) -> NodeLinks:
+    """Return the ways to platform, workers, runners and peers over the network."""
+    platform = HttpClient(
+        settings.platform.address,
+        settings.platform.connections,
+        settings.platform.timeout_s,
+    )
+
+    def connect_worker(instance: Instance) -> HttpWorkerLink:
+        return HttpWorkerLink(HttpClient(instance.address, 1, WORKER_TIMEOUT_S))
+
+    def connect_runner(instance: Instance) -> HttpRunnerLink:
+        return HttpRunnerLink(instance.address, settings.requests.keepalive_s, clock)
+
+    return NodeLinks(
+        HttpTable(platform),
+        HttpObjectStore(platform),
+        HttpInstanceList(platform),
+        connect_worker,
+        connect_runner,
+        TcpPeerTransport,
+    )
+
+
+async def _serve_signals(
+    daemon: Daemon, env: Environment, path: str | None
+) -> ExitStatus:
+    status = ExitStatus.SUCCESS
+    stopping = False
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*numbers) as received:
+        async with anyio.create_task_group() as tasks:
+
+            async def stop() -> None:
+                nonlocal status
+                if not await daemon.shut_down():
+                    status = ExitStatus.CUT_OFF
+                tasks.cancel_scope.cancel()
+
+            async for number in received:
+                if number == signal.SIGHUP:
+                    reload_settings(env, path)
+                    continue
+                if stopping:
+                    log.warning("cut_off", requests=daemon.node.router.in_flight)
+                    return ExitStatus.CUT_OFF
+                stopping = True
+                tasks.start_soon(stop)
+    return status
+
+
+def reload_settings(env: Environment, path: str | None) -> None:
+    """Read the settings again and take over the log level."""
+    try:
+        settings = load_daemon_settings(path, standalone=False)
+    except SettingsError as error:
+        log.error("settings_refused", detail=str(error))
+        return
+    logs.configure(env.stderr, settings.instance.log_level)
+    log.info("settings_reloaded", log_level=settings.instance.log_level)
--- a/flamingoweir/daemon/_definition.py
+++ b/flamingoweir/daemon/_definition.py
@@ -18,6 +18,11 @@
     settings.add_argument(
         "--settings", metavar="FILE", help="INI file; see docs/CONFIGURATION.md"
     )
+    settings.add_argument(
+        "--platform",
+        action="store_true",
+        help="run on the users' platform, with the settings file that it has written",
+    )
     settings.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
--- a/flamingoweir/daemon/_demo.py
+++ b/flamingoweir/daemon/_demo.py
@@ -11,7 +11,7 @@
 from ..transport import HttpClient
 
 if TYPE_CHECKING:
-    from ._main import Daemon
+    from ._daemon import Daemon
 
 JOB = "leaf-rounds"
 READY_LIMIT_S = 30.0
--- /dev/null
+++ b/flamingoweir/daemon/_fleet_main.py
@@ -0,0 +1,142 @@
+"""Runs an instance on a platform: its servers, signals and shutdown."""
+
+import functools
+import random
+import signal
+
+import anyio
+
+from .. import logs
+from ..asgi import send_whole
+from ..clock import BootClock
+from ..environment import Environment
+from ..exit_status import ExitStatus
+from ..metrics import ServedMetrics
+from ..platform import (
+    SETTINGS_VARIABLE,
+    IngressApp,
+    ReadyApp,
+    connect_platform,
+    load_platform_settings,
+)
+from ..settings import FleetSettings, SettingsError
+from ..transport import split_address
+from ._instance import Instance, wall_ms
+from ._server import HttpServer
+
+log = logs.get_logger()
+
+#: Seconds after the start of a shutdown in which new connections still come: the
+#: balancer looks once a second and needs two misses.
+NOTICE_S = 2.3
+#: Seconds kept in hand of the grace period.
+GRACE_MARGIN_S = 0.8
+#: Seconds between looks at requests in flight.
+DRAIN_POLL_S = 0.05
+
+
+class StatusApp:
+    """Serves metrics and a dump of the instance's state."""
+
+    def __init__(self, metrics: ServedMetrics):
+        self._metrics = metrics
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        await send_whole(send, 200, headers, self._metrics.render())
+
+
+async def run_fleet(settings: FleetSettings, path: str) -> ExitStatus:
+    """Run an instance until it is told to stop."""
+    metrics = ServedMetrics()
+    instance = Instance(
+        settings,
+        connect_platform(settings),
+        BootClock(),
+        random.Random(),
+        metrics,
+    )
+    app = IngressApp(instance.desk, wall_ms)
+    front = HttpServer(app, *split_address(settings.front_address))
+    ready = HttpServer(
+        ReadyApp(lambda: instance.ready), *split_address(settings.ready_address)
+    )
+    status = HttpServer(StatusApp(metrics), settings.host, settings.metrics_port)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(instance.run)
+        await tasks.start(front.run)
+        await tasks.start(ready.run)
+        await tasks.start(status.run)
+        log.info("started", instance=settings.name, zone=settings.zone)
+        result = await _serve_signals(instance, app, front, path)
+        tasks.cancel_scope.cancel()
+    return result
+
+
+async def _serve_signals(
+    instance: Instance, app: IngressApp, front: HttpServer, path: str
+) -> ExitStatus:
+    result = ExitStatus.SUCCESS
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*numbers) as received:
+        async with anyio.create_task_group() as tasks:
+
+            async def stop() -> None:
+                nonlocal result
+                if not await shut_down(instance, app, front):
+                    result = ExitStatus.CUT_OFF
+                tasks.cancel_scope.cancel()
+
+            async for number in received:
+                if number == signal.SIGHUP:
+                    reload_settings(path, instance.settings)
+                    continue
+                if not instance.leaving:
+                    instance.leaving = True
+                    tasks.start_soon(stop)
+    return result
+
+
+async def shut_down(instance: Instance, app: IngressApp, front: HttpServer) -> bool:
+    """Hand over, serve until the balancer has noticed; return whether all ended."""
+    settings = instance.settings
+    log.info("stopping", instance=settings.name, owner=instance.term is not None)
+    app.closing = True
+    with anyio.move_on_after(settings.grace_s - GRACE_MARGIN_S):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(instance.leave)
+            tasks.start_soon(anyio.sleep, NOTICE_S)
+        while app.in_flight:
+            await anyio.sleep(DRAIN_POLL_S)
+    front.stop()
+    log.info("stopped", instance=settings.name, in_flight=app.in_flight)
+    return not app.in_flight
+
+
+def reload_settings(path: str, settings: FleetSettings) -> None:
+    """Read the settings again; addresses stay those of the start."""
+    try:
+        read = load_platform_settings(path)
+    except SettingsError as error:
+        log.error("settings_refused", detail=str(error))
+        return
+    log.info("settings_reloaded", changed=read != settings)
+
+
+def main(env: Environment) -> ExitStatus:
+    """Run an instance with the settings file that the platform has written."""
+    path = env.variables.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = load_platform_settings(path)
+    except SettingsError as error:
+        env.print_error("flamingoweird", str(error))
+        return ExitStatus.SETTINGS
+    stream = logs.BoundedStream(env.stdout)
+    logs.configure(stream, "info")
+    try:
+        return anyio.run(functools.partial(run_fleet, settings, path))
+    finally:
+        stream.drain(0.5)
--- a/flamingoweir/daemon/_node.py
+++ b/flamingoweir/daemon/_node.py
@@ -13,14 +13,6 @@
 from ..logs import get_logger
 from ..membership import Directory, Hold, Peers, PeerTransport, StartPermit
 from ..metrics import Metrics
-from ..platform import (
-    Instance,
-    InstanceKind,
-    InstanceList,
-    ObjectStore,
-    Table,
-    TableUnavailable,
-)
 from ..routing import IdempotencyKeys, Router, RunnerLink, RunnerTable
 from ..scheduling import (
     JobDesk,
@@ -31,6 +23,14 @@
     describe_task,
 )
 from ..settings import Settings
+from ..storage import (
+    Instance,
+    InstanceKind,
+    InstanceList,
+    ObjectStore,
+    Table,
+    TableUnavailable,
+)
 from ..tree import TreeStore
 from ..upstreams import WorkerLink
 from ._dump import describe_node
--- a/flamingoweir/daemon/_standalone.py
+++ b/flamingoweir/daemon/_standalone.py
@@ -6,11 +6,10 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from ..clock import MonotonicClock
+from ..clock import BootClock
 from ..environment import Environment
 from ..exit_status import ExitStatus
 from ..logs import get_logger
-from ..platform import Instance, InstanceKind
 from ..resources import Resources
 from ..settings import Settings
 from ..standins import (
@@ -23,9 +22,10 @@
     StandinWorker,
     WorkerApp,
 )
+from ..storage import Instance, InstanceKind
 from ..upstreams import AttemptStatus, Command
+from ._daemon import Daemon, _serve_signals
 from ._demo import run_demo
-from ._main import Daemon, _serve_signals
 from ._server import HttpServer
 
 log = get_logger()
@@ -89,7 +89,7 @@
     async def _add_worker(self, tasks: TaskGroup, number: int) -> None:
         name = f"worker-{number}"
         worker = StandinWorker(
-            name, WORKER_CAPACITY, MonotonicClock(), run_time, self.objects
+            name, WORKER_CAPACITY, BootClock(), run_time, self.objects
         )
         self.worker_by_name[name] = worker
         port = await self._serve(tasks, WorkerApp(worker))
--- /dev/null
+++ b/flamingoweir/dispatch/__init__.py
@@ -0,0 +1,29 @@
+"""An owner's term: jobs and runners brought together, orders sent, ends taken."""
+
+from ._book import Book
+from ._protocols import (
+    NOT_STARTED,
+    EndedTask,
+    Fenced,
+    RunnerLink,
+    RunnerReport,
+    RunnerUnreachable,
+    RunningTask,
+    StartOrder,
+    StartResult,
+)
+from ._term import Term
+
+__all__ = [
+    "NOT_STARTED",
+    "Book",
+    "EndedTask",
+    "Fenced",
+    "RunnerLink",
+    "RunnerReport",
+    "RunnerUnreachable",
+    "RunningTask",
+    "StartOrder",
+    "StartResult",
+    "Term",
+]
--- /dev/null
+++ b/flamingoweir/dispatch/_book.py
@@ -0,0 +1,274 @@
+"""The jobs and runners of a shard, and what joins them; no input or output."""
+
+from ..clock import Clock
+from ..fleet import LEASE_S, Place, Runner
+from ..jobs import (
+    FINAL_STATES,
+    Attempt,
+    Job,
+    JobSpec,
+    Outcome,
+    Standing,
+    StepRun,
+    TaskId,
+)
+from ..logs import get_logger
+from ..metrics import Metrics
+from ..ownership import LEASE_VALID_S
+from ..policy import RunnerTrust
+from ..registry import RunnerEntry
+from ..wakeup import Wakeup
+
+log = get_logger()
+
+#: Seconds before a step is tried again after an attempt failed or was turned away.
+RETRY_PAUSE_S = 0.05
+#: Ended jobs that are remembered, so that an old copy of the table can't revive one.
+REMEMBERED_JOBS = 200_000
+
+
+class Book:
+    """All that an owner knows.
+
+    Parameters
+    ----------
+    clock : Clock
+        The owner's clock.
+    metrics : Metrics
+        Where counts go.
+    max_lease_s : float
+        Longest lease that runners grant.
+
+    Attributes
+    ----------
+    job_by_id : dict of str to Job
+        Jobs that have not ended, or still have attempts.
+    runner_by_id : dict of str to Runner
+        Runners that are listed or hold attempts.
+    changed_jobs : set of str
+        Jobs with state that is not yet written.
+    pending_starts : list of Attempt
+        Attempts that may be ordered once they are durable.
+    pending_stops : list of Attempt
+        Attempts to stop.
+    work : Wakeup
+        Set when placement has something to do.
+    unwritten : Wakeup
+        Set when something has to be written.
+    unstopped : Wakeup
+        Set when there are attempts to stop.
+    trust : RunnerTrust
+        How tasks end on each runner.
+    """
+
+    def __init__(self, clock: Clock, metrics: Metrics, max_lease_s: float):
+        self.job_by_id: dict[str, Job] = {}
+        self.runner_by_id: dict[str, Runner] = {}
+        self.changed_jobs: set[str] = set()
+        self.pending_starts: list[Attempt] = []
+        self.pending_stops: list[Attempt] = []
+        self.work = Wakeup()
+        self.unwritten = Wakeup()
+        self.unstopped = Wakeup()
+        self.trust = RunnerTrust()
+        self._clock = clock
+        self._metrics = metrics
+        self._max_lease_s = max_lease_s
+        self._ended: dict[str, None] = {}
+        self._unheard_until_s = clock.now() + LEASE_VALID_S + 1.1 * LEASE_S
+
+    def add_job(self, spec: JobSpec) -> Job | None:
+        """Take a job that was accepted; None if it is known or has ended."""
+        if spec.id in self.job_by_id or spec.id in self._ended:
+            return None
+        job = Job(spec)
+        job.accepted_s = self._clock.now()
+        self.job_by_id[spec.id] = job
+        self.work.set()
+        return job
+
+    def cancel_job(self, job_id: str) -> None:
+        """Cancel a job whose cancellation is durable."""
+        job = self.job_by_id.get(job_id)
+        if job is None or not job.cancel():
+            return
+        log.info("job_cancelled", job=job_id, attempts=len(list(job.attempts())))
+        self._changed(job)
+        self._stop_surplus(job)
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop a job whose end is durable."""
+        self.job_by_id.pop(job_id, None)
+        self._ended[job_id] = None
+        if len(self._ended) > REMEMBERED_JOBS:
+            del self._ended[next(iter(self._ended))]
+
+    def update_runners(self, entry_by_id: dict[str, RunnerEntry]) -> list[Runner]:
+        """Take the runners that are listed; return those that are new."""
+        new = []
+        for runner_id, entry in entry_by_id.items():
+            known = self.runner_by_id.get(runner_id)
+            if known is not None and known.entry.address in ("", entry.address):
+                if not known.entry.address:
+                    new.append(known)
+                known.entry = entry
+                continue
+            if known is not None and known.busy:
+                # An old life elsewhere; its leases have to lapse first.
+                continue
+            runner = Runner(entry, self._max_lease_s, self._unheard_until_s)
+            self.runner_by_id[runner_id] = runner
+            new.append(runner)
+        for runner_id, runner in list(self.runner_by_id.items()):
+            if runner_id not in entry_by_id and not runner.busy:
+                del self.runner_by_id[runner_id]
+                self.trust.forget(runner_id)
+        self.work.set()
+        return new
+
+    def restore_places(self) -> None:
+        """Take room for attempts that were read from the store."""
+        for job in self.job_by_id.values():
+            for attempt in job.attempts():
+                runner = self.runner_by_id.get(attempt.runner)
+                if runner is None:
+                    runner = self._add_unlisted(attempt.runner)
+                step = job.by_step[attempt.task.occurrence, attempt.task.step]
+                place = runner.add(attempt, step.spec)
+                # A look under the new fence lists what the former owner started.
+                place.confirmed_s = float("-inf")
+            self._stop_surplus(job)
+
+    def lapse_unlisted(self) -> None:
+        """End attempts on runners that were never listed in this term."""
+        now_s = self._clock.now()
+        for runner in list(self.runner_by_id.values()):
+            if runner.entry.address or not runner.lapsed(now_s):
+                continue
+            self.lapse(runner)
+            del self.runner_by_id[runner.id]
+
+    def lapse(self, runner: Runner) -> None:
+        """End all attempts on a runner whose leases have surely run out."""
+        log.warning(
+            "leases_lapsed", runner=runner.id, attempts=len(runner.place_by_run)
+        )
+        for place in list(runner.place_by_run.values()):
+            attempt = place.attempt
+            self.end(runner, attempt.task, attempt.run, Outcome.LAPSED, "")
+
+    def start(self, step: StepRun, index: int, runner: Runner) -> Attempt:
+        """Make an attempt of a task on a runner that has been looked at."""
+        attempt = step.job.start(step, index, runner.id, runner.life, self._clock.now())
+        self._place(step, attempt, runner)
+        return attempt
+
+    def start_gang(self, step: StepRun, runners: list[Runner]) -> list[Attempt]:
+        """Make one run of a whole gang; a runner for each index."""
+        places = [(runner.id, runner.life) for runner in runners]
+        attempts = step.job.start_gang(step, places, self._clock.now())
+        for attempt, runner in zip(attempts, runners, strict=True):
+            self._place(step, attempt, runner)
+        return attempts
+
+    def end(
+        self, runner: Runner, task: TaskId, run: int, outcome: Outcome, saved: str
+    ) -> None:
+        """Take the end of an attempt from a runner's list, or its lapse."""
+        place = runner.remove(task, run)
+        job = self.job_by_id.get(task.job)
+        if job is None:
+            return
+        now_s = self._clock.now()
+        if place is not None:
+            self._note_outcome(runner, place, outcome, now_s)
+        if not job.end(task, run, outcome, saved):
+            return
+        step = job.by_step[task.occurrence, task.step]
+        if outcome is Outcome.FAILED:
+            step.tasks[task.index].failed_on.add(runner.id)
+        log.info(
+            "attempt_ended",
+            task=str(task),
+            run=run,
+            runner=runner.id,
+            outcome=outcome.value,
+            job_state=job.state.value,
+        )
+        self._metrics.incr(f"attempts_{outcome.value}")
+        self._changed(job)
+        if job.final or step.spec.gang or step.tasks[task.index].by_run:
+            self._stop_surplus(job)
+
+    def void(self, attempt: Attempt, reason: str) -> None:
+        """Drop an attempt that never started and never will."""
+        runner = self.runner_by_id.get(attempt.runner)
+        if runner is None or runner.remove(attempt.task, attempt.run) is None:
+            return
+        job = self.job_by_id.get(attempt.task.job)
+        if job is None:
+            return
+        log.info(
+            "attempt_void",
+            task=str(attempt.task),
+            run=attempt.run,
+            runner=attempt.runner,
+            reason=reason,
+        )
+        self._metrics.incr("attempts_void")
+        job.void(attempt)
+        step = job.by_step[attempt.task.occurrence, attempt.task.step]
+        step.retry_at_s = self._clock.now() + RETRY_PAUSE_S
+        self._changed(job)
+        if job.final or step.spec.gang:
+            self._stop_surplus(job)
+
+    def stop(self, attempt: Attempt, reason: str) -> None:
+        """Have an attempt stopped; its room is taken until its end is listed."""
+        if attempt.standing is Standing.STOPPING:
+            return
+        attempt.standing = Standing.STOPPING
+        self.pending_stops.append(attempt)
+        log.info(
+            "attempt_stopping",
+            task=str(attempt.task),
+            run=attempt.run,
+            runner=attempt.runner,
+            reason=reason,
+        )
+        self.unstopped.set()
+
+    def waiting_by_queue(self) -> dict[str, int]:
+        """Return how many accepted jobs of each queue have not begun."""
+        waiting: dict[str, int] = {}
+        for job in self.job_by_id.values():
+            if job.waiting:
+                waiting[job.spec.queue] = waiting.get(job.spec.queue, 0) + 1
+        return waiting
+
+    def _place(self, step: StepRun, attempt: Attempt, runner: Runner) -> None:
+        runner.add(attempt, step.spec)
+        self.pending_starts.append(attempt)
+        self._changed(step.job)
+
+    def _add_unlisted(self, runner_id: str) -> Runner:
+        entry = RunnerEntry(runner_id, 0, "", "", "")
+        runner = Runner(entry, self._max_lease_s, self._unheard_until_s)
+        self.runner_by_id[runner_id] = runner
+        return runner
+
+    def _note_outcome(
+        self, runner: Runner, place: Place, outcome: Outcome, now_s: float
+    ) -> None:
+        if outcome in (Outcome.DONE, Outcome.FAILED):
+            failed = outcome is Outcome.FAILED
+            self.trust.note_end(runner.id, place.attempt.task.job, failed, now_s)
+
+    def _stop_surplus(self, job: Job) -> None:
+        for attempt in job.surplus():
+            self.stop(attempt, "job_ended" if job.state in FINAL_STATES else "surplus")
+
+    def _changed(self, job: Job) -> None:
+        self.changed_jobs.add(job.spec.id)
+        self.unwritten.set()
+        self.work.set()
--- /dev/null
+++ b/flamingoweir/dispatch/_intake.py
@@ -0,0 +1,54 @@
+"""Takes accepted jobs and cancellations from the store into the book."""
+
+from ..jobs import decode_spec
+from ..logs import get_logger
+from ..ownership import CANCEL_SUFFIX
+from ..storage import VersionedRow
+from ._book import Book
+
+log = get_logger()
+
+
+class Intake:
+    """Reads rows of the table of jobs.
+
+    Parameters
+    ----------
+    book : Book
+        Where jobs are entered.
+    wall_ms : callable
+        Milliseconds since 1970.
+    """
+
+    def __init__(self, book: Book, wall_ms):
+        self._book = book
+        self._wall_ms = wall_ms
+
+    def take(self, rows: list[VersionedRow], whole: bool) -> None:
+        """Take rows, whether they are the whole table or changes."""
+        for row in rows:
+            if row.deleted or row.value is None:
+                continue
+            if row.id.key.endswith(CANCEL_SUFFIX):
+                self._book.cancel_job(row.id.key.removesuffix(CANCEL_SUFFIX))
+                continue
+            self._take_job(row)
+
+    def _take_job(self, row: VersionedRow) -> None:
+        try:
+            spec = decode_spec(row.value)
+        except (ValueError, KeyError, TypeError) as error:
+            log.error("job_unreadable", job=row.id.key, detail=repr(error))
+            return
+        job = self._book.add_job(spec)
+        if job is None:
+            return
+        age_s = max(0.0, (self._wall_ms() - spec.accepted_ms) / 1000)
+        job.accepted_s -= age_s
+        log.info(
+            "job_taken",
+            job=spec.id,
+            queue=spec.queue,
+            steps=len(spec.steps),
+            age_ms=round(1000 * age_s),
+        )
--- /dev/null
+++ b/flamingoweir/dispatch/_orders.py
@@ -0,0 +1,181 @@
+"""Sends starts, stops and paces to runners."""
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..fleet import Place, Runner
+from ..jobs import Attempt, Standing, TaskId
+from ..logs import get_logger
+from ._context import Permit, TermContext, TermEnd
+from ._protocols import (
+    Fenced,
+    RunnerLink,
+    RunnerUnreachable,
+    StartOrder,
+    StartResult,
+)
+
+log = get_logger()
+
+#: Seconds before an unanswered order is sent again.
+RESEND_PAUSE_S = 0.08
+
+
+class Orders:
+    """Sends orders; each in a task of its own until its outcome is known.
+
+    Parameters
+    ----------
+    context : TermContext
+        The term.
+    permit : Permit
+        Asked right before each start is sent.
+    end : TermEnd
+        Told when a runner has seen a newer owner.
+    tasks : TaskGroup
+        Runs the orders.
+    link_by_runner : dict of str to RunnerLink
+        The ways to the runners.
+    """
+
+    def __init__(
+        self,
+        context: TermContext,
+        permit: Permit,
+        end: TermEnd,
+        tasks: TaskGroup,
+        link_by_runner: dict[str, RunnerLink],
+    ):
+        self._context = context
+        self._book = context.book
+        self._permit = permit
+        self._end = end
+        self._tasks = tasks
+        self._link_by_runner = link_by_runner
+
+    def start(self, attempt: Attempt) -> None:
+        """Order an attempt that is durable."""
+        self._tasks.start_soon(self._start, attempt)
+
+    def stop(self, attempt: Attempt) -> None:
+        """Stop an attempt, however long its runner takes to answer."""
+        self._tasks.start_soon(self._stop, attempt)
+
+    def pace(self, attempt: Attempt, percent: int) -> None:
+        """Let an attempt work at a share of its speed."""
+        self._tasks.start_soon(self._pace, attempt, percent)
+
+    def stop_run(self, runner_id: str, task: TaskId, run: int) -> None:
+        """Stop a run that is no attempt of ours; tried once, looks repeat it."""
+        self._tasks.start_soon(self._stop_run, runner_id, task, run)
+
+    def _find(self, attempt: Attempt) -> tuple[Runner, Place] | None:
+        runner = self._book.runner_by_id.get(attempt.runner)
+        place = runner.find(attempt.task, attempt.run) if runner else None
+        return (runner, place) if place else None
+
+    async def _start(self, attempt: Attempt) -> None:
+        found = self._find(attempt)
+        job = self._book.job_by_id.get(attempt.task.job)
+        link = self._link_by_runner.get(attempt.runner)
+        if found is None or job is None or link is None:
+            self._book.void(attempt, "runner_gone")
+            return
+        runner, place = found
+        task = job.find(attempt.task)
+        order = StartOrder(
+            attempt.task,
+            attempt.run,
+            job.spec.payload,
+            runner.start_due_ms(self._context.clock.now()),
+            self._context.journal.fence,
+            task.saved,
+            place.ticket,
+        )
+        while attempt.standing is Standing.ORDERED and self._find(attempt):
+            if not self._permit.valid() or not self._permit.allows(runner):
+                self._withdraw(attempt, place, "no_permit")
+                return
+            result, _ = await link.start(order)
+            self._context.metrics.incr(f"starts_{result.value}")
+            if result is StartResult.UNKNOWN:
+                place.unsure = True
+                await anyio.sleep(RESEND_PAUSE_S)
+                continue
+            self._take_result(attempt, runner, place, result)
+            return
+
+    def _take_result(
+        self, attempt: Attempt, runner: Runner, place: Place, result: StartResult
+    ) -> None:
+        now_s = self._context.clock.now()
+        if result is StartResult.STARTED:
+            if attempt.standing is Standing.ORDERED:
+                attempt.standing = Standing.RUNNING
+            place.confirmed_s = now_s
+            runner.changed.set()
+            return
+        if result is StartResult.FENCED:
+            self._end.lose(f"runner {runner.id} has seen a newer owner")
+            return
+        if result is StartResult.STALE:
+            # It ended or was stopped there; the lists say which.
+            place.confirmed_s = now_s
+            runner.changed.set()
+            return
+        if result is StartResult.UNHEALTHY:
+            self._book.trust.note_refusal(runner.id, now_s)
+        self._withdraw(attempt, place, result.value)
+
+    def _withdraw(self, attempt: Attempt, place: Place, reason: str) -> None:
+        """Drop an attempt; where an order may still arrive, forbid it first."""
+        if place.unsure:
+            self._book.stop(attempt, reason)
+            return
+        self._book.void(attempt, reason)
+
+    async def _stop(self, attempt: Attempt) -> None:
+        while found := self._find(attempt):
+            runner, place = found
+            link = self._link_by_runner.get(runner.id)
+            if link is None:
+                return
+            try:
+                await link.stop(attempt.task, attempt.run, self._context.journal.fence)
+            except Fenced:
+                self._end.lose(f"runner {runner.id} has seen a newer owner")
+                return
+            except RunnerUnreachable:
+                await anyio.sleep(RESEND_PAUSE_S)
+                continue
+            # From now on the run can't start there; the next look tells its end.
+            place.confirmed_s = self._context.clock.now()
+            runner.changed.set()
+            return
+
+    async def _stop_run(self, runner_id: str, task: TaskId, run: int) -> None:
+        link = self._link_by_runner.get(runner_id)
+        if link is None:
+            return
+        try:
+            await link.stop(task, run, self._context.journal.fence)
+        except Fenced:
+            self._end.lose(f"runner {runner_id} has seen a newer owner")
+        except RunnerUnreachable as error:
+            log.info("stop_unanswered", runner=runner_id, detail=str(error))
+
+    async def _pace(self, attempt: Attempt, percent: int) -> None:
+        link = self._link_by_runner.get(attempt.runner)
+        if link is None:
+            return
+        try:
+            await link.pace(
+                attempt.task, attempt.run, percent, self._context.journal.fence
+            )
+        except Fenced:
+            self._end.lose(f"runner {attempt.runner} has seen a newer owner")
+            return
+        except RunnerUnreachable:
+            # The next look compares what is asked with what was told.
+            return
+        attempt.pace = percent
--- /dev/null
+++ b/flamingoweir/dispatch/_term.py
@@ -0,0 +1,193 @@
+"""One term of an owner: from taking a shard until it is lost or given up."""
+
+from collections.abc import Callable
+
+import anyio
+
+from ..clock import Clock
+from ..jobs import restore_tasks
+from ..logs import get_logger
+from ..metrics import Metrics
+from ..ownership import JOBS, TASKS, Journal, OwnershipLost
+from ..registry import (
+    AnnouncementReader,
+    OperatorView,
+    RunnerEntry,
+    RunnerView,
+    TableFollower,
+)
+from ..storage import RowStore, StoreRefused, StoreSilent, VersionedRow, read_all
+from ._book import Book
+from ._committer import Committer
+from ._context import Permit, TermContext, TermEnd
+from ._intake import Intake
+from ._orders import Orders
+from ._planner import Planner
+from ._protocols import RunnerLink
+from ._watch import RunnerWatch
+
+log = get_logger()
+
+#: Seconds that a feed of the owner waits for a change.
+FEED_WAIT_S = 0.7
+#: Seconds between tries to read the shard.
+READ_PAUSE_S = 0.1
+
+
+class Term:
+    """Owns a shard.
+
+    Parameters
+    ----------
+    journal : Journal
+        The ownership.
+    store : RowStore
+        The store.
+    operators, operator_follower : OperatorView, TableFollower
+        What operators have announced, shared with the rest of the instance.
+    reader : AnnouncementReader
+        Reads runners' entries.
+    runner_table : str
+        Table in which runners announce themselves.
+    connect : callable
+        Makes the way to a runner.
+    clock : Clock
+        This instance's clock.
+    wall_ms : callable
+        Milliseconds since 1970.
+    metrics : Metrics
+        Where counts go.
+    max_lease_s : float
+        Longest lease that runners grant.
+    """
+
+    def __init__(
+        self,
+        journal: Journal,
+        store: RowStore,
+        operators: OperatorView,
+        operator_follower: TableFollower,
+        reader: AnnouncementReader,
+        runner_table: str,
+        connect: Callable[[RunnerEntry], RunnerLink],
+        clock: Clock,
+        wall_ms: Callable[[], float],
+        metrics: Metrics,
+        max_lease_s: float,
+    ):
+        self.book = Book(clock, metrics, max_lease_s)
+        self._journal = journal
+        self._store = store
+        self._clock = clock
+        self._end = TermEnd()
+        runners = RunnerView(reader, self._take_runners, clock)
+        self._context = TermContext(
+            journal,
+            self.book,
+            operators,
+            operator_follower,
+            runners,
+            connect,
+            clock,
+            wall_ms,
+            metrics,
+        )
+        self._runner_follower = TableFollower(
+            store, runner_table, "", FEED_WAIT_S, runners.take, clock
+        )
+        self._intake = Intake(self.book, wall_ms)
+        self._job_follower = TableFollower(
+            store, JOBS, journal.shard, FEED_WAIT_S, self._intake.take, clock
+        )
+        self._permit = Permit(self._context, self._runner_follower)
+        self._link_by_runner: dict[str, RunnerLink] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._orders: Orders | None = None
+
+    async def run(self) -> str:
+        """Own the shard until that ends; return why it ended."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                self._orders = Orders(
+                    self._context, self._permit, self._end, tasks, self._link_by_runner
+                )
+                committer = Committer(self._context, self._orders)
+                await self._restore(committer)
+                tasks.start_soon(committer.run)
+                tasks.start_soon(self._runner_follower.run)
+                tasks.start_soon(self._job_follower.run)
+                tasks.start_soon(Planner(self._context, self._permit).run)
+                tasks.start_soon(self._send_stops)
+                await self._end.wait()
+        except* OwnershipLost as group:
+            reason = str(group.exceptions[0])
+        log.info("term_ended", shard=self._journal.shard, reason=reason)
+        with anyio.CancelScope(shield=True):
+            for link in self._link_by_runner.values():
+                await link.aclose()
+        return reason
+
+    def give_up(self) -> None:
+        """End the term, for a shutdown."""
+        self._end.lose("shutdown")
+
+    async def _restore(self, committer: Committer) -> None:
+        """Read the shard; nobody else writes tasks since it was taken."""
+        jobs = await self._read(JOBS)
+        tasks = await self._read(TASKS)
+        self._intake.take(jobs, True)
+        for row in tasks:
+            self._restore_row(row, committer)
+        for job in self.book.job_by_id.values():
+            job.settle()
+        self.book.restore_places()
+        log.info(
+            "shard_restored",
+            shard=self._journal.shard,
+            jobs=len(self.book.job_by_id),
+            runners_with_attempts=len(self.book.runner_by_id),
+        )
+
+    def _restore_row(self, row: VersionedRow, committer: Committer) -> None:
+        job_id, occurrence, step, number = row.id.key.rsplit(".", 3)
+        place = (int(occurrence), int(step), int(number))
+        job = self.book.job_by_id.get(job_id)
+        if job is None or row.value is None:
+            log.warning("tasks_without_job", key=row.id.key)
+            return
+        restore_tasks(job, place, row.value)
+        committer.note_rows(job_id, place)
+        self.book.changed_jobs.add(job_id)
+
+    async def _read(self, table: str) -> list[VersionedRow]:
+        while True:
+            try:
+                page = await read_all(self._store, table, self._journal.shard)
+            except (StoreRefused, StoreSilent) as error:
+                if not self._journal.may_renew():
+                    raise OwnershipLost(f"can't read the shard: {error}") from error
+                await anyio.sleep(READ_PAUSE_S)
+                continue
+            return page.rows
+
+    def _take_runners(self) -> None:
+        entries = {}
+        for runner_id, entry in self._context.runners.by_id.items():
+            if self._context.runners.listed(runner_id):
+                entries[runner_id] = entry
+        for runner in self.book.update_runners(entries):
+            link = self._context.connect(runner.entry)
+            self._link_by_runner[runner.id] = link
+            watch = RunnerWatch(self._context, self._orders, self._end, runner, link)
+            self._tasks.start_soon(watch.run)
+        for runner in self.book.runner_by_id.values():
+            if runner.life is not None and runner.entry.life not in (0, runner.life):
+                runner.changed.set()
+
+    async def _send_stops(self) -> None:
+        while True:
+            stops, self.book.pending_stops = self.book.pending_stops, []
+            for attempt in stops:
+                self._orders.stop(attempt)
+            await self.book.unstopped.wait(60.0)
--- a/flamingoweir/entry/_callers.py
+++ b/flamingoweir/entry/_callers.py
@@ -8,6 +8,13 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from ..asgi import (
+    REQUEST_ID_HEADER,
+    VERDICT_HEADER,
+    error_body,
+    error_headers,
+    send_whole,
+)
 from ..clock import Clock
 from ..errors import ErrorCode, FlamingoweirError, Verdict
 from ..logs import get_logger
@@ -22,13 +29,6 @@
     StoredAnswer,
 )
 from ..settings import Requests
-from ._http import (
-    REQUEST_ID_HEADER,
-    VERDICT_HEADER,
-    error_body,
-    error_headers,
-    send_whole,
-)
 
 log = get_logger()
 
--- a/flamingoweir/entry/_operators.py
+++ b/flamingoweir/entry/_operators.py
@@ -11,15 +11,15 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from ..asgi import error_body, error_headers
 from ..clock import Clock
 from ..errors import ErrorCode, FlamingoweirError
 from ..logs import get_logger
 from ..membership import Directory, Peers
-from ..platform import InstanceKind
 from ..scheduling import JobDesk
 from ..settings import Timings
+from ..storage import InstanceKind
 from ..tree import OPERATORS_TEAM, TreeStore, services_of
-from ._http import error_body, error_headers
 from ._schemas import ChangeRequest, JobRequest, parse
 
 log = get_logger()
--- /dev/null
+++ b/flamingoweir/fleet/_runner.py
@@ -0,0 +1,188 @@
+"""What the owner knows of one runner: its lists, its lease, its room."""
+
+from ..jobs import Attempt, StepSpec, TaskId
+from ..registry import RunnerEntry
+from ..resources import Resources
+from ..wakeup import Wakeup
+
+#: Seconds that the lease of a runner's tasks is prolonged by. Long enough for a
+#: successor to take over (about 2 s) before tasks are killed.
+LEASE_S = 4.0
+#: The same on a runner that is about to leave, so that its tasks can be started
+#: elsewhere soon after it has gone.
+DRAINING_LEASE_S = 1.6
+#: Seconds in which an order to start a task has to arrive. Orders that are carried
+#: out late come two seconds later or more.
+START_DUE_S = 1.5
+#: A runner's clock may be this much slow.
+CLOCK_DRIFT = 0.02
+#: Milliseconds added to every wait for a lease to lapse.
+LAPSE_MARGIN_MS = 100
+
+
+class Place:
+    """What one attempt takes of a runner."""
+
+    __slots__ = ("attempt", "confirmed_s", "load", "spec", "ticket", "unsure")
+
+    def __init__(self, attempt: Attempt, spec: StepSpec):
+        self.attempt = attempt
+        self.spec = spec
+        #: A look sent after this must list the attempt, or it isn't there.
+        self.confirmed_s = float("inf")
+        #: The figure of the latest look; see `RunningTask.load`.
+        self.load: float | None = None
+        #: Whether an order for it was not answered, so that it may arrive later.
+        self.unsure = False
+        #: Leave of the advice service; empty: none needed.
+        self.ticket = ""
+
+
+class Runner:
+    """One runner as the owner of its shard sees it.
+
+    Parameters
+    ----------
+    entry : RunnerEntry
+        What it says of itself.
+    max_lease_s : float
+        Longest lease that runners grant.
+    unheard_until_s : float
+        While it has not answered this owner: when leases that a former owner may
+        have granted have surely run out.
+
+    Attributes
+    ----------
+    life : int or None
+        Its incarnation; None before the first look of this owner.
+    seen : int
+        Number of the last end that was taken in.
+    acknowledged : int
+        Number of the last end that is durable.
+    place_by_run : dict of (TaskId, int) to Place
+        Attempts that take room, also those being stopped.
+    reserved : Resources
+        Room that they take together.
+    spare_milli : int
+        Processors wanted by tasks that use what others leave.
+    serving : int
+        Places of tasks with a latency target.
+    answered_s : float
+        When it last answered.
+    silent_since_s : float or None
+        When its silence began.
+    changed : Wakeup
+        Set when there may be a reason to look at it.
+    """
+
+    def __init__(
+        self, entry: RunnerEntry, max_lease_s: float, unheard_until_s: float = 0.0
+    ):
+        self.entry = entry
+        self.life: int | None = None
+        self.seen = 0
+        self.acknowledged = 0
+        self.place_by_run: dict[tuple[TaskId, int], Place] = {}
+        self.reserved = Resources()
+        self.spare_milli = 0
+        self.serving = 0
+        self.answered_s = float("-inf")
+        self.silent_since_s: float | None = None
+        self.changed = Wakeup()
+        self._max_lease_s = max_lease_s
+        self._unheard_until_s = unheard_until_s
+        self._clock_ms = 0.0
+        self._clock_read_s = 0.0
+        self._due_ms = 0
+
+    @property
+    def id(self) -> str:
+        """The runner's id."""
+        return self.entry.id
+
+    @property
+    def room(self) -> Resources:
+        """What is not taken."""
+        return self.entry.capacity - self.reserved
+
+    @property
+    def busy(self) -> bool:
+        """Whether attempts take room."""
+        return bool(self.place_by_run)
+
+    def add(self, attempt: Attempt, spec: StepSpec) -> Place:
+        """Take room for an attempt."""
+        place = Place(attempt, spec)
+        self.place_by_run[attempt.task, attempt.run] = place
+        self.reserved = self.reserved + spec.reserved
+        if spec.uses_spare:
+            self.spare_milli += spec.demand.processors_milli
+        if spec.latency_target_ms:
+            self.serving += 1
+        return place
+
+    def find(self, task: TaskId, run: int) -> Place | None:
+        """Return the place of an attempt, or None."""
+        return self.place_by_run.get((task, run))
+
+    def remove(self, task: TaskId, run: int) -> Place | None:
+        """Give back the room of an attempt."""
+        place = self.place_by_run.pop((task, run), None)
+        if place is None:
+            return None
+        self.reserved = self.reserved - place.spec.reserved
+        if place.spec.uses_spare:
+            self.spare_milli -= place.spec.demand.processors_milli
+        if place.spec.latency_target_ms:
+            self.serving -= 1
+        return place
+
+    def begin_life(self, life: int) -> list[Place]:
+        """Note a new incarnation; return the places that belong to a former one."""
+        self.life = life
+        self.seen = 0
+        self.acknowledged = 0
+        self._due_ms = 0
+        lost = []
+        for place in self.place_by_run.values():
+            if place.attempt.life != life:
+                lost.append(place)
+        return lost
+
+    def read_clock(self, clock_ms: float, now_s: float) -> None:
+        """Take the runner's clock from an answer that has just come."""
+        self._clock_ms = clock_ms
+        self._clock_read_s = now_s
+        self.answered_s = now_s
+        self.silent_since_s = None
+
+    def note_silence(self, now_s: float) -> None:
+        """Note that a call was not answered."""
+        if self.silent_since_s is None:
+            self.silent_since_s = now_s
+
+    def lease_due_ms(self, now_s: float) -> int:
+        """Return the end of a lease that is prolonged now, on the runner's clock."""
+        lease_s = DRAINING_LEASE_S if self.entry.draining else LEASE_S
+        return self._extend(now_s, min(lease_s, self._max_lease_s))
+
+    def start_due_ms(self, now_s: float) -> int:
+        """Return the latest time of a start ordered now, on the runner's clock."""
+        due_ms = round(self._estimate_ms(now_s) + 1000 * START_DUE_S)
+        self._due_ms = max(self._due_ms, due_ms)
+        return due_ms
+
+    def lapsed(self, now_s: float) -> bool:
+        """Return whether every lease granted so far has surely run out."""
+        if self.life is None:
+            return now_s > self._unheard_until_s
+        passed_ms = 1000 * (now_s - self._clock_read_s) * (1 - CLOCK_DRIFT)
+        return self._clock_ms + passed_ms > self._due_ms + LAPSE_MARGIN_MS
+
+    def _extend(self, now_s: float, lease_s: float) -> int:
+        due_ms = round(self._estimate_ms(now_s) + 1000 * lease_s)
+        self._due_ms = max(self._due_ms, due_ms)
+        return due_ms
+
+    def _estimate_ms(self, now_s: float) -> float:
+        return self._clock_ms + 1000 * (now_s - self._clock_read_s)
--- /dev/null
+++ b/flamingoweir/jobs/__init__.py
@@ -0,0 +1,38 @@
+"""Jobs of several steps: what they ask for, their rules, their durable form."""
+
+from ._attempt import Attempt, Outcome, Standing, TaskId
+from ._job import FINAL_STATES, TASKS_A_ROW, Job, JobState, StepRun, Task
+from ._record import (
+    decode_spec,
+    decode_state,
+    encode_spec,
+    encode_state,
+    encode_tasks,
+    restore_tasks,
+    row_key,
+)
+from ._spec import JobSpec, QueuePolicy, StepSpec, find_cycle
+
+__all__ = [
+    "FINAL_STATES",
+    "TASKS_A_ROW",
+    "Attempt",
+    "Job",
+    "JobSpec",
+    "JobState",
+    "Outcome",
+    "QueuePolicy",
+    "Standing",
+    "StepRun",
+    "StepSpec",
+    "Task",
+    "TaskId",
+    "decode_spec",
+    "decode_state",
+    "encode_spec",
+    "encode_state",
+    "encode_tasks",
+    "find_cycle",
+    "restore_tasks",
+    "row_key",
+]
--- /dev/null
+++ b/flamingoweir/jobs/_record.py
@@ -0,0 +1,79 @@
+"""How jobs are written to the store."""
+
+import orjson
+
+from ..resources import Resources
+from ._job import TASKS_A_ROW, Job, JobState, StepRun, Task
+from ._spec import JobSpec, QueuePolicy, StepSpec
+
+
+def encode_spec(spec: JobSpec) -> bytes:
+    """Write an accepted job."""
+    return orjson.dumps(spec)
+
+
+def decode_spec(text: bytes) -> JobSpec:
+    """Read what `encode_spec` wrote; raises ValueError, KeyError or TypeError."""
+    fields = orjson.loads(text)
+    steps = []
+    for step in fields["steps"]:
+        step["demand"] = Resources(**step["demand"])
+        step["after"] = tuple(step["after"])
+        steps.append(StepSpec(**step))
+    fields["steps"] = tuple(steps)
+    fields["policy"] = QueuePolicy(**fields["policy"])
+    return JobSpec(**fields)
+
+
+def encode_state(state: JobState, ended_ms: int) -> bytes:
+    """Write a job's state; ``ended_ms`` is 0 while it is not final."""
+    return orjson.dumps({"state": state, "ended_ms": ended_ms})
+
+
+def decode_state(text: bytes) -> tuple[JobState, int]:
+    """Read what `encode_state` wrote; raises ValueError or KeyError."""
+    fields = orjson.loads(text)
+    return JobState(fields["state"]), fields["ended_ms"]
+
+
+def row_key(job: str, row: tuple[int, int, int]) -> str:
+    """Return the key of a row of tasks."""
+    occurrence, step, number = row
+    return f"{job}.{occurrence}.{step}.{number}"
+
+
+def encode_tasks(job: Job, row: tuple[int, int, int]) -> bytes:
+    """Write the durable state of the tasks in a row."""
+    occurrence, step, number = row
+    run = job.by_step[occurrence, step]
+    first = number * TASKS_A_ROW
+    lines = []
+    for task in run.tasks[first : first + TASKS_A_ROW]:
+        attempts = [[a.run, a.runner, a.life] for a in task.by_run.values()]
+        lines.append([task.last_run, task.done, task.failures, task.saved, attempts])
+    return orjson.dumps(lines)
+
+
+def restore_tasks(job: Job, row: tuple[int, int, int], text: bytes) -> None:
+    """Put back what `encode_tasks` wrote; raises ValueError or KeyError."""
+    occurrence, step, number = row
+    job.open_occurrence(occurrence)
+    run = job.by_step[occurrence, step]
+    for offset, line in enumerate(orjson.loads(text)):
+        _restore_task(job, run, number * TASKS_A_ROW + offset, line)
+
+
+def _restore_task(job: Job, run: StepRun, index: int, line: list) -> None:
+    last_run, done, failures, saved, attempts = line
+    run.tasks[index] = Task(last_run, failures, saved, done)
+    if done:
+        run.open.discard(index)
+    for number, runner, life in attempts:
+        job.restore_attempt(run, index, number, runner, life)
+        run.open.discard(index)
+    if last_run and job.state is JobState.PENDING:
+        job.state = JobState.RUNNING
+    exhausted = failures >= job.spec.policy.max_attempts and not run.spec.lasting
+    if exhausted and not done and not job.final:
+        job.state = JobState.FAILED
+        job.state_changed = True
--- a/flamingoweir/logs.py
+++ b/flamingoweir/logs.py
@@ -1,10 +1,17 @@
 """Logs: one line of key=value pairs for each event."""
 
 import logging
+import queue
+import threading
 from typing import TextIO
 
 import structlog
 
+#: Lines that wait for a slow reader; some ten seconds of a busy owner.
+MAX_WAITING_LINES = 10_000
+#: Lines that are written at once.
+WRITE_LINES = 200
+
 
 def configure(stream: TextIO, level: str = "info") -> None:
     """Send every event to ``stream`` as one key=value line.
@@ -33,6 +40,61 @@
     )
 
 
+class BoundedStream:
+    """Hands lines to a thread that writes them, so that callers never wait.
+
+    Parameters
+    ----------
+    stream : TextIO
+        Where lines are written.
+
+    Attributes
+    ----------
+    dropped : int
+        Lines that were dropped because the reader was too slow.
+    """
+
+    def __init__(self, stream: TextIO):
+        self.dropped = 0
+        self._stream = stream
+        self._lines: queue.Queue[str] = queue.Queue(MAX_WAITING_LINES)
+        threading.Thread(target=self._write_all, daemon=True, name="logs").start()
+
+    def write(self, text: str) -> int:
+        """Take text; dropped if too much waits already."""
+        try:
+            self._lines.put_nowait(text)
+        except queue.Full:
+            self.dropped += 1
+        return len(text)
+
+    def flush(self) -> None:
+        """Leave writing to the thread."""
+
+    def drain(self, timeout_s: float) -> None:
+        """Wait until all lines are written, at most ``timeout_s``."""
+        done = threading.Event()
+        self._lines.put(done)
+        done.wait(timeout_s)
+
+    def _write_all(self) -> None:
+        told = 0
+        while True:
+            items = [self._lines.get()]
+            while len(items) < WRITE_LINES and not self._lines.empty():
+                items.append(self._lines.get_nowait())
+            if self.dropped > told:
+                items.append(
+                    f"level=warning event=log_lines_dropped n={self.dropped}\n"
+                )
+                told = self.dropped
+            self._stream.write("".join(i for i in items if isinstance(i, str)))
+            self._stream.flush()
+            for item in items:
+                if not isinstance(item, str):
+                    item.set()
+
+
 def get_logger(**values: object) -> structlog.typing.FilteringBoundLogger:
     """Return a logger that adds ``values`` to every event."""
     return structlog.get_logger(**values)
--- a/flamingoweir/membership/_directory.py
+++ b/flamingoweir/membership/_directory.py
@@ -1,7 +1,7 @@
 """The platform's list of instances as last read."""
 
 from ..clock import Clock
-from ..platform import Instance, InstanceKind, InstanceList, TableUnavailable
+from ..storage import Instance, InstanceKind, InstanceList, TableUnavailable
 
 
 class Directory:
--- a/flamingoweir/membership/_peers.py
+++ b/flamingoweir/membership/_peers.py
@@ -9,8 +9,8 @@
 from ..clock import Clock
 from ..hashing import stable_hash
 from ..logs import get_logger
-from ..platform import Instance, InstanceKind
 from ..settings import Timings
+from ..storage import Instance, InstanceKind
 from ..tree import TreeSnapshot, TreeStore, decode_change, encode_change
 from ..wakeup import Wakeup
 from ._directory import Directory
--- a/flamingoweir/membership/_permit.py
+++ b/flamingoweir/membership/_permit.py
@@ -9,8 +9,8 @@
 from typing import TYPE_CHECKING
 
 from ..clock import Clock
-from ..platform import InstanceKind
 from ..settings import Timings
+from ..storage import InstanceKind
 from ..tree import TreeStore
 from ._directory import Directory
 
--- a/flamingoweir/platform/__init__.py
+++ b/flamingoweir/platform/__init__.py
@@ -1,36 +1,19 @@
-"""The platform: table service, object store and list of instances."""
+"""The adapter: the platform's wire formats, translated into our own types."""
 
-from ._http import HttpInstanceList, HttpObjectStore, HttpTable, parse_instance
-from ._protocols import (
-    ABSENT,
-    Instance,
-    InstanceKind,
-    InstanceList,
-    ObjectStore,
-    Precondition,
-    PreconditionFailed,
-    Row,
-    Table,
-    TableUnavailable,
-    TransactionUnknown,
-    Write,
-)
+from ._announcements import PlatformAnnouncements
+from ._connect import connect_platform
+from ._ingress import IngressApp, ReadyApp
+from ._runners import HttpRunner
+from ._settings import SETTINGS_VARIABLE, load_platform_settings
+from ._store import PlatformStore
 
 __all__ = [
-    "ABSENT",
-    "HttpInstanceList",
-    "HttpObjectStore",
-    "HttpTable",
-    "Instance",
-    "InstanceKind",
-    "InstanceList",
-    "ObjectStore",
-    "Precondition",
-    "PreconditionFailed",
-    "Row",
-    "Table",
-    "TableUnavailable",
-    "TransactionUnknown",
-    "Write",
-    "parse_instance",
+    "SETTINGS_VARIABLE",
+    "HttpRunner",
+    "IngressApp",
+    "PlatformAnnouncements",
+    "PlatformStore",
+    "ReadyApp",
+    "connect_platform",
+    "load_platform_settings",
 ]
--- /dev/null
+++ b/flamingoweir/platform/_connect.py
@@ -0,0 +1,18 @@
+"""Joins the adapters of one platform."""
+
+from ..links import PlatformLinks
+from ..settings import FleetSettings
+from ._announcements import OPERATOR_TABLE, RUNNER_TABLE, PlatformAnnouncements
+from ._runners import HttpRunner
+from ._store import PlatformStore
+
+
+def connect_platform(settings: FleetSettings) -> PlatformLinks:
+    """Return the ways to the platform that the settings name."""
+    return PlatformLinks(
+        PlatformStore(settings.store_address),
+        PlatformAnnouncements(),
+        OPERATOR_TABLE,
+        RUNNER_TABLE,
+        lambda entry: HttpRunner(entry.id, entry.address),
+    )
--- /dev/null
+++ b/flamingoweir/policy/__init__.py
@@ -0,0 +1,16 @@
+"""Decisions only: order, placement, trust; no input or output."""
+
+from ._gangs import place_gang
+from ._order import objective_s, rank
+from ._placement import Placement, ever_fits, tasks_on
+from ._trust import RunnerTrust
+
+__all__ = [
+    "Placement",
+    "RunnerTrust",
+    "ever_fits",
+    "objective_s",
+    "place_gang",
+    "rank",
+    "tasks_on",
+]
--- /dev/null
+++ b/flamingoweir/policy/_placement.py
@@ -0,0 +1,143 @@
+"""On which runner a task is started.
+
+Answers uneven machines and colocated work: tasks that serve users are kept together
+and away from those that take what others leave, ordinary tasks fill the gaps beside
+the serving ones, and tasks that take what is left go where most is.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from ..fleet import Runner
+from ..jobs import StepRun, StepSpec
+from ._trust import RunnerTrust
+
+#: Seconds of silence after which a runner gets nothing new.
+SILENCE_S = 0.5
+#: Seconds that a task waits for its data's rack before it is run elsewhere.
+DATA_WAIT_S = 1.0
+
+
+class Placement:
+    """Chooses runners.
+
+    Parameters
+    ----------
+    trust : RunnerTrust
+        Which runners may be used.
+    """
+
+    def __init__(self, trust: RunnerTrust):
+        self._trust = trust
+
+    def candidates(
+        self, step: StepRun, runners: Iterable[Runner], now_s: float
+    ) -> list[Runner]:
+        """Return runners on which a task of the step may be started, room aside."""
+        found = []
+        for runner in runners:
+            if (
+                runner.life is None
+                or runner.entry.service != step.job.spec.policy.service
+            ):
+                continue
+            if step.spec.label and step.spec.label not in runner.entry.labels:
+                continue
+            silent_s = runner.silent_since_s
+            if silent_s is not None and now_s - silent_s > SILENCE_S:
+                continue
+            if not self._trust.usable(runner.id, runner.busy, now_s):
+                continue
+            found.append(runner)
+        return found
+
+    def choose(
+        self,
+        step: StepRun,
+        index: int,
+        candidates: Sequence[Runner],
+        now_s: float,
+        avoid: frozenset[str] = frozenset(),
+    ) -> Runner | None:
+        """Return the best runner with room for a task, or None.
+
+        Parameters
+        ----------
+        step, index : StepRun, int
+            The task.
+        candidates : sequence of Runner
+            From `candidates`.
+        now_s : float
+            The owner's clock.
+        avoid : frozenset of str
+            Runners that must not be taken.
+        """
+        best = None
+        best_score: tuple = ()
+        failed_on = step.tasks[index].failed_on
+        others_left = len(failed_on) < len(candidates)
+        for runner in candidates:
+            if runner.id in avoid or not self.fits(step, runner):
+                continue
+            if others_left and runner.id in failed_on:
+                continue
+            score = self._score(step.spec, runner)
+            if best is None or score < best_score:
+                best, best_score = runner, score
+        if best is not None and self._should_wait(step, best, candidates, now_s):
+            return None
+        return best
+
+    def fits(self, step: StepRun, runner: Runner) -> bool:
+        """Return whether a runner has room for one more task of a step."""
+        if not step.spec.reserved.fits_in(runner.room):
+            return False
+        limit = step.spec.max_per_runner
+        return not limit or tasks_on(step, runner) < limit
+
+    def _score(self, spec: StepSpec, runner: Runner) -> tuple:
+        far = bool(spec.data_rack) and spec.data_rack not in runner.entry.labels
+        doubts = self._trust.doubts(runner.id)
+        left_milli = runner.room.processors_milli
+        if spec.uses_spare:
+            spare_milli = left_milli - runner.spare_milli
+            return far, doubts, runner.serving > 0, -spare_milli
+        if spec.latency_target_ms:
+            return far, doubts, runner.spare_milli > 0, runner.serving == 0, left_milli
+        return far, doubts, runner.serving == 0, runner.spare_milli, left_milli
+
+    def _should_wait(
+        self,
+        step: StepRun,
+        best: Runner,
+        candidates: Sequence[Runner],
+        now_s: float,
+    ) -> bool:
+        """Return whether a task had better wait for the rack of its data."""
+        rack = step.spec.data_rack
+        if not rack or rack in best.entry.labels:
+            return False
+        if not any(rack in runner.entry.labels for runner in candidates):
+            return False
+        since_s = step.ready_since_s
+        return since_s is not None and now_s - since_s < DATA_WAIT_S
+
+
+def tasks_on(step: StepRun, runner: Runner) -> int:
+    """Return how many tasks of a step take room on a runner."""
+    count = 0
+    for attempt in step.attempts():
+        if attempt.runner == runner.id:
+            count += 1
+    return count
+
+
+def ever_fits(spec: StepSpec, service: str, runners: Iterable[Runner]) -> bool:
+    """Return whether an empty runner could run a task of a step."""
+    for runner in runners:
+        if runner.entry.service != service:
+            continue
+        if spec.label and spec.label not in runner.entry.labels:
+            continue
+        if spec.reserved.fits_in(runner.entry.capacity):
+            return True
+    return False
--- /dev/null
+++ b/flamingoweir/queues/__init__.py
@@ -0,0 +1,5 @@
+"""What submitters ask of an instance."""
+
+from ._desk import QueueDesk
+
+__all__ = ["QueueDesk"]
--- a/flamingoweir/routing/_once.py
+++ b/flamingoweir/routing/_once.py
@@ -12,7 +12,7 @@
 import orjson
 
 from ..errors import ErrorCode, FlamingoweirError, Verdict
-from ..platform import (
+from ..storage import (
     ABSENT,
     Precondition,
     PreconditionFailed,
--- a/flamingoweir/routing/_runner.py
+++ b/flamingoweir/routing/_runner.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from ..clock import Clock
-from ..platform import Instance
 from ..settings import Requests
+from ..storage import Instance
 from ._runner_http import RunnerLink
 
 LOAD_FRESH_S = 1.0
--- a/flamingoweir/routing/_runner_table.py
+++ b/flamingoweir/routing/_runner_table.py
@@ -5,8 +5,8 @@
 from ..clock import Clock
 from ..errors import ErrorCode, FlamingoweirError
 from ..membership import Directory
-from ..platform import Instance, InstanceKind
 from ..settings import Requests
+from ..storage import Instance, InstanceKind
 from ._runner import Runner
 from ._runner_http import RunnerLink
 
--- a/flamingoweir/scheduling/_batch.py
+++ b/flamingoweir/scheduling/_batch.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from ..platform import Precondition, Write
+from ..storage import Precondition, Write
 from ..upstreams import AttemptId
 from ._assignment import Assignment
 from ._events import Event
--- a/flamingoweir/scheduling/_context.py
+++ b/flamingoweir/scheduling/_context.py
@@ -6,8 +6,8 @@
 from ..clock import Clock
 from ..membership import Directory
 from ..metrics import Metrics
-from ..platform import Instance, Table
 from ..settings import Scheduling, Timings
+from ..storage import Instance, Table
 from ..tree import SettingsTree
 from ..upstreams import WorkerLink
 from ._fleet import FleetView
--- a/flamingoweir/scheduling/_desk.py
+++ b/flamingoweir/scheduling/_desk.py
@@ -9,7 +9,7 @@
 
 from ..errors import ErrorCode, FlamingoweirError, outcome_unknown, store_away
 from ..membership import Directory
-from ..platform import (
+from ..storage import (
     ABSENT,
     InstanceKind,
     Precondition,
--- a/flamingoweir/scheduling/_fleet.py
+++ b/flamingoweir/scheduling/_fleet.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from ..membership import Directory, Peers, StartPermit
-from ..platform import InstanceKind
+from ..storage import InstanceKind
 from ..tree import SettingsTree
 
 
--- a/flamingoweir/scheduling/_inbox.py
+++ b/flamingoweir/scheduling/_inbox.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..platform import Row, Table, TableUnavailable
+from ..storage import Row, Table, TableUnavailable
 from ._context import OwnerContext
 from ._events import (
     Event,
--- a/flamingoweir/scheduling/_journal.py
+++ b/flamingoweir/scheduling/_journal.py
@@ -12,7 +12,8 @@
 import orjson
 
 from ..clock import Clock
-from ..platform import (
+from ..settings import Timings
+from ..storage import (
     ABSENT,
     ObjectStore,
     Precondition,
@@ -23,7 +24,6 @@
     TransactionUnknown,
     Write,
 )
-from ..settings import Timings
 from ._events import Event, decode_events, encode_events
 from ._lease import ShardLease
 from ._state import ShardState
--- a/flamingoweir/scheduling/_keeper.py
+++ b/flamingoweir/scheduling/_keeper.py
@@ -9,8 +9,8 @@
 from ..logs import get_logger
 from ..membership import Hold, rendezvous
 from ..metrics import Metrics
-from ..platform import ObjectStore, Row, Table, TableUnavailable
 from ..settings import Timings
+from ..storage import ObjectStore, Row, Table, TableUnavailable
 from ..tree import services_of
 from ._assignment import Standing
 from ._context import OwnerContext
--- a/flamingoweir/scheduling/_keys.py
+++ b/flamingoweir/scheduling/_keys.py
@@ -1,7 +1,7 @@
 """Names of shards and keys of the table's rows."""
 
 from ..hashing import stable_hash
-from ..platform import Instance
+from ..storage import Instance
 
 
 def shard_name(zone: str, number: int) -> str:
--- a/flamingoweir/scheduling/_owner.py
+++ b/flamingoweir/scheduling/_owner.py
@@ -5,7 +5,7 @@
 
 from ..interference import POLICY_BY_NAME, InterferenceController
 from ..logs import get_logger
-from ..platform import (
+from ..storage import (
     Instance,
     InstanceKind,
     Precondition,
--- a/flamingoweir/scheduling/_session.py
+++ b/flamingoweir/scheduling/_session.py
@@ -5,9 +5,9 @@
 
 from ..clock import Clock
 from ..logs import get_logger
-from ..platform import Instance
 from ..resources import Resources
 from ..settings import Timings
+from ..storage import Instance
 from ..upstreams import (
     AttemptId,
     AttemptReport,
--- a/flamingoweir/settings/__init__.py
+++ b/flamingoweir/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of a process: an INI file, checked, as frozen dataclasses."""
 
+from ._fleet import FleetSettings
 from ._ini import SettingsError, load_settings, parse_settings
 from ._model import (
     InstanceSettings,
@@ -11,6 +12,7 @@
 )
 
 __all__ = [
+    "FleetSettings",
     "InstanceSettings",
     "PlatformSettings",
     "Requests",
--- a/flamingoweir/standins/_platform.py
+++ b/flamingoweir/standins/_platform.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from ..platform import (
+from ..storage import (
     ABSENT,
     Instance,
     Precondition,
--- a/flamingoweir/standins/_servers.py
+++ b/flamingoweir/standins/_servers.py
@@ -5,7 +5,7 @@
 import anyio
 import orjson
 
-from ..platform import (
+from ..storage import (
     Precondition,
     PreconditionFailed,
     TableUnavailable,
--- /dev/null
+++ b/flamingoweir/storage/__init__.py
@@ -0,0 +1,58 @@
+"""Interfaces to what lasts outside the instances: rows, objects, lists."""
+
+from ._http import HttpInstanceList, HttpObjectStore, HttpTable, parse_instance
+from ._protocols import (
+    ABSENT,
+    Instance,
+    InstanceKind,
+    InstanceList,
+    ObjectStore,
+    Precondition,
+    PreconditionFailed,
+    Row,
+    Table,
+    TableUnavailable,
+    TransactionUnknown,
+    Write,
+)
+from ._rows import (
+    HistoryGone,
+    RowId,
+    RowPage,
+    RowsChanged,
+    RowStore,
+    StoreRefused,
+    StoreSilent,
+    Transaction,
+    VersionedRow,
+    read_all,
+)
+
+__all__ = [
+    "ABSENT",
+    "HistoryGone",
+    "HttpInstanceList",
+    "HttpObjectStore",
+    "HttpTable",
+    "Instance",
+    "InstanceKind",
+    "InstanceList",
+    "ObjectStore",
+    "Precondition",
+    "PreconditionFailed",
+    "Row",
+    "RowId",
+    "RowPage",
+    "RowStore",
+    "RowsChanged",
+    "StoreRefused",
+    "StoreSilent",
+    "Table",
+    "TableUnavailable",
+    "Transaction",
+    "TransactionUnknown",
+    "VersionedRow",
+    "Write",
+    "parse_instance",
+    "read_all",
+]
--- a/flamingoweir/transport.py
+++ b/flamingoweir/transport.py
@@ -1,6 +1,7 @@
 """JSON calls over HTTP connections that each have one owner at a time."""
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import anyio
@@ -72,9 +73,27 @@
         self._free = deque[httpcore.AsyncHTTPConnection]()
         self._limit = anyio.Semaphore(connections)
 
-    async def call(self, method: str, path: str, body: bytes = b"") -> Answer:
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Sequence[tuple[bytes, bytes]] = (),
+        timeout_s: float | None = None,
+    ) -> Answer:
         """Make one call.
 
+        Parameters
+        ----------
+        method, path : str
+            The request line.
+        body : bytes
+            The whole body.
+        headers : sequence of (bytes, bytes)
+            Headers beside those of every call.
+        timeout_s : float or None
+            Seconds that this call may take, if not those of the client.
+
         Raises
         ------
         NotSent
@@ -87,9 +106,15 @@
             connection = self._take()
             answer = None
             try:
-                with anyio.fail_after(self._timeout_s):
-                    answer = await self._exchange(connection, method, path, body, trace)
-            except (OSError, TimeoutError, httpcore.TimeoutException) as error:
+                with anyio.fail_after(timeout_s or self._timeout_s):
+                    answer = await self._exchange(
+                        connection, method, path, body, headers, trace
+                    )
+            except (TimeoutError, httpcore.TimeoutException) as error:
+                # Other connections opened as early are likely to be silent too.
+                await self.aclose()
+                raise self._classify(trace, error) from error
+            except OSError as error:
                 raise self._classify(trace, error) from error
             except (httpcore.NetworkError, httpcore.ProtocolError) as error:
                 raise self._classify(trace, error) from error
@@ -118,6 +143,7 @@
         method: str,
         path: str,
         body: bytes,
+        headers: Sequence[tuple[bytes, bytes]],
         trace: SendTrace,
     ) -> Answer:
         request = httpcore.Request(
@@ -131,6 +157,7 @@
             headers=[
                 (b"Host", self.address.encode()),
                 (b"Content-Length", str(len(body)).encode()),
+                *headers,
             ],
             content=body,
             extensions={
--- a/flamingoweir/tree/_store.py
+++ b/flamingoweir/tree/_store.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..errors import ErrorCode, FlamingoweirError, outcome_unknown, store_away
-from ..platform import (
+from ..storage import (
     ABSENT,
     ObjectStore,
     Precondition,
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -8,7 +8,7 @@
 import orjson
 import pytest
 
-from flamingoweir.daemon import reload_settings
+from flamingoweir.daemon._daemon import reload_settings
 from flamingoweir.environment import Environment
 from flamingoweir.settings import Requests
 from flamingoweir.standins import RunnerFault
--- a/tests/test_request_rules.py
+++ b/tests/test_request_rules.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from flamingoweir.daemon import Node
+from flamingoweir.daemon._node import Node
 from flamingoweir.errors import Verdict
 from flamingoweir.routing import (
     IdempotencyKeys,
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -9,7 +9,6 @@
 from flamingoweir.errors import FlamingoweirError, Verdict
 from flamingoweir.membership import Directory
 from flamingoweir.metrics import NoMetrics
-from flamingoweir.platform import Instance
 from flamingoweir.routing import IdempotencyKeys, Router, RunnerTable
 from flamingoweir.settings import Requests
 from flamingoweir.standins import (
@@ -18,6 +17,7 @@
     RunnerFault,
     StandinRunner,
 )
+from flamingoweir.storage import Instance
 from flamingoweir.tree import SettingsTree
 from tests.utils.builders import ZONES, make_runner
 from tests.utils.fleet import Fleet
--- a/tests/utils/builders.py
+++ b/tests/utils/builders.py
@@ -1,6 +1,5 @@
 """Builders of test data."""
 
-from flamingoweir.platform import Instance, InstanceKind
 from flamingoweir.resources import Resources
 from flamingoweir.scheduling import JobKind, JobSpec
 from flamingoweir.settings import (
@@ -10,6 +9,7 @@
     Settings,
     Timings,
 )
+from flamingoweir.storage import Instance, InstanceKind
 
 ZONES = ("gwynedd", "powys", "morgannwg")
 
--- a/tests/utils/fleet.py
+++ b/tests/utils/fleet.py
@@ -7,10 +7,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from flamingoweir.daemon import Node, NodeLinks
+from flamingoweir.daemon._node import Node, NodeLinks
 from flamingoweir.membership import PeerUnreachable
 from flamingoweir.metrics import NoMetrics
-from flamingoweir.platform import TableUnavailable, TransactionUnknown
 from flamingoweir.settings import Scheduling, Timings
 from flamingoweir.standins import (
     MemoryInstanceList,
@@ -18,6 +17,7 @@
     MemoryTable,
     StandinWorker,
 )
+from flamingoweir.storage import TableUnavailable, TransactionUnknown
 from flamingoweir.upstreams import AttemptStatus, Command, WorkerUnreachable
 from tests.utils.builders import make_entry, make_resources, make_settings, make_worker
 from tests.utils.virtual_time import Process, VirtualClock, current_process
--- a/tests/utils/local.py
+++ b/tests/utils/local.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from flamingoweir.daemon._main import Daemon
+from flamingoweir.daemon._daemon import Daemon
 from flamingoweir.daemon._standalone import Standins
 from flamingoweir.settings import InstanceSettings, PlatformSettings, Settings
 from flamingoweir.transport import HttpClient
