--- a/flamingoweir/dispatch/_book.py
+++ b/flamingoweir/dispatch/_book.py
@@ -15,7 +15,7 @@
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..ownership import LEASE_VALID_S
-from ..policy import RunnerTrust
+from ..policy import RunnerTrust, Sharing
 from ..registry import RunnerEntry
 from ..wakeup import Wakeup
 
@@ -23,6 +23,8 @@
 
 #: Seconds before a step is tried again after an attempt failed or was turned away.
 RETRY_PAUSE_S = 0.05
+#: Pace of an attempt that a former owner may have slowed down.
+UNKNOWN_PACE = -1
 #: Ended jobs that are remembered, so that an old copy of the table can't revive one.
 REMEMBERED_JOBS = 200_000
 
@@ -59,6 +61,8 @@
         Set when there are attempts to stop.
     trust : RunnerTrust
         How tasks end on each runner.
+    sharing : Sharing
+        What tasks do to each other.
     """
 
     def __init__(self, clock: Clock, metrics: Metrics, max_lease_s: float):
@@ -71,6 +75,7 @@
         self.unwritten = Wakeup()
         self.unstopped = Wakeup()
         self.trust = RunnerTrust()
+        self.sharing = Sharing()
         self._clock = clock
         self._metrics = metrics
         self._max_lease_s = max_lease_s
@@ -123,6 +128,7 @@
             if runner_id not in entry_by_id and not runner.busy:
                 del self.runner_by_id[runner_id]
                 self.trust.forget(runner_id)
+                self.sharing.forget(runner_id)
         self.work.set()
         return new
 
@@ -135,6 +141,7 @@
                     runner = self._add_unlisted(attempt.runner)
                 step = job.by_step[attempt.task.occurrence, attempt.task.step]
                 place = runner.add(attempt, step.spec)
+                attempt.pace = UNKNOWN_PACE
                 # A look under the new fence lists what the former owner started.
                 place.confirmed_s = float("-inf")
             self._stop_surplus(job)
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -4,12 +4,15 @@
 from ..jobs import StepRun
 from ..logs import get_logger
 from ..policy import Placement, place_gang, rank
+from ..resources import Resources
 from ._context import Permit, TermContext
 
 log = get_logger()
 
 #: Seconds between passes when nothing has changed; occurrences come due meanwhile.
 TICK_S = 0.1
+#: Seconds between lines that tell how full the runners are.
+TELL_S = 2.0
 #: Steps that found no room after which a pass ends; the rest would hardly fare better.
 MAX_MISSES = 40
 
@@ -29,7 +32,8 @@
         self._context = context
         self._book = context.book
         self._permit = permit
-        self._placement = Placement(context.book.trust)
+        self._told_s = float("-inf")
+        self._placement = Placement(context.book.trust, context.book.sharing)
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -44,6 +48,7 @@
         now_s = self._context.clock.now()
         wall_ms = self._context.wall_ms()
         usable = [r for r in self._book.runner_by_id.values() if self._permit.allows(r)]
+        self._tell(usable, now_s)
         misses = 0
         for step in self._ready(now_s, wall_ms):
             if not self._place(step, usable, now_s):
@@ -51,6 +56,34 @@
             if misses > MAX_MISSES:
                 return
 
+    def _tell(self, usable: list[Runner], now_s: float) -> None:
+        """Log how full the runners are, now and then."""
+        if now_s - self._told_s < TELL_S:
+            return
+        self._told_s = now_s
+        runners = self._book.runner_by_id.values()
+        total = Resources()
+        reserved = Resources()
+        for runner in runners:
+            total = total + runner.entry.capacity
+            reserved = reserved + runner.reserved
+        log.info(
+            "fleet_load",
+            runners=len(runners),
+            usable=len(usable),
+            serving=sum(1 for r in runners if r.serving),
+            cores=total.processors_milli // 1000,
+            cores_reserved=reserved.processors_milli // 1000,
+            cores_wanted_spare=sum(r.spare_milli for r in runners) // 1000,
+            memory_share=round(reserved.memory_mb / max(1, total.memory_mb), 2),
+            jobs=len(self._book.job_by_id),
+            open_tasks=sum(
+                len(step.open)
+                for job in self._book.job_by_id.values()
+                for step in job.ready_steps()
+            ),
+        )
+
     def _ready(self, now_s: float, wall_ms: float) -> list[StepRun]:
         ready = []
         for job in self._book.job_by_id.values():
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -152,6 +152,34 @@
             self._note_running(place, task)
         if len(report.ended) < FULL_PAGE_ENDS:
             self._drop_unlisted(running, sent_s)
+        self._share()
+
+    def _share(self) -> None:
+        """Pace tasks that use spare processors by what their neighbours suffer."""
+        runner = self._runner
+        sharing = self._book.sharing
+        now_s = self._clock.now()
+        sharing.learn(runner, now_s)
+        for change in sharing.decide(runner, now_s):
+            log.info(
+                "pace_changed",
+                task=str(change.attempt.task),
+                runner=runner.id,
+                percent=change.percent,
+                former=change.attempt.pace_asked,
+                log_tail_over_target=round(change.worst, 2),
+            )
+            change.attempt.pace_asked = change.percent
+        others = self._book.runner_by_id.values()
+        for attempt in sharing.to_move(runner, others, now_s):
+            self._book.stop(attempt, "held_back")
+        for place in runner.place_by_run.values():
+            attempt = place.attempt
+            told = attempt.pace == attempt.pace_asked
+            if told or not place.spec.uses_spare:
+                continue
+            if attempt.standing is Standing.RUNNING:
+                self._orders.pace(attempt, attempt.pace_asked)
 
     def _begin_life(
         self, report: RunnerReport, running: dict[tuple, RunningTask]
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -18,6 +18,8 @@
 CLOCK_DRIFT = 0.02
 #: Milliseconds added to every wait for a lease to lapse.
 LAPSE_MARGIN_MS = 100
+#: Part of its processors that a serving task uses; the rest is left to others.
+SERVING_USE = 0.6
 
 
 class Place:
@@ -65,8 +67,8 @@
         Room that they take together.
     spare_milli : int
         Processors wanted by tasks that use what others leave.
-    serving : int
-        Places of tasks with a latency target.
+    serving, serving_milli : int
+        Places of tasks with a latency target, and the processors reserved for them.
     answered_s : float
         When it last answered.
     silent_since_s : float or None
@@ -86,6 +88,7 @@
         self.reserved = Resources()
         self.spare_milli = 0
         self.serving = 0
+        self.serving_milli = 0
         self.answered_s = float("-inf")
         self.silent_since_s: float | None = None
         self.changed = Wakeup()
@@ -110,6 +113,15 @@
         """Whether attempts take room."""
         return bool(self.place_by_run)
 
+    def crowding(self, spec: StepSpec) -> float:
+        """Return by how much tasks would want more spare processors than are left.
+
+        0.5 says that, with one more task of a step, they want half as much again,
+        and would take half as long again.
+        """
+        left = self.room.processors_milli + (1 - SERVING_USE) * self.serving_milli
+        return (self.spare_milli + spec.demand.processors_milli) / max(1, left) - 1
+
     def add(self, attempt: Attempt, spec: StepSpec) -> Place:
         """Take room for an attempt."""
         place = Place(attempt, spec)
@@ -119,6 +131,7 @@
             self.spare_milli += spec.demand.processors_milli
         if spec.latency_target_ms:
             self.serving += 1
+            self.serving_milli += spec.demand.processors_milli
         return place
 
     def find(self, task: TaskId, run: int) -> Place | None:
@@ -135,6 +148,7 @@
             self.spare_milli -= place.spec.demand.processors_milli
         if place.spec.latency_target_ms:
             self.serving -= 1
+            self.serving_milli -= place.spec.demand.processors_milli
         return place
 
     def begin_life(self, life: int) -> list[Place]:
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -3,11 +3,14 @@
 from ._gangs import place_gang
 from ._order import objective_s, rank
 from ._placement import Placement, ever_fits, tasks_on
+from ._sharing import PaceChange, Sharing
 from ._trust import RunnerTrust
 
 __all__ = [
+    "PaceChange",
     "Placement",
     "RunnerTrust",
+    "Sharing",
     "ever_fits",
     "objective_s",
     "place_gang",
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -1,14 +1,15 @@
 """On which runner a task is started.
 
-Answers uneven machines and colocated work: tasks that serve users are kept together
-and away from those that take what others leave, ordinary tasks fill the gaps beside
-the serving ones, and tasks that take what is left go where most is.
+Answers uneven machines and colocated work: tasks of one image that serve users are
+kept together, ordinary tasks fill the gaps beside them, and tasks that take what is
+left go where they disturb least and most is left.
 """
 
 from collections.abc import Iterable, Sequence
 
 from ..fleet import Runner
 from ..jobs import StepRun, StepSpec
+from ._sharing import Sharing
 from ._trust import RunnerTrust
 
 #: Seconds of silence after which a runner gets nothing new.
@@ -24,10 +25,13 @@
     ----------
     trust : RunnerTrust
         Which runners may be used.
+    sharing : Sharing
+        Where tasks that use spare processors disturb nobody.
     """
 
-    def __init__(self, trust: RunnerTrust):
+    def __init__(self, trust: RunnerTrust, sharing: Sharing):
         self._trust = trust
+        self._sharing = sharing
 
     def candidates(
         self, step: StepRun, runners: Iterable[Runner], now_s: float
@@ -91,6 +95,8 @@
         """Return whether a runner has room for one more task of a step."""
         if not step.spec.reserved.fits_in(runner.room):
             return False
+        if step.spec.uses_spare and not self._sharing.allows(step.spec, runner):
+            return False
         limit = step.spec.max_per_runner
         return not limit or tasks_on(step, runner) < limit
 
@@ -99,10 +105,10 @@
         doubts = self._trust.doubts(runner.id)
         left_milli = runner.room.processors_milli
         if spec.uses_spare:
-            spare_milli = left_milli - runner.spare_milli
-            return far, doubts, runner.serving > 0, -spare_milli
+            cost = max(0.0, runner.crowding(spec)) + self._sharing.harm(spec, runner)
+            return far, doubts, round(cost, 1), runner.crowding(spec)
         if spec.latency_target_ms:
-            return far, doubts, runner.spare_milli > 0, runner.serving == 0, left_milli
+            return far, doubts, _strangers(spec, runner), left_milli
         return far, doubts, runner.serving == 0, runner.spare_milli, left_milli
 
     def _should_wait(
@@ -122,6 +128,21 @@
         return since_s is not None and now_s - since_s < DATA_WAIT_S
 
 
+def _strangers(spec: StepSpec, runner: Runner) -> int:
+    """Return how many other images serve on a runner; one if nothing serves.
+
+    Serving tasks of one image suffer from the same images, so that the other ones
+    may use what they leave.
+    """
+    images = set()
+    for place in runner.place_by_run.values():
+        if place.spec.latency_target_ms:
+            images.add(place.spec.image)
+    if not images:
+        return 1
+    return 2 * len(images - {spec.image})
+
+
 def tasks_on(step: StepRun, runner: Runner) -> int:
     """Return how many tasks of a step take room on a runner."""
     count = 0
--- /dev/null
+++ b/flamingoweir/policy/_sharing.py
@@ -0,0 +1,294 @@
+"""How much tasks that use spare processors may work beside tasks that serve.
+
+Answers load that swings and images that disturb each other by unknown amounts: what
+each pair does is learnt from the runners' figures; such tasks are placed only where
+serving tasks are expected to stay below their target, are paced down, the worst
+first, as soon as a figure nears the target, and recover in steps.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from ..fleet import Place, Runner
+from ..jobs import Attempt, Standing, StepSpec
+from ._effects import ServingModel, log_ratio
+
+#: Log of tail over target above which tasks are paced down: 0.86 of the target.
+ALARM = -0.15
+#: Log of tail over target that pacing and placement aim at: 0.67 of the target.
+GOAL = -0.4
+#: Below this, paced tasks are let work more: 0.55 of the target.
+CALM = -0.6
+#: Most by which tasks may want more spare processors than a runner has left; beyond
+#: that it is better for them to wait.
+MAX_CROWDING = 0.4
+#: Sum of expected effects that is worth a move.
+LITTLE_HARM = 0.2
+#: Seconds between changes on one runner; its figures cover half a second.
+SETTLE_S = 0.6
+#: Log by which a figure may exceed what is expected before it counts by itself.
+FIGURE_SLACK = 0.5
+#: Effect below which a task is not blamed.
+LITTLE_EFFECT = 0.03
+#: A lower pace than this, in percent, is none.
+MIN_PACE = 15
+#: Seconds over the target after which all are slowed down, blamed or not.
+MAX_OVER_S = 1.0
+#: Percent by which a pace rises at once.
+PACE_STEP = 25
+#: Weight of the latest figure in a task's own deviation from its image's model.
+DEVIATION_WEIGHT = 0.4
+#: A task held at this pace or below, in percent, is better run elsewhere.
+MOVE_PACE = 30
+#: Seconds at such a pace after which it is moved.
+MOVE_AFTER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class PaceChange:
+    """A new pace for an attempt, in percent, and what decided it."""
+
+    attempt: Attempt
+    percent: int
+    worst: float
+
+
+class Sharing:
+    """Learns effects and decides on paces and places."""
+
+    def __init__(self) -> None:
+        self._model_by_image: dict[str, ServingModel] = {}
+        self._deviation_by_task: dict[tuple[str, str, int], float] = {}
+        self._settled_s_by_runner: dict[str, float] = {}
+        self._over_since_s: dict[str, float] = {}
+        self._slow_since_s: dict[Attempt, float] = {}
+
+    def learn(self, runner: Runner, now_s: float) -> None:
+        """Take the figures of a look."""
+        if not runner.serving:
+            return
+        shares: dict[str, float] = {}
+        total = max(1, runner.entry.capacity.processors_milli)
+        for place in _spare_places(runner):
+            used = place.load if place.load is not None else _wanted_milli(place)
+            shares[place.spec.image] = shares.get(place.spec.image, 0.0) + used / total
+        for place in _serving_places(runner):
+            if not place.load:
+                continue
+            ratio = log_ratio(place.load, place.spec.latency_target_ms)
+            model = self._model(place.spec.image)
+            expected = model.base
+            for image, share in shares.items():
+                expected += model.effect(image) * share
+            model.learn(ratio, shares, now_s)
+            key = _task_key(runner, place)
+            known = self._deviation_by_task.get(key, 0.0)
+            self._deviation_by_task[key] = known + DEVIATION_WEIGHT * (
+                ratio - expected - known
+            )
+
+    def allows(self, spec: StepSpec, runner: Runner) -> bool:
+        """Return whether a task that uses spare processors may be placed there."""
+        if runner.crowding(spec) > MAX_CROWDING:
+            return False
+        share = _share(spec, runner)
+        for place in _serving_places(runner):
+            expected = self._expected(runner, place)
+            expected += self._model(place.spec.image).effect(spec.image) * share
+            if expected > GOAL:
+                return False
+        return True
+
+    def harm(self, spec: StepSpec, runner: Runner) -> float:
+        """Return how much a task is expected to disturb the serving tasks there."""
+        total = 0.0
+        for place in _serving_places(runner):
+            total += self._model(place.spec.image).effect(spec.image)
+        return total * _share(spec, runner)
+
+    def decide(self, runner: Runner, now_s: float) -> list[PaceChange]:
+        """Return the paces that have to change after a look."""
+        places = [p for p in _spare_places(runner) if _working(p)]
+        if not places:
+            return []
+        if not runner.serving:
+            return _resume(places)
+        if now_s - self._settled_s_by_runner.get(runner.id, 0.0) < SETTLE_S:
+            return []
+        worst, suffering, measured = self._worst(runner)
+        if suffering is None:
+            return []
+        over_since_s = self._note_over(runner, measured, now_s)
+        if worst > ALARM:
+            changes = self._slow_down(runner, suffering, places, worst)
+            if not changes and now_s - over_since_s > MAX_OVER_S:
+                changes = _halve(places, measured)
+        elif worst < CALM:
+            changes = self._speed_up(runner, places, worst)
+        else:
+            changes = []
+        if changes:
+            self._settled_s_by_runner[runner.id] = now_s
+        return changes
+
+    def _note_over(self, runner: Runner, measured: float, now_s: float) -> float:
+        """Return since when a task has been over its target; now if none is."""
+        if measured <= 0.0:
+            self._over_since_s.pop(runner.id, None)
+            return now_s
+        return self._over_since_s.setdefault(runner.id, now_s)
+
+    def to_move(
+        self, runner: Runner, others: Iterable[Runner], now_s: float
+    ) -> list[Attempt]:
+        """Return an attempt that is held back and would find room elsewhere.
+
+        One at a time, so that the room is not counted on twice.
+        """
+        found: list[Attempt] = []
+        for place in _spare_places(runner):
+            attempt = place.attempt
+            if attempt.pace_asked > MOVE_PACE or not _working(place):
+                self._slow_since_s.pop(attempt, None)
+                continue
+            since_s = self._slow_since_s.setdefault(attempt, now_s)
+            if found or now_s - since_s < MOVE_AFTER_S or not place.spec.checkpoints:
+                continue
+            if any(self._welcomes(place.spec, other) for other in others):
+                found.append(attempt)
+        for attempt in found:
+            del self._slow_since_s[attempt]
+        return found
+
+    def forget(self, runner: str) -> None:
+        """Drop what is known of a runner that has gone."""
+        self._settled_s_by_runner.pop(runner, None)
+        self._over_since_s.pop(runner, None)
+        for key in [k for k in self._deviation_by_task if k[0] == runner]:
+            del self._deviation_by_task[key]
+
+    def _welcomes(self, spec: StepSpec, runner: Runner) -> bool:
+        """Return whether a task would work at full speed there and disturb little."""
+        if not spec.reserved.fits_in(runner.room) or runner.crowding(spec) > 0:
+            return False
+        return self.allows(spec, runner) and self.harm(spec, runner) < LITTLE_HARM
+
+    def _model(self, image: str) -> ServingModel:
+        model = self._model_by_image.get(image)
+        if model is None:
+            model = self._model_by_image[image] = ServingModel()
+        return model
+
+    def _expected(self, runner: Runner, place: Place) -> float:
+        """Return the expected log of tail over target of a serving task."""
+        model = self._model(place.spec.image)
+        total = max(1, runner.entry.capacity.processors_milli)
+        expected = model.base
+        expected += self._deviation_by_task.get(_task_key(runner, place), 0.0)
+        for other in _spare_places(runner):
+            share = _wanted_milli(other) / total
+            expected += model.effect(other.spec.image) * share
+        return expected
+
+    def _worst(self, runner: Runner) -> tuple[float, Place | None, float]:
+        """Return the worst expected log ratio, whose it is, and the worst figure."""
+        worst, suffering, measured = float("-inf"), None, float("-inf")
+        for place in _serving_places(runner):
+            if not place.load:
+                continue
+            ratio = log_ratio(place.load, place.spec.latency_target_ms)
+            measured = max(measured, ratio)
+            # A figure far over the target is acted on at once, noise or not.
+            expected = max(self._expected(runner, place), ratio - FIGURE_SLACK)
+            if expected > worst:
+                worst, suffering = expected, place
+        return worst, suffering, measured
+
+    def _slow_down(
+        self, runner: Runner, suffering: Place, places: list[Place], worst: float
+    ) -> list[PaceChange]:
+        """Take the excess from the tasks that are expected to cause most of it."""
+        excess = worst - GOAL
+        model = self._model(suffering.spec.image)
+        total = max(1, runner.entry.capacity.processors_milli)
+
+        def caused(place: Place) -> float:
+            return model.effect(place.spec.image) * _wanted_milli(place) / total
+
+        changes = []
+        for place in sorted(places, key=caused, reverse=True):
+            share = caused(place)
+            if excess <= 0 or share < LITTLE_EFFECT:
+                break
+            keep = max(0.0, 1 - excess / share)
+            percent = round(place.attempt.pace_asked * keep)
+            if percent < MIN_PACE:
+                percent = 0
+            excess -= share * (1 - percent / place.attempt.pace_asked)
+            changes.append(PaceChange(place.attempt, percent, worst))
+        return changes
+
+    def _speed_up(
+        self, runner: Runner, places: list[Place], worst: float
+    ) -> list[PaceChange]:
+        """Let tasks work more, as far as the serving ones are expected to bear it."""
+        expected = max(self._expected(runner, p) for p in _serving_places(runner))
+        slowed = [p for p in places if p.attempt.pace_asked < 100]
+        changes = []
+        for place in sorted(slowed, key=lambda p: self.harm(p.spec, runner)):
+            percent = min(100, place.attempt.pace_asked + PACE_STEP)
+            step = (percent - place.attempt.pace_asked) / 100
+            expected += step * self.harm(place.spec, runner)
+            if changes and expected > GOAL:
+                break
+            changes.append(PaceChange(place.attempt, percent, worst))
+        return changes
+
+
+def _halve(places: list[Place], measured: float) -> list[PaceChange]:
+    """Slow all down: figures stay high although nothing is expected to cause it."""
+    changes = []
+    for place in places:
+        percent = place.attempt.pace_asked // 2
+        if percent < MIN_PACE:
+            percent = 0
+        if percent < place.attempt.pace_asked:
+            changes.append(PaceChange(place.attempt, percent, measured))
+    return changes
+
+
+def _resume(places: list[Place]) -> list[PaceChange]:
+    """Let tasks work freely beside which nothing serves any more."""
+    changes = []
+    for place in places:
+        if place.attempt.pace_asked < 100:
+            changes.append(PaceChange(place.attempt, 100, float("-inf")))
+    return changes
+
+
+def _spare_places(runner: Runner) -> Iterator[Place]:
+    for place in runner.place_by_run.values():
+        if place.spec.uses_spare:
+            yield place
+
+
+def _serving_places(runner: Runner) -> Iterator[Place]:
+    for place in runner.place_by_run.values():
+        if place.spec.latency_target_ms:
+            yield place
+
+
+def _working(place: Place) -> bool:
+    return place.attempt.standing is Standing.RUNNING
+
+
+def _wanted_milli(place: Place) -> float:
+    return place.spec.demand.processors_milli * place.attempt.pace_asked / 100
+
+
+def _share(spec: StepSpec, runner: Runner) -> float:
+    return spec.demand.processors_milli / max(1, runner.entry.capacity.processors_milli)
+
+
+def _task_key(runner: Runner, place: Place) -> tuple[str, str, int]:
+    return runner.id, str(place.attempt.task), place.attempt.run
