--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -123,6 +123,8 @@
             place.confirmed_s = now_s
             runner.changed.set()
             return
+        if result is StartResult.UNSENT:
+            runner.note_silence(now_s)
         if result is StartResult.UNHEALTHY:
             self._book.trust.note_refusal(runner.id, now_s)
         self._withdraw(attempt, place, result.value)
@@ -139,7 +141,9 @@
             runner, place = found
             link = self._link_by_runner.get(runner.id)
             if link is None:
-                return
+                # A new owner has not read the list of runners yet.
+                await anyio.sleep(RESEND_PAUSE_S)
+                continue
             try:
                 await link.stop(attempt.task, attempt.run, self._context.journal.fence)
             except Fenced:
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -11,6 +11,12 @@
 
 #: Seconds between passes when nothing has changed; occurrences come due meanwhile.
 TICK_S = 0.1
+#: Seconds that a step waits before a runner is kept free for it.
+PATIENCE_S = 0.5
+#: The same for a task that lasts, which users miss from the start.
+LASTING_PATIENCE_S = 0.1
+#: Runners that are kept free at once.
+MAX_KEPT = 4
 #: Seconds between lines that tell how full the runners are.
 TELL_S = 2.0
 #: Steps that found no room after which a pass ends; the rest would hardly fare better.
@@ -50,11 +56,29 @@
         usable = [r for r in self._book.runner_by_id.values() if self._permit.allows(r)]
         self._tell(usable, now_s)
         misses = 0
+        kept: set[str] = set()
         for step in self._ready(now_s, wall_ms):
-            if not self._place(step, usable, now_s):
-                misses += 1
+            free = [r for r in usable if r.id not in kept]
+            if self._place(step, free, now_s):
+                continue
+            misses += 1
             if misses > MAX_MISSES:
                 return
+            self._keep_room(step, usable, kept, now_s)
+
+    def _keep_room(
+        self, step: StepRun, usable: list[Runner], kept: set[str], now_s: float
+    ) -> None:
+        """Keep a runner free for a step that has waited long for a large enough gap."""
+        patience_s = LASTING_PATIENCE_S if step.spec.lasting else PATIENCE_S
+        if step.spec.uses_spare or step.spec.gang:
+            return
+        if len(kept) >= MAX_KEPT or now_s - step.ready_since_s < patience_s:
+            return
+        candidates = self._placement.candidates(step, usable, now_s)
+        runner = self._placement.reserve(step, candidates, frozenset(kept))
+        if runner is not None:
+            kept.add(runner.id)
 
     def _tell(self, usable: list[Runner], now_s: float) -> None:
         """Log how full the runners are, now and then."""
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -94,8 +94,9 @@
     async def _look(self) -> None:
         runner = self._runner
         sent_s = self._clock.now()
-        known = runner.life is not None
-        due_ms = runner.lease_due_ms(sent_s) if known and runner.busy else None
+        heard = runner.life is not None and runner.silent_since_s is None
+        # A lease that is prolonged again and again without an answer never lapses.
+        due_ms = runner.lease_due_ms(sent_s) if heard and runner.busy else None
         try:
             report = await self._link.look(
                 self._context.journal.fence,
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -9,11 +9,10 @@
 
 from ..fleet import Runner
 from ..jobs import StepRun, StepSpec
+from ..resources import Resources
 from ._sharing import Sharing
 from ._trust import RunnerTrust
 
-#: Seconds of silence after which a runner gets nothing new.
-SILENCE_S = 0.5
 #: Seconds that a task waits for its data's rack before it is run elsewhere.
 DATA_WAIT_S = 1.0
 
@@ -46,8 +45,7 @@
                 continue
             if step.spec.label and step.spec.label not in runner.entry.labels:
                 continue
-            silent_s = runner.silent_since_s
-            if silent_s is not None and now_s - silent_s > SILENCE_S:
+            if runner.silent_since_s is not None:
                 continue
             if not self._trust.usable(runner.id, runner.busy, now_s):
                 continue
@@ -91,6 +89,36 @@
             return None
         return best
 
+    def reserve(
+        self, step: StepRun, candidates: Sequence[Runner], taken: frozenset[str]
+    ) -> Runner | None:
+        """Return the runner that is best kept free until a task of a step fits.
+
+        Without that, small tasks would take every gap before it is large enough.
+        """
+        best = None
+        for runner in candidates:
+            if runner.id in taken or not self._could_fit(step, runner):
+                continue
+            if (
+                best is None
+                or runner.room.processors_milli > best.room.processors_milli
+            ):
+                best = runner
+        return best
+
+    @staticmethod
+    def _could_fit(step: StepRun, runner: Runner) -> bool:
+        """Return whether a task fits beside those that last."""
+        lasting = Resources()
+        for place in runner.place_by_run.values():
+            if place.spec.lasting:
+                lasting = lasting + place.spec.reserved
+        if not step.spec.reserved.fits_in(runner.entry.capacity - lasting):
+            return False
+        limit = step.spec.max_per_runner
+        return not limit or tasks_on(step, runner) < limit
+
     def fits(self, step: StepRun, runner: Runner) -> bool:
         """Return whether a runner has room for one more task of a step."""
         if not step.spec.reserved.fits_in(runner.room):
--- a/flamingoweir/policy/_sharing.py
+++ b/flamingoweir/policy/_sharing.py
@@ -13,10 +13,10 @@
 from ..jobs import Attempt, Standing, StepSpec
 from ._effects import ServingModel, log_ratio
 
-#: Log of tail over target above which tasks are paced down: 0.86 of the target.
-ALARM = -0.15
-#: Log of tail over target that pacing and placement aim at: 0.67 of the target.
-GOAL = -0.4
+#: Log of tail over target above which tasks are paced down: 0.95 of the target.
+ALARM = -0.05
+#: Log of tail over target that pacing and placement aim at: 0.7 of the target.
+GOAL = -0.35
 #: Below this, paced tasks are let work more: 0.55 of the target.
 CALM = -0.6
 #: Most by which tasks may want more spare processors than a runner has left; beyond
@@ -37,7 +37,7 @@
 #: Percent by which a pace rises at once.
 PACE_STEP = 25
 #: Weight of the latest figure in a task's own deviation from its image's model.
-DEVIATION_WEIGHT = 0.4
+DEVIATION_WEIGHT = 0.25
 #: A task held at this pace or below, in percent, is better run elsewhere.
 MOVE_PACE = 30
 #: Seconds at such a pace after which it is moved.
@@ -93,9 +93,10 @@
             return False
         share = _share(spec, runner)
         for place in _serving_places(runner):
-            expected = self._expected(runner, place)
-            expected += self._model(place.spec.image).effect(spec.image) * share
-            if expected > GOAL:
+            effect = self._model(place.spec.image).effect(spec.image) * share
+            if effect < LITTLE_EFFECT:
+                continue
+            if self._expected(runner, place) + effect > GOAL:
                 return False
         return True
 
