--- a/flamingoweir/policy/_sharing.py
+++ b/flamingoweir/policy/_sharing.py
@@ -13,12 +13,18 @@
 from ..jobs import Attempt, Standing, StepSpec
 from ._effects import ServingModel, log_ratio
 
-#: Log of tail over target above which tasks are paced down: 0.95 of the target.
-ALARM = -0.05
-#: Log of tail over target that pacing and placement aim at: 0.7 of the target.
+#: Log of tail over target at which tasks are slowed down at once: 1.65 of the target.
+FAR_OVER = 0.5
+#: Seconds over the target after which they are slowed down; one figure may be noise.
+OVER_S = 0.35
+#: Seconds over the target after which all are slowed down, blamed or not.
+MAX_OVER_S = 1.2
+#: Log of tail over target that pacing aims at: 0.8 of the target.
+AIM = -0.2
+#: Log of tail over target up to which tasks are placed: 0.7 of the target.
 GOAL = -0.35
-#: Below this, paced tasks are let work more: 0.55 of the target.
-CALM = -0.6
+#: Below this, paced tasks are let work more: 0.75 of the target.
+CALM = -0.3
 #: Most by which tasks may want more spare processors than a runner has left; beyond
 #: that it is better for them to wait.
 MAX_CROWDING = 0.4
@@ -26,16 +32,12 @@
 LITTLE_HARM = 0.2
 #: Seconds between changes on one runner; its figures cover half a second.
 SETTLE_S = 0.6
-#: Log by which a figure may exceed what is expected before it counts by itself.
-FIGURE_SLACK = 0.5
 #: Effect below which a task is not blamed.
 LITTLE_EFFECT = 0.03
 #: A lower pace than this, in percent, is none.
 MIN_PACE = 15
-#: Seconds over the target after which all are slowed down, blamed or not.
-MAX_OVER_S = 1.0
 #: Percent by which a pace rises at once.
-PACE_STEP = 25
+PACE_STEP = 50
 #: Weight of the latest figure in a task's own deviation from its image's model.
 DEVIATION_WEIGHT = 0.25
 #: A task held at this pace or below, in percent, is better run elsewhere.
@@ -116,25 +118,24 @@
             return _resume(places)
         if now_s - self._settled_s_by_runner.get(runner.id, 0.0) < SETTLE_S:
             return []
-        worst, suffering, measured = self._worst(runner)
+        worst, suffering = _worst(runner)
         if suffering is None:
             return []
-        over_since_s = self._note_over(runner, measured, now_s)
-        if worst > ALARM:
+        over_s = now_s - self._note_over(runner, worst, now_s)
+        changes = []
+        if worst > FAR_OVER or over_s >= OVER_S:
             changes = self._slow_down(runner, suffering, places, worst)
-            if not changes and now_s - over_since_s > MAX_OVER_S:
-                changes = _halve(places, measured)
+            if not changes and over_s > MAX_OVER_S:
+                changes = _halve(places, worst)
         elif worst < CALM:
             changes = self._speed_up(runner, places, worst)
-        else:
-            changes = []
         if changes:
             self._settled_s_by_runner[runner.id] = now_s
         return changes
 
-    def _note_over(self, runner: Runner, measured: float, now_s: float) -> float:
+    def _note_over(self, runner: Runner, worst: float, now_s: float) -> float:
         """Return since when a task has been over its target; now if none is."""
-        if measured <= 0.0:
+        if worst <= 0.0:
             self._over_since_s.pop(runner.id, None)
             return now_s
         return self._over_since_s.setdefault(runner.id, now_s)
@@ -191,25 +192,11 @@
             expected += model.effect(other.spec.image) * share
         return expected
 
-    def _worst(self, runner: Runner) -> tuple[float, Place | None, float]:
-        """Return the worst expected log ratio, whose it is, and the worst figure."""
-        worst, suffering, measured = float("-inf"), None, float("-inf")
-        for place in _serving_places(runner):
-            if not place.load:
-                continue
-            ratio = log_ratio(place.load, place.spec.latency_target_ms)
-            measured = max(measured, ratio)
-            # A figure far over the target is acted on at once, noise or not.
-            expected = max(self._expected(runner, place), ratio - FIGURE_SLACK)
-            if expected > worst:
-                worst, suffering = expected, place
-        return worst, suffering, measured
-
     def _slow_down(
         self, runner: Runner, suffering: Place, places: list[Place], worst: float
     ) -> list[PaceChange]:
         """Take the excess from the tasks that are expected to cause most of it."""
-        excess = worst - GOAL
+        excess = worst - AIM
         model = self._model(suffering.spec.image)
         total = max(1, runner.entry.capacity.processors_milli)
 
@@ -246,6 +233,18 @@
         return changes
 
 
+def _worst(runner: Runner) -> tuple[float, Place | None]:
+    """Return the highest log of tail over target on a runner, and whose it is."""
+    worst, suffering = float("-inf"), None
+    for place in _serving_places(runner):
+        if not place.load:
+            continue
+        ratio = log_ratio(place.load, place.spec.latency_target_ms)
+        if ratio > worst:
+            worst, suffering = ratio, place
+    return worst, suffering
+
+
 def _halve(places: list[Place], measured: float) -> list[PaceChange]:
     """Slow all down: figures stay high although nothing is expected to cause it."""
     changes = []
