Slow down after 1.5 s over the target, let go at once

Cause: single figures over the target passed by themselves; each cut took a task's speed for seconds.

--- a/flamingoweir/policy/_sharing.py
+++ b/flamingoweir/policy/_sharing.py
@@ -13,18 +13,17 @@
 from ..jobs import Attempt, Standing, StepSpec
 from ._effects import ServingModel, log_ratio
 
-#: Log of tail over target at which tasks are slowed down at once: 1.65 of the target.
-FAR_OVER = 0.5
-#: Seconds over the target after which they are slowed down; one figure may be noise.
-OVER_S = 0.35
+#: Seconds over the target after which those that cause it are slowed down; the rules
+#: allow four, and short excesses pass by themselves.
+OVER_S = 1.5
 #: Seconds over the target after which all are slowed down, blamed or not.
-MAX_OVER_S = 1.2
+MAX_OVER_S = 2.5
 #: Log of tail over target that pacing aims at: 0.8 of the target.
 AIM = -0.2
 #: Log of tail over target up to which tasks are placed: 0.7 of the target.
 GOAL = -0.35
-#: Below this, paced tasks are let work more: 0.75 of the target.
-CALM = -0.3
+#: Below this, paced tasks are let work more: 0.9 of the target.
+CALM = -0.1
 #: Most by which tasks may want more spare processors than a runner has left; beyond
 #: that it is better for them to wait.
 MAX_CROWDING = 0.4
@@ -37,7 +36,7 @@
 #: A lower pace than this, in percent, is none.
 MIN_PACE = 15
 #: Percent by which a pace rises at once.
-PACE_STEP = 50
+PACE_STEP = 100
 #: Weight of the latest figure in a task's own deviation from its image's model.
 DEVIATION_WEIGHT = 0.25
 #: A task held at this pace or below, in percent, is better run elsewhere.
@@ -123,7 +122,7 @@
             return []
         over_s = now_s - self._note_over(runner, worst, now_s)
         changes = []
-        if worst > FAR_OVER or over_s >= OVER_S:
+        if over_s >= OVER_S:
             changes = self._slow_down(runner, suffering, places, worst)
             if not changes and over_s > MAX_OVER_S:
                 changes = _halve(places, worst)
@@ -135,10 +134,11 @@
 
     def _note_over(self, runner: Runner, worst: float, now_s: float) -> float:
         """Return since when a task has been over its target; now if none is."""
-        if worst <= 0.0:
+        if worst < CALM:
             self._over_since_s.pop(runner.id, None)
-            return now_s
-        return self._over_since_s.setdefault(runner.id, now_s)
+        elif worst > 0.0:
+            self._over_since_s.setdefault(runner.id, now_s)
+        return self._over_since_s.get(runner.id, now_s)
 
     def to_move(
         self, runner: Runner, others: Iterable[Runner], now_s: float
