Test an owner's term over a store and runners in memory

24 tests on virtual time: order of steps, repeats, lost answers, refusals, owners killed, frozen and cut off, the store away, runners that crash or restart, late orders, cancels, checkpoints, zones out, gangs, broken feeds, all instances restarted.

--- /dev/null
+++ b/flamingoweir/standins/_rows.py
@@ -0,0 +1,174 @@
+"""A store of rows in memory, with outages, lost answers and forgotten history."""
+
+import anyio
+
+from ..storage import (
+    HistoryGone,
+    RowId,
+    RowPage,
+    RowsChanged,
+    RowStore,
+    StoreRefused,
+    StoreSilent,
+    Transaction,
+    VersionedRow,
+)
+
+#: Seconds between looks of a waiting feed.
+FEED_POLL_S = 0.01
+
+
+class MemoryRows:
+    """The rows; `RowsLink` is one instance's way to them.
+
+    Attributes
+    ----------
+    row_by_id : dict of RowId to VersionedRow
+        All rows that exist.
+    version : int
+        The latest transaction.
+    """
+
+    def __init__(self) -> None:
+        self.row_by_id: dict[RowId, VersionedRow] = {}
+        self.version = 0
+        self._history: list[VersionedRow] = []
+        self._forgotten = 0
+
+    def apply(self, transaction: Transaction) -> int:
+        """Apply a transaction at once; raises RowsChanged."""
+        current = []
+        holds = True
+        for row_id, version in transaction.expected:
+            row = self.row_by_id.get(row_id)
+            if row is not None:
+                current.append(row)
+            holds = holds and (row.version if row else 0) == version
+        if not holds:
+            raise RowsChanged(current)
+        self.version += 1
+        for row_id, value in transaction.puts:
+            row = VersionedRow(row_id, value, self.version)
+            self.row_by_id[row_id] = row
+            self._history.append(row)
+        for row_id in transaction.deletes:
+            if self.row_by_id.pop(row_id, None) is not None:
+                gone = VersionedRow(row_id, None, self.version, deleted=True)
+                self._history.append(gone)
+        return self.version
+
+    def put(self, row_id: RowId, value: bytes) -> int:
+        """Write a row without a condition, as operators and runners do."""
+        return self.apply(Transaction((), [(row_id, value)], ()))
+
+    def delete(self, row_id: RowId) -> int:
+        """Drop a row."""
+        return self.apply(Transaction((), (), [row_id]))
+
+    def rows(self, table: str, part: str) -> list[VersionedRow]:
+        """Return the rows of a part in the order of keys."""
+        found = []
+        for row_id in sorted(self.row_by_id, key=lambda row: row.key):
+            if (row_id.table, row_id.part) == (table, part):
+                found.append(self.row_by_id[row_id])
+        return found
+
+    def changes(self, table: str, after: int) -> list[VersionedRow]:
+        """Return what changed after a version; raises HistoryGone."""
+        if after < self._forgotten:
+            raise HistoryGone(f"table {table!r} after version {after}")
+        latest: dict[RowId, VersionedRow] = {}
+        for row in self._history:
+            if row.id.table == table and row.version > after:
+                latest[row.id] = row
+        return sorted(latest.values(), key=lambda row: row.version)
+
+    def forget_history(self) -> None:
+        """Break all feeds, so that tables have to be read whole."""
+        self._forgotten = self.version
+        self._history.clear()
+
+
+class RowsLink(RowStore):
+    """One instance's way to the rows.
+
+    Attributes
+    ----------
+    down : bool
+        Refuses every call while set.
+    silent : bool
+        Lets calls go without an answer while set, and does nothing.
+    lose_answers : int
+        How many of the next transactions take effect without an answer.
+    late_s : float
+        Seconds after which lost transactions take effect; 0: at once.
+    delay_s : float
+        Seconds that a call takes.
+    timeout_s : float
+        Seconds until an unanswered call is given up.
+    """
+
+    def __init__(self, rows: MemoryRows, delay_s: float = 0.004):
+        self.rows = rows
+        self.down = False
+        self.silent = False
+        self.lose_answers = 0
+        self.late_s = 0.0
+        self.delay_s = delay_s
+        self.timeout_s = 0.7
+        self._late: list[tuple[float, Transaction]] = []
+
+    async def transact(self, transaction: Transaction) -> int:
+        """See `RowStore.transact`."""
+        await self._serve()
+        if self.lose_answers:
+            self.lose_answers -= 1
+            if self.late_s:
+                self._late.append((anyio.current_time() + self.late_s, transaction))
+            else:
+                self._apply_quietly(transaction)
+            await anyio.sleep(self.timeout_s)
+            raise StoreSilent("answer lost")
+        return self.rows.apply(transaction)
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = "", limit: int = 500
+    ) -> RowPage:
+        """See `RowStore.read`."""
+        await self._serve()
+        found = []
+        for row in self.rows.rows(table, part):
+            if row.id.key >= first and (not end or row.id.key < end):
+                found.append(row)
+        return RowPage(found[:limit], len(found) > limit, self.rows.version)
+
+    async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
+        """See `RowStore.follow`."""
+        await self._serve()
+        until_s = anyio.current_time() + wait_s
+        while True:
+            changed = self.rows.changes(table, after)
+            if changed or anyio.current_time() >= until_s:
+                return RowPage(changed, False, self.rows.version)
+            await anyio.sleep(FEED_POLL_S)
+            if self.down or self.silent:
+                await self._serve()
+
+    def _apply_quietly(self, transaction: Transaction) -> None:
+        try:
+            self.rows.apply(transaction)
+        except RowsChanged:
+            return
+
+    async def _serve(self) -> None:
+        now_s = anyio.current_time()
+        due = [item for item in self._late if item[0] <= now_s]
+        for item in due:
+            self._late.remove(item)
+            self._apply_quietly(item[1])
+        await anyio.sleep(self.delay_s)
+        if self.down:
+            raise StoreRefused("the store is down")
+        if self.silent:
+            await anyio.sleep(self.timeout_s)
+            raise StoreSilent("no answer")
--- /dev/null
+++ b/tests/test_term.py
@@ -0,0 +1,395 @@
+"""Jobs run by instances over a store and runners, with faults."""
+
+import anyio
+import pytest
+
+from flamingoweir.errors import FlamingoweirError, Verdict
+from flamingoweir.jobs import JobState, Outcome, QueuePolicy
+from tests.utils.cluster import UNHEARD_S, make_job, make_step, run_cluster
+from tests.utils.virtual_time import run_virtual
+
+
+def test_job_of_two_steps_runs_in_order():
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            job = await cluster.submit(
+                make_job(1, make_step(3), make_step(2, after=(0,)))
+            )
+            await cluster.wait_for(job, JobState.DONE, 4.0)
+            ends = [r.at_s for r in cluster.records("done") if r.task.step == 0]
+            starts = [r.at_s for r in cluster.records("start") if r.task.step == 1]
+            assert max(ends) <= min(starts)
+            assert not cluster.find_overlaps()
+
+    run_virtual(play)
+
+
+def test_steps_follow_without_a_gap():
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(), make_step(after=(0,))))
+            taken_s = await cluster.wait_for(job, JobState.DONE, 4.0)
+            assert taken_s < 2.3
+
+    run_virtual(play)
+
+
+def test_same_id_at_another_instance_is_one_job():
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            job = make_job(1)
+            for member in list(cluster.member_by_name.values()):
+                await cluster.submit(job, member)
+            await cluster.wait_for(job, JobState.DONE, 4.0)
+            await cluster.submit(job)
+            await anyio.sleep(3)
+            assert len(cluster.records("start")) == 1
+
+    run_virtual(play)
+
+
+def test_lost_answer_to_a_submission_is_never_a_refusal():
+    async def play():
+        async with run_cluster() as cluster:
+            member = cluster.add_member("far")
+            member.store.lose_answers = 10
+            member.store.late_s = 1.0
+            await anyio.sleep(1)
+            with pytest.raises(FlamingoweirError) as caught:
+                await cluster.submit(make_job(1), member)
+            assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+    run_virtual(play)
+
+
+def test_refused_submission_never_runs():
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            member = cluster.add_member("far")
+            member.store.down = True
+            with pytest.raises(FlamingoweirError) as caught:
+                await cluster.submit(make_job(1), member)
+            assert caught.value.verdict is Verdict.NOT_RUN
+            member.store.down = False
+            await anyio.sleep(5)
+            assert not cluster.records("start")
+
+    run_virtual(play)
+
+
+def test_successor_goes_on_within_two_seconds_and_a_half():
+    async def play():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(
+                make_job(1, make_step(2), make_step(2, after=(0,)))
+            )
+            await anyio.sleep(0.5)
+            cluster.drop(owner)
+            taken_s = await cluster.wait_for(job, JobState.DONE, 8.0)
+            assert taken_s < 0.5 + 2.5 + 1.0
+            assert not cluster.find_overlaps()
+            assert not cluster.records("lapsed")
+
+    run_virtual(play)
+
+
+def test_frozen_owner_starts_nothing_after_it_wakes():
+    async def play():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            jobs = [await cluster.submit(make_job(n, make_step(4))) for n in range(3)]
+            owner.process.paused = True
+            await anyio.sleep(6)
+            owner.process.resume()
+            for job in jobs:
+                await cluster.wait_for(job, JobState.DONE, 10.0)
+            await anyio.sleep(5)
+            assert not cluster.find_overlaps()
+
+    run_virtual(play)
+
+
+def test_owner_cut_from_the_store_is_replaced():
+    async def play():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            owner.store.silent = True
+            del cluster.member_by_name[owner.name]
+            job = await cluster.submit(make_job(1, make_step(4)))
+            taken_s = await cluster.wait_for(job, JobState.DONE, 8.0)
+            assert taken_s < 2.6 + 1.0
+            assert not cluster.find_overlaps()
+
+    run_virtual(play)
+
+
+def test_store_away_for_all_lapses_no_lease():
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+            for member in cluster.member_by_name.values():
+                member.store.down = True
+            await anyio.sleep(5)
+            for member in cluster.member_by_name.values():
+                member.store.down = False
+            await anyio.sleep(3)
+            assert not cluster.records("lapsed")
+            assert len(cluster.records("start")) == 1
+
+    run_virtual(play)
+
+
+def test_silent_runner_is_given_up_when_its_lease_has_lapsed():
+    async def play():
+        async with run_cluster(runners=2) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            # More waits than the other runner takes, so that the silent one tempts.
+            job = await cluster.submit(make_job(1, make_step(8, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+            await anyio.sleep(1)
+            cluster.runner_by_id["runner-0"].crash()
+            cluster.withdraw("runner-0")
+            cluster.add_runner("runner-2")
+            await anyio.sleep(6)
+            moved = [r for r in cluster.records("start") if r.runner == "runner-2"]
+            assert len(moved) == 4
+            assert not cluster.find_overlaps()
+
+    run_virtual(play)
+
+
+def test_crashed_runner_that_stays_listed_does_not_keep_its_tasks():
+    async def play():
+        async with run_cluster(runners=2) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(2, 3.0, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+            cluster.runner_by_id["runner-0"].crash()
+            cluster.add_runner("runner-2")
+            await anyio.sleep(6)
+            assert {r.runner for r in cluster.records("start")} >= {"runner-2"}
+
+    run_virtual(play)
+
+
+def test_order_carried_out_late_starts_nothing():
+    async def play():
+        async with run_cluster(members=1, runners=2) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            for link in owner.link_by_runner.values():
+                link.lose_starts = 1
+                link.late_s = 3.0
+            job = await cluster.submit(make_job(1, make_step(4)))
+            await cluster.wait_for(job, JobState.DONE, 8.0)
+            await anyio.sleep(5)
+            assert not cluster.find_overlaps()
+
+    run_virtual(play)
+
+
+def test_restarted_runner_starts_its_tasks_again_once():
+    async def play():
+        async with run_cluster(runners=1) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(2)))
+            await anyio.sleep(0.5)
+            cluster.runner_by_id["runner-0"].restart()
+            cluster.announce("runner-0")
+            await cluster.wait_for(job, JobState.DONE, 6.0)
+            assert not cluster.find_overlaps()
+
+    run_virtual(play)
+
+
+def test_end_is_acknowledged_only_when_it_is_durable():
+    async def play():
+        async with run_cluster(members=1, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1))
+            await anyio.sleep(0.5)
+            owner.store.down = True
+            await anyio.sleep(1.5)
+            assert cluster.records("done")
+            assert not cluster.records("noted")
+            owner.store.down = False
+            await cluster.wait_for(job, JobState.DONE, 3.0)
+            await anyio.sleep(0.5)
+            assert cluster.records("noted")
+
+    run_virtual(play)
+
+
+def test_cancelled_job_stops_and_starts_nothing():
+    async def play():
+        async with run_cluster() as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(2, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+            assert await owner.instance.desk.cancel(job.id, 2.0)
+            await anyio.sleep(0.5)
+            assert len(cluster.records("stopped")) == 2
+            assert await cluster.state(job) is JobState.CANCELLED
+            assert not await owner.instance.desk.cancel("f" * 16, 2.0)
+
+    run_virtual(play)
+
+
+def test_successor_stops_a_job_that_was_cancelled_without_an_owner():
+    async def play():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(2, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+            cluster.drop(owner)
+            other = next(iter(cluster.member_by_name.values()))
+            assert await other.instance.desk.cancel(job.id, 2.0)
+            await anyio.sleep(2.8)
+            assert len(cluster.records("stopped")) == 2
+
+    run_virtual(play)
+
+
+def test_task_that_fails_too_often_fails_its_job():
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            job = make_job(1, policy=QueuePolicy("turning", 1, 2))
+            cluster.plan_by_task[f"{job.id}.0.0.0"] = (0.2, Outcome.FAILED)
+            await cluster.submit(job)
+            await cluster.wait_for(job, JobState.FAILED, 4.0)
+            await anyio.sleep(1)
+            assert len(cluster.records("start")) == 2
+
+    run_virtual(play)
+
+
+def test_checkpoint_is_handed_to_the_next_attempt():
+    async def play():
+        async with run_cluster(runners=1) as cluster:
+            await cluster.owner()
+            job = make_job(1, make_step(checkpoints=True))
+            task = f"{job.id}.0.0.0"
+            cluster.plan_by_task[task] = (3.0, Outcome.DONE)
+            await cluster.submit(job)
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+            await anyio.sleep(1.5)
+            owner = await cluster.owner()
+            book = owner.instance.term.book
+            (attempt,) = book.job_by_id[job.id].attempts()
+            book.stop(attempt, "test")
+            taken_s = await cluster.wait_for(job, JobState.DONE, 3.0)
+            assert taken_s < 2.0
+
+    run_virtual(play)
+
+
+def test_zone_out_starts_nothing_there():
+    async def play():
+        async with run_cluster(runners=2) as cluster:
+            cluster.add_runner("elsewhere", zone="gwynedd")
+            await cluster.owner()
+            await anyio.sleep(1)
+            cluster.take_zone_out("powys")
+            await anyio.sleep(0.1)
+            job = await cluster.submit(make_job(1, make_step(4)))
+            await cluster.wait_for(job, JobState.DONE, 4.0)
+            assert {r.runner for r in cluster.records("start")} == {"elsewhere"}
+
+    run_virtual(play)
+
+
+def test_draining_runner_gets_nothing_new():
+    async def play():
+        async with run_cluster(runners=2) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            cluster.announce("runner-0", state="draining")
+            await anyio.sleep(0.1)
+            job = await cluster.submit(make_job(1, make_step(3)))
+            await cluster.wait_for(job, JobState.DONE, 4.0)
+            assert {r.runner for r in cluster.records("start")} == {"runner-1"}
+
+    run_virtual(play)
+
+
+def test_gang_starts_whole_or_not_at_all():
+    async def play():
+        async with run_cluster(runners=2) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            big = await cluster.submit(make_job(1, make_step(3, 3.0, gang=True)))
+            small = await cluster.submit(make_job(2, make_step(2, 3.0, gang=True)))
+            await cluster.wait_for(small, JobState.DONE, 4.0)
+            assert await cluster.state(big) is JobState.PENDING
+            cluster.add_runner("runner-2")
+            await cluster.wait_for(big, JobState.DONE, 4.0)
+            runs = {r.run for r in cluster.records("start")}
+            assert runs == {1}
+
+    run_virtual(play)
+
+
+def test_broken_feed_hides_no_job():
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            cluster.rows.forget_history()
+            job = await cluster.submit(make_job(1))
+            cluster.rows.forget_history()
+            await cluster.wait_for(job, JobState.DONE, 4.0)
+
+    run_virtual(play)
+
+
+def test_all_instances_restarted_at_once_lose_nothing():
+    async def play():
+        async with run_cluster(members=2) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(
+                make_job(1, make_step(4), make_step(4, after=(0,)))
+            )
+            for member in list(cluster.member_by_name.values()):
+                cluster.drop(member)
+            await anyio.sleep(1.4)
+            for number in range(2):
+                cluster.add_member(f"front-{number}")
+            await cluster.wait_for(job, JobState.DONE, 3.5 + UNHEARD_S)
+            assert not cluster.find_overlaps()
+
+    run_virtual(play)
+
+
+def test_waiting_jobs_are_counted_at_every_instance():
+    async def play():
+        async with run_cluster(members=2, runners=1) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            for number in range(3):
+                await cluster.submit(make_job(number, make_step(1, 4.0)))
+            await anyio.sleep(0.95)
+            for member in cluster.member_by_name.values():
+                queue = member.instance.operators.configuration.queues_by_name["orders"]
+                assert member.instance.desk.waiting(queue) == 2
+
+    run_virtual(play)
--- /dev/null
+++ b/tests/utils/cluster.py
@@ -0,0 +1,235 @@
+"""Instances, a store and runners in one event loop, on virtual time."""
+
+import random
+from contextlib import asynccontextmanager
+
+import anyio
+import orjson
+
+from flamingoweir.daemon._instance import Instance
+from flamingoweir.fleet import LEASE_S
+from flamingoweir.jobs import JobSpec, JobState, Outcome, QueuePolicy, StepSpec, TaskId
+from flamingoweir.links import PlatformLinks
+from flamingoweir.metrics import NoMetrics
+from flamingoweir.ownership import LEASE_VALID_S
+from flamingoweir.platform import PlatformAnnouncements
+from flamingoweir.resources import Resources
+from flamingoweir.settings import FleetSettings
+from flamingoweir.standins import FleetRunner, FleetRunnerLink, MemoryRows, RowsLink
+from flamingoweir.storage import RowId
+from tests.utils.virtual_time import Process, VirtualClock, current_process
+
+SERVICE = "turning"
+QUEUE = "orders"
+HOST = "orders.example"
+PREFIX = "/orders/"
+#: Seconds after which attempts of a former owner on an unheard runner have lapsed.
+UNHEARD_S = LEASE_VALID_S + 1.1 * LEASE_S
+
+
+def make_step(count: int = 1, processors: float = 1.0, **fields) -> StepSpec:
+    fields.setdefault("demand", Resources(round(processors * 1000), 0, 0))
+    fields.setdefault("estimate_s", 1.0)
+    return StepSpec(count, **fields)
+
+
+def make_job(number: int, *steps: StepSpec, **fields) -> JobSpec:
+    fields.setdefault("policy", QueuePolicy(SERVICE, 1, 3, 2.0, 1.0))
+    return JobSpec(f"{number:016x}", QUEUE, "(text)", steps or (make_step(),), **fields)
+
+
+def make_configuration(version: int) -> bytes:
+    route = {
+        "Name": QUEUE,
+        "Host": HOST,
+        "PathPrefix": PREFIX,
+        "Service": SERVICE,
+        "MaxAttempts": 3,
+        "Stretch": 2.0,
+        "TargetLatencyMs": 1000,
+    }
+    return orjson.dumps(
+        {"Version": version, "Routes": [route], "Services": [{"Name": SERVICE}]}
+    )
+
+
+class Member:
+    """An instance with its ways out, each of which a test can break."""
+
+    def __init__(self, cluster: "Cluster", name: str):
+        self.name = name
+        self.process = Process()
+        self.store = RowsLink(cluster.rows)
+        self.link_by_runner: dict[str, FleetRunnerLink] = {}
+        self._cluster = cluster
+        self._scope = anyio.CancelScope()
+        settings = FleetSettings(
+            name, "127.0.0.1", "powys", "127.0.0.1:1", "127.0.0.1:2", 3, 4, "store:1"
+        )
+        links = PlatformLinks(
+            self.store, PlatformAnnouncements(), "op", "servers", self._connect
+        )
+        seed = random.Random(f"{cluster.seed}/{name}/{cluster.lives}")
+        cluster.lives += 1
+        self.instance = Instance(
+            settings, links, VirtualClock(), seed, NoMetrics(), cluster.wall_ms
+        )
+
+    async def run(self) -> None:
+        current_process.set(self.process)
+        with self._scope:
+            await self.instance.run()
+
+    def kill(self) -> None:
+        self._scope.cancel()
+
+    def _connect(self, entry) -> FleetRunnerLink:
+        link = self.link_by_runner.get(entry.id)
+        if link is None:
+            link = FleetRunnerLink(self._cluster.runner_by_id[entry.id])
+            self.link_by_runner[entry.id] = link
+        return link
+
+
+class Cluster:
+    """The whole system in memory."""
+
+    def __init__(self, seed: int = 0):
+        self.seed = seed
+        self.lives = 0
+        self.rows = MemoryRows()
+        self.runner_by_id: dict[str, FleetRunner] = {}
+        self.member_by_name: dict[str, Member] = {}
+        self.spec_by_id: dict[str, JobSpec] = {}
+        self.plan_by_task: dict[str, tuple[float, Outcome]] = {}
+        self.tasks = None
+
+    @staticmethod
+    def wall_ms() -> float:
+        return 1000 * anyio.current_time()
+
+    def configure(self, version: int = 1) -> None:
+        self.rows.put(RowId("op", "", "config"), make_configuration(version))
+
+    def take_zone_out(self, zone: str) -> None:
+        self.rows.put(RowId("op", "", f"evacuate/{zone}"), b"{}")
+
+    def add_runner(self, runner_id: str, processors: float = 4, zone: str = "powys"):
+        capacity = Resources(round(processors * 1000), 64_000, 0)
+        runner = FleetRunner(runner_id, capacity, self.find_spec, self.plan)
+        self.runner_by_id[runner_id] = runner
+        self.announce(runner_id, zone)
+        return runner
+
+    def announce(self, runner_id: str, zone: str = "powys", state: str = "ready"):
+        runner = self.runner_by_id[runner_id]
+        entry = {
+            "Service": SERVICE,
+            "Address": f"{runner_id}:1",
+            "Zone": zone,
+            "State": state,
+            "Capacity": {
+                "Cpu": runner.capacity.processors_milli,
+                "MemMb": runner.capacity.memory_mb,
+                "Gpu": 0,
+            },
+            "Labels": ["a", "rack-1"],
+            "born": runner.life,
+        }
+        self.rows.put(RowId("servers", "", runner_id), orjson.dumps(entry))
+
+    def withdraw(self, runner_id: str) -> None:
+        self.rows.delete(RowId("servers", "", runner_id))
+
+    def add_member(self, name: str) -> Member:
+        member = Member(self, name)
+        self.member_by_name[name] = member
+        self.tasks.start_soon(member.run)
+        return member
+
+    def find_spec(self, task: TaskId) -> StepSpec:
+        return self.spec_by_id[task.job].steps[task.step]
+
+    def plan(self, task: TaskId, run: int) -> tuple[float, Outcome]:
+        planned = self.plan_by_task.get(f"{task}#{run}")
+        return planned or self.plan_by_task.get(str(task), (1.0, Outcome.DONE))
+
+    async def submit(self, spec: JobSpec, member: Member | None = None) -> JobSpec:
+        self.spec_by_id[spec.id] = spec
+        member = member or next(iter(self.member_by_name.values()))
+        await member.instance.desk.submit(spec, 2.0)
+        return spec
+
+    async def state(self, spec: JobSpec) -> JobState | None:
+        member = next(iter(self.member_by_name.values()))
+        return await member.instance.desk.state(spec.id, 2.0)
+
+    async def wait_for(self, spec: JobSpec, state: JobState, timeout_s: float) -> float:
+        """Wait for a job's state; return how long that took."""
+        started_s = anyio.current_time()
+        while await self.state(spec) is not state:
+            waited_s = anyio.current_time() - started_s
+            assert waited_s < timeout_s, f"job {spec.id} is not {state} in time"
+            await anyio.sleep(0.05)
+        return anyio.current_time() - started_s
+
+    async def owner(self, timeout_s: float = 5.0) -> Member:
+        """Wait until an instance owns the shard; return it."""
+        with anyio.fail_after(timeout_s):
+            while True:
+                for member in self.member_by_name.values():
+                    if member.instance.term is not None:
+                        return member
+                await anyio.sleep(0.02)
+
+    def drop(self, member: Member) -> None:
+        member.kill()
+        del self.member_by_name[member.name]
+
+    def records(self, kind: str | None = None):
+        """Return all runners' records in the order of time."""
+        found = []
+        for runner in self.runner_by_id.values():
+            runner_records = runner.record
+            for record in runner_records:
+                if kind is None or record.kind == kind:
+                    found.append(record)
+        return sorted(found, key=lambda record: record.at_s)
+
+    def starts(self, task: str) -> list[str]:
+        """Return the runners on which a task was started, in order."""
+        return [r.runner for r in self.records("start") if str(r.task) == task]
+
+    def find_overlaps(self) -> list[str]:
+        """Return tasks that ran twice at once, or again after they were done."""
+        wrong = []
+        running: dict[str, set[str]] = {}
+        done: set[str] = set()
+        for record in self.records():
+            task = str(record.task)
+            if record.kind == "start":
+                if running.get(task) or task in done:
+                    wrong.append(f"{task} run {record.run} at {record.at_s:.3f}")
+                running.setdefault(task, set()).add(record.runner)
+                continue
+            if record.kind == "noted":
+                continue
+            running.setdefault(task, set()).discard(record.runner)
+            if record.kind == "done":
+                done.add(task)
+        return wrong
+
+
+@asynccontextmanager
+async def run_cluster(members: int = 2, runners: int = 3, seed: int = 0, **fields):
+    """Run a cluster; its instances are ended with the block."""
+    cluster = Cluster(seed)
+    cluster.configure()
+    for number in range(runners):
+        cluster.add_runner(f"runner-{number}", **fields)
+    async with anyio.create_task_group() as tasks:
+        cluster.tasks = tasks
+        for number in range(members):
+            cluster.add_member(f"front-{number}")
+        yield cluster
+        tasks.cancel_scope.cancel()
