--- a/flamingoweir/standins/_fleet_runner.py
+++ b/flamingoweir/standins/_fleet_runner.py
@@ -33,7 +33,8 @@
     runner : str
         The runner.
     kind : str
-        ``start``, how the run ended, or ``noted`` when that was acknowledged.
+        ``start``, how the run ended, ``noted`` when that was acknowledged, or
+        ``reopened`` when the lease ran out before.
     task, run : TaskId, int
         The run.
     """
@@ -107,6 +108,7 @@
         self._highest_by_task: dict[TaskId, int] = {}
         self._ended: list[EndedTask] = []
         self._ends = 0
+        self._reopened = 0
 
     @property
     def clock_ms(self) -> float:
@@ -140,6 +142,7 @@
         self._fence = 0
         self._due_ms = 0.0
         self._ends = 0
+        self._reopened = 0
         self._born_s = self._advanced_s = anyio.current_time()
 
     def start(self, order: StartOrder) -> tuple[StartResult, float]:
@@ -216,18 +219,27 @@
         now_s = anyio.current_time()
         lapse_s = self._born_s + self._due_ms / 1000 / self._rate
         until_s = min(now_s, max(self._advanced_s, lapse_s))
-        passed_s = until_s - self._advanced_s
         for task, run in list(self._run_by_task.items()):
-            if run.spec.lasting:
+            speed = run.pace / 100
+            if run.spec.lasting or not speed:
                 continue
-            run.left_s -= passed_s * run.pace / 100
+            end_s = self._advanced_s + run.left_s / speed
+            run.left_s -= (until_s - self._advanced_s) * speed
             if run.left_s <= 1e-9:
-                self._end(task, run.outcome)
+                self._end(task, run.outcome, end_s)
         if now_s >= lapse_s:
             for task in list(self._run_by_task):
-                self._end(task, Outcome.LAPSED)
+                self._end(task, Outcome.LAPSED, until_s)
+            self._reopen_ends(until_s)
         self._advanced_s = now_s
 
+    def _reopen_ends(self, at_s: float) -> None:
+        """Note ends whose lease ran out before they were acknowledged."""
+        for end in self._ended:
+            if end.number > self._reopened:
+                self._reopened = end.number
+                self._note("reopened", end.task, end.run, at_s)
+
     def _raise_fence(self, fence: int) -> None:
         if fence < self._fence:
             raise Fenced(self.id)
@@ -239,17 +251,21 @@
         total_s, _ = self._plan(run.order.task, run.order.run)
         return f"{max(0.0, total_s - run.left_s):.3f}"
 
-    def _end(self, task: TaskId, outcome: Outcome) -> None:
+    def _end(self, task: TaskId, outcome: Outcome, at_s: float | None = None) -> None:
         run = self._run_by_task.pop(task)
         highest = self._highest_by_task.get(task, 0)
         self._highest_by_task[task] = max(highest, run.order.run)
         self._ends += 1
         saved = self._saved(run) if outcome is not Outcome.DONE else ""
         self._ended.append(EndedTask(self._ends, task, run.order.run, outcome, saved))
-        self._note(outcome.value, task, run.order.run)
-
-    def _note(self, kind: str, task: TaskId, run: int) -> None:
-        self.record.append(RunRecord(anyio.current_time(), self.id, kind, task, run))
+        self._note(outcome.value, task, run.order.run, at_s)
+
+    def _note(
+        self, kind: str, task: TaskId, run: int, at_s: float | None = None
+    ) -> None:
+        if at_s is None:
+            at_s = anyio.current_time()
+        self.record.append(RunRecord(at_s, self.id, kind, task, run))
 
 
 class FleetRunnerLink(RunnerLink):
--- /dev/null
+++ b/tests/test_histories.py
@@ -0,0 +1,246 @@
+"""Random histories of faults; the runners' own records are checked.
+
+``HISTORY_EXAMPLES=1000 pytest tests/test_histories.py`` checks more than CI does.
+"""
+
+import os
+import random
+
+import anyio
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from flamingoweir.errors import FlamingoweirError
+from flamingoweir.jobs import JobState, Outcome
+from tests.utils.cluster import UNHEARD_S, make_job, make_step, run_cluster
+from tests.utils.virtual_time import run_virtual
+
+EXAMPLES = int(os.environ.get("HISTORY_EXAMPLES", "40"))
+FAULTS = (
+    "freeze",
+    "kill",
+    "store_silent",
+    "store_down",
+    "lose_answers",
+    "lose_late",
+    "cut_runner",
+    "cut_runner_from_owner",
+    "crash_runner",
+    "restart_runner",
+    "late_starts",
+    "history",
+    "drain",
+    "submit",
+    "cancel",
+)
+#: Seconds after the last fault by which every job has ended.
+CALM_S = UNHEARD_S + 25.0
+
+
+class Story:
+    """One history: faults at random moments, each of them healed again."""
+
+    def __init__(self, cluster, seed: int):
+        self.cluster = cluster
+        self.generator = random.Random(seed)
+        self.jobs = []
+        self.cancelled = set()
+
+    async def play(self, steps) -> None:
+        async with anyio.create_task_group() as tasks:
+            for pause_s, fault, length_s in steps:
+                await anyio.sleep(pause_s)
+                tasks.start_soon(getattr(self, fault), length_s)
+
+    def any_member(self):
+        return self.generator.choice(list(self.cluster.member_by_name.values()))
+
+    def any_runner(self):
+        return self.generator.choice(list(self.cluster.runner_by_id.values()))
+
+    async def pick(self):
+        """Return the owner, mostly, or any other member."""
+        for member in self.cluster.member_by_name.values():
+            if member.instance.term is not None and self.generator.random() < 0.7:
+                return member
+        return self.any_member()
+
+    async def freeze(self, length_s):
+        member = await self.pick()
+        member.process.paused = True
+        await anyio.sleep(length_s)
+        member.process.resume()
+
+    async def kill(self, length_s):
+        member = await self.pick()
+        if member.process.paused or len(self.cluster.member_by_name) < 2:
+            return
+        self.cluster.drop(member)
+        await anyio.sleep(length_s)
+        self.cluster.add_member(member.name)
+
+    async def store_silent(self, length_s):
+        member = await self.pick()
+        member.store.silent = True
+        await anyio.sleep(length_s)
+        member.store.silent = False
+
+    async def store_down(self, length_s):
+        members = list(self.cluster.member_by_name.values())
+        for member in members:
+            member.store.down = True
+        await anyio.sleep(length_s)
+        for member in members:
+            member.store.down = False
+
+    async def lose_answers(self, length_s):
+        (await self.pick()).store.lose_answers = 2
+
+    async def lose_late(self, length_s):
+        member = await self.pick()
+        member.store.late_s = length_s
+        member.store.lose_answers = 2
+
+    async def cut_runner(self, length_s):
+        runner = self.any_runner()
+        links = []
+        for member in self.cluster.member_by_name.values():
+            if runner.id in member.link_by_runner:
+                links.append(member.link_by_runner[runner.id])
+        for link in links:
+            link.cut = True
+        await anyio.sleep(length_s)
+        for link in links:
+            link.cut = False
+
+    async def cut_runner_from_owner(self, length_s):
+        member = await self.pick()
+        link = member.link_by_runner.get(self.any_runner().id)
+        if link is None:
+            return
+        link.cut = True
+        await anyio.sleep(length_s)
+        link.cut = False
+
+    async def crash_runner(self, length_s):
+        runner = self.any_runner()
+        if not runner.up:
+            return
+        runner.crash()
+        await anyio.sleep(length_s)
+        runner.restart()
+        self.cluster.announce(runner.id)
+
+    async def restart_runner(self, length_s):
+        runner = self.any_runner()
+        if runner.up:
+            runner.restart()
+            self.cluster.announce(runner.id)
+
+    async def late_starts(self, length_s):
+        for link in (await self.pick()).link_by_runner.values():
+            link.late_s = 2.0 + length_s
+            link.lose_starts = 1
+
+    async def history(self, length_s):
+        self.cluster.rows.forget_history()
+
+    async def drain(self, length_s):
+        runner = self.any_runner()
+        self.cluster.announce(runner.id, state="draining")
+        await anyio.sleep(length_s)
+        self.cluster.announce(runner.id)
+
+    async def submit(self, length_s):
+        number = len(self.cluster.spec_by_id) + 1
+        count = self.generator.randint(1, 4)
+        job = make_job(
+            number,
+            make_step(count, checkpoints=True),
+            make_step(count, 2.0, after=(0,), gang=self.generator.random() < 0.3),
+        )
+        for step in range(2):
+            for index in range(count):
+                if self.generator.random() < 0.1:
+                    task = f"{job.id}.0.{step}.{index}#1"
+                    self.cluster.plan_by_task[task] = (0.5, Outcome.FAILED)
+        try:
+            await self.cluster.submit(job, self.any_member())
+        except FlamingoweirError:
+            # Not known to be accepted; it may still run, but needn't.
+            return
+        self.jobs.append(job)
+
+    async def cancel(self, length_s):
+        if not self.jobs:
+            return
+        job = self.generator.choice(self.jobs)
+        try:
+            await self.any_member().instance.desk.cancel(job.id, 2.0)
+        except FlamingoweirError:
+            return
+        self.cancelled.add(job.id)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.floats(0.0, 1.5),
+        st.sampled_from(FAULTS),
+        st.floats(0.2, 6.0),
+    ),
+    min_size=3,
+    max_size=14,
+)
+
+
+def find_orphans(cluster) -> list[str]:
+    """Return ends of tasks that started before the steps they wait for were done."""
+    wrong = []
+    done = set()
+    for record in cluster.records():
+        task = record.task
+        if record.kind == "done":
+            done.add((task.job, task.step, task.index))
+        if record.kind == "start" and task.step == 1:
+            spec = cluster.spec_by_id[task.job].steps[0]
+            for index in range(spec.count):
+                if (task.job, 0, index) not in done:
+                    wrong.append(f"{task} at {record.at_s:.3f}")
+    return wrong
+
+
+async def play_history(seed: int, steps) -> None:
+    """Play one history and check the runners' records."""
+    async with run_cluster(members=3, runners=3, seed=seed) as cluster:
+        await cluster.owner()
+        await anyio.sleep(1)
+        story = Story(cluster, seed)
+        await story.submit(0)
+        await story.play(steps)
+        calm_s = anyio.current_time()
+        for job in story.jobs:
+            while await cluster.state(job) not in (
+                JobState.DONE,
+                JobState.CANCELLED,
+            ):
+                assert anyio.current_time() - calm_s < CALM_S, f"{job.id} never ended"
+                await anyio.sleep(0.2)
+        await anyio.sleep(3)
+        assert not cluster.find_overlaps()
+        assert not find_orphans(cluster)
+        for runner in cluster.runner_by_id.values():
+            assert not runner.listed_ends, f"{runner.id} repeats ends"
+
+
+@settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    # A history takes seconds; shrinking one would take minutes.
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+@given(st.integers(0, 2**32), STEPS)
+def test_no_task_runs_twice_and_every_job_ends(seed, steps):
+    run_virtual(play_history, seed, steps)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -214,6 +214,9 @@
                 continue
             if record.kind == "noted":
                 continue
+            if record.kind == "reopened":
+                done.discard(task)
+                continue
             running.setdefault(task, set()).discard(record.runner)
             if record.kind == "done":
                 done.add(task)
