Start tasks that stand still elsewhere

Cause: a hung task on a runner that looks healthy held its job until the runner recovered. Test fails without it. Queues that need placement advice are refused at the door until it is built.

--- a/flamingoweir/dispatch/_book.py
+++ b/flamingoweir/dispatch/_book.py
@@ -140,8 +140,9 @@
                 if runner is None:
                     runner = self._add_unlisted(attempt.runner)
                 step = job.by_step[attempt.task.occurrence, attempt.task.step]
-                place = runner.add(attempt, step.spec)
                 attempt.pace = UNKNOWN_PACE
+                attempt.ordered_s = attempt.progressed_s = self._clock.now()
+                place = runner.add(attempt, step.spec)
                 # A look under the new fence lists what the former owner started.
                 place.confirmed_s = float("-inf")
             self._stop_surplus(job)
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -5,6 +5,7 @@
 from ..fleet import Place, Runner
 from ..jobs import Outcome, Standing
 from ..logs import get_logger
+from ..policy import find_stalled
 from ._context import TermContext, TermEnd
 from ._orders import Orders
 from ._protocols import (
@@ -27,6 +28,8 @@
 SILENT_PAUSE_S = 0.15
 #: Seconds for which a look is put off until the latest ends are durable.
 DURABLE_WAIT_S = 0.25
+#: Percent points that count as progress.
+MIN_PROGRESS = 1.0
 #: Ends in a full page; more may be left then.
 FULL_PAGE_ENDS = 500
 
@@ -114,6 +117,8 @@
         self._context.metrics.incr("looks")
         if runner.silent_since_s is not None:
             log.info("runner_regained", runner=runner.id)
+            for place in runner.place_by_run.values():
+                place.free_since_s = self._clock.now()
         runner.read_clock(report.clock_ms, self._clock.now())
         self._take(report, sent_s)
 
@@ -154,6 +159,15 @@
         if len(report.ended) < FULL_PAGE_ENDS:
             self._drop_unlisted(running, sent_s)
         self._share()
+        self._stop_stalled()
+
+    def _stop_stalled(self) -> None:
+        """Have attempts that stand still started elsewhere, and doubt the runner."""
+        runner = self._runner
+        now_s = self._clock.now()
+        for place in find_stalled(runner, now_s):
+            self._book.trust.note_refusal(runner.id, now_s)
+            self._book.stop(place.attempt, "stalled")
 
     def _share(self) -> None:
         """Pace tasks that use spare processors by what their neighbours suffer."""
@@ -171,6 +185,7 @@
                 log_tail_over_target=round(change.worst, 2),
             )
             change.attempt.pace_asked = change.percent
+            runner.find(change.attempt.task, change.attempt.run).free_since_s = now_s
         others = self._book.runner_by_id.values()
         for attempt in sharing.to_move(runner, others, now_s):
             self._book.stop(attempt, "held_back")
@@ -217,7 +232,7 @@
         if attempt.standing is Standing.ORDERED:
             attempt.standing = Standing.RUNNING
         place.confirmed_s = min(place.confirmed_s, now_s)
-        if task.percent > attempt.percent:
+        if task.percent >= attempt.percent + MIN_PROGRESS:
             attempt.percent = task.percent
             attempt.progressed_s = now_s
         job = self._book.job_by_id.get(attempt.task.job)
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -25,7 +25,15 @@
 class Place:
     """What one attempt takes of a runner."""
 
-    __slots__ = ("attempt", "confirmed_s", "load", "spec", "ticket", "unsure")
+    __slots__ = (
+        "attempt",
+        "confirmed_s",
+        "free_since_s",
+        "load",
+        "spec",
+        "ticket",
+        "unsure",
+    )
 
     def __init__(self, attempt: Attempt, spec: StepSpec):
         self.attempt = attempt
@@ -34,6 +42,8 @@
         self.confirmed_s = float("inf")
         #: The figure of the latest look; see `RunningTask.load`.
         self.load: float | None = None
+        #: When nothing held it back any more: no pace, a runner that answers.
+        self.free_since_s = attempt.ordered_s
         #: Whether an order for it was not answered, so that it may arrive later.
         self.unsure = False
         #: Leave of the advice service; empty: none needed.
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -4,6 +4,7 @@
 from ._order import objective_s, rank
 from ._placement import Placement, ever_fits, tasks_on
 from ._sharing import PaceChange, Sharing
+from ._stragglers import find_stalled
 from ._trust import RunnerTrust
 
 __all__ = [
@@ -12,6 +13,7 @@
     "RunnerTrust",
     "Sharing",
     "ever_fits",
+    "find_stalled",
     "objective_s",
     "place_gang",
     "rank",
--- a/flamingoweir/queues/_desk.py
+++ b/flamingoweir/queues/_desk.py
@@ -186,6 +186,11 @@
             raise FlamingoweirError(
                 ErrorCode.BAD_REQUEST, f"job {spec.id} has no steps"
             )
+        if spec.policy.advised:
+            raise FlamingoweirError(
+                ErrorCode.NEVER_FITS,
+                f"queue {spec.queue!r} needs placement advice, which is not supported",
+            )
         broken = find_cycle(spec.steps)
         if broken is not None:
             raise FlamingoweirError(
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -393,3 +393,17 @@
                 assert member.instance.desk.waiting(queue) == 2
 
     run_virtual(play)
+
+
+def test_hung_task_is_started_elsewhere():
+    async def play():
+        async with run_cluster(runners=2) as cluster:
+            await cluster.owner()
+            job = make_job(1)
+            cluster.plan_by_task[f"{job.id}.0.0.0#1"] = (10_000.0, Outcome.DONE)
+            await cluster.submit(job)
+            await cluster.wait_for(job, JobState.DONE, 7.0)
+            first, second = cluster.starts(f"{job.id}.0.0.0")
+            assert first != second
+
+    run_virtual(play)
