--- a/flamingoweir/policy/_sharing.py
+++ b/flamingoweir/policy/_sharing.py
@@ -16,8 +16,11 @@
 #: Seconds over the target after which those that cause it are slowed down; the rules
 #: allow four, and short excesses pass by themselves.
 OVER_S = 1.5
-#: Seconds over the target after which all are slowed down, blamed or not.
-MAX_OVER_S = 2.5
+#: Seconds over the target after which all are held back, blamed or not; with the
+#: time between figures this stays below the four seconds of the rules.
+MAX_OVER_S = 2.3
+#: Figures in a row below `CALM` that end an excess; one alone may be noise.
+CALM_FIGURES = 2
 #: Log of tail over target that pacing aims at: 0.8 of the target.
 AIM = -0.2
 #: Log of tail over target up to which tasks are placed: 0.7 of the target.
@@ -61,6 +64,7 @@
         self._model_by_image: dict[str, ServingModel] = {}
         self._deviation_by_task: dict[tuple[str, str, int], float] = {}
         self._settled_s_by_runner: dict[str, float] = {}
+        self._calm_by_runner: dict[str, int] = {}
         self._over_since_s: dict[str, float] = {}
         self._slow_since_s: dict[Attempt, float] = {}
 
@@ -115,18 +119,19 @@
             return []
         if not runner.serving:
             return _resume(places)
-        if now_s - self._settled_s_by_runner.get(runner.id, 0.0) < SETTLE_S:
-            return []
         worst, suffering = _worst(runner)
         if suffering is None:
             return []
         over_s = now_s - self._note_over(runner, worst, now_s)
+        settled_s = self._settled_s_by_runner.get(runner.id, float("-inf"))
+        if now_s - settled_s < SETTLE_S and over_s < MAX_OVER_S:
+            return []
         changes = []
-        if over_s >= OVER_S:
+        if over_s >= MAX_OVER_S:
+            changes = _halt(places, worst)
+        elif over_s >= OVER_S:
             changes = self._slow_down(runner, suffering, places, worst)
-            if not changes and over_s > MAX_OVER_S:
-                changes = _halve(places, worst)
-        elif worst < CALM:
+        elif over_s == 0.0 and worst < CALM:
             changes = self._speed_up(runner, places, worst)
         if changes:
             self._settled_s_by_runner[runner.id] = now_s
@@ -134,7 +139,9 @@
 
     def _note_over(self, runner: Runner, worst: float, now_s: float) -> float:
         """Return since when a task has been over its target; now if none is."""
-        if worst < CALM:
+        calm = self._calm_by_runner.get(runner.id, 0) + 1 if worst < CALM else 0
+        self._calm_by_runner[runner.id] = calm
+        if calm >= CALM_FIGURES:
             self._over_since_s.pop(runner.id, None)
         elif worst > 0.0:
             self._over_since_s.setdefault(runner.id, now_s)
@@ -166,6 +173,7 @@
         """Drop what is known of a runner that has gone."""
         self._settled_s_by_runner.pop(runner, None)
         self._over_since_s.pop(runner, None)
+        self._calm_by_runner.pop(runner, None)
         for key in [k for k in self._deviation_by_task if k[0] == runner]:
             del self._deviation_by_task[key]
 
@@ -245,15 +253,12 @@
     return worst, suffering
 
 
-def _halve(places: list[Place], measured: float) -> list[PaceChange]:
-    """Slow all down: figures stay high although nothing is expected to cause it."""
+def _halt(places: list[Place], worst: float) -> list[PaceChange]:
+    """Hold all back: figures stay high although those blamed were slowed down."""
     changes = []
     for place in places:
-        percent = place.attempt.pace_asked // 2
-        if percent < MIN_PACE:
-            percent = 0
-        if percent < place.attempt.pace_asked:
-            changes.append(PaceChange(place.attempt, percent, measured))
+        if place.attempt.pace_asked:
+            changes.append(PaceChange(place.attempt, 0, worst))
     return changes
 
 
--- a/flamingoweir/standins/_fleet_runner.py
+++ b/flamingoweir/standins/_fleet_runner.py
@@ -34,7 +34,7 @@
         The runner.
     kind : str
         ``start``, how the run ended, ``noted`` when that was acknowledged, or
-        ``reopened`` when the lease ran out before.
+        ``reopened`` when the lease ran out, or the runner crashed, before.
     task, run : TaskId, int
         The run.
     """
@@ -128,6 +128,8 @@
         self.advance()
         for task, run in list(self._run_by_task.items()):
             self._note("crashed", task, run.order.run)
+        # Ends that nobody has taken note of are lost with the runner.
+        self._reopen_ends(anyio.current_time())
         self._run_by_task.clear()
         self._highest_by_task.clear()
         self._ended.clear()
