--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,126 @@
+"""The platform's wire formats, decoded and encoded by the adapter."""
+
+import pathlib
+import re
+
+import orjson
+import pytest
+
+import flamingoweir
+from flamingoweir.jobs import Outcome, TaskId
+from flamingoweir.platform import PlatformAnnouncements, load_platform_settings
+from flamingoweir.platform._runners import HttpRunner
+from flamingoweir.registry import Unreadable
+from flamingoweir.settings import SettingsError
+from flamingoweir.transport import Answer
+
+PACKAGE = pathlib.Path(flamingoweir.__file__).parent
+#: Names that only the wire spells like this.
+WIRE_NAME = re.compile(
+    r"\b(FenceToken|DueMs|AckCursor|WaitMs|ClockMs|EstimateMs|LongRunning|MayMiss|"
+    r"DataRack|SetKeys|DeleteKeys|HasMore|Tombstone|PathPrefix|"
+    r"run-start|run-stop|rows-tx|rows-get|rows-feed|EnforcesCapacity)\b"
+)
+ENTRY = {
+    "Service": "turning",
+    "Address": "10.0.0.9:80",
+    "Zone": "powys",
+    "State": "ready",
+    "Capacity": {"Cpu": 16000, "MemMb": 32768, "Gpu": 1},
+    "Labels": ["a", "r1-3"],
+    "born": 17,
+    "Sequence": 4,
+}
+SETTINGS = """
+NodeName = "front-1"
+Ip = "10.1.0.13"
+Zone = "powys"
+PortRange = [7720,7735]
+New = "ignored"
+[Listen]
+Front = "10.1.0.13:8161"
+Ready = "10.1.0.13:8167"
+[PolicyBounds]
+MaxHoldMs = 6000
+GraceS = 6
+status_s = 120
+[platform]
+Address = "10.200.1.7:8169"
+"""
+
+
+def test_wire_names_stay_in_the_adapter():
+    found = []
+    for path in sorted(PACKAGE.rglob("*.py")):
+        if path.parent.name == "platform":
+            continue
+        for line in path.read_text().splitlines():
+            if WIRE_NAME.search(line):
+                found.append(f"{path.relative_to(PACKAGE)}: {line.strip()}")
+    assert not found
+
+
+def test_runner_entry_is_read():
+    entry = PlatformAnnouncements().runner("i-1", orjson.dumps(ENTRY))
+    assert (entry.id, entry.life, entry.rack) == ("i-1", 17, "r1-3")
+    assert entry.capacity.accelerators == 1
+    assert not entry.draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"State": "resting"},
+        {"Capacity": None},
+        {"Address": 9},
+        {"born": "17"},
+        {"Labels": "a"},
+    ],
+)
+def test_entry_of_another_writer_names_no_runner(change):
+    with pytest.raises(Unreadable):
+        PlatformAnnouncements().runner("i-1", orjson.dumps({**ENTRY, **change}))
+
+
+def test_bytes_that_are_no_entry_name_no_runner():
+    with pytest.raises(Unreadable):
+        PlatformAnnouncements().runner("i-1", b"\xff{")
+
+
+def test_settings_are_read_and_unknown_keys_ignored(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    settings = load_platform_settings(str(path))
+    assert settings.name == "front-1"
+    assert settings.max_lease_s == 6.0
+    assert settings.peer_port == 7720
+
+
+def test_wrong_setting_is_named(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS.replace('"10.200.1.7:8169"', "7"))
+    with pytest.raises(SettingsError, match=r"platform\.Address"):
+        load_platform_settings(str(path))
+
+
+def test_lists_of_a_runner_are_read():
+    body = {
+        "ClockMs": 482113,
+        "born": 17,
+        "Running": [["5c0e7a21d94b36f8.0.1.17", 2, "ab", 41, 12.5]],
+        "Ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+    }
+    report = HttpRunner("i-1", "10.0.0.9:80")._decode_report(orjson.dumps(body))
+    (running,), (ended,) = report.running, report.ended
+    assert running.task == TaskId("5c0e7a21d94b36f8", 0, 1, 17)
+    assert (running.percent, running.load) == (41, 12.5)
+    assert (ended.number, ended.outcome) == (58, Outcome.DONE)
+
+
+def test_refused_start_says_why():
+    runner = HttpRunner("i-1", "10.0.0.9:80")
+    for reason, name in (("fence", "fenced"), ("late", "late"), ("room", "no_room")):
+        body = orjson.dumps({"ClockMs": 1, "Reason": reason})
+        assert runner._classify(Answer(409, body))[0].value == name
+    assert runner._classify(Answer(503, b""))[0].value == "unhealthy"
+    assert runner._classify(Answer(421, b""))[0].value == "rejected"
