--- a/flamingoweir/dispatch/__init__.py
+++ b/flamingoweir/dispatch/__init__.py
@@ -2,7 +2,6 @@
 
 from ._book import Book
 from ._protocols import (
-    NOT_STARTED,
     EndedTask,
     Fenced,
     RunnerLink,
@@ -15,7 +14,6 @@
 from ._term import Term
 
 __all__ = [
-    "NOT_STARTED",
     "Book",
     "EndedTask",
     "Fenced",
--- a/flamingoweir/dispatch/_protocols.py
+++ b/flamingoweir/dispatch/_protocols.py
@@ -32,19 +32,6 @@
     UNKNOWN = "unknown"
 
 
-#: Results after which a run is not there and never will be by the same order.
-NOT_STARTED = frozenset(
-    {
-        StartResult.LATE,
-        StartResult.NO_ROOM,
-        StartResult.BAD_TICKET,
-        StartResult.UNHEALTHY,
-        StartResult.REJECTED,
-        StartResult.UNSENT,
-    }
-)
-
-
 class Fenced(Exception):
     """The runner has seen a higher fencing token."""
 
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -90,11 +90,6 @@
         """Whether every task is done."""
         return not self.open and all(task.done for task in self.tasks)
 
-    @property
-    def started(self) -> bool:
-        """Whether a task was ever started."""
-        return any(task.last_run for task in self.tasks)
-
     @property
     def next_run(self) -> int:
         """Number of the next run of the whole gang."""
@@ -193,11 +188,6 @@
             return None
         return run.tasks[task.index]
 
-    def find_attempt(self, task: TaskId, run: int) -> Attempt | None:
-        """Return an attempt that has not ended, or None."""
-        found = self.find(task)
-        return found.by_run.get(run) if found else None
-
     def attempts(self) -> Iterator[Attempt]:
         """Yield all attempts that have not ended."""
         for run in self.by_step.values():
--- a/flamingoweir/ownership/_rows.py
+++ b/flamingoweir/ownership/_rows.py
@@ -11,8 +11,6 @@
 STATES = "states"
 #: Who owns a shard.
 OWNERS = "owners"
-#: Entry instances and where their peers reach them.
-PEERS = "peers"
 
 OWNER_KEY = "owner"
 CANCEL_SUFFIX = ".cancel"
@@ -43,11 +41,6 @@
     return RowId(OWNERS, shard, OWNER_KEY)
 
 
-def peer_row(shard: str, name: str) -> RowId:
-    """Return the row that says where an instance is reached."""
-    return RowId(PEERS, shard, name)
-
-
 def shard_name(number: int) -> str:
     """Return the name of a shard, which is also the part of its rows."""
     return f"s{number}"
--- a/flamingoweir/ownership/_standby.py
+++ b/flamingoweir/ownership/_standby.py
@@ -9,7 +9,6 @@
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..storage import RowStore, StoreRefused, StoreSilent, VersionedRow
-from ..wakeup import Wakeup
 from ._holding import Backlog, Holding, decode_holding
 from ._journal import Journal, OwnershipLost
 from ._rows import OWNER_KEY, OWNERS
@@ -92,16 +91,6 @@
         self._changed_s = clock.now()
         self._reachable = True
         self._terms = 0
-        self._hurry = Wakeup()
-
-    def hurry(self) -> None:
-        """Look at the row at once."""
-        self._hurry.set()
-
-    @property
-    def store_reachable(self) -> bool:
-        """Whether the latest look was answered."""
-        return self._reachable
 
     def backlog(self, max_age_s: float) -> Backlog | None:
         """Return what the owner says of waiting work, unless that is too old."""
@@ -121,7 +110,7 @@
                 if journal is not None:
                     return journal
             jitter = 1 + POLL_JITTER * self._generator.uniform(-1, 1)
-            await self._hurry.wait(POLL_S * jitter)
+            await anyio.sleep(POLL_S * jitter)
 
     async def watch(self) -> None:
         """Look at the row in turns until cancelled, without taking the shard."""
--- a/flamingoweir/platform/_announcements.py
+++ b/flamingoweir/platform/_announcements.py
@@ -20,7 +20,6 @@
 
 OPERATOR_TABLE = "op"
 RUNNER_TABLE = "servers"
-STATUS_TABLE = "status"
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 WAVE_PREFIX = "wave/"
--- a/flamingoweir/platform/_settings.py
+++ b/flamingoweir/platform/_settings.py
@@ -24,12 +24,6 @@
 
     max_hold_ms: float = 10_000
     grace_s: float = 6.0
-    stop_ms: float = 900.0
-    far_x: float = 2.0
-    early_ms: float = Field(default=250, alias="early_ms")
-    status_s: float = Field(default=120, alias="status_s")
-    upkeep_s: float = 2.0
-    harm_ms: float = 4_000
 
 
 class StoreMessage(WireModel):
@@ -38,14 +32,6 @@
     address: str
 
 
-class CloudMessage(WireModel):
-    """Where machines are managed, and how often this may be asked."""
-
-    address: str = ""
-    rate_per_s: float = 0.0
-    duty_per_s: float = 0.0
-
-
 class SettingsMessage(WireModel):
     """The whole file, as far as it is used."""
 
@@ -53,11 +39,9 @@
     ip: str
     zone: str
     port_range: tuple[int, int] = Field(strict=False)
-    advice: str = ""
     listen: ListenMessage
     policy_bounds: BoundsMessage = BoundsMessage()
     platform: StoreMessage = Field(alias="platform")
-    cloud_api: CloudMessage = CloudMessage()
 
 
 def load_platform_settings(path: str) -> FleetSettings:
@@ -83,15 +67,6 @@
         peer_port=message.port_range[0],
         metrics_port=message.port_range[1],
         store_address=message.platform.address,
-        cloud_address=message.cloud_api.address,
-        advice_address=message.advice,
         max_lease_s=bounds.max_hold_ms / 1000,
         grace_s=bounds.grace_s,
-        stop_s=bounds.stop_ms / 1000,
-        far_factor=bounds.far_x,
-        retention_s=bounds.status_s,
-        upkeep_s=bounds.upkeep_s,
-        harm_s=bounds.harm_ms / 1000,
-        cloud_rate=message.cloud_api.rate_per_s,
-        duty_rate=message.cloud_api.duty_per_s,
     )
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -2,7 +2,7 @@
 
 from ._gangs import place_gang
 from ._order import objective_s, rank
-from ._placement import Placement, ever_fits, tasks_on
+from ._placement import Placement, tasks_on
 from ._sharing import PaceChange, Sharing
 from ._stragglers import find_stalled
 from ._trust import RunnerTrust
@@ -12,7 +12,6 @@
     "Placement",
     "RunnerTrust",
     "Sharing",
-    "ever_fits",
     "find_stalled",
     "objective_s",
     "place_gang",
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -178,15 +178,3 @@
         if attempt.runner == runner.id:
             count += 1
     return count
-
-
-def ever_fits(spec: StepSpec, service: str, runners: Iterable[Runner]) -> bool:
-    """Return whether an empty runner could run a task of a step."""
-    for runner in runners:
-        if runner.entry.service != service:
-            continue
-        if spec.label and spec.label not in runner.entry.labels:
-            continue
-        if spec.reserved.fits_in(runner.entry.capacity):
-            return True
-    return False
--- a/flamingoweir/queues/_desk.py
+++ b/flamingoweir/queues/_desk.py
@@ -33,10 +33,6 @@
 
 #: Seconds between tries while the store does not answer.
 RETRY_PAUSE_S = 0.1
-#: Seconds before a request's deadline at which its answer is sent.
-DEADLINE_MARGIN_S = 0.2
-#: Seconds for which a call is tried if the request names no deadline.
-DEFAULT_PATIENCE_S = 2.5
 #: Oldest count of waiting jobs that is told, in seconds.
 MAX_COUNT_AGE_S = 1.9
 #: Seconds after which a submitter whose job could not be stored may try again.
