Keep what is learnt of a serving task with its place

It was kept by name until the runner had gone, also for tasks long ended. No decision changes; the tests of sharing, terms and histories pass.

--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -28,8 +28,10 @@
     __slots__ = (
         "attempt",
         "confirmed_s",
+        "deviation",
         "free_since_s",
         "load",
+        "slow_since_s",
         "spec",
         "ticket",
         "unsure",
@@ -42,6 +44,10 @@
         self.confirmed_s = float("inf")
         #: The figure of the latest look; see `RunningTask.load`.
         self.load: float | None = None
+        #: By how much its tail differs from what its image's model expects, as a log.
+        self.deviation = 0.0
+        #: Since when it has been held back, if it is.
+        self.slow_since_s: float | None = None
         #: When nothing held it back any more: no pace, a runner that answers.
         self.free_since_s = attempt.ordered_s
         #: Whether an order for it was not answered, so that it may arrive later.
--- a/flamingoweir/policy/_sharing.py
+++ b/flamingoweir/policy/_sharing.py
@@ -2,8 +2,8 @@
 
 Answers load that swings and images that disturb each other by unknown amounts: what
 each pair does is learnt from the runners' figures; such tasks are placed only where
-serving tasks are expected to stay below their target, are paced down, the worst
-first, as soon as a figure nears the target, and recover in steps.
+serving tasks are expected to stay below their target, are slowed down, the worst
+first, when figures stay over the target, and are let go as soon as they are calm.
 """
 
 from collections.abc import Iterable, Iterator
@@ -62,11 +62,9 @@
 
     def __init__(self) -> None:
         self._model_by_image: dict[str, ServingModel] = {}
-        self._deviation_by_task: dict[tuple[str, str, int], float] = {}
         self._settled_s_by_runner: dict[str, float] = {}
         self._calm_by_runner: dict[str, int] = {}
         self._over_since_s: dict[str, float] = {}
-        self._slow_since_s: dict[Attempt, float] = {}
 
     def learn(self, runner: Runner, now_s: float) -> None:
         """Take the figures of a look."""
@@ -86,11 +84,8 @@
             for image, share in shares.items():
                 expected += model.effect(image) * share
             model.learn(ratio, shares, now_s)
-            key = _task_key(runner, place)
-            known = self._deviation_by_task.get(key, 0.0)
-            self._deviation_by_task[key] = known + DEVIATION_WEIGHT * (
-                ratio - expected - known
-            )
+            error = ratio - expected - place.deviation
+            place.deviation += DEVIATION_WEIGHT * error
 
     def allows(self, spec: StepSpec, runner: Runner) -> bool:
         """Return whether a task that uses spare processors may be placed there."""
@@ -158,15 +153,15 @@
         for place in _spare_places(runner):
             attempt = place.attempt
             if attempt.pace_asked > MOVE_PACE or not _working(place):
-                self._slow_since_s.pop(attempt, None)
+                place.slow_since_s = None
                 continue
-            since_s = self._slow_since_s.setdefault(attempt, now_s)
-            if found or now_s - since_s < MOVE_AFTER_S or not place.spec.checkpoints:
+            if place.slow_since_s is None:
+                place.slow_since_s = now_s
+            slow_s = now_s - place.slow_since_s
+            if found or slow_s < MOVE_AFTER_S or not place.spec.checkpoints:
                 continue
             if any(self._welcomes(place.spec, other) for other in others):
                 found.append(attempt)
-        for attempt in found:
-            del self._slow_since_s[attempt]
         return found
 
     def forget(self, runner: str) -> None:
@@ -174,8 +169,6 @@
         self._settled_s_by_runner.pop(runner, None)
         self._over_since_s.pop(runner, None)
         self._calm_by_runner.pop(runner, None)
-        for key in [k for k in self._deviation_by_task if k[0] == runner]:
-            del self._deviation_by_task[key]
 
     def _welcomes(self, spec: StepSpec, runner: Runner) -> bool:
         """Return whether a task would work at full speed there and disturb little."""
@@ -193,8 +186,7 @@
         """Return the expected log of tail over target of a serving task."""
         model = self._model(place.spec.image)
         total = max(1, runner.entry.capacity.processors_milli)
-        expected = model.base
-        expected += self._deviation_by_task.get(_task_key(runner, place), 0.0)
+        expected = model.base + place.deviation
         for other in _spare_places(runner):
             share = _wanted_milli(other) / total
             expected += model.effect(other.spec.image) * share
@@ -293,7 +285,3 @@
 
 def _share(spec: StepSpec, runner: Runner) -> float:
     return spec.demand.processors_milli / max(1, runner.entry.capacity.processors_milli)
-
-
-def _task_key(runner: Runner, place: Place) -> tuple[str, str, int]:
-    return runner.id, str(place.attempt.task), place.attempt.run
