--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,77 @@
+"""The journal's fence, and the permit that is asked right before an order."""
+
+import anyio
+import pytest
+
+from flamingoweir.jobs import JobState
+from flamingoweir.metrics import NoMetrics
+from flamingoweir.ownership import JOBS, Journal, OwnershipLost, owner_row
+from flamingoweir.standins import MemoryRows, RowsLink
+from flamingoweir.storage import RowId
+from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.virtual_time import VirtualClock, run_virtual
+
+ROW = RowId(JOBS, "s0", "job")
+
+
+def make_journal(link: RowsLink, holder: str) -> Journal:
+    return Journal(link, "s0", holder, holder + "/1", VirtualClock(), NoMetrics())
+
+
+def test_former_owner_writes_nothing():
+    async def play():
+        rows = MemoryRows()
+        first = make_journal(RowsLink(rows), "one")
+        second = make_journal(RowsLink(rows), "two")
+        await first.acquire(None)
+        await second.acquire(rows.row_by_id[owner_row("s0")])
+        assert second.fence > first.fence
+        with pytest.raises(OwnershipLost):
+            await first.commit([(ROW, b"late")], [])
+        assert ROW not in rows.row_by_id
+
+    run_virtual(play)
+
+
+def test_of_two_that_take_a_shard_one_has_it():
+    async def play():
+        rows = MemoryRows()
+        await make_journal(RowsLink(rows), "one").acquire(None)
+        with pytest.raises(OwnershipLost):
+            await make_journal(RowsLink(rows), "two").acquire(None)
+
+    run_virtual(play)
+
+
+def test_write_whose_answer_was_lost_is_recognised():
+    async def play():
+        rows = MemoryRows()
+        link = RowsLink(rows)
+        journal = make_journal(link, "one")
+        await journal.acquire(None)
+        link.lose_answers = 1
+        await journal.commit([(ROW, b"value")], [])
+        assert rows.row_by_id[ROW].value == b"value"
+        await journal.commit([], [ROW])
+        assert ROW not in rows.row_by_id
+
+    run_virtual(play)
+
+
+def test_order_that_is_no_longer_permitted_is_not_sent():
+    async def play():
+        async with run_cluster(members=1, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            # The write that makes the attempts durable is slow; the zone goes.
+            owner.store.delay_s = 0.3
+            job = await cluster.submit(make_job(1, make_step(2)))
+            await anyio.sleep(0.1)
+            while not owner.instance.term.book.runner_by_id["runner-0"].busy:
+                await anyio.sleep(0.01)
+            owner.instance.operators.take([cluster.take_zone_row("powys")], False)
+            await anyio.sleep(2)
+            assert not cluster.records("start")
+            assert await cluster.state(job) is not JobState.DONE
+
+    run_virtual(play)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -16,7 +16,7 @@
 from flamingoweir.resources import Resources
 from flamingoweir.settings import FleetSettings
 from flamingoweir.standins import FleetRunner, FleetRunnerLink, MemoryRows, RowsLink
-from flamingoweir.storage import RowId
+from flamingoweir.storage import RowId, VersionedRow
 from tests.utils.virtual_time import Process, VirtualClock, current_process
 
 SERVICE = "turning"
@@ -114,6 +114,11 @@
     def take_zone_out(self, zone: str) -> None:
         self.rows.put(RowId("op", "", f"evacuate/{zone}"), b"{}")
 
+    def take_zone_row(self, zone: str) -> VersionedRow:
+        """Take a zone out and return the row that says so."""
+        self.take_zone_out(zone)
+        return self.rows.row_by_id[RowId("op", "", f"evacuate/{zone}")]
+
     def add_runner(self, runner_id: str, processors: float = 4, zone: str = "powys"):
         capacity = Resources(round(processors * 1000), 64_000, 0)
         runner = FleetRunner(runner_id, capacity, self.find_spec, self.plan)
