--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -131,6 +131,8 @@
         """
         if not step.spec.reserved.fits_in(runner.room):
             return False
+        if step.spec.uses_spare and self._sharing.suffers(runner):
+            return False
         choosy = patient and step.spec.uses_spare
         if choosy and not self._sharing.allows(step.spec, runner):
             return False
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -145,3 +145,12 @@
     placement, runner, step = make_full_house()
     step.job.start(step, 0, runner.id, 1, show.now_s)
     assert placement.choose(step, 0, [runner], show.now_s + 1.5) is None
+
+
+def test_nothing_is_put_beside_a_task_that_is_over_its_target():
+    placement, runner, step = make_full_house()
+    sharing = placement._sharing
+    (serving,) = runner.place_by_run.values()
+    add_place(runner, 1, make_spare("batch"))
+    show(sharing, runner, serving, 300.0, 0.8)
+    assert placement.choose(step, 0, [runner], show.now_s + 1.5) is None
