--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -13,9 +13,6 @@
 from ._sharing import Sharing
 from ._trust import RunnerTrust
 
-#: Seconds after which a job of which nothing runs takes any room; the rules allow
-#: three.
-STARVED_S = 1.0
 #: Seconds that a task waits for its data's rack before it is run elsewhere.
 DATA_WAIT_S = 1.0
 
@@ -80,9 +77,8 @@
         best_score: tuple = ()
         failed_on = step.tasks[index].failed_on
         others_left = len(failed_on) < len(candidates)
-        patient = not _starved(step, now_s)
         for runner in candidates:
-            if runner.id in avoid or not self.fits(step, runner, patient):
+            if runner.id in avoid or not self.fits(step, runner):
                 continue
             if others_left and runner.id in failed_on:
                 continue
@@ -123,18 +119,11 @@
         limit = step.spec.max_per_runner
         return not limit or tasks_on(step, runner) < limit
 
-    def fits(self, step: StepRun, runner: Runner, patient: bool = True) -> bool:
-        """Return whether a runner has room for one more task of a step.
-
-        Unless ``patient``, a task that uses spare processors is also put beside
-        serving tasks that it may disturb; its pace protects them then.
-        """
+    def fits(self, step: StepRun, runner: Runner) -> bool:
+        """Return whether a runner has room for one more task of a step."""
         if not step.spec.reserved.fits_in(runner.room):
             return False
-        if step.spec.uses_spare and self._sharing.suffers(runner):
-            return False
-        choosy = patient and step.spec.uses_spare
-        if choosy and not self._sharing.allows(step.spec, runner):
+        if step.spec.uses_spare and not self._sharing.allows(step.spec, runner):
             return False
         limit = step.spec.max_per_runner
         return not limit or tasks_on(step, runner) < limit
@@ -167,14 +156,6 @@
         return since_s is not None and now_s - since_s < DATA_WAIT_S
 
 
-def _starved(step: StepRun, now_s: float) -> bool:
-    """Return whether a job has waited long and nothing of it runs."""
-    since_s = step.ready_since_s
-    if since_s is None or now_s - since_s < STARVED_S:
-        return False
-    return not any(step.job.attempts())
-
-
 def _strangers(spec: StepSpec, runner: Runner) -> int:
     """Return how many other images serve on a runner; one if nothing serves.
 
--- a/flamingoweir/policy/_sharing.py
+++ b/flamingoweir/policy/_sharing.py
@@ -87,10 +87,6 @@
             error = ratio - expected - place.deviation
             place.deviation += DEVIATION_WEIGHT * error
 
-    def suffers(self, runner: Runner) -> bool:
-        """Return whether a serving task there is over its target just now."""
-        return runner.id in self._over_since_s
-
     def allows(self, spec: StepSpec, runner: Runner) -> bool:
         """Return whether a task that uses spare processors may be placed there."""
         if runner.crowding(spec) > MAX_CROWDING:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,16 +1,8 @@
 """Tasks that use spare processors beside tasks that serve."""
 
 from flamingoweir.fleet import Runner
-from flamingoweir.jobs import (
-    Attempt,
-    Job,
-    JobSpec,
-    QueuePolicy,
-    Standing,
-    StepSpec,
-    TaskId,
-)
-from flamingoweir.policy import Placement, RunnerTrust, Sharing
+from flamingoweir.jobs import Attempt, Standing, StepSpec, TaskId
+from flamingoweir.policy import RunnerTrust, Sharing
 from flamingoweir.registry import RunnerEntry
 from flamingoweir.resources import Resources
 
@@ -117,40 +109,3 @@
     assert not trust.usable("r", True, 4.1)
     trust.note_end("r", "three", False, 4.5)
     assert trust.usable("r", True, 4.6)
-
-
-def make_full_house():
-    """Return a sharing that expects harm on its only runner, and a waiting step."""
-    sharing, runner = Sharing(), make_runner()
-    runner.begin_life(1)
-    serving = add_place(runner, 0, make_serving())
-    for _ in range(40):
-        show.now_s += LOOK_S
-        serving.load = 48.0
-        sharing.learn(runner, show.now_s)
-    policy = QueuePolicy("s")
-    job = Job(JobSpec("0" * 16, "q", "", (make_spare("batch"),), policy))
-    (step,) = job.ready_steps()
-    step.ready_since_s = show.now_s
-    return Placement(RunnerTrust(), sharing), runner, step
-
-
-def test_job_with_nothing_running_does_not_wait_for_a_calm_runner_for_ever():
-    placement, runner, step = make_full_house()
-    assert placement.choose(step, 0, [runner], show.now_s + 0.1) is None
-    assert placement.choose(step, 0, [runner], show.now_s + 1.5) is runner
-
-
-def test_other_tasks_of_a_running_job_wait_for_a_calm_runner():
-    placement, runner, step = make_full_house()
-    step.job.start(step, 0, runner.id, 1, show.now_s)
-    assert placement.choose(step, 0, [runner], show.now_s + 1.5) is None
-
-
-def test_nothing_is_put_beside_a_task_that_is_over_its_target():
-    placement, runner, step = make_full_house()
-    sharing = placement._sharing
-    (serving,) = runner.place_by_run.values()
-    add_place(runner, 1, make_spare("batch"))
-    show(sharing, runner, serving, 300.0, 0.8)
-    assert placement.choose(step, 0, [runner], show.now_s + 1.5) is None
