Learn headroom, pace before a target is missed, bound the owner's passes

Cause, from the figures of 30,000 looks on each site: the tail of a serving task is tail0 / (1 - utilization); users' load swings it between 0.22 and 0.68, alike for all tasks of a step, and each image beside it adds a share of its own (most pairs 0.1, a fifth to a third of them 0.8 to 3.2 for a whole runner). The former model was linear in the logarithm, with one base for an image, so that it could not tell load from neighbours, and paces answered 1.5 s after a target was missed. Change: headroom (target over tail) is linear in both. Load is tracked by step, effects by pair of images with their covariance; paces keep a headroom of 1.1; tasks are placed where 1.1 is left; a job of which nothing runs waits for such a runner 1.5 s at most. An excess is noted on runners without batch too.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -1,5 +1,7 @@
 """Gives room to steps whose turn has come."""
 
+import anyio
+
 from ..fleet import Runner
 from ..jobs import StepRun
 from ..logs import get_logger
@@ -11,6 +13,9 @@
 
 #: Seconds between passes when nothing has changed; occurrences come due meanwhile.
 TICK_S = 0.1
+#: Seconds between the beginnings of passes at the least, so that a backlog of many
+#: steps, which all are tried in a pass, leaves the processor to looks and orders.
+MIN_TICK_S = 0.025
 #: Seconds that a step waits before a runner is kept free for it.
 PATIENCE_S = 0.5
 #: The same for a task that lasts, which users miss from the start.
@@ -39,12 +44,17 @@
         self._book = context.book
         self._permit = permit
         self._told_s = float("-inf")
+        self._planned_s = float("-inf")
         self._placement = Placement(context.book.trust, context.book.sharing)
 
     async def run(self) -> None:
         """Plan until cancelled."""
         while True:
             await self._book.work.wait(TICK_S)
+            since_s = self._context.clock.now() - self._planned_s
+            if since_s < MIN_TICK_S:
+                await anyio.sleep(MIN_TICK_S - since_s)
+            self._planned_s = self._context.clock.now()
             self._book.lapse_unlisted()
             if self._permit.valid():
                 self.plan()
@@ -128,8 +138,11 @@
         for index in sorted(step.open):
             runner = self._placement.choose(step, index, candidates, now_s)
             if runner is None:
+                if step.unplaced_since_s is None:
+                    step.unplaced_since_s = now_s
                 return False
             self._start(step, index, runner, now_s)
+        step.unplaced_since_s = None
         return True
 
     def _place_gang(self, step: StepRun, candidates: list[Runner]) -> bool:
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -182,7 +182,7 @@
                 runner=runner.id,
                 percent=change.percent,
                 former=change.attempt.pace_asked,
-                log_tail_over_target=round(change.worst, 2),
+                lowest_headroom=round(change.headroom, 2),
             )
             change.attempt.pace_asked = change.percent
             runner.find(change.attempt.task, change.attempt.run).free_since_s = now_s
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -91,6 +91,8 @@
         When its silence began.
     changed : Wakeup
         Set when there may be a reason to look at it.
+    revision : int
+        Rises whenever a place is taken or given back.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         self.acknowledged = 0
         self.place_by_run: dict[tuple[TaskId, int], Place] = {}
         self.reserved = Resources()
+        self.revision = 0
         self.spare_milli = 0
         self.serving = 0
         self.serving_milli = 0
@@ -129,19 +132,28 @@
         """Whether attempts take room."""
         return bool(self.place_by_run)
 
+    @property
+    def spare_room_milli(self) -> float:
+        """Processors that are left to tasks that use spare ones."""
+        free_milli = (
+            self.entry.capacity.processors_milli - self.reserved.processors_milli
+        )
+        return free_milli + (1 - SERVING_USE) * self.serving_milli
+
     def crowding(self, spec: StepSpec) -> float:
         """Return by how much tasks would want more spare processors than are left.
 
         0.5 says that, with one more task of a step, they want half as much again,
         and would take half as long again.
         """
-        left = self.room.processors_milli + (1 - SERVING_USE) * self.serving_milli
-        return (self.spare_milli + spec.demand.processors_milli) / max(1, left) - 1
+        wanted = self.spare_milli + spec.demand.processors_milli
+        return wanted / max(1, self.spare_room_milli) - 1
 
     def add(self, attempt: Attempt, spec: StepSpec) -> Place:
         """Take room for an attempt."""
         place = Place(attempt, spec)
         self.place_by_run[attempt.task, attempt.run] = place
+        self.revision += 1
         self.reserved = self.reserved + spec.reserved
         if spec.uses_spare:
             self.spare_milli += spec.demand.processors_milli
@@ -159,6 +171,7 @@
         place = self.place_by_run.pop((task, run), None)
         if place is None:
             return None
+        self.revision += 1
         self.reserved = self.reserved - place.spec.reserved
         if place.spec.uses_spare:
             self.spare_milli -= place.spec.demand.processors_milli
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -72,6 +72,8 @@
         Runs of a gang that were already counted as failed.
     retry_at_s : float
         Before this, on the owner's clock, no task of the step is started again.
+    unplaced_since_s : float or None
+        Since when, on the owner's clock, an open task has found no runner.
     """
 
     def __init__(self, job: "Job", occurrence: int, step: int):
@@ -84,6 +86,7 @@
         self.ready_since_s: float | None = None
         self.failed_runs: set[int] = set()
         self.retry_at_s = 0.0
+        self.unplaced_since_s: float | None = None
 
     @property
     def done(self) -> bool:
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -17,6 +17,7 @@
     fields = orjson.loads(text)
     steps = []
     for step in fields["steps"]:
+        step.pop("reserved", None)
         step["demand"] = Resources(**step["demand"])
         step["after"] = tuple(step["after"])
         steps.append(StepSpec(**step))
--- a/flamingoweir/jobs/_spec.py
+++ b/flamingoweir/jobs/_spec.py
@@ -1,7 +1,7 @@
 """What a submitted job asks for."""
 
 import dataclasses
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..resources import Resources
 
@@ -62,13 +62,14 @@
     latency_target_ms: float = 0.0
     uses_spare: bool = False
     may_miss: int = 0
-
-    @property
-    def reserved(self) -> Resources:
-        """What a task takes from a runner's room."""
-        if not self.uses_spare:
-            return self.demand
-        return dataclasses.replace(self.demand, processors_milli=0)
+    #: What a task takes from a runner's room.
+    reserved: Resources = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        reserved = self.demand
+        if self.uses_spare:
+            reserved = dataclasses.replace(reserved, processors_milli=0)
+        object.__setattr__(self, "reserved", reserved)
 
 
 @dataclass(frozen=True, slots=True)
--- a/flamingoweir/policy/_effects.py
+++ b/flamingoweir/policy/_effects.py
@@ -1,115 +1,169 @@
 """What tasks that use spare processors do to the tail latency of serving tasks.
 
-The model is log(tail / target) = base + sum of effect * share, where share is the part
-of the runner's processors that an image uses. Base and effects are learnt for each
-image that serves by recursive least squares; a random walk of the coefficients lets
-old samples fade, as effects change within seconds.
+A server's tail grows like 1 / (1 - utilization), so that its headroom, the target
+divided by the tail, falls by the same amount for each processor that disturbs it,
+whatever its own load. The model is headroom = own - sum of effect * share. ``own``
+follows the users' load, which the tasks of a step share; an effect belongs to a pair
+of images, and share is the part of the runner's processors that the disturbing image
+uses. Both are learnt by a Kalman filter, in which the effects on one image are
+correlated, so that of several neighbours the right one is blamed.
 """
 
-import math
+from dataclasses import dataclass
+
+#: Expected effect of an image of which nothing is known, and its spread. Most pairs
+#: hardly disturb each other, some lose ten times their target.
+PRIOR_EFFECT = 0.5
+PRIOR_EFFECT_SPREAD = 3.0
+#: Largest effect that is believed.
+MAX_EFFECT = 40.0
+#: Spread that an effect gains within a second.
+EFFECT_WALK = 0.1
+#: Expected headroom of an undisturbed task, and its spread.
+PRIOR_OWN = 2.0
+PRIOR_OWN_SPREAD = 1.5
+#: Spread that the users' load adds to an undisturbed headroom within a second.
+OWN_WALK = 0.5
+#: Spread of a figure, as a part of it and beyond that.
+FIGURE_SPREAD = 0.1
+FIGURE_SPREAD_MIN = 0.1
+#: Below this headroom queues are cut short and say nothing of how far it fell.
+MIN_HEADROOM = 0.05
+#: Seconds in which the lowest headroom seen rises by two thirds to the present one.
+LOW_MEMORY_S = 30.0
+
+
+@dataclass(slots=True)
+class OwnHeadroom:
+    """The undisturbed headroom of a step's tasks.
+
+    Attributes
+    ----------
+    mean, variance : float
+        What it is, and how sure that is.
+    low : float
+        The lowest of late, as the load of users swings.
+    learnt_s : float
+        When it was last corrected.
+    """
+
+    mean: float
+    variance: float
+    low: float
+    learnt_s: float
+
+    def walk(self, now_s: float) -> None:
+        """Let time pass since the latest figure."""
+        passed_s = min(LOW_MEMORY_S, max(0.0, now_s - self.learnt_s))
+        self.learnt_s = now_s
+        widened = self.variance + OWN_WALK**2 * passed_s
+        self.variance = min(PRIOR_OWN_SPREAD**2, widened)
+        self.low += (self.mean - self.low) * passed_s / LOW_MEMORY_S
+
+    def correct(self, error: float, variance: float) -> None:
+        """Take the error of a figure, and the variance that was expected of it."""
+        gain = self.variance / variance
+        self.mean += gain * error
+        self.variance -= gain * self.variance
+        self.low = min(self.low, self.mean)
 
-#: Expected effect of an image of which nothing is known, and its spread.
-PRIOR_EFFECT = 3.0
-PRIOR_SPREAD = 4.0
-#: Expected log of tail over target when nothing disturbs, and its spread.
-PRIOR_BASE = -0.9
-PRIOR_BASE_SPREAD = 0.3
-#: Spread of a single sample.
-SAMPLE_SPREAD = 0.35
-#: Spread that a coefficient gains in a second, as a part of its prior spread.
-WALK = 0.06
 
-#: Name of the constant term among the coefficients.
-BASE = ""
+def new_own(now_s: float) -> OwnHeadroom:
+    """Return the headroom of a step of which nothing is known."""
+    return OwnHeadroom(PRIOR_OWN, PRIOR_OWN_SPREAD**2, PRIOR_OWN, now_s)
 
 
-class ServingModel:
-    """Base and effects for one image that serves.
+class EffectModel:
+    """Effects of images on one image that serves.
 
     Attributes
     ----------
     mean_by_image : dict of str to float
-        Effect of each image; the base under `BASE`.
+        Headroom that is lost to an image that uses all processors of a runner.
     """
 
     def __init__(self) -> None:
-        self.mean_by_image: dict[str, float] = {BASE: PRIOR_BASE}
-        self._covariance: dict[tuple[str, str], float] = {
-            (BASE, BASE): PRIOR_BASE_SPREAD**2
-        }
+        self.mean_by_image: dict[str, float] = {}
+        self._covariance: dict[str, dict[str, float]] = {}
         self._walked_s: float | None = None
 
     def effect(self, image: str) -> float:
-        """Return the effect of an image; never negative."""
-        return max(0.0, self.mean_by_image.get(image, PRIOR_EFFECT))
-
-    @property
-    def base(self) -> float:
-        """The log of tail over target when nothing disturbs."""
-        return self.mean_by_image[BASE]
+        """Return the expected effect of an image; never negative."""
+        return self.mean_by_image.get(image, PRIOR_EFFECT)
 
     def learn(
-        self, log_ratio: float, share_by_image: dict[str, float], now_s: float
-    ) -> None:
-        """Take one sample.
+        self,
+        headroom: float,
+        share_by_image: dict[str, float],
+        own: OwnHeadroom,
+        now_s: float,
+    ) -> float:
+        """Take one figure of a task; return how far it was from what was expected.
 
         Parameters
         ----------
-        log_ratio : float
-            Log of the tail over its target.
+        headroom : float
+            The target divided by the tail.
         share_by_image : dict of str to float
             Parts of the runner's processors that each image used meanwhile.
+        own : OwnHeadroom
+            Of the task's step; corrected too.
         now_s : float
-            When it was taken.
+            When the figure was taken.
         """
+        own.walk(now_s)
         self._walk(now_s)
-        inputs = {BASE: 1.0}
+        expected = own.mean
         for image, share in share_by_image.items():
             self._add(image)
-            inputs[image] = share
-        gains = self._project(inputs)
-        scale = SAMPLE_SPREAD**2
-        expected = 0.0
-        for image, value in inputs.items():
-            scale += value * gains[image]
-            expected += value * self.mean_by_image[image]
-        error = log_ratio - expected
-        for image, gain in gains.items():
-            self.mean_by_image[image] += gain * error / scale
-        for first, second in self._covariance:
-            self._covariance[first, second] -= gains[first] * gains[second] / scale
+            expected -= self.mean_by_image[image] * share
+        expected = max(MIN_HEADROOM, expected)
+        projected = self._project(share_by_image)
+        figure_spread = FIGURE_SPREAD * max(headroom, expected)
+        variance = own.variance + figure_spread**2 + FIGURE_SPREAD_MIN**2
+        for image, share in share_by_image.items():
+            variance += share * projected[image]
+        error = headroom - expected
+        own.correct(error, variance)
+        if share_by_image:
+            self._correct(projected, error, variance)
+        return error
 
     def _add(self, image: str) -> None:
         if image in self.mean_by_image:
             return
-        for other in list(self.mean_by_image):
-            self._covariance[image, other] = 0.0
-            self._covariance[other, image] = 0.0
-        self._covariance[image, image] = PRIOR_SPREAD**2
         self.mean_by_image[image] = PRIOR_EFFECT
+        row = dict.fromkeys(self._covariance, 0.0)
+        for other in self._covariance.values():
+            other[image] = 0.0
+        row[image] = PRIOR_EFFECT_SPREAD**2
+        self._covariance[image] = row
 
-    def _project(self, inputs: dict[str, float]) -> dict[str, float]:
-        """Return the covariance times the inputs."""
-        gains = {}
-        for image in self.mean_by_image:
+    def _walk(self, now_s: float) -> None:
+        walked_s, self._walked_s = self._walked_s, now_s
+        if walked_s is None or now_s <= walked_s:
+            return
+        gained = EFFECT_WALK**2 * (now_s - walked_s)
+        for image, row in self._covariance.items():
+            row[image] = min(PRIOR_EFFECT_SPREAD**2, row[image] + gained)
+
+    def _project(self, share_by_image: dict[str, float]) -> dict[str, float]:
+        """Return the covariance times the shares."""
+        projected = {}
+        for image, row in self._covariance.items():
             total = 0.0
-            for other, value in inputs.items():
-                total += self._covariance[image, other] * value
-            gains[image] = total
-        return gains
+            for other, share in share_by_image.items():
+                total += row[other] * share
+            projected[image] = total
+        return projected
 
-    def _walk(self, now_s: float) -> None:
-        if self._walked_s is not None:
-            passed_s = min(10.0, max(0.0, now_s - self._walked_s))
-            for image in self.mean_by_image:
-                prior = PRIOR_BASE_SPREAD if image == BASE else PRIOR_SPREAD
-                widened = (
-                    self._covariance[image, image] + passed_s * (WALK * prior) ** 2
-                )
-                self._covariance[image, image] = min(prior**2, widened)
-        self._walked_s = now_s
-
-
-def log_ratio(tail_ms: float, target_ms: float) -> float:
-    """Return the log of a tail over its target; tails are at least half a ms."""
-    return math.log(max(0.5, tail_ms) / target_ms)
+    def _correct(
+        self, projected: dict[str, float], error: float, variance: float
+    ) -> None:
+        for image, gain in projected.items():
+            mean = self.mean_by_image[image] - gain * error / variance
+            self.mean_by_image[image] = min(MAX_EFFECT, max(0.0, mean))
+            row = self._covariance[image]
+            scaled = gain / variance
+            for other, other_gain in projected.items():
+                row[other] -= scaled * other_gain
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -77,8 +77,9 @@
         best_score: tuple = ()
         failed_on = step.tasks[index].failed_on
         others_left = len(failed_on) < len(candidates)
+        waited_s = _idle_s(step, now_s)
         for runner in candidates:
-            if runner.id in avoid or not self.fits(step, runner):
+            if runner.id in avoid or not self.fits(step, runner, waited_s):
                 continue
             if others_left and runner.id in failed_on:
                 continue
@@ -119,11 +120,12 @@
         limit = step.spec.max_per_runner
         return not limit or tasks_on(step, runner) < limit
 
-    def fits(self, step: StepRun, runner: Runner) -> bool:
+    def fits(self, step: StepRun, runner: Runner, waited_s: float) -> bool:
         """Return whether a runner has room for one more task of a step."""
-        if not step.spec.reserved.fits_in(runner.room):
+        spec = step.spec
+        if not spec.reserved.fits_in(runner.room):
             return False
-        if step.spec.uses_spare and not self._sharing.allows(step.spec, runner):
+        if spec.uses_spare and not self._sharing.allows(spec, runner, waited_s):
             return False
         limit = step.spec.max_per_runner
         return not limit or tasks_on(step, runner) < limit
@@ -156,6 +158,13 @@
         return since_s is not None and now_s - since_s < DATA_WAIT_S
 
 
+def _idle_s(step: StepRun, now_s: float) -> float:
+    """Return how long a job of which nothing runs has found no runner, in seconds."""
+    if step.unplaced_since_s is None or any(step.job.attempts()):
+        return 0.0
+    return now_s - step.unplaced_since_s
+
+
 def _strangers(spec: StepSpec, runner: Runner) -> int:
     """Return how many other images serve on a runner; one if nothing serves.
 
--- a/flamingoweir/policy/_sharing.py
+++ b/flamingoweir/policy/_sharing.py
@@ -1,9 +1,9 @@
 """How much tasks that use spare processors may work beside tasks that serve.
 
 Answers load that swings and images that disturb each other by unknown amounts: what
-each pair does is learnt from the runners' figures; such tasks are placed only where
-serving tasks are expected to stay below their target, are slowed down, the worst
-first, when figures stay over the target, and are let go as soon as they are calm.
+each pair does is learnt from the runners' figures; such tasks are placed where serving
+tasks are expected to stay below their target, are slowed down, the worst first, as
+soon as the headroom that is expected gets short, and are let go when it has returned.
 """
 
 from collections.abc import Iterable, Iterator
@@ -11,101 +11,124 @@
 
 from ..fleet import Place, Runner
 from ..jobs import Attempt, Standing, StepSpec
-from ._effects import ServingModel, log_ratio
-
-#: Seconds over the target after which those that cause it are slowed down; the rules
-#: allow four, and short excesses pass by themselves.
-OVER_S = 1.5
+from ._effects import PRIOR_OWN, EffectModel, OwnHeadroom, new_own
+
+#: Headroom (target over tail) that paces keep; 1.0 is at the target.
+KEEP_HEADROOM = 1.1
+#: Headroom that is left when a paced task is let work more.
+RAISE_HEADROOM = 1.2
+#: Headroom that a runner must be expected to keep to be given a task.
+PLACE_HEADROOM = 1.1
+#: Headroom at the load's peak below which a place counts as harmful.
+PEAK_HEADROOM = 1.1
+#: Headroom above which a figure counts as calm.
+CALM_HEADROOM = 1.02
+#: Figures in a row above `CALM_HEADROOM` that end an excess; one may be noise.
+CALM_FIGURES = 2
 #: Seconds over the target after which all are held back, blamed or not; with the
 #: time between figures this stays below the four seconds of the rules.
-MAX_OVER_S = 2.3
-#: Figures in a row below `CALM` that end an excess; one alone may be noise.
-CALM_FIGURES = 2
-#: Log of tail over target that pacing aims at: 0.8 of the target.
-AIM = -0.2
-#: Log of tail over target up to which tasks are placed: 0.7 of the target.
-GOAL = -0.35
-#: Below this, paced tasks are let work more: 0.9 of the target.
-CALM = -0.1
+MAX_OVER_S = 2.0
 #: Most by which tasks may want more spare processors than a runner has left; beyond
 #: that it is better for them to wait.
 MAX_CROWDING = 0.4
-#: Sum of expected effects that is worth a move.
-LITTLE_HARM = 0.2
-#: Seconds between changes on one runner; its figures cover half a second.
-SETTLE_S = 0.6
-#: Effect below which a task is not blamed.
-LITTLE_EFFECT = 0.03
+#: Seconds that a job of which nothing runs waits for a runner where it disturbs
+#: nobody; then it gets one where it disturbs least, and its pace protects the serving
+#: tasks there. Users count a job that waits for three seconds beside free room as lost.
+MAX_CALM_WAIT_S = 1.5
+#: Loss of headroom below which a task is not blamed.
+LITTLE_EFFECT = 0.02
 #: A lower pace than this, in percent, is none.
 MIN_PACE = 15
-#: Percent by which a pace rises at once.
-PACE_STEP = 100
+#: Percent by which a pace has to differ to be changed.
+PACE_STEP = 10
 #: Weight of the latest figure in a task's own deviation from its image's model.
-DEVIATION_WEIGHT = 0.25
+DEVIATION_WEIGHT = 0.2
 #: A task held at this pace or below, in percent, is better run elsewhere.
-MOVE_PACE = 30
+MOVE_PACE = 50
 #: Seconds at such a pace after which it is moved.
-MOVE_AFTER_S = 1.0
+MOVE_AFTER_S = 0.8
+#: Percent of its work after which a task is not moved any more.
+MOVE_UNTIL_PERCENT = 70
+#: Seconds after which a step without figures is forgotten.
+STEP_MEMORY_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
 class PaceChange:
-    """A new pace for an attempt, in percent, and what decided it."""
+    """A new pace for an attempt, in percent, and the lowest headroom then."""
 
     attempt: Attempt
     percent: int
-    worst: float
+    headroom: float
 
 
 class Sharing:
     """Learns effects and decides on paces and places."""
 
     def __init__(self) -> None:
-        self._model_by_image: dict[str, ServingModel] = {}
-        self._settled_s_by_runner: dict[str, float] = {}
+        self._model_by_image: dict[str, EffectModel] = {}
+        self._own_by_step: dict[tuple, OwnHeadroom] = {}
         self._calm_by_runner: dict[str, int] = {}
         self._over_since_s: dict[str, float] = {}
+        self._pruned_s = 0.0
+        self._headroom_by_runner: dict[str, tuple[int, list]] = {}
 
     def learn(self, runner: Runner, now_s: float) -> None:
         """Take the figures of a look."""
+        self._headroom_by_runner.pop(runner.id, None)
         if not runner.serving:
+            self.forget(runner.id)
             return
+        self._prune(now_s)
         shares: dict[str, float] = {}
         total = max(1, runner.entry.capacity.processors_milli)
         for place in _spare_places(runner):
             used = place.load if place.load is not None else _wanted_milli(place)
             shares[place.spec.image] = shares.get(place.spec.image, 0.0) + used / total
         for place in _serving_places(runner):
-            if not place.load:
+            headroom = _headroom(place)
+            if headroom is None:
                 continue
-            ratio = log_ratio(place.load, place.spec.latency_target_ms)
-            model = self._model(place.spec.image)
-            expected = model.base
-            for image, share in shares.items():
-                expected += model.effect(image) * share
-            model.learn(ratio, shares, now_s)
-            error = ratio - expected - place.deviation
-            place.deviation += DEVIATION_WEIGHT * error
-
-    def allows(self, spec: StepSpec, runner: Runner) -> bool:
+            step = _step_key(place)
+            own = self._own_by_step.get(step)
+            if own is None:
+                own = self._own_by_step[step] = new_own(now_s)
+            error = self._model(place.spec.image).learn(headroom, shares, own, now_s)
+            place.deviation += DEVIATION_WEIGHT * (error - place.deviation)
+        lowest = _lowest_headroom(runner)
+        if lowest is not None:
+            self._note_over(runner, lowest, now_s)
+
+    def allows(self, spec: StepSpec, runner: Runner, waited_s: float) -> bool:
         """Return whether a task that uses spare processors may be placed there."""
         if runner.crowding(spec) > MAX_CROWDING:
             return False
+        if runner.id in self._over_since_s:
+            return False
+        if waited_s > MAX_CALM_WAIT_S:
+            return True
         share = _share(spec, runner)
-        for place in _serving_places(runner):
-            effect = self._model(place.spec.image).effect(spec.image) * share
-            if effect < LITTLE_EFFECT:
-                continue
-            if self._expected(runner, place) + effect > GOAL:
+        for model, headroom in self._headrooms(runner):
+            loss = model.effect(spec.image) * share
+            if loss >= LITTLE_EFFECT and headroom - loss < PLACE_HEADROOM:
                 return False
         return True
 
     def harm(self, spec: StepSpec, runner: Runner) -> float:
-        """Return how much a task is expected to disturb the serving tasks there."""
+        """Return the headroom that a task is expected to take at the load's peak.
+
+        What is taken above `PEAK_HEADROOM` hardly counts.
+        """
         total = 0.0
+        share = _share(spec, runner)
         for place in _serving_places(runner):
-            total += self._model(place.spec.image).effect(spec.image)
-        return total * _share(spec, runner)
+            model = self._model(place.spec.image)
+            loss = model.effect(spec.image) * share
+            own = self._own_by_step.get(_step_key(place))
+            low = own.low if own else PRIOR_OWN
+            left = low - self._taken(runner, model) - loss
+            total += min(loss, max(0.1 * loss, PEAK_HEADROOM - left))
+        return total
 
     def decide(self, runner: Runner, now_s: float) -> list[PaceChange]:
         """Return the paces that have to change after a look."""
@@ -114,33 +137,18 @@
             return []
         if not runner.serving:
             return _resume(places)
-        worst, suffering = _worst(runner)
-        if suffering is None:
+        lowest = _lowest_headroom(runner)
+        if lowest is None:
             return []
-        over_s = now_s - self._note_over(runner, worst, now_s)
-        settled_s = self._settled_s_by_runner.get(runner.id, float("-inf"))
-        if now_s - settled_s < SETTLE_S and over_s < MAX_OVER_S:
-            return []
-        changes = []
+        over_s = now_s - self._over_since_s.get(runner.id, now_s)
         if over_s >= MAX_OVER_S:
-            changes = _halt(places, worst)
-        elif over_s >= OVER_S:
-            changes = self._slow_down(runner, suffering, places, worst)
-        elif over_s == 0.0 and worst < CALM:
-            changes = self._speed_up(runner, places, worst)
-        if changes:
-            self._settled_s_by_runner[runner.id] = now_s
-        return changes
-
-    def _note_over(self, runner: Runner, worst: float, now_s: float) -> float:
-        """Return since when a task has been over its target; now if none is."""
-        calm = self._calm_by_runner.get(runner.id, 0) + 1 if worst < CALM else 0
-        self._calm_by_runner[runner.id] = calm
-        if calm >= CALM_FIGURES:
-            self._over_since_s.pop(runner.id, None)
-        elif worst > 0.0:
-            self._over_since_s.setdefault(runner.id, now_s)
-        return self._over_since_s.get(runner.id, now_s)
+            return _halt(places, lowest)
+        ceilings = self._paces(runner, places, KEEP_HEADROOM)
+        changes = _lower(places, ceilings, lowest)
+        if runner.id in self._over_since_s:
+            return changes
+        floors = self._paces(runner, places, RAISE_HEADROOM)
+        return changes + _raise(places, floors, lowest)
 
     def to_move(
         self, runner: Runner, others: Iterable[Runner], now_s: float
@@ -160,97 +168,148 @@
             slow_s = now_s - place.slow_since_s
             if found or slow_s < MOVE_AFTER_S or not place.spec.checkpoints:
                 continue
+            if attempt.percent > MOVE_UNTIL_PERCENT:
+                continue
             if any(self._welcomes(place.spec, other) for other in others):
                 found.append(attempt)
         return found
 
     def forget(self, runner: str) -> None:
         """Drop what is known of a runner that has gone."""
-        self._settled_s_by_runner.pop(runner, None)
         self._over_since_s.pop(runner, None)
         self._calm_by_runner.pop(runner, None)
+        self._headroom_by_runner.pop(runner, None)
+
+    def _note_over(self, runner: Runner, lowest: float, now_s: float) -> None:
+        """Note whether a task is over its target; a calm figure may be noise."""
+        calm = 0
+        if lowest > CALM_HEADROOM:
+            calm = self._calm_by_runner.get(runner.id, 0) + 1
+        self._calm_by_runner[runner.id] = calm
+        if calm >= CALM_FIGURES:
+            self._over_since_s.pop(runner.id, None)
+        elif lowest < 1.0:
+            self._over_since_s.setdefault(runner.id, now_s)
 
     def _welcomes(self, spec: StepSpec, runner: Runner) -> bool:
         """Return whether a task would work at full speed there and disturb little."""
-        if not spec.reserved.fits_in(runner.room) or runner.crowding(spec) > 0:
+        if not spec.reserved.fits_in(runner.room) or runner.crowding(spec) > 0.2:
             return False
-        return self.allows(spec, runner) and self.harm(spec, runner) < LITTLE_HARM
+        return self.allows(spec, runner, 0.0)
 
-    def _model(self, image: str) -> ServingModel:
+    def _model(self, image: str) -> EffectModel:
         model = self._model_by_image.get(image)
         if model is None:
-            model = self._model_by_image[image] = ServingModel()
+            model = self._model_by_image[image] = EffectModel()
         return model
 
-    def _expected(self, runner: Runner, place: Place) -> float:
-        """Return the expected log of tail over target of a serving task."""
-        model = self._model(place.spec.image)
+    def _undisturbed(self, place: Place) -> float:
+        own = self._own_by_step.get(_step_key(place))
+        return (own.mean if own else PRIOR_OWN) + min(0.0, place.deviation)
+
+    def _headrooms(self, runner: Runner) -> list[tuple[EffectModel, float]]:
+        """Return the lowest headroom expected of each image that serves there.
+
+        Kept until the runner's places change or its next figures come.
+        """
+        kept = self._headroom_by_runner.get(runner.id)
+        if kept is not None and kept[0] == runner.revision:
+            return kept[1]
+        lowest: dict[str, float] = {}
+        for place in _serving_places(runner):
+            undisturbed = self._undisturbed(place)
+            known = lowest.get(place.spec.image, undisturbed)
+            lowest[place.spec.image] = min(known, undisturbed)
+        found = []
+        for image, undisturbed in lowest.items():
+            model = self._model(image)
+            found.append((model, undisturbed - self._taken(runner, model)))
+        self._headroom_by_runner[runner.id] = (runner.revision, found)
+        return found
+
+    @staticmethod
+    def _taken(runner: Runner, model: EffectModel) -> float:
+        """Return the headroom that all on a runner take from an image there."""
         total = max(1, runner.entry.capacity.processors_milli)
-        expected = model.base + place.deviation
-        for other in _spare_places(runner):
-            share = _wanted_milli(other) / total
-            expected += model.effect(other.spec.image) * share
-        return expected
-
-    def _slow_down(
-        self, runner: Runner, suffering: Place, places: list[Place], worst: float
-    ) -> list[PaceChange]:
-        """Take the excess from the tasks that are expected to cause most of it."""
-        excess = worst - AIM
-        model = self._model(suffering.spec.image)
+        taken = 0.0
+        for place in _spare_places(runner):
+            taken += model.effect(place.spec.image) * _wanted_milli(place) / total
+        return taken
+
+    def _paces(self, runner: Runner, places: list[Place], keep: float) -> list[int]:
+        """Return the highest paces that leave every serving task a headroom."""
         total = max(1, runner.entry.capacity.processors_milli)
+        paces = [100] * len(places)
+        for serving in _serving_places(runner):
+            model = self._model(serving.spec.image)
+            losses = []
+            for place in places:
+                share = place.spec.demand.processors_milli / total
+                losses.append(model.effect(place.spec.image) * share)
+            left = self._undisturbed(serving)
+            for loss, pace in zip(losses, paces, strict=True):
+                left -= loss * pace / 100
+            for number in sorted(range(len(places)), key=lambda n: -losses[n]):
+                loss = losses[number]
+                if left >= keep or loss < LITTLE_EFFECT:
+                    break
+                former = paces[number]
+                pace = round(max(0.0, former - 100 * (keep - left) / loss))
+                paces[number] = pace if pace >= MIN_PACE else 0
+                left += loss * (former - paces[number]) / 100
+        return paces
+
+    def _prune(self, now_s: float) -> None:
+        if now_s - self._pruned_s < STEP_MEMORY_S:
+            return
+        self._pruned_s = now_s
+        for step, own in list(self._own_by_step.items()):
+            if now_s - own.learnt_s > STEP_MEMORY_S:
+                del self._own_by_step[step]
+
+
+def _step_key(place: Place) -> tuple:
+    task = place.attempt.task
+    return task.job, task.occurrence, task.step
 
-        def caused(place: Place) -> float:
-            return model.effect(place.spec.image) * _wanted_milli(place) / total
-
-        changes = []
-        for place in sorted(places, key=caused, reverse=True):
-            share = caused(place)
-            if excess <= 0 or share < LITTLE_EFFECT:
-                break
-            keep = max(0.0, 1 - excess / share)
-            percent = round(place.attempt.pace_asked * keep)
-            if percent < MIN_PACE:
-                percent = 0
-            excess -= share * (1 - percent / place.attempt.pace_asked)
-            changes.append(PaceChange(place.attempt, percent, worst))
-        return changes
-
-    def _speed_up(
-        self, runner: Runner, places: list[Place], worst: float
-    ) -> list[PaceChange]:
-        """Let tasks work more, as far as the serving ones are expected to bear it."""
-        expected = max(self._expected(runner, p) for p in _serving_places(runner))
-        slowed = [p for p in places if p.attempt.pace_asked < 100]
-        changes = []
-        for place in sorted(slowed, key=lambda p: self.harm(p.spec, runner)):
-            percent = min(100, place.attempt.pace_asked + PACE_STEP)
-            step = (percent - place.attempt.pace_asked) / 100
-            expected += step * self.harm(place.spec, runner)
-            if changes and expected > GOAL:
-                break
-            changes.append(PaceChange(place.attempt, percent, worst))
-        return changes
-
-
-def _worst(runner: Runner) -> tuple[float, Place | None]:
-    """Return the highest log of tail over target on a runner, and whose it is."""
-    worst, suffering = float("-inf"), None
+
+def _headroom(place: Place) -> float | None:
+    """Return a serving task's target over its tail, or None if it is not known."""
+    if not place.load:
+        return None
+    return place.spec.latency_target_ms / place.load
+
+
+def _lowest_headroom(runner: Runner) -> float | None:
+    """Return the lowest headroom on a runner, or None if there is no figure."""
+    lowest = None
     for place in _serving_places(runner):
-        if not place.load:
-            continue
-        ratio = log_ratio(place.load, place.spec.latency_target_ms)
-        if ratio > worst:
-            worst, suffering = ratio, place
-    return worst, suffering
+        headroom = _headroom(place)
+        if headroom is not None and (lowest is None or headroom < lowest):
+            lowest = headroom
+    return lowest
+
+
+def _halt(places: list[Place], lowest: float) -> list[PaceChange]:
+    """Hold all back: figures stay low although those blamed were slowed down."""
+    return _lower(places, [0] * len(places), lowest)
 
 
-def _halt(places: list[Place], worst: float) -> list[PaceChange]:
-    """Hold all back: figures stay high although those blamed were slowed down."""
+def _lower(places: list[Place], paces: list[int], lowest: float) -> list[PaceChange]:
     changes = []
-    for place in places:
-        if place.attempt.pace_asked:
-            changes.append(PaceChange(place.attempt, 0, worst))
+    for place, percent in zip(places, paces, strict=True):
+        asked = place.attempt.pace_asked
+        if percent <= asked - PACE_STEP or (not percent and asked):
+            changes.append(PaceChange(place.attempt, percent, lowest))
+    return changes
+
+
+def _raise(places: list[Place], paces: list[int], lowest: float) -> list[PaceChange]:
+    changes = []
+    for place, percent in zip(places, paces, strict=True):
+        asked = place.attempt.pace_asked
+        if percent >= asked + PACE_STEP or (percent == 100 and asked < 100):
+            changes.append(PaceChange(place.attempt, percent, lowest))
     return changes
 
 
@@ -259,7 +318,7 @@
     changes = []
     for place in places:
         if place.attempt.pace_asked < 100:
-            changes.append(PaceChange(place.attempt, 100, float("-inf")))
+            changes.append(PaceChange(place.attempt, 100, float("inf")))
     return changes
 
 
--- a/flamingoweir/standins/__init__.py
+++ b/flamingoweir/standins/__init__.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform, workers and runners, small and in memory."""
 
 from ._fleet_runner import FleetRunner, FleetRunnerLink, RunRecord
+from ._neighbours import Neighbours, swinging_load
 from ._platform import MemoryInstanceList, MemoryObjectStore, MemoryTable
 from ._rows import MemoryRows, RowsLink
 from ._runner import RunnerFault, StandinRunner
@@ -14,6 +15,7 @@
     "MemoryObjectStore",
     "MemoryRows",
     "MemoryTable",
+    "Neighbours",
     "PlatformApp",
     "RowsLink",
     "RunRecord",
@@ -23,4 +25,5 @@
     "StandinWorker",
     "WorkerApp",
     "WorkerEvent",
+    "swinging_load",
 ]
--- a/flamingoweir/standins/_fleet_runner.py
+++ b/flamingoweir/standins/_fleet_runner.py
@@ -17,6 +17,7 @@
 )
 from ..jobs import Outcome, StepSpec, TaskId
 from ..resources import Resources
+from ._neighbours import Neighbours
 
 #: Seconds between looks of a waiting call.
 POLL_S = 0.01
@@ -74,6 +75,10 @@
         What a task asks for.
     plan : callable
         How long a run takes and how it ends.
+    rate : float
+        Speed of its clock.
+    neighbours : Neighbours or None
+        What its tasks do to each other; None: nothing.
 
     Attributes
     ----------
@@ -90,6 +95,7 @@
         find_spec: FindSpec,
         plan: RunPlan,
         rate: float = 1.0,
+        neighbours: Neighbours | None = None,
     ):
         self.id = runner_id
         self.capacity = capacity
@@ -98,6 +104,7 @@
         self.up = True
         self.saves = True
         self._rate = rate
+        self._neighbours = neighbours
         self._find_spec = find_spec
         self._plan = plan
         self._fence = 0
@@ -208,7 +215,10 @@
         for task, run in self._run_by_task.items():
             total_s, _ = self._plan(task, run.order.run)
             percent = 100 * (1 - run.left_s / total_s) if total_s else 100
-            running.append(RunningTask(task, run.order.run, self._saved(run), percent))
+            if run.spec.lasting:
+                percent = 100.0
+            saved, load = self._saved(run), self._load(task, run)
+            running.append(RunningTask(task, run.order.run, saved, percent, load))
         return RunnerReport(self.life, self.clock_ms, running, list(kept))
 
     @property
@@ -221,8 +231,11 @@
         now_s = anyio.current_time()
         lapse_s = self._born_s + self._due_ms / 1000 / self._rate
         until_s = min(now_s, max(self._advanced_s, lapse_s))
+        spare_speed = self._spare_speed()
         for task, run in list(self._run_by_task.items()):
             speed = run.pace / 100
+            if run.spec.uses_spare:
+                speed *= spare_speed
             if run.spec.lasting or not speed:
                 continue
             end_s = self._advanced_s + run.left_s / speed
@@ -235,6 +248,40 @@
             self._reopen_ends(until_s)
         self._advanced_s = now_s
 
+    def tails(self) -> list[tuple[float, float]]:
+        """Return tail and target of each serving task, in milliseconds."""
+        found = []
+        for task, run in self._run_by_task.items():
+            if run.spec.latency_target_ms:
+                tail_ms = self._load(task, run) or 0.0
+                found.append((tail_ms, run.spec.latency_target_ms))
+        return found
+
+    def _neighbourhood(self) -> list[tuple[str, StepSpec, int]]:
+        found = []
+        for task, run in self._run_by_task.items():
+            found.append((task.job, run.spec, run.pace))
+        return found
+
+    def _spare_speed(self) -> float:
+        if self._neighbours is None:
+            return 1.0
+        total = self.capacity.processors_milli
+        runs = self._neighbourhood()
+        return self._neighbours.spare_speed(total, runs, anyio.current_time())
+
+    def _load(self, task: TaskId, run: _Run) -> float | None:
+        """Return the figure that a look tells of a run; see `RunningTask.load`."""
+        if self._neighbours is None:
+            return None
+        if run.spec.latency_target_ms:
+            total = self.capacity.processors_milli
+            runs = self._neighbourhood()
+            return self._neighbours.tail_ms(
+                task.job, run.spec, total, runs, anyio.current_time()
+            )
+        return run.spec.demand.processors_milli * run.pace / 100 * self._spare_speed()
+
     def _reopen_ends(self, at_s: float) -> None:
         """Note ends whose lease ran out before they were acknowledged."""
         for end in self._ended:
@@ -323,13 +370,15 @@
         """See `RunnerLink.look`."""
         await self._reach_or_fail()
         until_s = anyio.current_time() + wait_s
-        while True:
-            report = self.runner.look(fence, acknowledged, due_ms)
-            if report.ended or anyio.current_time() >= until_s:
-                return report
+        report = self.runner.look(fence, acknowledged, due_ms)
+        while not report.ended and anyio.current_time() < until_s:
             await anyio.sleep(POLL_S)
             if self.cut or not self.runner.up:
                 await self._reach_or_fail()
+            self.runner.advance()
+            if self.runner.listed_ends or anyio.current_time() >= until_s:
+                report = self.runner.look(fence, acknowledged, due_ms)
+        return report
 
     async def aclose(self) -> None:
         """See `RunnerLink.aclose`."""
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -15,7 +15,13 @@
 from flamingoweir.platform import PlatformAnnouncements
 from flamingoweir.resources import Resources
 from flamingoweir.settings import FleetSettings
-from flamingoweir.standins import FleetRunner, FleetRunnerLink, MemoryRows, RowsLink
+from flamingoweir.standins import (
+    FleetRunner,
+    FleetRunnerLink,
+    MemoryRows,
+    Neighbours,
+    RowsLink,
+)
 from flamingoweir.storage import RowId, VersionedRow
 from tests.utils.virtual_time import Process, VirtualClock, current_process
 
@@ -119,9 +125,17 @@
         self.take_zone_out(zone)
         return self.rows.row_by_id[RowId("op", "", f"evacuate/{zone}")]
 
-    def add_runner(self, runner_id: str, processors: float = 4, zone: str = "powys"):
-        capacity = Resources(round(processors * 1000), 64_000, 0)
-        runner = FleetRunner(runner_id, capacity, self.find_spec, self.plan)
+    def add_runner(
+        self,
+        runner_id: str,
+        processors: float = 4,
+        zone: str = "powys",
+        neighbours: Neighbours | None = None,
+    ):
+        capacity = Resources(round(processors * 1000), 256_000, 0)
+        runner = FleetRunner(
+            runner_id, capacity, self.find_spec, self.plan, neighbours=neighbours
+        )
         self.runner_by_id[runner_id] = runner
         self.announce(runner_id, zone)
         return runner
