Tell no count of waiting jobs before a new owner has read the shard

Cause: taking a shard wrote the owner's row with an empty count, and every instance told it for up to 1.9 s, whatever waited. The test fails without this (told 0 where 4 waited). Now the row says that the count is not known, and instances answer that.

--- a/flamingoweir/ownership/_holding.py
+++ b/flamingoweir/ownership/_holding.py
@@ -40,8 +40,8 @@
         Fencing token: version of the write that took the shard; 0 in that write.
     released : bool
         Whether the owner has given the shard up.
-    backlog : Backlog
-        The work that waits.
+    backlog : Backlog or None
+        The work that waits; None until the owner has read the shard.
     """
 
     holder: str
@@ -49,7 +49,7 @@
     number: int
     fence: int = 0
     released: bool = False
-    backlog: Backlog = Backlog()
+    backlog: Backlog | None = None
 
 
 def encode_holding(holding: Holding) -> bytes:
@@ -63,7 +63,8 @@
         return None
     try:
         fields = orjson.loads(row.value)
-        fields["backlog"] = Backlog(**fields["backlog"])
+        backlog = fields["backlog"]
+        fields["backlog"] = None if backlog is None else Backlog(**backlog)
         return Holding(**fields)
     except (ValueError, TypeError, KeyError):
         return None
--- a/flamingoweir/ownership/_journal.py
+++ b/flamingoweir/ownership/_journal.py
@@ -66,8 +66,8 @@
     ----------
     fence : int
         The fencing token; 0 before the shard was taken.
-    backlog : Backlog
-        Published with the next write.
+    backlog : Backlog or None
+        Published with the next write; None: not known yet.
     """
 
     def __init__(
@@ -81,7 +81,7 @@
     ):
         self.shard = shard
         self.fence = 0
-        self.backlog = Backlog()
+        self.backlog: Backlog | None = None
         self._store = store
         self._row = owner_row(shard)
         self._holding = Holding(holder, process, 0)
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -5,7 +5,7 @@
 
 from flamingoweir.errors import FlamingoweirError, Verdict
 from flamingoweir.jobs import JobState, Outcome, QueuePolicy
-from tests.utils.cluster import UNHEARD_S, make_job, make_step, run_cluster
+from tests.utils.cluster import QUEUE, UNHEARD_S, make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
 
 
@@ -407,3 +407,28 @@
             assert first != second
 
     run_virtual(play)
+
+
+def test_new_owner_tells_no_count_before_it_has_read_the_shard():
+    """An empty count of an owner that knows no job yet would hide waiting work."""
+
+    async def play():
+        async with run_cluster(members=2, runners=0) as cluster:
+            owner = await cluster.owner()
+            for number in range(4):
+                await cluster.submit(make_job(number, make_step()))
+            await anyio.sleep(2)
+            cluster.drop(owner)
+            other = next(iter(cluster.member_by_name.values()))
+            other.store.delay_s = 0.3
+            queue = other.instance.operators.configuration.queues_by_name[QUEUE]
+            told = set()
+            for _ in range(120):
+                await anyio.sleep(0.05)
+                try:
+                    told.add(other.instance.desk.waiting(queue))
+                except FlamingoweirError as error:
+                    assert error.verdict is Verdict.NOT_RUN
+            assert told == {4}
+
+    run_virtual(play)
