Store jobs in parts of their own; delete them fifteen minutes after their end

Change: a shard's jobs lie in eight parts by a hash of their id. Their rows stay after the end, so that an insert needs no other part's row; the owner deletes them later, a job's own rows before its state. A new owner reads the states first. Found on the way: an owner that died between the transactions that clear a large ended job away left it to be run again; the test for that fails without the states being read.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -67,7 +67,7 @@
         self._follower = TableFollower(
             links.store,
             links.operator_table,
-            "",
+            ("",),
             OPERATOR_FEED_WAIT_S,
             self.operators.take,
             clock,
--- a/flamingoweir/dispatch/_book.py
+++ b/flamingoweir/dispatch/_book.py
@@ -25,8 +25,6 @@
 RETRY_PAUSE_S = 0.05
 #: Pace of an attempt that a former owner may have slowed down.
 UNKNOWN_PACE = -1
-#: Ended jobs that are remembered, so that an old copy of the table can't revive one.
-REMEMBERED_JOBS = 200_000
 
 
 class Book:
@@ -53,6 +51,11 @@
         Attempts that may be ordered once they are durable.
     pending_stops : list of Attempt
         Attempts to stop.
+    ended_ms_by_job : dict of str to int
+        Jobs whose end is durable and whose rows are still kept, with the time of it
+        in milliseconds since 1970.
+    expired_states : list of str
+        Jobs whose state is to be deleted; their other rows are gone.
     work : Wakeup
         Set when placement has something to do.
     unwritten : Wakeup
@@ -71,6 +74,8 @@
         self.changed_jobs: set[str] = set()
         self.pending_starts: list[Attempt] = []
         self.pending_stops: list[Attempt] = []
+        self.ended_ms_by_job: dict[str, int] = {}
+        self.expired_states: list[str] = []
         self.work = Wakeup()
         self.unwritten = Wakeup()
         self.unstopped = Wakeup()
@@ -79,12 +84,11 @@
         self._clock = clock
         self._metrics = metrics
         self._max_lease_s = max_lease_s
-        self._ended: dict[str, None] = {}
         self._unheard_until_s = clock.now() + LEASE_VALID_S + 1.1 * LEASE_S
 
     def add_job(self, spec: JobSpec) -> Job | None:
         """Take a job that was accepted; None if it is known or has ended."""
-        if spec.id in self.job_by_id or spec.id in self._ended:
+        if spec.id in self.job_by_id or spec.id in self.ended_ms_by_job:
             return None
         job = Job(spec)
         job.accepted_s = self._clock.now()
@@ -101,12 +105,10 @@
         self._changed(job)
         self._stop_surplus(job)
 
-    def forget_job(self, job_id: str) -> None:
-        """Drop a job whose end is durable."""
+    def forget_job(self, job_id: str, ended_ms: int) -> None:
+        """Drop a job whose end is durable; its row does not revive it."""
         self.job_by_id.pop(job_id, None)
-        self._ended[job_id] = None
-        if len(self._ended) > REMEMBERED_JOBS:
-            del self._ended[next(iter(self._ended))]
+        self.ended_ms_by_job[job_id] = ended_ms
 
     def update_runners(self, entry_by_id: dict[str, RunnerEntry]) -> list[Runner]:
         """Take the runners that are listed; return those that are new."""
--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -5,7 +5,7 @@
 from ..fleet import Runner
 from ..jobs import FINAL_STATES, Attempt, Job, encode_state, encode_tasks
 from ..logs import get_logger
-from ..ownership import Backlog, cancel_row, job_row, state_row, tasks_row
+from ..ownership import Backlog, state_row, tasks_row
 from ..storage import RowId
 from ._context import TermContext
 from ._orders import Orders
@@ -65,6 +65,9 @@
             job = self._book.job_by_id.get(job_id)
             if job is not None:
                 self._collect_job(job, batch)
+        expired, self._book.expired_states = self._book.expired_states, []
+        for job_id in expired:
+            batch.deletes.append(state_row(self._journal.shard, job_id))
         for runner in self._book.runner_by_id.values():
             if runner.seen > runner.acknowledged:
                 batch.seen.append((runner, runner.life, runner.seen))
@@ -89,8 +92,6 @@
             return
         for row in self._rows_by_job.pop(job_id, ()):
             batch.deletes.append(tasks_row(shard, job_id, row))
-        batch.deletes.append(job_row(shard, job_id))
-        batch.deletes.append(cancel_row(shard, job_id))
         batch.ended_jobs.append(job_id)
 
     def _release(self, batch: _Batch) -> None:
@@ -101,4 +102,4 @@
                 runner.acknowledged = max(runner.acknowledged, seen)
                 runner.changed.set()
         for job_id in batch.ended_jobs:
-            self._book.forget_job(job_id)
+            self._book.forget_job(job_id, round(self._context.wall_ms()))
--- /dev/null
+++ b/flamingoweir/dispatch/_janitor.py
@@ -0,0 +1,84 @@
+"""Deletes the rows of jobs that ended long ago."""
+
+import anyio
+
+from ..logs import get_logger
+from ..ownership import cancel_row, job_row
+from ..storage import (
+    RowId,
+    RowsChanged,
+    RowStore,
+    StoreRefused,
+    StoreSilent,
+    Transaction,
+)
+from ._context import TermContext
+
+log = get_logger()
+
+#: Seconds for which an ended job is known. Submitters may ask for its state for two
+#: minutes, and repeat its submission some seconds after it was accepted.
+RETENTION_S = 900.0
+#: Seconds between sweeps.
+SWEEP_S = 20.0
+#: Jobs deleted in a sweep at the most, so that sweeps stay small beside other writes.
+MAX_JOBS = 200
+#: Jobs in a transaction; each takes two of its 100 entries.
+JOBS_A_TRANSACTION = 40
+
+
+class Janitor:
+    """Keeps the store's tables from growing for ever.
+
+    A job's own rows go first and its state last: as long as one of both is there, the
+    job can't be taken for a new one.
+
+    Parameters
+    ----------
+    context : TermContext
+        The term.
+    store : RowStore
+        The store.
+    """
+
+    def __init__(self, context: TermContext, store: RowStore):
+        self._context = context
+        self._book = context.book
+        self._store = store
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await anyio.sleep(SWEEP_S)
+            await self._sweep()
+
+    async def _sweep(self) -> None:
+        oldest_ms = self._context.wall_ms() - 1000 * RETENTION_S
+        expired_by_part: dict[str, list[str]] = {}
+        found = 0
+        for job_id, ended_ms in self._book.ended_ms_by_job.items():
+            if ended_ms >= oldest_ms or found >= MAX_JOBS:
+                continue
+            found += 1
+            part = job_row(self._context.journal.shard, job_id).part
+            expired_by_part.setdefault(part, []).append(job_id)
+        for jobs in expired_by_part.values():
+            for first in range(0, len(jobs), JOBS_A_TRANSACTION):
+                await self._delete(jobs[first : first + JOBS_A_TRANSACTION])
+
+    async def _delete(self, jobs: list[str]) -> None:
+        shard = self._context.journal.shard
+        rows: list[RowId] = []
+        for job_id in jobs:
+            rows.append(job_row(shard, job_id))
+            rows.append(cancel_row(shard, job_id))
+        try:
+            await self._store.transact(Transaction((), (), rows))
+        except (RowsChanged, StoreRefused, StoreSilent) as error:
+            log.info("sweep_put_off", jobs=len(jobs), detail=str(error))
+            return
+        for job_id in jobs:
+            del self._book.ended_ms_by_job[job_id]
+        self._book.expired_states.extend(jobs)
+        self._book.unwritten.set()
+        log.info("jobs_expired", jobs=len(jobs))
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -1,14 +1,21 @@
 """One term of an owner: from taking a shard until it is lost or given up."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 
 from ..clock import Clock
-from ..jobs import restore_tasks
+from ..jobs import FINAL_STATES, JobState, decode_state, restore_tasks
 from ..logs import get_logger
 from ..metrics import Metrics
-from ..ownership import JOBS, TASKS, Journal, OwnershipLost
+from ..ownership import (
+    JOBS,
+    STATES,
+    TASKS,
+    Journal,
+    OwnershipLost,
+    job_parts,
+)
 from ..registry import (
     AnnouncementReader,
     OperatorView,
@@ -21,6 +28,7 @@
 from ._committer import Committer
 from ._context import Permit, TermContext, TermEnd
 from ._intake import Intake
+from ._janitor import Janitor
 from ._orders import Orders
 from ._planner import Planner
 from ._protocols import RunnerLink
@@ -93,11 +101,11 @@
             metrics,
         )
         self._runner_follower = TableFollower(
-            store, runner_table, "", FEED_WAIT_S, runners.take, clock
+            store, runner_table, ("",), FEED_WAIT_S, runners.take, clock
         )
         self._intake = Intake(self.book, wall_ms)
         self._job_follower = TableFollower(
-            store, JOBS, journal.shard, FEED_WAIT_S, self._intake.take, clock
+            store, JOBS, job_parts(journal.shard), FEED_WAIT_S, self._intake.take, clock
         )
         self._permit = Permit(self._context, self._runner_follower)
         self._link_by_runner: dict[str, RunnerLink] = {}
@@ -119,6 +127,7 @@
                 tasks.start_soon(self._job_follower.run)
                 tasks.start_soon(Planner(self._context, self._permit).run)
                 tasks.start_soon(self._send_stops)
+                tasks.start_soon(Janitor(self._context, self._store).run)
                 await self._end.wait()
         except* OwnershipLost as group:
             reason = str(group.exceptions[0])
@@ -134,11 +143,18 @@
 
     async def _restore(self, committer: Committer) -> None:
         """Read the shard; nobody else writes tasks since it was taken."""
-        jobs = await self._read(JOBS)
-        tasks = await self._read(TASKS)
+        shard = self._journal.shard
+        states = await self._read(STATES, (shard,))
+        tasks = await self._read(TASKS, (shard,))
+        jobs = await self._read(JOBS, job_parts(shard))
+        unfinished = {row.id.key.rsplit(".", 3)[0] for row in tasks}
+        final_by_job = self._restore_ends(states, unfinished)
         self._intake.take(jobs, True)
         for row in tasks:
             self._restore_row(row, committer)
+        for job_id, state in final_by_job.items():
+            if job_id in self.book.job_by_id:
+                self.book.job_by_id[job_id].close(state)
         for job in self.book.job_by_id.values():
             job.settle()
         self.book.restore_places()
@@ -149,6 +165,26 @@
             runners_with_attempts=len(self.book.runner_by_id),
         )
 
+    def _restore_ends(
+        self, states: list[VersionedRow], unfinished: set[str]
+    ) -> dict[str, JobState]:
+        """Note jobs that are over; return ended ones of which tasks are left."""
+        final_by_job = {}
+        for row in states:
+            job_id = row.id.key
+            try:
+                state, ended_ms = decode_state(row.value or b"")
+            except (ValueError, KeyError) as error:
+                log.error("state_unreadable", job=job_id, detail=repr(error))
+                continue
+            if state not in FINAL_STATES:
+                continue
+            if job_id in unfinished:
+                final_by_job[job_id] = state
+                continue
+            self.book.forget_job(job_id, ended_ms)
+        return final_by_job
+
     def _restore_row(self, row: VersionedRow, committer: Committer) -> None:
         job_id, occurrence, step, number = row.id.key.rsplit(".", 3)
         place = (int(occurrence), int(step), int(number))
@@ -160,10 +196,10 @@
         committer.note_rows(job_id, place)
         self.book.changed_jobs.add(job_id)
 
-    async def _read(self, table: str) -> list[VersionedRow]:
+    async def _read(self, table: str, parts: Sequence[str]) -> list[VersionedRow]:
         while True:
             try:
-                page = await read_all(self._store, table, self._journal.shard)
+                page = await read_all(self._store, table, parts)
             except (StoreRefused, StoreSilent) as error:
                 if not self._journal.may_renew():
                     raise OwnershipLost(f"can't read the shard: {error}") from error
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -267,6 +267,10 @@
         self._reopen(step, attempt.task.index)
         self._touch(step, attempt.task.index)
 
+    def close(self, state: JobState) -> None:
+        """Put back a final state that is durable."""
+        self.state = state
+
     def cancel(self) -> bool:
         """Cancel the job; return whether its state changed."""
         if self.final:
--- a/flamingoweir/ownership/_rows.py
+++ b/flamingoweir/ownership/_rows.py
@@ -1,9 +1,10 @@
 """Names of the rows that this system keeps in the store."""
 
+from ..hashing import stable_hash
 from ..jobs import row_key
 from ..storage import RowId
 
-#: Accepted jobs that have not ended, and their cancellations.
+#: Accepted jobs and their cancellations, until some time after their end.
 JOBS = "jobs"
 #: Tasks of these jobs.
 TASKS = "tasks"
@@ -12,18 +13,31 @@
 #: Who owns a shard.
 OWNERS = "owners"
 
+#: Parts that the jobs of a shard are spread over: a part of the store applies one
+#: transaction after another, and submissions would hold up the owner's writes.
+JOB_PARTS = 8
+
 OWNER_KEY = "owner"
 CANCEL_SUFFIX = ".cancel"
 
 
+def job_parts(shard: str) -> tuple[str, ...]:
+    """Return the parts of the table of jobs that belong to a shard."""
+    return tuple(f"{shard}.{number}" for number in range(JOB_PARTS))
+
+
+def _job_part(shard: str, job: str) -> str:
+    return f"{shard}.{stable_hash(job) % JOB_PARTS}"
+
+
 def job_row(shard: str, job: str) -> RowId:
     """Return the row of an accepted job."""
-    return RowId(JOBS, shard, job)
+    return RowId(JOBS, _job_part(shard, job), job)
 
 
 def cancel_row(shard: str, job: str) -> RowId:
     """Return the row that cancels a job."""
-    return RowId(JOBS, shard, job + CANCEL_SUFFIX)
+    return RowId(JOBS, _job_part(shard, job), job + CANCEL_SUFFIX)
 
 
 def state_row(shard: str, job: str) -> RowId:
--- a/flamingoweir/queues/_desk.py
+++ b/flamingoweir/queues/_desk.py
@@ -119,10 +119,8 @@
         """
         self._check(spec)
         shard = shard_name(0)
-        row, state = job_row(shard, spec.id), state_row(shard, spec.id)
-        transaction = Transaction(
-            [(row, 0), (state, 0)], [(row, encode_spec(spec))], ()
-        )
+        row = job_row(shard, spec.id)
+        transaction = Transaction([(row, 0)], [(row, encode_spec(spec))], ())
         try:
             version = await self._transact(transaction, patience_s)
         except RowsChanged:
--- a/flamingoweir/registry/_follower.py
+++ b/flamingoweir/registry/_follower.py
@@ -1,6 +1,6 @@
 """Follows one table: reads it whole, then its changes, and knows how fresh that is."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 
@@ -28,8 +28,10 @@
     ----------
     store : RowStore
         The store.
-    table, part : str, str
+    table : str
         What is followed.
+    parts : sequence of str
+        The parts of it.
     wait_s : float
         Seconds that one call waits for a change; an unchanged table is known to be
         unchanged this often.
@@ -48,14 +50,14 @@
         self,
         store: RowStore,
         table: str,
-        part: str,
+        parts: Sequence[str],
         wait_s: float,
         take: Callable[[list[VersionedRow], bool], None],
         clock: Clock,
     ):
         self._store = store
         self._table = table
-        self._part = part
+        self._parts = parts
         self._wait_s = wait_s
         self._take = take
         self._clock = clock
@@ -89,13 +91,13 @@
             self._note_answered(sent_s + self._wait_s if waited else sent_s)
 
     async def _read(self) -> None:
-        page = await read_all(self._store, self._table, self._part)
+        page = await read_all(self._store, self._table, self._parts)
         self._take(page.rows, True)
         self._version = page.version
 
     async def _follow(self) -> bool:
         page = await self._store.follow(self._table, self._version, self._wait_s)
-        rows = [row for row in page.rows if row.id.part == self._part]
+        rows = [row for row in page.rows if row.id.part in self._parts]
         if rows:
             self._take(rows, False)
         self._version = max(self._version, page.version)
--- a/flamingoweir/storage/_rows.py
+++ b/flamingoweir/storage/_rows.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import anyio
+
 
 class StoreRefused(Exception):
     """The store did nothing; the call may be made again.
@@ -130,7 +132,32 @@
         ...
 
 
-async def read_all(store: RowStore, table: str, part: str) -> RowPage:
+async def read_all(store: RowStore, table: str, parts: Sequence[str]) -> RowPage:
+    """Return all rows of some parts, read at once.
+
+    The version is one from which a feed misses none of their changes.
+    """
+    page_by_part: dict[str, RowPage] = {}
+    errors: list[Exception] = []
+
+    async def read(part: str) -> None:
+        try:
+            page_by_part[part] = await _read_part(store, table, part)
+        except (StoreRefused, StoreSilent) as error:
+            errors.append(error)
+
+    async with anyio.create_task_group() as tasks:
+        for part in parts:
+            tasks.start_soon(read, part)
+    if errors:
+        raise errors[0]
+    rows = []
+    for part in parts:
+        rows.extend(page_by_part[part].rows)
+    return RowPage(rows, False, min(p.version for p in page_by_part.values()))
+
+
+async def _read_part(store: RowStore, table: str, part: str) -> RowPage:
     """Return all rows of a part; the version is that of the first page."""
     page = await store.read(table, part)
     rows = list(page.rows)
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -1,10 +1,19 @@
 """Jobs run by instances over a store and runners, with faults."""
 
 import anyio
+import orjson
 import pytest
 
+from flamingoweir.dispatch import _janitor
 from flamingoweir.errors import FlamingoweirError, Verdict
-from flamingoweir.jobs import JobState, Outcome, QueuePolicy
+from flamingoweir.jobs import (
+    JobState,
+    Outcome,
+    QueuePolicy,
+    encode_spec,
+    encode_state,
+)
+from flamingoweir.ownership import job_row, state_row, tasks_row
 from tests.utils.cluster import QUEUE, UNHEARD_S, make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
 
@@ -432,3 +441,66 @@
             assert told == {4}
 
     run_virtual(play)
+
+
+def test_ended_job_is_not_run_again_by_a_successor_or_a_repeat():
+    async def play():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            job = await cluster.submit(make_job(1, make_step(2)))
+            await cluster.wait_for(job, JobState.DONE, 4.0)
+            await anyio.sleep(1)
+            cluster.drop(owner)
+            await anyio.sleep(6)
+            await cluster.submit(job)
+            await anyio.sleep(4)
+            assert len(cluster.records("start")) == 2
+            assert await cluster.state(job) is JobState.DONE
+
+    run_virtual(play)
+
+
+def test_half_deleted_tasks_of_an_ended_job_are_not_started_again():
+    """An owner may end between the transactions that clear a large job away."""
+
+    async def play():
+        async with run_cluster(members=0) as cluster:
+            job = make_job(1, make_step(400, 0.001))
+            cluster.spec_by_id[job.id] = job
+            cluster.rows.put(job_row("s0", job.id), encode_spec(job))
+            ended = encode_state(JobState.DONE, 1)
+            cluster.rows.put(state_row("s0", job.id), ended)
+            line = [1, True, 0, "", []]
+            tasks = tasks_row("s0", job.id, (0, 0, 1))
+            cluster.rows.put(tasks, orjson.dumps([line] * 200))
+            cluster.add_member("front-0")
+            await cluster.owner()
+            await anyio.sleep(5)
+            assert not cluster.records("start")
+            assert not cluster.rows.rows("tasks", "s0")
+            assert await cluster.state(job) is JobState.DONE
+
+    run_virtual(play)
+
+
+def test_rows_of_jobs_long_ended_are_deleted(monkeypatch):
+    monkeypatch.setattr(_janitor, "RETENTION_S", 20.0)
+    monkeypatch.setattr(_janitor, "SWEEP_S", 4.0)
+
+    async def play():
+        async with run_cluster(members=1) as cluster:
+            await cluster.owner()
+            for number in range(3):
+                job = await cluster.submit(make_job(number, make_step()))
+                await cluster.wait_for(job, JobState.DONE, 4.0)
+            await anyio.sleep(12)
+            assert state_row("s0", job.id) in cluster.rows.row_by_id
+            await anyio.sleep(18)
+            left = [
+                row.id
+                for row in cluster.rows.row_by_id.values()
+                if row.id.table in ("jobs", "states", "tasks")
+            ]
+            assert left == []
+
+    run_virtual(play)
