--- a/flamingoweir/dispatch/_janitor.py
+++ b/flamingoweir/dispatch/_janitor.py
@@ -30,8 +30,8 @@
 class Janitor:
     """Keeps the store's tables from growing for ever.
 
-    A job's own rows go first and its state last: as long as one of both is there, the
-    job can't be taken for a new one.
+    A job's own rows go first and its state last: a successor would take a job without
+    a state for an open one.
 
     Parameters
     ----------
