Answer submitters before half of their deadline

Cause: while an instance could not reach the store, it tried until 85% of the submitter's deadline had passed. Other instances may reach the store, but no time was left to try one. A call that is cut off counts as unknown, never as refused.

--- a/flamingoweir/platform/_ingress.py
+++ b/flamingoweir/platform/_ingress.py
@@ -23,8 +23,10 @@
 DEADLINE_HEADER = b"x-deadline-ms"
 #: Seconds that a request without a deadline may take.
 DEFAULT_PATIENCE_S = 2.5
-#: Part of the time until the deadline that is used; the rest is for the answer.
-USED_PATIENCE = 0.85
+#: Part of the time until the deadline that is used. A submitter that is answered
+#: before half of it has passed can still try another instance, which may reach the
+#: store.
+USED_PATIENCE = 0.42
 MAX_TASKS_A_STEP = 100_000
 #: Statuses for refusals that submitters must know as such.
 STATUS_BY_CODE = {ErrorCode.NEVER_FITS: 429}
--- a/flamingoweir/queues/_desk.py
+++ b/flamingoweir/queues/_desk.py
@@ -33,6 +33,8 @@
 
 #: Seconds between tries while the store does not answer.
 RETRY_PAUSE_S = 0.1
+#: Seconds that a call to the store is given at least; a calm store takes 5 ms.
+MIN_TRY_S = 0.05
 #: Oldest count of waiting jobs that is told, in seconds.
 MAX_COUNT_AGE_S = 1.9
 #: Seconds after which a submitter whose job could not be stored may try again.
@@ -197,8 +199,13 @@
         started_s = self._clock.now()
         unsure = False
         while True:
+            left_s = patience_s - (self._clock.now() - started_s)
             try:
-                return await self._store.transact(transaction)
+                with anyio.fail_after(max(MIN_TRY_S, left_s)):
+                    return await self._store.transact(transaction)
+            except TimeoutError:
+                unsure = True
+                detail = "no answer within the submitter's patience"
             except StoreSilent as error:
                 unsure = True
                 self._metrics.incr("store_silent")
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -504,3 +504,24 @@
             assert left == []
 
     run_virtual(play)
+
+
+@pytest.mark.parametrize("fault", ["silent", "down"])
+def test_submitter_is_answered_in_time_to_try_another_instance(fault):
+    """A store that one instance can't reach may serve the others."""
+
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            member = cluster.add_member("far")
+            await anyio.sleep(1)
+            setattr(member.store, fault, True)
+            started_s = anyio.current_time()
+            with pytest.raises(FlamingoweirError) as caught:
+                await member.instance.desk.submit(make_job(1), 1.26)
+            assert anyio.current_time() - started_s < 1.5
+            expected = Verdict.MAY_HAVE_RUN if fault == "silent" else Verdict.NOT_RUN
+            assert caught.value.verdict is expected
+            await cluster.submit(make_job(1))
+
+    run_virtual(play)
