--- a/flamingoweir/policy/_sharing.py
+++ b/flamingoweir/policy/_sharing.py
@@ -21,6 +21,8 @@
 PLACE_HEADROOM = 1.1
 #: Headroom at the load's peak below which a place counts as harmful.
 PEAK_HEADROOM = 1.1
+#: Part that counts of a loss which leaves more than that.
+SAFE_LOSS_WEIGHT = 0.1
 #: Headroom above which a figure counts as calm.
 CALM_HEADROOM = 1.02
 #: Figures in a row above `CALM_HEADROOM` that end an excess; one may be noise.
@@ -47,6 +49,8 @@
 MOVE_PACE = 50
 #: Seconds at such a pace after which it is moved.
 MOVE_AFTER_S = 0.8
+#: Most by which tasks may want more spare processors than are left where it goes.
+MOVE_CROWDING = 0.2
 #: Percent of its work after which a task is not moved any more.
 MOVE_UNTIL_PERCENT = 70
 #: Seconds after which a step without figures is forgotten.
@@ -55,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceChange:
-    """A new pace for an attempt, in percent, and the lowest headroom then."""
+    """A new pace for an attempt, in percent, and the headroom that decided it."""
 
     attempt: Attempt
     percent: int
@@ -127,7 +131,7 @@
             own = self._own_by_step.get(_step_key(place))
             low = own.low if own else PRIOR_OWN
             left = low - self._taken(runner, model) - loss
-            total += min(loss, max(0.1 * loss, PEAK_HEADROOM - left))
+            total += min(loss, max(SAFE_LOSS_WEIGHT * loss, PEAK_HEADROOM - left))
         return total
 
     def decide(self, runner: Runner, now_s: float) -> list[PaceChange]:
@@ -192,8 +196,10 @@
             self._over_since_s.setdefault(runner.id, now_s)
 
     def _welcomes(self, spec: StepSpec, runner: Runner) -> bool:
-        """Return whether a task would work at full speed there and disturb little."""
-        if not spec.reserved.fits_in(runner.room) or runner.crowding(spec) > 0.2:
+        """Return whether a task would work at full speed there and disturb nobody."""
+        if not spec.reserved.fits_in(runner.room):
+            return False
+        if runner.crowding(spec) > MOVE_CROWDING:
             return False
         return self.allows(spec, runner, 0.0)
 
