--- /dev/null
+++ b/tests/test_submitting.py
@@ -0,0 +1,185 @@
+"""Jobs as submitters see them: taken once, told, counted, kept for a while."""
+
+import anyio
+import orjson
+import pytest
+
+from flamingoweir.dispatch import _janitor
+from flamingoweir.errors import FlamingoweirError, Verdict
+from flamingoweir.jobs import (
+    JobState,
+    encode_spec,
+    encode_state,
+)
+from flamingoweir.ownership import job_row, state_row, tasks_row
+from tests.utils.cluster import QUEUE, make_job, make_step, run_cluster
+from tests.utils.virtual_time import run_virtual
+
+
+def test_same_id_at_another_instance_is_one_job():
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            job = make_job(1)
+            for member in list(cluster.member_by_name.values()):
+                await cluster.submit(job, member)
+            await cluster.wait_for(job, JobState.DONE, 4.0)
+            await cluster.submit(job)
+            await anyio.sleep(3)
+            assert len(cluster.records("start")) == 1
+
+    run_virtual(play)
+
+
+def test_lost_answer_to_a_submission_is_never_a_refusal():
+    async def play():
+        async with run_cluster() as cluster:
+            member = cluster.add_member("far")
+            member.store.lose_answers = 10
+            member.store.late_s = 1.0
+            await anyio.sleep(1)
+            with pytest.raises(FlamingoweirError) as caught:
+                await cluster.submit(make_job(1), member)
+            assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+    run_virtual(play)
+
+
+def test_refused_submission_never_runs():
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            member = cluster.add_member("far")
+            member.store.down = True
+            with pytest.raises(FlamingoweirError) as caught:
+                await cluster.submit(make_job(1), member)
+            assert caught.value.verdict is Verdict.NOT_RUN
+            member.store.down = False
+            await anyio.sleep(5)
+            assert not cluster.records("start")
+
+    run_virtual(play)
+
+
+def test_waiting_jobs_are_counted_at_every_instance():
+    async def play():
+        async with run_cluster(members=2, runners=1) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            for number in range(3):
+                await cluster.submit(make_job(number, make_step(1, 4.0)))
+            await anyio.sleep(0.95)
+            for member in cluster.member_by_name.values():
+                queue = member.instance.operators.configuration.queues_by_name["orders"]
+                assert member.instance.desk.waiting(queue) == 2
+
+    run_virtual(play)
+
+
+def test_new_owner_tells_no_count_before_it_has_read_the_shard():
+    """An empty count of an owner that knows no job yet would hide waiting work."""
+
+    async def play():
+        async with run_cluster(members=2, runners=0) as cluster:
+            owner = await cluster.owner()
+            for number in range(4):
+                await cluster.submit(make_job(number, make_step()))
+            await anyio.sleep(2)
+            cluster.drop(owner)
+            other = next(iter(cluster.member_by_name.values()))
+            other.store.delay_s = 0.3
+            queue = other.instance.operators.configuration.queues_by_name[QUEUE]
+            told = set()
+            for _ in range(120):
+                await anyio.sleep(0.05)
+                try:
+                    told.add(other.instance.desk.waiting(queue))
+                except FlamingoweirError as error:
+                    assert error.verdict is Verdict.NOT_RUN
+            assert told == {4}
+
+    run_virtual(play)
+
+
+def test_ended_job_is_not_run_again_by_a_successor_or_a_repeat():
+    async def play():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            job = await cluster.submit(make_job(1, make_step(2)))
+            await cluster.wait_for(job, JobState.DONE, 4.0)
+            await anyio.sleep(1)
+            cluster.drop(owner)
+            await anyio.sleep(6)
+            await cluster.submit(job)
+            await anyio.sleep(4)
+            assert len(cluster.records("start")) == 2
+            assert await cluster.state(job) is JobState.DONE
+
+    run_virtual(play)
+
+
+def test_half_deleted_tasks_of_an_ended_job_are_not_started_again():
+    """An owner may end between the transactions that clear a large job away."""
+
+    async def play():
+        async with run_cluster(members=0) as cluster:
+            job = make_job(1, make_step(400, 0.001))
+            cluster.spec_by_id[job.id] = job
+            cluster.rows.put(job_row("s0", job.id), encode_spec(job))
+            ended = encode_state(JobState.DONE, 1)
+            cluster.rows.put(state_row("s0", job.id), ended)
+            line = [1, True, 0, "", []]
+            tasks = tasks_row("s0", job.id, (0, 0, 1))
+            cluster.rows.put(tasks, orjson.dumps([line] * 200))
+            cluster.add_member("front-0")
+            await cluster.owner()
+            await anyio.sleep(5)
+            assert not cluster.records("start")
+            assert not cluster.rows.rows("tasks", "s0")
+            assert await cluster.state(job) is JobState.DONE
+
+    run_virtual(play)
+
+
+def test_rows_of_jobs_long_ended_are_deleted(monkeypatch):
+    monkeypatch.setattr(_janitor, "RETENTION_S", 20.0)
+    monkeypatch.setattr(_janitor, "SWEEP_S", 4.0)
+
+    async def play():
+        async with run_cluster(members=1) as cluster:
+            await cluster.owner()
+            for number in range(3):
+                job = await cluster.submit(make_job(number, make_step()))
+                await cluster.wait_for(job, JobState.DONE, 4.0)
+            await anyio.sleep(12)
+            assert state_row("s0", job.id) in cluster.rows.row_by_id
+            await anyio.sleep(18)
+            left = [
+                row.id
+                for row in cluster.rows.row_by_id.values()
+                if row.id.table in ("jobs", "states", "tasks")
+            ]
+            assert left == []
+
+    run_virtual(play)
+
+
+@pytest.mark.parametrize("fault", ["silent", "down"])
+def test_submitter_is_answered_in_time_to_try_another_instance(fault):
+    """A store that one instance can't reach may serve the others."""
+
+    async def play():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            member = cluster.add_member("far")
+            await anyio.sleep(1)
+            setattr(member.store, fault, True)
+            started_s = anyio.current_time()
+            with pytest.raises(FlamingoweirError) as caught:
+                await member.instance.desk.submit(make_job(1), 1.26)
+            assert anyio.current_time() - started_s < 1.5
+            expected = Verdict.MAY_HAVE_RUN if fault == "silent" else Verdict.NOT_RUN
+            assert caught.value.verdict is expected
+            await cluster.submit(make_job(1))
+
+    run_virtual(play)
