--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -104,6 +104,7 @@
         self._permit = permit
         self._load_logged_s = float("-inf")
         self._pass_started_s = float("-inf")
+        self._longest_pass_s = 0.0
         self._placement = PlacementPolicy(
             context.owner_state.health, context.owner_state.colocation
         )
@@ -119,6 +120,9 @@
             self._owner_state.remove_lapsed_unlisted()
             if self._permit.is_valid():
                 self.plan()
+                pass_s = self._context.clock.now() - self._pass_started_s
+                self._context.metrics.timing("placement_pass_ms", 1000 * pass_s)
+                self._longest_pass_s = max(self._longest_pass_s, pass_s)
 
     def plan(self) -> None:
         """Run one pass: create attempts for all tasks that can be placed."""
@@ -182,6 +186,7 @@
             cores_reserved=reserved.processors_milli // 1000,
             cores_wanted_spare=sum(r.spare_demand_milli for r in runners) // 1000,
             memory_share=round(reserved.memory_mb / max(1, total.memory_mb), 2),
+            longest_pass_ms=round(1000 * self._longest_pass_s),
             jobs=len(self._owner_state.job_by_id),
             open_tasks=sum(
                 len(step.open_indexes)
@@ -189,6 +194,7 @@
                 for step in job.ready_steps()
             ),
         )
+        self._longest_pass_s = 0.0
 
     def _find_ready_steps(self, now_s: float, wall_ms: float) -> list[StepRun]:
         ready = []
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -32,6 +32,7 @@
 )
 from ._committer import Committer
 from ._context import Permit, TermContext, TermEnd
+from ._load import LoadReporter
 from ._loader import JobLoader
 from ._orders import OrderSender
 from ._owner_state import OwnerState
@@ -146,6 +147,9 @@
                 task_group.start_soon(Planner(self._context, self._permit).run)
                 task_group.start_soon(self._send_stops)
                 task_group.start_soon(RetentionSweeper(self._context, self._store).run)
+                task_group.start_soon(
+                    LoadReporter(self._context, self._job_follower).run
+                )
                 await self._term_end.wait()
         except* OwnershipLost as group:
             reason = str(group.exceptions[0])
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -243,7 +243,9 @@
                 "available; try again later",
                 retry_after_s=RETRY_AFTER_S,
             )
-        return backlog.waiting_by_queue.get(queue.name, 0)
+        waiting = backlog.waiting_by_queue.get(queue.name, 0)
+        log.info("waiting_reported", queue=queue.name, waiting=waiting)
+        return waiting
 
     def _validate(self, spec: JobSpec) -> None:
         if not spec.steps:
