Count a job as waiting until a runner has confirmed a start

A job counted as begun once its first task was placed, and to a new owner once a task had ever been placed, as the attempt's row was durable.

A job now begins with the first confirmed start or reported end of a task. The state is written with the next write of the owner, and a new owner reads it from there.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -114,8 +114,7 @@
     ) -> None:
         now_s = self._context.clock.now()
         if result is StartResult.STARTED:
-            if attempt.state is AttemptState.ORDERED:
-                attempt.state = AttemptState.RUNNING
+            self._owner_state.record_start(attempt)
             allocation.expect_listed_after_s = now_s
             runner.poll_wakeup.set()
             return
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -216,6 +216,15 @@
         if job.is_final or step.spec.gang or step.tasks[task.index].attempt_by_run:
             self._stop_surplus(job)
 
+    def record_start(self, attempt: Attempt) -> None:
+        """Record a confirmed start; the next write includes the job's new state."""
+        job = self.job_by_id.get(attempt.task.job)
+        if job is None:
+            return
+        job.record_start(attempt)
+        if job.state_changed:
+            self.changed_job_ids.add(job.spec.id)
+
     def discard_attempt(self, attempt: Attempt, reason: str) -> None:
         """Remove an attempt that did not start and can't start any more."""
         runner = self.runner_by_id.get(attempt.runner)
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -170,11 +170,11 @@
         tasks = await self._read(TASK_TABLE, (shard,))
         jobs = await self._read(JOB_TABLE, job_parts(shard))
         unfinished = {row.id.key.rsplit(".", 3)[0] for row in tasks}
-        final_by_job = self._restore_ended_jobs(states, unfinished)
+        state_by_job = self._restore_ended_jobs(states, unfinished)
         self._loader.apply_rows(jobs, True)
         for row in tasks:
             self._restore_tasks(row, committer)
-        for job_id, state in final_by_job.items():
+        for job_id, state in state_by_job.items():
             if job_id in self.owner_state.job_by_id:
                 self.owner_state.job_by_id[job_id].restore_state(state)
         for job in self.owner_state.job_by_id.values():
@@ -190,8 +190,11 @@
     def _restore_ended_jobs(
         self, states: list[VersionedRow], unfinished: set[str]
     ) -> dict[str, JobState]:
-        """Record the jobs that have ended; return those that still have task rows."""
-        final_by_job = {}
+        """Record the jobs that have ended; return the states of the others.
+
+        A job that still has task rows counts as one of the others.
+        """
+        state_by_job = {}
         for row in states:
             job_id = row.id.key
             try:
@@ -199,13 +202,11 @@
             except (ValueError, KeyError) as error:
                 log.error("state_unreadable", job=job_id, detail=repr(error))
                 continue
-            if state not in FINAL_STATES:
-                continue
-            if job_id in unfinished:
-                final_by_job[job_id] = state
+            if state not in FINAL_STATES or job_id in unfinished:
+                state_by_job[job_id] = state
                 continue
             self.owner_state.record_ended_job(job_id, ended_ms)
-        return final_by_job
+        return state_by_job
 
     def _restore_tasks(self, row: VersionedRow, committer: Committer) -> None:
         job_id, occurrence, step, number = row.id.key.rsplit(".", 3)
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -256,8 +256,7 @@
         attempt = allocation.attempt
         allocation.load = task.load
         now_s = self._clock.now()
-        if attempt.state is AttemptState.ORDERED:
-            attempt.state = AttemptState.RUNNING
+        self._owner_state.record_start(attempt)
         allocation.expect_listed_after_s = min(allocation.expect_listed_after_s, now_s)
         if task.progress_percent >= attempt.progress_percent + MIN_PROGRESS_PERCENT:
             attempt.progress_percent = task.progress_percent
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -16,6 +16,7 @@
     """State of a job as reported to submitters."""
 
     PENDING = "pending"
+    #: A runner has confirmed the start of a task.
     RUNNING = "running"
     DONE = "done"
     FAILED = "failed"
@@ -294,6 +295,8 @@
         known = task.attempt_by_run.pop(run_number, None) is not None
         if task.done or (not known and outcome is not Outcome.DONE):
             return known and self._mark_changed(step, task_id.index)
+        if outcome in (Outcome.DONE, Outcome.FAILED):
+            self._begin()
         if checkpoint:
             self._set_checkpoint(step, task, checkpoint)
         if step.spec.lasting:
@@ -306,6 +309,12 @@
             self._reopen(step, task_id.index)
         return self._mark_changed(step, task_id.index)
 
+    def record_start(self, attempt: Attempt) -> None:
+        """Record that a runner has confirmed the start of an attempt."""
+        if attempt.state is AttemptState.ORDERED:
+            attempt.state = AttemptState.RUNNING
+        self._begin()
+
     def discard_attempt(self, attempt: Attempt) -> None:
         """Discard an attempt that did not start and cannot start any more."""
         step = self.run_by_step[attempt.task.occurrence, attempt.task.step]
@@ -316,8 +325,9 @@
         self._mark_changed(step, attempt.task.index)
 
     def restore_state(self, state: JobState) -> None:
-        """Restore a final state that was read from the store."""
-        self.state = state
+        """Restore a state that was read from the store."""
+        if state in FINAL_STATES or self.state is JobState.PENDING:
+            self.state = state
 
     def cancel(self) -> bool:
         """Cancel the job; return whether its state changed."""
@@ -378,8 +388,6 @@
         task.attempt_by_run[run_number] = attempt
         step.open_indexes.discard(index)
         self._mark_changed(step, index)
-        if self.state is JobState.PENDING:
-            self._set_state(JobState.RUNNING)
         return attempt
 
     def _set_checkpoint(self, step: StepRun, task: Task, checkpoint: str) -> None:
@@ -417,6 +425,10 @@
         if not task.done and not task.attempt_by_run:
             step.open_indexes.add(index)
 
+    def _begin(self) -> None:
+        if self.state is JobState.PENDING:
+            self._set_state(JobState.RUNNING)
+
     def _set_state(self, state: JobState) -> None:
         self.state = state
         self.state_changed = True
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -105,7 +105,7 @@
     for run_number, runner, incarnation in attempts:
         job.restore_attempt(step_run, index, run_number, runner, incarnation)
         step_run.open_indexes.discard(index)
-    if last_run and job.state is JobState.PENDING:
+    if (done or failures or checkpoint) and job.state is JobState.PENDING:
         job.state = JobState.RUNNING
     exhausted = failures >= job.spec.policy.max_attempts and not step_run.spec.lasting
     if exhausted and not done and not job.is_final:
