Publish the count of waiting jobs as of the sending of a write

A write of the owner that is refused is repeated for up to eight seconds, and each time with the count from its start; instances took the count for as new as the row.

The writer asks for the count each time it sends. The row's number stays the same over the repetitions, so that a write whose response was lost is still recognised.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -58,13 +58,16 @@
         OwnershipLost
             If another instance may own the shard.
         """
+        self._writer.count_backlog = self._count_backlog
         while True:
             await self._owner_state.write_wakeup.wait(RENEW_INTERVAL_S)
             batch = self._collect()
-            self._writer.backlog = Backlog(self._owner_state.waiting_by_queue())
             await self._writer.commit(batch.puts, batch.deletes)
             self._apply_committed(batch)
 
+    def _count_backlog(self) -> Backlog:
+        return Backlog(self._owner_state.waiting_by_queue())
+
     def _collect(self) -> _Batch:
         batch = _Batch()
         changed, self._owner_state.changed_job_ids = (
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -1,7 +1,7 @@
 """Writes of a shard's owner: sequential transactions, each of them fenced."""
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import anyio
 
@@ -50,6 +50,10 @@
     """Another instance owns the shard, or ownership can no longer be confirmed."""
 
 
+def _unknown_backlog() -> None:
+    """Return no backlog, as long as the owner has not read the shard."""
+
+
 class FencedWriter:
     """Writes rows of a shard as its owner.
 
@@ -73,8 +77,9 @@
     ----------
     fence : int
         Fencing token; 0 until the shard is acquired.
-    backlog : Backlog or None
-        Backlog that the next write publishes; None if it is not known yet.
+    count_backlog : callable
+        Returns the `Backlog` to publish, or None while it is not known. Called for each
+        transaction that is sent, also for one that is repeated.
     """
 
     def __init__(
@@ -88,7 +93,7 @@
     ):
         self.shard = shard
         self.fence = 0
-        self.backlog: Backlog | None = None
+        self.count_backlog: Callable[[], Backlog | None] = _unknown_backlog
         self._store = store
         self._owner_row = owner_row(shard)
         self._record = OwnerRecord(holder, process, 0)
@@ -165,18 +170,16 @@
         self, puts: Sequence[tuple[RowId, bytes]], deletes: Sequence[RowId]
     ) -> None:
         self._record = dataclasses.replace(
-            self._record,
-            number=self._record.number + 1,
-            fence=self.fence,
-            backlog=self.backlog,
-        )
-        own = (self._owner_row, encode_owner_record(self._record))
-        transaction = Transaction(
-            [(self._owner_row, self._version)], [own, *puts], deletes
+            self._record, number=self._record.number + 1, fence=self.fence
         )
         first_sent_s = self._clock.now()
         while True:
             sent_s = self._clock.now()
+            record = dataclasses.replace(self._record, backlog=self.count_backlog())
+            own = (self._owner_row, encode_owner_record(record))
+            transaction = Transaction(
+                [(self._owner_row, self._version)], [own, *puts], deletes
+            )
             try:
                 version = await self._store.transact(transaction)
             except RowVersionConflict as error:
--- a/tests/test_waiting_count.py
+++ b/tests/test_waiting_count.py
@@ -156,7 +156,7 @@
         rows = MemoryRows()
         clock = VirtualClock()
         writer = FencedWriter(RowsLink(rows), "s0", "one", "one/1", clock, NoMetrics())
-        writer.backlog = Backlog({QUEUE: 1})
+        writer.count_backlog = lambda: Backlog({QUEUE: 1})
         await writer.acquire(None)
         link = RowsLink(rows)
         standby = Standby(
