Publish no count of waiting jobs while the feed of jobs is behind

An owner whose feed of jobs failed went on to publish a count, without the jobs it had not read: 0 where 4 waited, for as long as the feed was away. Its writes go through another connection, and the permit to start tasks looks at the feeds of operators and runners only.

The owner publishes that the count is unknown once its copy of the jobs is older than 2.5 s; a job is promised to be visible after three. A new owner's feed goes on from the version that it restored instead of reading the table twice, so that the age is known at once.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -6,6 +6,7 @@
 from ..jobs import FINAL_STATES, Attempt, Job, encode_state, encode_tasks
 from ..logs import get_logger
 from ..ownership import Backlog, state_row, tasks_row
+from ..registry import TableFollower
 from ..storage import RowId
 from ._context import TermContext
 from ._orders import OrderSender
@@ -15,6 +16,9 @@
 #: Seconds between writes of an owner without changes. A standby takes over after four
 #: of these intervals.
 RENEW_INTERVAL_S = 0.4
+#: Largest age, in seconds, of the owner's copy of the jobs for a count of those that
+#: wait. Submitters are promised that a job is visible after three seconds.
+MAX_JOBS_AGE_S = 2.5
 
 
 @dataclass(slots=True)
@@ -37,10 +41,15 @@
         Shared objects of the term.
     orders : OrderSender
         Sends the start orders of attempts that have become durable.
+    job_follower : TableFollower
+        Follows the table of jobs.
     """
 
-    def __init__(self, context: TermContext, orders: OrderSender):
+    def __init__(
+        self, context: TermContext, orders: OrderSender, job_follower: TableFollower
+    ):
         self._context = context
+        self._job_follower = job_follower
         self._owner_state = context.owner_state
         self._writer = context.writer
         self._orders = orders
@@ -65,7 +74,11 @@
             await self._writer.commit(batch.puts, batch.deletes)
             self._apply_committed(batch)
 
-    def _count_backlog(self) -> Backlog:
+    def _count_backlog(self) -> Backlog | None:
+        """Return the jobs that wait; None if this owner may not know all of them."""
+        age_s = self._context.clock.now() - self._job_follower.last_synced_s
+        if age_s > MAX_JOBS_AGE_S:
+            return None
         return Backlog(self._owner_state.waiting_by_queue())
 
     def _collect(self) -> _Batch:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -24,6 +24,7 @@
     TableFollower,
 )
 from ..storage import (
+    RowPage,
     RowStore,
     StoreOutcomeUnknown,
     StoreRefused,
@@ -139,7 +140,7 @@
                     task_group,
                     self._link_by_runner,
                 )
-                committer = Committer(self._context, self._orders)
+                committer = Committer(self._context, self._orders, self._job_follower)
                 await self._restore(committer)
                 task_group.start_soon(committer.run)
                 task_group.start_soon(self._runner_follower.run)
@@ -166,12 +167,14 @@
     async def _restore(self, committer: Committer) -> None:
         """Read the shard's tables; other instances no longer write task rows."""
         shard = self._writer.shard
-        states = await self._read(STATE_TABLE, (shard,))
-        tasks = await self._read(TASK_TABLE, (shard,))
+        states = (await self._read(STATE_TABLE, (shard,))).rows
+        tasks = (await self._read(TASK_TABLE, (shard,))).rows
+        jobs_read_s = self._clock.now()
         jobs = await self._read(JOB_TABLE, job_parts(shard))
         unfinished = {row.id.key.rsplit(".", 3)[0] for row in tasks}
         state_by_job = self._restore_ended_jobs(states, unfinished)
-        self._loader.apply_rows(jobs, True)
+        self._loader.apply_rows(jobs.rows, True)
+        self._job_follower.resume_from(jobs.version, jobs_read_s)
         for row in tasks:
             self._restore_tasks(row, committer)
         for job_id, state in state_by_job.items():
@@ -219,18 +222,16 @@
         committer.record_row(job_id, tasks_key)
         self.owner_state.changed_job_ids.add(job_id)
 
-    async def _read(self, table: str, parts: Sequence[str]) -> list[VersionedRow]:
+    async def _read(self, table: str, parts: Sequence[str]) -> RowPage:
         while True:
             try:
-                page = await read_all(self._store, table, parts)
+                return await read_all(self._store, table, parts)
             except (StoreRefused, StoreOutcomeUnknown) as error:
                 if not self._writer.may_renew_leases():
                     raise OwnershipLost(
                         f"can't read the shard's tables: {error}"
                     ) from error
                 await anyio.sleep(READ_RETRY_PAUSE_S)
-                continue
-            return page.rows
 
     def _update_runners(self) -> None:
         entries = {}
--- a/flamingoweir/registry/_follower.py
+++ b/flamingoweir/registry/_follower.py
@@ -63,12 +63,27 @@
         self._apply_rows = apply_rows
         self._clock = clock
         self._version = 0
+        self._resumed = False
         self._reachable = True
         self.last_synced_s = float("-inf")
 
+    def resume_from(self, version: int, synced_s: float) -> None:
+        """Follow the changes after a version instead of reading the table first.
+
+        Parameters
+        ----------
+        version : int
+            Version of the store as of which the rows were read.
+        synced_s : float
+            Clock time, in seconds, at which that read was sent.
+        """
+        self._version = version
+        self._resumed = True
+        self.last_synced_s = synced_s
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
-        synced = False
+        synced = self._resumed
         while True:
             sent_s = self._clock.now()
             try:
