Judge the age of the waiting count by reads that found an older row

After an outage of the store the time since the last change of the owner row starts anew, so that standbys don't take the shard at once. The count of waiting jobs used the same time: a count from before an outage was reported as new for 1.9 s after it, however long the outage was.

The count's age now starts at the last read that found an older row, which bounds the write from below; the first row that an instance reads has no known age and is not used. The test let the count be written before the first read and expected it at once; it now writes it after that read, and is otherwise as it was: without the change it fails as before for outages of 1, 3 and 10 s.

--- a/flamingoweir/ownership/_standby.py
+++ b/flamingoweir/ownership/_standby.py
@@ -37,11 +37,15 @@
     changed_s : float
         Clock time in seconds at which the row's version was first read, or at which
         the store became reachable again, whichever is later.
+    written_after_s : float
+        Clock time in seconds after which the row was surely written: when the last read
+        that returned an older version was sent; minus infinity if there was none.
     """
 
     record: OwnerRecord | None
     read_s: float
     changed_s: float
+    written_after_s: float
 
 
 class Standby:
@@ -91,6 +95,8 @@
         self._metrics = metrics
         self._version = -1
         self._changed_s = clock.now()
+        self._read_sent_s = float("-inf")
+        self._written_after_s = float("-inf")
         self._reachable = True
         self._acquire_count = 0
 
@@ -100,7 +106,7 @@
         Parameters
         ----------
         max_age_s : float
-            Seconds since the owner row last changed, at most.
+            Seconds since the owner row was written, at most.
 
         Returns
         -------
@@ -110,7 +116,7 @@
         observation = self.observation
         if observation is None or observation.record is None:
             return None
-        if self._clock.now() - observation.changed_s > max_age_s:
+        if self._clock.now() - observation.written_after_s > max_age_s:
             return None
         return observation.record.backlog
 
@@ -133,6 +139,7 @@
 
     async def _read_owner_row(self) -> VersionedRow | None | bool:
         """Return the row, None if there is none, False if the store is unreachable."""
+        sent_s = self._clock.now()
         try:
             page = await self._store.read(
                 OWNER_TABLE, self._shard, first=OWNER_KEY, limit=1
@@ -145,6 +152,9 @@
         now_s = self._clock.now()
         row = page.rows[0] if page.rows else None
         version = row.version if row else 0
+        if version != self._version:
+            self._written_after_s = self._read_sent_s
+        self._read_sent_s = sent_s
         if version != self._version or not self._reachable:
             # During an outage of the store the owner could not write either, so the
             # time without a write counts from the end of the outage.
@@ -154,7 +164,9 @@
             log.info("store_regained", shard=self._shard)
         self._reachable = True
         record = decode_owner_record(row) if row else None
-        self.observation = OwnerObservation(record, now_s, self._changed_s)
+        self.observation = OwnerObservation(
+            record, now_s, self._changed_s, self._written_after_s
+        )
         return row
 
     def _is_vacant(self, row: VersionedRow | None) -> bool:
--- a/tests/test_waiting_count.py
+++ b/tests/test_waiting_count.py
@@ -157,7 +157,6 @@
         clock = VirtualClock()
         writer = FencedWriter(RowsLink(rows), "s0", "one", "one/1", clock, NoMetrics())
         writer.count_backlog = lambda: Backlog({QUEUE: 1})
-        await writer.acquire(None)
         link = RowsLink(rows)
         standby = Standby(
             link, "s0", "two", "two", clock, random.Random(0), NoMetrics()
@@ -166,6 +165,8 @@
             tasks.start_soon(standby.watch)
             await anyio.sleep(0.1)
             written_s = clock.now()
+            await writer.acquire(None)
+            await anyio.sleep(0.6)
             assert standby.backlog(1.9) == Backlog({QUEUE: 1})
             link.down = True
             await anyio.sleep(outage_s)
