Leave a vacant shard to the strongest instance that is alive

Instances with 0.516 processors took it, used all of them and lost it again.

Cause: any standby that read a vacant row first took the shard, and a restarted process took the row of its predecessor at once.

Now a standby with fewer than two processors waits up to 0.36 s more, linearly down to half a processor, and one with two or more reads the row every 0.25 s instead of 0.45 s. The longest time between two reads of a strong one is thus shorter than the wait of a weak one, which is what orders them. A waiting standby reads the row exactly when its wait ends, not up to 0.54 s later, so that the longest takeover of a lapsed row is no longer than before. A weak instance waits for the row of its own predecessor as for any other row; a strong one still takes it at once. The platform's settings file gives the processors.

Evidence: with the processors accepted and ignored, the new tests of the first taker failed for missing, released and lapsed rows, and so did the restart of all instances after a weak owner. The tests of the takeover by a weak instance hold before and after.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -93,6 +93,7 @@
             shard_name(0),
             settings.name,
             process,
+            settings.processors,
             clock,
             generator,
             metrics,
--- a/flamingoweir/ownership/_standby.py
+++ b/flamingoweir/ownership/_standby.py
@@ -19,9 +19,21 @@
 TAKEOVER_S = 1.6
 #: Seconds between reads of the owner row.
 POLL_INTERVAL_S = 0.45
-#: Fraction by which POLL_INTERVAL_S varies, so that standbys don't read at the same
-#: time.
+#: Seconds between reads of a standby that defers to no other. It finds a vacant shard
+#: before a standby that defers takes it; such instances are few.
+STRONG_POLL_INTERVAL_S = 0.25
+#: Fraction by which the interval varies, so that standbys don't read at the same time.
 POLL_JITTER = 0.2
+#: Processors from which a standby defers to no other. An owner with 2.15 kept up with
+#: 246 runners, one with 0.516 did not (incident 0005).
+STRONG_PROCESSORS = 2.0
+#: Processors up to which a standby defers for MAX_DEFERENCE_S.
+WEAK_PROCESSORS = 0.5
+#: Longest extra time in seconds before a standby takes a vacant shard. It exceeds the
+#: longest time between two reads of a strong standby (0.3 s) by the time of a read and
+#: a write. With it, a lone weak standby takes a shard at most 2.5 s after the last
+#: write: POLL_INTERVAL_S with jitter (0.54 s), TAKEOVER_S, and this time.
+MAX_DEFERENCE_S = 0.36
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,9 +56,27 @@
     changed_s: float
 
 
+def deference_s(processors: float) -> float:
+    """Return how long a standby leaves a vacant shard to stronger ones, in seconds.
+
+    The time falls linearly from `WEAK_PROCESSORS` to `STRONG_PROCESSORS`.
+
+    Parameters
+    ----------
+    processors : float
+        Processors of the standby's instance.
+    """
+    lacking = STRONG_PROCESSORS - processors
+    fraction = lacking / (STRONG_PROCESSORS - WEAK_PROCESSORS)
+    return MAX_DEFERENCE_S * min(1.0, max(0.0, fraction))
+
+
 class Standby:
     """Polls a shard's owner row, and takes the shard when it has no live owner.
 
+    Standbys of instances with few processors wait longer, so that the strongest
+    instance that is alive takes the shard. Nothing but the owner row is shared.
+
     Parameters
     ----------
     store : RowStore
@@ -55,6 +85,8 @@
         Name of the shard.
     holder, process : str
         Name of this instance, and id of its process.
+    processors : float
+        Processors of this instance.
     clock : Clock
         Monotonic clock of this instance.
     generator : random.Random
@@ -76,6 +108,7 @@
         shard: str,
         holder: str,
         process: str,
+        processors: float,
         clock: Clock,
         generator: random.Random,
         metrics: Metrics,
@@ -86,6 +119,7 @@
         self._shard = shard
         self._holder = holder
         self._process = process
+        self._deference_s = deference_s(processors)
         self._clock = clock
         self._generator = generator
         self._metrics = metrics
@@ -116,14 +150,19 @@
 
     async def wait_for_ownership(self) -> FencedWriter:
         """Poll the owner row until this instance owns the shard; return the writer."""
+        interval_s = POLL_INTERVAL_S if self._deference_s else STRONG_POLL_INTERVAL_S
         while True:
             row = await self._read_owner_row()
-            if row is not False and self.eligible and self._is_vacant(row):
-                writer = await self._acquire(row)
-                if writer is not None:
-                    return writer
-            jitter = 1 + POLL_JITTER * self._generator.uniform(-1, 1)
-            await anyio.sleep(POLL_INTERVAL_S * jitter)
+            pause_s = interval_s * (1 + POLL_JITTER * self._generator.uniform(-1, 1))
+            if row is not False:
+                vacant_in_s = self._vacant_from_s(row) - self._clock.now()
+                if vacant_in_s > 0:
+                    pause_s = min(pause_s, vacant_in_s)
+                elif self.eligible:
+                    writer = await self._acquire(row)
+                    if writer is not None:
+                        return writer
+            await anyio.sleep(pause_s)
 
     async def watch(self) -> None:
         """Poll the owner row until cancelled, without taking the shard."""
@@ -157,14 +196,17 @@
         self.observation = OwnerObservation(record, now_s, self._changed_s)
         return row
 
-    def _is_vacant(self, row: VersionedRow | None) -> bool:
+    def _vacant_from_s(self, row: VersionedRow | None) -> float:
+        """Return the time from which this instance may take the unchanged row."""
+        deferred_s = self._changed_s + self._deference_s
         record = self.observation.record
         if row is None or record is None or record.released:
-            return True
-        if record.holder == self._holder:
-            # Written by an earlier process or an earlier term of this instance.
-            return True
-        return self._clock.now() - self._changed_s >= TAKEOVER_S
+            return deferred_s
+        if record.holder == self._holder and not self._deference_s:
+            # Written by an earlier process or an earlier term of this instance. A
+            # weaker instance waits as for any row: it would go first otherwise.
+            return deferred_s
+        return deferred_s + TAKEOVER_S
 
     async def _acquire(self, row: VersionedRow | None) -> FencedWriter | None:
         self._acquire_count += 1
--- a/flamingoweir/platform/_settings.py
+++ b/flamingoweir/platform/_settings.py
@@ -32,6 +32,15 @@
     grace_s: float = 6.0
 
 
+class LimitsMessage(WireModel):
+    """Resources of the instance's machine."""
+
+    #: Share of a core that the process gets.
+    cpu_share: float = 1.0
+    #: Number by which the speed of that share is multiplied.
+    cores: float = 1.0
+
+
 class StoreMessage(WireModel):
     """Address of the platform's store, as ``host:port``."""
 
@@ -49,6 +58,7 @@
     #: Ports for peers and for metrics.
     port_range: tuple[int, int] = Field(strict=False)
     listen: ListenMessage
+    limits: LimitsMessage = LimitsMessage()
     policy_bounds: BoundsMessage = BoundsMessage()
     #: Location of the platform's store.
     platform: StoreMessage = Field(alias="platform")
@@ -98,4 +108,5 @@
         store_address=message.platform.address,
         max_lease_s=bounds.max_hold_ms / 1000,
         grace_s=bounds.grace_s,
+        processors=message.limits.cpu_share * message.limits.cores,
     )
--- a/flamingoweir/settings/_fleet.py
+++ b/flamingoweir/settings/_fleet.py
@@ -30,6 +30,8 @@
         Longest lease that runners grant, in seconds.
     grace_s : float
         Time between SIGTERM and SIGKILL, in seconds.
+    processors : float
+        Processors that the instance may use; a share of one counts as a fraction.
     """
 
     name: str
@@ -42,3 +44,4 @@
     store_address: str
     max_lease_s: float = 10.0
     grace_s: float = 6.0
+    processors: float = 1.0
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -18,7 +18,7 @@
 #: Names of the platform's wire formats in their spelling on the wire.
 WIRE_NAME = re.compile(
     r"\b(FenceToken|DueMs|AckCursor|WaitMs|ClockMs|EstimateMs|LongRunning|MayMiss|"
-    r"DataRack|SetKeys|DeleteKeys|HasMore|Tombstone|PathPrefix|"
+    r"DataRack|CpuShare|SetKeys|DeleteKeys|HasMore|Tombstone|PathPrefix|"
     r"run-start|run-stop|rows-tx|rows-get|rows-feed|EnforcesCapacity)\b"
 )
 ENTRY = {
@@ -102,6 +102,21 @@
     assert settings.peer_port == 7720
 
 
+@pytest.mark.parametrize(
+    ("limits", "processors"),
+    [
+        ("[Limits]\nCpuShare = 0.537\nCores = 2\n", 1.074),
+        ("[Limits]\nCpuShare = 0.516\nMemoryMb = 300\n", 0.516),
+        ("", 1.0),
+    ],
+)
+def test_platform_settings_give_the_processors(tmp_path, limits, processors):
+    """The processors decide which standby takes a shard; the section may be missing."""
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS + limits)
+    assert load_platform_settings(str(path)).processors == pytest.approx(processors)
+
+
 def test_invalid_platform_setting_is_named(tmp_path):
     path = tmp_path / "node.toml"
     path.write_text(SETTINGS.replace('"10.200.1.7:8169"', "7"))
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,11 +1,19 @@
 """Fencing of an owner's writes, and the permit that is checked before an order."""
 
+import random
+
 import anyio
 import pytest
 
 from flamingoweir.jobs import JobState
 from flamingoweir.metrics import NoMetrics
-from flamingoweir.ownership import JOB_TABLE, FencedWriter, OwnershipLost, owner_row
+from flamingoweir.ownership import (
+    JOB_TABLE,
+    FencedWriter,
+    OwnershipLost,
+    Standby,
+    owner_row,
+)
 from flamingoweir.standins import MemoryRows, RowsLink
 from flamingoweir.storage import RowId
 from tests.utils.cluster import make_job, make_step, run_cluster
@@ -14,6 +22,112 @@
 ROW = RowId(JOB_TABLE, "s0", "job")
 
 
+#: Seconds between writes of an owner without changes.
+RENEW_INTERVAL_S = 0.4
+#: Processors of the instances of a large site: few are strong.
+STRONG = 2.15
+WEAK = 0.516
+#: Seconds within which instances that are started together begin to read.
+START_SPREAD_S = 0.3
+#: Seconds from an owner's last write until another instance has the shard, so that
+#: work whose turn has come runs within three seconds.
+MAX_TAKEOVER_S = 2.55
+
+
+class Contest:
+    """Standbys that compete for a shard, and an owner that may have held it.
+
+    Attributes
+    ----------
+    rows : MemoryRows
+        The rows of the store.
+    former : FencedWriter
+        Writer of the former owner.
+    owner : str
+        Name of the standby that has taken the shard; empty before.
+    taken_s : float
+        Virtual time in seconds at which it did.
+    written_s : float
+        Virtual time in seconds at which the former owner's latest write began.
+    """
+
+    def __init__(self, seed: int):
+        self.rows = MemoryRows()
+        self.former = make_writer(RowsLink(self.rows), "former")
+        self.owner = ""
+        self.taken_s = 0.0
+        self.written_s = 0.0
+        self._seed = seed
+
+    async def hold(self, duration_s: float) -> None:
+        """Own the shard as the former owner for some time."""
+        await self.former.acquire(None)
+        until_s = anyio.current_time() + duration_s
+        while anyio.current_time() < until_s:
+            await anyio.sleep(RENEW_INTERVAL_S)
+            self.written_s = anyio.current_time()
+            await self.former.commit([], [])
+
+    async def stand_by(self, name: str, processors: float) -> None:
+        """Start within `START_SPREAD_S` and wait for the shard."""
+        generator = random.Random(f"{self._seed}/{name}")
+        await anyio.sleep(generator.uniform(0, START_SPREAD_S))
+        standby = Standby(
+            RowsLink(self.rows),
+            "s0",
+            name,
+            name,
+            processors,
+            VirtualClock(),
+            generator,
+            NoMetrics(),
+        )
+        await standby.wait_for_ownership()
+        if not self.owner:
+            self.owner = name
+            self.taken_s = anyio.current_time()
+
+    async def wait_for_owner(self) -> None:
+        with anyio.fail_after(5.0):
+            while not self.owner:
+                await anyio.sleep(0.01)
+
+
+async def play_contest(
+    seed: int, vacancy: str, processors_by_name: dict[str, float]
+) -> tuple[str, float]:
+    """Return the name of the new owner, and the seconds for which there was none.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the times at which standbys start and read.
+    vacancy : str
+        Why there is no owner: ``missing``, ``released`` or ``lapsed``.
+    processors_by_name : dict of str to float
+        The standbys.
+    """
+    contest = Contest(seed)
+    async with anyio.create_task_group() as tasks:
+        if vacancy != "missing":
+            tasks.start_soon(contest.hold, 3.0)
+            await anyio.sleep(0.1)
+        for name, processors in processors_by_name.items():
+            tasks.start_soon(contest.stand_by, name, processors)
+        if vacancy != "missing":
+            # Ends within an interval between two writes.
+            await anyio.sleep(3.0 + RENEW_INTERVAL_S)
+            assert not contest.owner
+        if vacancy == "released":
+            await contest.former.release()
+        vacant_s = anyio.current_time()
+        if vacancy == "lapsed":
+            vacant_s = contest.written_s
+        await contest.wait_for_owner()
+        tasks.cancel_scope.cancel()
+    return contest.owner, contest.taken_s - vacant_s
+
+
 def make_writer(link: RowsLink, holder: str) -> FencedWriter:
     return FencedWriter(link, "s0", holder, holder + "/1", VirtualClock(), NoMetrics())
 
@@ -95,3 +209,61 @@
             assert await cluster.state(job) is not JobState.DONE
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("vacancy", ["missing", "released", "lapsed"])
+def test_instance_with_more_processors_takes_a_vacant_shard_first(vacancy):
+    """The shard must go to an instance that can serve it, whoever reads first.
+
+    An owner with 0.516 processors did not keep up with 246 runners (incident 0005).
+    """
+
+    async def scenario():
+        standbys = {f"weak-{number}": WEAK for number in range(20)}
+        standbys["strong"] = STRONG
+        for seed in range(20):
+            owner, _ = await play_contest(seed, vacancy, standbys)
+            assert owner == "strong", f"seed {seed}"
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("vacancy", ["missing", "released", "lapsed"])
+def test_weak_instance_takes_a_shard_that_no_strong_one_takes(vacancy):
+    """Waiting for stronger instances must not delay work for more than three seconds.
+
+    A takeover of 2.55 s, including start spread and calls, leaves time for the start.
+    """
+
+    async def scenario():
+        for seed in range(60):
+            _, vacant_s = await play_contest(seed, vacancy, {"weak": WEAK})
+            assert vacant_s < MAX_TAKEOVER_S, f"seed {seed}"
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("former", ["weak", "strong"])
+def test_restart_of_all_instances_gives_a_strong_one_the_shard(former):
+    """After a restart of all, the former owner must not go before a stronger one.
+
+    Its own row told it that no other process owned the shard, so that it took the
+    shard at once.
+    """
+
+    async def scenario():
+        processors_by_name = {"weak": WEAK, "other": WEAK, "strong": STRONG}
+        for seed in range(10):
+            async with run_cluster(members=0, runners=1, seed=seed) as cluster:
+                cluster.add_member(former, processors_by_name[former])
+                member = await cluster.owner()
+                await anyio.sleep(1)
+                cluster.kill_member(member)
+                await anyio.sleep(1)
+                for name, processors in processors_by_name.items():
+                    cluster.add_member(name, processors)
+                    await anyio.sleep(START_SPREAD_S / 3)
+                owner = await cluster.owner()
+                assert owner.name == "strong", f"seed {seed}"
+
+    run_virtual(scenario)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -64,7 +64,7 @@
 class Member:
     """An instance with its links to store and runners, which a test can break."""
 
-    def __init__(self, cluster: "Cluster", name: str):
+    def __init__(self, cluster: "Cluster", name: str, processors: float):
         self.name = name
         self.process = Process()
         self.store = RowsLink(cluster.rows)
@@ -72,7 +72,15 @@
         self._cluster = cluster
         self._scope = anyio.CancelScope()
         settings = FleetSettings(
-            name, "127.0.0.1", "powys", "127.0.0.1:1", "127.0.0.1:2", 3, 4, "store:1"
+            name,
+            "127.0.0.1",
+            "powys",
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            3,
+            4,
+            "store:1",
+            processors=processors,
         )
         links = PlatformLinks(
             self.store, PlatformRowDecoder(), "op", "servers", self._connect
@@ -177,8 +185,8 @@
     def unlist_runner(self, runner_id: str) -> None:
         self.rows.delete(RowId("servers", "", runner_id))
 
-    def add_member(self, name: str) -> Member:
-        member = Member(self, name)
+    def add_member(self, name: str, processors: float = 1.0) -> Member:
+        member = Member(self, name, processors)
         self.member_by_name[name] = member
         self.tasks.start_soon(member.run)
         return member
