Take no shard whose owner row this build can't read while the row changes

What callers would see: during a change of build, instances of the build that can't read the rows of the other one take the shard from every owner of that one, and all work stops in between.

Cause: a row that could not be decoded, for one unknown field, counted as vacant.

Now such a row is taken only if it has not changed for TAKEOVER_S, as any other row.

--- a/flamingoweir/ownership/_standby.py
+++ b/flamingoweir/ownership/_standby.py
@@ -199,8 +199,13 @@
     def _vacant_from_s(self, row: VersionedRow | None) -> float:
         """Return the time from which this instance may take the unchanged row."""
         deferred_s = self._changed_s + self._deference_s
+        if row is None:
+            return deferred_s
         record = self.observation.record
-        if row is None or record is None or record.released:
+        if record is None:
+            # Another build may have written it, whose owner is alive while it changes.
+            return deferred_s + TAKEOVER_S
+        if record.released:
             return deferred_s
         if record.holder == self._holder and not self._deference_s:
             # Written by an earlier process or an earlier term of this instance. A
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -267,3 +267,25 @@
                 assert owner.name == "strong", f"seed {seed}"
 
     run_virtual(scenario)
+
+
+def test_unreadable_row_that_changes_is_not_taken():
+    """An owner whose row this build can't read is alive while the row changes.
+
+    Another build may add fields. Builds that can't read them would take the shard from
+    every owner of that build.
+    """
+
+    async def scenario():
+        contest = Contest(0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(contest.stand_by, "one", STRONG)
+            for number in range(20):
+                value = b'{"holder": "two", "unknown": %d}' % number
+                contest.rows.put(owner_row("s0"), value)
+                await anyio.sleep(RENEW_INTERVAL_S)
+            assert not contest.owner
+            await contest.wait_for_owner()
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
