Release the shard also after a write that was cancelled

What callers saw: nothing was started for 1.6 s and more after an orderly shutdown of a busy owner, as if it had been killed.

Cause: the end of a term cancels the write under way. If the store has applied it, the release expects a version that is gone; the writer took the row of its own earlier write for that of another owner and gave up ("owned by" itself).

Now a conflict with an earlier write of the same writer only corrects the expected version. Evidence: the new test failed before with OwnershipLost; a writer whose shard was taken still can't release it. The rows in memory get a delay between effect and response for these tests.

--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -171,16 +171,20 @@
             backlog=self.backlog,
         )
         own = (self._owner_row, encode_owner_record(self._record))
-        transaction = Transaction(
-            [(self._owner_row, self._version)], [own, *puts], deletes
-        )
         first_sent_s = self._clock.now()
         while True:
             sent_s = self._clock.now()
+            transaction = Transaction(
+                [(self._owner_row, self._version)], [own, *puts], deletes
+            )
             try:
                 version = await self._store.transact(transaction)
             except RowVersionConflict as error:
-                version = self._find_own_version(error)
+                version, number = self._find_own_write(error)
+                if number != self._record.number:
+                    # An earlier write, which was cancelled before its response came.
+                    self._version = version
+                    continue
                 # It is unknown which of the calls was applied; count from the first.
                 sent_s = first_sent_s
             except (StoreRefused, StoreOutcomeUnknown) as error:
@@ -195,8 +199,8 @@
             )
             return
 
-    def _find_own_version(self, error: RowVersionConflict) -> int:
-        """Return the version of this write if a call without a response applied it.
+    def _find_own_write(self, error: RowVersionConflict) -> tuple[int, int]:
+        """Return version and number of the write by this writer that the row holds.
 
         Raises
         ------
@@ -205,11 +209,10 @@
         """
         row = error.row_by_id.get(self._owner_row)
         found = decode_owner_record(row) if row else None
-        own = self._record
-        if found is None or (found.process, found.number) != (own.process, own.number):
+        if found is None or found.process != self._record.process:
             holder = found.holder if found else "nobody"
             raise OwnershipLost(f"shard {self.shard} is owned by {holder}")
-        return row.version
+        return row.version, found.number
 
     def _check_timeout(self, first_sent_s: float, error: Exception) -> None:
         acquiring = self.fence == 0
--- a/flamingoweir/standins/_rows.py
+++ b/flamingoweir/standins/_rows.py
@@ -121,6 +121,8 @@
         How many of the next transactions time out although they take effect.
     delivery_delay_s : float
         Seconds after which these transactions take effect; 0 applies them at once.
+    response_delay_s : float
+        Seconds from the effect of a read or transaction until its response.
     timeout_s : float
         Seconds until a call without a response fails.
     """
@@ -131,6 +133,7 @@
         self.silent = False
         self.lose_answers = 0
         self.delivery_delay_s = 0.0
+        self.response_delay_s = 0.0
         self.delay_s = delay_s
         self.timeout_s = 0.7
         self._delayed_transactions: list[tuple[float, Transaction]] = []
@@ -148,7 +151,10 @@
                 self._apply_ignoring_conflict(transaction)
             await anyio.sleep(self.timeout_s)
             raise StoreOutcomeUnknown("response lost")
-        return self.rows.apply(transaction)
+        try:
+            return self.rows.apply(transaction)
+        finally:
+            await anyio.sleep(self.response_delay_s)
 
     async def read(
         self, table: str, part: str, first: str = "", end: str = "", limit: int = 500
@@ -159,7 +165,9 @@
         for row in self.rows.rows(table, part):
             if row.id.key >= first and (not end or row.id.key < end):
                 found.append(row)
-        return RowPage(found[:limit], len(found) > limit, self.rows.version)
+        version = self.rows.version
+        await anyio.sleep(self.response_delay_s)
+        return RowPage(found[:limit], len(found) > limit, version)
 
     async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
         """See `RowStore.follow`."""
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -12,6 +12,7 @@
     FencedWriter,
     OwnershipLost,
     Standby,
+    decode_owner_record,
     owner_row,
 )
 from flamingoweir.standins import MemoryRows, RowsLink
@@ -289,3 +290,46 @@
             tasks.cancel_scope.cancel()
 
     run_virtual(scenario)
+
+
+def test_release_follows_a_write_without_response():
+    """An owner that ends during a write must still release the shard.
+
+    A busy owner nearly always has a write under way. The standbys would wait for the
+    shard to lapse, as if the owner had been killed.
+    """
+
+    async def scenario():
+        rows = MemoryRows()
+        link = RowsLink(rows)
+        writer = make_writer(link, "one")
+        await writer.acquire(None)
+        link.response_delay_s = 0.2
+        with anyio.move_on_after(0.1):
+            await writer.commit([(ROW, b"value")], [])
+        assert rows.row_by_id[ROW].value == b"value"
+        await writer.release()
+        record = decode_owner_record(rows.row_by_id[owner_row("s0")])
+        assert record.released
+
+    run_virtual(scenario)
+
+
+def test_release_takes_the_shard_from_no_other_owner():
+    """An owner that has lost the shard must not release it for its successor."""
+
+    async def scenario():
+        rows = MemoryRows()
+        link = RowsLink(rows)
+        writer = make_writer(link, "one")
+        await writer.acquire(None)
+        link.response_delay_s = 0.2
+        with anyio.move_on_after(0.1):
+            await writer.commit([(ROW, b"value")], [])
+        other = make_writer(RowsLink(rows), "two")
+        await other.acquire(rows.row_by_id[owner_row("s0")])
+        with pytest.raises(OwnershipLost):
+            await writer.release()
+        await other.commit([], [])
+
+    run_virtual(scenario)
