Release the shard when a shutdown falls into its takeover

What callers saw: nothing; found by reading. An instance that is told to stop while its write to take the shard is under way goes on to own the shard and runs a term. The shutdown does not wait for it, so the shard lapses only 1.6 s after the process ends, and no job is started in between.

Cause: `leave` looked only for a running term.

Now it waits until a try to take the shard has ended, and a shard that was won is released without a term. Evidence: the new test failed before: the row was not released after the shutdown.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -11,7 +11,7 @@
 from ..links import PlatformLinks
 from ..logs import get_logger
 from ..metrics import Metrics
-from ..ownership import OwnershipLost, Standby, shard_name
+from ..ownership import FencedWriter, OwnershipLost, Standby, shard_name
 from ..queues import SubmissionHandler
 from ..registry import OperatorView, TableFollower
 from ..settings import FleetSettings
@@ -107,6 +107,7 @@
             generator,
             metrics,
         )
+        self._owns_shard = False
         self._shard_released = anyio.Event()
 
     @property
@@ -125,33 +126,19 @@
     async def leave(self) -> None:
         """Release the shard if it is owned, and acquire no shard any more."""
         self.leaving = True
-        self.standby.eligible = False
-        if self.term is None:
+        await self.standby.retire()
+        if not self._owns_shard:
             return
-        self.term.step_down()
+        if self.term is not None:
+            self.term.step_down()
         await self._shard_released.wait()
 
     async def _run_terms(self) -> None:
         while True:
             writer = await self.standby.wait_for_ownership()
-            self.term = Term(
-                writer,
-                self._links.store,
-                self.operators,
-                self._follower,
-                self._links.row_decoder,
-                self._links.runner_table,
-                self._links.connect,
-                self._clock,
-                self._wall_ms,
-                self._metrics,
-                self.settings.max_lease_s,
-            )
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.standby.watch)
-                await self.term.run()
-                tasks.cancel_scope.cancel()
-            self.term = None
+            self._owns_shard = True
+            if not self.leaving:
+                await self._run_term(writer)
             if self.leaving:
                 try:
                     await writer.release()
@@ -159,3 +146,24 @@
                 except OwnershipLost as error:
                     log.info("shard_not_released", detail=str(error))
                 self._shard_released.set()
+            self._owns_shard = False
+
+    async def _run_term(self, writer: FencedWriter) -> None:
+        self.term = Term(
+            writer,
+            self._links.store,
+            self.operators,
+            self._follower,
+            self._links.row_decoder,
+            self._links.runner_table,
+            self._links.connect,
+            self._clock,
+            self._wall_ms,
+            self._metrics,
+            self.settings.max_lease_s,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.standby.watch)
+            await self.term.run()
+            tasks.cancel_scope.cancel()
+        self.term = None
--- a/flamingoweir/ownership/_standby.py
+++ b/flamingoweir/ownership/_standby.py
@@ -127,6 +127,7 @@
         self._changed_s = clock.now()
         self._reachable = True
         self._acquire_count = 0
+        self._acquire_lock = anyio.Lock()
 
     def backlog(self, max_age_s: float) -> Backlog | None:
         """Return the backlog that the owner published.
@@ -159,11 +160,18 @@
                 if vacant_in_s > 0:
                     pause_s = min(pause_s, vacant_in_s)
                 elif self.eligible:
-                    writer = await self._acquire(row)
+                    async with self._acquire_lock:
+                        writer = await self._acquire(row)
                     if writer is not None:
                         return writer
             await anyio.sleep(pause_s)
 
+    async def retire(self) -> None:
+        """Stop taking the shard, and wait until a try that is under way has ended."""
+        self.eligible = False
+        async with self._acquire_lock:
+            return
+
     async def watch(self) -> None:
         """Poll the owner row until cancelled, without taking the shard."""
         while True:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -333,3 +333,25 @@
         await other.commit([], [])
 
     run_virtual(scenario)
+
+
+def test_instance_that_leaves_while_it_takes_the_shard_releases_it():
+    """A shutdown during a takeover must leave the shard to others at once.
+
+    The instance would own the shard, and run a term, until it is killed.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1, runners=1) as cluster:
+            (member,) = cluster.member_by_name.values()
+            member.store.response_delay_s = 0.3
+            row_id = owner_row("s0")
+            while row_id not in cluster.rows.row_by_id:
+                await anyio.sleep(0.01)
+            assert member.instance.term is None
+            await member.instance.leave()
+            record = decode_owner_record(cluster.rows.row_by_id[row_id])
+            assert record.released
+            assert member.instance.term is None
+
+    run_virtual(scenario)
