Renew the ownership while a new owner reads the shard

What callers would see: on a site with many jobs no owner ever starts one. Each takes the shard, reads its tables, and loses it to the next one before the end.

Cause: an owner wrote nothing between taking the shard and the end of its reads; a standby takes over after 1.6 s. An owner with few processors, or a store that is slow, gets there with fewer rows. Nor did a term that was told to end do so before the last read.

Now empty writes renew the ownership every 0.4 s during the reads, for 8 s at most: an instance that can write but not read must not keep the shard. The end of a term is watched from its start. Evidence: with 24 pages of 0.125 s, three instances had taken the shard three times within 6 s; a shutdown during reads of 2.7 s took 3.6 s. Both tests failed before. Without the limit of 8 s, the test of the instance that can't read fails.

--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -30,7 +30,7 @@
     VersionedRow,
     read_all,
 )
-from ._committer import Committer
+from ._committer import RENEW_INTERVAL_S, Committer
 from ._context import Permit, TermContext, TermEnd
 from ._loader import JobLoader
 from ._orders import OrderSender
@@ -46,6 +46,10 @@
 FEED_WAIT_S = 0.7
 #: Seconds before a failed read of the shard's tables is repeated.
 READ_RETRY_PAUSE_S = 0.1
+#: Longest time in seconds for which an owner renews the ownership of a shard whose
+#: tables it has not read yet. After that, a standby takes the shard, which may read
+#: them faster.
+MAX_RESTORE_S = 8.0
 
 
 class Term:
@@ -138,15 +142,15 @@
                     task_group,
                     self._link_by_runner,
                 )
+                task_group.start_soon(self._term_end.wait)
                 committer = Committer(self._context, self._orders)
-                await self._restore(committer)
+                await self._restore_while_renewing(committer)
                 task_group.start_soon(committer.run)
                 task_group.start_soon(self._runner_follower.run)
                 task_group.start_soon(self._job_follower.run)
                 task_group.start_soon(Planner(self._context, self._permit).run)
                 task_group.start_soon(self._send_stops)
                 task_group.start_soon(RetentionSweeper(self._context, self._store).run)
-                await self._term_end.wait()
         except* OwnershipLost as group:
             reason = str(group.exceptions[0])
         log.info("term_ended", shard=self._writer.shard, reason=reason)
@@ -159,6 +163,25 @@
         """End the term because the instance shuts down."""
         self._term_end.signal("shutdown")
 
+    async def _restore_while_renewing(self, committer: Committer) -> None:
+        """Restore the shard's state while empty writes renew the ownership."""
+        restored = anyio.Event()
+        renewals_ended = anyio.Event()
+        self._task_group.start_soon(self._renew_until, restored, renewals_ended)
+        await self._restore(committer)
+        restored.set()
+        # The writer takes one write at a time.
+        await renewals_ended.wait()
+
+    async def _renew_until(self, restored: anyio.Event, ended: anyio.Event) -> None:
+        until_s = self._clock.now() + MAX_RESTORE_S
+        while self._clock.now() < until_s:
+            with anyio.move_on_after(RENEW_INTERVAL_S):
+                await restored.wait()
+                break
+            await self._writer.commit((), ())
+        ended.set()
+
     async def _restore(self, committer: Committer) -> None:
         """Read the shard's tables; other instances no longer write task rows."""
         shard = self._writer.shard
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -5,18 +5,22 @@
 import anyio
 import pytest
 
-from flamingoweir.jobs import JobState
+from flamingoweir.dispatch._term import MAX_RESTORE_S
+from flamingoweir.jobs import JobState, encode_state
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.ownership import (
     JOB_TABLE,
+    STATE_TABLE,
+    TASK_TABLE,
     FencedWriter,
     OwnershipLost,
     Standby,
     decode_owner_record,
     owner_row,
+    state_row,
 )
 from flamingoweir.standins import MemoryRows, RowsLink
-from flamingoweir.storage import RowId
+from flamingoweir.storage import RowId, StoreRefused
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import VirtualClock, run_virtual
 
@@ -33,6 +37,10 @@
 #: Seconds from an owner's last write until another instance has the shard, so that
 #: work whose turn has come runs within three seconds.
 MAX_TAKEOVER_S = 2.55
+#: Rows of a shard, and seconds for a read of at most 500 of them: a new owner reads
+#: for three seconds.
+SLOW_RESTORE_ROWS = 12_000
+SLOW_READ_S = 0.125
 
 
 class Contest:
@@ -355,3 +363,73 @@
             assert member.instance.term is None
 
     run_virtual(scenario)
+
+
+def test_owner_that_restores_slowly_keeps_the_shard():
+    """Reading a large shard must not make its new owner look dead.
+
+    The next owner would need as long, and none would ever serve the shard.
+    """
+
+    async def scenario():
+        async with run_cluster(members=0, runners=1) as cluster:
+            for number in range(SLOW_RESTORE_ROWS):
+                job_id = f"{number:016x}"
+                value = encode_state(JobState.RUNNING, 0)
+                cluster.rows.put(state_row("s0", job_id), value)
+            for number in range(3):
+                cluster.add_member(f"front-{number}").store.delay_s = SLOW_READ_S
+            owner = await cluster.owner()
+            fence = owner.instance.term._writer.fence
+            await anyio.sleep(6)
+            assert owner.instance.term is not None
+            assert owner.instance.term._writer.fence == fence
+
+    run_virtual(scenario)
+
+
+def test_shutdown_during_restore_releases_the_shard():
+    """An owner that is told to stop must not read the whole shard first.
+
+    Its time to stop would pass, and the shard would lapse.
+    """
+
+    async def scenario():
+        async with run_cluster(members=0, runners=1) as cluster:
+            # The three tables take 2.7 s to read.
+            cluster.add_member("front-0").store.delay_s = 0.9
+            owner = await cluster.owner()
+            started_s = anyio.current_time()
+            await owner.instance.leave()
+            assert anyio.current_time() - started_s < 2.0
+            record = decode_owner_record(cluster.rows.row_by_id[owner_row("s0")])
+            assert record.released
+
+    run_virtual(scenario)
+
+
+def test_owner_that_can_not_restore_loses_the_shard():
+    """An instance that can write, but not read the tables, must not keep the shard.
+
+    Its writes renew the ownership, so that it would keep the shard and start nothing.
+    Twelve seconds are allowed, as after a restart of all instances.
+    """
+
+    async def scenario():
+        async with run_cluster(members=0, runners=1) as cluster:
+            broken = cluster.add_member("broken", STRONG)
+            read = broken.store.read
+
+            async def read_owner_row_only(table, part, **fields):
+                if table in (TASK_TABLE, STATE_TABLE):
+                    raise StoreRefused("not readable")
+                return await read(table, part, **fields)
+
+            broken.store.read = read_owner_row_only
+            assert await cluster.owner() is broken
+            other = cluster.add_member("other", WEAK)
+            job = await cluster.submit(make_job(1), other)
+            cluster.member_by_name = {"other": other}
+            await cluster.wait_for(job, JobState.DONE, MAX_RESTORE_S + 4.0)
+
+    run_virtual(scenario)
