Count the age of the published backlog from the call that read it

What callers saw: a number of waiting jobs that is seconds old, from an instance whose event loop is busy.

Cause: the age counted from the moment at which the response was handled. An instance that handles it late took it for new.

Now it counts from the moment at which the read was sent. A takeover still counts from the response, which is the safe side there.

--- a/flamingoweir/ownership/_standby.py
+++ b/flamingoweir/ownership/_standby.py
@@ -49,11 +49,15 @@
     changed_s : float
         Clock time in seconds at which the row's version was first read, or at which
         the store became reachable again, whichever is later.
+    known_s : float
+        Clock time in seconds at which the first read of the row's version was sent.
+        The response may have come much later, to an instance that was busy.
     """
 
     record: OwnerRecord | None
     read_s: float
     changed_s: float
+    known_s: float
 
 
 def deference_s(processors: float) -> float:
@@ -125,6 +129,7 @@
         self._metrics = metrics
         self._version = -1
         self._changed_s = clock.now()
+        self._known_s = clock.now()
         self._reachable = True
         self._acquire_count = 0
         self._acquire_lock = anyio.Lock()
@@ -135,7 +140,7 @@
         Parameters
         ----------
         max_age_s : float
-            Seconds since the owner row last changed, at most.
+            Seconds since the read that first found the row's version, at most.
 
         Returns
         -------
@@ -145,7 +150,7 @@
         observation = self.observation
         if observation is None or observation.record is None:
             return None
-        if self._clock.now() - observation.changed_s > max_age_s:
+        if self._clock.now() - observation.known_s > max_age_s:
             return None
         return observation.record.backlog
 
@@ -180,6 +185,7 @@
 
     async def _read_owner_row(self) -> VersionedRow | None | bool:
         """Return the row, None if there is none, False if the store is unreachable."""
+        sent_s = self._clock.now()
         try:
             page = await self._store.read(
                 OWNER_TABLE, self._shard, first=OWNER_KEY, limit=1
@@ -197,11 +203,14 @@
             # time without a write counts from the end of the outage.
             self._version = version
             self._changed_s = now_s
+            self._known_s = sent_s
         if not self._reachable:
             log.info("store_regained", shard=self._shard)
         self._reachable = True
         record = decode_owner_record(row) if row else None
-        self.observation = OwnerObservation(record, now_s, self._changed_s)
+        self.observation = OwnerObservation(
+            record, now_s, self._changed_s, self._known_s
+        )
         return row
 
     def _vacant_from_s(self, row: VersionedRow | None) -> float:
--- a/tests/test_submitting.py
+++ b/tests/test_submitting.py
@@ -12,6 +12,7 @@
     encode_state,
 )
 from flamingoweir.ownership import job_row, state_row, tasks_row
+from flamingoweir.queues._handler import MAX_BACKLOG_AGE_S
 from tests.utils.cluster import QUEUE, make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
 
@@ -118,6 +119,33 @@
     run_virtual(scenario)
 
 
+def test_number_in_a_late_response_is_as_old_as_the_call():
+    """A busy instance must not report a number as new because it came late.
+
+    Its callers would be told that nothing waits seconds after work began to.
+    """
+
+    async def scenario():
+        async with run_cluster(members=2, runners=0) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            (other,) = [m for m in cluster.member_by_name.values() if m is not owner]
+            other.store.response_delay_s = 2.5
+            await anyio.sleep(0.6)
+            for number in range(4):
+                await cluster.submit(make_job(number, make_step()), owner)
+            queue = other.instance.operators.configuration.queue_by_name[QUEUE]
+            await anyio.sleep(MAX_BACKLOG_AGE_S)
+            for _ in range(100):
+                await anyio.sleep(0.05)
+                try:
+                    assert other.instance.handler.count_waiting(queue) == 4
+                except FlamingoweirError as error:
+                    assert error.verdict is Verdict.NOT_RUN
+
+    run_virtual(scenario)
+
+
 def test_ended_job_is_not_run_again_by_new_owner_or_repeated_submission():
     """A new owner must find the durable state of an ended job.
 
