Report no backlog from before an outage of the store as new

What callers saw: after an outage in which the owner failed too, an instance answered for up to 1.9 s that nothing waits, while jobs accepted before the outage had waited for seconds.

Cause: the first read after an outage restarts the wait for a takeover. The age of the published number restarted with it, although the row was the old one.

Now that age restarts only with a new version of the row. Evidence: the new test failed before: 0 was reported after an outage of 2.9 s with four jobs waiting.

--- a/flamingoweir/ownership/_standby.py
+++ b/flamingoweir/ownership/_standby.py
@@ -198,12 +198,13 @@
         now_s = self._clock.now()
         row = page.rows[0] if page.rows else None
         version = row.version if row else 0
+        if version != self._version:
+            self._known_s = sent_s
         if version != self._version or not self._reachable:
             # During an outage of the store the owner could not write either, so the
             # time without a write counts from the end of the outage.
             self._version = version
             self._changed_s = now_s
-            self._known_s = sent_s
         if not self._reachable:
             log.info("store_regained", shard=self._shard)
         self._reachable = True
--- a/tests/test_submitting.py
+++ b/tests/test_submitting.py
@@ -146,6 +146,36 @@
     run_virtual(scenario)
 
 
+def test_number_from_before_a_store_outage_is_not_reported():
+    """The end of an outage must not make an old number count as new.
+
+    The owner fails as well, and jobs that were accepted before wait for a new one.
+    """
+
+    async def scenario():
+        async with run_cluster(members=2, runners=0) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            cluster.kill_member(owner)
+            (other,) = cluster.member_by_name.values()
+            for number in range(4):
+                await cluster.submit(make_job(number, make_step()), other)
+            other.store.down = True
+            await anyio.sleep(MAX_BACKLOG_AGE_S + 1)
+            other.store.down = False
+            queue = other.instance.operators.configuration.queue_by_name[QUEUE]
+            reported_counts = set()
+            for _ in range(100):
+                await anyio.sleep(0.05)
+                try:
+                    reported_counts.add(other.instance.handler.count_waiting(queue))
+                except FlamingoweirError as error:
+                    assert error.verdict is Verdict.NOT_RUN
+            assert reported_counts == {4}
+
+    run_virtual(scenario)
+
+
 def test_ended_job_is_not_run_again_by_new_owner_or_repeated_submission():
     """A new owner must find the durable state of an ended job.
 
