--- a/tests/test_waiting_count.py
+++ b/tests/test_waiting_count.py
@@ -159,7 +159,7 @@
         writer.count_backlog = lambda: Backlog({QUEUE: 1})
         link = RowsLink(rows)
         standby = Standby(
-            link, "s0", "two", "two", clock, random.Random(0), NoMetrics()
+            link, "s0", "two", "two", 1.0, clock, random.Random(0), NoMetrics()
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(standby.watch)
