Show that a placement pass holds up the renewal of the ownership

Both tests fail on this code: in virtual time, with the cost of a slow instance charged to each evaluated runner, a pass over 1,000 tasks lets no other coroutine run for 11.3 s (the ownership lasts 1.4 s, the stated bound is 0.04 s); and 300 tasks take 73,800 evaluations on 246 runners, which is their product.

--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,15 +1,34 @@
-"""Steps that a placement pass skips because a similar step found no runner.
+"""Placement passes: which steps they skip, what they cost, when they give way.
 
 A pass that skips too much leaves tasks waiting beside free runners; one that skips
 too little tries a long backlog step by step and delays polls and orders.
 """
 
-from flamingoweir.dispatch._planner import UnplacedSteps
+import asyncio
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from flamingoweir.dispatch._committer import RENEW_INTERVAL_S
+from flamingoweir.dispatch._owner_state import OwnerState
+from flamingoweir.dispatch._planner import Planner, UnplacedSteps
 from flamingoweir.jobs import Job, JobSpec, QueuePolicy, StepSpec
-from flamingoweir.policy import MAX_PLACEMENT_WAIT_S
+from flamingoweir.metrics import NoMetrics
+from flamingoweir.policy import MAX_PLACEMENT_WAIT_S, PlacementPolicy
+from flamingoweir.registry import RunnerEntry
 from flamingoweir.resources import Resources
+from tests.utils.virtual_time import VirtualClock, run_virtual
 
 NOW_S = 100.0
+#: Processor time of a slow instance, in seconds: to evaluate one runner for one task
+#: (incident 0005: 11 ms for 246 runners) and to place one task beside that.
+EVALUATION_S = 45e-6
+PLACED_TASK_S = 200e-6
+#: Longest time in seconds for which a pass may hold the event loop. A renewal is due
+#: every `RENEW_INTERVAL_S`; a delay of a tenth, at each of the few turns that a write
+#: takes, leaves the ownership valid.
+MAX_HOLD_S = RENEW_INTERVAL_S / 10
 
 
 def make_step(processors: int, memory_mb: int = 0, waited_s: float = 0.5, **fields):
@@ -76,3 +95,118 @@
     untried = make_step(4)
     untried.unplaced_since_s = None
     assert not unplaced.rules_out(untried)
+
+
+class Permission:
+    """Stands in for the owner's permit; a test may withdraw it."""
+
+    def __init__(self):
+        self.valid = True
+        self.forbidden_ids = set()
+
+    def is_valid(self):
+        return self.valid
+
+    def allows_runner(self, runner):
+        return runner.id not in self.forbidden_ids
+
+
+def make_owner(runners: int, *steps: StepSpec, processors: int = 32):
+    """Return a planner, its permission and its state: a job for each step."""
+    clock = VirtualClock()
+    owner_state = OwnerState(clock, NoMetrics(), 10.0)
+    entry_by_id = {}
+    for number in range(runners):
+        capacity = Resources(processors * 1000, 100_000, 0)
+        entry = RunnerEntry(f"r{number}", 1, "s", "host:1", "zone", capacity=capacity)
+        entry_by_id[entry.id] = entry
+    for runner in owner_state.update_runners(entry_by_id):
+        runner.begin_incarnation(1)
+    for number, step in enumerate(steps):
+        owner_state.add_job(
+            JobSpec(f"job-{number}", "q", "", (step,), QueuePolicy("s"))
+        )
+    operators = SimpleNamespace(configuration=SimpleNamespace(version=1))
+    context = SimpleNamespace(
+        owner_state=owner_state,
+        clock=clock,
+        wall_ms=lambda: 1000 * clock.now(),
+        operators=operators,
+    )
+    permission = Permission()
+    return Planner(context, permission), permission, owner_state
+
+
+def batch_spec(count: int, processors: int = 1, **fields) -> StepSpec:
+    return StepSpec(count, Resources(processors * 1000, 1000, 0), **fields)
+
+
+@pytest.fixture
+def charge(monkeypatch):
+    """Return a function that counts calls and charges them to the virtual clock."""
+
+    def start(evaluation_s: float, placed_task_s: float) -> dict[str, int]:
+        counts = {"fits": 0, "_score": 0, "add_attempt": 0}
+
+        def wrap(owner, name, cost_s):
+            original = getattr(owner, name)
+
+            def charged(*args, **kwargs):
+                counts[name] += 1
+                asyncio.get_running_loop().virtual_s += cost_s
+                return original(*args, **kwargs)
+
+            monkeypatch.setattr(owner, name, charged)
+
+        wrap(PlacementPolicy, "fits", evaluation_s)
+        wrap(PlacementPolicy, "_score", 0.0)
+        wrap(OwnerState, "add_attempt", placed_task_s)
+        return counts
+
+    return start
+
+
+def test_long_placement_pass_does_not_block_renewal_of_the_ownership(charge):
+    """Guards against a pass during which the owner can't renew its ownership.
+
+    Another instance then takes the shard, finds as much waiting work, and loses the
+    shard in the same way.
+    """
+    counts = charge(EVALUATION_S, PLACED_TASK_S)
+
+    async def scenario():
+        planner, _, owner_state = make_owner(
+            246, *(batch_spec(10) for _ in range(60)), batch_spec(400)
+        )
+        longest_s = 0.0
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            turned_s = anyio.current_time()
+            while counts["add_attempt"] < 1000:
+                await anyio.sleep(0.001)
+                longest_s = max(longest_s, anyio.current_time() - turned_s)
+                turned_s = anyio.current_time()
+                assert turned_s < 1060, "not all tasks were placed within a minute"
+            tasks.cancel_scope.cancel()
+        assert len(owner_state.pending_starts) == 1000
+        assert longest_s < MAX_HOLD_S
+
+    run_virtual(scenario)
+
+
+def test_placing_a_step_evaluates_each_runner_once_and_once_for_each_task(charge):
+    """Guards against a cost of runners times tasks, which a large fleet can't bear."""
+    counts = charge(0.0, 0.0)
+
+    async def scenario():
+        runners, tasks_of_step = 246, 300
+        planner, _, _ = make_owner(runners, batch_spec(tasks_of_step))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        assert counts["add_attempt"] == tasks_of_step
+        assert runners <= counts["fits"] <= runners + tasks_of_step
+        assert runners <= counts["_score"] <= runners + tasks_of_step
+
+    run_virtual(scenario)
