Score each runner once for a step, not once for each task

Callers saw an owner that placed 80 tasks a second on a slow instance and 370 on a fast one.

StepPlacement keeps the scores of a step in a heap. A placed task changes the score of no other runner, so only the chosen one is evaluated again; when the first task of an overdue job ends its exemption, all are. Runner keeps its free resources, what lasting tasks reserve, and the count of serving images. ColocationPolicy keeps the headrooms at peak load with the expected ones, until allocations change or new measurements of the runner arrive.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -8,6 +8,7 @@
 from ..policy import (
     MAX_PLACEMENT_WAIT_S,
     PlacementPolicy,
+    StepPlacement,
     place_gang,
     sort_key,
     unplaced_s,
@@ -207,13 +208,15 @@
         candidates = self._placement.candidates(step, usable, now_s)
         if step.spec.gang:
             return self._place_gang(step, candidates)
+        placement = StepPlacement(self._placement, step, candidates, now_s)
         for index in sorted(step.open_indexes):
-            runner = self._placement.choose(step, index, candidates, now_s)
+            runner = placement.choose(index)
             if runner is None:
                 if step.unplaced_since_s is None:
                     step.unplaced_since_s = now_s
                 return False
             self._start(step, index, runner, now_s)
+            placement.record_placed()
         step.unplaced_since_s = None
         return True
 
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -84,10 +84,16 @@
         Allocations by task and run, including attempts that are being stopped.
     reserved : Resources
         Sum of the resources reserved by all allocations.
+    lasting_reserved : Resources
+        Sum of the resources reserved by long-running tasks.
+    free_resources : Resources
+        Capacity that is not reserved.
     spare_demand_milli : int
         Thousandths of processors demanded by tasks that use spare ones.
     serving_count : int
         Number of allocations of serving tasks, which have a latency target.
+    serving_count_by_image : dict of str to int
+        Number of allocations of serving tasks, by image; no entry is 0.
     serving_demand_milli : int
         Thousandths of processors demanded by serving tasks.
     last_response_s : float
@@ -105,15 +111,18 @@
     def __init__(
         self, entry: RunnerEntry, max_lease_s: float, earlier_leases_end_s: float = 0.0
     ):
-        self.entry = entry
+        self._entry = entry
         self.incarnation: int | None = None
         self.last_received_end = 0
         self.last_durable_end = 0
         self.allocation_by_run: dict[tuple[TaskId, int], Allocation] = {}
         self.reserved = Resources()
+        self.lasting_reserved = Resources()
+        self.free_resources = entry.capacity
         self.revision = 0
         self.spare_demand_milli = 0
         self.serving_count = 0
+        self.serving_count_by_image: dict[str, int] = {}
         self.serving_demand_milli = 0
         self.last_response_s = float("-inf")
         self.unresponsive_since_s: float | None = None
@@ -125,14 +134,19 @@
         self._leases_end_ms = 0
 
     @property
-    def id(self) -> str:
-        """The runner's id."""
-        return self.entry.id
+    def entry(self) -> RunnerEntry:
+        """The entry that the runner announces."""
+        return self._entry
+
+    @entry.setter
+    def entry(self, entry: RunnerEntry) -> None:
+        self._entry = entry
+        self.free_resources = entry.capacity - self.reserved
 
     @property
-    def free_resources(self) -> Resources:
-        """Capacity that is not reserved."""
-        return self.entry.capacity - self.reserved
+    def id(self) -> str:
+        """The runner's id."""
+        return self._entry.id
 
     @property
     def has_attempts(self) -> bool:
@@ -142,9 +156,7 @@
     @property
     def spare_available_milli(self) -> float:
         """Thousandths of processors left for tasks that use spare ones."""
-        free_milli = (
-            self.entry.capacity.processors_milli - self.reserved.processors_milli
-        )
+        free_milli = self.free_resources.processors_milli
         return free_milli + (1 - SERVING_UTILIZATION) * self.serving_demand_milli
 
     def spare_oversubscription(self, spec: StepSpec) -> float:
@@ -162,11 +174,15 @@
         self.allocation_by_run[attempt.task, attempt.run] = allocation
         self.revision += 1
         self.reserved = self.reserved + spec.reserved
+        self.free_resources = self._entry.capacity - self.reserved
+        if spec.lasting:
+            self.lasting_reserved = self.lasting_reserved + spec.reserved
         if spec.uses_spare:
             self.spare_demand_milli += spec.demand.processors_milli
         if spec.latency_target_ms:
             self.serving_count += 1
             self.serving_demand_milli += spec.demand.processors_milli
+            self._count_serving(spec.image, 1)
         return allocation
 
     def find(self, task: TaskId, run: int) -> Allocation | None:
@@ -179,12 +195,17 @@
         if allocation is None:
             return None
         self.revision += 1
-        self.reserved = self.reserved - allocation.spec.reserved
-        if allocation.spec.uses_spare:
-            self.spare_demand_milli -= allocation.spec.demand.processors_milli
-        if allocation.spec.latency_target_ms:
+        spec = allocation.spec
+        self.reserved = self.reserved - spec.reserved
+        self.free_resources = self._entry.capacity - self.reserved
+        if spec.lasting:
+            self.lasting_reserved = self.lasting_reserved - spec.reserved
+        if spec.uses_spare:
+            self.spare_demand_milli -= spec.demand.processors_milli
+        if spec.latency_target_ms:
             self.serving_count -= 1
-            self.serving_demand_milli -= allocation.spec.demand.processors_milli
+            self.serving_demand_milli -= spec.demand.processors_milli
+            self._count_serving(spec.image, -1)
         return allocation
 
     def begin_incarnation(self, incarnation: int) -> list[Allocation]:
@@ -232,6 +253,13 @@
         passed_ms = 1000 * (now_s - self._clock_read_s) * (1 - CLOCK_DRIFT)
         return self._clock_ms + passed_ms > self._leases_end_ms + LAPSE_MARGIN_MS
 
+    def _count_serving(self, image: str, change: int) -> None:
+        count = self.serving_count_by_image.get(image, 0) + change
+        if count:
+            self.serving_count_by_image[image] = count
+        else:
+            del self.serving_count_by_image[image]
+
     def _renew(self, now_s: float, lease_s: float) -> int:
         end_ms = round(self._estimate_clock_ms(now_s) + 1000 * lease_s)
         self._leases_end_ms = max(self._leases_end_ms, end_ms)
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -4,7 +4,7 @@
 from ._gangs import place_gang
 from ._health import RunnerHealth
 from ._order import objective_s, sort_key
-from ._placement import PlacementPolicy, count_tasks_on, unplaced_s
+from ._placement import PlacementPolicy, StepPlacement, unplaced_s
 from ._stragglers import find_stalled
 
 __all__ = [
@@ -13,7 +13,7 @@
     "PaceChange",
     "PlacementPolicy",
     "RunnerHealth",
-    "count_tasks_on",
+    "StepPlacement",
     "find_stalled",
     "objective_s",
     "place_gang",
--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -91,7 +91,7 @@
         self._recovered_count_by_runner: dict[str, int] = {}
         self._over_target_since_s_by_runner: dict[str, float] = {}
         self._baselines_checked_s = 0.0
-        self._headrooms_by_runner: dict[str, tuple[int, list]] = {}
+        self._headrooms_by_runner: dict[str, tuple[int, list, list]] = {}
 
     def learn(self, runner: Runner, now_s: float) -> None:
         """Update the model with the measurements of a poll.
@@ -157,7 +157,7 @@
         if waited_s > MAX_PLACEMENT_WAIT_S:
             return True
         share = _share(spec, runner)
-        for model, headroom in self._expected_headrooms(runner):
+        for model, headroom in self._expected_headrooms(runner)[0]:
             loss = model.effect(spec.image) * share
             if loss >= NEGLIGIBLE_LOSS and headroom - loss < PLACEMENT_HEADROOM:
                 return False
@@ -169,14 +169,13 @@
         The losses of all serving tasks on the runner are added up. A loss that leaves
         more than `PEAK_HEADROOM` counts with `SAFE_LOSS_WEIGHT` only.
         """
+        if not runner.serving_count:
+            return 0.0
         total_loss = 0.0
         share = _share(spec, runner)
-        for allocation in _serving_allocations(runner):
-            model = self._effect_model(allocation.spec.image)
+        for model, low in self._expected_headrooms(runner)[1]:
             loss = model.effect(spec.image) * share
-            baseline = self._baseline_by_step.get(_step_key(allocation))
-            low = baseline.recent_low if baseline else PRIOR_BASELINE
-            left = low - self._expected_loss(runner, model) - loss
+            left = low - loss
             total_loss += min(loss, max(SAFE_LOSS_WEIGHT * loss, PEAK_HEADROOM - left))
         return total_loss
 
@@ -266,26 +265,42 @@
             0.0, allocation.headroom_deviation
         )
 
-    def _expected_headrooms(self, runner: Runner) -> list[tuple[EffectModel, float]]:
-        """Return the lowest expected headroom of each serving image on a runner.
+    def _expected_headrooms(
+        self, runner: Runner
+    ) -> tuple[list[tuple[EffectModel, float]], list[tuple[EffectModel, float]]]:
+        """Return the expected headrooms of the serving tasks on a runner.
 
         The result is cached until the allocations of the runner change or new
         measurements arrive.
+
+        Returns
+        -------
+        lowest : list of (EffectModel, float)
+            Lowest expected headroom of each serving image.
+        at_peak : list of (EffectModel, float)
+            Expected headroom of each serving task at peak load.
         """
         cached = self._headrooms_by_runner.get(runner.id)
         if cached is not None and cached[0] == runner.revision:
-            return cached[1]
+            return cached[1], cached[2]
         lowest: dict[str, float] = {}
+        loss_by_image: dict[str, float] = {}
+        at_peak = []
         for allocation in _serving_allocations(runner):
-            baseline = self._baseline_headroom(allocation)
-            known = lowest.get(allocation.spec.image, baseline)
-            lowest[allocation.spec.image] = min(known, baseline)
-        found = []
-        for image, baseline in lowest.items():
+            image = allocation.spec.image
             model = self._effect_model(image)
-            found.append((model, baseline - self._expected_loss(runner, model)))
-        self._headrooms_by_runner[runner.id] = (runner.revision, found)
-        return found
+            if image not in loss_by_image:
+                loss_by_image[image] = self._expected_loss(runner, model)
+            headroom = self._baseline_headroom(allocation)
+            lowest[image] = min(lowest.get(image, headroom), headroom)
+            baseline = self._baseline_by_step.get(_step_key(allocation))
+            low = baseline.recent_low if baseline else PRIOR_BASELINE
+            at_peak.append((model, low - loss_by_image[image]))
+        found = []
+        for image, headroom in lowest.items():
+            found.append((self._effect_model(image), headroom - loss_by_image[image]))
+        self._headrooms_by_runner[runner.id] = (runner.revision, found, at_peak)
+        return found, at_peak
 
     @staticmethod
     def _expected_loss(runner: Runner, model: EffectModel) -> float:
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -6,12 +6,13 @@
 most processors are spare.
 """
 
+import heapq
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 from ..fleet import Runner
 from ..jobs import StepRun, StepSpec
-from ..resources import Resources
-from ._colocation import ColocationPolicy
+from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
 from ._health import RunnerHealth
 
 #: Seconds that a task waits for a runner on its data rack before it runs elsewhere.
@@ -76,22 +77,7 @@
         avoid : frozenset of str
             Ids of runners that must not be chosen.
         """
-        best = None
-        best_score: tuple = ()
-        failed_runners = step.tasks[index].failed_runners
-        has_alternative = len(failed_runners) < len(candidates)
-        waited_s = unplaced_s(step, now_s)
-        for runner in candidates:
-            if runner.id in avoid or not self.fits(step, runner, waited_s):
-                continue
-            if has_alternative and runner.id in failed_runners:
-                continue
-            score = self._score(step.spec, runner)
-            if best is None or score < best_score:
-                best, best_score = runner, score
-        if best is not None and self._should_wait(step, best, candidates, now_s):
-            return None
-        return best
+        return StepPlacement(self, step, candidates, now_s).choose(index, avoid)
 
     def reserve(
         self, step: StepRun, candidates: Sequence[Runner], excluded: frozenset[str]
@@ -102,8 +88,15 @@
         enough.
         """
         best = None
+        count_by_runner = count_tasks_by_runner(step)
+        limit = step.spec.max_per_runner
         for runner in candidates:
-            if runner.id in excluded or not self._fits_beside_lasting(step, runner):
+            if runner.id in excluded:
+                continue
+            if limit and count_by_runner[runner.id] >= limit:
+                continue
+            beside_lasting = runner.entry.capacity - runner.lasting_reserved
+            if not step.spec.reserved.fits_in(beside_lasting):
                 continue
             if (
                 best is None
@@ -113,19 +106,7 @@
                 best = runner
         return best
 
-    @staticmethod
-    def _fits_beside_lasting(step: StepRun, runner: Runner) -> bool:
-        """Return whether a task would fit beside long-running tasks alone."""
-        lasting_reserved = Resources()
-        for allocation in runner.allocation_by_run.values():
-            if allocation.spec.lasting:
-                lasting_reserved = lasting_reserved + allocation.spec.reserved
-        if not step.spec.reserved.fits_in(runner.entry.capacity - lasting_reserved):
-            return False
-        limit = step.spec.max_per_runner
-        return not limit or count_tasks_on(step, runner) < limit
-
-    def fits(self, step: StepRun, runner: Runner, waited_s: float) -> bool:
+    def fits(self, step: StepRun, runner: Runner, waited_s: float, count: int) -> bool:
         """Return whether one more task of a step fits on a runner.
 
         Parameters
@@ -136,30 +117,33 @@
             The runner.
         waited_s : float
             Result of `unplaced_s`, in seconds.
+        count : int
+            Number of tasks of the step that use resources of the runner; only needed
+            if there is a limit.
         """
         spec = step.spec
         if not spec.reserved.fits_in(runner.free_resources):
             return False
-        if spec.uses_spare and not self._colocation.allows(spec, runner, waited_s):
+        limit = spec.max_per_runner
+        if limit and count >= limit:
             return False
-        limit = step.spec.max_per_runner
-        return not limit or count_tasks_on(step, runner) < limit
+        return not spec.uses_spare or self._colocation.allows(spec, runner, waited_s)
 
     def _score(self, spec: StepSpec, runner: Runner) -> tuple:
+        """Return the score of a runner for a task; the lowest score is the best."""
         off_data_rack = (
             bool(spec.data_rack) and spec.data_rack not in runner.entry.labels
         )
         failed_job_count = self._health.failed_job_count(runner.id)
         free_milli = runner.free_resources.processors_milli
         if spec.uses_spare:
-            cost = max(
-                0.0, runner.spare_oversubscription(spec)
-            ) + self._colocation.expected_interference(spec, runner)
+            oversubscription = runner.spare_oversubscription(spec)
+            interference = self._colocation.expected_interference(spec, runner)
             return (
                 off_data_rack,
                 failed_job_count,
-                round(cost, 1),
-                runner.spare_oversubscription(spec),
+                round(max(0.0, oversubscription) + interference, 1),
+                oversubscription,
             )
         if spec.latency_target_ms:
             return (
@@ -176,21 +160,124 @@
             free_milli,
         )
 
-    def _should_wait(
+
+class StepPlacement:
+    """Choose runners for the tasks of one step, one after another.
+
+    Each runner is evaluated once, and again after it got a task: tasks on one runner
+    change no score of another one. The object is valid until anything else changes
+    the runners, the step or what is known about them.
+
+    Parameters
+    ----------
+    policy : PlacementPolicy
+        Evaluates runners.
+    step : StepRun
+        The step.
+    candidates : sequence of Runner
+        Runners that `PlacementPolicy.candidates` returned; of equal runners, the first
+        one is chosen.
+    now_s : float
+        Time on the owner's clock, in seconds.
+    """
+
+    def __init__(
         self,
+        policy: PlacementPolicy,
         step: StepRun,
-        best: Runner,
         candidates: Sequence[Runner],
         now_s: float,
-    ) -> bool:
+    ):
+        self._policy = policy
+        self._step = step
+        self._candidates = candidates
+        self._now_s = now_s
+        self._waited_s = unplaced_s(step, now_s)
+        self._count_by_runner = count_tasks_by_runner(step)
+        self._heap: list[tuple[tuple, int, int]] = []
+        # A heap entry with an older number of evaluations is out of date.
+        self._evaluations = [0] * len(candidates)
+        self._chosen: int | None = None
+        self._on_data_rack: bool | None = None
+        self._evaluate_all()
+
+    def choose(self, index: int, avoid: frozenset[str] = frozenset()) -> Runner | None:
+        """Return the best runner with enough resources for a task, or None.
+
+        `record_placed` must be called once the task was placed.
+
+        Parameters
+        ----------
+        index : int
+            Index of the task in the step.
+        avoid : frozenset of str
+            Ids of runners that must not be chosen.
+        """
+        failed_runners = self._step.tasks[index].failed_runners
+        if len(failed_runners) < len(self._candidates):
+            avoid = avoid | failed_runners
+        self._chosen = None
+        passed_over = []
+        while self._heap:
+            _, position, evaluation = self._heap[0]
+            if evaluation == self._evaluations[position]:
+                if self._candidates[position].id not in avoid:
+                    self._chosen = position
+                    break
+                passed_over.append(self._heap[0])
+            heapq.heappop(self._heap)
+        for entry in passed_over:
+            heapq.heappush(self._heap, entry)
+        if self._chosen is None:
+            return None
+        best = self._candidates[self._chosen]
+        return None if self._should_wait(best) else best
+
+    def record_placed(self) -> None:
+        """Evaluate the chosen runner again, now that the task was placed there."""
+        position = self._chosen
+        self._chosen = None
+        if self._step.spec.max_per_runner:
+            self._count_by_runner[self._candidates[position].id] += 1
+        if self._waited_s > MAX_PLACEMENT_WAIT_S:
+            # The job has an attempt now; its other tasks must disturb no serving task.
+            self._waited_s = 0.0
+            self._heap.clear()
+            self._evaluate_all()
+            return
+        self._evaluate(position)
+
+    def _evaluate_all(self) -> None:
+        demand = self._step.spec.reserved
+        for position, runner in enumerate(self._candidates):
+            # Most runners of a busy fleet have no room; this is the cheapest check.
+            if demand.processors_milli > runner.free_resources.processors_milli:
+                continue
+            self._evaluate(position)
+
+    def _evaluate(self, position: int) -> None:
+        runner = self._candidates[position]
+        self._evaluations[position] += 1
+        count = self._count_by_runner[runner.id]
+        if not self._policy.fits(self._step, runner, self._waited_s, count):
+            return
+        score = self._policy._score(self._step.spec, runner)
+        entry = (score, position, self._evaluations[position])
+        heapq.heappush(self._heap, entry)
+
+    def _should_wait(self, best: Runner) -> bool:
         """Return whether a task should wait for a runner on its data rack."""
-        rack = step.spec.data_rack
+        rack = self._step.spec.data_rack
         if not rack or rack in best.entry.labels:
             return False
-        if not any(rack in runner.entry.labels for runner in candidates):
+        if self._on_data_rack is None:
+            self._on_data_rack = any(
+                rack in runner.entry.labels for runner in self._candidates
+            )
+        since_s = self._step.ready_since_s
+        if not self._on_data_rack or since_s is None:
             return False
-        since_s = step.ready_since_s
-        return since_s is not None and now_s - since_s < DATA_RACK_WAIT_S
+        return self._now_s - since_s < DATA_RACK_WAIT_S
 
 
 def unplaced_s(step: StepRun, now_s: float) -> float:
@@ -210,19 +297,17 @@
     Serving tasks of one image are disturbed by the same batch images. Where only they
     run, all other batch images can use the spare processors.
     """
-    images = set()
-    for allocation in runner.allocation_by_run.values():
-        if allocation.spec.latency_target_ms:
-            images.add(allocation.spec.image)
-    if not images:
+    count_by_image = runner.serving_count_by_image
+    if not count_by_image:
         return 1
-    return 2 * len(images - {spec.image})
+    return 2 * (len(count_by_image) - (spec.image in count_by_image))
 
 
-def count_tasks_on(step: StepRun, runner: Runner) -> int:
-    """Return how many attempts of a step use resources of a runner."""
-    count = 0
-    for attempt in step.attempts():
-        if attempt.runner == runner.id:
-            count += 1
-    return count
+def count_tasks_by_runner(step: StepRun) -> Counter[str]:
+    """Return how many attempts of a step use resources of each runner, by runner id.
+
+    The result is empty if the step has no limit per runner.
+    """
+    if not step.spec.max_per_runner:
+        return Counter()
+    return Counter(attempt.runner for attempt in step.attempts())
--- /dev/null
+++ b/tests/test_step_placement.py
@@ -0,0 +1,180 @@
+"""Choices for the tasks of a step, compared with evaluating every runner each time.
+
+`StepPlacement` evaluates a runner again only after it got a task, and `Runner` keeps
+sums of its allocations; the choices must not differ from those without either.
+"""
+
+import random
+
+import pytest
+
+from flamingoweir.fleet import Runner
+from flamingoweir.jobs import Attempt, Job, JobSpec, QueuePolicy, StepSpec, TaskId
+from flamingoweir.policy import (
+    ColocationPolicy,
+    PlacementPolicy,
+    RunnerHealth,
+    StepPlacement,
+)
+from flamingoweir.policy._colocation import (
+    PEAK_HEADROOM,
+    SAFE_LOSS_WEIGHT,
+    _serving_allocations,
+    _step_key,
+)
+from flamingoweir.policy._effects import PRIOR_BASELINE
+from flamingoweir.registry import RunnerEntry
+from flamingoweir.resources import Resources
+
+NOW_S = 100.0
+IMAGES = ("red", "blue", "green")
+
+
+class Reference:
+    """Chooses by evaluating all runners for each task, from their allocations."""
+
+    def __init__(self, health, colocation):
+        self.health = health
+        self.colocation = colocation
+
+    def choose(self, step, index, candidates, avoid):
+        best, best_score = None, ()
+        failed = step.tasks[index].failed_runners
+        for runner in candidates:
+            if runner.id in avoid or not self.fits(step, runner):
+                continue
+            if len(failed) < len(candidates) and runner.id in failed:
+                continue
+            score = self.score(step.spec, runner)
+            if best is None or score < best_score:
+                best, best_score = runner, score
+        rack = step.spec.data_rack
+        if best is None or not rack or rack in best.entry.labels:
+            return best
+        waits = NOW_S - step.ready_since_s < 1.0
+        on_rack = any(rack in runner.entry.labels for runner in candidates)
+        return None if waits and on_rack else best
+
+    def fits(self, step, runner):
+        spec = step.spec
+        if not spec.reserved.fits_in(self.free(runner)):
+            return False
+        waited_s = 0.0
+        if step.unplaced_since_s is not None and not any(step.job.attempts()):
+            waited_s = NOW_S - step.unplaced_since_s
+        if spec.uses_spare and not self.colocation.allows(spec, runner, waited_s):
+            return False
+        count = sum(1 for a in step.attempts() if a.runner == runner.id)
+        return not spec.max_per_runner or count < spec.max_per_runner
+
+    @staticmethod
+    def free(runner):
+        free = runner.entry.capacity
+        for allocation in runner.allocation_by_run.values():
+            free = free - allocation.spec.reserved
+        return free
+
+    def score(self, spec, runner):
+        off_rack = bool(spec.data_rack) and spec.data_rack not in runner.entry.labels
+        failed_jobs = self.health.failed_job_count(runner.id)
+        allocations = runner.allocation_by_run.values()
+        images = {a.spec.image for a in allocations if a.spec.latency_target_ms}
+        free_milli = self.free(runner).processors_milli
+        if spec.uses_spare:
+            over = runner.spare_oversubscription(spec)
+            cost = max(0.0, over) + self.interference(spec, runner)
+            return off_rack, failed_jobs, round(cost, 1), over
+        if spec.latency_target_ms:
+            penalty = 2 * len(images - {spec.image}) if images else 1
+            return off_rack, failed_jobs, penalty, free_milli
+        spare_milli = sum(
+            a.spec.demand.processors_milli for a in allocations if a.spec.uses_spare
+        )
+        return off_rack, failed_jobs, not images, spare_milli, free_milli
+
+    def interference(self, spec, runner):
+        total_loss = 0.0
+        share = spec.demand.processors_milli / runner.entry.capacity.processors_milli
+        for allocation in _serving_allocations(runner):
+            model = self.colocation._effect_model(allocation.spec.image)
+            loss = model.effect(spec.image) * share
+            baseline = self.colocation._baseline_by_step.get(_step_key(allocation))
+            low = baseline.recent_low if baseline else PRIOR_BASELINE
+            left = low - self.colocation._expected_loss(runner, model) - loss
+            total_loss += min(loss, max(SAFE_LOSS_WEIGHT * loss, PEAK_HEADROOM - left))
+        return total_loss
+
+
+def random_spec(generator: random.Random, count: int) -> StepSpec:
+    kind = generator.choice(("serving", "spare", "plain"))
+    return StepSpec(
+        count,
+        Resources(generator.choice((1, 2, 4)) * 1000, generator.choice((0, 500)), 0),
+        lasting=kind == "serving",
+        image=generator.choice(IMAGES),
+        latency_target_ms=50.0 if kind == "serving" else 0.0,
+        uses_spare=kind == "spare",
+        max_per_runner=generator.choice((0, 0, 1, 2)),
+        data_rack=generator.choice(("", "", "rack-0", "rack-9")),
+    )
+
+
+def random_fleet(generator: random.Random, colocation: ColocationPolicy):
+    runners = []
+    for number in range(generator.randint(1, 14)):
+        entry = RunnerEntry(
+            f"r{number}",
+            1,
+            "s",
+            "host:1",
+            "zone",
+            capacity=Resources(generator.choice((4, 8, 16)) * 1000, 4000, 0),
+            labels=frozenset({f"rack-{generator.randrange(3)}"}),
+        )
+        runner = Runner(entry, 10.0)
+        runner.begin_incarnation(1)
+        for index in range(generator.randrange(5)):
+            task = TaskId(f"old-{number}", 0, 0, index)
+            spec = random_spec(generator, 1)
+            if not spec.reserved.fits_in(runner.free_resources):
+                continue
+            allocation = runner.add(Attempt(task, 1, runner.id, 1), spec)
+            if spec.latency_target_ms:
+                allocation.load = generator.uniform(20.0, 70.0)
+            if generator.random() < 0.2:
+                runner.remove(task, 1)
+        colocation.learn(runner, NOW_S)
+        runners.append(runner)
+    return runners
+
+
+@pytest.mark.parametrize("seed", range(300))
+def test_choices_equal_those_of_evaluating_all_runners_for_each_task(seed):
+    """Guards against a worse runner, or one without room, because of a kept score."""
+    generator = random.Random(seed)
+    health, colocation = RunnerHealth(), ColocationPolicy()
+    runners = random_fleet(generator, colocation)
+    for runner in runners:
+        if generator.random() < 0.2:
+            health.record_end(runner.id, "broken", True, NOW_S)
+    spec = random_spec(generator, generator.randint(1, 20))
+    step = Job(JobSpec("job", "q", "", (spec,), QueuePolicy("s"))).run_by_step[0, 0]
+    step.ready_since_s = NOW_S - generator.choice((0.2, 3.0))
+    step.unplaced_since_s = generator.choice((None, NOW_S - 1.0, NOW_S - 2.0))
+    for task in step.tasks:
+        if generator.random() < 0.3:
+            count = generator.randint(1, len(runners))
+            task.failed_runners |= {r.id for r in generator.sample(runners, count)}
+    avoid = frozenset(r.id for r in runners if generator.random() < 0.1)
+    reference = Reference(health, colocation)
+    policy = PlacementPolicy(health, colocation)
+    placement = StepPlacement(policy, step, runners, NOW_S)
+    for index in range(spec.count):
+        expected = reference.choose(step, index, runners, avoid)
+        assert placement.choose(index, avoid) is expected
+        if expected is None:
+            # A task with other failed runners may still find one.
+            continue
+        attempt = step.job.start(step, index, expected.id, 1, NOW_S)
+        expected.add(attempt, spec)
+        placement.record_placed()
