Let a placement pass give way to the renewal of the ownership

A task is placed without a pause, a gang as a whole. A pass looks for newly ready steps every 0.1 s and ends after 0.5 s, so that an urgent step doesn't wait for its end. The candidates of a service and label are collected once a slice; the load is summed up in one walk.

--- /dev/null
+++ b/flamingoweir/dispatch/_candidates.py
@@ -0,0 +1,75 @@
+"""Lists of the runners that suit each kind of step, within a slice of a pass."""
+
+from collections.abc import Iterable
+
+from ..fleet import Runner
+from ..jobs import StepRun
+from ..policy import PlacementPolicy
+
+
+class CandidateLists:
+    """Collects candidates once for all steps of a service and a label.
+
+    The object is valid until anything but the placement itself changes the runners.
+
+    Parameters
+    ----------
+    placement : PlacementPolicy
+        Decides which runners suit a step.
+    runners : list of Runner
+        Runners that may be given tasks.
+    reserved_ids : set of str
+        Ids of runners that are kept free for a step; `reserve` adds to the set.
+    now_s : float
+        Time on the owner's clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        placement: PlacementPolicy,
+        runners: list[Runner],
+        reserved_ids: set[str],
+        now_s: float,
+    ):
+        self.runners = runners
+        self._placement = placement
+        self._reserved_ids = reserved_ids
+        self._now_s = now_s
+        self._all_by_kind: dict[tuple[str, str], list[Runner]] = {}
+        self._unreserved_by_kind: dict[tuple[str, str], list[Runner]] = {}
+
+    def find_all(self, step: StepRun) -> list[Runner]:
+        """Return the runners that suit a step, also reserved ones."""
+        kind = (step.job.spec.policy.service, step.spec.label)
+        found = self._all_by_kind.get(kind)
+        if found is None:
+            found = self._placement.candidates(step, self.runners, self._now_s)
+            self._all_by_kind[kind] = found
+        return found
+
+    def find(self, step: StepRun) -> list[Runner]:
+        """Return the runners that suit a step and are not reserved."""
+        if not self._reserved_ids:
+            return self.find_all(step)
+        kind = (step.job.spec.policy.service, step.spec.label)
+        found = self._unreserved_by_kind.get(kind)
+        if found is None:
+            found = [r for r in self.find_all(step) if r.id not in self._reserved_ids]
+            self._unreserved_by_kind[kind] = found
+        return found
+
+    def reserve(self, runner: Runner) -> None:
+        """Keep a runner free."""
+        self._reserved_ids.add(runner.id)
+        self._unreserved_by_kind.clear()
+
+    def recheck(self, step: StepRun, runners: Iterable[Runner]) -> None:
+        """Collect anew if a runner that got tasks of a step may get no more.
+
+        After its quarantine, a runner gets tasks of one step.
+        """
+        runners = list(runners)
+        suitable = self._placement.candidates(step, runners, self._now_s)
+        if len(suitable) < len(runners):
+            self._all_by_kind.clear()
+            self._unreserved_by_kind.clear()
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -1,5 +1,7 @@
 """Decides which ready tasks start, and on which runners."""
 
+from collections import deque
+
 import anyio
 
 from ..fleet import Runner
@@ -14,7 +16,9 @@
     unplaced_s,
 )
 from ..resources import Resources
+from ._candidates import CandidateLists
 from ._context import Permit, TermContext
+from ._time_slice import TimeSlice
 
 log = get_logger()
 
@@ -37,6 +41,16 @@
 #: Number of unplaced steps after which a pass ends, as the remaining steps are unlikely
 #: to find resources.
 MAX_UNPLACED_STEPS = 40
+#: Seconds after which a pass looks for steps that have become ready meanwhile, so that
+#: the next step of a job, or an urgent one, need not wait for the end of the pass.
+COLLECT_INTERVAL_S = 0.1
+#: Seconds after which a pass ends, so that resources that became free since go to the
+#: most urgent steps that found none.
+MAX_PASS_S = 0.5
+
+
+class PermitWithdrawn(Exception):
+    """Tasks may no longer be started; the pass ends."""
 
 
 class UnplacedSteps:
@@ -105,9 +119,13 @@
         self._permit = permit
         self._load_logged_s = float("-inf")
         self._pass_started_s = float("-inf")
+        self._now_s = 0.0
+        self._reserved_ids: set[str] = set()
         self._placement = PlacementPolicy(
             context.owner_state.health, context.owner_state.colocation
         )
+        self._time_slice = TimeSlice(context.clock)
+        self._candidates = CandidateLists(self._placement, [], set(), 0.0)
 
     async def run(self) -> None:
         """Run placement passes until cancelled."""
@@ -119,34 +137,83 @@
             self._pass_started_s = self._context.clock.now()
             self._owner_state.remove_lapsed_unlisted()
             if self._permit.is_valid():
-                self.plan()
+                await self.plan()
 
-    def plan(self) -> None:
-        """Run one pass: create attempts for all tasks that can be placed."""
-        now_s = self._context.clock.now()
-        wall_ms = self._context.wall_ms()
+    async def plan(self) -> None:
+        """Run one pass: create attempts for all tasks that can be placed.
+
+        The pass gives way to other coroutines after each slice, and ends early if the
+        permit is withdrawn meanwhile.
+        """
+        self._time_slice = TimeSlice(self._context.clock)
+        self._reserved_ids = set()
+        self._collect_runners()
+        try:
+            await self._place_ready_steps()
+        except PermitWithdrawn:
+            log.info("pass_ended", reason="no_permit")
+        self._time_slice.stop()
+
+    async def _place_ready_steps(self) -> None:
+        started_s = collected_s = self._now_s
+        steps = deque(await self._find_ready_steps())
+        tried: set[StepRun] = set()
+        unplaced = UnplacedSteps(started_s)
+        while steps:
+            if self._context.clock.now() - started_s > MAX_PASS_S:
+                return
+            if self._context.clock.now() - collected_s > COLLECT_INTERVAL_S:
+                # Steps have become ready since, and may be more urgent.
+                ready = await self._find_ready_steps()
+                steps = deque(step for step in ready if step not in tried)
+                collected_s = self._context.clock.now()
+                if not steps:
+                    return
+            step = steps.popleft()
+            if self._is_ready(step) and (
+                unplaced.rules_out(step) or not await self._place(step)
+            ):
+                tried.add(step)
+                unplaced.add(step)
+                if len(tried) > MAX_UNPLACED_STEPS:
+                    return
+                self._reserve_runner(step)
+            if self._time_slice.is_over():
+                await self._give_way()
+
+    async def _give_way(self) -> None:
+        """Let other coroutines run, then check again what may have changed.
+
+        Raises
+        ------
+        PermitWithdrawn
+            If no task may be started any more.
+        """
+        await self._time_slice.give_way()
+        if not self._permit.is_valid():
+            raise PermitWithdrawn
+        self._collect_runners()
+
+    def _collect_runners(self) -> None:
+        """Collect the runners that may be given tasks now."""
+        self._now_s = self._context.clock.now()
         usable = [
             r
             for r in self._owner_state.runner_by_id.values()
             if self._permit.allows_runner(r)
         ]
-        self._log_load(usable, now_s)
-        unplaced_count = 0
-        reserved_ids: set[str] = set()
-        unplaced = UnplacedSteps(now_s)
-        for step in self._find_ready_steps(now_s, wall_ms):
-            free = [r for r in usable if r.id not in reserved_ids]
-            if not unplaced.rules_out(step) and self._place(step, free, now_s):
-                continue
-            unplaced.add(step)
-            unplaced_count += 1
-            if unplaced_count > MAX_UNPLACED_STEPS:
-                return
-            self._reserve_runner(step, usable, reserved_ids, now_s)
+        self._candidates = CandidateLists(
+            self._placement, usable, self._reserved_ids, self._now_s
+        )
+
+    def _is_ready(self, step: StepRun) -> bool:
+        """Return whether a step that was ready earlier in the pass still is."""
+        job = step.job
+        if self._owner_state.job_by_id.get(job.spec.id) is not job or job.is_final:
+            return False
+        return bool(step.open_indexes) and step.retry_at_s <= self._now_s
 
-    def _reserve_runner(
-        self, step: StepRun, usable: list[Runner], reserved_ids: set[str], now_s: float
-    ) -> None:
+    def _reserve_runner(self, step: StepRun) -> None:
         """Reserve a runner for a step that has waited long for enough resources."""
         reserve_after_s = (
             RESERVE_AFTER_LASTING_S if step.spec.lasting else RESERVE_AFTER_S
@@ -154,89 +221,126 @@
         if step.spec.uses_spare or step.spec.gang:
             return
         if (
-            len(reserved_ids) >= MAX_RESERVED_RUNNERS
-            or now_s - step.ready_since_s < reserve_after_s
+            len(self._reserved_ids) >= MAX_RESERVED_RUNNERS
+            or self._now_s - step.ready_since_s < reserve_after_s
         ):
             return
-        candidates = self._placement.candidates(step, usable, now_s)
-        runner = self._placement.reserve(step, candidates, frozenset(reserved_ids))
+        candidates = self._candidates.find_all(step)
+        runner = self._placement.reserve(
+            step, candidates, frozenset(self._reserved_ids)
+        )
         if runner is not None:
-            reserved_ids.add(runner.id)
+            self._candidates.reserve(runner)
 
-    def _log_load(self, usable: list[Runner], now_s: float) -> None:
+    def _log_load(self, jobs: int, open_tasks: int) -> None:
         """Log the load of the runners every `LOAD_LOG_INTERVAL_S`."""
-        if now_s - self._load_logged_s < LOAD_LOG_INTERVAL_S:
+        if self._now_s - self._load_logged_s < LOAD_LOG_INTERVAL_S:
             return
-        self._load_logged_s = now_s
-        runners = self._owner_state.runner_by_id.values()
-        total = Resources()
-        reserved = Resources()
-        for runner in runners:
-            total = total + runner.entry.capacity
-            reserved = reserved + runner.reserved
+        self._load_logged_s = self._now_s
+        serving = 0
+        total_milli = reserved_milli = spare_demand_milli = 0
+        total_mb = reserved_mb = 0
+        for runner in self._owner_state.runner_by_id.values():
+            capacity, reserved = runner.entry.capacity, runner.reserved
+            total_milli += capacity.processors_milli
+            total_mb += capacity.memory_mb
+            reserved_milli += reserved.processors_milli
+            reserved_mb += reserved.memory_mb
+            spare_demand_milli += runner.spare_demand_milli
+            serving += bool(runner.serving_count)
         log.info(
             "fleet_load",
-            runners=len(runners),
-            usable=len(usable),
-            serving=sum(1 for r in runners if r.serving_count),
-            cores=total.processors_milli // 1000,
-            cores_reserved=reserved.processors_milli // 1000,
-            cores_wanted_spare=sum(r.spare_demand_milli for r in runners) // 1000,
-            memory_share=round(reserved.memory_mb / max(1, total.memory_mb), 2),
-            jobs=len(self._owner_state.job_by_id),
-            open_tasks=sum(
-                len(step.open_indexes)
-                for job in self._owner_state.job_by_id.values()
-                for step in job.ready_steps()
-            ),
+            runners=len(self._owner_state.runner_by_id),
+            usable=len(self._candidates.runners),
+            serving=serving,
+            cores=total_milli // 1000,
+            cores_reserved=reserved_milli // 1000,
+            cores_wanted_spare=spare_demand_milli // 1000,
+            memory_share=round(reserved_mb / max(1, total_mb), 2),
+            jobs=jobs,
+            open_tasks=open_tasks,
         )
 
-    def _find_ready_steps(self, now_s: float, wall_ms: float) -> list[StepRun]:
+    async def _find_ready_steps(self) -> list[StepRun]:
+        """Return the ready steps, the most urgent first.
+
+        Jobs may change while the search gives way; `_is_ready` checks a step again.
+        """
         ready = []
-        for job in self._owner_state.job_by_id.values():
+        open_tasks = 0
+        jobs = list(self._owner_state.job_by_id.values())
+        wall_ms = self._context.wall_ms()
+        for job in jobs:
+            if self._time_slice.is_over():
+                await self._give_way()
             job.open_due(wall_ms)
             for step in job.ready_steps():
+                open_tasks += len(step.open_indexes)
                 if step.ready_since_s is None:
-                    step.ready_since_s = now_s
-                if step.retry_at_s <= now_s:
-                    ready.append(step)
-        ready.sort(key=lambda step: sort_key(step, now_s, wall_ms))
-        return ready
-
-    def _place(self, step: StepRun, usable: list[Runner], now_s: float) -> bool:
-        """Place the open tasks of a step; return whether all were placed."""
-        candidates = self._placement.candidates(step, usable, now_s)
+                    step.ready_since_s = self._now_s
+                if step.retry_at_s <= self._now_s:
+                    key = sort_key(step, self._now_s, wall_ms)
+                    ready.append((key, len(ready), step))
+        self._log_load(len(jobs), open_tasks)
+        ready.sort()
+        return [step for _, _, step in ready]
+
+    async def _place(self, step: StepRun) -> bool:
+        """Place the open tasks of a step; return whether all were placed.
+
+        A step that is no longer ready after a slice counts as placed.
+        """
         if step.spec.gang:
-            return self._place_gang(step, candidates)
-        placement = StepPlacement(self._placement, step, candidates, now_s)
+            return self._place_gang(step)
+        placement = None
+        evaluated_s = 0.0
+        placed_on: dict[str, Runner] = {}
         for index in sorted(step.open_indexes):
+            if placement is not None and self._time_slice.is_over(evaluated_s):
+                await self._give_way()
+                placement = None
+                placed_on.clear()
+                if not self._is_ready(step):
+                    return True
+            if index not in step.open_indexes:
+                continue
+            if placement is None:
+                candidates = self._candidates.find(step)
+                placement = StepPlacement(
+                    self._placement, step, candidates, self._now_s
+                )
+                evaluated_s = self._context.clock.now()
             runner = placement.choose(index)
             if runner is None:
                 if step.unplaced_since_s is None:
-                    step.unplaced_since_s = now_s
+                    step.unplaced_since_s = self._now_s
+                self._candidates.recheck(step, placed_on.values())
                 return False
-            self._start(step, index, runner, now_s)
+            self._start(step, index, runner)
             placement.record_placed()
+            placed_on[runner.id] = runner
         step.unplaced_since_s = None
+        self._candidates.recheck(step, placed_on.values())
         return True
 
-    def _place_gang(self, step: StepRun, candidates: list[Runner]) -> bool:
+    def _place_gang(self, step: StepRun) -> bool:
         if len(step.open_indexes) < step.spec.count:
             return False
-        runners = place_gang(step, candidates)
+        runners = place_gang(step, self._candidates.find(step))
         if runners is None:
             return False
         self._owner_state.add_gang_attempts(step, runners)
+        self._candidates.recheck(step, {r.id: r for r in runners}.values())
         return True
 
-    def _start(self, step: StepRun, index: int, runner: Runner, now_s: float) -> None:
+    def _start(self, step: StepRun, index: int, runner: Runner) -> None:
         attempt = self._owner_state.add_attempt(step, index, runner)
         log.info(
             "attempt_placed",
             task=str(attempt.task),
             run=attempt.run,
             runner=runner.id,
-            waited_ms=round(1000 * (now_s - step.ready_since_s)),
+            waited_ms=round(1000 * (self._now_s - step.ready_since_s)),
             free_milli=runner.free_resources.processors_milli,
             configuration=self._context.operators.configuration.version,
         )
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -210,3 +210,149 @@
         assert runners <= counts["_score"] <= runners + tasks_of_step
 
     run_virtual(scenario)
+
+
+def run_with_changes(charge, change, *steps: StepSpec) -> OwnerState:
+    """Run a planner for a second; apply a change once it has placed 30 tasks."""
+    counts = charge(EVALUATION_S, PLACED_TASK_S)
+
+    async def scenario():
+        planner, permission, owner_state = make_owner(100, *steps)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            while counts["add_attempt"] < 30:
+                await anyio.sleep(0.001)
+            owner_state.placed_before = len(owner_state.pending_starts)
+            change(permission, owner_state)
+            await anyio.sleep(1.0)
+            tasks.cancel_scope.cancel()
+        return owner_state
+
+    owner_state = run_virtual(scenario)
+    reserved = {}
+    for attempt in owner_state.pending_starts:
+        step = owner_state.job_by_id[attempt.task.job].run_by_step[0, 0]
+        assert attempt.task.index not in step.open_indexes
+        assert len(step.tasks[attempt.task.index].attempt_by_run) == 1
+        reserved[attempt.runner] = reserved.get(attempt.runner, 0) + 1
+    for runner in owner_state.runner_by_id.values():
+        assert len(runner.allocation_by_run) == reserved.get(runner.id, 0)
+        assert Resources().fits_in(runner.free_resources)
+    assert owner_state.placed_before < 400, "the pass didn't give way"
+    return owner_state
+
+
+def test_pass_places_nothing_after_the_permit_is_withdrawn(charge):
+    """Guards against starts by an owner that lost its permit during a pass."""
+
+    def change(permission, owner_state):
+        permission.valid = False
+
+    owner_state = run_with_changes(charge, change, batch_spec(400))
+    assert len(owner_state.pending_starts) == owner_state.placed_before
+
+
+def test_pass_places_nothing_on_runners_that_are_forbidden_or_gone_meanwhile(charge):
+    """Guards against starts where a runner drains, left, or came back as another one.
+
+    A task that is placed on an object that is no longer known would never be started.
+    """
+    replaced = []
+
+    def change(permission, owner_state):
+        permission.forbidden_ids |= {f"r{n}" for n in range(90)}
+        runner = owner_state.runner_by_id.pop("r95")
+        replaced.append((runner, len(runner.allocation_by_run)))
+        free = [r for r in owner_state.runner_by_id.values() if not r.has_attempts]
+        replaced.extend((r, 0) for r in free if r.id in permission.forbidden_ids)
+
+    owner_state = run_with_changes(charge, change, batch_spec(400))
+    assert len(replaced) > 1
+    for runner, count in replaced:
+        assert len(runner.allocation_by_run) == count
+    late = owner_state.pending_starts[owner_state.placed_before :]
+    assert late
+    assert {a.runner for a in late} <= {f"r{n}" for n in range(90, 100)} - {"r95"}
+
+
+def test_pass_places_nothing_of_a_job_that_is_cancelled_meanwhile(charge):
+    """Guards against starts of a job that was cancelled during the pass."""
+
+    def change(_, owner_state):
+        owner_state.cancel_job("job-0")
+
+    owner_state = run_with_changes(charge, change, batch_spec(300), batch_spec(100))
+    late = owner_state.pending_starts[owner_state.placed_before :]
+    assert len(late) == 100
+    assert {a.task.job for a in late} == {"job-1"}
+
+
+def test_resources_freed_or_taken_during_a_pass_are_counted(charge):
+    """Guards against two tasks in one place, and against places that stay empty."""
+
+    def change(_, owner_state):
+        for number in range(50):
+            runner = owner_state.runner_by_id[f"r{number}"]
+            while runner.free_resources.processors_milli >= 8000:
+                step = owner_state.job_by_id["job-1"].run_by_step[0, 0]
+                owner_state.add_attempt(step, min(step.open_indexes), runner)
+
+    owner_state = run_with_changes(
+        charge, change, batch_spec(800, 4), batch_spec(400, 8)
+    )
+    full = sum(
+        1
+        for runner in owner_state.runner_by_id.values()
+        if runner.free_resources.processors_milli == 0
+    )
+    assert full == 100
+
+
+def test_gang_is_placed_whole(charge):
+    """Guards against a gang of which a part waits while the pass gives way."""
+    owner_state = run_with_changes(
+        charge,
+        lambda permission, owner_state: None,
+        batch_spec(300),
+        batch_spec(40, gang=True),
+        batch_spec(4000, gang=True),
+    )
+    by_job = {}
+    for attempt in owner_state.pending_starts:
+        by_job[attempt.task.job] = by_job.get(attempt.task.job, 0) + 1
+    assert by_job == {"job-0": 300, "job-1": 40}
+
+
+def unplaceable_specs(count: int) -> list[StepSpec]:
+    """Return steps of distinct kinds that fit on no runner; each has to be tried."""
+    demand = Resources(1000, 1_000_000, 0)
+    return [StepSpec(1, demand, image=f"image-{n}") for n in range(count)]
+
+
+@pytest.mark.parametrize("arrival_s", [0.21, 0.33, 0.47, 0.62])
+def test_urgent_step_starts_within_a_tenth_of_a_second_beside_a_backlog(
+    charge, arrival_s
+):
+    """Guards against an urgent step that waits for the end of a long pass.
+
+    A tenth of a second is allowed until the step is seen, and half of that for the
+    steps that are being tried and for its own.
+    """
+    counts = charge(EVALUATION_S, PLACED_TASK_S)
+
+    async def scenario():
+        planner, _, owner_state = make_owner(246, *unplaceable_specs(60))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            await anyio.sleep(arrival_s)
+            urgent = JobSpec(
+                "urgent", "q", "", (batch_spec(1),), QueuePolicy("s", priority=-1)
+            )
+            arrived_s = anyio.current_time()
+            owner_state.add_job(urgent)
+            while not counts["add_attempt"]:
+                await anyio.sleep(0.001)
+                assert anyio.current_time() - arrived_s < 0.15
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
