Pause after a placement pass for as long as it took

An owner with more waiting work than room tried the same steps again up to 40 times a second, whatever a pass cost. The new test failed: seven steps that fit nowhere, on 246 runners at the cost of a slow instance, took 6.9 s of 10 s where half is allowed. A pause is now as long as the pass held the event loop, 0.1 s at most, so that the next step of a job still starts in about 0.1 s (the tests on urgent steps beside a backlog).

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -29,6 +29,10 @@
 #: waiting step; with a long backlog, passes without a pause would delay polls and
 #: orders.
 MIN_PASS_INTERVAL_S = 0.025
+#: Longest pause after a pass in seconds. A pass is followed by a pause as long as it
+#: held the event loop, so that futile passes take at most half of the time; this bound
+#: lets the next step of a job start in about a tenth of a second.
+MAX_PASS_PAUSE_S = 0.1
 #: Seconds that a step waits before a runner is reserved for it.
 RESERVE_AFTER_S = 0.5
 #: Seconds until a runner is reserved for a step with long-running tasks, whose absence
@@ -118,7 +122,7 @@
         self._owner_state = context.owner_state
         self._permit = permit
         self._load_logged_s = float("-inf")
-        self._pass_started_s = float("-inf")
+        self._next_pass_s = float("-inf")
         self._now_s = 0.0
         self._reserved_ids: set[str] = set()
         self._placement = PlacementPolicy(
@@ -131,13 +135,19 @@
         """Run placement passes until cancelled."""
         while True:
             await self._owner_state.placement_wakeup.wait(PASS_INTERVAL_S)
-            since_s = self._context.clock.now() - self._pass_started_s
-            if since_s < MIN_PASS_INTERVAL_S:
-                await anyio.sleep(MIN_PASS_INTERVAL_S - since_s)
-            self._pass_started_s = self._context.clock.now()
+            pause_s = self._next_pass_s - self._context.clock.now()
+            if pause_s > 0:
+                await anyio.sleep(pause_s)
+            started_s = self._context.clock.now()
+            self._next_pass_s = started_s + MIN_PASS_INTERVAL_S
             self._owner_state.remove_lapsed_unlisted()
-            if self._permit.is_valid():
-                await self.plan()
+            if not self._permit.is_valid():
+                continue
+            await self.plan()
+            pause_s = min(self._time_slice.busy_s, MAX_PASS_PAUSE_S)
+            self._next_pass_s = max(
+                self._next_pass_s, self._context.clock.now() + pause_s
+            )
 
     async def plan(self) -> None:
         """Run one pass: create attempts for all tasks that can be placed.
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -356,3 +356,25 @@
             tasks.cancel_scope.cancel()
 
     run_virtual(scenario)
+
+
+def test_futile_passes_take_at_most_half_of_the_time(charge):
+    """Guards against an owner that mostly tries steps that found no runner before.
+
+    The planner is woken all the time, as in a shard in which tasks end.
+    """
+    counts = charge(EVALUATION_S, 0.0)
+    seconds = 10.0
+
+    async def scenario():
+        planner, _, owner_state = make_owner(246, *unplaceable_specs(7))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            ends_s = anyio.current_time() + seconds
+            while anyio.current_time() < ends_s:
+                owner_state.placement_wakeup.set()
+                await anyio.sleep(0.001)
+            tasks.cancel_scope.cancel()
+        assert 0 < counts["fits"] * EVALUATION_S <= seconds / 2
+
+    run_virtual(scenario)
