--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,15 +1,34 @@
-"""Steps that a placement pass skips because a similar step found no runner.
+"""Placement passes: which steps they skip, what they cost, when they give way.
 
 A pass that skips too much leaves tasks waiting beside free runners; one that skips
 too little tries a long backlog step by step and delays polls and orders.
 """
 
-from flamingoweir.dispatch._planner import UnplacedSteps
+import asyncio
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from flamingoweir.dispatch._committer import RENEW_INTERVAL_S
+from flamingoweir.dispatch._owner_state import OwnerState
+from flamingoweir.dispatch._planner import Planner, UnplacedSteps
 from flamingoweir.jobs import Job, JobSpec, QueuePolicy, StepSpec
-from flamingoweir.policy import MAX_PLACEMENT_WAIT_S
+from flamingoweir.metrics import NoMetrics
+from flamingoweir.policy import MAX_PLACEMENT_WAIT_S, PlacementPolicy
+from flamingoweir.registry import RunnerEntry
 from flamingoweir.resources import Resources
+from tests.utils.virtual_time import VirtualClock, run_virtual
 
 NOW_S = 100.0
+#: Processor time of a slow instance, in seconds: to evaluate one runner for one task
+#: (incident 0005: 11 ms for 246 runners) and to place one task beside that.
+EVALUATION_S = 45e-6
+PLACED_TASK_S = 200e-6
+#: Longest time in seconds for which a pass may hold the event loop. A renewal is due
+#: every `RENEW_INTERVAL_S`; a delay of a tenth, at each of the few turns that a write
+#: takes, leaves the ownership valid.
+MAX_HOLD_S = RENEW_INTERVAL_S / 10
 
 
 def make_step(processors: int, memory_mb: int = 0, waited_s: float = 0.5, **fields):
@@ -76,3 +95,287 @@
     untried = make_step(4)
     untried.unplaced_since_s = None
     assert not unplaced.rules_out(untried)
+
+
+class Permission:
+    """Stands in for the owner's permit; a test may withdraw it."""
+
+    def __init__(self):
+        self.valid = True
+        self.forbidden_ids = set()
+
+    def is_valid(self):
+        return self.valid
+
+    def allows_runner(self, runner):
+        return runner.id not in self.forbidden_ids
+
+
+def make_owner(runners: int, *steps: StepSpec, processors: int = 32):
+    """Return a planner, its permission and its state: a job for each step."""
+    clock = VirtualClock()
+    owner_state = OwnerState(clock, NoMetrics(), 10.0)
+    entry_by_id = {}
+    for number in range(runners):
+        capacity = Resources(processors * 1000, 100_000, 0)
+        entry = RunnerEntry(f"r{number}", 1, "s", "host:1", "zone", capacity=capacity)
+        entry_by_id[entry.id] = entry
+    for runner in owner_state.update_runners(entry_by_id):
+        runner.begin_incarnation(1)
+    for number, step in enumerate(steps):
+        owner_state.add_job(
+            JobSpec(f"job-{number}", "q", "", (step,), QueuePolicy("s"))
+        )
+    operators = SimpleNamespace(configuration=SimpleNamespace(version=1))
+    context = SimpleNamespace(
+        owner_state=owner_state,
+        clock=clock,
+        wall_ms=lambda: 1000 * clock.now(),
+        operators=operators,
+        metrics=NoMetrics(),
+    )
+    permission = Permission()
+    return Planner(context, permission), permission, owner_state
+
+
+def batch_spec(count: int, processors: int = 1, **fields) -> StepSpec:
+    return StepSpec(count, Resources(processors * 1000, 1000, 0), **fields)
+
+
+@pytest.fixture
+def charge(monkeypatch):
+    """Return a function that counts calls and charges them to the virtual clock."""
+
+    def start(evaluation_s: float, placed_task_s: float) -> dict[str, int]:
+        counts = {"fits": 0, "_score": 0, "add_attempt": 0}
+
+        def wrap(owner, name, cost_s):
+            original = getattr(owner, name)
+
+            def charged(*args, **kwargs):
+                counts[name] += 1
+                asyncio.get_running_loop().virtual_s += cost_s
+                return original(*args, **kwargs)
+
+            monkeypatch.setattr(owner, name, charged)
+
+        wrap(PlacementPolicy, "fits", evaluation_s)
+        wrap(PlacementPolicy, "_score", 0.0)
+        wrap(OwnerState, "add_attempt", placed_task_s)
+        return counts
+
+    return start
+
+
+def test_long_placement_pass_does_not_block_renewal_of_the_ownership(charge):
+    """Guards against a pass during which the owner can't renew its ownership.
+
+    Another instance then takes the shard, finds as much waiting work, and loses the
+    shard in the same way.
+    """
+    counts = charge(EVALUATION_S, PLACED_TASK_S)
+
+    async def scenario():
+        planner, _, owner_state = make_owner(
+            246, *(batch_spec(10) for _ in range(60)), batch_spec(400)
+        )
+        longest_s = 0.0
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            turned_s = anyio.current_time()
+            while counts["add_attempt"] < 1000:
+                await anyio.sleep(0.001)
+                longest_s = max(longest_s, anyio.current_time() - turned_s)
+                turned_s = anyio.current_time()
+                assert turned_s < 1060, "not all tasks were placed within a minute"
+            tasks.cancel_scope.cancel()
+        assert len(owner_state.pending_starts) == 1000
+        assert longest_s < MAX_HOLD_S
+
+    run_virtual(scenario)
+
+
+def test_placing_a_step_evaluates_each_runner_once_and_once_for_each_task(charge):
+    """Guards against a cost of runners times tasks, which a large fleet can't bear."""
+    counts = charge(0.0, 0.0)
+
+    async def scenario():
+        runners, tasks_of_step = 246, 300
+        planner, _, _ = make_owner(runners, batch_spec(tasks_of_step))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        assert counts["add_attempt"] == tasks_of_step
+        assert runners <= counts["fits"] <= runners + tasks_of_step
+        assert runners <= counts["_score"] <= runners + tasks_of_step
+
+    run_virtual(scenario)
+
+
+def run_with_changes(charge, change, *steps: StepSpec) -> OwnerState:
+    """Run a planner for a second; apply a change once it has placed 30 tasks."""
+    counts = charge(EVALUATION_S, PLACED_TASK_S)
+
+    async def scenario():
+        planner, permission, owner_state = make_owner(100, *steps)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            while counts["add_attempt"] < 30:
+                await anyio.sleep(0.001)
+            owner_state.placed_before = len(owner_state.pending_starts)
+            change(permission, owner_state)
+            await anyio.sleep(1.0)
+            tasks.cancel_scope.cancel()
+        return owner_state
+
+    owner_state = run_virtual(scenario)
+    reserved = {}
+    for attempt in owner_state.pending_starts:
+        step = owner_state.job_by_id[attempt.task.job].run_by_step[0, 0]
+        assert attempt.task.index not in step.open_indexes
+        assert len(step.tasks[attempt.task.index].attempt_by_run) == 1
+        reserved[attempt.runner] = reserved.get(attempt.runner, 0) + 1
+    for runner in owner_state.runner_by_id.values():
+        assert len(runner.allocation_by_run) == reserved.get(runner.id, 0)
+        assert Resources().fits_in(runner.free_resources)
+    assert owner_state.placed_before < 400, "the pass didn't give way"
+    return owner_state
+
+
+def test_pass_places_nothing_after_the_permit_is_withdrawn(charge):
+    """Guards against starts by an owner that lost its permit during a pass."""
+
+    def change(permission, owner_state):
+        permission.valid = False
+
+    owner_state = run_with_changes(charge, change, batch_spec(400))
+    assert len(owner_state.pending_starts) == owner_state.placed_before
+
+
+def test_pass_places_nothing_on_runners_that_are_forbidden_or_gone_meanwhile(charge):
+    """Guards against starts where a runner drains, left, or came back as another one.
+
+    A task that is placed on an object that is no longer known would never be started.
+    """
+    replaced = []
+
+    def change(permission, owner_state):
+        permission.forbidden_ids |= {f"r{n}" for n in range(90)}
+        runner = owner_state.runner_by_id.pop("r95")
+        replaced.append((runner, len(runner.allocation_by_run)))
+        free = [r for r in owner_state.runner_by_id.values() if not r.has_attempts]
+        replaced.extend((r, 0) for r in free if r.id in permission.forbidden_ids)
+
+    owner_state = run_with_changes(charge, change, batch_spec(400))
+    assert len(replaced) > 1
+    for runner, count in replaced:
+        assert len(runner.allocation_by_run) == count
+    late = owner_state.pending_starts[owner_state.placed_before :]
+    assert late
+    assert {a.runner for a in late} <= {f"r{n}" for n in range(90, 100)} - {"r95"}
+
+
+def test_pass_places_nothing_of_a_job_that_is_cancelled_meanwhile(charge):
+    """Guards against starts of a job that was cancelled during the pass."""
+
+    def change(_, owner_state):
+        owner_state.cancel_job("job-0")
+
+    owner_state = run_with_changes(charge, change, batch_spec(300), batch_spec(100))
+    late = owner_state.pending_starts[owner_state.placed_before :]
+    assert len(late) == 100
+    assert {a.task.job for a in late} == {"job-1"}
+
+
+def test_resources_freed_or_taken_during_a_pass_are_counted(charge):
+    """Guards against two tasks in one place, and against places that stay empty."""
+
+    def change(_, owner_state):
+        for number in range(50):
+            runner = owner_state.runner_by_id[f"r{number}"]
+            while runner.free_resources.processors_milli >= 8000:
+                step = owner_state.job_by_id["job-1"].run_by_step[0, 0]
+                owner_state.add_attempt(step, min(step.open_indexes), runner)
+
+    owner_state = run_with_changes(
+        charge, change, batch_spec(800, 4), batch_spec(400, 8)
+    )
+    full = sum(
+        1
+        for runner in owner_state.runner_by_id.values()
+        if runner.free_resources.processors_milli == 0
+    )
+    assert full == 100
+
+
+def test_gang_is_placed_whole(charge):
+    """Guards against a gang of which a part waits while the pass gives way."""
+    owner_state = run_with_changes(
+        charge,
+        lambda permission, owner_state: None,
+        batch_spec(300),
+        batch_spec(40, gang=True),
+        batch_spec(4000, gang=True),
+    )
+    by_job = {}
+    for attempt in owner_state.pending_starts:
+        by_job[attempt.task.job] = by_job.get(attempt.task.job, 0) + 1
+    assert by_job == {"job-0": 300, "job-1": 40}
+
+
+def unplaceable_specs(count: int) -> list[StepSpec]:
+    """Return steps of distinct kinds that fit on no runner; each has to be tried."""
+    demand = Resources(1000, 1_000_000, 0)
+    return [StepSpec(1, demand, image=f"image-{n}") for n in range(count)]
+
+
+@pytest.mark.parametrize("arrival_s", [0.21, 0.33, 0.47, 0.62])
+def test_urgent_step_starts_within_a_tenth_of_a_second_beside_a_backlog(
+    charge, arrival_s
+):
+    """Guards against an urgent step that waits for the end of a long pass.
+
+    A tenth of a second is allowed until the step is seen, and half of that for the
+    steps that are being tried and for its own.
+    """
+    counts = charge(EVALUATION_S, PLACED_TASK_S)
+
+    async def scenario():
+        planner, _, owner_state = make_owner(246, *unplaceable_specs(60))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            await anyio.sleep(arrival_s)
+            urgent = JobSpec(
+                "urgent", "q", "", (batch_spec(1),), QueuePolicy("s", priority=-1)
+            )
+            arrived_s = anyio.current_time()
+            owner_state.add_job(urgent)
+            while not counts["add_attempt"]:
+                await anyio.sleep(0.001)
+                assert anyio.current_time() - arrived_s < 0.15
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
+def test_futile_passes_take_at_most_half_of_the_time(charge):
+    """Guards against an owner that mostly tries steps that found no runner before.
+
+    The planner is woken all the time, as in a shard in which tasks end.
+    """
+    counts = charge(EVALUATION_S, 0.0)
+    seconds = 10.0
+
+    async def scenario():
+        planner, _, owner_state = make_owner(246, *unplaceable_specs(7))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            ends_s = anyio.current_time() + seconds
+            while anyio.current_time() < ends_s:
+                owner_state.placement_wakeup.set()
+                await anyio.sleep(0.001)
+            tasks.cancel_scope.cancel()
+        assert 0 < counts["fits"] * EVALUATION_S <= seconds / 2
+
+    run_virtual(scenario)
