Exchange requests over a connection of our own in HttpClient

Each poll, start and pace order is an HTTP call, and httpcore with h11 parses and checks every line in Python.

HttpConnection sends the whole request with one write over anyio's stream and has httptools parse the head of the response; a body with Content-Length is counted, a chunked one is parsed, one without a length ends with the connection. The request's line and headers are still checked, as a runner's id comes from another program. RequestNotSent now follows from having no connection yet: the write is the first thing that is done with one. The limit of calls takes a free place without a turn of the event loop.

--- a/flamingoweir/transport.py
+++ b/flamingoweir/transport.py
@@ -1,5 +1,6 @@
 """HTTP calls over connections that each serve one call at a time."""
 
+import re
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -7,11 +8,28 @@
 import anyio
 import httpcore
 
+from ._http_connection import HttpConnection, MalformedResponse
+
 #: Timeout of an attempt to connect, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 #: Seconds after which an idle connection is no longer used.
 IDLE_LIMIT_S = 4.0
 
+#: Method, target and version.
+REQUEST_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ [!-~]+ HTTP/1\.1")
+HEADER_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+#: Printable characters, with spaces and tabs in between.
+HEADER_VALUE = re.compile(rb"([!-~\x80-\xff]([\t -~\x80-\xff]*[!-~\x80-\xff])?)?")
+
+#: Errors of a call on a connection.
+CALL_ERRORS = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    MalformedResponse,
+)
+
 
 class RequestNotSent(Exception):
     """The call failed before any byte of the request was sent."""
@@ -77,9 +95,10 @@
     def __init__(self, address: str, connections: int, timeout_s: float):
         self.address = address
         self._host, self._port = split_address(address)
+        self._host_line = b"Host: " + address.encode()
         self._timeout_s = timeout_s
-        self._idle_connections = deque[httpcore.AsyncHTTPConnection]()
-        self._call_limit = anyio.Semaphore(connections)
+        self._idle_connections = deque[HttpConnection]()
+        self._call_limit = anyio.Semaphore(connections, fast_acquire=True)
 
     async def call(
         self,
@@ -109,77 +128,65 @@
         ResponseLost
             If the request was sent and no complete response arrived in time.
         """
-        trace = SendTrace()
+        request = self._encode_request(method, path, body, headers)
         async with self._call_limit:
-            connection = self._acquire_connection()
-            response = None
+            connection = None
             try:
                 with anyio.fail_after(timeout_s or self._timeout_s):
-                    response = await self._exchange(
-                        connection, method, path, body, headers, trace
+                    connection = await self._acquire_connection()
+                    status, content = await connection.exchange(
+                        request, method == "HEAD"
                     )
-            except (TimeoutError, httpcore.TimeoutException) as error:
+            except TimeoutError as error:
                 # Other connections of the same age are likely to be unresponsive too.
                 await self.aclose()
-                raise self._classify(trace, error) from error
-            except OSError as error:
-                raise self._classify(trace, error) from error
-            except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-                raise self._classify(trace, error) from error
+                raise _classify(connection, error) from error
+            except CALL_ERRORS as error:
+                raise _classify(connection, error) from error
             finally:
-                if response is None:
+                if connection is not None and not connection.reusable:
                     with anyio.CancelScope(shield=True):
                         await connection.aclose()
-            self._idle_connections.append(connection)
-            return response
+            if connection.reusable:
+                self._idle_connections.append(connection)
+            return Response(status, content)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
         while self._idle_connections:
             await self._idle_connections.popleft().aclose()
 
-    def _acquire_connection(self) -> httpcore.AsyncHTTPConnection:
+    async def _acquire_connection(self) -> HttpConnection:
         while self._idle_connections:
             connection = self._idle_connections.pop()
-            if connection.is_available() and not connection.has_expired():
+            if connection.is_usable(IDLE_LIMIT_S):
                 return connection
-        return new_connection(self._host, self._port)
+            await connection.aclose()
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await anyio.connect_tcp(self._host, self._port)
+        return HttpConnection(stream)
 
-    async def _exchange(
+    def _encode_request(
         self,
-        connection: httpcore.AsyncHTTPConnection,
         method: str,
         path: str,
         body: bytes,
         headers: Sequence[tuple[bytes, bytes]],
-        trace: SendTrace,
-    ) -> Response:
-        request = httpcore.Request(
-            method,
-            httpcore.URL(
-                scheme=b"http",
-                host=self._host.encode(),
-                port=self._port,
-                target=path.encode(),
-            ),
-            headers=[
-                (b"Host", self.address.encode()),
-                (b"Content-Length", str(len(body)).encode()),
-                *headers,
-            ],
-            content=body,
-            extensions={
-                "trace": trace,
-                "timeout": {"connect": CONNECT_TIMEOUT_S},
-            },
-        )
-        response = await connection.handle_async_request(request)
-        content = b"".join([part async for part in response.stream])
-        await response.aclose()
-        return Response(response.status, content)
-
-    @staticmethod
-    def _classify(trace: SendTrace, error: Exception) -> Exception:
-        if trace.started:
-            return ResponseLost(str(error))
-        return RequestNotSent(str(error))
+    ) -> bytes:
+        """Return the whole request, so that one write sends it."""
+        line = f"{method} {path} HTTP/1.1".encode()
+        if not REQUEST_LINE.fullmatch(line):
+            raise RequestNotSent(f"the request line {line!r} is invalid")
+        lines = [line, self._host_line, b"Content-Length: %d" % len(body)]
+        for name, value in headers:
+            if not HEADER_NAME.fullmatch(name) or not HEADER_VALUE.fullmatch(value):
+                raise RequestNotSent(f"the header {name!r}: {value!r} is invalid")
+            lines.append(b"%b: %b" % (name, value))
+        lines += (b"", body)
+        return b"\r\n".join(lines)
+
+
+def _classify(connection: HttpConnection | None, error: Exception) -> Exception:
+    """Return the error of a call: nothing was sent if there is no connection."""
+    text = f"{type(error).__name__}: {error}"
+    return RequestNotSent(text) if connection is None else ResponseLost(text)
