--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -136,6 +136,8 @@
         Number of occurrences that were opened.
     accepted_s : float
         Time of acceptance on the owner's clock, in seconds.
+    critical_paths_s : list of float
+        Estimated seconds of the longest chain that starts at each step.
     """
 
     def __init__(self, spec: JobSpec):
@@ -146,6 +148,9 @@
         self.state_changed = False
         self.opened_occurrences = 0
         self.accepted_s = 0.0
+        self.critical_paths_s = [
+            spec.critical_path_s(step) for step in range(len(spec.steps))
+        ]
         if not spec.scheduled:
             self.open_occurrence(0)
 
--- a/flamingoweir/policy/_order.py
+++ b/flamingoweir/policy/_order.py
@@ -21,8 +21,8 @@
     For a scheduled job the time starts when the occurrence is due.
     """
     policy = job.spec.policy
-    chains = [job.spec.critical_path_s(step) for step in range(len(job.spec.steps))]
-    return max(MIN_OBJECTIVE_S, policy.stretch * max(chains) + policy.objective_s)
+    longest_s = max(job.critical_paths_s)
+    return max(MIN_OBJECTIVE_S, policy.stretch * longest_s + policy.objective_s)
 
 
 def sort_key(step: StepRun, now_s: float, wall_ms: float) -> tuple[int, int, float]:
@@ -48,7 +48,7 @@
     allowed_s = objective_s(job)
     if age_s > MAX_VALUABLE_OBJECTIVES * allowed_s:
         return priority + 1000, 2, -age_s
-    remaining_s = job.spec.critical_path_s(step.step)
+    remaining_s = job.critical_paths_s[step.step]
     if age_s + remaining_s > MAX_VALUABLE_OBJECTIVES * allowed_s:
         return priority, 1, age_s
     return priority, 0, allowed_s - age_s - remaining_s
