Give every step its turn before a placement pass ends

A pass ended after 0.5 s wherever it was, and the next one began with the same steps: behind 38 steps that fit nowhere, on 246 runners at the cost of a slow instance, a step that fits was never placed (the new test failed, 0 of 1 placed within 5 s). Now a pass ends by its time only when all steps that were ready at its start were tried, placed, or are no longer ready; the limit of 40 unplaced steps is as before. The steps found at the start are read before the time is checked, so that a long search can't end a pass that placed nothing.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -48,8 +48,8 @@
 #: Seconds after which a pass looks for steps that have become ready meanwhile, so that
 #: the next step of a job, or an urgent one, need not wait for the end of the pass.
 COLLECT_INTERVAL_S = 0.1
-#: Seconds after which a pass ends, so that resources that became free since go to the
-#: most urgent steps that found none.
+#: Seconds after which a pass ends once all steps that were ready at its start have had
+#: their turn, so that resources that became free since go to the most urgent steps.
 MAX_PASS_S = 0.5
 
 
@@ -165,19 +165,22 @@
         self._time_slice.stop()
 
     async def _place_ready_steps(self) -> None:
-        started_s = collected_s = self._now_s
+        unplaced = UnplacedSteps(self._now_s)
+        started_s = self._now_s
         steps = deque(await self._find_ready_steps())
+        collected_s = self._context.clock.now()
+        in_first_list = set(steps)
         tried: set[StepRun] = set()
-        unplaced = UnplacedSteps(started_s)
         while steps:
-            if self._context.clock.now() - started_s > MAX_PASS_S:
-                return
-            if self._context.clock.now() - collected_s > COLLECT_INTERVAL_S:
+            now_s = self._context.clock.now()
+            if now_s - collected_s > COLLECT_INTERVAL_S:
                 # Steps have become ready since, and may be more urgent.
                 ready = await self._find_ready_steps()
                 steps = deque(step for step in ready if step not in tried)
                 collected_s = self._context.clock.now()
-                if not steps:
+                if not steps or (
+                    now_s - started_s > MAX_PASS_S and in_first_list.isdisjoint(steps)
+                ):
                     return
             step = steps.popleft()
             if self._is_ready(step) and (
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -16,6 +16,7 @@
 from flamingoweir.jobs import Job, JobSpec, QueuePolicy, StepSpec
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.policy import MAX_PLACEMENT_WAIT_S, PlacementPolicy
+from flamingoweir.policy._health import QUARANTINE_S
 from flamingoweir.registry import RunnerEntry
 from flamingoweir.resources import Resources
 from tests.utils.virtual_time import VirtualClock, run_virtual
@@ -378,3 +379,38 @@
         assert 0 < counts["fits"] * EVALUATION_S <= seconds / 2
 
     run_virtual(scenario)
+
+
+def test_step_behind_many_that_fit_nowhere_is_tried(charge):
+    """Guards against a pass that ends, and starts anew, before the last steps' turn.
+
+    Trying 38 steps takes a slow instance longer than `MAX_PASS_S`.
+    """
+    counts = charge(EVALUATION_S, PLACED_TASK_S)
+
+    async def scenario():
+        planner, _, _ = make_owner(246, *unplaceable_specs(38), batch_spec(1))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            await anyio.sleep(5.0)
+            tasks.cancel_scope.cancel()
+        assert counts["add_attempt"] == 1
+
+    run_virtual(scenario)
+
+
+def test_runner_after_its_quarantine_gets_tasks_of_one_step():
+    """Guards against a faulty runner that gets the tasks of many jobs as a probe."""
+
+    async def scenario():
+        planner, _, owner_state = make_owner(1, batch_spec(2), batch_spec(2))
+        owner_state.health.record_fault("r0", anyio.current_time())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            await anyio.sleep(1.0)
+            assert not owner_state.pending_starts
+            await anyio.sleep(QUARANTINE_S)
+            tasks.cancel_scope.cancel()
+        assert {a.task.job for a in owner_state.pending_starts} == {"job-0"}
+
+    run_virtual(scenario)
