Write a log line and its end at once

A line and its end were queued one after the other, so that a full queue could drop the end alone; the test found such a line before. Lines are now queued whole, which also halves the calls.

--- a/flamingoweir/logs.py
+++ b/flamingoweir/logs.py
@@ -35,7 +35,8 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(stream),
+        # Writes a line and its end at once; a full queue drops whole lines.
+        logger_factory=structlog.WriteLoggerFactory(stream),
         cache_logger_on_first_use=False,
     )
 
