Keep one pace order in flight for each task, then send the newest pace

Runners got 28,000 pace orders in 40 s for some 2,000 tasks that fill. After each poll an order went out for every task whose pace was not confirmed, also while an earlier order was in flight. Orders on different connections overtake each other: an older pace was carried out after a newer one, and taken for the requested one or not by chance of the responses. Also, an order whose response was lost left the former pace as confirmed, so that a task could stay slow after the request had returned to that pace.

The order sender now has at most one pace order in flight for each attempt, and sends the pace requested by then as soon as it returns or fails. An order without a response leaves the pace unknown, which is repeated after the next poll.

--- a/benchmarks/polls.py
+++ b/benchmarks/polls.py
@@ -49,7 +49,7 @@
         self.count = 0
         self.sent: list[Attempt] = []
 
-    def set_pace(self, attempt: Attempt, *_) -> None:
+    def set_pace(self, attempt: Attempt) -> None:
         self.count += 1
         self.sent.append(attempt)
 
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -7,6 +7,7 @@
 from ..jobs import Attempt, AttemptState, TaskId
 from ..logs import get_logger
 from ._context import Permit, TermContext, TermEnd
+from ._owner_state import UNKNOWN_PACE_PERCENT
 from ._protocols import (
     Fenced,
     RunnerLink,
@@ -52,6 +53,8 @@
         self._term_end = term_end
         self._task_group = task_group
         self._link_by_runner = link_by_runner
+        #: Attempts with a pace order in flight.
+        self._pacing_attempts: set[Attempt] = set()
 
     def start(self, attempt: Attempt) -> None:
         """Send the start order of a durable attempt."""
@@ -61,9 +64,16 @@
         """Send stop orders for an attempt until its runner responds."""
         self._task_group.start_soon(self._stop, attempt)
 
-    def set_pace(self, attempt: Attempt, percent: int) -> None:
-        """Set an attempt's speed to ``percent`` of full speed."""
-        self._task_group.start_soon(self._set_pace, attempt, percent)
+    def set_pace(self, attempt: Attempt) -> None:
+        """Bring an attempt to its requested pace.
+
+        Orders on different connections may overtake each other, so each attempt has at
+        most one in flight. The pace that is requested by then follows it.
+        """
+        if attempt in self._pacing_attempts:
+            return
+        self._pacing_attempts.add(attempt)
+        self._task_group.start_soon(self._set_pace, attempt)
 
     def stop_run(self, runner_id: str, task: TaskId, run: int) -> None:
         """Send one stop order for an unknown run; later polls repeat it if needed."""
@@ -179,20 +189,34 @@
         except RunnerUnreachable as error:
             log.info("stop_unanswered", runner=runner_id, detail=str(error))
 
-    async def _set_pace(self, attempt: Attempt, percent: int) -> None:
-        link = self._link_by_runner.get(attempt.runner)
-        if link is None:
-            return
+    async def _set_pace(self, attempt: Attempt) -> None:
         try:
-            await link.set_pace(
-                attempt.task, attempt.run, percent, self._context.writer.fence
-            )
-        except Fenced:
-            self._term_end.signal(
-                f"runner {attempt.runner} has received a higher fencing token"
-            )
-            return
-        except RunnerUnreachable:
-            # After the next poll, a pace that differs from the request is sent again.
-            return
-        attempt.pace_percent = percent
+            await self._send_paces(attempt)
+        finally:
+            self._pacing_attempts.discard(attempt)
+
+    async def _send_paces(self, attempt: Attempt) -> None:
+        """Send the requested pace until it is confirmed or an order has failed."""
+        while self._find_allocation(attempt):
+            link = self._link_by_runner.get(attempt.runner)
+            percent = attempt.requested_pace_percent
+            stopping = attempt.state is not AttemptState.RUNNING
+            if link is None or stopping or attempt.pace_percent == percent:
+                return
+            try:
+                await link.set_pace(
+                    attempt.task, attempt.run, percent, self._context.writer.fence
+                )
+            except Fenced:
+                self._term_end.signal(
+                    f"runner {attempt.runner} has received a higher fencing token"
+                )
+                return
+            except RunnerUnreachable:
+                # The order may have been carried out all the same.
+                attempt.pace_percent = UNKNOWN_PACE_PERCENT
+                if attempt.requested_pace_percent == percent:
+                    # After the next poll it is sent again.
+                    return
+                continue
+            attempt.pace_percent = percent
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -23,8 +23,9 @@
 
 #: Seconds before a step is tried again after an attempt did not start.
 RETRY_PAUSE_S = 0.05
-#: Placeholder for the pace of an attempt that an earlier owner may have throttled. It
-#: differs from every requested pace, so that the requested pace is sent.
+#: Placeholder for the pace of an attempt that an earlier owner may have throttled, or
+#: whose latest pace order got no response. It differs from every requested pace, so
+#: that the requested pace is sent.
 UNKNOWN_PACE_PERCENT = -1
 
 
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -216,7 +216,7 @@
             if applied or not allocation.spec.uses_spare:
                 continue
             if attempt.state is AttemptState.RUNNING:
-                self._orders.set_pace(attempt, attempt.requested_pace_percent)
+                self._orders.set_pace(attempt)
 
     def _begin_incarnation(
         self, report: RunnerReport, running: dict[tuple, RunningTask]
