Poll once, not twice, after the end of a run while starts are confirmed

An owner sent 74,000 polls in 60 s for 31,000 starts on 246 runners. After an end, the next poll waits up to 0.25 s until the end is durable, then acknowledges it and waits for the next end. The confirmation of any start or stop ended that wait, also one from before the end, as nothing else takes the wakeup while a poll waits on the runner. The poll that followed could acknowledge nothing, and the runner listed the same ends at once.

The wait now goes on until the ends are durable or 0.25 s have passed; with the wakeup still being how it learns of the write. An end that happens within the wait is seen after it, as before where no start was confirmed.

--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -77,8 +77,7 @@
             if not self._context.writer.may_renew_leases():
                 self._term_end.signal("the store has not confirmed the ownership")
                 return
-            if runner.last_durable_end < runner.last_received_end:
-                await runner.poll_wakeup.wait(DURABLE_WAIT_S)
+            await self._wait_until_durable()
             await self._poll()
         await self._link.aclose()
 
@@ -99,6 +98,20 @@
         await runner.poll_wakeup.wait(idle_s)
         return True
 
+    async def _wait_until_durable(self) -> None:
+        """Wait until the next poll can acknowledge the latest ends.
+
+        Until then a poll would return the same ends at once, whatever else has
+        happened.
+        """
+        runner = self._runner
+        until_s = self._clock.now() + DURABLE_WAIT_S
+        while runner.last_durable_end < runner.last_received_end:
+            left_s = until_s - self._clock.now()
+            if left_s <= 0:
+                return
+            await runner.poll_wakeup.wait(left_s)
+
     async def _poll(self) -> None:
         runner = self._runner
         sent_s = self._clock.now()
--- /dev/null
+++ b/tests/test_polls.py
@@ -0,0 +1,54 @@
+"""Polls of runners: ends must be seen soon, with no polls that bring nothing new."""
+
+import anyio
+
+from flamingoweir.dispatch._watch import DURABLE_WAIT_S
+from flamingoweir.jobs import JobState, Outcome
+from flamingoweir.standins import MemoryRunnerLink
+from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.virtual_time import run_virtual
+
+
+def test_starts_cause_no_poll_while_ends_are_not_durable(monkeypatch):
+    """Guards against polls that list the same ends again.
+
+    While ends can't be acknowledged yet, a runner answers every poll at once. A start
+    that is confirmed meanwhile must not cause such a poll: where tasks are short, it
+    would double the number of polls.
+    """
+    poll_end_s = {}
+    early = []
+
+    async def poll(link, fence, acknowledged, deadline_ms, wait_s):
+        now_s = anyio.current_time()
+        received, durable, at_s = poll_end_s.get(link, (0, 0, 0.0))
+        if received > acknowledged and now_s < at_s + DURABLE_WAIT_S - 1e-6:
+            early.append((now_s, received, acknowledged))
+        report = await original_poll(link, fence, acknowledged, deadline_ms, wait_s)
+        numbers = [end.number for end in report.ended]
+        poll_end_s[link] = (max(numbers, default=0), acknowledged, anyio.current_time())
+        return report
+
+    original_poll = MemoryRunnerLink.poll
+    monkeypatch.setattr(MemoryRunnerLink, "poll", poll)
+
+    async def scenario():
+        async with run_cluster(members=1, runners=3) as cluster:
+            owner = await cluster.owner()
+            owner.store.delay_s = 0.05
+            await anyio.sleep(1)
+            jobs = []
+            for number in range(12):
+                step = make_step(5, estimate_s=0.3)
+                job = make_job(number, step, make_step(5, after=(0,), estimate_s=0.3))
+                for index in range(5):
+                    plan = (0.2 + 0.037 * index, Outcome.DONE)
+                    cluster.plan_by_task[f"{job.id}.0.0.{index}"] = plan
+                    cluster.plan_by_task[f"{job.id}.0.1.{index}"] = plan
+                jobs.append(await cluster.submit(job))
+                await anyio.sleep(0.1)
+            for job in jobs:
+                await cluster.wait_for(job, JobState.DONE, 20.0)
+
+    run_virtual(scenario)
+    assert early == []
