Search runners for a slow task at most every 0.2 s for tasks alike

At each poll, for each task at a low pace for 0.8 s, an owner looked at all runners for one that could take it.

A search without result now counts for 0.2 s for all tasks with the same image and demands, on all runners. A move can be 0.2 s later than before.

--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -59,6 +59,9 @@
 MOVE_MAX_OVERSUBSCRIPTION = 0.2
 #: Progress in percent above which a task is not moved.
 MOVE_MAX_PROGRESS_PERCENT = 70
+#: Seconds for which tasks alike are not moved after no runner was found for one.
+#: Runners free resources when tasks end, a few times a second.
+MOVE_RETRY_S = 0.2
 #: Seconds without measurements after which the baseline of a step is discarded.
 BASELINE_EXPIRY_S = 60.0
 
@@ -92,6 +95,9 @@
         self._over_target_since_s_by_runner: dict[str, float] = {}
         self._baselines_checked_s = 0.0
         self._headrooms_by_runner: dict[str, tuple[int, list]] = {}
+        #: Kinds of tasks that no runner could take since `_unmovable_since_s`.
+        self._unmovable_kinds: set[tuple] = set()
+        self._unmovable_since_s = 0.0
 
     def learn(self, runner: Runner, now_s: float) -> None:
         """Update the model with the measurements of a poll.
@@ -225,7 +231,7 @@
                 continue
             if attempt.progress_percent > MOVE_MAX_PROGRESS_PERCENT:
                 continue
-            if any(self._can_take_moved(allocation.spec, other) for other in others):
+            if self._fits_elsewhere(allocation.spec, others, now_s):
                 found.append(attempt)
         return found
 
@@ -246,6 +252,26 @@
         elif lowest < 1.0:
             self._over_target_since_s_by_runner.setdefault(runner.id, now_s)
 
+    def _fits_elsewhere(
+        self, spec: StepSpec, runners: Iterable[Runner], now_s: float
+    ) -> bool:
+        """Return whether any runner can take a moved task.
+
+        A search without result counts for all tasks alike for `MOVE_RETRY_S`, as
+        tasks of an image that disturbs many are slowed down on many runners at once.
+        """
+        if now_s - self._unmovable_since_s >= MOVE_RETRY_S:
+            self._unmovable_kinds.clear()
+            self._unmovable_since_s = now_s
+        kind = (spec.image, spec.demand, spec.reserved)
+        if kind in self._unmovable_kinds:
+            return False
+        for runner in runners:
+            if self._can_take_moved(spec, runner):
+                return True
+        self._unmovable_kinds.add(kind)
+        return False
+
     def _can_take_moved(self, spec: StepSpec, runner: Runner) -> bool:
         """Return whether a moved task would run at full speed and disturb no other."""
         if not spec.reserved.fits_in(runner.free_resources):
