Compute the losses by an image once for all serving tasks of an image

For each serving task of a runner the loss by each task on spare processors was computed and sorted, also where nothing had to be lowered, though the losses depend on the image of the serving task alone.

They are now computed once for an image, and sorted only if a headroom is short.

--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -347,15 +347,21 @@
         """
         total_milli = max(1, runner.entry.capacity.processors_milli)
         paces = [100] * len(allocations)
+        losses_by_image: dict[str, list[float]] = {}
         for serving in _serving_allocations(runner):
-            model = self._effect_model(serving.spec.image)
-            losses = []
-            for allocation in allocations:
-                share = allocation.spec.demand.processors_milli / total_milli
-                losses.append(model.effect(allocation.spec.image) * share)
+            losses = losses_by_image.get(serving.spec.image)
+            if losses is None:
+                model = self._effect_model(serving.spec.image)
+                losses = []
+                for allocation in allocations:
+                    share = allocation.spec.demand.processors_milli / total_milli
+                    losses.append(model.effect(allocation.spec.image) * share)
+                losses_by_image[serving.spec.image] = losses
             left = self._baseline_headroom(serving)
             for loss, pace in zip(losses, paces, strict=True):
                 left -= loss * pace / 100
+            if left >= min_headroom:
+                continue
             for index in sorted(range(len(allocations)), key=lambda n: -losses[n]):
                 loss = losses[index]
                 if left >= min_headroom or loss < NEGLIGIBLE_LOSS:
