Write one line for all pace changes of a runner's report

A busy owner wrote up to three lines `pace_changed` for each report of a runner, at some 50 us a line (measured alone), more than it takes to decide on the paces.

--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -5,7 +5,7 @@
 from ..fleet import Allocation, Runner
 from ..jobs import AttemptState, Outcome
 from ..logs import get_logger
-from ..policy import find_stalled
+from ..policy import PaceChange, find_stalled
 from ._context import TermContext, TermEnd
 from ._orders import OrderSender
 from ._protocols import (
@@ -207,19 +207,13 @@
         colocation = self._owner_state.colocation
         now_s = self._clock.now()
         colocation.learn(runner, now_s)
-        for change in colocation.decide_paces(runner, now_s):
-            log.info(
-                "pace_changed",
-                task=str(change.attempt.task),
-                runner=runner.id,
-                percent=change.pace_percent,
-                former=change.attempt.requested_pace_percent,
-                lowest_headroom=round(change.headroom, 2),
-            )
-            change.attempt.requested_pace_percent = change.pace_percent
-            runner.find(
-                change.attempt.task, change.attempt.run
-            ).unthrottled_since_s = now_s
+        changes = colocation.decide_paces(runner, now_s)
+        if changes:
+            self._log_paces(changes)
+        for change in changes:
+            attempt = change.attempt
+            attempt.requested_pace_percent = change.pace_percent
+            runner.find(attempt.task, attempt.run).unthrottled_since_s = now_s
         others = self._owner_state.runner_by_id.values()
         for attempt in colocation.find_attempts_to_move(runner, others, now_s):
             self._owner_state.stop_attempt(attempt, "held_back")
@@ -231,6 +225,19 @@
             if attempt.state is AttemptState.RUNNING:
                 self._orders.set_pace(attempt)
 
+    def _log_paces(self, changes: list[PaceChange]) -> None:
+        """Write one line for all changes, as a line costs more than a decision."""
+        paces = []
+        for change in changes:
+            former = change.attempt.requested_pace_percent
+            paces.append(f"{change.attempt.task}:{former}>{change.pace_percent}")
+        log.info(
+            "paces_changed",
+            runner=self._runner.id,
+            lowest_headroom=round(changes[0].headroom, 2),
+            paces=" ".join(paces),
+        )
+
     def _begin_incarnation(
         self, report: RunnerReport, running: dict[tuple, RunningTask]
     ) -> None:
