Look for attempts that a report does not list only if there are any

After each report all allocations of the runner were copied and looked up again, to find those that the report does not list. On an ordinary report each of them was found a moment before. The report's runs are counted now, and the second walk is left out if they are as many as the allocations.

--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -179,13 +179,16 @@
                 runner, end.task, end.run, end.outcome, end.checkpoint
             )
             self._owner_state.write_wakeup.set()
+        listed_count = 0
         for key, task in running.items():
-            allocation = runner.find(*key)
+            allocation = runner.allocation_by_run.get(key)
             if allocation is None:
                 self._stop_unknown_run(task)
                 continue
+            listed_count += 1
             self._update_running(allocation, task)
-        if len(report.ended) < FULL_REPORT_ENDS:
+        has_unlisted = listed_count < len(runner.allocation_by_run)
+        if has_unlisted and len(report.ended) < FULL_REPORT_ENDS:
             self._discard_unlisted(running, sent_s)
         self._adjust_paces()
         self._stop_stalled()
