Learn effects from a runner's measurements at most every 0.25 s

Learning takes the largest part of the time of a report, and was done at every poll. Ends of short tasks let polls follow each other within milliseconds; their reports hold the same half second, which was then counted as several independent measurements.

Effects and baselines are now learnt at most once in half the time that a measurement covers. The time above the target, and so the pause of all tasks, is still followed at every report, and paces are decided at every report; a lowering may come 0.25 s later.

test_polls_close_together_count_as_one_measurement failed before.

--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -50,6 +50,9 @@
 PACE_STEP_PERCENT = 10
 #: Weight of the latest error in the average deviation of a task from the model.
 DEVIATION_WEIGHT = 0.2
+#: Shortest time in seconds between measurements of a runner from which effects are
+#: learnt. Each covers half a second, so that closer ones would count the same twice.
+MIN_LEARN_INTERVAL_S = 0.25
 #: Pace in percent at or below which a task should move to another runner.
 MOVE_PACE_PERCENT = 50
 #: Seconds at or below `MOVE_PACE_PERCENT` after which a task is moved.
@@ -93,6 +96,7 @@
         self._baseline_by_step: dict[tuple, BaselineHeadroom] = {}
         self._recovered_count_by_runner: dict[str, int] = {}
         self._over_target_since_s_by_runner: dict[str, float] = {}
+        self._learnt_s_by_runner: dict[str, float] = {}
         self._baselines_checked_s = 0.0
         self._headrooms_by_runner: dict[str, tuple[int, list]] = {}
         #: Kinds of tasks that no runner could take since `_unmovable_since_s`.
@@ -114,31 +118,10 @@
             self.remove_runner(runner.id)
             return
         self._discard_stale_baselines(now_s)
-        share_by_image: dict[str, float] = {}
-        total_milli = max(1, runner.entry.capacity.processors_milli)
-        for allocation in _spare_allocations(runner):
-            used = (
-                allocation.load
-                if allocation.load is not None
-                else _demand_milli(allocation)
-            )
-            share_by_image[allocation.spec.image] = (
-                share_by_image.get(allocation.spec.image, 0.0) + used / total_milli
-            )
-        for allocation in _serving_allocations(runner):
-            headroom = _measured_headroom(allocation)
-            if headroom is None:
-                continue
-            step = _step_key(allocation)
-            baseline = self._baseline_by_step.get(step)
-            if baseline is None:
-                baseline = self._baseline_by_step[step] = new_baseline(now_s)
-            error = self._effect_model(allocation.spec.image).learn(
-                headroom, share_by_image, baseline, now_s
-            )
-            allocation.headroom_deviation += DEVIATION_WEIGHT * (
-                error - allocation.headroom_deviation
-            )
+        learnt_s = self._learnt_s_by_runner.get(runner.id)
+        if learnt_s is None or now_s - learnt_s >= MIN_LEARN_INTERVAL_S:
+            self._learnt_s_by_runner[runner.id] = now_s
+            self._learn_effects(runner, now_s)
         lowest = _lowest_headroom(runner)
         if lowest is not None:
             self._update_over_target(runner, lowest, now_s)
@@ -240,6 +223,34 @@
         self._over_target_since_s_by_runner.pop(runner, None)
         self._recovered_count_by_runner.pop(runner, None)
         self._headrooms_by_runner.pop(runner, None)
+        self._learnt_s_by_runner.pop(runner, None)
+
+    def _learn_effects(self, runner: Runner, now_s: float) -> None:
+        share_by_image: dict[str, float] = {}
+        total_milli = max(1, runner.entry.capacity.processors_milli)
+        for allocation in _spare_allocations(runner):
+            used = (
+                allocation.load
+                if allocation.load is not None
+                else _demand_milli(allocation)
+            )
+            share_by_image[allocation.spec.image] = (
+                share_by_image.get(allocation.spec.image, 0.0) + used / total_milli
+            )
+        for allocation in _serving_allocations(runner):
+            headroom = _measured_headroom(allocation)
+            if headroom is None:
+                continue
+            step = _step_key(allocation)
+            baseline = self._baseline_by_step.get(step)
+            if baseline is None:
+                baseline = self._baseline_by_step[step] = new_baseline(now_s)
+            error = self._effect_model(allocation.spec.image).learn(
+                headroom, share_by_image, baseline, now_s
+            )
+            allocation.headroom_deviation += DEVIATION_WEIGHT * (
+                error - allocation.headroom_deviation
+            )
 
     def _update_over_target(self, runner: Runner, lowest: float, now_s: float) -> None:
         """Update since when a serving task on a runner is above its target."""
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -263,6 +263,26 @@
     assert colocation.allows(make_spare("quiet"), runner, 0.0)
 
 
+def test_polls_close_together_count_as_one_measurement():
+    """Guards against learning several times from one half second of a runner.
+
+    Ends of other tasks let polls follow each other within milliseconds. The reports
+    then hold the same measurement, which must not count again.
+    """
+    interference = []
+    for reports_per_poll in (1, 10):
+        colocation, runner = ColocationPolicy(), make_runner()
+        serving = add_allocation(runner, 0, make_serving())
+        add_allocation(runner, 1, make_spare("batch"))
+        for poll in range(3):
+            for number in range(reports_per_poll):
+                serving.load = 60.0
+                colocation.learn(runner, 1000.0 + poll * POLL_S + number * 0.01)
+        spec = make_spare("batch")
+        interference.append(colocation.expected_interference(spec, runner))
+    assert interference[0] == interference[1]
+
+
 def test_runner_is_quarantined_after_failures_of_two_jobs():
     """Guards against work on a faulty runner, and against quarantine by one bad job.
 
