--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -5,7 +5,7 @@
 from ..fleet import Allocation, Runner
 from ..jobs import AttemptState, Outcome
 from ..logs import get_logger
-from ..policy import find_stalled
+from ..policy import PaceChange, find_stalled
 from ._context import TermContext, TermEnd
 from ._orders import OrderSender
 from ._protocols import (
@@ -77,8 +77,7 @@
             if not self._context.writer.may_renew_leases():
                 self._term_end.signal("the store has not confirmed the ownership")
                 return
-            if runner.last_durable_end < runner.last_received_end:
-                await runner.poll_wakeup.wait(DURABLE_WAIT_S)
+            await self._wait_until_durable()
             await self._poll()
         await self._link.aclose()
 
@@ -99,6 +98,20 @@
         await runner.poll_wakeup.wait(idle_s)
         return True
 
+    async def _wait_until_durable(self) -> None:
+        """Wait until the next poll can acknowledge the latest ends.
+
+        Until then a poll would return the same ends at once, whatever else has
+        happened.
+        """
+        runner = self._runner
+        until_s = self._clock.now() + DURABLE_WAIT_S
+        while runner.last_durable_end < runner.last_received_end:
+            left_s = until_s - self._clock.now()
+            if left_s <= 0:
+                return
+            await runner.poll_wakeup.wait(left_s)
+
     async def _poll(self) -> None:
         runner = self._runner
         sent_s = self._clock.now()
@@ -166,13 +179,16 @@
                 runner, end.task, end.run, end.outcome, end.checkpoint
             )
             self._owner_state.write_wakeup.set()
+        listed_count = 0
         for key, task in running.items():
-            allocation = runner.find(*key)
+            allocation = runner.allocation_by_run.get(key)
             if allocation is None:
                 self._stop_unknown_run(task)
                 continue
+            listed_count += 1
             self._update_running(allocation, task)
-        if len(report.ended) < FULL_REPORT_ENDS:
+        has_unlisted = listed_count < len(runner.allocation_by_run)
+        if has_unlisted and len(report.ended) < FULL_REPORT_ENDS:
             self._discard_unlisted(running, sent_s)
         self._adjust_paces()
         self._stop_stalled()
@@ -194,19 +210,13 @@
         colocation = self._owner_state.colocation
         now_s = self._clock.now()
         colocation.learn(runner, now_s)
-        for change in colocation.decide_paces(runner, now_s):
-            log.info(
-                "pace_changed",
-                task=str(change.attempt.task),
-                runner=runner.id,
-                percent=change.pace_percent,
-                former=change.attempt.requested_pace_percent,
-                lowest_headroom=round(change.headroom, 2),
-            )
-            change.attempt.requested_pace_percent = change.pace_percent
-            runner.find(
-                change.attempt.task, change.attempt.run
-            ).unthrottled_since_s = now_s
+        changes = colocation.decide_paces(runner, now_s)
+        if changes:
+            self._log_paces(changes)
+        for change in changes:
+            attempt = change.attempt
+            attempt.requested_pace_percent = change.pace_percent
+            runner.find(attempt.task, attempt.run).unthrottled_since_s = now_s
         others = self._owner_state.runner_by_id.values()
         for attempt in colocation.find_attempts_to_move(runner, others, now_s):
             self._owner_state.stop_attempt(attempt, "held_back")
@@ -216,7 +226,20 @@
             if applied or not allocation.spec.uses_spare:
                 continue
             if attempt.state is AttemptState.RUNNING:
-                self._orders.set_pace(attempt, attempt.requested_pace_percent)
+                self._orders.set_pace(attempt)
+
+    def _log_paces(self, changes: list[PaceChange]) -> None:
+        """Write one line for all changes, as a line costs more than a decision."""
+        paces = []
+        for change in changes:
+            former = change.attempt.requested_pace_percent
+            paces.append(f"{change.attempt.task}:{former}>{change.pace_percent}")
+        log.info(
+            "paces_changed",
+            runner=self._runner.id,
+            lowest_headroom=round(changes[0].headroom, 2),
+            paces=" ".join(paces),
+        )
 
     def _begin_incarnation(
         self, report: RunnerReport, running: dict[tuple, RunningTask]
--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -50,6 +50,9 @@
 PACE_STEP_PERCENT = 10
 #: Weight of the latest error in the average deviation of a task from the model.
 DEVIATION_WEIGHT = 0.2
+#: Shortest time in seconds between measurements of a runner from which effects are
+#: learnt. Each covers half a second, so that closer ones would count the same twice.
+MIN_LEARN_INTERVAL_S = 0.25
 #: Pace in percent at or below which a task should move to another runner.
 MOVE_PACE_PERCENT = 50
 #: Seconds at or below `MOVE_PACE_PERCENT` after which a task is moved.
@@ -59,6 +62,9 @@
 MOVE_MAX_OVERSUBSCRIPTION = 0.2
 #: Progress in percent above which a task is not moved.
 MOVE_MAX_PROGRESS_PERCENT = 70
+#: Seconds for which tasks alike are not moved after no runner was found for one.
+#: Runners free resources when tasks end, a few times a second.
+MOVE_RETRY_S = 0.2
 #: Seconds without measurements after which the baseline of a step is discarded.
 BASELINE_EXPIRY_S = 60.0
 
@@ -90,8 +96,12 @@
         self._baseline_by_step: dict[tuple, BaselineHeadroom] = {}
         self._recovered_count_by_runner: dict[str, int] = {}
         self._over_target_since_s_by_runner: dict[str, float] = {}
+        self._learnt_s_by_runner: dict[str, float] = {}
         self._baselines_checked_s = 0.0
         self._headrooms_by_runner: dict[str, tuple[int, list, list]] = {}
+        #: Kinds of tasks that no runner could take since `_unmovable_since_s`.
+        self._unmovable_kinds: set[tuple] = set()
+        self._unmovable_since_s = 0.0
 
     def learn(self, runner: Runner, now_s: float) -> None:
         """Update the model with the measurements of a poll.
@@ -108,31 +118,10 @@
             self.remove_runner(runner.id)
             return
         self._discard_stale_baselines(now_s)
-        share_by_image: dict[str, float] = {}
-        total_milli = max(1, runner.entry.capacity.processors_milli)
-        for allocation in _spare_allocations(runner):
-            used = (
-                allocation.load
-                if allocation.load is not None
-                else _demand_milli(allocation)
-            )
-            share_by_image[allocation.spec.image] = (
-                share_by_image.get(allocation.spec.image, 0.0) + used / total_milli
-            )
-        for allocation in _serving_allocations(runner):
-            headroom = _measured_headroom(allocation)
-            if headroom is None:
-                continue
-            step = _step_key(allocation)
-            baseline = self._baseline_by_step.get(step)
-            if baseline is None:
-                baseline = self._baseline_by_step[step] = new_baseline(now_s)
-            error = self._effect_model(allocation.spec.image).learn(
-                headroom, share_by_image, baseline, now_s
-            )
-            allocation.headroom_deviation += DEVIATION_WEIGHT * (
-                error - allocation.headroom_deviation
-            )
+        learnt_s = self._learnt_s_by_runner.get(runner.id)
+        if learnt_s is None or now_s - learnt_s >= MIN_LEARN_INTERVAL_S:
+            self._learnt_s_by_runner[runner.id] = now_s
+            self._learn_effects(runner, now_s)
         lowest = _lowest_headroom(runner)
         if lowest is not None:
             self._update_over_target(runner, lowest, now_s)
@@ -224,7 +213,7 @@
                 continue
             if attempt.progress_percent > MOVE_MAX_PROGRESS_PERCENT:
                 continue
-            if any(self._can_take_moved(allocation.spec, other) for other in others):
+            if self._fits_elsewhere(allocation.spec, others, now_s):
                 found.append(attempt)
         return found
 
@@ -233,6 +222,34 @@
         self._over_target_since_s_by_runner.pop(runner, None)
         self._recovered_count_by_runner.pop(runner, None)
         self._headrooms_by_runner.pop(runner, None)
+        self._learnt_s_by_runner.pop(runner, None)
+
+    def _learn_effects(self, runner: Runner, now_s: float) -> None:
+        share_by_image: dict[str, float] = {}
+        total_milli = max(1, runner.entry.capacity.processors_milli)
+        for allocation in _spare_allocations(runner):
+            used = (
+                allocation.load
+                if allocation.load is not None
+                else _demand_milli(allocation)
+            )
+            share_by_image[allocation.spec.image] = (
+                share_by_image.get(allocation.spec.image, 0.0) + used / total_milli
+            )
+        for allocation in _serving_allocations(runner):
+            headroom = _measured_headroom(allocation)
+            if headroom is None:
+                continue
+            step = _step_key(allocation)
+            baseline = self._baseline_by_step.get(step)
+            if baseline is None:
+                baseline = self._baseline_by_step[step] = new_baseline(now_s)
+            error = self._effect_model(allocation.spec.image).learn(
+                headroom, share_by_image, baseline, now_s
+            )
+            allocation.headroom_deviation += DEVIATION_WEIGHT * (
+                error - allocation.headroom_deviation
+            )
 
     def _update_over_target(self, runner: Runner, lowest: float, now_s: float) -> None:
         """Update since when a serving task on a runner is above its target."""
@@ -245,6 +262,26 @@
         elif lowest < 1.0:
             self._over_target_since_s_by_runner.setdefault(runner.id, now_s)
 
+    def _fits_elsewhere(
+        self, spec: StepSpec, runners: Iterable[Runner], now_s: float
+    ) -> bool:
+        """Return whether any runner can take a moved task.
+
+        A search without result counts for all tasks alike for `MOVE_RETRY_S`, as
+        tasks of an image that disturbs many are slowed down on many runners at once.
+        """
+        if now_s - self._unmovable_since_s >= MOVE_RETRY_S:
+            self._unmovable_kinds.clear()
+            self._unmovable_since_s = now_s
+        kind = (spec.image, spec.demand, spec.reserved)
+        if kind in self._unmovable_kinds:
+            return False
+        for runner in runners:
+            if self._can_take_moved(spec, runner):
+                return True
+        self._unmovable_kinds.add(kind)
+        return False
+
     def _can_take_moved(self, spec: StepSpec, runner: Runner) -> bool:
         """Return whether a moved task would run at full speed and disturb no other."""
         if not spec.reserved.fits_in(runner.free_resources):
@@ -336,15 +373,21 @@
         """
         total_milli = max(1, runner.entry.capacity.processors_milli)
         paces = [100] * len(allocations)
+        losses_by_image: dict[str, list[float]] = {}
         for serving in _serving_allocations(runner):
-            model = self._effect_model(serving.spec.image)
-            losses = []
-            for allocation in allocations:
-                share = allocation.spec.demand.processors_milli / total_milli
-                losses.append(model.effect(allocation.spec.image) * share)
+            losses = losses_by_image.get(serving.spec.image)
+            if losses is None:
+                model = self._effect_model(serving.spec.image)
+                losses = []
+                for allocation in allocations:
+                    share = allocation.spec.demand.processors_milli / total_milli
+                    losses.append(model.effect(allocation.spec.image) * share)
+                losses_by_image[serving.spec.image] = losses
             left = self._baseline_headroom(serving)
             for loss, pace in zip(losses, paces, strict=True):
                 left -= loss * pace / 100
+            if left >= min_headroom:
+                continue
             for index in sorted(range(len(allocations)), key=lambda n: -losses[n]):
                 loss = losses[index]
                 if left >= min_headroom or loss < NEGLIGIBLE_LOSS:
