Leave a placement pass its slice after it has collected the runners

On a fleet of 2,800 runners a slow owner placed 7 of 10 tasks in ten seconds: the collection of the runners, repeated after each pause, used up the 10 ms of the slice that it belongs to, and the search for ready steps looked at one job a pause.

The slice begins after the collection.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -210,6 +210,8 @@
         if not self._permit.is_valid():
             raise PermitWithdrawn
         self._collect_runners()
+        # Work that each slice repeats must not use the slice up.
+        self._time_slice.stop()
 
     def _collect_runners(self) -> None:
         """Collect the runners that may be given tasks now."""
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -13,7 +13,7 @@
 from flamingoweir.dispatch._committer import RENEW_INTERVAL_S
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._planner import Planner, UnplacedSteps
-from flamingoweir.jobs import Job, JobSpec, QueuePolicy, StepSpec
+from flamingoweir.jobs import Job, JobSpec, Outcome, QueuePolicy, StepSpec
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.policy import MAX_PLACEMENT_WAIT_S, PlacementPolicy
 from flamingoweir.policy._health import QUARANTINE_S
@@ -30,6 +30,10 @@
 #: every `RENEW_INTERVAL_S`; a delay of a tenth, at each of the few turns that a write
 #: takes, leaves the ownership valid.
 MAX_HOLD_S = RENEW_INTERVAL_S / 10
+#: Processor time of a slow instance, in seconds: to look at a job for ready steps, and
+#: to collect a runner at the begin of a slice.
+LOOK_S = 10e-6
+COLLECTED_RUNNER_S = 5e-6
 
 
 def make_step(processors: int, memory_mb: int = 0, waited_s: float = 0.5, **fields):
@@ -415,3 +419,80 @@
         assert {a.task.job for a in owner_state.pending_starts} == {"job-0"}
 
     run_virtual(scenario)
+
+
+def test_pass_places_nothing_of_a_later_job_that_is_cancelled_meanwhile(charge):
+    """Guards against starts of a job that was cancelled before its turn in the pass."""
+
+    def change(_, owner_state):
+        owner_state.cancel_job("job-1")
+
+    owner_state = run_with_changes(charge, change, batch_spec(60), batch_spec(100))
+    assert {a.task.job for a in owner_state.pending_starts} == {"job-0"}
+
+
+def test_pass_places_no_task_that_was_reported_done_meanwhile(charge):
+    """Guards against a second run of a task whose earlier run has ended as done."""
+    done = []
+
+    def change(_, owner_state):
+        job = owner_state.job_by_id["job-0"]
+        step = job.run_by_step[0, 0]
+        for index in sorted(step.open_indexes)[-20:]:
+            done.append(index)
+            runner = owner_state.runner_by_id["r0"]
+            owner_state.end_attempt(runner, step.task_id(index), 1, Outcome.DONE, "")
+
+    owner_state = run_with_changes(charge, change, batch_spec(300))
+    placed = {a.task.index for a in owner_state.pending_starts}
+    assert len(done) == 20
+    assert not placed & set(done)
+
+
+def charge_calls(monkeypatch, owner, name: str, cost_s: float) -> None:
+    original = getattr(owner, name)
+
+    def charged(*args):
+        asyncio.get_running_loop().virtual_s += cost_s
+        return original(*args)
+
+    monkeypatch.setattr(owner, name, charged)
+
+
+def count_placed(runners: int, running_jobs: int) -> int:
+    """Return how many of ten tasks are placed in ten seconds beside other jobs."""
+
+    async def scenario():
+        planner, _, owner_state = make_owner(runners, *[batch_spec(1)] * 10)
+        for number in range(running_jobs):
+            spec = JobSpec(f"run-{number}", "q", "", (batch_spec(1),), QueuePolicy("s"))
+            owner_state.add_job(spec).run_by_step[0, 0].open_indexes.clear()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(planner.run)
+            await anyio.sleep(10)
+            tasks.cancel_scope.cancel()
+        return len(owner_state.pending_starts)
+
+    return run_virtual(scenario)
+
+
+def test_tasks_are_placed_beside_many_running_jobs(charge, monkeypatch):
+    """Guards against an owner of many jobs that starts nothing any more.
+
+    A pass lasts for half a second from before its search for steps. After a longer
+    search it ended before the first step, and so did the next pass.
+    """
+    charge(EVALUATION_S, PLACED_TASK_S)
+    charge_calls(monkeypatch, Job, "open_due", LOOK_S)
+    assert count_placed(246, 40_000) == 10
+
+
+def test_tasks_are_placed_on_a_large_fleet(charge, monkeypatch):
+    """Guards against a slice that is used up by collecting the runners.
+
+    The search then looked at one job a slice: fifty running jobs made it longer than a
+    pass may last.
+    """
+    charge(EVALUATION_S, PLACED_TASK_S)
+    charge_calls(monkeypatch, Permission, "allows_runner", COLLECTED_RUNNER_S)
+    assert count_placed(2_800, 50) == 10
