Reject numbers out of range in a runner's report

A run or end number of 1e999 raised OverflowError, which nothing between the watch and the term catches, and a clock of NaN was taken. Three cases of the test failed before. Both are invalid reports now, as other malformed fields are.

--- a/flamingoweir/platform/_runners.py
+++ b/flamingoweir/platform/_runners.py
@@ -45,7 +45,7 @@
     """Response to an order."""
 
     #: The runner's clock.
-    clock_ms: float | None = None
+    clock_ms: float | None = Field(default=None, allow_inf_nan=False)
     #: Why the order was rejected; empty otherwise.
     reason: str = ""
 
@@ -54,7 +54,7 @@
     """Response to a poll: the runner's running tasks and unacknowledged ends."""
 
     #: The runner's clock.
-    clock_ms: float
+    clock_ms: float = Field(allow_inf_nan=False)
     #: Start time in milliseconds, which identifies the runner's incarnation.
     born: int = Field(default=0, alias="born")
     #: Rows that `_decode_running` reads.
@@ -268,7 +268,13 @@
             decoded = PollResponse.model_validate_json(body)
             running = self._decode_running_rows(decoded.running)
             ended = [_decode_ended(row) for row in decoded.ended]
-        except (ValueError, IndexError, TypeError, AttributeError) as error:
+        except (
+            ValueError,
+            IndexError,
+            TypeError,
+            AttributeError,
+            OverflowError,
+        ) as error:
             raise RunnerUnreachable(
                 f"runner {self._runner_id} sent an invalid report: {error}"
             ) from error
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -181,6 +181,27 @@
             link._decode_report(body)
 
 
+REPORTED_TASK = b'"5c0e7a21d94b36f8.0.1.17"'
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"ClockMs":1,"born":3,"Running":[[%b,1e999,"",0]],"Ended":[]}'
+        % REPORTED_TASK,
+        b'{"ClockMs":1,"born":3,"Running":[],"Ended":[[1e999,%b,1,"done",""]]}'
+        % REPORTED_TASK,
+        b'{"ClockMs":NaN,"born":3,"Running":[],"Ended":[]}',
+    ],
+    ids=["run", "number", "clock"],
+)
+def test_number_out_of_range_in_a_report_is_an_invalid_report(body):
+    """Guards against an OverflowError that ends the owner's watch, and its term."""
+    link = PlatformRunnerLink("runner", "127.0.0.1:1")
+    with pytest.raises(RunnerUnreachable):
+        link._decode_report(body)
+
+
 def test_rejected_start_is_classified():
     """What follows a rejected start depends on the runner's reason and status."""
     runner = PlatformRunnerLink("i-1", "10.0.0.9:80")
