--- a/tests/test_waiting_count.py
+++ b/tests/test_waiting_count.py
@@ -23,6 +23,9 @@
 #: Seconds after which a count must include an accepted job: the job is visible within
 #: three, and a count may be two old.
 VISIBLE_S = 5.0
+#: Seconds from the encoding of a write until the store applies it: calls that wait for
+#: one of the connections to the store, or are repeated after a 429.
+WRITE_S = 1.1
 
 
 async def report_counts(member: Member, duration_s: float) -> set[int]:
@@ -178,3 +181,59 @@
             tasks.cancel_scope.cancel()
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("phase_s", [2.70, 2.73, 2.76])
+def test_count_leaves_out_no_job_that_was_accepted_five_seconds_before(
+    monkeypatch, phase_s
+):
+    """Guards against ages that are each allowed and together are not.
+
+    The owner's copy of the jobs may be 2.5 s old, a copy of the count 1.9 s.
+    What the write takes in between comes on top.
+    """
+
+    async def scenario():
+        async with run_cluster(members=2, runners=0) as cluster:
+            owner = await cluster.owner()
+            (other,) = set(cluster.member_by_name.values()) - {owner}
+            await anyio.sleep(1)
+            transact = owner.store.transact
+
+            async def transact_late(transaction):
+                await anyio.sleep(WRITE_S)
+                return await transact(transaction)
+
+            monkeypatch.setattr(owner.store, "transact", transact_late)
+            await anyio.sleep(2 + phase_s)
+            follow, read = owner.store.follow, owner.store.read
+
+            async def follow_others(table, *args):
+                if table == JOB_TABLE:
+                    raise StoreRefused("not available")
+                return await follow(table, *args)
+
+            async def read_others(table, *args, **fields):
+                if table == JOB_TABLE:
+                    raise StoreRefused("not available")
+                return await read(table, *args, **fields)
+
+            monkeypatch.setattr(owner.store, "follow", follow_others)
+            monkeypatch.setattr(owner.store, "read", read_others)
+            feed = owner.instance.term._job_follower
+            while feed._reachable:
+                await anyio.sleep(0.005)
+            await submit_jobs(cluster, 4, other)
+            accepted_s = anyio.current_time()
+            queue = other.instance.operators.configuration.queue_by_name[QUEUE]
+            while anyio.current_time() < accepted_s + 8.0:
+                await anyio.sleep(0.02)
+                try:
+                    count = other.instance.handler.count_waiting(queue)
+                except FlamingoweirError:
+                    continue
+                age_s = anyio.current_time() - accepted_s
+                assert count == 4 or age_s < VISIBLE_S, f"{count} after {age_s:.2f} s"
+            assert owner.instance.term is not None
+
+    run_virtual(scenario)
