Update all runners only when an entry has changed

A row whose entry is as before changes nothing; an update without a change, which lets entries wait for leases of a former address, comes every 0.25 s at most.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -120,7 +120,8 @@
             if known is not None and known.entry.address in ("", entry.address):
                 if not known.entry.address:
                     to_connect.append(known)
-                known.entry = entry
+                if known.entry is not entry:
+                    known.entry = entry
                 continue
             if known is not None and known.has_attempts:
                 # The attempts run at the former address; their leases must lapse first.
--- a/flamingoweir/registry/_view.py
+++ b/flamingoweir/registry/_view.py
@@ -14,6 +14,9 @@
 #: removed. Entries that expired during an outage of the store are written again within
 #: two seconds.
 UNLISTED_GRACE_S = 2.2
+#: Seconds between updates without a change. An entry may have to wait until attempts at
+#: a runner's former address have lapsed.
+UPDATE_INTERVAL_S = 0.25
 
 
 class UnreadableRow(Exception):
@@ -143,7 +146,9 @@
     row_decoder : RowDecoder
         Decoder of the rows.
     on_update : callable
-        Called without arguments after every update.
+        Called without arguments after every update that changed an entry or which
+        runners are listed, and otherwise at most every UPDATE_INTERVAL_S. Most rows are
+        heartbeats, which change neither.
     clock : Clock
         Monotonic clock of this instance.
 
@@ -161,6 +166,7 @@
         self._on_update = on_update
         self._clock = clock
         self._unlisted_s_by_id: dict[str, float] = {}
+        self._updated_s = float("-inf")
         self.entry_by_id: dict[str, RunnerEntry] = {}
 
     def is_listed(self, runner: str) -> bool:
@@ -180,30 +186,36 @@
         is_whole_table : bool
             Whether the rows are the whole table; runners without a row are unlisted.
         """
+        changed = False
         if is_whole_table:
             present = {row.id.key for row in rows}
             for runner in self.entry_by_id:
                 if runner not in present:
-                    self._mark_unlisted(runner)
+                    changed |= self._mark_unlisted(runner)
         for row in rows:
             if row.deleted:
-                self._mark_unlisted(row.id.key)
+                changed |= self._mark_unlisted(row.id.key)
                 continue
-            self._apply_row(row)
-        self._remove_unlisted()
-        self._on_update()
+            changed |= self._apply_row(row)
+        changed |= self._remove_unlisted()
+        now_s = self._clock.now()
+        if changed or now_s - self._updated_s >= UPDATE_INTERVAL_S:
+            self._updated_s = now_s
+            self._on_update()
 
-    def _apply_row(self, row: VersionedRow) -> None:
+    def _apply_row(self, row: VersionedRow) -> bool:
+        """Update a runner's entry; return whether anything changed."""
         runner = row.id.key
         if row.value is None:
-            return
+            return False
         try:
             entry = self._row_decoder.decode_runner(runner, row.value)
         except UnreadableRow as error:
             log.warning("runner_row_unreadable", runner=runner, detail=str(error))
-            self._mark_unlisted(runner)
-            return
+            return self._mark_unlisted(runner)
         previous = self.entry_by_id.get(runner)
+        if entry == previous and runner not in self._unlisted_s_by_id:
+            return False
         if previous is None or previous.draining != entry.draining:
             log.info(
                 "runner_listed",
@@ -214,15 +226,23 @@
             )
         self.entry_by_id[runner] = entry
         self._unlisted_s_by_id.pop(runner, None)
+        return True
 
-    def _mark_unlisted(self, runner: str) -> None:
-        if runner in self.entry_by_id and runner not in self._unlisted_s_by_id:
-            self._unlisted_s_by_id[runner] = self._clock.now()
-            log.info("runner_unlisted", runner=runner)
+    def _mark_unlisted(self, runner: str) -> bool:
+        """Mark a runner as unlisted; return whether it was listed."""
+        if runner not in self.entry_by_id or runner in self._unlisted_s_by_id:
+            return False
+        self._unlisted_s_by_id[runner] = self._clock.now()
+        log.info("runner_unlisted", runner=runner)
+        return True
 
-    def _remove_unlisted(self) -> None:
+    def _remove_unlisted(self) -> bool:
+        """Remove the runners whose grace has passed; return whether there were any."""
         now_s = self._clock.now()
+        removed = False
         for runner, unlisted_s in list(self._unlisted_s_by_id.items()):
             if now_s - unlisted_s >= UNLISTED_GRACE_S:
                 del self._unlisted_s_by_id[runner]
                 del self.entry_by_id[runner]
+                removed = True
+        return removed
