Give way to renewals while a new owner applies what it has read

The three loops give way after each 10 ms, as a placement pass does, and ended jobs, whose rows stay for fifteen minutes, are recognised before they are decoded.

--- a/flamingoweir/dispatch/_loader.py
+++ b/flamingoweir/dispatch/_loader.py
@@ -35,6 +35,8 @@
             self._load_job(row)
 
     def _load_job(self, row: VersionedRow) -> None:
+        if self._owner_state.has_job(row.id.key):
+            return
         try:
             spec = decode_spec(row.value)
         except (ValueError, KeyError, TypeError) as error:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -88,9 +88,13 @@
         self._max_lease_s = max_lease_s
         self._earlier_leases_end_s = clock.now() + LEASE_VALID_S + 1.1 * RUNNER_LEASE_S
 
+    def has_job(self, job_id: str) -> bool:
+        """Return whether a job was added before or has ended."""
+        return job_id in self.job_by_id or job_id in self.ended_ms_by_job
+
     def add_job(self, spec: JobSpec) -> Job | None:
         """Add an accepted job; return None if it was added before or has ended."""
-        if spec.id in self.job_by_id or spec.id in self.ended_ms_by_job:
+        if self.has_job(spec.id):
             return None
         job = Job(spec)
         job.accepted_s = self._clock.now()
@@ -137,20 +141,19 @@
         self.placement_wakeup.set()
         return to_connect
 
-    def restore_allocations(self) -> None:
-        """Allocate resources for the attempts that were read from the store."""
-        for job in self.job_by_id.values():
-            for attempt in job.attempts():
-                runner = self.runner_by_id.get(attempt.runner)
-                if runner is None:
-                    runner = self._add_unlisted(attempt.runner)
-                step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
-                attempt.pace_percent = UNKNOWN_PACE_PERCENT
-                attempt.created_s = attempt.last_progress_s = self._clock.now()
-                allocation = runner.add(attempt, step.spec)
-                # A poll with the new fencing token lists what earlier owners started.
-                allocation.expect_listed_after_s = float("-inf")
-            self._stop_surplus(job)
+    def restore_allocations(self, job: Job) -> None:
+        """Allocate resources for the attempts of a job read from the store."""
+        for attempt in job.attempts():
+            runner = self.runner_by_id.get(attempt.runner)
+            if runner is None:
+                runner = self._add_unlisted(attempt.runner)
+            step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
+            attempt.pace_percent = UNKNOWN_PACE_PERCENT
+            attempt.created_s = attempt.last_progress_s = self._clock.now()
+            allocation = runner.add(attempt, step.spec)
+            # A poll with the new fencing token lists what earlier owners started.
+            allocation.expect_listed_after_s = float("-inf")
+        self._stop_surplus(job)
 
     def remove_lapsed_unlisted(self) -> None:
         """End lapsed attempts on runners never listed in this term; drop these runners.
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -40,6 +40,7 @@
 from ._planner import Planner
 from ._protocols import RunnerLink
 from ._retention import RetentionSweeper
+from ._time_slice import TimeSlice
 from ._watch import RunnerWatch
 
 log = get_logger()
@@ -196,16 +197,21 @@
         jobs = await self._read(JOB_TABLE, job_parts(shard))
         unfinished = {row.id.key.rsplit(".", 3)[0] for row in tasks}
         state_by_job = self._restore_ended_jobs(states, unfinished)
-        self._loader.apply_rows(jobs.rows, True)
+        time_slice = TimeSlice(self._clock)
+        for row in jobs.rows:
+            self._loader.apply_rows([row], True)
+            await time_slice.give_way_if_over()
         self._job_follower.resume_from(jobs.version, jobs_read_s)
         for row in tasks:
             self._restore_tasks(row, committer)
+            await time_slice.give_way_if_over()
         for job_id, state in state_by_job.items():
             if job_id in self.owner_state.job_by_id:
                 self.owner_state.job_by_id[job_id].restore_state(state)
         for job in self.owner_state.job_by_id.values():
             job.update_state()
-        self.owner_state.restore_allocations()
+            self.owner_state.restore_allocations(job)
+            await time_slice.give_way_if_over()
         log.info(
             "shard_restored",
             shard=self._writer.shard,
--- a/flamingoweir/dispatch/_time_slice.py
+++ b/flamingoweir/dispatch/_time_slice.py
@@ -56,3 +56,8 @@
         self.stop()
         await anyio.sleep(GIVE_WAY_S)
         self._resumed_s = self._clock.now()
+
+    async def give_way_if_over(self) -> None:
+        """Let other coroutines run if the slice is over."""
+        if self.is_over():
+            await self.give_way()
