--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -17,8 +17,8 @@
 #: of these intervals.
 RENEW_INTERVAL_S = 0.4
 #: Largest age, in seconds, of the owner's copy of the jobs for a count of those that
-#: wait. A reported count must include jobs that were accepted 5 s before: the others of
-#: them are 1.9 s for the age of a read count and 1.1 s for the write.
+#: wait. A reported count must include jobs that were accepted 5 s before; 1.9 s of that
+#: are for the age of the count that an instance has read, and 1.1 s for the write.
 MAX_JOBS_AGE_S = 2.0
 
 
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -60,8 +60,8 @@
 class UnplacedSteps:
     """Steps that found no runner in the current pass.
 
-    Free resources only shrink within a pass, so that a step of the same kind with the
-    same or a larger demand need not be tried.
+    A step of the same kind with the same or a larger demand need not be tried.
+    Resources that become free while the pass gives way count in the next one.
 
     Parameters
     ----------
--- a/flamingoweir/ownership/_standby.py
+++ b/flamingoweir/ownership/_standby.py
@@ -24,8 +24,8 @@
 STRONG_POLL_INTERVAL_S = 0.25
 #: Fraction by which the interval varies, so that standbys don't read at the same time.
 POLL_JITTER = 0.2
-#: Processors from which a standby defers to no other. An owner with 2.15 kept up with
-#: 246 runners, one with 0.516 did not (incident 0005).
+#: Processors from which a standby defers to no other. An owner of some 250 runners
+#: needs more than one processor under load.
 STRONG_PROCESSORS = 2.0
 #: Processors up to which a standby defers for MAX_DEFERENCE_S.
 WEAK_PROCESSORS = 0.5
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -19,7 +19,7 @@
 from flamingoweir.policy._health import QUARANTINE_S
 from flamingoweir.registry import RunnerEntry
 from flamingoweir.resources import Resources
-from tests.utils.virtual_time import VirtualClock, run_virtual
+from tests.utils.virtual_time import VirtualClock, charge_calls, run_virtual
 
 NOW_S = 100.0
 #: Processor time of a slow instance, in seconds: to evaluate one runner for one task
@@ -449,16 +449,6 @@
     assert not placed & set(done)
 
 
-def charge_calls(monkeypatch, owner, name: str, cost_s: float) -> None:
-    original = getattr(owner, name)
-
-    def charged(*args):
-        asyncio.get_running_loop().virtual_s += cost_s
-        return original(*args)
-
-    monkeypatch.setattr(owner, name, charged)
-
-
 def count_placed(runners: int, running_jobs: int) -> int:
     """Return how many of ten tasks are placed in ten seconds beside other jobs."""
 
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -1,7 +1,5 @@
 """A new owner must give way while it applies what it has read."""
 
-import asyncio
-
 import anyio
 
 from flamingoweir.dispatch._committer import RENEW_INTERVAL_S
@@ -11,7 +9,7 @@
 from flamingoweir.ownership import job_row, tasks_row
 from flamingoweir.ownership._standby import TAKEOVER_S
 from tests.utils.cluster import make_job, make_step, run_cluster
-from tests.utils.virtual_time import run_virtual
+from tests.utils.virtual_time import charge_calls, run_virtual
 
 #: Processor time of an instance with half a processor, in seconds, to load a job and to
 #: restore a row of 16 tasks. Measured for whole ones: 226 and 247 us (and 173 us for
@@ -23,16 +21,6 @@
 TASKS = 16
 
 
-def charge_calls(monkeypatch, owner, name: str, cost_s: float) -> None:
-    original = getattr(owner, name)
-
-    def charged(*args):
-        asyncio.get_running_loop().virtual_s += cost_s
-        return original(*args)
-
-    monkeypatch.setattr(owner, name, charged)
-
-
 def test_restore_of_many_jobs_does_not_block_renewal_of_the_ownership(monkeypatch):
     """Guards against a new owner that loses the shard while it applies its rows.
 
--- a/tests/utils/virtual_time.py
+++ b/tests/utils/virtual_time.py
@@ -84,3 +84,26 @@
 def run_virtual(function: Callable[..., Awaitable], *args):
     """Run an async function in virtual time and return its result."""
     return anyio.run(function, *args, backend_options={"loop_factory": VirtualTimeLoop})
+
+
+def charge_calls(monkeypatch, owner, name: str, cost_s: float) -> None:
+    """Let each call of a method take virtual time, like computing does.
+
+    Parameters
+    ----------
+    monkeypatch : pytest.MonkeyPatch
+        Restores the method at the end of the test.
+    owner : type
+        Class of the method.
+    name : str
+        Name of the method.
+    cost_s : float
+        Seconds that a call takes.
+    """
+    original = getattr(owner, name)
+
+    def charged(*args):
+        asyncio.get_running_loop().virtual_s += cost_s
+        return original(*args)
+
+    monkeypatch.setattr(owner, name, charged)
