Place absent long-running tasks before late steps of their priority

Such a step counted as having no slack, so that all steps that were late already came before it: they took each gap and all four runners that are kept free for steps that wait, and 40 of them that fit nowhere ended the pass.

Steps with long-running tasks now go first within their priority, and do not count towards the end of a pass. Both tests failed without their part: a lasting task was not placed beside free runners, a batch task not behind 60 lasting steps.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -43,7 +43,7 @@
 #: Seconds between log lines on the load of the runners.
 LOAD_LOG_INTERVAL_S = 2.0
 #: Number of unplaced steps after which a pass ends, as the remaining steps are unlikely
-#: to find resources.
+#: to find resources. Steps with long-running tasks, which come first, don't count.
 MAX_UNPLACED_STEPS = 40
 #: Seconds after which a pass looks for steps that have become ready meanwhile, so that
 #: the next step of a job, or an urgent one, need not wait for the end of the pass.
@@ -175,6 +175,7 @@
         collected_s = self._context.clock.now()
         in_first_list = set(steps)
         tried: set[StepRun] = set()
+        unplaced_count = 0
         while steps:
             now_s = self._context.clock.now()
             if now_s - collected_s > COLLECT_INTERVAL_S:
@@ -192,7 +193,8 @@
             ):
                 tried.add(step)
                 unplaced.add(step)
-                if len(tried) > MAX_UNPLACED_STEPS:
+                unplaced_count += not step.spec.lasting
+                if unplaced_count > MAX_UNPLACED_STEPS:
                     return
                 self._reserve_runner(step)
             if self._time_slice.is_over():
--- a/flamingoweir/policy/_order.py
+++ b/flamingoweir/policy/_order.py
@@ -4,7 +4,8 @@
 within `MAX_VALUABLE_OBJECTIVES` go first, those with the least slack to their objective
 first. Late jobs, which still have some value, follow, the youngest first. Jobs that are
 older than this limit have no value and go last, after the other jobs of all queues. A
-step with long-running tasks counts as having no slack.
+step with long-running tasks goes before the others of its priority, as users notice at
+once when a task is away.
 """
 
 from ..jobs import Job, StepRun
@@ -41,7 +42,7 @@
     job = step.job
     priority = job.spec.policy.priority
     if step.spec.lasting:
-        return priority, 0, 0.0
+        return priority, -1, 0.0
     age_s = now_s - job.accepted_s
     if job.spec.scheduled:
         age_s = (wall_ms - job.spec.due_ms(step.occurrence)) / 1000
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 from types import SimpleNamespace
 
 import anyio
@@ -486,3 +487,34 @@
     charge(EVALUATION_S, PLACED_TASK_S)
     charge_calls(monkeypatch, Permission, "allows_runner", COLLECTED_RUNNER_S)
     assert count_placed(2_800, 50) == 10
+
+
+def test_lasting_task_is_placed_before_late_steps_that_fit_nowhere():
+    """Guards against an absent long-running task that waits beside a free runner.
+
+    A pass ends after `MAX_UNPLACED_STEPS` steps without a runner.
+    """
+
+    async def scenario():
+        lasting = batch_spec(1, lasting=True)
+        planner, _, owner_state = make_owner(4, *unplaceable_specs(60), lasting)
+        for job in owner_state.job_by_id.values():
+            job.accepted_s -= 1.0
+        await planner.plan()
+        assert {a.task.job for a in owner_state.pending_starts} == {"job-60"}
+
+    run_virtual(scenario)
+
+
+def test_lasting_steps_that_fit_nowhere_do_not_end_a_pass():
+    """Guards against batch that waits beside a free runner, as nothing else fits."""
+
+    async def scenario():
+        specs = [
+            dataclasses.replace(spec, lasting=True) for spec in unplaceable_specs(60)
+        ]
+        planner, _, owner_state = make_owner(4, *specs, batch_spec(1))
+        await planner.plan()
+        assert {a.task.job for a in owner_state.pending_starts} == {"job-60"}
+
+    run_virtual(scenario)
