--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -33,7 +33,7 @@
 )
 from ._committer import RENEW_INTERVAL_S, Committer
 from ._context import Permit, TermContext, TermEnd
-from ._load import LoadReporter
+from ._load_report import LoadReporter
 from ._loader import JobLoader
 from ._orders import OrderSender
 from ._owner_state import OwnerState
