Make room for long-running tasks that are away

Where batch held the rest, a runner kept free waited for that batch.

Such a task now goes before all other steps, takes its former runner if no other has room, and after a second batch that can be repeated is evicted for it, the least work thrown away first (policy/_eviction.py). The reference of test_step_placement.py has the same rule for long-running tasks; all other checks of it are as before.

--- /dev/null
+++ b/flamingoweir/dispatch/_evictions.py
@@ -0,0 +1,116 @@
+"""Evicts batch work for long-running tasks that are away and find no room."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ..fleet import Runner
+from ..jobs import StepRun, TaskId
+from ..logs import get_logger
+from ..policy import EVICT_AFTER_S, choose_evictions
+from ..resources import Resources
+from ._owner_state import OwnerState
+
+log = get_logger()
+
+#: Seconds for which resources are promised to a task: a stop takes about one second,
+#: and the report of it and the next pass some tenths more.
+PROMISE_S = 2.0
+#: Largest number of tasks in a pass for which room is made. A choice looks at all
+#: runners and what runs there.
+MAX_CHOICES_PER_PASS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class _Promise:
+    """Resources of a runner that become free for one task."""
+
+    runner: str
+    resources: Resources
+    until_s: float
+
+
+class Evictions:
+    """Requests the evictions that a planner needs, and keeps track of them.
+
+    Parameters
+    ----------
+    owner_state : OwnerState
+        Jobs, runners and attempts.
+    """
+
+    def __init__(self, owner_state: OwnerState):
+        self._owner_state = owner_state
+        self._promise_by_task: dict[TaskId, _Promise] = {}
+        self._choices_left = 0
+
+    def begin_pass(self, now_s: float) -> None:
+        """Discard the promises whose time has passed or whose task was placed."""
+        self._choices_left = MAX_CHOICES_PER_PASS
+        for task, promise in list(self._promise_by_task.items()):
+            job = self._owner_state.job_by_id.get(task.job)
+            step = job and job.run_by_step.get((task.occurrence, task.step))
+            if (
+                now_s < promise.until_s
+                and step is not None
+                and task.index in step.open_indexes
+            ):
+                continue
+            del self._promise_by_task[task]
+
+    def make_room(
+        self, step: StepRun, candidates: Sequence[Runner], now_s: float
+    ) -> None:
+        """Evict batch for the tasks of an unplaced step that have run before.
+
+        Parameters
+        ----------
+        step : StepRun
+            Step with tasks that found no runner in this pass.
+        candidates : sequence of Runner
+            Runners that suit the step, without regard to free resources.
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        if not step.spec.lasting or step.spec.gang or step.unplaced_since_s is None:
+            return
+        if now_s - step.unplaced_since_s < EVICT_AFTER_S:
+            return
+        for index in sorted(step.open_indexes):
+            if not self._choices_left:
+                return
+            task = step.task_id(index)
+            if not step.tasks[index].last_run or task in self._promise_by_task:
+                continue
+            self._choices_left -= 1
+            self._evict_for(step, index, candidates, now_s)
+
+    def _evict_for(
+        self, step: StepRun, index: int, candidates: Sequence[Runner], now_s: float
+    ) -> None:
+        found = choose_evictions(step, candidates, self._sum_promises(), now_s)
+        task = step.task_id(index)
+        if found is None:
+            log.info("no_room_by_eviction", task=str(task), runners=len(candidates))
+            # Tried again after the time of a promise.
+            self._promise_by_task[task] = _Promise("", Resources(), now_s + PROMISE_S)
+            return
+        runner, allocations = found
+        self._promise_by_task[task] = _Promise(
+            runner.id, step.spec.reserved, now_s + PROMISE_S
+        )
+        log.info(
+            "room_made",
+            task=str(task),
+            runner=runner.id,
+            evicted=len(allocations),
+            waited_s=round(now_s - step.unplaced_since_s, 2),
+        )
+        for allocation in allocations:
+            self._owner_state.stop_attempt(allocation.attempt, "evicted")
+
+    def _sum_promises(self) -> dict[str, Resources]:
+        promised_by_runner: dict[str, Resources] = {}
+        for promise in self._promise_by_task.values():
+            promised = promised_by_runner.get(promise.runner, Resources())
+            promised_by_runner[promise.runner] = promised + promise.resources
+        return promised_by_runner
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -18,6 +18,7 @@
 from ..resources import Resources
 from ._candidates import CandidateLists
 from ._context import Permit, TermContext
+from ._evictions import Evictions
 from ._time_slice import TimeSlice
 
 log = get_logger()
@@ -131,6 +132,7 @@
         )
         self._time_slice = TimeSlice(context.clock)
         self._candidates = CandidateLists(self._placement, [], set(), 0.0)
+        self._evictions = Evictions(context.owner_state)
 
     async def run(self) -> None:
         """Run placement passes until cancelled."""
@@ -162,6 +164,7 @@
         self._time_slice = TimeSlice(self._context.clock)
         self._reserved_ids = set()
         self._collect_runners()
+        self._evictions.begin_pass(self._now_s)
         try:
             await self._place_ready_steps()
         except PermitWithdrawn:
@@ -192,11 +195,11 @@
                 unplaced.rules_out(step) or not await self._place(step)
             ):
                 tried.add(step)
-                unplaced.add(step)
                 unplaced_count += not step.spec.lasting
                 if unplaced_count > MAX_UNPLACED_STEPS:
                     return
-                self._reserve_runner(step)
+                unplaced.add(step)
+                self._make_room(step)
             if self._time_slice.is_over():
                 await self._give_way()
 
@@ -234,6 +237,11 @@
             return False
         return bool(step.open_indexes) and step.retry_at_s <= self._now_s
 
+    def _make_room(self, step: StepRun) -> None:
+        """Free resources for a step that found too few, and keep them free."""
+        self._evictions.make_room(step, self._candidates.find_all(step), self._now_s)
+        self._reserve_runner(step)
+
     def _reserve_runner(self, step: StepRun) -> None:
         """Reserve a runner for a step that has waited long for enough resources."""
         reserve_after_s = (
@@ -318,7 +326,7 @@
         placement = None
         evaluated_s = 0.0
         placed_on: dict[str, Runner] = {}
-        for index in sorted(step.open_indexes):
+        for index in _placing_order(step):
             if placement is not None and self._time_slice.is_over(evaluated_s):
                 await self._give_way()
                 placement = None
@@ -367,3 +375,10 @@
             free_milli=runner.free_resources.processors_milli,
             configuration=self._context.operators.configuration.version,
         )
+
+
+def _placing_order(step: StepRun) -> list[int]:
+    """Return the open indexes; long-running tasks that have run before come first."""
+    return sorted(
+        step.open_indexes, key=lambda index: (not step.tasks[index].last_run, index)
+    )
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -100,6 +100,13 @@
         """Whether every task is done."""
         return not self.open_indexes and all(task.done for task in self.tasks)
 
+    @property
+    def is_away(self) -> bool:
+        """Whether a long-running task that has been started before is open."""
+        if not self.spec.lasting:
+            return False
+        return any(self.tasks[index].last_run for index in self.open_indexes)
+
     @property
     def next_run(self) -> int:
         """Number of the next run of a gang."""
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling policies: order, placement, colocation, health; no input or output."""
 
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy, PaceChange
+from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
 from ._health import RunnerHealth
 from ._order import objective_s, sort_key
@@ -8,12 +9,14 @@
 from ._stragglers import find_stalled
 
 __all__ = [
+    "EVICT_AFTER_S",
     "MAX_PLACEMENT_WAIT_S",
     "ColocationPolicy",
     "PaceChange",
     "PlacementPolicy",
     "RunnerHealth",
     "StepPlacement",
+    "choose_evictions",
     "find_stalled",
     "objective_s",
     "place_gang",
--- a/flamingoweir/policy/_order.py
+++ b/flamingoweir/policy/_order.py
@@ -4,14 +4,17 @@
 within `MAX_VALUABLE_OBJECTIVES` go first, those with the least slack to their objective
 first. Late jobs, which still have some value, follow, the youngest first. Jobs that are
 older than this limit have no value and go last, after the other jobs of all queues. A
-step with long-running tasks goes before the others of its priority, as users notice at
-once when a task is away.
+step with long-running tasks goes before the others of its priority. If one of its tasks
+has run before, it goes before all others, as users notice at once when a task is away.
 """
 
 from ..jobs import Job, StepRun
 
 #: Multiple of a job's objective; the result has no value at a greater age.
 MAX_VALUABLE_OBJECTIVES = 3.0
+#: Priority of a step with a long-running task that is away; 0 is the most urgent one
+#: that a queue can have.
+AWAY_PRIORITY = -1
 #: Lowest objective in seconds, for jobs that declare neither run times nor one.
 MIN_OBJECTIVE_S = 0.5
 
@@ -42,7 +45,7 @@
     job = step.job
     priority = job.spec.policy.priority
     if step.spec.lasting:
-        return priority, -1, 0.0
+        return (AWAY_PRIORITY if step.is_away else priority), -1, 0.0
     age_s = now_s - job.accepted_s
     if job.spec.scheduled:
         age_s = (wall_ms - job.spec.due_ms(step.occurrence)) / 1000
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -215,19 +215,12 @@
         """
         failed_runners = self._step.tasks[index].failed_runners
         if len(failed_runners) < len(self._candidates):
-            avoid = avoid | failed_runners
-        self._chosen = None
-        passed_over = []
-        while self._heap:
-            _, position, evaluation = self._heap[0]
-            if evaluation == self._evaluations[position]:
-                if self._candidates[position].id not in avoid:
-                    self._chosen = position
-                    break
-                passed_over.append(self._heap[0])
-            heapq.heappop(self._heap)
-        for entry in passed_over:
-            heapq.heappush(self._heap, entry)
+            self._chosen = self._find_best(avoid | failed_runners)
+        else:
+            self._chosen = self._find_best(avoid)
+        if self._chosen is None and failed_runners and self._step.spec.lasting:
+            # Its former runner may have the only free resources that are large enough.
+            self._chosen = self._find_best(avoid)
         if self._chosen is None:
             return None
         best = self._candidates[self._chosen]
@@ -247,6 +240,22 @@
             return
         self._evaluate(position)
 
+    def _find_best(self, avoid: frozenset[str] | set[str]) -> int | None:
+        """Return the position of the runner with the lowest score, or None."""
+        best = None
+        passed_over = []
+        while self._heap:
+            _, position, evaluation = self._heap[0]
+            if evaluation == self._evaluations[position]:
+                if self._candidates[position].id not in avoid:
+                    best = position
+                    break
+                passed_over.append(self._heap[0])
+            heapq.heappop(self._heap)
+        for entry in passed_over:
+            heapq.heappush(self._heap, entry)
+        return best
+
     def _evaluate_all(self) -> None:
         demand = self._step.spec.reserved
         for position, runner in enumerate(self._candidates):
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -203,6 +203,11 @@
         if active is not None and active.order.run == run:
             self._end(task, Outcome.STOPPED)
 
+    def fail(self, task: TaskId) -> None:
+        """End the run of a task as failed."""
+        self.advance()
+        self._end(task, Outcome.FAILED)
+
     def set_pace(self, task: TaskId, run: int, percent: int, fence: int) -> None:
         """Set the speed of a run in percent; raise Fenced if the token is stale."""
         self.advance()
--- a/tests/test_step_placement.py
+++ b/tests/test_step_placement.py
@@ -38,16 +38,13 @@
         self.colocation = colocation
 
     def choose(self, step, index, candidates, avoid):
-        best, best_score = None, ()
         failed = step.tasks[index].failed_runners
-        for runner in candidates:
-            if runner.id in avoid or not self.fits(step, runner):
-                continue
-            if len(failed) < len(candidates) and runner.id in failed:
-                continue
-            score = self.score(step.spec, runner)
-            if best is None or score < best_score:
-                best, best_score = runner, score
+        if len(failed) == len(candidates):
+            failed = frozenset()
+        best = self.choose_beside(step, candidates, avoid | failed)
+        if best is None and step.spec.lasting:
+            # A long-running task rather runs where it failed than nowhere.
+            best = self.choose_beside(step, candidates, avoid)
         rack = step.spec.data_rack
         if best is None or not rack or rack in best.entry.labels:
             return best
@@ -55,6 +52,16 @@
         on_rack = any(rack in runner.entry.labels for runner in candidates)
         return None if waits and on_rack else best
 
+    def choose_beside(self, step, candidates, avoid):
+        best, best_score = None, ()
+        for runner in candidates:
+            if runner.id in avoid or not self.fits(step, runner):
+                continue
+            score = self.score(step.spec, runner)
+            if best is None or score < best_score:
+                best, best_score = runner, score
+        return best
+
     def fits(self, step, runner):
         spec = step.spec
         if not spec.reserved.fits_in(self.free(runner)):
