Keep a share of the fleet free of new long-running tasks

New long-running tasks leave the recent peak of what batch reserves or waits for, from 5 to 15% of the fleet, beyond half of it (policy/_headroom.py). Tasks that were away are not held back, nor are steps older than a minute.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -9,7 +9,9 @@
 from ..logs import get_logger
 from ..policy import (
     MAX_PLACEMENT_WAIT_S,
+    BatchHeadroom,
     PlacementPolicy,
+    ServiceLoad,
     StepPlacement,
     place_gang,
     sort_key,
@@ -133,6 +135,7 @@
         self._time_slice = TimeSlice(context.clock)
         self._candidates = CandidateLists(self._placement, [], set(), 0.0)
         self._evictions = Evictions(context.owner_state)
+        self._headroom = BatchHeadroom()
 
     async def run(self) -> None:
         """Run placement passes until cancelled."""
@@ -198,8 +201,9 @@
                 unplaced_count += not step.spec.lasting
                 if unplaced_count > MAX_UNPLACED_STEPS:
                     return
-                unplaced.add(step)
-                self._make_room(step)
+                if not self._is_held_back(step, _placing_order(step)[0]):
+                    unplaced.add(step)
+                    self._make_room(step)
             if self._time_slice.is_over():
                 await self._give_way()
 
@@ -314,7 +318,27 @@
                     ready.append((key, len(ready), step))
         self._log_load(len(jobs), open_tasks)
         ready.sort()
-        return [step for _, _, step in ready]
+        steps = [step for _, _, step in ready]
+        self._headroom.update(self._measure_load(steps), self._now_s)
+        return steps
+
+    def _measure_load(self, steps: list[StepRun]) -> dict[str, ServiceLoad]:
+        """Return the load of the usable runners, by service."""
+        load_by_service: dict[str, ServiceLoad] = {}
+        for runner in self._candidates.runners:
+            load = load_by_service.setdefault(runner.entry.service, ServiceLoad())
+            lasting_milli = runner.lasting_reserved.processors_milli
+            load.capacity_milli += runner.entry.capacity.processors_milli
+            load.lasting_milli += lasting_milli
+            load.batch_milli += runner.reserved.processors_milli - lasting_milli
+        for step in steps:
+            load = load_by_service.get(step.job.spec.policy.service)
+            if load is None or step.spec.lasting:
+                continue
+            load.batch_milli += (
+                len(step.open_indexes) * step.spec.reserved.processors_milli
+            )
+        return load_by_service
 
     async def _place(self, step: StepRun) -> bool:
         """Place the open tasks of a step; return whether all were placed.
@@ -341,19 +365,35 @@
                     self._placement, step, candidates, self._now_s
                 )
                 evaluated_s = self._context.clock.now()
-            runner = placement.choose(index)
+            held_back = self._is_held_back(step, index)
+            runner = None if held_back else placement.choose(index)
             if runner is None:
                 if step.unplaced_since_s is None:
                     step.unplaced_since_s = self._now_s
                 self._candidates.recheck(step, placed_on.values())
                 return False
             self._start(step, index, runner)
+            if step.spec.lasting:
+                service = step.job.spec.policy.service
+                self._headroom.record_placed(
+                    service, step.spec.reserved.processors_milli
+                )
             placement.record_placed()
             placed_on[runner.id] = runner
         step.unplaced_since_s = None
         self._candidates.recheck(step, placed_on.values())
         return True
 
+    def _is_held_back(self, step: StepRun, index: int) -> bool:
+        """Return whether a task must leave its resources to batch work for now."""
+        if not step.spec.lasting or step.tasks[index].last_run:
+            return False
+        return not self._headroom.allows(
+            step.job.spec.policy.service,
+            step.spec.reserved.processors_milli,
+            self._now_s - step.ready_since_s,
+        )
+
     def _place_gang(self, step: StepRun) -> bool:
         if len(step.open_indexes) < step.spec.count:
             return False
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -3,6 +3,7 @@
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy, PaceChange
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
+from ._headroom import BatchHeadroom, ServiceLoad
 from ._health import RunnerHealth
 from ._order import objective_s, sort_key
 from ._placement import PlacementPolicy, StepPlacement, unplaced_s
@@ -11,10 +12,12 @@
 __all__ = [
     "EVICT_AFTER_S",
     "MAX_PLACEMENT_WAIT_S",
+    "BatchHeadroom",
     "ColocationPolicy",
     "PaceChange",
     "PlacementPolicy",
     "RunnerHealth",
+    "ServiceLoad",
     "StepPlacement",
     "choose_evictions",
     "find_stalled",
