Place jobs that can still end in time before late ones

Cause: among waiting steps those with the least slack went first, late ones with a negative slack before all others.

Jobs that can end within their objective go first now, then late ones with value left, the youngest first.

--- a/flamingoweir/policy/_order.py
+++ b/flamingoweir/policy/_order.py
@@ -1,11 +1,16 @@
 """Order in which steps are placed when more work waits than fits.
 
-Queues with a higher priority go first. Within a priority, jobs that are expected to end
-within `MAX_VALUABLE_OBJECTIVES` go first, those with the least slack to their objective
-first. Late jobs, which still have some value, follow, the youngest first. Jobs that are
-older than this limit have no value and go last, after the other jobs of all queues. A
-step with long-running tasks goes before the others of its priority. If one of its tasks
-has run before, it goes before all others, as users notice at once when a task is away.
+Queues with a higher priority go first. Within a priority, jobs that can still end
+within their objective go first, those with the least slack first. Jobs that can't are
+late anyway and keep a part of their value only; they follow as long as they can end
+within `MAX_VALUABLE_OBJECTIVES`, the youngest first. The others have no value any more
+and go last; those older than that limit go after the jobs of all queues. A step with
+long-running tasks goes before the others of its priority. If one of its tasks has run
+before, it goes before all others, as users notice at once when a task is away.
+
+Answers a load that exceeds the fleet for longer than an objective lasts. If jobs that
+are late already went first, each job would wait until it is late too, and none would
+end in time.
 """
 
 from ..jobs import Job, StepRun
@@ -53,6 +58,9 @@
     if age_s > MAX_VALUABLE_OBJECTIVES * allowed_s:
         return priority + 1000, 2, -age_s
     remaining_s = job.critical_paths_s[step.step]
-    if age_s + remaining_s > MAX_VALUABLE_OBJECTIVES * allowed_s:
+    slack_s = allowed_s - age_s - remaining_s
+    if slack_s >= 0.0:
+        return priority, 0, slack_s
+    if age_s + remaining_s <= MAX_VALUABLE_OBJECTIVES * allowed_s:
         return priority, 1, age_s
-    return priority, 0, allowed_s - age_s - remaining_s
+    return priority, 2, age_s
