Publish which runners leave, so that a new owner waits for short leases only

The owner grants short leases on runners that drain or are listed no more, renews them only while it may start tasks, and publishes in its row for how long it has done so. The new owner waits 1.8 to 4.4 s there. All other bounds are as before.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -69,6 +69,7 @@
             If another instance may own the shard.
         """
         self._writer.count_backlog = self._count_backlog
+        self._writer.list_leaving = self._list_leaving
         while True:
             await self._owner_state.write_wakeup.wait(RENEW_INTERVAL_S)
             batch = self._collect()
@@ -82,6 +83,21 @@
             return None
         return Backlog(self._owner_state.waiting_by_queue())
 
+    def _list_leaving(self) -> dict[str, float]:
+        """Return for how long the runners with attempts that leave have done so.
+
+        A runner that has not responded to this owner may hold leases of a former one.
+        """
+        now_s = self._context.clock.now()
+        leaving_s_by_runner = {}
+        for runner in self._owner_state.runner_by_id.values():
+            if runner.leaving_since_s is None or runner.incarnation is None:
+                continue
+            if not runner.has_attempts:
+                continue
+            leaving_s_by_runner[runner.id] = round(now_s - runner.leaving_since_s, 3)
+        return leaving_s_by_runner
+
     def _collect(self) -> _Batch:
         batch = _Batch()
         changed, self._owner_state.changed_job_ids = (
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -1,7 +1,14 @@
 """The jobs, runners and attempts of a shard in memory; does no input or output."""
 
+from collections.abc import Mapping
+
 from ..clock import Clock
-from ..fleet import RUNNER_LEASE_S, Allocation, Runner
+from ..fleet import (
+    DRAINING_LEASE_S,
+    RUNNER_LEASE_S,
+    Allocation,
+    Runner,
+)
 from ..jobs import (
     FINAL_STATES,
     Attempt,
@@ -21,6 +28,9 @@
 
 log = get_logger()
 
+#: Factor by which a lease of a former owner may last longer than it was granted for, on
+#: the owner's clock.
+LEASE_MARGIN = 1.1
 #: Seconds before a step is tried again after an attempt did not start.
 RETRY_PAUSE_S = 0.05
 #: Placeholder for the pace of an attempt that an earlier owner may have throttled, or
@@ -40,6 +50,8 @@
         Counts how attempts end.
     max_lease_s : float
         Longest lease that runners grant, in seconds.
+    leaving_s_by_runner : mapping of str to float or None
+        What the former owner published; see `OwnerRecord`.
 
     Attributes
     ----------
@@ -70,7 +82,13 @@
         How far tasks that use spare processors may disturb serving tasks.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics, max_lease_s: float):
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        max_lease_s: float,
+        leaving_s_by_runner: Mapping[str, float] | None = None,
+    ):
         self.job_by_id: dict[str, Job] = {}
         self.runner_by_id: dict[str, Runner] = {}
         self.changed_job_ids: set[str] = set()
@@ -86,7 +104,8 @@
         self._clock = clock
         self._metrics = metrics
         self._max_lease_s = max_lease_s
-        self._earlier_leases_end_s = clock.now() + LEASE_VALID_S + 1.1 * RUNNER_LEASE_S
+        self._started_s = clock.now()
+        self._leaving_s_by_runner = leaving_s_by_runner or {}
 
     def has_job(self, job_id: str) -> bool:
         """Return whether a job was added before or has ended."""
@@ -130,7 +149,7 @@
             if known is not None and known.has_attempts:
                 # The attempts run at the former address; their leases must lapse first.
                 continue
-            runner = Runner(entry, self._max_lease_s, self._earlier_leases_end_s)
+            runner = self._new_runner(entry)
             self.runner_by_id[runner_id] = runner
             to_connect.append(runner)
         for runner_id, runner in list(self.runner_by_id.items()):
@@ -283,10 +302,20 @@
 
     def _add_unlisted(self, runner_id: str) -> Runner:
         entry = RunnerEntry(runner_id, 0, "", "", "")
-        runner = Runner(entry, self._max_lease_s, self._earlier_leases_end_s)
+        runner = self._new_runner(entry)
         self.runner_by_id[runner_id] = runner
         return runner
 
+    def _new_runner(self, entry: RunnerEntry) -> Runner:
+        leaving_s = self._leaving_s_by_runner.get(entry.id)
+        if leaving_s is None:
+            left_s = LEASE_VALID_S + LEASE_MARGIN * RUNNER_LEASE_S
+        else:
+            # The former owner renews nothing there since before this term.
+            longer_left_s = LEASE_MARGIN * RUNNER_LEASE_S - leaving_s
+            left_s = max(LEASE_MARGIN * DRAINING_LEASE_S, longer_left_s)
+        return Runner(entry, self._max_lease_s, self._started_s + left_s)
+
     def _record_outcome(
         self, runner: Runner, allocation: Allocation, outcome: Outcome, now_s: float
     ) -> None:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -99,7 +99,13 @@
         metrics: Metrics,
         max_lease_s: float,
     ):
-        self.owner_state = OwnerState(clock, metrics, max_lease_s)
+        former = writer.former
+        self.owner_state = OwnerState(
+            clock,
+            metrics,
+            max_lease_s,
+            former.leaving_s_by_runner if former is not None else None,
+        )
         self._writer = writer
         self._store = store
         self._clock = clock
@@ -267,7 +273,12 @@
         for runner_id, entry in self._context.runners.entry_by_id.items():
             if self._context.runners.is_listed(runner_id):
                 entries[runner_id] = entry
-        for runner in self.owner_state.update_runners(entries):
+        now_s = self._clock.now()
+        to_connect = self.owner_state.update_runners(entries)
+        for runner in self.owner_state.runner_by_id.values():
+            leaving = runner.entry.draining or runner.id not in entries
+            runner.update_leaving(leaving, now_s)
+        for runner in to_connect:
             link = self._context.connect(runner.entry)
             self._link_by_runner[runner.id] = link
             watch = RunnerWatch(
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -119,9 +119,15 @@
             runner.incarnation is not None and runner.unresponsive_since_s is None
         )
         # Repeated renewals without a response would keep the lease from ever lapsing.
-        deadline_ms = (
-            runner.renew_lease(sent_s) if responsive and runner.has_attempts else None
-        )
+        writer = self._context.writer
+        deadline_ms = None
+        if (
+            responsive
+            and runner.has_attempts
+            and writer.may_renew_on_leaving(runner.id)
+        ):
+            leaving = writer.has_published_leaving(runner.id)
+            deadline_ms = runner.renew_lease(sent_s, leaving)
         try:
             report = await self._link.poll(
                 self._context.writer.fence,
@@ -252,6 +258,9 @@
         runner = self._runner
         former = runner.incarnation
         lost = runner.begin_incarnation(report.incarnation)
+        if runner.leaving_since_s is not None:
+            # A former owner may have granted a longer lease until this response.
+            runner.leaving_since_s = self._clock.now()
         log.info(
             "runner_seen",
             runner=runner.id,
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -8,7 +8,7 @@
 #: Seconds from a poll to the end of the lease that it renews for the runner's tasks. A
 #: new owner takes over in about 2 s, before the runner would kill the tasks.
 RUNNER_LEASE_S = 4.0
-#: Seconds from a poll to the end of the lease that it renews on a draining runner. This
+#: Seconds from a poll to the end of the lease that it renews on a leaving runner. This
 #: time is shorter, so that the tasks can be started elsewhere soon after the runner has
 #: stopped.
 DRAINING_LEASE_S = 1.6
@@ -102,6 +102,9 @@
     unresponsive_since_s : float or None
         When calls began to get no response, on the owner's clock, in seconds; None
         while the runner responds.
+    leaving_since_s : float or None
+        Since when the runner drains or is listed no more, on the owner's clock, in
+        seconds; it is granted short leases from then on. None while it stays.
     poll_wakeup : Wakeup
         Set when there may be a reason to poll the runner.
     revision : int
@@ -126,6 +129,7 @@
         self.serving_demand_milli = 0
         self.last_response_s = float("-inf")
         self.unresponsive_since_s: float | None = None
+        self.leaving_since_s: float | None = None
         self.poll_wakeup = Wakeup()
         self._max_lease_s = max_lease_s
         self._earlier_leases_end_s = earlier_leases_end_s
@@ -232,11 +236,27 @@
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = now_s
 
-    def renew_lease(self, now_s: float) -> int:
-        """Renew the lease; return its new end in ms on the runner's clock."""
-        lease_s = DRAINING_LEASE_S if self.entry.draining else RUNNER_LEASE_S
+    def renew_lease(self, now_s: float, leaving: bool = False) -> int:
+        """Renew the lease; return its new end in ms on the runner's clock.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        leaving : bool
+            Whether the owner row names the runner as leaving.
+        """
+        short = leaving or self.leaving_since_s is not None
+        lease_s = DRAINING_LEASE_S if short else RUNNER_LEASE_S
         return self._renew(now_s, min(lease_s, self._max_lease_s))
 
+    def update_leaving(self, leaving: bool, now_s: float) -> None:
+        """Record whether the runner drains or is listed no more."""
+        if not leaving:
+            self.leaving_since_s = None
+        elif self.leaving_since_s is None:
+            self.leaving_since_s = now_s
+
     def start_deadline_ms(self, now_s: float) -> int:
         """Return the deadline of a start ordered now, in ms on the runner's clock.
 
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -44,6 +44,9 @@
         Whether the owner has released the shard.
     backlog : Backlog or None
         Jobs that wait to start; None until the owner has read the shard.
+    leaving_s_by_runner : dict of str to float
+        Seconds for which the owner has granted only short leases, by id of a runner
+        that leaves. A new owner need not wait for longer ones there.
     """
 
     holder: str
@@ -52,6 +55,7 @@
     fence: int = 0
     released: bool = False
     backlog: Backlog | None = None
+    leaving_s_by_runner: dict[str, float] = field(default_factory=dict)
 
 
 def encode_owner_record(record: OwnerRecord) -> bytes:
@@ -67,6 +71,8 @@
         fields = orjson.loads(row.value)
         backlog = fields["backlog"]
         fields["backlog"] = None if backlog is None else Backlog(**backlog)
+        if not isinstance(fields.get("leaving_s_by_runner", {}), dict):
+            return None
         return OwnerRecord(**fields)
     except (ValueError, TypeError, KeyError):
         return None
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -80,6 +80,10 @@
     count_backlog : callable
         Returns the `Backlog` to publish, or None while it is not known. Called for each
         transaction that is sent, also for one that is repeated.
+    list_leaving : callable
+        Returns `OwnerRecord.leaving_s_by_runner` to publish, called as `count_backlog`.
+    former : OwnerRecord or None
+        What the former owner published last; None if nothing was readable.
     """
 
     def __init__(
@@ -94,6 +98,8 @@
         self.shard = shard
         self.fence = 0
         self.count_backlog: Callable[[], Backlog | None] = _unknown_backlog
+        self.list_leaving: Callable[[], dict[str, float]] = dict
+        self.former: OwnerRecord | None = None
         self._store = store
         self._owner_row = owner_row(shard)
         self._record = OwnerRecord(holder, process, 0)
@@ -101,6 +107,10 @@
         self._metrics = metrics
         self._version = 0
         self._confirmed_s = float("-inf")
+        #: Leaving runners of the latest confirmed write.
+        self._leaving_in_store: frozenset[str] = frozenset()
+        #: Leaving runners of any transaction of the write in progress.
+        self._leaving_in_flight: set[str] = set()
 
     async def acquire(self, row: VersionedRow | None) -> None:
         """Take the shard if its owner row is unchanged since it was read.
@@ -116,6 +126,7 @@
             If another process wrote the row, or the write was not confirmed in time.
         """
         self._version = row.version if row else 0
+        self.former = decode_owner_record(row) if row else None
         await self._write((), ())
         self.fence = self._version
 
@@ -127,6 +138,21 @@
         """Return whether leases of runners may still be renewed."""
         return self._clock.now() - self._confirmed_s < LEASE_VALID_S
 
+    def may_renew_on_leaving(self, runner: str) -> bool:
+        """Return whether the lease of a runner that leaves may be renewed.
+
+        A new owner relies on it that nothing is renewed there once it has taken the
+        shard, so that renewals end with the permission to start tasks.
+        """
+        return self.may_start() or not self.has_published_leaving(runner)
+
+    def has_published_leaving(self, runner: str) -> bool:
+        """Return whether the owner row may name a runner as leaving.
+
+        Only short leases may be granted there, also if the runner leaves no more.
+        """
+        return runner in self._leaving_in_store or runner in self._leaving_in_flight
+
     async def commit(
         self, puts: Sequence[tuple[RowId, bytes]], deletes: Sequence[RowId]
     ) -> None:
@@ -175,7 +201,13 @@
         first_sent_s = self._clock.now()
         while True:
             sent_s = self._clock.now()
-            record = dataclasses.replace(self._record, backlog=self.count_backlog())
+            leaving_s_by_runner = self.list_leaving()
+            self._leaving_in_flight.update(leaving_s_by_runner)
+            record = dataclasses.replace(
+                self._record,
+                backlog=self.count_backlog(),
+                leaving_s_by_runner=leaving_s_by_runner,
+            )
             own = (self._owner_row, encode_owner_record(record))
             transaction = Transaction(
                 [(self._owner_row, self._version)], [own, *puts], deletes
@@ -197,6 +229,9 @@
                 continue
             self._version = version
             self._confirmed_s = sent_s
+            # Of a repeated write, it is unknown which transaction was applied.
+            self._leaving_in_store = frozenset(self._leaving_in_flight)
+            self._leaving_in_flight.clear()
             self._metrics.timing(
                 "journal_write_ms", 1000 * (self._clock.now() - first_sent_s)
             )
--- /dev/null
+++ b/tests/test_leaving_runners.py
@@ -0,0 +1,150 @@
+"""Leases on runners that leave while the owner changes.
+
+A new owner can't ask a runner that has left what runs there; it waits until the leases
+that the former owner may have granted have lapsed. Found by the hunted day
+989220422284 of tomen-dail: long-running tasks were away for 12.4 s.
+"""
+
+import anyio
+import pytest
+
+from flamingoweir.fleet import DRAINING_LEASE_S, RUNNER_LEASE_S
+from flamingoweir.jobs import JobState
+from flamingoweir.ownership import OwnerRecord, decode_owner_record, encode_owner_record
+from flamingoweir.storage import RowId, VersionedRow
+from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.virtual_time import run_virtual
+
+#: Longest time in seconds after an owner's death for which a long-running task may be
+#: away: four until the time counts as calm, and three more.
+MAX_AWAY_S = 7.0
+#: Seconds for which the runner drains before it leaves.
+DRAINS_S = 5.0
+
+
+async def start_lasting(cluster):
+    """Start a long-running task; return its job and its runner."""
+    await cluster.owner()
+    await anyio.sleep(1)
+    job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+    await cluster.wait_for(job, JobState.RUNNING, 2.0)
+    (runner_id,) = cluster.starts(f"{job.id}.0.0.0")
+    return job, cluster.runner_by_id[runner_id]
+
+
+def last_start_s(cluster, job) -> float:
+    return [r.at_s for r in cluster.records("start") if r.task.job == job.id][-1]
+
+
+def check_runs(cluster) -> None:
+    for runner in cluster.runner_by_id.values():
+        # Records the ends of runs whose lease has lapsed without a call.
+        runner.advance()
+    assert not cluster.find_overlaps()
+
+
+def test_task_of_a_runner_that_left_with_the_owner_runs_again_soon():
+    """Guards against a new owner that waits for leases which nobody granted."""
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            job, runner = await start_lasting(cluster)
+            cluster.list_runner(runner.id, state="draining")
+            await anyio.sleep(DRAINS_S)
+            runner.crash()
+            cluster.unlist_runner(runner.id)
+            killed_s = anyio.current_time()
+            cluster.kill_member(await cluster.owner())
+            await anyio.sleep(MAX_AWAY_S)
+            assert killed_s < last_start_s(cluster, job) < killed_s + MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+def isolate(cluster, member, runner) -> None:
+    """Cut an owner off from all but one runner, which nobody else reaches."""
+    member.store.silent = True
+    del cluster.member_by_name[member.name]
+    for runner_id, link in member.link_by_runner.items():
+        link.disconnected = runner_id != runner.id
+    cluster.unlist_runner(runner.id)
+
+
+@pytest.mark.parametrize("drains_s", [0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.5, DRAINS_S])
+@pytest.mark.parametrize("offset_s", [0.0, 0.3, 0.6, 0.9])
+def test_task_on_a_leaving_runner_never_runs_twice(drains_s, offset_s):
+    """Guards against a former owner that renews a lease which the new one ignores.
+
+    The runner is listed no more and can be reached by the former owner only, which
+    can't reach the store.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(offset_s)
+            cluster.list_runner(runner.id, state="draining")
+            await anyio.sleep(drains_s)
+            isolate(cluster, await cluster.owner(), runner)
+            await anyio.sleep(20)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 2
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+def test_task_never_runs_twice_if_the_next_owner_dies_soon():
+    """Guards against a bound that the second of two new owners takes from the first.
+
+    The first owner has granted a full lease on a runner that it reaches but the store
+    does not; the second one has never reached that runner.
+    """
+
+    async def scenario():
+        async with run_cluster(members=4) as cluster:
+            job, runner = await start_lasting(cluster)
+            isolate(cluster, await cluster.owner(), runner)
+            await anyio.sleep(4)
+            cluster.kill_member(await cluster.owner())
+            await anyio.sleep(25)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 2
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+def test_task_stays_on_a_runner_that_is_listed_again():
+    """Guards against short leases for good after a runner was missing for a while."""
+
+    async def scenario():
+        async with run_cluster(members=2) as cluster:
+            job, runner = await start_lasting(cluster)
+            cluster.unlist_runner(runner.id)
+            await anyio.sleep(4)
+            cluster.list_runner(runner.id)
+            await anyio.sleep(2)
+            # Longer than a short lease, shorter than a full one.
+            for member in cluster.member_by_name.values():
+                if runner.id in member.link_by_runner:
+                    member.link_by_runner[runner.id].disconnected = True
+            await anyio.sleep((DRAINING_LEASE_S + RUNNER_LEASE_S) / 2 - 0.5)
+            for member in cluster.member_by_name.values():
+                if runner.id in member.link_by_runner:
+                    member.link_by_runner[runner.id].disconnected = False
+            await anyio.sleep(3)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 1
+
+    run_virtual(scenario)
+
+
+def test_owner_record_of_an_older_build_is_read():
+    """Guards against records without the field, or with another type in it."""
+    row = RowId("owners", "s0", "owner")
+    value = encode_owner_record(OwnerRecord("a", "a/1", 3, 2))
+    older = value.replace(b',"leaving_s_by_runner":{}', b"")
+    assert older != value
+    found = decode_owner_record(VersionedRow(row, older, 5))
+    assert found.leaving_s_by_runner == {}
+    malformed = value.replace(b'"leaving_s_by_runner":{}', b'"leaving_s_by_runner":[1]')
+    assert decode_owner_record(VersionedRow(row, malformed, 5)) is None
