Write all bytes of log lines to an unbuffered standard output

The log thread writes the bytes itself now, until all are taken. Besides, a process no longer waits for good at its end if its log queue is full.

test_lines_are_whole_on_a_file_that_takes_a_part_of_a_write and test_drain_ends_in_time_if_nobody_reads failed before.

--- a/flamingoweir/logs.py
+++ b/flamingoweir/logs.py
@@ -3,12 +3,15 @@
 import logging
 import queue
 import threading
+import time
 from typing import TextIO
 
 import structlog
 
 #: Maximum queued lines; a busy owner writes as many in about ten seconds.
 MAX_QUEUED_LINES = 10_000
+#: Seconds before a write to a full pipe is repeated.
+FULL_PIPE_PAUSE_S = 0.01
 #: Maximum lines per write.
 MAX_LINES_PER_WRITE = 200
 
@@ -75,8 +78,12 @@
     def drain(self, timeout_s: float) -> None:
         """Wait for at most ``timeout_s`` seconds until all queued lines are written."""
         done = threading.Event()
-        self._lines.put(done)
-        done.wait(timeout_s)
+        until_s = time.monotonic() + timeout_s
+        try:
+            self._lines.put(done, timeout=timeout_s)
+        except queue.Full:
+            return
+        done.wait(max(0.0, until_s - time.monotonic()))
 
     def _write_all(self) -> None:
         reported = 0
@@ -89,12 +96,32 @@
                     f"level=warning event=log_lines_dropped n={self.dropped}\n"
                 )
                 reported = self.dropped
-            self._stream.write("".join(i for i in items if isinstance(i, str)))
-            self._stream.flush()
+            self._write_text("".join(i for i in items if isinstance(i, str)))
             for item in items:
                 if not isinstance(item, str):
                     item.set()
 
+    def _write_text(self, text: str) -> None:
+        """Write the whole text.
+
+        An unbuffered text stream passes its bytes on once and drops those that the
+        file did not take; a pipe takes a part if a signal arrives meanwhile.
+        """
+        binary = getattr(self._stream, "buffer", None)
+        if binary is None:
+            self._stream.write(text)
+            self._stream.flush()
+            return
+        data = memoryview(text.encode())
+        while data:
+            taken = binary.write(data)
+            if not taken:
+                # A full pipe that doesn't block.
+                time.sleep(FULL_PIPE_PAUSE_S)
+                continue
+            data = data[taken:]
+        binary.flush()
+
 
 def get_logger(**values: object) -> structlog.typing.FilteringBoundLogger:
     """Return a logger that adds ``values`` to every event."""
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import io
 import threading
+import time
 
 from flamingoweir import logs
 
@@ -35,3 +36,52 @@
     assert stream.dropped
     for line in lines:
         assert line.count("event=") == 1
+
+
+class PartialFile(io.RawIOBase):
+    """A file that takes a few bytes of each write, and none of every third."""
+
+    def __init__(self):
+        self.content = b""
+        self._writes = 0
+
+    def writable(self):
+        return True
+
+    def write(self, data):
+        self._writes += 1
+        if self._writes % 3 == 0:
+            return None
+        self.content += bytes(data[:7])
+        return min(7, len(data))
+
+
+def test_lines_are_whole_on_a_file_that_takes_a_part_of_a_write():
+    """Guards against two lines that are joined, with bytes missing between them."""
+    file = PartialFile()
+    text_stream = io.TextIOWrapper(file, encoding="utf-8", write_through=True)
+    stream = logs.BoundedStream(text_stream)
+    lines = [f"event=attempt_ended number={number}\n" for number in range(50)]
+    for line in lines:
+        stream.write(line)
+    stream.drain(10.0)
+    assert file.content.decode() == "".join(lines)
+
+
+def test_drain_ends_in_time_if_nobody_reads():
+    """Guards against a process that never exits because its log queue is full."""
+    blocked = threading.Event()
+
+    class Unread(io.StringIO):
+        def write(self, text):
+            blocked.wait(20.0)
+            return len(text)
+
+    stream = logs.BoundedStream(Unread())
+    for _ in range(logs.MAX_QUEUED_LINES + logs.MAX_LINES_PER_WRITE + 10):
+        stream.write("event=line\n")
+    started_s = time.monotonic()
+    stream.drain(0.2)
+    taken_s = time.monotonic() - started_s
+    blocked.set()
+    assert taken_s < 5.0
