--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -157,6 +157,7 @@
                 del self.runner_by_id[runner_id]
                 self.health.remove_runner(runner_id)
                 self.colocation.remove_runner(runner_id)
+        self.colocation.runner_count = len(self.runner_by_id)
         self.placement_wakeup.set()
         return to_connect
 
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -18,11 +18,9 @@
 
 log = get_logger()
 
-#: Seconds that a poll waits for a run to end.
+#: Seconds that a poll waits for a run to end, where no tasks on spare processors share
+#: the runner with serving tasks.
 POLL_WAIT_S = 1.0
-#: Seconds that a poll waits where serving tasks share the runner with tasks on spare
-#: processors.
-SHARED_POLL_WAIT_S = 0.4
 #: Seconds between polls of a runner without attempts.
 IDLE_POLL_INTERVAL_S = 5.0
 #: Seconds between polls of an unresponsive runner.
@@ -159,8 +157,9 @@
             or runner.last_durable_end < runner.last_received_end
         ):
             return 0.0
-        shared = runner.serving_count and runner.spare_demand_milli
-        return SHARED_POLL_WAIT_S if shared else POLL_WAIT_S
+        if not runner.serving_count or not runner.spare_demand_milli:
+            return POLL_WAIT_S
+        return self._owner_state.colocation.measure_interval_s(runner)
 
     def _record_no_response(self, error: RunnerUnreachable) -> None:
         runner = self._runner
--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -53,6 +53,15 @@
 #: Shortest time in seconds between measurements of a runner from which effects are
 #: learnt. Each covers half a second, so that closer ones would count the same twice.
 MIN_LEARN_INTERVAL_S = 0.25
+#: Runners from which an owner learns in a second, at most; a larger fleet has more
+#: measurements than are needed, and each costs the owner processor time.
+MAX_LEARNT_PER_S = 900
+#: Seconds between measurements of a runner that shares its processors.
+MEASURE_INTERVAL_S = 0.4
+#: Longest time in seconds between measurements of a runner with safe headroom.
+MAX_MEASURE_INTERVAL_S = 1.0
+#: Runners with safe headroom that are measured in a second, at most.
+MAX_SAFE_MEASURED_PER_S = 450
 #: Pace in percent at or below which a task should move to another runner.
 MOVE_PACE_PERCENT = 50
 #: Seconds at or below `MOVE_PACE_PERCENT` after which a task is moved.
@@ -65,6 +74,9 @@
 #: Seconds for which tasks alike are not moved after no runner was found for one.
 #: Runners free resources when tasks end, a few times a second.
 MOVE_RETRY_S = 0.2
+#: Lowest measured headroom on a runner above which it need not be measured often. The
+#: load of users does not rise enough within a second to use it up.
+SAFE_HEADROOM = 1.6
 #: Seconds without measurements after which the baseline of a step is discarded.
 BASELINE_EXPIRY_S = 60.0
 
@@ -89,9 +101,16 @@
 
 
 class ColocationPolicy:
-    """Learn effects between images, and decide on placement and pace by them."""
+    """Learn effects between images, and decide on placement and pace by them.
+
+    Attributes
+    ----------
+    runner_count : int
+        Number of runners of the fleet; the larger, the less often each is measured.
+    """
 
     def __init__(self) -> None:
+        self.runner_count = 0
         self._model_by_image: dict[str, EffectModel] = {}
         self._baseline_by_step: dict[tuple, BaselineHeadroom] = {}
         self._recovered_count_by_runner: dict[str, int] = {}
@@ -119,7 +138,8 @@
             return
         self._discard_stale_baselines(now_s)
         learnt_s = self._learnt_s_by_runner.get(runner.id)
-        if learnt_s is None or now_s - learnt_s >= MIN_LEARN_INTERVAL_S:
+        interval_s = max(MIN_LEARN_INTERVAL_S, self.runner_count / MAX_LEARNT_PER_S)
+        if learnt_s is None or now_s - learnt_s >= interval_s:
             self._learnt_s_by_runner[runner.id] = now_s
             self._learn_effects(runner, now_s)
         lowest = _lowest_headroom(runner)
@@ -161,11 +181,17 @@
         if not runner.serving_count:
             return 0.0
         total_loss = 0.0
+        image = spec.image
         share = _share(spec, runner)
         for model, low in self._expected_headrooms(runner)[1]:
-            loss = model.effect(spec.image) * share
-            left = low - loss
-            total_loss += min(loss, max(SAFE_LOSS_WEIGHT * loss, PEAK_HEADROOM - left))
+            loss = model.effect(image) * share
+            short = PEAK_HEADROOM - low + loss
+            safe_loss = SAFE_LOSS_WEIGHT * loss
+            # The lowest of the loss and what is short, but at least the safe loss.
+            if short >= loss:
+                total_loss += loss
+            else:
+                total_loss += short if short > safe_loss else safe_loss
         return total_loss
 
     def decide_paces(self, runner: Runner, now_s: float) -> list[PaceChange]:
@@ -190,6 +216,18 @@
         floors = self._highest_paces(runner, allocations, RAISE_PACE_HEADROOM)
         return changes + _raise_paces(allocations, floors, lowest)
 
+    def measure_interval_s(self, runner: Runner) -> float:
+        """Return the seconds after which a runner should be measured again.
+
+        The result is longer in a large fleet if all serving tasks on the runner were
+        measured far below their target.
+        """
+        lowest = _lowest_headroom(runner)
+        if lowest is None or lowest < SAFE_HEADROOM:
+            return MEASURE_INTERVAL_S
+        interval_s = self.runner_count / MAX_SAFE_MEASURED_PER_S
+        return min(MAX_MEASURE_INTERVAL_S, max(MEASURE_INTERVAL_S, interval_s))
+
     def find_attempts_to_move(
         self, runner: Runner, others: Iterable[Runner], now_s: float
     ) -> list[Attempt]:
--- a/flamingoweir/policy/_effects.py
+++ b/flamingoweir/policy/_effects.py
@@ -99,7 +99,9 @@
 
     def __init__(self) -> None:
         self.mean_by_image: dict[str, float] = {}
-        self._covariance: dict[str, dict[str, float]] = {}
+        #: Position of each image in the rows of the covariance matrix.
+        self._position_by_image: dict[str, int] = {}
+        self._covariance: list[list[float]] = []
         self._predicted_s: float | None = None
 
     def effect(self, image: str) -> float:
@@ -142,7 +144,7 @@
         measurement_std = MEASUREMENT_STD_RATIO * max(headroom, expected)
         variance = baseline.variance + measurement_std**2 + MEASUREMENT_STD**2
         for image, share in share_by_image.items():
-            variance += share * projected[image]
+            variance += share * projected[self._position_by_image[image]]
         error = headroom - expected
         baseline.correct(error, variance)
         if share_by_image:
@@ -153,37 +155,41 @@
         if image in self.mean_by_image:
             return
         self.mean_by_image[image] = PRIOR_EFFECT
-        row = dict.fromkeys(self._covariance, 0.0)
-        for other in self._covariance.values():
-            other[image] = 0.0
-        row[image] = PRIOR_EFFECT_STD**2
-        self._covariance[image] = row
+        position = self._position_by_image[image] = len(self._covariance)
+        for row in self._covariance:
+            row.append(0.0)
+        self._covariance.append([0.0] * (position + 1))
+        self._covariance[position][position] = PRIOR_EFFECT_STD**2
 
     def _predict(self, now_s: float) -> None:
         predicted_s, self._predicted_s = self._predicted_s, now_s
         if predicted_s is None or now_s <= predicted_s:
             return
         added_variance = EFFECT_DRIFT_STD**2 * (now_s - predicted_s)
-        for image, row in self._covariance.items():
-            row[image] = min(PRIOR_EFFECT_STD**2, row[image] + added_variance)
+        for position, row in enumerate(self._covariance):
+            row[position] = min(PRIOR_EFFECT_STD**2, row[position] + added_variance)
 
-    def _project(self, share_by_image: dict[str, float]) -> dict[str, float]:
+    def _project(self, share_by_image: dict[str, float]) -> list[float]:
         """Return the covariance matrix multiplied by the shares."""
-        projected = {}
-        for image, row in self._covariance.items():
-            total = 0.0
-            for other, share in share_by_image.items():
-                total += row[other] * share
-            projected[image] = total
+        projected = [0.0] * len(self._covariance)
+        for image, share in share_by_image.items():
+            # The matrix is symmetric: its rows are its columns.
+            row = self._covariance[self._position_by_image[image]]
+            projected = [
+                total + share * value
+                for total, value in zip(projected, row, strict=True)
+            ]
         return projected
 
-    def _correct(
-        self, projected: dict[str, float], error: float, variance: float
-    ) -> None:
-        for image, gain in projected.items():
-            mean = self.mean_by_image[image] - gain * error / variance
+    def _correct(self, projected: list[float], error: float, variance: float) -> None:
+        for image, position in self._position_by_image.items():
+            gain = projected[position] / variance
+            if not gain:
+                continue
+            mean = self.mean_by_image[image] - gain * error
             self.mean_by_image[image] = min(MAX_EFFECT, max(0.0, mean))
-            row = self._covariance[image]
-            scaled = gain / variance
-            for other, other_gain in projected.items():
-                row[other] -= scaled * other_gain
+            row = self._covariance[position]
+            self._covariance[position] = [
+                value - gain * other
+                for value, other in zip(row, projected, strict=True)
+            ]
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,5 +1,10 @@
 """Colocation of tasks on spare processors with serving tasks; quarantine of runners."""
 
+import dataclasses
+import random
+
+import pytest
+
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import (
     Attempt,
@@ -11,6 +16,16 @@
     TaskId,
 )
 from flamingoweir.policy import ColocationPolicy, PlacementPolicy, RunnerHealth
+from flamingoweir.policy._effects import (
+    EFFECT_DRIFT_STD,
+    MAX_EFFECT,
+    MEASUREMENT_STD,
+    MEASUREMENT_STD_RATIO,
+    PRIOR_EFFECT,
+    PRIOR_EFFECT_STD,
+    EffectModel,
+    new_baseline,
+)
 from flamingoweir.registry import RunnerEntry
 from flamingoweir.resources import Resources
 from flamingoweir.standins import ContentionModel
@@ -300,3 +315,59 @@
     assert not health.is_usable("r", True, 4.1)
     health.record_end("r", "three", False, 4.5)
     assert health.is_usable("r", True, 4.6)
+
+
+@pytest.mark.parametrize(
+    ("runner_count", "tail_ms", "expected_s"),
+    [(24, 10.0, 0.4), (445, 10.0, 0.99), (445, 40.0, 0.4), (2_800, 10.0, 1.0)],
+)
+def test_runners_of_a_large_fleet_are_measured_less_often_far_below_target(
+    runner_count, tail_ms, expected_s
+):
+    """Guards against an owner whose processor is used up by polls of a large fleet.
+
+    A runner near its target is polled as often as in a small fleet.
+    """
+    colocation, runner = ColocationPolicy(), make_runner()
+    colocation.runner_count = runner_count
+    serving = add_allocation(runner, 1, make_serving())
+    serving.load = tail_ms
+    assert colocation.measure_interval_s(runner) == pytest.approx(expected_s, abs=0.01)
+
+
+def test_effects_are_learnt_as_by_the_full_covariance_matrix():
+    """Guards against another estimate because of how the matrix is stored."""
+    generator = random.Random(5)
+    model, baseline = EffectModel(), new_baseline(0.0)
+    images = [f"image-{number}" for number in range(6)]
+    covariance = {a: {b: 0.0 for b in images} for a in images}
+    for image in images:
+        # The model meets all images in its first measurement.
+        covariance[image][image] = PRIOR_EFFECT_STD**2
+    mean_by_image = dict.fromkeys(images, PRIOR_EFFECT)
+    shares = dict.fromkeys(images, 0.05)
+    for number in range(40):
+        now_s = 0.5 * number
+        added = EFFECT_DRIFT_STD**2 * (0.5 if number else 0.0)
+        for image in images:
+            row = covariance[image]
+            row[image] = min(PRIOR_EFFECT_STD**2, row[image] + added)
+        reference = dataclasses.replace(baseline)
+        reference.predict(now_s)
+        headroom = generator.uniform(0.8, 3.0)
+        error = model.learn(headroom, shares, baseline, now_s)
+        projected = {
+            a: sum(covariance[a][b] * share for b, share in shares.items())
+            for a in images
+        }
+        expected = headroom - error
+        std = MEASUREMENT_STD_RATIO * max(headroom, expected)
+        variance = reference.variance + std**2 + MEASUREMENT_STD**2
+        variance += sum(share * projected[a] for a, share in shares.items())
+        for a in images:
+            mean = mean_by_image[a] - projected[a] * error / variance
+            mean_by_image[a] = min(MAX_EFFECT, max(0.0, mean))
+            for b in images:
+                covariance[a][b] -= projected[a] / variance * projected[b]
+        shares = {a: generator.choice((0.0, 0.1, 0.3)) for a in images}
+        assert model.mean_by_image == pytest.approx(mean_by_image)
