Judge progress by the time of the poll, not of its response

Cause: a response that is held up for some seconds shows the progress of the time at which it was made. The owner counted the seconds until its arrival, took the task for one that stands still, stopped it and closed the runner.

The time without progress counts until the poll was sent. Found by looking for what operators of similar systems reported.

--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -196,14 +196,17 @@
         if has_unlisted and len(report.ended) < FULL_REPORT_ENDS:
             self._discard_unlisted(running, sent_s)
         self._adjust_paces()
-        self._stop_stalled()
+        self._stop_stalled(sent_s)
 
-    def _stop_stalled(self) -> None:
-        """Stop attempts without progress and record that the runner is unhealthy."""
+    def _stop_stalled(self, sent_s: float) -> None:
+        """Stop attempts without progress and record that the runner is unhealthy.
+
+        Only the time until the poll was sent counts: its response may have been under
+        way for long, with progress as of its sending.
+        """
         runner = self._runner
-        now_s = self._clock.now()
-        for allocation in find_stalled(runner, now_s):
-            self._owner_state.health.record_fault(runner.id, now_s)
+        for allocation in find_stalled(runner, sent_s):
+            self._owner_state.health.record_fault(runner.id, self._clock.now())
             self._owner_state.stop_attempt(allocation.attempt, "stalled")
 
     def _adjust_paces(self) -> None:
