End a term, not the process, on an unexpected error or a malformed row

Cause: an error in any loop of an owner ended its process, also that of a malformed row of tasks, state or job; each next owner read the same row and ended too.

An unexpected error ends the term with a log line; the instance releases the shard, leaves it to others for 3 s and goes on serving submitters. A job whose tasks or state can't be read is excluded: nothing of it runs again, as its tasks may be done.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -23,6 +23,9 @@
 OPERATOR_FEED_WAIT_S = 0.9
 #: Age in seconds of the operators' table from which an instance is not ready.
 MAX_TABLE_AGE_S = 4.0
+#: Seconds for which an instance leaves the shard to others after an unexpected error
+#: has ended its term; longer than a standby takes.
+FAILED_TERM_PAUSE_S = 3.0
 
 
 def wall_ms() -> float:
@@ -137,18 +140,23 @@
         while True:
             writer = await self.standby.wait_for_ownership()
             self._owns_shard = True
+            failed = False
             if not self.leaving:
-                await self._run_term(writer)
-            if self.leaving:
+                failed = await self._run_term(writer)
+            if self.leaving or failed:
                 try:
                     await writer.release()
                     log.info("shard_released", shard=writer.shard)
                 except OwnershipLost as error:
                     log.info("shard_not_released", detail=str(error))
+            if self.leaving:
                 self._shard_released.set()
             self._owns_shard = False
+            if failed:
+                await anyio.sleep(FAILED_TERM_PAUSE_S)
 
-    async def _run_term(self, writer: FencedWriter) -> None:
+    async def _run_term(self, writer: FencedWriter) -> bool:
+        """Run a term; return whether an unexpected error has ended it."""
         self.term = Term(
             writer,
             self._links.owner_store,
@@ -166,4 +174,6 @@
             tasks.start_soon(self.standby.watch)
             await self.term.run()
             tasks.cancel_scope.cancel()
+        failed = self.term.failed
         self.term = None
+        return failed
--- a/flamingoweir/dispatch/_loader.py
+++ b/flamingoweir/dispatch/_loader.py
@@ -39,7 +39,7 @@
             return
         try:
             spec = decode_spec(row.value)
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             log.error("job_unreadable", job=row.id.key, detail=repr(error))
             return
         job = self._owner_state.add_job(spec)
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -101,6 +101,7 @@
         self.stop_wakeup = Wakeup()
         self.health = RunnerHealth()
         self.colocation = ColocationPolicy()
+        self._unreadable_job_ids: set[str] = set()
         self._clock = clock
         self._metrics = metrics
         self._max_lease_s = max_lease_s
@@ -108,8 +109,12 @@
         self._leaving_s_by_runner = leaving_s_by_runner or {}
 
     def has_job(self, job_id: str) -> bool:
-        """Return whether a job was added before or has ended."""
-        return job_id in self.job_by_id or job_id in self.ended_ms_by_job
+        """Return whether a job was added before, has ended or is unreadable."""
+        return (
+            job_id in self.job_by_id
+            or job_id in self.ended_ms_by_job
+            or job_id in self._unreadable_job_ids
+        )
 
     def add_job(self, spec: JobSpec) -> Job | None:
         """Add an accepted job; return None if it was added before or has ended."""
@@ -130,6 +135,12 @@
         self._mark_changed(job)
         self._stop_surplus(job)
 
+    def exclude_job(self, job_id: str) -> None:
+        """Run nothing of a job whose tasks can't be read: they may be done already."""
+        self.job_by_id.pop(job_id, None)
+        self.changed_job_ids.discard(job_id)
+        self._unreadable_job_ids.add(job_id)
+
     def record_ended_job(self, job_id: str, ended_ms: int) -> None:
         """Remove a job whose end is durable; its job row can't add it again."""
         self.job_by_id.pop(job_id, None)
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -83,6 +83,13 @@
         Receives counters.
     max_lease_s : float
         Longest lease that runners grant, in seconds.
+
+    Attributes
+    ----------
+    owner_state : OwnerState
+        Jobs, runners and attempts.
+    failed : bool
+        Whether an unexpected error has ended the term.
     """
 
     def __init__(
@@ -106,6 +113,7 @@
             max_lease_s,
             former.leaving_s_by_runner if former is not None else None,
         )
+        self.failed = False
         self._writer = writer
         self._store = store
         self._clock = clock
@@ -140,7 +148,12 @@
         self._orders: OrderSender | None = None
 
     async def run(self) -> str:
-        """Run the owner's loops until the term ends; return why it ended."""
+        """Run the owner's loops until the term ends; return why it ended.
+
+        An unexpected error ends the term, and sets `failed`, but not the process, which
+        also serves submitters.
+        """
+        reason = ""
         try:
             async with anyio.create_task_group() as task_group:
                 self._task_group = task_group
@@ -165,6 +178,10 @@
                 )
         except* OwnershipLost as group:
             reason = str(group.exceptions[0])
+        except* Exception as group:
+            self.failed = True
+            reason = reason or f"unexpected error: {group.exceptions[0]!r}"
+            log.error("term_failed", shard=self._writer.shard, exc_info=group)
         log.info("term_ended", shard=self._writer.shard, reason=reason)
         with anyio.CancelScope(shield=True):
             for link in self._link_by_runner.values():
@@ -237,8 +254,10 @@
             job_id = row.id.key
             try:
                 state, ended_ms = decode_state(row.value or b"")
-            except (ValueError, KeyError) as error:
+            except (ValueError, KeyError, TypeError) as error:
+                # The job may have ended, so that nothing of it may run.
                 log.error("state_unreadable", job=job_id, detail=repr(error))
+                self.owner_state.exclude_job(job_id)
                 continue
             if state not in FINAL_STATES or job_id in unfinished:
                 state_by_job[job_id] = state
@@ -247,13 +266,19 @@
         return state_by_job
 
     def _restore_tasks(self, row: VersionedRow, committer: Committer) -> None:
-        job_id, occurrence, step, number = row.id.key.rsplit(".", 3)
-        tasks_key = (int(occurrence), int(step), int(number))
+        job_id = row.id.key.rsplit(".", 3)[0]
         job = self.owner_state.job_by_id.get(job_id)
         if job is None or row.value is None:
             log.warning("tasks_without_job", key=row.id.key)
             return
-        restore_tasks(job, tasks_key, row.value)
+        try:
+            occurrence, step, number = row.id.key.rsplit(".", 3)[1:]
+            tasks_key = (int(occurrence), int(step), int(number))
+            restore_tasks(job, tasks_key, row.value)
+        except (ValueError, KeyError, IndexError, TypeError) as error:
+            log.error("tasks_unreadable", key=row.id.key, detail=repr(error))
+            self.owner_state.exclude_job(job_id)
+            return
         committer.record_row(job_id, tasks_key)
         self.owner_state.changed_job_ids.add(job_id)
 
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -17,7 +17,7 @@
 
     Raises
     ------
-    ValueError, KeyError, TypeError
+    ValueError, KeyError, TypeError, AttributeError
         If the data is malformed.
     """
     fields = orjson.loads(data)
@@ -45,7 +45,7 @@
 
     Raises
     ------
-    ValueError, KeyError
+    ValueError, KeyError, TypeError
         If the data is malformed.
     """
     fields = orjson.loads(data)
@@ -87,7 +87,7 @@
 
     Raises
     ------
-    ValueError, KeyError
+    ValueError, KeyError, IndexError, TypeError
         If the data is malformed or the job has no such step.
     """
     occurrence, step, row_number = row
--- /dev/null
+++ b/tests/test_unexpected.py
@@ -0,0 +1,136 @@
+"""Malformed rows and unexpected errors end no process and run no job twice."""
+
+from types import SimpleNamespace
+
+import anyio
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from flamingoweir.dispatch._planner import Planner
+from flamingoweir.jobs import JobState
+from flamingoweir.ownership import job_row, owner_row, state_row, tasks_row
+from flamingoweir.platform import PlatformRowDecoder
+from flamingoweir.registry import OperatorView, RunnerView
+from flamingoweir.storage import RowId, VersionedRow
+from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.virtual_time import run_virtual
+
+#: Time in seconds in which work goes on after an owner's end.
+MAX_GAP_S = 2.55
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+    lambda children: (
+        st.lists(children, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ["Service", "Address", "State", "Capacity", "Labels", "born", "Cpu"]
+                + ["Version", "Routes", "Services", "Limits", "Name", "Wave", "Host"]
+            ),
+            children,
+            max_size=6,
+        )
+    ),
+    max_leaves=8,
+)
+
+
+def test_unexpected_error_ends_the_term_and_not_the_process(monkeypatch):
+    """Guards against an error in one loop of the owner that ends the whole process."""
+    plan = Planner.plan
+    errors = []
+
+    async def fail_once(self):
+        if self._owner_state.job_by_id and not errors:
+            errors.append(1)
+            raise RuntimeError("a fault in the planner")
+        await plan(self)
+
+    monkeypatch.setattr(Planner, "plan", fail_once)
+
+    async def scenario():
+        async with run_cluster(members=2) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(3)))
+            await cluster.wait_for(job, JobState.DONE, MAX_GAP_S + 1.5)
+            assert errors
+            assert (await cluster.owner()).name != owner.name
+            # The process that failed still serves submitters.
+            await cluster.submit(make_job(2), owner)
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [
+        lambda c, job: c.rows.put(tasks_row("s0", job.id, (0, 0, 0)), b"{"),
+        lambda c, job: c.rows.put(tasks_row("s0", job.id, (0, 0, 0)), b"[[1,2]]"),
+        lambda c, job: c.rows.put(tasks_row("s0", job.id, (0, 7, 0)), b"[]"),
+        lambda c, job: c.rows.put(RowId("tasks", "s0", job.id + ".x.0.0"), b"[]"),
+        lambda c, job: c.rows.put(state_row("s0", job.id), b"[]"),
+        lambda c, job: c.rows.put(job_row("s0", job.id), b'{"steps":[1]}'),
+    ],
+)
+def test_malformed_row_of_a_job_stops_no_other_job(damage):
+    """Guards against a row that ends one new owner after the other.
+
+    Nothing of that job is run again: its tasks may be done.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            damaged = await cluster.submit(
+                make_job(1, make_step(2), make_step(1, after=(0,), processors=3.0))
+            )
+            await anyio.sleep(1.3)
+            assert cluster.records("done")
+            started = len(cluster.records("start"))
+            cluster.kill_member(owner)
+            damage(cluster, damaged)
+            await anyio.sleep(MAX_GAP_S)
+            other = await cluster.submit(make_job(2, make_step(3)))
+            await cluster.wait_for(other, JobState.DONE, MAX_GAP_S + 1.5)
+            assert len(cluster.records("start")) == started + 3
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
+
+
+def test_malformed_owner_row_is_taken_over():
+    """Guards against a shard that nobody owns any more."""
+
+    async def scenario():
+        async with run_cluster(members=2) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            cluster.kill_member(owner)
+            cluster.rows.put(owner_row("s0"), b'{"holder": 3}')
+            job = await cluster.submit(make_job(1))
+            await cluster.wait_for(job, JobState.DONE, MAX_GAP_S + 2.0)
+
+    run_virtual(scenario)
+
+
+@given(JSON)
+@settings(max_examples=300, derandomize=True, deadline=None)
+def test_rows_of_another_writer_raise_nothing(value):
+    """Guards against a row that ends the process of each instance that reads it."""
+    try:
+        data = orjson.dumps(value)
+    except TypeError:
+        # An integer of more than 64 bits.
+        data = b"{"
+    runners = RunnerView(PlatformRowDecoder(), lambda: None, SimpleNamespace(now=float))
+    operators = OperatorView(PlatformRowDecoder())
+    for content in (data, data[:-1], b"\xff\xfe", b""):
+        row = VersionedRow(RowId("servers", "", "runner"), content, 5)
+        runners.apply_rows([row], False)
+        for key in ("config", "evacuate/powys", "wave/1", "other"):
+            row = VersionedRow(RowId("op", "", key), content, 5)
+            operators.apply_rows([row], False)
