--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -106,7 +106,6 @@
             self.operators,
             self.standby.backlog,
             clock,
-            wall_ms,
             generator,
             metrics,
         )
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -65,8 +65,6 @@
         last published, or None if there is none or it is older.
     clock : Clock
         Monotonic clock of this instance.
-    wall_ms : callable
-        Returns the wall-clock time in milliseconds since 1970; not used.
     generator : random.Random
         Source of the jitter of retry pauses.
     metrics : Metrics
@@ -79,7 +77,6 @@
         operators: OperatorView,
         backlog: Callable[[float], Backlog | None],
         clock: Clock,
-        wall_ms: Callable[[], float],
         generator: random.Random,
         metrics: Metrics,
     ):
@@ -87,7 +84,6 @@
         self._operators = operators
         self._backlog = backlog
         self._clock = clock
-        self._wall_ms = wall_ms
         self._generator = generator
         self._metrics = metrics
         self._final_state_by_job: dict[str, JobState] = {}
