--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -266,6 +266,8 @@
             end_s = self._advanced_s + run.remaining_s / speed
             run.remaining_s -= (until_s - self._advanced_s) * speed
             if run.remaining_s <= 1e-9:
+                # The checkpoint is that of the end, not of this call.
+                run.remaining_s = 0.0
                 self._end(task, run.outcome, end_s)
         if now_s >= lease_end_s:
             for task in list(self._run_by_task):
--- a/tests/test_slow_reports.py
+++ b/tests/test_slow_reports.py
@@ -2,7 +2,8 @@
 
 import anyio
 
-from flamingoweir.jobs import JobState, Outcome
+from flamingoweir.dispatch import StartOrder
+from flamingoweir.jobs import JobState, Outcome, TaskId
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
 
@@ -36,3 +37,24 @@
             assert not cluster.records("stopped")
 
     run_virtual(scenario)
+
+
+def test_checkpoint_of_a_run_is_that_of_its_end():
+    """Guards against a stand-in whose next run is done before it was started.
+
+    The runner is not called for a while after the run has failed.
+    """
+
+    async def scenario():
+        async with run_cluster(members=0, runners=1) as cluster:
+            job = make_job(1, make_step(1, checkpoints=True))
+            cluster.spec_by_id[job.id] = job
+            task = TaskId(job.id, 0, 0, 0)
+            cluster.plan_by_task[f"{task}#1"] = (0.5, Outcome.FAILED)
+            runner = cluster.runner_by_id["runner-0"]
+            runner.start(StartOrder(task, 1, "", 9_000, 1, "", ""))
+            await anyio.sleep(3.0)
+            (end,) = runner.poll(1, 0, 9_000).ended
+            assert float(end.checkpoint) == 0.5
+
+    run_virtual(scenario)
