Use one word for each of two things: leaving room, and a task held back

A long-running task that leaves room to batch had the name that the log uses for a slowed task that is moved. Leases of leaving runners had the name of draining ones.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -4,7 +4,7 @@
 
 from ..clock import Clock
 from ..fleet import (
-    DRAINING_LEASE_S,
+    LEAVING_LEASE_S,
     RUNNER_LEASE_S,
     Allocation,
     Runner,
@@ -325,7 +325,7 @@
         else:
             # The former owner renews nothing there since before this term.
             longer_left_s = LEASE_MARGIN * RUNNER_LEASE_S - leaving_s
-            left_s = max(LEASE_MARGIN * DRAINING_LEASE_S, longer_left_s)
+            left_s = max(LEASE_MARGIN * LEAVING_LEASE_S, longer_left_s)
         return Runner(entry, self._max_lease_s, self._started_s + left_s)
 
     def _record_outcome(
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -201,7 +201,7 @@
                 unplaced_count += not step.spec.lasting
                 if unplaced_count > MAX_UNPLACED_STEPS:
                     return
-                if not self._is_held_back(step, _placing_order(step)[0]):
+                if not self._must_leave_room(step, _placing_order(step)[0]):
                     unplaced.add(step)
                     self._make_room(step)
             if self._time_slice.is_over():
@@ -365,8 +365,8 @@
                     self._placement, step, candidates, self._now_s
                 )
                 evaluated_s = self._context.clock.now()
-            held_back = self._is_held_back(step, index)
-            runner = None if held_back else placement.choose(index)
+            leaves_room = self._must_leave_room(step, index)
+            runner = None if leaves_room else placement.choose(index)
             if runner is None:
                 if step.unplaced_since_s is None:
                     step.unplaced_since_s = self._now_s
@@ -384,7 +384,7 @@
         self._candidates.recheck(step, placed_on.values())
         return True
 
-    def _is_held_back(self, step: StepRun, index: int) -> bool:
+    def _must_leave_room(self, step: StepRun, index: int) -> bool:
         """Return whether a task must leave its resources to batch work for now."""
         if not step.spec.lasting or step.tasks[index].last_run:
             return False
--- a/flamingoweir/fleet/__init__.py
+++ b/flamingoweir/fleet/__init__.py
@@ -1,7 +1,7 @@
 """The shard owner's view of its runners."""
 
 from ._runner import (
-    DRAINING_LEASE_S,
+    LEAVING_LEASE_S,
     RUNNER_LEASE_S,
     START_WINDOW_S,
     Allocation,
@@ -9,7 +9,7 @@
 )
 
 __all__ = [
-    "DRAINING_LEASE_S",
+    "LEAVING_LEASE_S",
     "RUNNER_LEASE_S",
     "START_WINDOW_S",
     "Allocation",
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -11,7 +11,7 @@
 #: Seconds from a poll to the end of the lease that it renews on a leaving runner. This
 #: time is shorter, so that the tasks can be started elsewhere soon after the runner has
 #: stopped.
-DRAINING_LEASE_S = 1.6
+LEAVING_LEASE_S = 1.6
 #: Seconds within which a start order must reach the runner. A delayed order arrives two
 #: seconds late or more, so that the runner rejects it.
 START_WINDOW_S = 1.5
@@ -247,7 +247,7 @@
             Whether the owner row names the runner as leaving.
         """
         short = leaving or self.leaving_since_s is not None
-        lease_s = DRAINING_LEASE_S if short else RUNNER_LEASE_S
+        lease_s = LEAVING_LEASE_S if short else RUNNER_LEASE_S
         return self._renew(now_s, min(lease_s, self._max_lease_s))
 
     def update_leaving(self, leaving: bool, now_s: float) -> None:
--- a/flamingoweir/policy/_headroom.py
+++ b/flamingoweir/policy/_headroom.py
@@ -20,7 +20,7 @@
 #: Seconds in which the remembered peak of the demand halves.
 PEAK_HALF_LIFE_S = 10.0
 #: Seconds after which a long-running step is placed whatever batch may need.
-MAX_HELD_BACK_S = 60.0
+MAX_WAIT_S = 60.0
 
 
 @dataclass(slots=True)
@@ -88,7 +88,7 @@
             Seconds for which its step has been ready.
         """
         load = self._load_by_service.get(service)
-        if load is None or waited_s > MAX_HELD_BACK_S:
+        if load is None or waited_s > MAX_WAIT_S:
             return True
         if load.lasting_milli < UNLIMITED_SHARE * load.capacity_milli:
             return True
--- a/tests/test_leaving_runners.py
+++ b/tests/test_leaving_runners.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from flamingoweir.fleet import DRAINING_LEASE_S, RUNNER_LEASE_S
+from flamingoweir.fleet import LEAVING_LEASE_S, RUNNER_LEASE_S
 from flamingoweir.jobs import JobState
 from flamingoweir.ownership import OwnerRecord, decode_owner_record, encode_owner_record
 from flamingoweir.storage import RowId, VersionedRow
@@ -128,7 +128,7 @@
             for member in cluster.member_by_name.values():
                 if runner.id in member.link_by_runner:
                     member.link_by_runner[runner.id].disconnected = True
-            await anyio.sleep((DRAINING_LEASE_S + RUNNER_LEASE_S) / 2 - 0.5)
+            await anyio.sleep((LEAVING_LEASE_S + RUNNER_LEASE_S) / 2 - 0.5)
             for member in cluster.member_by_name.values():
                 if runner.id in member.link_by_runner:
                     member.link_by_runner[runner.id].disconnected = False
