--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -233,8 +233,8 @@
     ) -> list[Attempt]:
         """Return an attempt that was slowed down for long and fits on another runner.
 
-        At most one attempt is returned, so that the same free resources are not used
-        for two attempts.
+        At most one attempt is returned, so that two attempts don't move to the same
+        free resources.
         """
         found: list[Attempt] = []
         for allocation in _spare_allocations(runner):
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -327,6 +327,30 @@
     run_virtual(scenario)
 
 
+def test_restarted_instances_use_no_runner_that_has_left_or_is_in_an_evacuated_zone():
+    """Guards against decisions that are forgotten when all processes restart."""
+
+    async def scenario():
+        async with run_cluster(members=2, runners=2) as cluster:
+            cluster.add_runner("runner-far", zone="gwynedd")
+            await cluster.owner()
+            await anyio.sleep(1)
+            cluster.evacuate_zone("gwynedd")
+            # It left the table, but still responds.
+            cluster.unlist_runner("runner-0")
+            await anyio.sleep(4)
+            for member in list(cluster.member_by_name.values()):
+                cluster.kill_member(member)
+            for number in range(2):
+                cluster.add_member(f"front-{number}")
+            await cluster.owner()
+            job = await cluster.submit(make_job(1, make_step(8)))
+            await cluster.wait_for(job, JobState.DONE, 8.0)
+            assert {r.runner for r in cluster.records("start")} == {"runner-1"}
+
+    run_virtual(scenario)
+
+
 def test_evacuated_zone_gets_no_tasks():
     """No task may start in a zone that operators have evacuated."""
 
