--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -116,6 +116,8 @@
         The rows of the store.
     runner_by_id : dict of str to MemoryRunner
         The runners, also those without a row in the store.
+    address_by_runner : dict of str to str
+        The addresses at which the runners listen.
     member_by_name : dict of str to Member
         The instances that run.
     spec_by_id : dict of str to JobSpec
@@ -130,6 +132,7 @@
         self.start_count = 0
         self.rows = MemoryRows()
         self.runner_by_id: dict[str, MemoryRunner] = {}
+        self.address_by_runner: dict[str, str] = {}
         self.member_by_name: dict[str, Member] = {}
         self.spec_by_id: dict[str, JobSpec] = {}
         self.plan_by_task: dict[str, tuple[float, Outcome]] = {}
@@ -156,12 +159,14 @@
         processors: float = 4,
         zone: str = "powys",
         contention: ContentionModel | None = None,
+        address: str = "",
     ):
         capacity = Resources(round(processors * 1000), 256_000, 0)
         runner = MemoryRunner(
             runner_id, capacity, self.find_spec, self.plan, contention=contention
         )
         self.runner_by_id[runner_id] = runner
+        self.address_by_runner[runner_id] = address or f"{runner_id}:1"
         self.list_runner(runner_id, zone)
         return runner
 
@@ -169,7 +174,7 @@
         runner = self.runner_by_id[runner_id]
         entry = {
             "Service": SERVICE,
-            "Address": f"{runner_id}:1",
+            "Address": self.address_by_runner[runner_id],
             "Zone": zone,
             "State": state,
             "Capacity": {
