Log which runners have crashed, and the attempts that started last there

The logs could not tell a crash from a cut link: both were `runner_lost`, then `leases_lapsed`, and which of the ten attempts was to blame could only be guessed. A runner has crashed if its machine has a later life that is listed (or the same id has), and it did not drain before. `runner_crashed` names the attempts that had not run for two seconds, with more blame for those that started last. No decision depends on it yet.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -124,6 +124,7 @@
     ) -> None:
         now_s = self._context.clock.now()
         if result is StartResult.STARTED:
+            allocation.record_start(now_s)
             self._owner_state.record_start(attempt)
             allocation.expect_listed_after_s = now_s
             runner.poll_wakeup.set()
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -22,7 +22,7 @@
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..ownership import LEASE_VALID_S
-from ..policy import ColocationPolicy, RunnerHealth
+from ..policy import ColocationPolicy, Crash, CrashDetector, RunnerHealth, find_suspects
 from ..registry import RunnerEntry
 from ..wakeup import Wakeup
 
@@ -101,6 +101,8 @@
         self.stop_wakeup = Wakeup()
         self.health = RunnerHealth()
         self.colocation = ColocationPolicy()
+        self._crash_detector = CrashDetector()
+        self._entry_by_id: dict[str, RunnerEntry] = {}
         self._unreadable_job_ids: set[str] = set()
         self._clock = clock
         self._metrics = metrics
@@ -149,6 +151,8 @@
     def update_runners(self, entry_by_id: dict[str, RunnerEntry]) -> list[Runner]:
         """Update the listed runners; return those that need a connection."""
         to_connect = []
+        self._entry_by_id = entry_by_id
+        self._log_crashes()
         for runner_id, entry in entry_by_id.items():
             known = self.runner_by_id.get(runner_id)
             if known is not None and known.entry.address in ("", entry.address):
@@ -203,9 +207,21 @@
         log.warning(
             "leases_lapsed", runner=runner.id, attempts=len(runner.allocation_by_run)
         )
+        self._crash_detector.record_lost(runner, self._clock.now())
         for allocation in list(runner.allocation_by_run.values()):
             attempt = allocation.attempt
             self.end_attempt(runner, attempt.task, attempt.run, Outcome.LAPSED, "")
+        self._log_crashes()
+
+    def record_restart(self, runner: Runner, lost: list[Allocation]) -> None:
+        """Record that a runner has restarted with the same id and lost allocations."""
+        suspects = find_suspects(lost)
+        if suspects:
+            self._log_crash(Crash(runner.id, suspects))
+
+    def record_response(self, runner: Runner) -> None:
+        """Record that a runner responds that did not respond before."""
+        self._crash_detector.record_response(runner.id)
 
     def add_attempt(self, step: StepRun, index: int, runner: Runner) -> Attempt:
         """Create an attempt of a task on a runner whose incarnation is known."""
@@ -307,6 +323,15 @@
                 waiting[job.spec.queue] = waiting.get(job.spec.queue, 0) + 1
         return waiting
 
+    def _log_crashes(self) -> None:
+        now_s = self._clock.now()
+        for crash in self._crash_detector.find_crashes(self._entry_by_id, now_s):
+            self._log_crash(crash)
+
+    def _log_crash(self, crash: Crash) -> None:
+        suspects = [f"{s.task}#{s.run}:{s.blame}" for s in crash.suspects]
+        log.warning("runner_crashed", runner=crash.runner, suspects=" ".join(suspects))
+
     def _allocate(self, step: StepRun, attempt: Attempt, runner: Runner) -> None:
         runner.add(attempt, step.spec)
         self.pending_starts.append(attempt)
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -145,6 +145,7 @@
         self._context.metrics.incr("looks")
         if runner.unresponsive_since_s is not None:
             log.info("runner_regained", runner=runner.id)
+            self._owner_state.record_response(runner)
             for allocation in runner.allocation_by_run.values():
                 allocation.unthrottled_since_s = self._clock.now()
         runner.record_response(report.clock_ms, self._clock.now())
@@ -271,6 +272,9 @@
             running=len(report.running),
             lost=len(lost),
         )
+        self._owner_state.record_restart(
+            runner, [a for a in lost if (a.attempt.task, a.attempt.run) not in running]
+        )
         for allocation in lost:
             attempt = allocation.attempt
             if (attempt.task, attempt.run) in running:
@@ -290,6 +294,8 @@
         attempt = allocation.attempt
         allocation.load = task.load
         now_s = self._clock.now()
+        allocation.record_start(now_s)
+        allocation.listed_s = now_s
         self._owner_state.record_start(attempt)
         allocation.expect_listed_after_s = min(allocation.expect_listed_after_s, now_s)
         if task.progress_percent >= attempt.progress_percent + MIN_PROGRESS_PERCENT:
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -31,8 +31,10 @@
         "expect_listed_after_s",
         "load",
         "headroom_deviation",
+        "listed_s",
         "spec",
         "start_unanswered",
+        "started_s",
         "throttled_since_s",
         "ticket",
         "unthrottled_since_s",
@@ -57,6 +59,23 @@
         self.start_unanswered = False
         #: Ticket of the placement advice service; empty: none needed.
         self.ticket = ""
+        #: When the start was first confirmed, on the owner's clock, in seconds; None
+        #: before.
+        self.started_s: float | None = None
+        #: When a poll last listed the attempt as running, on the owner's clock, in
+        #: seconds.
+        self.listed_s = float("-inf")
+
+    def record_start(self, now_s: float) -> None:
+        """Record that the start is confirmed; only the first call counts."""
+        if self.started_s is None:
+            self.started_s = now_s
+
+    def has_survived(self, duration_s: float) -> bool:
+        """Return whether the runner was up ``duration_s`` after the start."""
+        return self.started_s is not None and (
+            self.listed_s - self.started_s >= duration_s
+        )
 
 
 class Runner:
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling policies: order, placement, colocation, health; no input or output."""
 
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy, PaceChange
+from ._crashes import Crash, CrashDetector, find_suspects
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
 from ._headroom import BatchHeadroom, ServiceLoad
@@ -14,6 +15,8 @@
     "MAX_PLACEMENT_WAIT_S",
     "BatchHeadroom",
     "ColocationPolicy",
+    "Crash",
+    "CrashDetector",
     "PaceChange",
     "PlacementPolicy",
     "RunnerHealth",
@@ -21,6 +24,7 @@
     "StepPlacement",
     "choose_evictions",
     "find_stalled",
+    "find_suspects",
     "objective_s",
     "place_gang",
     "sort_key",
