Give up tasks that crash the runners that start them

Callers saw a job that ran without end, and every few seconds some ten tasks of others that were lost with a runner. Cause: an attempt that is lost with its runner ends as lapsed, and that counts towards no limit; one task is then started on runner after runner.

A crash is now told from a cut link by the next life of the runner's machine, and blamed on the attempts that had not run for two seconds: more if the runner was lost within half a second of the start, or before it could list the attempt once, less if it was later or is not known. A task with the blame of two early crashes (or of four others) is given up, and its job has failed. A run that outlives the two seconds, or whose end a runner reports, clears the task. The blame is stored with the state of the job, in a field that other builds ignore, so that the next owner goes on counting.

Why it is no limit on lapses: a partition or a zone without power would then fail jobs that could be done. A task is given up only if the machines of at least two runners came back to life after they had started it.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -3,7 +3,14 @@
 from dataclasses import dataclass, field
 
 from ..fleet import Runner
-from ..jobs import FINAL_STATES, Attempt, Job, encode_state, encode_tasks
+from ..jobs import (
+    FINAL_STATES,
+    Attempt,
+    Job,
+    StateRecord,
+    encode_state,
+    encode_tasks,
+)
 from ..logs import get_logger
 from ..ownership import Backlog, state_row, tasks_row
 from ..registry import TableFollower
@@ -132,7 +139,8 @@
         if job.state_changed:
             job.state_changed = False
             ended_ms = round(self._context.wall_ms()) if job.is_final else 0
-            value = encode_state(job.state, ended_ms)
+            record = StateRecord(job.state, ended_ms, job.blame_by_task)
+            value = encode_state(record)
             batch.puts.append((state_row(shard, job_id), value))
             log.info("job_state", job=job_id, queue=job.spec.queue, state=job.state)
         if not finished:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -22,7 +22,13 @@
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..ownership import LEASE_VALID_S
-from ..policy import ColocationPolicy, Crash, CrashDetector, RunnerHealth, find_suspects
+from ..policy import (
+    SURVIVAL_S,
+    ColocationPolicy,
+    Crash,
+    CrashDetector,
+    RunnerHealth,
+)
 from ..registry import RunnerEntry
 from ..wakeup import Wakeup
 
@@ -152,7 +158,7 @@
         """Update the listed runners; return those that need a connection."""
         to_connect = []
         self._entry_by_id = entry_by_id
-        self._log_crashes()
+        self._blame_crashes()
         for runner_id, entry in entry_by_id.items():
             known = self.runner_by_id.get(runner_id)
             if known is not None and known.entry.address in ("", entry.address):
@@ -207,17 +213,19 @@
         log.warning(
             "leases_lapsed", runner=runner.id, attempts=len(runner.allocation_by_run)
         )
-        self._crash_detector.record_lost(runner, self._clock.now())
+        self._crash_detector.record_lapsed(runner, self._clock.now())
         for allocation in list(runner.allocation_by_run.values()):
             attempt = allocation.attempt
             self.end_attempt(runner, attempt.task, attempt.run, Outcome.LAPSED, "")
-        self._log_crashes()
+        self._blame_crashes()
 
-    def record_restart(self, runner: Runner, lost: list[Allocation]) -> None:
+    def record_restart(
+        self, runner: Runner, former: int | None, lost: list[Allocation]
+    ) -> None:
         """Record that a runner has restarted with the same id and lost allocations."""
-        suspects = find_suspects(lost)
-        if suspects:
-            self._log_crash(Crash(runner.id, suspects))
+        crash = self._crash_detector.find_crash_of_restarted(runner, former, lost)
+        if crash is not None:
+            self._blame(crash)
 
     def record_response(self, runner: Runner) -> None:
         """Record that a runner responds that did not respond before."""
@@ -250,6 +258,10 @@
         now_s = self._clock.now()
         if allocation is not None:
             self._record_outcome(runner, allocation, outcome, now_s)
+        if outcome is not Outcome.LAPSED or (
+            allocation is not None and allocation.has_survived(SURVIVAL_S)
+        ):
+            job.clear_blame(task)
         if not job.end(task, run, outcome, checkpoint):
             return
         step = job.run_by_step[task.occurrence, task.step]
@@ -323,14 +335,34 @@
                 waiting[job.spec.queue] = waiting.get(job.spec.queue, 0) + 1
         return waiting
 
-    def _log_crashes(self) -> None:
+    def _blame_crashes(self) -> None:
         now_s = self._clock.now()
-        for crash in self._crash_detector.find_crashes(self._entry_by_id, now_s):
-            self._log_crash(crash)
+        crashes = self._crash_detector.find_crashes(
+            self.runner_by_id.values(), self._entry_by_id, now_s
+        )
+        for crash in crashes:
+            self._blame(crash)
 
-    def _log_crash(self, crash: Crash) -> None:
+    def _blame(self, crash: Crash) -> None:
+        """Blame the suspects of a crash; jobs with tasks that are given up fail."""
         suspects = [f"{s.task}#{s.run}:{s.blame}" for s in crash.suspects]
         log.warning("runner_crashed", runner=crash.runner, suspects=" ".join(suspects))
+        for suspect in crash.suspects:
+            job = self.job_by_id.get(suspect.task.job)
+            if job is None:
+                continue
+            given_up = job.blame_task(suspect.task, suspect.blame)
+            self._mark_changed(job)
+            if not given_up:
+                continue
+            log.warning(
+                "task_given_up",
+                task=str(suspect.task),
+                run=suspect.run,
+                runner=crash.runner,
+            )
+            self._metrics.incr("tasks_given_up")
+            self._stop_surplus(job)
 
     def _allocate(self, step: StepRun, attempt: Attempt, runner: Runner) -> None:
         runner.add(attempt, step.spec)
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -5,7 +5,7 @@
 import anyio
 
 from ..clock import Clock
-from ..jobs import FINAL_STATES, JobState, decode_state, restore_tasks
+from ..jobs import FINAL_STATES, StateRecord, decode_state, restore_tasks
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..ownership import (
@@ -219,7 +219,7 @@
         jobs_read_s = self._clock.now()
         jobs = await self._read(JOB_TABLE, job_parts(shard))
         unfinished = {row.id.key.rsplit(".", 3)[0] for row in tasks}
-        state_by_job = self._restore_ended_jobs(states, unfinished)
+        record_by_job = self._restore_ended_jobs(states, unfinished)
         time_slice = TimeSlice(self._clock)
         for row in jobs.rows:
             self._loader.apply_rows([row], True)
@@ -228,9 +228,10 @@
         for row in tasks:
             self._restore_tasks(row, committer)
             await time_slice.give_way_if_over()
-        for job_id, state in state_by_job.items():
-            if job_id in self.owner_state.job_by_id:
-                self.owner_state.job_by_id[job_id].restore_state(state)
+        for job_id, record in record_by_job.items():
+            job = self.owner_state.job_by_id.get(job_id)
+            if job is not None:
+                job.restore_state(record.state, record.blame_by_task)
         for job in self.owner_state.job_by_id.values():
             job.update_state()
             self.owner_state.restore_allocations(job)
@@ -244,26 +245,26 @@
 
     def _restore_ended_jobs(
         self, states: list[VersionedRow], unfinished: set[str]
-    ) -> dict[str, JobState]:
+    ) -> dict[str, StateRecord]:
         """Record the jobs that have ended; return the states of the others.
 
         A job that still has task rows counts as one of the others.
         """
-        state_by_job = {}
+        record_by_job = {}
         for row in states:
             job_id = row.id.key
             try:
-                state, ended_ms = decode_state(row.value or b"")
-            except (ValueError, KeyError, TypeError) as error:
+                record = decode_state(row.value or b"")
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
                 # The job may have ended, so that nothing of it may run.
                 log.error("state_unreadable", job=job_id, detail=repr(error))
                 self.owner_state.exclude_job(job_id)
                 continue
-            if state not in FINAL_STATES or job_id in unfinished:
-                state_by_job[job_id] = state
+            if record.state not in FINAL_STATES or job_id in unfinished:
+                record_by_job[job_id] = record
                 continue
-            self.owner_state.record_ended_job(job_id, ended_ms)
-        return state_by_job
+            self.owner_state.record_ended_job(job_id, record.ended_ms)
+        return record_by_job
 
     def _restore_tasks(self, row: VersionedRow, committer: Committer) -> None:
         job_id = row.id.key.rsplit(".", 3)[0]
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -272,9 +272,6 @@
             running=len(report.running),
             lost=len(lost),
         )
-        self._owner_state.record_restart(
-            runner, [a for a in lost if (a.attempt.task, a.attempt.run) not in running]
-        )
         for allocation in lost:
             attempt = allocation.attempt
             if (attempt.task, attempt.run) in running:
@@ -289,6 +286,8 @@
             self._owner_state.end_attempt(
                 runner, attempt.task, attempt.run, Outcome.LAPSED, ""
             )
+        gone = [a for a in lost if (a.attempt.task, a.attempt.run) not in running]
+        self._owner_state.record_restart(runner, former, gone)
 
     def _update_running(self, allocation: Allocation, task: RunningTask) -> None:
         attempt = allocation.attempt
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -121,6 +121,11 @@
     unresponsive_since_s : float or None
         When calls began to get no response, on the owner's clock, in seconds; None
         while the runner responds.
+    lost_s : float
+        When the runner last became unresponsive, on the owner's clock, in seconds;
+        minus infinity: never.
+    crashed_incarnation : int
+        Incarnation that is known to have crashed while it had attempts; 0: none.
     leaving_since_s : float or None
         Since when the runner drains or is listed no more, on the owner's clock, in
         seconds; it is granted short leases from then on. None while it stays.
@@ -148,6 +153,8 @@
         self.serving_demand_milli = 0
         self.last_response_s = float("-inf")
         self.unresponsive_since_s: float | None = None
+        self.lost_s = float("-inf")
+        self.crashed_incarnation = 0
         self.leaving_since_s: float | None = None
         self.poll_wakeup = Wakeup()
         self._max_lease_s = max_lease_s
@@ -253,7 +260,7 @@
     def record_no_response(self, now_s: float) -> None:
         """Record that a call got no response."""
         if self.unresponsive_since_s is None:
-            self.unresponsive_since_s = now_s
+            self.unresponsive_since_s = self.lost_s = now_s
 
     def renew_lease(self, now_s: float, leaving: bool = False) -> int:
         """Renew the lease; return its new end in ms on the runner's clock.
--- a/flamingoweir/jobs/__init__.py
+++ b/flamingoweir/jobs/__init__.py
@@ -3,6 +3,7 @@
 from ._attempt import Attempt, AttemptState, Outcome, TaskId
 from ._job import FINAL_STATES, TASKS_PER_ROW, Job, JobState, StepRun, Task
 from ._record import (
+    StateRecord,
     decode_spec,
     decode_state,
     encode_spec,
@@ -23,6 +24,7 @@
     "JobState",
     "Outcome",
     "QueuePolicy",
+    "StateRecord",
     "StepRun",
     "StepSpec",
     "Task",
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -1,7 +1,7 @@
 """State of a job, its steps and its tasks, and the transitions between states."""
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from ._attempt import Attempt, AttemptState, Outcome, TaskId
@@ -23,6 +23,10 @@
     CANCELLED = "cancelled"
 
 
+#: Blame for crashed runners from which a task is given up. A crash adds at most half of
+#: it, so that two runners at least have crashed.
+MAX_BLAME = 4
+
 FINAL_STATES = frozenset({JobState.DONE, JobState.FAILED, JobState.CANCELLED})
 
 
@@ -146,6 +150,9 @@
         Time of acceptance on the owner's clock, in seconds.
     critical_paths_s : list of float
         Estimated seconds of the longest chain that starts at each step.
+    blame_by_task : dict of TaskId to int
+        How much tasks are suspected of crashing the runners that start them; tasks that
+        are not suspected are missing.
     """
 
     def __init__(self, spec: JobSpec):
@@ -159,6 +166,7 @@
         self.critical_paths_s = [
             spec.critical_path_s(step) for step in range(len(spec.steps))
         ]
+        self.blame_by_task: dict[TaskId, int] = {}
         if not spec.scheduled:
             self.open_occurrence(0)
 
@@ -327,6 +335,27 @@
             attempt.state = AttemptState.RUNNING
         self._begin()
 
+    def blame_task(self, task_id: TaskId, blame: int) -> bool:
+        """Blame a task for the crash of a runner; return whether it is given up.
+
+        A job with a task that is given up has failed: each further start would take
+        another runner down, with all that runs there.
+        """
+        task = self.find(task_id)
+        if task is None or task.done or self.is_final:
+            return False
+        self.blame_by_task[task_id] = self.blame_by_task.get(task_id, 0) + blame
+        self.state_changed = True
+        if self.blame_by_task[task_id] < MAX_BLAME:
+            return False
+        self._set_state(JobState.FAILED)
+        return True
+
+    def clear_blame(self, task_id: TaskId) -> None:
+        """Record that a runner was up for some time after it had started a task."""
+        if self.blame_by_task.pop(task_id, None) is not None:
+            self.state_changed = True
+
     def discard_attempt(self, attempt: Attempt) -> None:
         """Discard an attempt that did not start and cannot start any more."""
         step = self.run_by_step[attempt.task.occurrence, attempt.task.step]
@@ -336,10 +365,13 @@
         self._reopen(step, attempt.task.index)
         self._mark_changed(step, attempt.task.index)
 
-    def restore_state(self, state: JobState) -> None:
-        """Restore a state that was read from the store."""
+    def restore_state(
+        self, state: JobState, blame_by_task: Mapping[TaskId, int]
+    ) -> None:
+        """Restore the state and the blame that were read from the store."""
         if state in FINAL_STATES or self.state is JobState.PENDING:
             self.state = state
+        self.blame_by_task = dict(blame_by_task)
 
     def cancel(self) -> bool:
         """Cancel the job; return whether its state changed."""
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -1,8 +1,11 @@
 """Encoding of jobs for the store."""
 
+from dataclasses import dataclass, field
+
 import orjson
 
 from ..resources import Resources
+from ._attempt import TaskId
 from ._job import TASKS_PER_ROW, Job, JobState, StepRun, Task
 from ._spec import JobSpec, QueuePolicy, StepSpec
 
@@ -32,24 +35,47 @@
     return JobSpec(**fields)
 
 
-def encode_state(state: JobState, ended_ms: int) -> bytes:
-    """Return the stored form of the state of a job.
+@dataclass(frozen=True, slots=True)
+class StateRecord:
+    """Durable state of a job.
 
-    ``ended_ms`` is the time of the end in milliseconds since 1970, 0 before the end.
+    Attributes
+    ----------
+    state : JobState
+        State of the job.
+    ended_ms : int
+        Time of the end in milliseconds since 1970; 0 before the end.
+    blame_by_task : dict of TaskId to int
+        See `Job`.
     """
-    return orjson.dumps({"state": state, "ended_ms": ended_ms})
+
+    state: JobState
+    ended_ms: int = 0
+    blame_by_task: dict[TaskId, int] = field(default_factory=dict)
 
 
-def decode_state(data: bytes) -> tuple[JobState, int]:
-    """Return the state and the time of the end that `encode_state` encoded.
+def encode_state(record: StateRecord) -> bytes:
+    """Return the stored form of the state of a job."""
+    fields = {"state": record.state, "ended_ms": record.ended_ms}
+    if record.blame_by_task:
+        # Builds that don't know this field ignore it.
+        fields["blame"] = {str(t): b for t, b in record.blame_by_task.items()}
+    return orjson.dumps(fields)
+
+
+def decode_state(data: bytes) -> StateRecord:
+    """Return the state that `encode_state` encoded.
 
     Raises
     ------
-    ValueError, KeyError, TypeError
+    ValueError, KeyError, TypeError, AttributeError
         If the data is malformed.
     """
     fields = orjson.loads(data)
-    return JobState(fields["state"]), fields["ended_ms"]
+    blame_by_task = {}
+    for task, blame in fields.get("blame", {}).items():
+        blame_by_task[TaskId.parse(task)] = int(blame)
+    return StateRecord(JobState(fields["state"]), fields["ended_ms"], blame_by_task)
 
 
 def row_key(job: str, row: tuple[int, int, int]) -> str:
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -1,7 +1,7 @@
 """Scheduling policies: order, placement, colocation, health; no input or output."""
 
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy, PaceChange
-from ._crashes import Crash, CrashDetector, find_suspects
+from ._crashes import SURVIVAL_S, Crash, CrashDetector
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
 from ._headroom import BatchHeadroom, ServiceLoad
@@ -13,6 +13,7 @@
 __all__ = [
     "EVICT_AFTER_S",
     "MAX_PLACEMENT_WAIT_S",
+    "SURVIVAL_S",
     "BatchHeadroom",
     "ColocationPolicy",
     "Crash",
@@ -24,7 +25,6 @@
     "StepPlacement",
     "choose_evictions",
     "find_stalled",
-    "find_suspects",
     "objective_s",
     "place_gang",
     "sort_key",
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -2,7 +2,7 @@
 
 To its owner, a runner that crashed looks like one that is cut off, until the next life
 of its machine is listed. A task that crashes runners does so when it starts, so that
-the attempts that started last are the most suspicious.
+an attempt is the more suspicious the later it started.
 """
 
 from collections.abc import Iterable, Mapping
@@ -14,11 +14,12 @@
 
 #: Seconds after its start from which an attempt is not suspected of a crash.
 SURVIVAL_S = 2.0
-#: Seconds within which attempts count as started at the same time.
-SAME_START_S = 0.25
-#: Blame for a crash soon after the start of an attempt.
+#: Longest time in seconds from a start to the crash that it causes, as the owner sees
+#: them.
+EARLY_CRASH_S = 0.5
+#: Blame for a crash within `SURVIVAL_S`, or within an unknown time, of the start.
 WEAK_BLAME = 1
-#: Blame for a crash where no attempt started later.
+#: Blame for a crash within `EARLY_CRASH_S` of the start.
 STRONG_BLAME = 2
 #: Seconds after the loss of a runner within which the next life of its machine shows
 #: that it has crashed.
@@ -60,6 +61,10 @@
     suspects: tuple[Suspect, ...]
     until_s: float
 
+    def has_returned(self, born_by_machine: Mapping[str, int]) -> bool:
+        """Return whether the machine has a later life than that of the runner."""
+        return born_by_machine.get(self.machine, 0) > self.incarnation
+
 
 class CrashDetector:
     """Tells runners that have crashed from runners that are cut off.
@@ -68,33 +73,60 @@
     """
 
     def __init__(self) -> None:
+        #: Runners whose attempts have ended, by id.
         self._lost_by_runner: dict[str, _LostRunner] = {}
 
-    def record_lost(self, runner: Runner, now_s: float) -> None:
+    def record_lapsed(self, runner: Runner, now_s: float) -> None:
         """Record that the leases of a runner have lapsed, before its attempts end."""
-        entry = runner.entry
-        incarnation = runner.incarnation or entry.incarnation
-        if not entry.address or not incarnation or entry.draining:
-            return
-        suspects = find_suspects(runner.allocation_by_run.values())
-        if suspects:
-            self._lost_by_runner[runner.id] = _LostRunner(
-                runner.id,
-                _machine(entry),
-                incarnation,
-                suspects,
-                now_s + RETURN_WINDOW_S,
-            )
+        lost = _describe_loss(runner, now_s)
+        if lost is not None and lost.suspects:
+            self._lost_by_runner[runner.id] = lost
 
     def record_response(self, runner: str) -> None:
         """Record that a runner responds: it was cut off, or has restarted."""
         self._lost_by_runner.pop(runner, None)
 
+    def find_crash_of_restarted(
+        self, runner: Runner, former: int | None, lost: Iterable[Allocation]
+    ) -> Crash | None:
+        """Return the crash of a runner that has restarted with the same id.
+
+        Parameters
+        ----------
+        runner : Runner
+            The runner.
+        former : int or None
+            Its former incarnation; None if it had not responded to this owner.
+        lost : iterable of Allocation
+            Allocations whose attempts were lost.
+        """
+        if runner.crashed_incarnation and former in (None, runner.crashed_incarnation):
+            return None
+        suspects = find_suspects(lost, runner.lost_s)
+        return Crash(runner.id, suspects) if suspects else None
+
     def find_crashes(
-        self, entry_by_id: Mapping[str, RunnerEntry], now_s: float
+        self,
+        runners: Iterable[Runner],
+        entry_by_id: Mapping[str, RunnerEntry],
+        now_s: float,
     ) -> list[Crash]:
-        """Return the crashes that the listed runners show, each of them once."""
-        if not self._lost_by_runner:
+        """Return the crashes that the listed runners show, each of them once.
+
+        Parameters
+        ----------
+        runners : iterable of Runner
+            Runners that may have attempts.
+        entry_by_id : mapping of str to RunnerEntry
+            The listed runners.
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        unresponsive = []
+        for runner in runners:
+            if runner.unresponsive_since_s is not None and runner.has_attempts:
+                unresponsive.append(runner)
+        if not unresponsive and not self._lost_by_runner:
             return []
         born_by_machine: dict[str, int] = {}
         for entry in entry_by_id.values():
@@ -103,40 +135,76 @@
             born_by_machine[machine] = born
         crashes = []
         for lost in list(self._lost_by_runner.values()):
-            if now_s > lost.until_s:
-                del self._lost_by_runner[lost.runner]
-                continue
-            if born_by_machine.get(lost.machine, 0) <= lost.incarnation:
+            if lost.has_returned(born_by_machine):
+                crashes.append(Crash(lost.runner, lost.suspects))
+            elif now_s <= lost.until_s:
                 continue
             del self._lost_by_runner[lost.runner]
-            crashes.append(Crash(lost.runner, lost.suspects))
+        for runner in unresponsive:
+            lost = _describe_loss(runner, now_s)
+            if lost is None or not lost.has_returned(born_by_machine):
+                continue
+            runner.crashed_incarnation = lost.incarnation
+            if lost.suspects:
+                crashes.append(Crash(lost.runner, lost.suspects))
         return crashes
 
 
-def find_suspects(allocations: Iterable[Allocation]) -> tuple[Suspect, ...]:
+def _describe_loss(runner: Runner, now_s: float) -> _LostRunner | None:
+    """Return what is known of an unresponsive runner.
+
+    The result is None if the runner was to leave, or if its crash is known already.
+    """
+    entry = runner.entry
+    incarnation = runner.incarnation or entry.incarnation
+    if not entry.address or not incarnation or entry.draining:
+        return None
+    if runner.crashed_incarnation == incarnation:
+        return None
+    return _LostRunner(
+        runner.id,
+        _machine(entry),
+        incarnation,
+        find_suspects(runner.allocation_by_run.values(), runner.lost_s),
+        now_s + RETURN_WINDOW_S,
+    )
+
+
+def find_suspects(
+    allocations: Iterable[Allocation], lost_s: float
+) -> tuple[Suspect, ...]:
     """Return which of the attempts on a runner may have crashed it.
 
     Parameters
     ----------
     allocations : iterable of Allocation
-        All allocations of the runner when it was lost.
+        Allocations of the runner when it was lost.
+    lost_s : float
+        When the runner became unresponsive, on the owner's clock, in seconds. An
+        earlier time than that of a start says nothing about this attempt.
     """
-    allocations = list(allocations)
-    latest_s = float("-inf")
-    for allocation in allocations:
-        if allocation.started_s is not None:
-            latest_s = max(latest_s, allocation.started_s)
     suspects = []
     for allocation in allocations:
         if allocation.has_survived(SURVIVAL_S):
             continue
-        started_s = allocation.started_s
-        last = started_s is not None and started_s >= latest_s - SAME_START_S
         attempt = allocation.attempt
-        blame = STRONG_BLAME if last else WEAK_BLAME
+        blame = STRONG_BLAME if _is_early(allocation, lost_s) else WEAK_BLAME
         suspects.append(Suspect(attempt.task, attempt.run, blame))
     return tuple(suspects)
 
 
+def _is_early(allocation: Allocation, lost_s: float) -> bool:
+    """Return whether a runner was lost right after it had started an attempt."""
+    started_s = allocation.started_s
+    if started_s is None:
+        return False
+    # The response to the start may be read after the loss was noticed.
+    if abs(lost_s - started_s) <= EARLY_CRASH_S:
+        return True
+    # Where calls time out, the loss is noticed late.
+    never_listed = allocation.listed_s == float("-inf")
+    return never_listed and lost_s >= started_s
+
+
 def _machine(entry: RunnerEntry) -> str:
     return entry.machine or entry.address
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -91,6 +91,8 @@
         Number of the runner's incarnation; `restart` adds one.
     up : bool
         Whether the runner is up; after a crash it has no runs and sends no responses.
+    closes_connections : bool
+        Whether calls fail at once while the runner is not up.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         self.records: list[RunRecord] = []
         self.incarnation = 1
         self.up = True
+        self.closes_connections = False
         self.saves = True
         self._rate = rate
         self._contention = contention
@@ -135,8 +138,16 @@
             total = total + run.spec.reserved
         return total
 
-    def crash(self) -> None:
-        """Lose all runs and ends, and stop responding until `restart`."""
+    def crash(self, closes: bool = False) -> None:
+        """Lose all runs and ends, and stop responding until `restart`.
+
+        Parameters
+        ----------
+        closes : bool
+            Whether only the process has crashed, so that its machine closes all
+            connections at once. Otherwise calls time out.
+        """
+        self.closes_connections = closes
         self.advance()
         for task, run in list(self._run_by_task.items()):
             self._record_event("crashed", task, run.order.run)
@@ -430,7 +441,8 @@
                 self.runner.start(item[1])
         await anyio.sleep(self._delay_s)
         if self.disconnected or not self.runner.up:
-            await anyio.sleep(0.5)
+            if self.disconnected or not self.runner.closes_connections:
+                await anyio.sleep(0.5)
             return False
         return True
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -42,13 +42,16 @@
 @pytest.mark.parametrize("lasting", [False, True], ids=["batch", "lasting"])
 @pytest.mark.parametrize("down_s", [DOWN_S, 8.0])
 @pytest.mark.parametrize("keeps_id", [False, True], ids=["new_id", "same_id"])
-def test_task_that_crashes_each_runner_is_given_up(keeps_id, down_s, lasting):
+@pytest.mark.parametrize("silent", [False, True], ids=["closes", "silent"])
+def test_task_that_crashes_each_runner_is_given_up(silent, keeps_id, down_s, lasting):
     """Guards against one task that crashes runner after runner."""
 
     async def scenario():
         async with run_cluster(runners=6) as cluster:
             job = make_job(1, make_step(1, lasting=lasting))
-            await run_crashing(cluster, job, keeps_id=keeps_id, down_s=down_s)
+            await run_crashing(
+                cluster, job, silent=silent, keeps_id=keeps_id, down_s=down_s
+            )
             await cluster.wait_for(job, JobState.FAILED, 60.0)
             await anyio.sleep(10)
             assert 2 <= len(starts_of(cluster, job)) <= MAX_STARTS
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -6,7 +6,7 @@
 import pytest
 
 from flamingoweir.dispatch._term import MAX_RESTORE_S
-from flamingoweir.jobs import JobState, encode_state
+from flamingoweir.jobs import JobState, StateRecord, encode_state
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.ownership import (
     JOB_TABLE,
@@ -375,7 +375,7 @@
         async with run_cluster(members=0, runners=1) as cluster:
             for number in range(SLOW_RESTORE_ROWS):
                 job_id = f"{number:016x}"
-                value = encode_state(JobState.RUNNING, 0)
+                value = encode_state(StateRecord(JobState.RUNNING))
                 cluster.rows.put(state_row("s0", job_id), value)
             for number in range(3):
                 cluster.add_member(f"front-{number}").store.delay_s = SLOW_READ_S
--- a/tests/test_submitting.py
+++ b/tests/test_submitting.py
@@ -8,6 +8,7 @@
 from flamingoweir.errors import FlamingoweirError, Verdict
 from flamingoweir.jobs import (
     JobState,
+    StateRecord,
     encode_spec,
     encode_state,
 )
@@ -209,7 +210,7 @@
             job = make_job(1, make_step(400, 0.001))
             cluster.spec_by_id[job.id] = job
             cluster.rows.put(job_row("s0", job.id), encode_spec(job))
-            ended = encode_state(JobState.DONE, 1)
+            ended = encode_state(StateRecord(JobState.DONE, 1))
             cluster.rows.put(state_row("s0", job.id), ended)
             task_state = [1, True, 0, "", []]
             tasks = tasks_row("s0", job.id, (0, 0, 1))
--- a/tests/utils/crashes.py
+++ b/tests/utils/crashes.py
@@ -21,6 +21,8 @@
         Ids of the tasks.
     down_s : float
         Seconds for which a crashed runner is down.
+    silent : bool
+        Whether calls to a crashed runner time out; they fail at once otherwise.
     keeps_id : bool
         Whether a runner has the same id after a crash. Otherwise it has a new one, at
         the same address.
@@ -38,6 +40,7 @@
         cluster,
         tasks: set[str],
         down_s: float = DOWN_S,
+        silent: bool = False,
         keeps_id: bool = False,
         on_crash=lambda: None,
     ):
@@ -45,6 +48,7 @@
         self._cluster = cluster
         self._tasks = tasks
         self._down_s = down_s
+        self._silent = silent
         self._keeps_id = keeps_id
         self._on_crash = on_crash
         self._seen_by_runner: dict[str, int] = {}
@@ -60,7 +64,7 @@
     def crash(self, runner) -> None:
         """Crash a runner; it is back later."""
         self.crashes += 1
-        runner.crash()
+        runner.crash(closes=not self._silent)
         self._cluster.tasks.start_soon(self._return, runner)
         self._on_crash()
 
