Test that tasks of a runner which crashed before its owner died run again soon

Six cases fail: the new owner waits 12.4 s, for the longest lease that the former one may have granted, as the crashed runner didn't drain and was still listed when the owner died. Twenty new cases pass and have to pass later: an owner that loses a runner for a while, and then reaches nothing but that runner, must not let its task run twice.

--- a/tests/test_leaving_runners.py
+++ b/tests/test_leaving_runners.py
@@ -62,6 +62,56 @@
     run_virtual(scenario)
 
 
+@pytest.mark.parametrize("silent", [False, True], ids=["closes", "silent"])
+@pytest.mark.parametrize("owner_lives_s", [1.2, 2.4, 3.6])
+def test_task_of_a_runner_that_crashed_before_the_owner_runs_again_soon(
+    owner_lives_s, silent
+):
+    """Guards against a new owner that waits for leases on a runner lost before.
+
+    The runner's entry is removed after the owner's death.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            job, runner = await start_lasting(cluster)
+            runner.crash(closes=not silent)
+            await anyio.sleep(owner_lives_s)
+            killed_s = anyio.current_time()
+            cluster.kill_member(await cluster.owner())
+            await anyio.sleep(3.7 - owner_lives_s)
+            cluster.unlist_runner(runner.id)
+            await anyio.sleep(MAX_AWAY_S)
+            assert killed_s < last_start_s(cluster, job) < killed_s + MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("lost_s", [0.3, 0.8, 1.6, 3.0])
+@pytest.mark.parametrize("offset_s", [0.0, 0.2, 0.4, 0.6, 0.8])
+def test_task_on_a_runner_that_was_lost_for_a_while_never_runs_twice(offset_s, lost_s):
+    """Guards against an owner that renews leases on a runner that it had lost.
+
+    The owner reaches the runner again, but neither the store nor the other runners; no
+    other instance reaches the runner, which is listed no more.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(offset_s)
+            owner = await cluster.owner()
+            owner.link_by_runner[runner.id].disconnected = True
+            await anyio.sleep(lost_s)
+            isolate(cluster, owner, runner)
+            await anyio.sleep(20)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 2
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
 def isolate(cluster, member, runner) -> None:
     """Cut an owner off from all but one runner, which nobody else reaches."""
     member.store.silent = True
