Publish unresponsive runners, so that a new owner need not wait for their leases

Callers saw long-running tasks that stayed away for 16 s after their runner had crashed and the owner was killed within the next seconds. Cause: a new owner waits for the longest lease that the former one may have granted without the store, 12.4 s. It waited less only for runners that drained or were listed no more; a crashed one is still listed for 3.3 s.

The owner grants nothing to a runner that doesn't respond, so that it now publishes such runners, after half a second, like those that leave: the new owner waits for the rest of the last full lease, or for a short one. What keeps tasks from running twice is unchanged: on a published runner that responds again, short leases are renewed, and only while the owner may start tasks, until a write without it is confirmed.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -91,18 +91,19 @@
         return Backlog(self._owner_state.waiting_by_queue())
 
     def _list_leaving(self) -> dict[str, float]:
-        """Return for how long the runners with attempts that leave have done so.
+        """Return for how long runners with attempts got short leases or none.
 
-        A runner that has not responded to this owner may hold leases of a former one.
+        These are runners that leave, and unresponsive ones, which may have crashed. A
+        runner that has not responded to this owner may hold leases of a former one.
         """
         now_s = self._context.clock.now()
         leaving_s_by_runner = {}
         for runner in self._owner_state.runner_by_id.values():
-            if runner.leaving_since_s is None or runner.incarnation is None:
+            if runner.incarnation is None or not runner.has_attempts:
                 continue
-            if not runner.has_attempts:
-                continue
-            leaving_s_by_runner[runner.id] = round(now_s - runner.leaving_since_s, 3)
+            since_s = runner.short_leases_since(now_s)
+            if since_s is not None:
+                leaving_s_by_runner[runner.id] = round(now_s - since_s, 3)
         return leaving_s_by_runner
 
     def _collect(self) -> _Batch:
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -12,6 +12,9 @@
 #: time is shorter, so that the tasks can be started elsewhere soon after the runner has
 #: stopped.
 LEAVING_LEASE_S = 1.6
+#: Seconds without a response after which the owner publishes that a runner is granted
+#: no leases. An owner that was paused finds all runners unresponsive for a moment.
+LOST_AFTER_S = 0.5
 #: Seconds within which a start order must reach the runner. A delayed order arrives two
 #: seconds late or more, so that the runner rejects it.
 START_WINDOW_S = 1.5
@@ -283,6 +286,26 @@
         elif self.leaving_since_s is None:
             self.leaving_since_s = now_s
 
+    def short_leases_since(self, now_s: float) -> float | None:
+        """Return since when the runner has been granted short leases or none.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+
+        Returns
+        -------
+        float or None
+            Time on the owner's clock, in seconds; None if full leases are granted.
+        """
+        lost_s = self.unresponsive_since_s
+        if lost_s is None or now_s - lost_s < LOST_AFTER_S:
+            return self.leaving_since_s
+        if self.leaving_since_s is None:
+            return lost_s
+        return min(lost_s, self.leaving_since_s)
+
     def start_deadline_ms(self, now_s: float) -> int:
         """Return the deadline of a start ordered now, in ms on the runner's clock.
 
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -45,8 +45,9 @@
     backlog : Backlog or None
         Jobs that wait to start; None until the owner has read the shard.
     leaving_s_by_runner : dict of str to float
-        Seconds for which the owner has granted only short leases, by id of a runner
-        that leaves. A new owner need not wait for longer ones there.
+        Seconds for which the owner has granted only short leases or none, by id of a
+        runner that leaves or is unresponsive. A new owner need not wait for longer ones
+        there.
     """
 
     holder: str
