Test that a runner on probation gets tasks beside long-running ones

After its quarantine a runner gets tasks only while it has no attempts, and of one step only, until a task on it ends as done. Long-running tasks never do. A runner on which two of them fail, while a third runs on, gets no task any more, and the failed ones stay away although there is room; so does a runner that is probed by a long-running task.

Three of the four cases fail on (two and three failed tasks beside one that runs on, and the probe); one failed task passes, as it causes no quarantine. Nothing is mended here.

--- /dev/null
+++ b/tests/test_probation.py
@@ -0,0 +1,73 @@
+"""Runners on probation that run long-running tasks, which never end successfully.
+
+After its quarantine, a runner gets tasks only while it has no attempts, and of one step
+only, until a task on it succeeds. A long-running task never succeeds: a runner on which
+only such tasks run would get no other task for good, whatever is free there. Seen on
+tomen-dail: two tasks fail on a runner within 0.6 s, and it gets no task any more in the
+next 57 s, while other long-running tasks run there.
+"""
+
+import anyio
+import pytest
+
+from flamingoweir.jobs import JobState, TaskId
+from flamingoweir.policy._health import QUARANTINE_S
+from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.virtual_time import run_virtual
+
+#: Longest time in seconds that a long-running task may be away in calm times.
+MAX_AWAY_S = 6.0
+
+
+async def start_lasting(cluster, count: int):
+    """Start jobs of one long-running task each; return them."""
+    await cluster.owner()
+    await anyio.sleep(1)
+    jobs = []
+    for number in range(1, count + 1):
+        step = make_step(1, 2.0, lasting=True)
+        jobs.append(await cluster.submit(make_job(number, step)))
+    for job in jobs:
+        await cluster.wait_for(job, JobState.RUNNING, 2.0)
+    return jobs
+
+
+def fail_task(cluster, job) -> None:
+    """Let the only task of a job fail where it runs."""
+    task = TaskId(job.id, 0, 0, 0)
+    cluster.runner_by_id[cluster.starts(str(task))[-1]].fail(task)
+
+
+@pytest.mark.parametrize("failed_count", [1, 2, 3])
+def test_failed_lasting_tasks_run_again_beside_others_that_run_on(failed_count):
+    """Guards against a runner that gets no tasks while long-running ones run there."""
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=8) as cluster:
+            jobs = await start_lasting(cluster, failed_count + 1)
+            failed = jobs[:failed_count]
+            for job in failed:
+                fail_task(cluster, job)
+                await anyio.sleep(0.5)
+            await anyio.sleep(QUARANTINE_S + MAX_AWAY_S)
+            counts = [len(cluster.starts(f"{job.id}.0.0.0")) for job in failed]
+            assert counts == [2] * failed_count, "failed tasks did not run again"
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
+
+
+def test_lasting_tasks_run_again_beside_one_that_probes_their_runner():
+    """Guards against a runner that is probed by a long-running task for good."""
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=8) as cluster:
+            jobs = await start_lasting(cluster, 3)
+            for job in jobs:
+                fail_task(cluster, job)
+            await anyio.sleep(QUARANTINE_S + MAX_AWAY_S)
+            counts = [len(cluster.starts(f"{job.id}.0.0.0")) for job in jobs]
+            assert counts == [2, 2, 2], "failed tasks did not run again"
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
