Probe runners beside the long-running tasks that run on there

Callers saw long-running tasks that stayed away, and batch that waited, although runners had room. Cause: after its quarantine a runner got a task only while it had no attempts, until a task ended as done. A long-running task never does, so that a runner with one got nothing any more, until all of them were gone; evictions could not use it either.

Only a task that was placed after the quarantine is a probe now, and a long-running one has succeeded when it has run for two seconds. Faulty runners are found as before: one task at a time, and a failed probe doubles the quarantine. The test of the quarantine asks with a runner that has a probe, as the answer now depends on when it was placed.

--- a/flamingoweir/policy/_health.py
+++ b/flamingoweir/policy/_health.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass, field
 
+from ..fleet import Runner
+
 #: Distinct jobs with tasks that failed in a row after which a runner is quarantined.
 #: Tasks of a broken job fail on every runner, so a job counts once. Of the tasks of
 #: other jobs, one in twenty fails.
@@ -14,6 +16,8 @@
 QUARANTINE_S = 3.0
 #: Longest quarantine in seconds; each failed probe doubles the length.
 MAX_QUARANTINE_S = 12.0
+#: Seconds after which a long-running task that probes a runner has succeeded.
+LASTING_PROBE_S = 2.0
 
 
 @dataclass(slots=True)
@@ -23,6 +27,11 @@
     quarantined_until_s: float = float("-inf")
     probing: bool = False
 
+    def record_success(self) -> None:
+        self.failed_jobs.clear()
+        self.quarantine_s = 0.0
+        self.probing = False
+
 
 class RunnerHealth:
     """Quarantine faulty runners.
@@ -41,9 +50,7 @@
         """
         record = self._record_by_runner.setdefault(runner, _HealthRecord())
         if not failed:
-            record.failed_jobs.clear()
-            record.quarantine_s = 0.0
-            record.probing = False
+            record.record_success()
             return
         if job not in record.failed_jobs:
             record.failed_jobs.append(job)
@@ -59,28 +66,37 @@
             self._record_by_runner.setdefault(runner, _HealthRecord()), now_s
         )
 
-    def is_usable(self, runner: str, has_attempts: bool, now_s: float) -> bool:
+    def is_usable(self, runner: Runner, now_s: float) -> bool:
         """Return whether a runner may get a task now.
 
-        After its quarantine a runner is probed: it may get a task only while it has no
-        attempts, until a task succeeds. A call after the quarantine starts the probing.
+        After its quarantine a runner is probed: it gets one task, and others once a
+        task succeeds. Tasks from before the quarantine, which may run for long, are no
+        probes. A call after the quarantine starts the probing.
 
         Parameters
         ----------
-        runner : str
-            Id of the runner.
-        has_attempts : bool
-            Whether attempts use resources of the runner.
+        runner : Runner
+            The runner.
         now_s : float
             Time on the owner's clock, in seconds.
         """
-        record = self._record_by_runner.get(runner)
+        record = self._record_by_runner.get(runner.id)
         if record is None or not record.quarantine_s:
             return True
         if now_s < record.quarantined_until_s:
             return False
         record.probing = True
-        return not has_attempts
+        for allocation in runner.allocation_by_run.values():
+            if allocation.attempt.created_s < record.quarantined_until_s:
+                continue
+            if not allocation.spec.lasting or not allocation.has_survived(
+                LASTING_PROBE_S
+            ):
+                return False
+            # A long-running task never ends as done.
+            record.record_success()
+            return True
+        return True
 
     def failed_job_count(self, runner: str) -> int:
         """Return the number of distinct jobs with tasks that failed there in a row."""
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -49,7 +49,7 @@
                 continue
             if runner.unresponsive_since_s is not None:
                 continue
-            if not self._health.is_usable(runner.id, runner.has_attempts, now_s):
+            if not self._health.is_usable(runner, now_s):
                 continue
             found.append(runner)
         return found
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -305,16 +305,19 @@
     the runner, and its success ends the probing.
     """
     health = RunnerHealth()
+    runner = make_runner()
     health.record_end("r", "one", True, 0.0)
-    assert health.is_usable("r", False, 0.1)
+    assert health.is_usable(runner, 0.1)
     health.record_end("r", "one", True, 0.2)
-    assert health.is_usable("r", False, 0.3)
+    assert health.is_usable(runner, 0.3)
     health.record_end("r", "two", True, 0.4)
-    assert not health.is_usable("r", False, 0.5)
-    assert health.is_usable("r", False, 4.0)
-    assert not health.is_usable("r", True, 4.1)
+    assert not health.is_usable(runner, 0.5)
+    assert health.is_usable(runner, 4.0)
+    probe = add_allocation(runner, 0, make_spare("batch"))
+    probe.attempt.created_s = 4.0
+    assert not health.is_usable(runner, 4.1)
     health.record_end("r", "three", False, 4.5)
-    assert health.is_usable("r", True, 4.6)
+    assert health.is_usable(runner, 4.6)
 
 
 @pytest.mark.parametrize(
