Test runners whose capacity shrinks and grows while they run

Users announce that a runner's capacity may change while it runs, and that a start must not bring a runner that does not guard it over it; what is being stopped still counts.

The stand-in runner can leave its capacity unguarded, counts the starts beyond it and may take a while to stop a run; the cluster of the tests can announce another capacity.

--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -57,6 +57,8 @@
     remaining_s: float
     outcome: Outcome
     pace: int = 100
+    #: When a stop that was ordered ends the run.
+    stopped_s: float | None = None
 
 
 #: Returns the run time in seconds and the outcome of a run of a task.
@@ -73,7 +75,8 @@
     runner_id : str
         Id of the runner.
     capacity : Resources
-        Total resources; a start that would exceed them is rejected.
+        Total resources; a start that would exceed them is rejected unless
+        `guards_capacity` is false. A test may change them.
     find_spec : callable
         Returns the step that a task belongs to.
     plan : callable
@@ -91,6 +94,14 @@
         Number of the runner's incarnation; `restart` adds one.
     up : bool
         Whether the runner is up; after a crash it has no runs and sends no responses.
+    guards_capacity : bool
+        Whether starts that would exceed the capacity are rejected.
+    starts_over_capacity : list of RunRecord
+        Starts that were carried out although they exceeded the capacity.
+    rejected_for_room : int
+        Number of starts that were rejected because they would exceed the capacity.
+    stop_s : float
+        Seconds that a stop takes; until then the run holds its resources.
     """
 
     def __init__(
@@ -108,6 +119,10 @@
         self.incarnation = 1
         self.up = True
         self.saves = True
+        self.guards_capacity = True
+        self.starts_over_capacity: list[RunRecord] = []
+        self.rejected_for_room = 0
+        self.stop_s = 0.0
         self._rate = rate
         self._contention = contention
         self._find_spec = find_spec
@@ -183,14 +198,16 @@
             return StartResult.LATE, self.clock_ms
         self._lease_end_ms = max(self._lease_end_ms, order.deadline_ms)
         spec = self._find_spec(order.task)
-        if active is not None or not spec.reserved.fits_in(
-            self.capacity - self.reserved
-        ):
+        has_room = spec.reserved.fits_in(self.capacity - self.reserved)
+        if active is not None or (self.guards_capacity and not has_room):
+            self.rejected_for_room += 1
             return StartResult.NO_ROOM, self.clock_ms
         total_s, outcome = self._plan(order.task, order.run)
         remaining_s = total_s - float(order.checkpoint or 0)
         self._run_by_task[order.task] = _Run(order, spec, remaining_s, outcome)
         self._record_event("start", order.task, order.run)
+        if not has_room:
+            self.starts_over_capacity.append(self.records[-1])
         return StartResult.STARTED, self.clock_ms
 
     def stop(self, task: TaskId, run: int, fence: int) -> None:
@@ -200,8 +217,12 @@
         highest = self._highest_run_by_task.get(task, 0)
         self._highest_run_by_task[task] = max(highest, run)
         active = self._run_by_task.get(task)
-        if active is not None and active.order.run == run:
+        if active is None or active.order.run != run:
+            return
+        if not self.stop_s:
             self._end(task, Outcome.STOPPED)
+        elif active.stopped_s is None:
+            active.stopped_s = anyio.current_time() + self.stop_s
 
     def fail(self, task: TaskId) -> None:
         """End the run of a task as failed."""
@@ -258,6 +279,10 @@
         until_s = min(now_s, max(self._advanced_s, lease_end_s))
         spare_speed = self._spare_speed()
         for task, run in list(self._run_by_task.items()):
+            if run.stopped_s is not None:
+                if run.stopped_s <= until_s:
+                    self._end(task, Outcome.STOPPED, run.stopped_s)
+                continue
             speed = run.pace / 100
             if run.spec.uses_spare:
                 speed *= spare_speed
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -156,8 +156,9 @@
         processors: float = 4,
         zone: str = "powys",
         contention: ContentionModel | None = None,
+        accelerators: int = 0,
     ):
-        capacity = Resources(round(processors * 1000), 256_000, 0)
+        capacity = Resources(round(processors * 1000), 256_000, accelerators)
         runner = MemoryRunner(
             runner_id, capacity, self.find_spec, self.plan, contention=contention
         )
@@ -165,17 +166,25 @@
         self.list_runner(runner_id, zone)
         return runner
 
-    def list_runner(self, runner_id: str, zone: str = "powys", state: str = "ready"):
+    def list_runner(
+        self,
+        runner_id: str,
+        zone: str = "powys",
+        state: str = "ready",
+        capacity: Resources | None = None,
+    ):
+        """Write the row of a runner; by default it announces the capacity it has."""
         runner = self.runner_by_id[runner_id]
+        capacity = capacity or runner.capacity
         entry = {
             "Service": SERVICE,
             "Address": f"{runner_id}:1",
             "Zone": zone,
             "State": state,
             "Capacity": {
-                "Cpu": runner.capacity.processors_milli,
-                "MemMb": runner.capacity.memory_mb,
-                "Gpu": 0,
+                "Cpu": capacity.processors_milli,
+                "MemMb": capacity.memory_mb,
+                "Gpu": capacity.accelerators,
             },
             "Labels": ["a", "rack-1"],
             "born": runner.incarnation,
