Place no gang member on a runner that is over its capacity

Callers saw a gang start on a runner that held more memory than it had after its capacity had shrunk, if the gang itself needed no memory.

Cause: how often a member fits was counted over the resources that it needs only. All other tasks are placed by Resources.fits_in, which compares every resource.

A member now fits only if Resources.fits_in says so.

--- a/flamingoweir/policy/_gangs.py
+++ b/flamingoweir/policy/_gangs.py
@@ -62,7 +62,12 @@
 
 
 def _count_fitting(demand: Resources, available: Resources) -> int:
-    """Return how many times a demand fits into an amount of resources."""
+    """Return how many times a demand fits into an amount of resources.
+
+    Where a runner holds more of any resource than it has, nothing fits.
+    """
+    if not demand.fits_in(available):
+        return 0
     counts = [10_000]
     if demand.processors_milli:
         counts.append(available.processors_milli // demand.processors_milli)
@@ -70,4 +75,4 @@
         counts.append(available.memory_mb // demand.memory_mb)
     if demand.accelerators:
         counts.append(available.accelerators // demand.accelerators)
-    return max(0, min(counts))
+    return min(counts)
