Recompute the expected headroom when a runner's capacity changes

Callers saw tasks on spare processors placed beside serving tasks by the headroom that these had while the runner was larger, until the next measurement (0.4 to 1 s) or change of what runs there; when it grew, tasks were refused for as long.

Cause: the expected headrooms are kept for as long as Runner.revision stays the same. It counted added and removed allocations only, whereas the share of a runner that a task uses, and with it what it takes from others, also depends on the capacity.

--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -108,7 +108,7 @@
     poll_wakeup : Wakeup
         Set when there may be a reason to poll the runner.
     revision : int
-        Incremented whenever an allocation is added or removed.
+        Incremented whenever an allocation is added or removed, or the capacity changes.
     """
 
     def __init__(
@@ -144,6 +144,8 @@
 
     @entry.setter
     def entry(self, entry: RunnerEntry) -> None:
+        if entry.capacity != self._entry.capacity:
+            self.revision += 1
         self._entry = entry
         self.free_resources = entry.capacity - self.reserved
 
