Check the room again right before each start order

Callers saw runners that don't guard their capacity brought over it: a task that was placed before the runner shrank was sent once its write was confirmed, and an order without a response was sent again although the task fitted no longer.

Cause: free resources were compared at the placement only; before an order, only ownership, tables and the state of the runner were checked.

Right before each order, also a repeated one, the owner compares what the runner holds with the capacity that it announces now. If that is exceeded, the youngest attempts for which no order was sent give way, a gang as a whole; their tasks are placed anew. What runs or is being stopped counts, and so does an attempt whose order may have arrived: it is stopped, not discarded, so that its resources count until its end is certain.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -106,6 +106,10 @@
             if not self._permit.is_valid() or not self._permit.allows_runner(runner):
                 self._discard_or_stop(attempt, allocation, "no_permit")
                 return
+            if not runner.has_room_for(allocation):
+                self._discard_or_stop(attempt, allocation, "capacity_shrunk")
+                return
+            allocation.start_sent = True
             result, _ = await link.start(order)
             self._context.metrics.incr(f"starts_{result.value}")
             if result is StartResult.UNKNOWN:
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -21,6 +21,7 @@
 LAPSE_MARGIN_MS = 100
 #: Fraction of the demanded processors that a serving task uses; the rest is spare.
 SERVING_UTILIZATION = 0.6
+_NOTHING = Resources()
 
 
 class Allocation:
@@ -32,6 +33,7 @@
         "load",
         "headroom_deviation",
         "spec",
+        "start_sent",
         "start_unanswered",
         "throttled_since_s",
         "ticket",
@@ -53,6 +55,8 @@
         #: Time from which progress is expected: when the attempt was created, its pace
         #: last changed or its runner responded again.
         self.unthrottled_since_s = attempt.created_s
+        #: Whether this owner has sent a start order.
+        self.start_sent = False
         #: Whether a start order got no response, so that it may still be carried out.
         self.start_unanswered = False
         #: Ticket of the placement advice service; empty: none needed.
@@ -195,6 +199,30 @@
         """Return the allocation of an attempt, or None."""
         return self.allocation_by_run.get((task, run))
 
+    def has_room_for(self, allocation: Allocation) -> bool:
+        """Return whether an attempt may be started by the capacity as it is now.
+
+        The capacity may have shrunk since the attempt was placed. Younger attempts
+        that no order was sent for yet give way to it; all others count. Members of its
+        gang don't give way, as part of a gang would wait for them in vain.
+        """
+        own = allocation.attempt.task
+        free = self.free_resources
+        for younger in reversed(self.allocation_by_run.values()):
+            if younger is allocation or _NOTHING.fits_in(free):
+                break
+            if younger.start_sent:
+                continue
+            task = younger.attempt.task
+            same_step = (task.job, task.occurrence, task.step) == (
+                own.job,
+                own.occurrence,
+                own.step,
+            )
+            if not (allocation.spec.gang and same_step):
+                free = free + younger.spec.reserved
+        return _NOTHING.fits_in(free)
+
     def remove(self, task: TaskId, run: int) -> Allocation | None:
         """Release the allocation of an attempt; return it, or None if there is none."""
         allocation = self.allocation_by_run.pop((task, run), None)
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -378,6 +378,32 @@
     run_virtual(scenario)
 
 
+def test_younger_task_that_was_sent_gives_way_to_no_repeated_order():
+    """Guards against a repeated order beside a younger task that has started.
+
+    The first order never arrives in time; the second task runs when room shrinks.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=0) as cluster:
+            add_unguarded(cluster, "r")
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            link = owner.link_by_runner["r"]
+            link.lose_starts = 1
+            link.delivery_delay_s = 5.0
+            job = await submit_long(cluster, 1, make_step(2, 3.0))
+            await anyio.sleep(0.2)
+            assert cluster.starts(f"{job.id}.0.0.1") == ["r"]
+            await change_capacity(cluster, "r", SHRUNK["no processor left"])
+            await anyio.sleep(4)
+            assert count_starts(cluster, job) == 1
+            assert not cluster.records("stopped")
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize("delivery_delay_s", [0.0, 0.6, 1.2, 3.0])
 def test_order_that_may_have_arrived_keeps_its_resources(delivery_delay_s):
     """Guards against a second run of a task whose order was carried out unnoticed.
