Pause placement on a runner that rejected a start for want of room

Callers saw the same task sent again and again to a runner that guards its capacity and has shrunk: 8 rejected starts, each with a write, in the 1.1 s until its row showed it.

Cause: the step is tried again after 0.05 s, and the runner still looks like the best one.

A runner that rejected a start for want of room gets no task for 1 s, about the time until it announces what it has, or until its announced capacity changes.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -144,6 +144,8 @@
             return
         if result is StartResult.UNSENT:
             runner.record_no_response(now_s)
+        if result is StartResult.NO_ROOM:
+            runner.record_no_room(now_s)
         if result is StartResult.UNHEALTHY:
             self._owner_state.health.record_fault(runner.id, now_s)
         self._discard_or_stop(attempt, allocation, result.value)
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -21,6 +21,9 @@
 LAPSE_MARGIN_MS = 100
 #: Fraction of the demanded processors that a serving task uses; the rest is spare.
 SERVING_UTILIZATION = 0.6
+#: Seconds for which a runner that rejected a start for want of room gets no other one.
+#: It holds less than its entry shows, and announces that about once a second.
+NO_ROOM_PAUSE_S = 1.0
 _NOTHING = Resources()
 
 
@@ -109,6 +112,9 @@
     leaving_since_s : float or None
         Since when the runner drains or is listed no more, on the owner's clock, in
         seconds; it is granted short leases from then on. None while it stays.
+    no_room_until_s : float
+        Until when the runner gets no task because it rejected one for want of room, on
+        the owner's clock, in seconds.
     poll_wakeup : Wakeup
         Set when there may be a reason to poll the runner.
     revision : int
@@ -134,6 +140,7 @@
         self.last_response_s = float("-inf")
         self.unresponsive_since_s: float | None = None
         self.leaving_since_s: float | None = None
+        self.no_room_until_s = float("-inf")
         self.poll_wakeup = Wakeup()
         self._max_lease_s = max_lease_s
         self._earlier_leases_end_s = earlier_leases_end_s
@@ -150,6 +157,7 @@
     def entry(self, entry: RunnerEntry) -> None:
         if entry.capacity != self._entry.capacity:
             self.revision += 1
+            self.no_room_until_s = float("-inf")
         self._entry = entry
         self.free_resources = entry.capacity - self.reserved
 
@@ -266,6 +274,10 @@
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = now_s
 
+    def record_no_room(self, now_s: float) -> None:
+        """Record that a start was rejected for want of room."""
+        self.no_room_until_s = now_s + NO_ROOM_PAUSE_S
+
     def renew_lease(self, now_s: float, leaving: bool = False) -> int:
         """Renew the lease; return its new end in ms on the runner's clock.
 
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -49,6 +49,8 @@
                 continue
             if runner.unresponsive_since_s is not None:
                 continue
+            if now_s < runner.no_room_until_s:
+                continue
             if not self._health.is_usable(runner.id, runner.has_attempts, now_s):
                 continue
             found.append(runner)
