--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -106,6 +106,10 @@
             if not self._permit.is_valid() or not self._permit.allows_runner(runner):
                 self._discard_or_stop(attempt, allocation, "no_permit")
                 return
+            if not runner.has_room_for(allocation):
+                self._discard_or_stop(attempt, allocation, "capacity_shrunk")
+                return
+            allocation.start_sent = True
             result, _ = await link.start(order)
             self._context.metrics.incr(f"starts_{result.value}")
             if result is StartResult.UNKNOWN:
@@ -141,6 +145,8 @@
             return
         if result is StartResult.UNSENT:
             runner.record_no_response(now_s)
+        if result is StartResult.NO_ROOM:
+            runner.record_no_room(now_s)
         if result is StartResult.UNHEALTHY:
             self._owner_state.health.record_fault(runner.id, now_s)
         self._discard_or_stop(attempt, allocation, result.value)
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -24,6 +24,10 @@
 LAPSE_MARGIN_MS = 100
 #: Fraction of the demanded processors that a serving task uses; the rest is spare.
 SERVING_UTILIZATION = 0.6
+#: Seconds for which a runner that rejected a start for want of room gets no other one.
+#: It holds less than its entry shows, and announces that about once a second.
+NO_ROOM_PAUSE_S = 1.0
+_NOTHING = Resources()
 
 
 class Allocation:
@@ -36,6 +40,7 @@
         "headroom_deviation",
         "listed_s",
         "spec",
+        "start_sent",
         "start_unanswered",
         "started_s",
         "throttled_since_s",
@@ -58,6 +63,8 @@
         #: Time from which progress is expected: when the attempt was created, its pace
         #: last changed or its runner responded again.
         self.unthrottled_since_s = attempt.created_s
+        #: Whether this owner has sent a start order.
+        self.start_sent = False
         #: Whether a start order got no response, so that it may still be carried out.
         self.start_unanswered = False
         #: Ticket of the placement advice service; empty: none needed.
@@ -132,10 +139,13 @@
     leaving_since_s : float or None
         Since when the runner drains or is listed no more, on the owner's clock, in
         seconds; it is granted short leases from then on. None while it stays.
+    no_room_until_s : float
+        Until when the runner gets no task because it rejected one for want of room, on
+        the owner's clock, in seconds.
     poll_wakeup : Wakeup
         Set when there may be a reason to poll the runner.
     revision : int
-        Incremented whenever an allocation is added or removed.
+        Incremented whenever an allocation is added or removed, or the capacity changes.
     """
 
     def __init__(
@@ -159,6 +169,7 @@
         self.lost_s = float("-inf")
         self.crashed_incarnation = 0
         self.leaving_since_s: float | None = None
+        self.no_room_until_s = float("-inf")
         self.poll_wakeup = Wakeup()
         self._max_lease_s = max_lease_s
         self._earlier_leases_end_s = earlier_leases_end_s
@@ -173,6 +184,9 @@
 
     @entry.setter
     def entry(self, entry: RunnerEntry) -> None:
+        if entry.capacity != self._entry.capacity:
+            self.revision += 1
+            self.no_room_until_s = float("-inf")
         self._entry = entry
         self.free_resources = entry.capacity - self.reserved
 
@@ -222,6 +236,30 @@
         """Return the allocation of an attempt, or None."""
         return self.allocation_by_run.get((task, run))
 
+    def has_room_for(self, allocation: Allocation) -> bool:
+        """Return whether an attempt may be started by the capacity as it is now.
+
+        The capacity may have shrunk since the attempt was placed. Younger attempts
+        that no order was sent for yet give way to it; all others count. Members of its
+        gang don't give way, as part of a gang would wait for them in vain.
+        """
+        own = allocation.attempt.task
+        free = self.free_resources
+        for younger in reversed(self.allocation_by_run.values()):
+            if younger is allocation or _NOTHING.fits_in(free):
+                break
+            if younger.start_sent:
+                continue
+            task = younger.attempt.task
+            same_step = (task.job, task.occurrence, task.step) == (
+                own.job,
+                own.occurrence,
+                own.step,
+            )
+            if not (allocation.spec.gang and same_step):
+                free = free + younger.spec.reserved
+        return _NOTHING.fits_in(free)
+
     def remove(self, task: TaskId, run: int) -> Allocation | None:
         """Release the allocation of an attempt; return it, or None if there is none."""
         allocation = self.allocation_by_run.pop((task, run), None)
@@ -265,6 +303,10 @@
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = self.lost_s = now_s
 
+    def record_no_room(self, now_s: float) -> None:
+        """Record that a start was rejected for want of room."""
+        self.no_room_until_s = now_s + NO_ROOM_PAUSE_S
+
     def renew_lease(self, now_s: float, leaving: bool = False) -> int:
         """Renew the lease; return its new end in ms on the runner's clock.
 
