Test submitted bodies that end one owner after the other

One request can hold up all jobs: an owner that can't handle an accepted job ends its term, and the next owner of the shard meets the same job.

--- /dev/null
+++ b/tests/utils/ingress.py
@@ -0,0 +1,35 @@
+"""Requests of submitters as the adapter receives them, without a socket."""
+
+from flamingoweir.jobs import decode_spec
+from flamingoweir.ownership import job_row
+from flamingoweir.platform._ingress import IngressApp
+from tests.utils.cluster import HOST, PREFIX, Cluster, Member
+
+
+async def post_job(cluster: Cluster, member: Member, number: int, body: bytes) -> int:
+    """Submit a job with a body; return the HTTP status.
+
+    The runners of the cluster learn the job's steps if it is accepted.
+    """
+    app = IngressApp(member.instance.handler, cluster.wall_ms)
+    job_id = f"{number:016x}"
+    statuses = []
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message):
+        if message["type"] == "http.response.start":
+            statuses.append(message["status"])
+
+    scope = {
+        "type": "http",
+        "method": "POST",
+        "path": PREFIX + job_id,
+        "headers": [(b"host", HOST.encode())],
+    }
+    await app(scope, receive, send)
+    row = cluster.rows.row_by_id.get(job_row("s0", job_id))
+    if row is not None:
+        cluster.spec_by_id[job_id] = decode_spec(row.value)
+    return statuses[0]
