Refuse a job with a number that can't be stored

One submission with `"EstimateMs":1e999` was accepted with 200, and from then on no job of any submitter ran: the owner of the shard failed with a TypeError, and so did each owner after it. An integer of 65 bits ended in an uncaught TypeError and a response with 500.

orjson writes an infinite float as null. The estimate read back is None, which an owner can't add to the other estimates.

A job is now accepted only if the stored form decodes to the same job, whatever field changes; otherwise the response is 400 and nothing is stored.

--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -16,6 +16,7 @@
     FINAL_STATES,
     JobSpec,
     JobState,
+    decode_spec,
     decode_state,
     encode_spec,
     find_invalid_dependency,
@@ -145,9 +146,10 @@
             verdict is NOT_RUN only if the job is not stored and never will be.
         """
         self._validate(spec)
+        value = _encode_exactly(spec)
         shard = shard_name(0)
         row = job_row(shard, spec.id)
-        transaction = Transaction([(row, 0)], [(row, encode_spec(spec))], ())
+        transaction = Transaction([(row, 0)], [(row, value)], ())
         try:
             version = await self._transact(transaction, timeout_s)
         except RowVersionConflict:
@@ -333,3 +335,25 @@
         self._final_state_by_job[job_id] = state
         if len(self._final_state_by_job) > MAX_CACHED_STATES:
             del self._final_state_by_job[next(iter(self._final_state_by_job))]
+
+
+def _encode_exactly(spec: JobSpec) -> bytes:
+    """Return the stored form of a job, from which an owner reads the same job.
+
+    Raises
+    ------
+    FlamingoweirError
+        With code BAD_REQUEST if there is no such form: infinite numbers are stored as
+        null, and integers of more than 64 bits can't be stored.
+    """
+    try:
+        value = encode_spec(spec)
+    except TypeError:
+        value = None
+    if value is None or decode_spec(value) != spec:
+        raise FlamingoweirError(
+            ErrorCode.BAD_REQUEST,
+            f"job {spec.id} has a number that can't be stored; use finite numbers, and "
+            "integers of at most 64 bits",
+        )
+    return value
