Set a job aside that an owner can't load

A stored job with null as an estimate, or with a chain of 1,200 steps, ended the term of each owner that read its row, one after the other; no job of any submitter ran.

The loader caught errors of decoding a row, but not those of building the job from it, and not all kinds of them (a RecursionError is none of those listed).

An error of any kind now concerns that job only: it is logged, nothing of the job runs, and the owner goes on with the others.

--- a/flamingoweir/dispatch/_loader.py
+++ b/flamingoweir/dispatch/_loader.py
@@ -39,10 +39,13 @@
             return
         try:
             spec = decode_spec(row.value)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            job = self._owner_state.add_job(spec)
+        except Exception as error:
+            # Each later owner reads this row too. If it ended their terms, no job at
+            # all would run.
             log.error("job_unreadable", job=row.id.key, detail=repr(error))
+            self._owner_state.exclude_job(row.id.key)
             return
-        job = self._owner_state.add_job(spec)
         if job is None:
             return
         age_s = max(0.0, (self._wall_ms() - spec.accepted_ms) / 1000)
