Refuse a job with more tasks than an owner can hold

The number of tasks of a step was limited to 100,000, but not the number of steps. A body of 260 KB could ask for some hundred million tasks, and was accepted. An owner keeps all tasks of a job in memory, 440 bytes each (measured with tracemalloc), so that each owner in turn would run out of memory while it loads the job.

The limit now holds for the sum over the steps. The test failed before with 200.

--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -46,6 +46,9 @@
 #: Seconds after which a client may repeat a request that came before this instance
 #: had the data to serve it.
 RETRY_AFTER_S = 1.0
+#: Largest number of tasks of an occurrence of a job. An owner keeps each of them in
+#: memory, where it takes some 440 bytes.
+MAX_TASKS = 100_000
 #: Number of final job states that are cached; the oldest is dropped first.
 MAX_CACHED_STATES = 20_000
 
@@ -257,6 +260,12 @@
                 f"queue {spec.queue!r} needs placement advice, which is not supported; "
                 "submit the job to another queue",
             )
+        tasks = sum(step.count for step in spec.steps)
+        if tasks > MAX_TASKS:
+            raise FlamingoweirError(
+                ErrorCode.NEVER_FITS,
+                f"job {spec.id} has {tasks} tasks; submit at most {MAX_TASKS} at once",
+            )
         invalid_step = find_invalid_dependency(spec.steps)
         if invalid_step is not None:
             raise FlamingoweirError(
--- a/tests/test_submitted_bodies.py
+++ b/tests/test_submitted_bodies.py
@@ -185,7 +185,7 @@
 
 
 def test_job_with_more_tasks_than_an_owner_holds_is_refused():
-    """An owner keeps all tasks in memory; a task takes some 500 bytes there."""
+    """An owner keeps all tasks in memory; a task takes some 440 bytes there."""
 
     async def scenario():
         async with run_cluster(members=3) as cluster:
