Test infinite estimates and unexpected errors on the older core

A job of the older core with `"estimate_s":1e999` is accepted and stored as null. Each owner of its shard then fails on the comparison with other jobs, and the error ends the whole process, which also routes requests.

--- a/tests/test_submitted_bodies.py
+++ b/tests/test_submitted_bodies.py
@@ -12,6 +12,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from flamingoweir.entry._schemas import JobRequest, parse
+from flamingoweir.errors import ErrorCode, FlamingoweirError
 from flamingoweir.jobs import Job, JobState, encode_spec
 from flamingoweir.ownership import job_row
 from tests.utils.cluster import Cluster, Member, make_job, make_step, run_cluster
@@ -197,6 +199,15 @@
     run_virtual(scenario)
 
 
+@pytest.mark.parametrize("number", ["1e999", "Infinity"])
+def test_infinite_estimate_is_refused_for_operators_too(number):
+    """A shard's owner that compares a missing estimate fails; so does the next one."""
+    body = b'{"id":"rounds","zones":["powys"],"estimate_s":%s}' % number.encode()
+    with pytest.raises(FlamingoweirError) as caught:
+        parse(JobRequest, body)
+    assert caught.value.code is ErrorCode.BAD_REQUEST
+
+
 @given(st.lists(BODIES, min_size=1, max_size=4))
 @settings(max_examples=40, derandomize=True, deadline=None)
 def test_no_body_stops_other_jobs(bodies):
--- a/tests/test_unexpected.py
+++ b/tests/test_unexpected.py
@@ -13,8 +13,11 @@
 from flamingoweir.ownership import job_row, owner_row, state_row, tasks_row
 from flamingoweir.platform import PlatformRowDecoder
 from flamingoweir.registry import OperatorView, RunnerView
+from flamingoweir.scheduling._owner import ShardOwner
 from flamingoweir.storage import RowId, VersionedRow
+from tests.utils.builders import make_spec, make_timings
 from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.fleet import Fleet
 from tests.utils.virtual_time import run_virtual
 
 #: Time in seconds in which work goes on after an owner's end.
@@ -64,6 +67,40 @@
     run_virtual(scenario)
 
 
+def test_unexpected_error_of_a_shards_owner_ends_no_process(monkeypatch):
+    """Guards against an error in one shard that ends the whole process.
+
+    In the older core, a process owns several shards and routes requests as well.
+    """
+    place = ShardOwner._place
+    errors = []
+
+    def fail_once(self, pending):
+        if self.state.job_by_id and not errors:
+            errors.append(1)
+            raise RuntimeError("a fault in the placer")
+        place(self, pending)
+
+    monkeypatch.setattr(ShardOwner, "_place", fail_once)
+
+    async def scenario():
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks, ("gwynedd",), 2, 2, 0, make_timings())
+            fleet.start()
+            await anyio.sleep(3.0)
+            nodes = fleet.live_nodes()
+            spec = make_spec(tasks=3, zones=["gwynedd"], job_class="run-1")
+            await nodes[0].handler.jobs.submit(spec)
+            with anyio.fail_after(60.0):
+                for node in nodes:
+                    while (await node.handler.jobs.show(spec.id)).state != "done":
+                        await anyio.sleep(0.5)
+            assert errors
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize(
     "damage",
     [
