Refuse an infinite estimate of a job of the older core

Operators saw that no job of a shard ran any more and that instances ended one after the other, once a job with an infinite `estimate_s` had been accepted. It is stored as null, which an owner can't compare with the estimates of other jobs.

The schema of a job now takes finite numbers only, and the response is 400. The test failed before, as nothing was raised.

--- a/flamingoweir/entry/_schemas.py
+++ b/flamingoweir/entry/_schemas.py
@@ -19,7 +19,7 @@
 class JobRequest(pydantic.BaseModel):
     """Request to submit a job."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
 
     id: Name = pydantic.Field(default_factory=lambda: f"job-{uuid.uuid4().hex[:12]}")
     zones: Annotated[list[Name], pydantic.Field(min_length=1, max_length=32)]
