End a shard's owner, not the process, on an unexpected error

On the older core, an error in the decisions for one shard ended the whole process: its other shards, and the requests that it routed. The next owner of the shard meets the same jobs, so that an error which one of them causes could end all instances.

Only the loss of ownership was caught around an owner. Any other error now ends that owner with a log line `owner_failed`. Its lease of the shard lapses as after a crash, so that no rule about who may command workers changes.

--- a/flamingoweir/scheduling/_manager.py
+++ b/flamingoweir/scheduling/_manager.py
@@ -195,7 +195,7 @@
     async def _run_owner(self, shard: str, observation: Observation) -> None:
         """Acquire a shard, run its owner until it is stopped, and release the shard.
 
-        Return if another instance acquires the shard.
+        Return if another instance acquires the shard, or after an unexpected error.
         """
         journal = Journal(
             self._table,
@@ -220,6 +220,11 @@
             detail = str(group.exceptions[0])
             log.warning("shard_lost", shard=shard, epoch=journal.epoch, detail=detail)
             self._metrics.incr("shards.lost")
+        except* Exception as group:
+            # The process owns other shards and routes requests. The lease of this
+            # shard lapses, and any instance may take it then.
+            log.error("owner_failed", shard=shard, epoch=journal.epoch, exc_info=group)
+            self._metrics.incr("shards.failed")
         finally:
             self.owner_by_shard.pop(shard, None)
 
