--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -9,6 +9,7 @@
 
 import anyio
 import hypothesis
+import pytest
 from hypothesis import strategies as st
 
 from flamingoweir.errors import FlamingoweirError, Verdict
@@ -174,6 +175,32 @@
     assert sum(runner.received for runner in runners) > 2
 
 
+async def send_deadly_request(idempotent: bool, hedge_after_s: float) -> int:
+    """Return how many of 12 runners break off one request that crashes them all."""
+    faults = [RunnerFault.RESET_BEFORE] * 100
+    runners = [
+        StandinRunner(f"runner-{number}", faults=list(faults)) for number in range(12)
+    ]
+    async with anyio.create_task_group() as background:
+        router = await start_router(background, runners, hedge_after_s=hedge_after_s)
+        outcome = CallOutcome(1, idempotent)
+        await call(router, outcome)
+        assert outcome.verdict is Verdict.MAY_HAVE_RUN
+        background.cancel_scope.cancel()
+    return sum(runner.received > 0 for runner in runners)
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "hedge_after_s", "limit"),
+    [(False, 0.0, 1), (True, 0.0, 2), (True, 0.0005, 3)],
+    ids=["once", "idempotent", "hedged"],
+)
+def test_request_that_crashes_its_runners_reaches_few(idempotent, hedge_after_s, limit):
+    """A retry on yet another runner helps one caller and costs all callers a runner."""
+    crashed = run_virtual(send_deadly_request, idempotent, hedge_after_s)
+    assert crashed <= limit
+
+
 async def overload_runner(
     count: int,
 ) -> tuple[list[CallOutcome], list[StandinRunner], int]:
