Retry a request on one other runner only after it was broken off

An idempotent request that crashes each runner was sent to 5 of 12 of them, and to 9 if hedged. All other requests on those runners broke off too.

The number of tries was limited, but a refusal, which costs nothing, and a connection that a runner broke off counted alike. After two tries that may have run, the caller now gets the error with its verdict, and after the first of them no hedge is sent. A refused request is still tried up to five times.

--- a/flamingoweir/routing/_router.py
+++ b/flamingoweir/routing/_router.py
@@ -29,6 +29,9 @@
 BACKOFF_LIMIT_S = 0.5
 #: Largest number of tries of a request; hedged second tries are not counted.
 MAX_TRIES = 5
+#: Largest number of those tries that may have run and ended without a response. The
+#: request itself may be what crashes the runners.
+MAX_BROKEN_TRIES = 2
 
 
 @dataclass(slots=True)
@@ -187,11 +190,12 @@
         verdict = Verdict.NOT_RUN
         avoid: set[str] = set()
         tries = 0
+        broken_tries = 0
         while True:
             tries += 1
             runner = await self._acquire_runner(request, avoid, verdict)
             try:
-                if self._may_hedge(request):
+                if self._may_hedge(request) and not broken_tries:
                     return await self._send_hedged(request, runner)
                 return await self._send(request, runner)
             except RunnerError as error:
@@ -199,7 +203,9 @@
                 avoid.add(runner.instance.name)
                 if error.verdict is not Verdict.NOT_RUN:
                     verdict = error.verdict
-                await self._wait_before_retry(request, error, verdict, tries)
+                    broken_tries += 1
+                may_retry = tries < MAX_TRIES and broken_tries < MAX_BROKEN_TRIES
+                await self._wait_before_retry(request, error, verdict, tries, may_retry)
 
     async def _wait_before_retry(
         self,
@@ -207,6 +213,7 @@
         error: RunnerError,
         verdict: Verdict,
         tries: int,
+        may_retry: bool,
     ) -> None:
         """Wait before the next try; raise FlamingoweirError if none is allowed."""
         allowed = verdict is Verdict.NOT_RUN or request.idempotent
@@ -218,7 +225,7 @@
         if (
             not allowed
             or not request.body.can_replay()
-            or tries >= MAX_TRIES
+            or not may_retry
             or not self._budget.try_spend()
         ):
             raise FlamingoweirError(
