Test requests whose deadline is no usable number

With `X-Deadline-Ms: nan`, `inf` or a huge number, a request is tried anew for as long as the store is away, some ten calls a second, whether or not its submitter still waits.

--- a/tests/test_submitted_bodies.py
+++ b/tests/test_submitted_bodies.py
@@ -65,7 +65,8 @@
 
 
 def one_phase(fields: str) -> bytes:
-    return b'{"Phases":[{"Count":1,"Cpu":1000,%s}]}' % fields.encode()
+    more = f",{fields}" if fields else ""
+    return b'{"Phases":[{"Count":1,"Cpu":1000%s}]}' % more.encode()
 
 
 def make_chain(length: int) -> list[dict]:
@@ -199,6 +200,21 @@
     run_virtual(scenario)
 
 
+@pytest.mark.parametrize("deadline", [b"nan", b"inf", b"1e12"])
+def test_request_without_a_usable_deadline_ends(deadline):
+    """Each such request would be tried anew for as long as the store is away."""
+
+    async def scenario():
+        async with run_cluster(members=2) as cluster:
+            member = await find_other_member(cluster)
+            member.store.down = True
+            with anyio.fail_after(60.0):
+                status = await post_job(cluster, member, 1, one_phase(""), deadline)
+            assert status == 503
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize("number", ["1e999", "Infinity"])
 def test_infinite_estimate_is_refused_for_operators_too(number):
     """A shard's owner that compares a missing estimate fails; so does the next one."""
--- a/tests/utils/ingress.py
+++ b/tests/utils/ingress.py
@@ -6,7 +6,9 @@
 from tests.utils.cluster import HOST, PREFIX, Cluster, Member
 
 
-async def post_job(cluster: Cluster, member: Member, number: int, body: bytes) -> int:
+async def post_job(
+    cluster: Cluster, member: Member, number: int, body: bytes, deadline: bytes = b""
+) -> int:
     """Submit a job with a body; return the HTTP status.
 
     The runners of the cluster learn the job's steps if it is accepted.
@@ -28,6 +30,8 @@
         "path": PREFIX + job_id,
         "headers": [(b"host", HOST.encode())],
     }
+    if deadline:
+        scope["headers"].append((b"x-deadline-ms", deadline))
     await app(scope, receive, send)
     row = cluster.rows.row_by_id.get(job_row("s0", job_id))
     if row is not None:
