Limit how long a request is tried for its submitter

A request with `X-Deadline-Ms: nan` or `inf` was tried without end while the store was away: no time is past an infinite or undefined deadline. Each such request added calls to the store, also after its submitter had left.

A deadline that is not a number now counts as none, and the timeout is 30 s at most.

--- a/flamingoweir/platform/_ingress.py
+++ b/flamingoweir/platform/_ingress.py
@@ -1,5 +1,6 @@
 """ASGI applications for job submitters and for the load balancer's checks."""
 
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -27,6 +28,9 @@
 #: response comes before half of the time has passed, the submitter can still try
 #: another instance, which may reach the store.
 DEADLINE_FRACTION = 0.42
+#: Longest timeout of a request, in seconds. A request is tried anew until it times out,
+#: also if the submitter has left.
+MAX_TIMEOUT_S = 30.0
 MAX_TASKS_PER_STEP = 100_000
 #: HTTP statuses that replace `FlamingoweirError.http_status`, so that submitters
 #: recognise the error as a refusal.
@@ -241,13 +245,22 @@
         if name == b"host":
             host = value.decode("latin-1").partition(":")[0]
         if name == DEADLINE_HEADER:
-            try:
-                timeout_s = DEADLINE_FRACTION * float(value) / 1000
-            except ValueError:
-                log.info("deadline_unreadable", value=value.decode("latin-1"))
+            timeout_s = _read_timeout(value)
     return RequestHead(scope["method"], host, scope["path"], timeout_s)
 
 
+def _read_timeout(value: bytes) -> float:
+    """Return the timeout for a deadline header, in seconds."""
+    try:
+        deadline_ms = float(value)
+    except ValueError:
+        deadline_ms = math.nan
+    if math.isnan(deadline_ms):
+        log.info("deadline_unreadable", value=value.decode("latin-1"))
+        return DEFAULT_TIMEOUT_S
+    return min(MAX_TIMEOUT_S, DEADLINE_FRACTION * deadline_ms / 1000)
+
+
 def _encode_state(state: JobState | None) -> tuple[int, dict]:
     """Return the HTTP status and body for a job's state; 410 for an unknown job."""
     if state is None:
