--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -16,6 +16,7 @@
     FINAL_STATES,
     JobSpec,
     JobState,
+    decode_spec,
     decode_state,
     encode_spec,
     find_invalid_dependency,
@@ -45,6 +46,9 @@
 #: Seconds after which a client may repeat a request that came before this instance
 #: had the data to serve it.
 RETRY_AFTER_S = 1.0
+#: Largest number of tasks of an occurrence of a job. An owner keeps each of them in
+#: memory, where it takes some 440 bytes.
+MAX_TASKS = 100_000
 #: Number of final job states that are cached; the oldest is dropped first.
 MAX_CACHED_STATES = 20_000
 
@@ -145,9 +149,10 @@
             verdict is NOT_RUN only if the job is not stored and never will be.
         """
         self._validate(spec)
+        value = _encode_exactly(spec)
         shard = shard_name(0)
         row = job_row(shard, spec.id)
-        transaction = Transaction([(row, 0)], [(row, encode_spec(spec))], ())
+        transaction = Transaction([(row, 0)], [(row, value)], ())
         try:
             version = await self._transact(transaction, timeout_s)
         except RowVersionConflict:
@@ -255,6 +260,12 @@
                 f"queue {spec.queue!r} needs placement advice, which is not supported; "
                 "submit the job to another queue",
             )
+        tasks = sum(step.count for step in spec.steps)
+        if tasks > MAX_TASKS:
+            raise FlamingoweirError(
+                ErrorCode.NEVER_FITS,
+                f"job {spec.id} has {tasks} tasks; submit at most {MAX_TASKS} at once",
+            )
         invalid_step = find_invalid_dependency(spec.steps)
         if invalid_step is not None:
             raise FlamingoweirError(
@@ -333,3 +344,25 @@
         self._final_state_by_job[job_id] = state
         if len(self._final_state_by_job) > MAX_CACHED_STATES:
             del self._final_state_by_job[next(iter(self._final_state_by_job))]
+
+
+def _encode_exactly(spec: JobSpec) -> bytes:
+    """Return the stored form of a job, from which an owner reads the same job.
+
+    Raises
+    ------
+    FlamingoweirError
+        With code BAD_REQUEST if there is no such form: infinite numbers are stored as
+        null, and integers of more than 64 bits can't be stored.
+    """
+    try:
+        value = encode_spec(spec)
+    except TypeError:
+        value = None
+    if value is None or decode_spec(value) != spec:
+        raise FlamingoweirError(
+            ErrorCode.BAD_REQUEST,
+            f"job {spec.id} has a number that can't be stored; use finite numbers, and "
+            "integers of at most 64 bits",
+        )
+    return value
