Compute the critical paths of a job in one pass over its steps

A submitter could stop an installation with one job of a few kilobytes: an owner followed every chain of steps, which takes 15 s for 21 steps that wait for all earlier ones and twice that for each further step, lost its shard meanwhile, and the next owner met the same job. 1,200 steps in a row ended in a RecursionError, so that the job was set aside.

Steps wait for earlier ones only, so that one pass from the last step to the first gives the same paths.

--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -163,9 +163,7 @@
         self.state_changed = False
         self.opened_occurrences = 0
         self.accepted_s = 0.0
-        self.critical_paths_s = [
-            spec.critical_path_s(step) for step in range(len(spec.steps))
-        ]
+        self.critical_paths_s = spec.critical_paths_s()
         self.blame_by_task: dict[TaskId, int] = {}
         if not spec.scheduled:
             self.open_occurrence(0)
--- a/flamingoweir/jobs/_spec.py
+++ b/flamingoweir/jobs/_spec.py
@@ -154,13 +154,20 @@
         """Return when an occurrence is due, in milliseconds since 1970."""
         return self.first_due_ms + occurrence * self.interval_ms
 
-    def critical_path_s(self, step: int) -> float:
-        """Return the estimated seconds of the longest chain that starts at ``step``."""
-        longest = 0.0
-        for later, spec in enumerate(self.steps):
-            if step in spec.after:
-                longest = max(longest, self.critical_path_s(later))
-        return self.steps[step].estimate_s + longest
+    def critical_paths_s(self) -> list[float]:
+        """Return the estimated seconds of the longest chain that starts at each step.
+
+        Steps come after those that they wait for, so that one pass from the last step
+        to the first is enough.
+        """
+        longest_after = [0.0] * len(self.steps)
+        paths_s = [0.0] * len(self.steps)
+        for number in range(len(self.steps) - 1, -1, -1):
+            spec = self.steps[number]
+            paths_s[number] = spec.estimate_s + longest_after[number]
+            for earlier in spec.after:
+                longest_after[earlier] = max(longest_after[earlier], paths_s[number])
+        return paths_s
 
 
 def find_invalid_dependency(steps: tuple[StepSpec, ...]) -> int | None:
