Open the due occurrences of a job in parts

A submitter could stop an installation with a job of a billion occurrences that are due at once: the owner opened all of them before it did anything else, until it lost its shard or its memory, and the next owner did the same. Further occurrences are opened now as earlier ones end, at most 100,000 tasks at a time; a job's first occurrence always opens.

test_occurrences_that_are_due_at_once_are_opened_in_parts failed before.

--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -7,6 +7,9 @@
 from ._attempt import Attempt, AttemptState, Outcome, TaskId
 from ._spec import JobSpec, StepSpec
 
+#: Largest number of tasks of a scheduled job in occurrences that are open and not done.
+#: Further occurrences are opened as these end.
+MAX_OPEN_TASKS = 100_000
 #: Tasks of a step whose durable state shares a row. A task takes about 100 bytes, and
 #: the smallest limit of a row is 64 KB.
 TASKS_PER_ROW = 200
@@ -190,10 +193,24 @@
         """Open the occurrences due at ``wall_ms``, in milliseconds since 1970."""
         if not self.spec.scheduled or self.is_final:
             return
+        new_tasks = sum(step.count for step in self.spec.steps)
+        open_tasks = None
         while self.opened_occurrences < self.spec.occurrences:
             if self.spec.due_ms(self.opened_occurrences) > wall_ms:
                 return
+            if open_tasks is None:
+                open_tasks = self._count_open_tasks()
+            if open_tasks and open_tasks + new_tasks > MAX_OPEN_TASKS:
+                return
             self.open_occurrence(self.opened_occurrences)
+            open_tasks += new_tasks
+
+    def _count_open_tasks(self) -> int:
+        count = 0
+        for step_run in self.run_by_step.values():
+            if not step_run.done:
+                count += len(step_run.tasks)
+        return count
 
     def next_due_ms(self) -> int | None:
         """Return when the next occurrence is due, in milliseconds since 1970.
