Look at suspects of a crash only once the crash is known

Where many runners are lost at once, each lapse described all of them. The next update of the runners, at most 0.25 s later, finds the crashes that a lapse leaves open. The cases of tests/test_crashing_tasks.py pass as before.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -217,7 +217,6 @@
         for allocation in list(runner.allocation_by_run.values()):
             attempt = allocation.attempt
             self.end_attempt(runner, attempt.task, attempt.run, Outcome.LAPSED, "")
-        self._blame_crashes()
 
     def record_restart(
         self, runner: Runner, former: int | None, lost: list[Allocation]
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -47,25 +47,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Crash:
-    """A runner that has crashed, and the tasks that may have caused it."""
+    """A runner that has crashed, by its id, and the tasks that may have caused it."""
 
     runner: str
     suspects: tuple[Suspect, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class _LostRunner:
-    runner: str
+class _Life:
+    """One life of a machine, which a runner is."""
+
     machine: str
     incarnation: int
-    suspects: tuple[Suspect, ...]
-    until_s: float
 
-    def has_returned(self, born_by_machine: Mapping[str, int]) -> bool:
-        """Return whether the machine has a later life than that of the runner."""
+    def is_over(self, born_by_machine: Mapping[str, int]) -> bool:
+        """Return whether the machine has a later life."""
         return born_by_machine.get(self.machine, 0) > self.incarnation
 
 
+@dataclass(frozen=True, slots=True)
+class _LostRunner:
+    life: _Life
+    suspects: tuple[Suspect, ...]
+    until_s: float
+
+
 class CrashDetector:
     """Tells runners that have crashed from runners that are cut off.
 
@@ -78,9 +84,11 @@
 
     def record_lapsed(self, runner: Runner, now_s: float) -> None:
         """Record that the leases of a runner have lapsed, before its attempts end."""
-        lost = _describe_loss(runner, now_s)
-        if lost is not None and lost.suspects:
-            self._lost_by_runner[runner.id] = lost
+        life = _find_life(runner)
+        suspects = find_suspects(runner.allocation_by_run.values(), runner.lost_s)
+        if life is not None and suspects:
+            until_s = now_s + RETURN_WINDOW_S
+            self._lost_by_runner[runner.id] = _LostRunner(life, suspects, until_s)
 
     def record_response(self, runner: str) -> None:
         """Record that a runner responds: it was cut off, or has restarted."""
@@ -134,24 +142,25 @@
             born = max(entry.incarnation, born_by_machine.get(machine, 0))
             born_by_machine[machine] = born
         crashes = []
-        for lost in list(self._lost_by_runner.values()):
-            if lost.has_returned(born_by_machine):
-                crashes.append(Crash(lost.runner, lost.suspects))
+        for runner_id, lost in list(self._lost_by_runner.items()):
+            if lost.life.is_over(born_by_machine):
+                crashes.append(Crash(runner_id, lost.suspects))
             elif now_s <= lost.until_s:
                 continue
-            del self._lost_by_runner[lost.runner]
+            del self._lost_by_runner[runner_id]
         for runner in unresponsive:
-            lost = _describe_loss(runner, now_s)
-            if lost is None or not lost.has_returned(born_by_machine):
+            life = _find_life(runner)
+            if life is None or not life.is_over(born_by_machine):
                 continue
-            runner.crashed_incarnation = lost.incarnation
-            if lost.suspects:
-                crashes.append(Crash(lost.runner, lost.suspects))
+            runner.crashed_incarnation = life.incarnation
+            suspects = find_suspects(runner.allocation_by_run.values(), runner.lost_s)
+            if suspects:
+                crashes.append(Crash(runner.id, suspects))
         return crashes
 
 
-def _describe_loss(runner: Runner, now_s: float) -> _LostRunner | None:
-    """Return what is known of an unresponsive runner.
+def _find_life(runner: Runner) -> _Life | None:
+    """Return the life of an unresponsive runner.
 
     The result is None if the runner was to leave, or if its crash is known already.
     """
@@ -161,13 +170,7 @@
         return None
     if runner.crashed_incarnation == incarnation:
         return None
-    return _LostRunner(
-        runner.id,
-        _machine(entry),
-        incarnation,
-        find_suspects(runner.allocation_by_run.values(), runner.lost_s),
-        now_s + RETURN_WINDOW_S,
-    )
+    return _Life(_machine(entry), incarnation)
 
 
 def find_suspects(
