Publish no runners that are lost while the store is away

A long-running task lost its lease and started again, although its runner was cut off for less than a second, if the store was away at the time. Cause: each repeat of an unconfirmed write named the runners that were unresponsive by then, and what may have been published is only granted leases while the owner may start tasks, 1.4 s after the last confirmed write.

The runners are listed once a write now, before its first transaction. A repeat tells a new owner less, so that it waits longer, never shorter. Six cases of tests/test_renewals_of_lost_runners.py failed before; tests/test_leaving_runners.py passes.

--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -81,7 +81,7 @@
         Returns the `Backlog` to publish, or None while it is not known. Called for each
         transaction that is sent, also for one that is repeated.
     list_leaving : callable
-        Returns `OwnerRecord.leaving_s_by_runner` to publish, called as `count_backlog`.
+        Returns `OwnerRecord.leaving_s_by_runner` to publish, called once a write.
     former : OwnerRecord or None
         What the former owner published last; None if nothing was readable.
     """
@@ -199,10 +199,12 @@
             self._record, number=self._record.number + 1, fence=self.fence
         )
         first_sent_s = self._clock.now()
+        # Runners that are lost while the write is repeated, as the store is away, keep
+        # their full leases.
+        leaving_s_by_runner = self.list_leaving()
+        self._leaving_in_flight.update(leaving_s_by_runner)
         while True:
             sent_s = self._clock.now()
-            leaving_s_by_runner = self.list_leaving()
-            self._leaving_in_flight.update(leaving_s_by_runner)
             record = dataclasses.replace(
                 self._record,
                 backlog=self.count_backlog(),
--- a/tests/test_renewals_of_lost_runners.py
+++ b/tests/test_renewals_of_lost_runners.py
@@ -9,9 +9,7 @@
 
 @pytest.mark.parametrize("fault", ["down", "silent"])
 @pytest.mark.parametrize("lost_s", [0.3, 0.7, 1.5])
-def test_task_runs_on_if_its_runner_is_lost_for_a_moment_without_store(
-    lost_s, fault
-):
+def test_task_runs_on_if_its_runner_is_lost_for_a_moment_without_store(lost_s, fault):
     """Guards against an owner that renews nothing on a runner that responds again."""
 
     async def scenario():
