Count a crash whose next life responds before it is listed

A task that crashes its runners was started without end if these came back with the same id after their leases had lapsed, and responded before they were listed: any response made the owner forget the loss, as if the runner had been cut off. Only a response of the same incarnation shows that; one of a later incarnation shows the crash. Two cases of test_task_is_given_up_if_its_runners_respond_before_they_are_listed failed before.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -228,7 +228,7 @@
 
     def record_response(self, runner: Runner) -> None:
         """Record that a runner responds that did not respond before."""
-        self._crash_detector.record_response(runner.id)
+        self._crash_detector.record_response(runner)
 
     def add_attempt(self, step: StepRun, index: int, runner: Runner) -> Attempt:
         """Create an attempt of a task on a runner whose incarnation is known."""
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -145,7 +145,8 @@
         self._context.metrics.incr("looks")
         if runner.unresponsive_since_s is not None:
             log.info("runner_regained", runner=runner.id)
-            self._owner_state.record_response(runner)
+            if report.incarnation == runner.incarnation:
+                self._owner_state.record_response(runner)
             for allocation in runner.allocation_by_run.values():
                 allocation.unthrottled_since_s = self._clock.now()
         runner.record_response(report.clock_ms, self._clock.now())
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -90,10 +90,6 @@
             until_s = now_s + RETURN_WINDOW_S
             self._lost_by_runner[runner.id] = _LostRunner(life, suspects, until_s)
 
-    def record_response(self, runner: str) -> None:
-        """Record that a runner responds: it was cut off, or has restarted."""
-        self._lost_by_runner.pop(runner, None)
-
     def find_crash_of_restarted(
         self, runner: Runner, former: int | None, lost: Iterable[Allocation]
     ) -> Crash | None:
@@ -102,7 +98,7 @@
         Parameters
         ----------
         runner : Runner
-            The runner.
+            The runner, which has responded.
         former : int or None
             Its former incarnation; None if it had not responded to this owner.
         lost : iterable of Allocation
@@ -110,9 +106,18 @@
         """
         if runner.crashed_incarnation and former in (None, runner.crashed_incarnation):
             return None
+        lapsed = self._lost_by_runner.pop(runner.id, None)
+        if lapsed is not None and lapsed.life.incarnation < runner.incarnation:
+            return Crash(runner.id, lapsed.suspects)
         suspects = find_suspects(lost, runner.lost_s)
         return Crash(runner.id, suspects) if suspects else None
 
+    def record_response(self, runner: Runner) -> None:
+        """Record that a runner responds: with the same incarnation, it was cut off."""
+        lapsed = self._lost_by_runner.get(runner.id)
+        if lapsed is not None and lapsed.life.incarnation == runner.incarnation:
+            del self._lost_by_runner[runner.id]
+
     def find_crashes(
         self,
         runners: Iterable[Runner],
