Blame no task that ran for long before its owner changed

A long-running task could be given up after it had run for a minute, if its runner crashed right after a change of owner, twice: to the new owner, the attempt had started when a poll first listed it. What was ordered by an earlier owner now counts as having run for long once it is listed.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -194,6 +194,8 @@
             allocation = runner.add(attempt, step.spec)
             # A poll with the new fencing token lists what earlier owners started.
             allocation.expect_listed_after_s = float("-inf")
+            # It may have run for long.
+            allocation.started_s = float("-inf")
         self._stop_surplus(job)
 
     def remove_lapsed_unlisted(self) -> None:
@@ -279,6 +281,19 @@
         if job.is_final or step.spec.gang or step.tasks[task.index].attempt_by_run:
             self._stop_surplus(job)
 
+    def record_listed(self, allocation: Allocation, now_s: float) -> None:
+        """Record that a poll lists an attempt as running."""
+        allocation.record_start(now_s)
+        allocation.listed_s = now_s
+        attempt = allocation.attempt
+        self.record_start(attempt)
+        job = self.job_by_id.get(attempt.task.job)
+        if job is None or not job.blame_by_task:
+            return
+        if allocation.has_survived(SURVIVAL_S):
+            job.clear_blame(attempt.task)
+            self.changed_job_ids.add(job.spec.id)
+
     def record_start(self, attempt: Attempt) -> None:
         """Record a confirmed start; the next write includes the job's new state."""
         job = self.job_by_id.get(attempt.task.job)
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -294,9 +294,7 @@
         attempt = allocation.attempt
         allocation.load = task.load
         now_s = self._clock.now()
-        allocation.record_start(now_s)
-        allocation.listed_s = now_s
-        self._owner_state.record_start(attempt)
+        self._owner_state.record_listed(allocation, now_s)
         allocation.expect_listed_after_s = min(allocation.expect_listed_after_s, now_s)
         if task.progress_percent >= attempt.progress_percent + MIN_PROGRESS_PERCENT:
             attempt.progress_percent = task.progress_percent
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -70,7 +70,7 @@
         #: Ticket of the placement advice service; empty: none needed.
         self.ticket = ""
         #: When the start was first confirmed, on the owner's clock, in seconds; None
-        #: before.
+        #: before. Minus infinity: it was ordered by an earlier owner.
         self.started_s: float | None = None
         #: When a poll last listed the attempt as running, on the owner's clock, in
         #: seconds.
@@ -83,9 +83,9 @@
 
     def has_survived(self, duration_s: float) -> bool:
         """Return whether the runner was up ``duration_s`` after the start."""
-        return self.started_s is not None and (
-            self.listed_s - self.started_s >= duration_s
-        )
+        if self.started_s is None or self.listed_s == float("-inf"):
+            return False
+        return self.listed_s - self.started_s >= duration_s
 
 
 class Runner:
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -204,7 +204,7 @@
 def _is_early(allocation: Allocation, lost_s: float) -> bool:
     """Return whether a runner was lost right after it had started an attempt."""
     started_s = allocation.started_s
-    if started_s is None:
+    if started_s is None or started_s == float("-inf"):
         return False
     # The response to the start may be read after the loss was noticed.
     if abs(lost_s - started_s) <= EARLY_CRASH_S:
