Quarantine a runner again that fails soon after a long-running probe

A runner on which tasks stand still was opened to all tasks every three seconds, if a long-running task was its probe: such a task counts as running there, and its success ended the probing. A failure within ten seconds of that success now quarantines the runner again, for twice as long.

--- a/flamingoweir/policy/_health.py
+++ b/flamingoweir/policy/_health.py
@@ -18,6 +18,8 @@
 MAX_QUARANTINE_S = 12.0
 #: Seconds after which a long-running task that probes a runner has succeeded.
 LASTING_PROBE_S = 2.0
+#: Seconds after such a success within which a failure quarantines the runner again.
+PROBATION_S = 10.0
 
 
 @dataclass(slots=True)
@@ -26,11 +28,14 @@
     quarantine_s: float = 0.0
     quarantined_until_s: float = float("-inf")
     probing: bool = False
+    #: Since when the runner gets tasks again after a long-running task has probed it.
+    opened_s: float = float("inf")
 
     def record_success(self) -> None:
         self.failed_jobs.clear()
         self.quarantine_s = 0.0
         self.probing = False
+        self.opened_s = float("inf")
 
 
 class RunnerHealth:
@@ -71,7 +76,8 @@
 
         After its quarantine a runner is probed: it gets one task, and others once a
         task succeeds. Tasks from before the quarantine, which may run for long, are no
-        probes. A call after the quarantine starts the probing.
+        probes. A call after the quarantine starts the probing, and others end it after
+        a long-running probe.
 
         Parameters
         ----------
@@ -85,7 +91,12 @@
             return True
         if now_s < record.quarantined_until_s:
             return False
+        if now_s - record.opened_s >= PROBATION_S:
+            record.record_success()
+            return True
         record.probing = True
+        if record.opened_s < float("inf"):
+            return True
         for allocation in runner.allocation_by_run.values():
             if allocation.attempt.created_s < record.quarantined_until_s:
                 continue
@@ -94,8 +105,7 @@
             ):
                 return False
             # A long-running task never ends as done.
-            record.record_success()
-            return True
+            record.opened_s = now_s
         return True
 
     def failed_job_count(self, runner: str) -> int:
@@ -116,3 +126,4 @@
         )
         record.quarantined_until_s = now_s + record.quarantine_s
         record.probing = False
+        record.opened_s = float("inf")
