--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -107,9 +107,9 @@
         self._metrics = metrics
         self._version = 0
         self._confirmed_s = float("-inf")
-        #: Leaving runners of the latest confirmed write.
+        #: Runners in `leaving_s_by_runner` of the latest confirmed write.
         self._leaving_in_store: frozenset[str] = frozenset()
-        #: Leaving runners of any transaction of the write in progress.
+        #: Runners in `leaving_s_by_runner` of writes that are not confirmed.
         self._leaving_in_flight: set[str] = set()
 
     async def acquire(self, row: VersionedRow | None) -> None:
@@ -139,7 +139,7 @@
         return self._clock.now() - self._confirmed_s < LEASE_VALID_S
 
     def may_renew_on_leaving(self, runner: str) -> bool:
-        """Return whether the lease of a runner that leaves may be renewed.
+        """Return whether the lease of a runner that may be published may be renewed.
 
         A new owner relies on it that nothing is renewed there once it has taken the
         shard, so that renewals end with the permission to start tasks.
@@ -147,7 +147,7 @@
         return self.may_start() or not self.has_published_leaving(runner)
 
     def has_published_leaving(self, runner: str) -> bool:
-        """Return whether the owner row may name a runner as leaving.
+        """Return whether the owner row may name a runner as leaving or unresponsive.
 
         Only short leases may be granted there, also if the runner leaves no more.
         """
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -67,6 +67,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _LostRunner:
+    """A runner whose attempts have ended; a crash counts until ``until_s``."""
+
     life: _Life
     suspects: tuple[Suspect, ...]
     until_s: float
@@ -85,7 +87,7 @@
     def record_lapsed(self, runner: Runner, now_s: float) -> None:
         """Record that the leases of a runner have lapsed, before its attempts end."""
         life = _find_life(runner)
-        suspects = find_suspects(runner.allocation_by_run.values(), runner.lost_s)
+        suspects = _find_suspects(runner.allocation_by_run.values(), runner.lost_s)
         if life is not None and suspects:
             until_s = now_s + RETURN_WINDOW_S
             self._lost_by_runner[runner.id] = _LostRunner(life, suspects, until_s)
@@ -109,7 +111,7 @@
         lapsed = self._lost_by_runner.pop(runner.id, None)
         if lapsed is not None and lapsed.life.incarnation < runner.incarnation:
             return Crash(runner.id, lapsed.suspects)
-        suspects = find_suspects(lost, runner.lost_s)
+        suspects = _find_suspects(lost, runner.lost_s)
         return Crash(runner.id, suspects) if suspects else None
 
     def record_response(self, runner: Runner) -> None:
@@ -158,7 +160,7 @@
             if life is None or not life.is_over(born_by_machine):
                 continue
             runner.crashed_incarnation = life.incarnation
-            suspects = find_suspects(runner.allocation_by_run.values(), runner.lost_s)
+            suspects = _find_suspects(runner.allocation_by_run.values(), runner.lost_s)
             if suspects:
                 crashes.append(Crash(runner.id, suspects))
         return crashes
@@ -178,7 +180,7 @@
     return _Life(_machine(entry), incarnation)
 
 
-def find_suspects(
+def _find_suspects(
     allocations: Iterable[Allocation], lost_s: float
 ) -> tuple[Suspect, ...]:
     """Return which of the attempts on a runner may have crashed it.
