Keep tasks apart that are suspected of the same crash

Callers saw a job fail that could be done: of the tasks that start with one that crashes their runner, several may fit the same gap again, are placed there again in the same pass, and are given up with it after the second crash.

A task with blame now avoids runners with other such tasks, if there is room elsewhere. Both cases of test_tasks_that_start_with_one_that_crashes_its_runners_are_done failed before.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -341,6 +341,16 @@
         )
         self.stop_wakeup.set()
 
+    def find_suspect_runners(self) -> frozenset[str]:
+        """Return the ids of runners with attempts of tasks suspected of a crash."""
+        found = set()
+        for job in self.job_by_id.values():
+            for task_id in job.blame_by_task:
+                task = job.find(task_id)
+                for attempt in task.attempt_by_run.values():
+                    found.add(attempt.runner)
+        return frozenset(found)
+
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of accepted jobs, by queue, that have not begun."""
         waiting: dict[str, int] = {}
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -366,7 +366,7 @@
                 )
                 evaluated_s = self._context.clock.now()
             leaves_room = self._must_leave_room(step, index)
-            runner = None if leaves_room else placement.choose(index)
+            runner = None if leaves_room else self._choose(placement, step, index)
             if runner is None:
                 if step.unplaced_since_s is None:
                     step.unplaced_since_s = self._now_s
@@ -384,6 +384,20 @@
         self._candidates.recheck(step, placed_on.values())
         return True
 
+    def _choose(
+        self, placement: StepPlacement, step: StepRun, index: int
+    ) -> Runner | None:
+        """Choose a runner for a task.
+
+        Tasks that are suspected of the same crash are kept apart, if there is room, so
+        that the next crash shows which one has caused it.
+        """
+        if step.task_id(index) in step.job.blame_by_task:
+            runner = placement.choose(index, self._owner_state.find_suspect_runners())
+            if runner is not None:
+                return runner
+        return placement.choose(index)
+
     def _must_leave_room(self, step: StepRun, index: int) -> bool:
         """Return whether a task must leave its resources to batch work for now."""
         if not step.spec.lasting or step.tasks[index].last_run:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -157,3 +157,27 @@
             check_overlaps(cluster)
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("down_s", [2.0, DOWN_S])
+def test_tasks_that_start_with_one_that_crashes_its_runners_are_done(down_s):
+    """Guards against tasks that are placed beside it again, and given up with it."""
+
+    async def scenario():
+        async with run_cluster(runners=6, processors=8) as cluster:
+            job, other = make_job(1), make_job(2, make_step(5))
+            crashing = CrashingTasks(cluster, {f"{job.id}.0.0.0"}, down_s=down_s)
+            cluster.tasks.start_soon(crashing.run)
+            await cluster.owner()
+            await anyio.sleep(1)
+            async with anyio.create_task_group() as submissions:
+                submissions.start_soon(cluster.submit, other)
+                submissions.start_soon(cluster.submit, job)
+            await cluster.wait_for(job, JobState.FAILED, 60.0)
+            await cluster.wait_for(other, JobState.DONE, 30.0)
+            first = cluster.starts(f"{other.id}.0.0.0")[0]
+            assert first == starts_of(cluster, job)[0]
+            assert len(starts_of(cluster, job)) <= MAX_STARTS
+            check_overlaps(cluster)
+
+    run_virtual(scenario)
