--- a/review/lib/proxy.py
+++ b/review/lib/proxy.py
@@ -1,33 +1,82 @@
-"""A proxy on loopback that can hold up what passes, as a partition does.
+"""A proxy on loopback that can deliver a start order late.
 
-``python3 proxy.py LISTEN TARGET`` forwards each connection. A line ``cut`` on standard
-input holds up all bytes in both directions until ``heal``. As on a real link, bytes
-that were sent over an open connection are still delivered after the cut, and nothing
-of connections that were opened meanwhile is.
+``python3 proxy.py LISTEN TARGET`` forwards each connection. After a line ``late
+SECONDS`` on standard input, the next start order gets no answer, and is delivered so
+much later over a connection of its own.
 """
 
 import asyncio
 import sys
 
 
-class Link:
-    """Whether bytes pass."""
+class Proxy:
+    """Forwards connections to a runner.
 
-    def __init__(self):
-        self.open = asyncio.Event()
-        self.open.set()
+    Parameters
+    ----------
+    host : str
+        Address of the runner.
+    port : int
+        Port of the runner.
 
+    Attributes
+    ----------
+    order_delay_s : float or None
+        Delay of the next start order in seconds; None if it is forwarded at once.
+    """
 
-async def _pump(link, reader, writer):
+    def __init__(self, host, port):
+        self.order_delay_s = None
+        self._target = host, port
+        self._late = set()
+
+    async def handle(self, reader, writer):
+        """Forward one connection until both sides have closed it."""
+        try:
+            to_reader, to_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(
+            _pump(self._take_orders(reader), to_writer),
+            _pump(_read(to_reader), writer),
+        )
+        to_writer.close()
+        writer.close()
+
+    async def _take_orders(self, reader):
+        """Yield what a client sends, but for an order that is to be late."""
+        async for data in _read(reader):
+            delay_s = self.order_delay_s
+            if delay_s is None or not data.startswith(b"POST /-/run-start"):
+                yield data
+                continue
+            self.order_delay_s = None
+            task = asyncio.create_task(self._deliver(data, delay_s))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+
+    async def _deliver(self, data, delay_s):
+        await asyncio.sleep(delay_s)
+        reader, writer = await asyncio.open_connection(*self._target)
+        writer.write(data)
+        await reader.read(4096)
+        writer.close()
+
+
+async def _read(reader):
+    while data := await reader.read(65536):
+        yield data
+
+
+async def _pump(chunks, writer):
     try:
-        while data := await reader.read(65536):
-            await link.open.wait()
+        async for data in chunks:
             writer.write(data)
             await writer.drain()
-        await link.open.wait()
         if writer.can_write_eof():
             writer.write_eof()
-    except (ConnectionError, OSError):
+    except OSError:
         writer.close()
 
 
@@ -35,33 +84,12 @@
     """Forward until killed."""
     host, port = sys.argv[1].rsplit(":", 1)
     target_host, target_port = sys.argv[2].rsplit(":", 1)
-    link = Link()
-
-    async def on_connection(reader, writer):
-        if not link.open.is_set():
-            await link.open.wait()
-            writer.transport.abort()
-            return
-        try:
-            to_reader, to_writer = await asyncio.open_connection(
-                target_host, int(target_port)
-            )
-        except OSError:
-            writer.transport.abort()
-            return
-        await asyncio.gather(
-            _pump(link, reader, to_writer), _pump(link, to_reader, writer)
-        )
-        to_writer.close()
-        writer.close()
-
-    server = await asyncio.start_server(on_connection, host, int(port))
+    proxy = Proxy(target_host, int(target_port))
+    server = await asyncio.start_server(proxy.handle, host, int(port))
     loop = asyncio.get_running_loop()
     while line := await loop.run_in_executor(None, sys.stdin.readline):
-        if line.strip() == "cut":
-            link.open.clear()
-        if line.strip() == "heal":
-            link.open.set()
+        if line.startswith("late "):
+            proxy.order_delay_s = float(line.split()[1])
     server.close()
 
 
