--- a/review/2/run.py
+++ b/review/2/run.py
@@ -17,7 +17,10 @@
 
 
 def play(deployment, trouble):
-    """Fill the runners past two due times, then kill the owner."""
+    """Fill the runners past two due times, then kill the owner.
+
+    With TROUBLE ``term`` the owner gets SIGTERM instead, and shuts down in order.
+    """
     route = {"MaxAttempts": 3, "TargetLatencyMs": 1000, "Stretch": 1.0}
     deployment.put_config(
         [
@@ -57,8 +60,13 @@
     if trouble != "0":
         time.sleep(0.3)
         owner = deployment.find_owner()
-        deployment.note(f"SIGKILL of {owner.name}, which gives the orders")
-        deployment.kill(owner.process)
+        if trouble == "term":
+            deployment.note(f"SIGTERM of {owner.name}, which gives the orders")
+            owner.process.terminate()
+            owner.process.wait(10)
+        else:
+            deployment.note(f"SIGKILL of {owner.name}, which gives the orders")
+            deployment.kill(owner.process)
         time.sleep(1.0)
         deployment.start_node(owner)
     until_s = time.time() + 45.0
