--- a/review/5/run.py
+++ b/review/5/run.py
@@ -74,9 +74,9 @@
     poison = {
         "Spec": work(500),
         "Phases": [{**phase, "Count": 1, "Requires": "no-such-label"}],
-        "Times": 300_000,
-        "StartAtMs": round(1000 * time.time()) - 2 * day_ms,
-        "IntervalMs": 1000,
+        "Times": 365 * 24 * 60,
+        "StartAtMs": round(1000 * time.time()) - 60 * day_ms,
+        "IntervalMs": 60_000,
     }
     jobs = []
     for number in range(ORDINARY):
