review: LOST is checked as the rule says it

A job counts as lost only if it isn't known, gets no answer, or has nothing running for 3 s beside free room, as the runners recorded it.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -374,6 +374,67 @@
     return json.dumps({"ms": ms, "cpu": cpu, "mem": mem, "how": how})
 
 
+def find_lost(deployment, prefix, jobs, watch_s=3.2):
+    """Return the jobs that the rule LOST counts, by what it says of them.
+
+    A job is lost if it isn't known, if no instance answers, or if for 3 s nothing of it
+    runs although it isn't done, while under half of the room of all runners is in use.
+    The submissions of a case fit into the rest of the room twice over.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment, `finish_s` after the end of the traffic.
+    prefix : str
+        Path prefix of the jobs' queue.
+    jobs : list of str
+        Ids of accepted jobs that nobody has cancelled.
+    watch_s : float
+        How long the runners are watched, in seconds.
+
+    Returns
+    -------
+    dict of str to int
+        Number of lost jobs.
+    """
+    from_s = time.time()
+    time.sleep(watch_s)
+    until_s = time.time()
+    events = deployment.read_events()
+    spans = find_spans(events, until_s)
+    room = sum(runner.fields["cpu"] for runner in deployment.runner_by_id.values())
+    overlapping = [span for span in spans if span[0] < until_s and span[1] > from_s]
+    in_use = sum(span[3] for span in overlapping)
+    deployment.note(f"runs in the last {watch_s} s take {in_use} of {room} (Cpu)")
+    at_work = {span[2].split(".")[0] for span in overlapping}
+    lost = {}
+    for job in jobs:
+        state = deployment.state(prefix, job)
+        if state in ("done", "failed", "cancelled"):
+            continue
+        if state in ("pending", "running"):
+            if job in at_work or 2 * in_use >= room:
+                continue
+            state = f"{state}, nothing runs"
+        lost[state] = lost.get(state, 0) + 1
+    return lost
+
+
+def find_spans(events, until_s):
+    """Return begin, end, task and `Cpu` of each run; ``until_s`` ends open ones."""
+    open_runs, spans = {}, []
+    for event in events:
+        key = (event["runner"], event["born"], event.get("task"), event.get("run"))
+        if event["kind"] == "start":
+            open_runs[key] = event
+        if event["kind"] == "end" and key in open_runs:
+            start = open_runs.pop(key)
+            spans.append((start["at"], event["at"], start["task"], start["cpu"]))
+    for start in open_runs.values():
+        spans.append((start["at"], until_s, start["task"], start["cpu"]))
+    return spans
+
+
 def is_ready(node):
     """Return whether an instance answers its readiness check with 200."""
     try:
@@ -413,7 +474,8 @@
     with Deployment(pathlib.Path(file).resolve().parent) as deployment:
         try:
             broken = play(deployment, trouble)
-        except (CouldNotRun, OSError, http.client.HTTPException) as error:
+        except Exception as error:
+            # An error of the case's own must not pass for a broken rule.
             deployment.note(f"COULD NOT RUN: {error!r}")
             result = COULD_NOT_RUN
         else:
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -69,7 +69,7 @@
             return 409, self._stamp({"Reason": "fence"})
         self.fence = fence
         if target == "/-/run-start":
-            return self._start(call)
+            return self._start(call, fence)
         if target == "/-/run-stop":
             self._stop(call["Task"], call["Run"])
             return 200, self._stamp({})
@@ -86,7 +86,7 @@
         longest_ms = self.clock_ms() + self.fields["max_hold_ms"]
         self.lease_end_ms = max(self.lease_end_ms, min(due_ms, longest_ms))
 
-    def _start(self, call):
+    def _start(self, call, fence):
         task, run = call["Task"], call["Run"]
         active = self.run_by_task.get(task)
         if active is not None and active["run"] == run:
@@ -105,7 +105,7 @@
             return 409, self._stamp({"Reason": "room"})
         now_s = time.monotonic()
         self.run_by_task[task] = {**spec, "run": run, "since_s": now_s}
-        self.log("start", task=task, run=run, fence=call["FenceToken"])
+        self.log("start", task=task, run=run, cpu=spec["cpu"], fence=fence)
         if spec["ms"] is not None:
             asyncio.get_running_loop().call_later(
                 spec["ms"] / 1000, self._end, task, run, spec.get("how", "done")
