--- a/review/1/run.py
+++ b/review/1/run.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "lib"))
 
-from harness import CouldNotRun, call, new_job_id, run_case, work
+from harness import CouldNotRun, call, find_lost, new_job_id, run_case, work
 
 #: What another writer puts into the list of runners: the address is empty, which on
 #: the pages is the same as a field that is missing.
@@ -51,18 +51,12 @@
     if not jobs:
         raise CouldNotRun("no submission was accepted")
     time.sleep(FINISH_S)
-    count_by_state = {}
-    for job in jobs:
-        state = deployment.state("/round/", job)
-        count_by_state[state] = count_by_state.get(state, 0) + 1
+    lost = find_lost(deployment, "/round/", jobs)
     starts = len(deployment.find_events("start"))
-    deployment.note(f"{len(jobs)} accepted: {count_by_state}; starts: {starts}")
-    if set(count_by_state) == {"done"}:
+    deployment.note(f"{len(jobs)} accepted; lost: {lost}; starts: {starts}")
+    if not lost:
         return ""
-    return (
-        f"LOST: {FINISH_S} s after the traffic {count_by_state} with {starts} starts, "
-        "while six runners are free"
-    )
+    return f"LOST: {FINISH_S} s after the traffic: {lost} of {len(jobs)}"
 
 
 if __name__ == "__main__":
