--- a/review/2/run.py
+++ b/review/2/run.py
@@ -81,11 +81,11 @@
     tasks = [f"{job}.{k}.0.{index}" for k in range(3) for index in range(2)]
     missing = [task for task in tasks if task not in done]
     deployment.note(f"tasks without an end `done`: {missing}")
-    if state == "done" and missing:
-        return f"MIXED: shown as done while these tasks never ran: {missing}"
-    if missing:
-        return f"LOST: both runners are free, and these never ran: {missing}"
-    return "" if state == "done" else f"LOST: all tasks ended, and it is {state!r}"
+    if state != "done":
+        raise CouldNotRun(f"the submission is still {state!r}")
+    if not missing:
+        return ""
+    return f"MIXED: shown as done while these tasks never ran: {missing}"
 
 
 if __name__ == "__main__":
