--- a/review/5/run.py
+++ b/review/5/run.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "lib"))
 
-from harness import MEMORY_MB, CouldNotRun, new_job_id, run_case, work
+from harness import MEMORY_MB, CouldNotRun, find_lost, new_job_id, run_case, work
 
 #: Submissions that can never be done, among 60 others: the pages' share is 0.05.
 POISON = 3
@@ -89,17 +89,14 @@
     if len(jobs) < ORDINARY // 2:
         raise CouldNotRun("most submissions were not accepted")
     time.sleep(FINISH_S)
-    states = {}
-    for job in jobs:
-        states.setdefault(deployment.state("/round/", job), []).append(job)
+    lost = find_lost(deployment, "/round/", jobs)
     platform.ending.set()
     platform.join(5)
-    counts = {state: len(found) for state, found in states.items()}
-    deployment.note(f"{len(jobs)} ordinary submissions were accepted: {counts}")
+    deployment.note(f"{len(jobs)} ordinary submissions were accepted; lost: {lost}")
     deployment.note(f"killed: {platform.kills}; peak: {platform.peak_mb:.0f} MB")
-    if set(states) <= {"done"}:
+    if not lost:
         return ""
-    return f"LOST: {FINISH_S} s after the last submission: {counts}"
+    return f"LOST: {FINISH_S} s after the last submission: {lost} of {len(jobs)}"
 
 
 if __name__ == "__main__":
