--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -470,7 +470,7 @@
     """
     trouble = os.environ.get("TROUBLE", "1")
     # The processes are ended also if the play is.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    signal.signal(signal.SIGTERM, _end_play)
     with Deployment(pathlib.Path(file).resolve().parent) as deployment:
         try:
             broken = play(deployment, trouble)
@@ -484,6 +484,12 @@
     sys.exit(result)
 
 
+def _end_play(*_):
+    # `timeout` signals the process and its group.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit(COULD_NOT_RUN)
+
+
 def _connects(address):
     host, port = address.rsplit(":", 1)
     try:
