An entry without a usable address ends no term

One entry in the list of runners with an empty address, or one without a port, made `split_address` raise within the follower of the table; that ended the term, and each next owner read the same entry.

`FaultLog` contains an error to what it names: a row of operators or runners, or the connection to one runner; it logs and counts it. At the border an address is an IP address with a port, and a service and a zone are not empty.

Runners of the test cluster have IP addresses now, as those of the platform.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..dispatch import Term
+from ..faults import FaultLog
 from ..links import PlatformLinks
 from ..logs import get_logger
 from ..metrics import Metrics
@@ -81,7 +82,7 @@
         self._clock = clock
         self._metrics = metrics
         self._wall_ms = wall_ms
-        self.operators = OperatorView(links.row_decoder)
+        self.operators = OperatorView(links.row_decoder, FaultLog(metrics, clock))
         self._follower = TableFollower(
             links.store,
             links.operator_table,
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -1,8 +1,10 @@
 """The jobs, runners and attempts of a shard in memory; does no input or output."""
 
+import dataclasses
 from collections.abc import Mapping
 
 from ..clock import Clock
+from ..faults import FaultLog
 from ..fleet import (
     LEAVING_LEASE_S,
     RUNNER_LEASE_S,
@@ -86,6 +88,8 @@
         Which runners may be used, judged by how tasks end on them.
     colocation : ColocationPolicy
         How far tasks that use spare processors may disturb serving tasks.
+    fault_log : FaultLog
+        Records errors that are contained to a row, a runner or a job.
     """
 
     def __init__(
@@ -107,6 +111,7 @@
         self.stop_wakeup = Wakeup()
         self.health = RunnerHealth()
         self.colocation = ColocationPolicy()
+        self.fault_log = FaultLog(metrics, clock)
         self._crash_detector = CrashDetector()
         self._entry_by_id: dict[str, RunnerEntry] = {}
         self._unreadable_job_ids: set[str] = set()
@@ -182,6 +187,13 @@
         self.placement_wakeup.set()
         return to_connect
 
+    def record_no_address(self, runner: Runner) -> None:
+        """Record that no connection to a runner is possible at its address.
+
+        The next update tries it again; attempts there end once their leases lapse.
+        """
+        runner.entry = dataclasses.replace(runner.entry, address="")
+
     def restore_allocations(self, job: Job) -> None:
         """Allocate resources for the attempts of a job read from the store."""
         for attempt in job.attempts():
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -5,6 +5,7 @@
 import anyio
 
 from ..clock import Clock
+from ..fleet import Runner
 from ..jobs import FINAL_STATES, StateRecord, decode_state, restore_tasks
 from ..logs import get_logger
 from ..metrics import Metrics
@@ -118,7 +119,9 @@
         self._store = store
         self._clock = clock
         self._term_end = TermEnd()
-        runners = RunnerView(row_decoder, self._update_runners, clock)
+        runners = RunnerView(
+            row_decoder, self._update_runners, clock, self.owner_state.fault_log
+        )
         self._context = TermContext(
             writer,
             self.owner_state,
@@ -305,12 +308,7 @@
             leaving = runner.entry.draining or runner.id not in entries
             runner.update_leaving(leaving, now_s)
         for runner in to_connect:
-            link = self._context.connect(runner.entry)
-            self._link_by_runner[runner.id] = link
-            watch = RunnerWatch(
-                self._context, self._orders, self._term_end, runner, link
-            )
-            self._task_group.start_soon(watch.run)
+            self._watch_runner(runner)
         for runner in self.owner_state.runner_by_id.values():
             if runner.incarnation is not None and runner.entry.incarnation not in (
                 0,
@@ -318,6 +316,19 @@
             ):
                 runner.poll_wakeup.set()
 
+    def _watch_runner(self, runner: Runner) -> None:
+        """Connect to a runner, and poll it in the background."""
+        with self.owner_state.fault_log.contain(
+            "runner_connect_failed", runner=runner.id
+        ) as attempt:
+            link = self._context.connect(runner.entry)
+        if attempt.failed:
+            self.owner_state.record_no_address(runner)
+            return
+        self._link_by_runner[runner.id] = link
+        watch = RunnerWatch(self._context, self._orders, self._term_end, runner, link)
+        self._task_group.start_soon(watch.run)
+
     async def _send_stops(self) -> None:
         while True:
             stops, self.owner_state.pending_stops = self.owner_state.pending_stops, []
--- a/flamingoweir/platform/_row_decoder.py
+++ b/flamingoweir/platform/_row_decoder.py
@@ -20,7 +20,7 @@
     UnreadableRow,
 )
 from ..resources import Resources
-from ._model import WireModel
+from ._model import Address, Text, WireModel
 
 OPERATOR_TABLE = "op"
 RUNNER_TABLE = "servers"
@@ -102,9 +102,9 @@
 class RunnerMessage(WireModel):
     """Row that a runner writes about itself."""
 
-    service: str
-    address: str
-    zone: str
+    service: Text
+    address: Address
+    zone: Text
     state: str
     capacity: CapacityMessage
     #: Kind and rack of the runner, which steps can require. The last one is the rack.
--- a/flamingoweir/registry/_view.py
+++ b/flamingoweir/registry/_view.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ..clock import Clock
+from ..faults import FaultLog
 from ..logs import get_logger
 from ..storage import VersionedRow
 from ._entries import Configuration, MaintenanceWave, RunnerEntry
@@ -50,6 +51,8 @@
     ----------
     row_decoder : RowDecoder
         Decoder of the rows.
+    fault_log : FaultLog, optional
+        Records the rows that can't be applied.
 
     Attributes
     ----------
@@ -61,8 +64,9 @@
         Maintenance waves that operators request, by number.
     """
 
-    def __init__(self, row_decoder: RowDecoder):
+    def __init__(self, row_decoder: RowDecoder, fault_log: FaultLog | None = None):
         self._row_decoder = row_decoder
+        self._fault_log = fault_log or FaultLog()
         self._zone_by_key: dict[str, str] = {}
         self._wave_by_key: dict[str, MaintenanceWave] = {}
         self.configuration: Configuration | None = None
@@ -98,7 +102,9 @@
             if row.deleted:
                 self._remove(row.id.key)
                 continue
-            if row.value is not None:
+            if row.value is None:
+                continue
+            with self._fault_log.contain("operator_row_unreadable", key=row.id.key):
                 self._apply_row(row.id.key, row.value)
 
     def _apply_row(self, key: str, value: bytes) -> None:
@@ -108,12 +114,8 @@
                 log.info("zone_out", zone=zone)
             self._zone_by_key[key] = zone
             return
-        try:
-            configuration = self._row_decoder.decode_configuration(key, value)
-            wave = None if configuration else self._row_decoder.decode_wave(key, value)
-        except UnreadableRow as error:
-            log.warning("operator_row_unreadable", key=key, detail=str(error))
-            return
+        configuration = self._row_decoder.decode_configuration(key, value)
+        wave = None if configuration else self._row_decoder.decode_wave(key, value)
         if configuration is not None:
             self._apply_configuration(configuration)
         if wave is not None:
@@ -151,6 +153,8 @@
         heartbeats, which change neither.
     clock : Clock
         Monotonic clock of this instance.
+    fault_log : FaultLog, optional
+        Records the rows that can't be applied.
 
     Attributes
     ----------
@@ -160,9 +164,14 @@
     """
 
     def __init__(
-        self, row_decoder: RowDecoder, on_update: Callable[[], None], clock: Clock
+        self,
+        row_decoder: RowDecoder,
+        on_update: Callable[[], None],
+        clock: Clock,
+        fault_log: FaultLog | None = None,
     ):
         self._row_decoder = row_decoder
+        self._fault_log = fault_log or FaultLog()
         self._on_update = on_update
         self._clock = clock
         self._unlisted_s_by_id: dict[str, float] = {}
@@ -206,12 +215,9 @@
     def _apply_row(self, row: VersionedRow) -> bool:
         """Update a runner's entry; return whether anything changed."""
         runner = row.id.key
-        if row.value is None:
-            return False
-        try:
-            entry = self._row_decoder.decode_runner(runner, row.value)
-        except UnreadableRow as error:
-            log.warning("runner_row_unreadable", runner=runner, detail=str(error))
+        with self._fault_log.contain("runner_row_unreadable", runner=runner) as attempt:
+            entry = self._row_decoder.decode_runner(runner, row.value or b"")
+        if attempt.failed:
             return self._mark_unlisted(runner)
         previous = self.entry_by_id.get(runner)
         if entry == previous and runner not in self._unlisted_s_by_id:
--- a/flamingoweir/transport.py
+++ b/flamingoweir/transport.py
@@ -15,6 +15,8 @@
 #: Seconds after which an idle connection is no longer used.
 IDLE_LIMIT_S = 4.0
 
+PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65_535
 #: Method, target and version.
 REQUEST_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ [!-~]+ HTTP/1\.1")
 HEADER_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
@@ -74,9 +76,20 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of ``host:port``."""
+    """Return the host and the port of ``host:port``.
+
+    Raises
+    ------
+    ValueError
+        If the host is missing, or the port is no number from 0 to 65535.
+    """
     host, _, port = address.rpartition(":")
-    return host, int(port)
+    if not host or not PORT.fullmatch(port) or int(port) > MAX_PORT:
+        raise ValueError(
+            f"{address[:100]!r} is not an address; use 'host:port' with a port of at "
+            f"most {MAX_PORT}"
+        )
+    return host.removeprefix("[").removesuffix("]"), int(port)
 
 
 class HttpClient:
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,117 @@
+"""An odd entry among those of the runners stops no other runner and no job."""
+
+import anyio
+import pytest
+
+from flamingoweir.jobs import JobState
+from flamingoweir.platform import PlatformRowDecoder
+from flamingoweir.registry import UnreadableRow
+from flamingoweir.registry._view import UNLISTED_GRACE_S
+from flamingoweir.storage import RowId
+from tests.utils.cluster import AbsentRunnerLink, make_job, make_step, run_cluster
+from tests.utils.entries import encode_entry
+from tests.utils.virtual_time import run_virtual
+
+#: Seconds in which a job of one second is done beside an odd entry.
+MAX_JOB_S = 2.5
+NO_ADDRESS = {
+    "empty": "",
+    "no_port": "nonsense",
+    "no_host": ":80",
+    "port_is_text": "10.0.0.9:http",
+    "port_is_zero": "10.0.0.9:0",
+    "port_is_negative": "10.0.0.9:-1",
+    "port_is_out_of_range": "10.0.0.9:70000",
+    "port_has_5000_digits": "10.0.0.9:" + "9" * 5000,
+    "host_is_a_name": "runner.example:80",
+    "host_has_a_nul": "10.0.0.9\0:80",
+    "bare_ipv6": "::1",
+}
+
+
+async def check_jobs_run(cluster) -> None:
+    """Check that the owner starts and ends a job, and stays the owner."""
+    owner = await cluster.owner()
+    term = owner.instance.term
+    job = await cluster.submit(make_job(len(cluster.spec_by_id) + 1, make_step(3)))
+    await cluster.wait_for(job, JobState.DONE, MAX_JOB_S)
+    assert owner.instance.term is term
+    assert not term.failed
+
+
+def put_entry(cluster, value: bytes) -> None:
+    """Write an odd entry beside those of the runners, as another writer does."""
+    cluster.rows.put(RowId("servers", "", "odd"), value)
+
+
+@pytest.mark.parametrize("address", NO_ADDRESS.values(), ids=NO_ADDRESS)
+def test_entry_without_a_usable_address_stops_no_runner_and_no_job(address):
+    """Guards against an entry that ends the term of each owner that reads it."""
+
+    async def scenario():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            put_entry(cluster, encode_entry(Address=address))
+            await check_jobs_run(cluster)
+            # The next owner reads the entry with the whole table.
+            cluster.kill_member(await cluster.owner())
+            await cluster.owner()
+            await check_jobs_run(cluster)
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("field", ["Address", "Service", "Zone"])
+def test_entry_with_an_empty_field_is_one_that_lacks_it(field):
+    """Guards against a row that names a runner without the field that it needs."""
+    with pytest.raises(UnreadableRow):
+        PlatformRowDecoder().decode_runner("odd", encode_entry(**{field: ""}))
+
+
+def test_runner_that_cannot_be_connected_stops_no_other_runner(monkeypatch):
+    """Guards against any error by which a connection can't be set up.
+
+    The runner is used once its entry allows a connection.
+    """
+    broken = [True]
+    connect = AbsentRunnerLink.__init__
+
+    def fail(self, entry):
+        if broken:
+            raise RuntimeError("a fault in the client")
+        connect(self, entry)
+
+    monkeypatch.setattr(AbsentRunnerLink, "__init__", fail)
+
+    async def scenario():
+        async with run_cluster() as cluster:
+            owner = await cluster.owner()
+            put_entry(cluster, encode_entry())
+            await check_jobs_run(cluster)
+            runner = owner.instance.term.owner_state.runner_by_id["odd"]
+            assert not runner.entry.address
+            broken.clear()
+            # The list is looked at when a row of it changes.
+            cluster.list_runner("runner-0", zone="gwynedd")
+            await check_jobs_run(cluster)
+            runner = owner.instance.term.owner_state.runner_by_id["odd"]
+            assert runner.entry.address
+
+    run_virtual(scenario)
+
+
+def test_runner_whose_entry_becomes_unreadable_is_no_longer_used():
+    """Guards against the former entry, which counts as valid for ever."""
+
+    async def scenario():
+        async with run_cluster(runners=2) as cluster:
+            owner = await cluster.owner()
+            await check_jobs_run(cluster)
+            cluster.rows.put(RowId("servers", "", "runner-0"), b"\xff{")
+            await check_jobs_run(cluster)
+            await anyio.sleep(UNLISTED_GRACE_S)
+            view = owner.instance.term._context.runners
+            assert not view.is_listed("runner-0")
+            assert view.is_listed("runner-1")
+
+    run_virtual(scenario)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -7,12 +7,14 @@
 import orjson
 
 from flamingoweir.daemon._instance import Instance
+from flamingoweir.dispatch import RunnerLink, RunnerUnreachable, StartResult
 from flamingoweir.fleet import RUNNER_LEASE_S
 from flamingoweir.jobs import JobSpec, JobState, Outcome, QueuePolicy, StepSpec, TaskId
 from flamingoweir.links import PlatformLinks
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.ownership import LEASE_VALID_S
 from flamingoweir.platform import PlatformRowDecoder
+from flamingoweir.registry import RunnerEntry
 from flamingoweir.resources import Resources
 from flamingoweir.settings import FleetSettings
 from flamingoweir.standins import (
@@ -23,6 +25,7 @@
     RowsLink,
 )
 from flamingoweir.storage import RowId, VersionedRow
+from flamingoweir.transport import split_address
 from tests.utils.virtual_time import Process, VirtualClock, current_process
 
 SERVICE = "turning"
@@ -61,6 +64,28 @@
     )
 
 
+class AbsentRunnerLink:
+    """Link to an address at which nothing listens."""
+
+    def __init__(self, entry: RunnerEntry):
+        split_address(entry.address)
+
+    async def start(self, order) -> tuple[StartResult, float | None]:
+        return StartResult.UNSENT, None
+
+    async def stop(self, task, run, fence) -> None:
+        raise RunnerUnreachable("nothing listens")
+
+    async def set_pace(self, task, run, percent, fence) -> None:
+        raise RunnerUnreachable("nothing listens")
+
+    async def poll(self, fence, acknowledged, deadline_ms, wait_s):
+        raise RunnerUnreachable("nothing listens")
+
+    async def aclose(self) -> None:
+        return
+
+
 class Member:
     """An instance with its links to store and runners, which a test can break."""
 
@@ -99,8 +124,10 @@
     def kill(self) -> None:
         self._scope.cancel()
 
-    def _connect(self, entry) -> MemoryRunnerLink:
+    def _connect(self, entry) -> RunnerLink:
         link = self.link_by_runner.get(entry.id)
+        if entry.id not in self._cluster.runner_by_id:
+            return AbsentRunnerLink(entry)
         if link is None:
             link = MemoryRunnerLink(self._cluster.runner_by_id[entry.id])
             self.link_by_runner[entry.id] = link
@@ -167,10 +194,14 @@
             runner_id, capacity, self.find_spec, self.plan, contention=contention
         )
         self.runner_by_id[runner_id] = runner
-        self.address_by_runner[runner_id] = address or f"{runner_id}:1"
+        self.address_by_runner[runner_id] = address or self._next_address()
         self.list_runner(runner_id, zone)
         return runner
 
+    def _next_address(self) -> str:
+        number = len(self.runner_by_id)
+        return f"10.0.{number // 250}.{number % 250 + 1}:1"
+
     def list_runner(
         self,
         runner_id: str,
