A number too large in an entry or a report of a runner ends no term

Callers would see all work stop, on every instance in turn: a runner in use whose entry announces processors of 401 digits makes the arithmetic of a placement overflow; a report with an index or a run of that size is answered by a stop order that can't be encoded. Any unexpected error in a poll or a start order to one runner ended the term as well, as all of them run in its task group.

Behind that, an error in a poll counts as no response, one in an order stops its attempt and counts against its runner, and one in a follower reads the table again.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -82,7 +82,8 @@
         self._clock = clock
         self._metrics = metrics
         self._wall_ms = wall_ms
-        self.operators = OperatorView(links.row_decoder, FaultLog(metrics, clock))
+        fault_log = FaultLog(metrics, clock)
+        self.operators = OperatorView(links.row_decoder, fault_log)
         self._follower = TableFollower(
             links.store,
             links.operator_table,
@@ -90,6 +91,7 @@
             OPERATOR_FEED_WAIT_S,
             self.operators.apply_rows,
             clock,
+            fault_log,
         )
         process = f"{generator.getrandbits(64):016x}"
         self.standby = Standby(
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -3,6 +3,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from ..faults import Containment
 from ..fleet import Allocation, Runner
 from ..jobs import Attempt, AttemptState, TaskId
 from ..logs import get_logger
@@ -58,7 +59,7 @@
 
     def start(self, attempt: Attempt) -> None:
         """Send the start order of a durable attempt."""
-        self._task_group.start_soon(self._start, attempt)
+        self._task_group.start_soon(self._start_or_stop, attempt)
 
     def stop(self, attempt: Attempt) -> None:
         """Send stop orders for an attempt until its runner responds."""
@@ -77,13 +78,32 @@
 
     def stop_run(self, runner_id: str, task: TaskId, run: int) -> None:
         """Send one stop order for an unknown run; later polls repeat it if needed."""
-        self._task_group.start_soon(self._stop_run, runner_id, task, run)
+        self._task_group.start_soon(self._stop_run_once, runner_id, task, run)
 
     def _find_allocation(self, attempt: Attempt) -> tuple[Runner, Allocation] | None:
         runner = self._owner_state.runner_by_id.get(attempt.runner)
         allocation = runner.find(attempt.task, attempt.run) if runner else None
         return (runner, allocation) if allocation else None
 
+    async def _start_or_stop(self, attempt: Attempt) -> None:
+        """Send the start order; after an unexpected error, stop the attempt."""
+        with self._contain("start", attempt.runner) as order:
+            await self._start(attempt)
+        if not order.failed:
+            return
+        now_s = self._context.clock.now()
+        self._owner_state.health.record_fault(attempt.runner, now_s)
+        found = self._find_allocation(attempt)
+        if found is not None:
+            # It is not known whether the order was sent.
+            found[1].start_unanswered = True
+            self._owner_state.stop_attempt(attempt, "order_failed")
+
+    def _contain(self, order: str, runner_id: str) -> Containment:
+        return self._owner_state.fault_log.contain(
+            "order_failed", order=order, runner=runner_id
+        )
+
     async def _start(self, attempt: Attempt) -> None:
         found = self._find_allocation(attempt)
         job = self._owner_state.job_by_id.get(attempt.task.job)
@@ -163,25 +183,36 @@
     async def _stop(self, attempt: Attempt) -> None:
         while found := self._find_allocation(attempt):
             runner, allocation = found
-            link = self._link_by_runner.get(runner.id)
-            if link is None:
-                # A new owner has not read the table of runners yet.
-                await anyio.sleep(RESEND_PAUSE_S)
-                continue
-            try:
-                await link.stop(attempt.task, attempt.run, self._context.writer.fence)
-            except Fenced:
-                self._term_end.signal(
-                    f"runner {runner.id} has received a higher fencing token"
-                )
-                return
-            except RunnerUnreachable:
-                await anyio.sleep(RESEND_PAUSE_S)
-                continue
-            # The run can't start there any more; the next poll reports its end.
-            allocation.expect_listed_after_s = self._context.clock.now()
-            runner.poll_wakeup.set()
-            return
+            with self._contain("stop", runner.id):
+                if await self._send_stop(attempt, runner, allocation):
+                    return
+            await anyio.sleep(RESEND_PAUSE_S)
+
+    async def _send_stop(
+        self, attempt: Attempt, runner: Runner, allocation: Allocation
+    ) -> bool:
+        """Send one stop order; return whether no other one is needed."""
+        link = self._link_by_runner.get(runner.id)
+        if link is None:
+            # A new owner has not read the table of runners yet.
+            return False
+        try:
+            await link.stop(attempt.task, attempt.run, self._context.writer.fence)
+        except Fenced:
+            self._term_end.signal(
+                f"runner {runner.id} has received a higher fencing token"
+            )
+            return True
+        except RunnerUnreachable:
+            return False
+        # The run can't start there any more; the next poll reports its end.
+        allocation.expect_listed_after_s = self._context.clock.now()
+        runner.poll_wakeup.set()
+        return True
+
+    async def _stop_run_once(self, runner_id: str, task: TaskId, run: int) -> None:
+        with self._contain("stop_run", runner_id):
+            await self._stop_run(runner_id, task, run)
 
     async def _stop_run(self, runner_id: str, task: TaskId, run: int) -> None:
         link = self._link_by_runner.get(runner_id)
@@ -198,7 +229,8 @@
 
     async def _set_pace(self, attempt: Attempt) -> None:
         try:
-            await self._send_paces(attempt)
+            with self._contain("pace", attempt.runner):
+                await self._send_paces(attempt)
         finally:
             self._pacing_attempts.discard(attempt)
 
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -165,19 +165,10 @@
         self._entry_by_id = entry_by_id
         self._blame_crashes()
         for runner_id, entry in entry_by_id.items():
-            known = self.runner_by_id.get(runner_id)
-            if known is not None and known.entry.address in ("", entry.address):
-                if not known.entry.address:
-                    to_connect.append(known)
-                if known.entry is not entry:
-                    known.entry = entry
-                continue
-            if known is not None and known.has_attempts:
-                # The attempts run at the former address; their leases must lapse first.
-                continue
-            runner = self._new_runner(entry)
-            self.runner_by_id[runner_id] = runner
-            to_connect.append(runner)
+            with self.fault_log.contain("runner_update_failed", runner=runner_id):
+                runner = self._update_runner(entry)
+                if runner is not None:
+                    to_connect.append(runner)
         for runner_id, runner in list(self.runner_by_id.items()):
             if runner_id not in entry_by_id and not runner.has_attempts:
                 del self.runner_by_id[runner_id]
@@ -187,6 +178,21 @@
         self.placement_wakeup.set()
         return to_connect
 
+    def _update_runner(self, entry: RunnerEntry) -> Runner | None:
+        """Update a listed runner; return it if it needs a connection."""
+        known = self.runner_by_id.get(entry.id)
+        if known is not None and known.entry.address in ("", entry.address):
+            needs_connection = not known.entry.address
+            if known.entry is not entry:
+                known.entry = entry
+            return known if needs_connection else None
+        if known is not None and known.has_attempts:
+            # The attempts run at the former address; their leases must lapse first.
+            return None
+        runner = self._new_runner(entry)
+        self.runner_by_id[entry.id] = runner
+        return runner
+
     def record_no_address(self, runner: Runner) -> None:
         """Record that no connection to a runner is possible at its address.
 
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -134,7 +134,13 @@
             metrics,
         )
         self._runner_follower = TableFollower(
-            store, runner_table, ("",), FEED_WAIT_S, runners.apply_rows, clock
+            store,
+            runner_table,
+            ("",),
+            FEED_WAIT_S,
+            runners.apply_rows,
+            clock,
+            self.owner_state.fault_log,
         )
         self._loader = JobLoader(self.owner_state, wall_ms)
         self._job_follower = TableFollower(
@@ -144,6 +150,7 @@
             FEED_WAIT_S,
             self._loader.apply_rows,
             clock,
+            self.owner_state.fault_log,
         )
         self._permit = Permit(self._context, self._runner_follower)
         self._link_by_runner: dict[str, RunnerLink] = {}
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -60,6 +60,7 @@
     ):
         self._context = context
         self._owner_state = context.owner_state
+        self._fault_log = context.owner_state.fault_log
         self._clock = context.clock
         self._orders = orders
         self._term_end = term_end
@@ -67,7 +68,11 @@
         self._link = link
 
     async def run(self) -> None:
-        """Poll until the owner's state no longer has this runner."""
+        """Poll until the owner's state no longer has this runner.
+
+        An unexpected error counts as a poll without a response. If it persists, the
+        leases of this runner lapse, and no other runner is affected.
+        """
         runner = self._runner
         while self._owner_state.runner_by_id.get(runner.id) is runner:
             if await self._wait_while_idle():
@@ -76,7 +81,12 @@
                 self._term_end.signal("the store has not confirmed the ownership")
                 return
             await self._wait_until_durable()
-            await self._poll()
+            try:
+                await self._poll()
+            except Exception as error:
+                self._fault_log.record("runner_watch_failed", error, runner=runner.id)
+                self._record_no_response(error)
+                await anyio.sleep(UNRESPONSIVE_PAUSE_S)
         await self._link.aclose()
 
     async def _wait_while_idle(self) -> bool:
@@ -163,7 +173,7 @@
             return POLL_WAIT_S
         return self._owner_state.colocation.measure_interval_s(runner)
 
-    def _record_no_response(self, error: RunnerUnreachable) -> None:
+    def _record_no_response(self, error: Exception) -> None:
         runner = self._runner
         now_s = self._clock.now()
         if runner.unresponsive_since_s is None:
@@ -197,8 +207,11 @@
         has_unlisted = listed_count < len(runner.allocation_by_run)
         if has_unlisted and len(report.ended) < FULL_REPORT_ENDS:
             self._discard_unlisted(running, sent_s)
-        self._adjust_paces()
-        self._stop_stalled(sent_s)
+        runner_id = runner.id
+        with self._fault_log.contain("runner_paces_failed", runner=runner_id):
+            self._adjust_paces()
+        with self._fault_log.contain("runner_stalls_failed", runner=runner_id):
+            self._stop_stalled(sent_s)
 
     def _stop_stalled(self, sent_s: float) -> None:
         """Stop attempts without progress and record that the runner is unhealthy.
--- a/flamingoweir/jobs/_attempt.py
+++ b/flamingoweir/jobs/_attempt.py
@@ -1,8 +1,14 @@
 """Attempts, each of which is one start of a task on one runner."""
 
 import enum
+import re
 from dataclasses import dataclass
 
+#: Id of the job, and the three numbers in the form in which ``str`` writes them.
+TASK_ID = re.compile(
+    r"(.+)\.(0|[1-9][0-9]{0,17})\.(0|[1-9][0-9]{0,17})\.(0|[1-9][0-9]{0,17})"
+)
+
 
 class Outcome(enum.StrEnum):
     """Result of an attempt."""
@@ -61,7 +67,10 @@
         ValueError
             If the text is malformed.
         """
-        job, occurrence, step, index = text.rsplit(".", 3)
+        match = TASK_ID.fullmatch(text)
+        if match is None:
+            raise ValueError(f"{text[:100]!r} is not a task id; use JOB.N.N.N")
+        job, occurrence, step, index = match.groups()
         return cls(job, int(occurrence), int(step), int(index))
 
 
--- a/flamingoweir/platform/_model.py
+++ b/flamingoweir/platform/_model.py
@@ -24,6 +24,10 @@
 Address = Annotated[str, AfterValidator(_check_address)]
 #: A text that a row must have; the platform omits empty fields.
 Text = Annotated[str, Field(min_length=1)]
+#: Largest integer that is taken from a message; the store keeps no larger ones.
+MAX_INTEGER = 2**63 - 1
+Count = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
+Number = Annotated[float, Field(allow_inf_nan=False)]
 
 
 class WireModel(pydantic.BaseModel):
--- a/flamingoweir/platform/_row_decoder.py
+++ b/flamingoweir/platform/_row_decoder.py
@@ -20,7 +20,7 @@
     UnreadableRow,
 )
 from ..resources import Resources
-from ._model import Address, Text, WireModel
+from ._model import Address, Count, Number, Text, WireModel
 
 OPERATOR_TABLE = "op"
 RUNNER_TABLE = "servers"
@@ -89,10 +89,10 @@
     """Resources of a runner."""
 
     #: Processors, in thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
     #: Number of accelerators.
-    gpu: int = 0
+    gpu: Count = 0
 
     def to_resources(self) -> Resources:
         """Convert the message to `Resources`."""
@@ -110,9 +110,9 @@
     #: Kind and rack of the runner, which steps can require. The last one is the rack.
     labels: list[str] = Field(default_factory=list)
     #: Shortest time that a draining runner still stays.
-    remaining_ms: float | None = None
+    remaining_ms: Number | None = None
     #: Start time in milliseconds, which identifies the runner's incarnation.
-    born: int = Field(default=0, alias="born")
+    born: Count = Field(default=0, alias="born")
     #: Machine that the runner is an incarnation of; empty if the row names none.
     machine: str = ""
 
--- a/flamingoweir/platform/_runners.py
+++ b/flamingoweir/platform/_runners.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's runners."""
 
+import math
 from typing import Any
 
 import orjson
@@ -18,7 +19,7 @@
 from ..jobs import Outcome, TaskId
 from ..logs import get_logger
 from ..transport import HttpClient, RequestNotSent, Response, ResponseLost
-from ._model import WireModel
+from ._model import MAX_INTEGER, Count, Number, WireModel
 
 log = get_logger()
 
@@ -45,7 +46,7 @@
     """Response to an order."""
 
     #: The runner's clock.
-    clock_ms: float | None = Field(default=None, allow_inf_nan=False)
+    clock_ms: Number | None = None
     #: Why the order was rejected; empty otherwise.
     reason: str = ""
 
@@ -54,9 +55,9 @@
     """Response to a poll: the runner's running tasks and unacknowledged ends."""
 
     #: The runner's clock.
-    clock_ms: float = Field(allow_inf_nan=False)
+    clock_ms: Number
     #: Start time in milliseconds, which identifies the runner's incarnation.
-    born: int = Field(default=0, alias="born")
+    born: Count = Field(default=0, alias="born")
     #: Rows that `_decode_running` reads.
     running: list[list[Any]] = Field(default_factory=list)
     #: Rows that `_decode_ended` reads.
@@ -281,18 +282,32 @@
         return RunnerReport(decoded.born, decoded.clock_ms, running, ended)
 
     def _decode_running_rows(self, rows: list[list[Any]]) -> list[RunningTask]:
-        """Decode ``[task, run, checkpoint, percent, load]``; the load is optional."""
+        """Decode ``[task, run, checkpoint, percent, load]``; the load is optional.
+
+        Raises
+        ------
+        ValueError, IndexError, OverflowError
+            If a row is malformed.
+        """
         task_by_text: dict[str, TaskId] = {}
         running = []
         for row in rows:
-            text = row[0]
+            text = _decode_text(row[0])
             task = self._task_by_text.get(text)
             if task is None:
                 task = TaskId.parse(text)
             task_by_text[text] = task
-            load = float(row[4]) if len(row) > 4 and row[4] is not None else None
+            load = None
+            if len(row) > 4 and row[4] is not None:
+                load = _decode_number(row[4])
             running.append(
-                RunningTask(task, int(row[1]), row[2], float(row[3] or 0), load)
+                RunningTask(
+                    task,
+                    _decode_integer(row[1]),
+                    _decode_text(row[2]),
+                    _decode_number(row[3]),
+                    load,
+                )
             )
         self._task_by_text = task_by_text
         return running
@@ -302,5 +317,33 @@
     """Decode ``[number, task, run, outcome, checkpoint]``."""
     number, task, run, outcome, checkpoint = row[:5]
     return EndedTask(
-        int(number), TaskId.parse(task), int(run), Outcome(outcome), checkpoint or ""
+        _decode_integer(number),
+        TaskId.parse(_decode_text(task)),
+        _decode_integer(run),
+        Outcome(outcome),
+        _decode_text(checkpoint),
     )
+
+
+def _decode_integer(value: object) -> int:
+    if type(value) is not int or not 0 <= value <= MAX_INTEGER:
+        raise ValueError(f"an integer from 0 to {MAX_INTEGER} is expected")
+    return value
+
+
+def _decode_number(value: object) -> float:
+    """Return a finite number; 0 for null."""
+    if value is None:
+        return 0.0
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise ValueError("a finite number is expected")
+    return float(value)
+
+
+def _decode_text(value: object) -> str:
+    """Return a text; empty for null."""
+    if value is None:
+        return ""
+    if type(value) is not str:
+        raise ValueError("a text is expected")
+    return value
--- a/flamingoweir/registry/_follower.py
+++ b/flamingoweir/registry/_follower.py
@@ -5,6 +5,7 @@
 import anyio
 
 from ..clock import Clock
+from ..faults import FaultLog
 from ..logs import get_logger
 from ..storage import (
     HistoryTruncated,
@@ -39,6 +40,8 @@
         Called with a list of rows and with whether they are the whole table.
     clock : Clock
         Monotonic clock of this instance.
+    fault_log : FaultLog, optional
+        Records unexpected errors, after which the whole table is read again.
 
     Attributes
     ----------
@@ -55,7 +58,9 @@
         wait_s: float,
         apply_rows: Callable[[list[VersionedRow], bool], None],
         clock: Clock,
+        fault_log: FaultLog | None = None,
     ):
+        self._fault_log = fault_log or FaultLog()
         self._store = store
         self._table = table
         self._parts = parts
@@ -103,6 +108,11 @@
                 synced = False
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
+            except Exception as error:
+                self._fault_log.record("feed_failed", error, table=self._table)
+                synced = False
+                await anyio.sleep(RETRY_PAUSE_S)
+                continue
             # A response without changes is sent only at the end of the wait.
             self._record_success(sent_s + self._wait_s if unchanged else sent_s)
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -192,8 +192,20 @@
         b'{"ClockMs":1,"born":3,"Running":[],"Ended":[[1e999,%b,1,"done",""]]}'
         % REPORTED_TASK,
         b'{"ClockMs":NaN,"born":3,"Running":[],"Ended":[]}',
+        b'{"ClockMs":1,"born":1%b,"Running":[],"Ended":[]}' % (b"0" * 400),
+        b'{"ClockMs":1,"born":3,"Running":[[%b,1%b,"",0]],"Ended":[]}'
+        % (REPORTED_TASK, b"0" * 400),
+        b'{"ClockMs":1,"born":3,"Running":[[%b,1,{"a":1},0]],"Ended":[]}'
+        % REPORTED_TASK,
+        b'{"ClockMs":1,"born":3,"Running":[[%b,1,"",1e999]],"Ended":[]}'
+        % REPORTED_TASK,
+        b'{"ClockMs":1,"born":3,"Running":[[%b,1,"",0,-1e999]],"Ended":[]}'
+        % REPORTED_TASK,
+        b'{"ClockMs":1,"born":3,"Ended":[[1,%b,1,"done",9]]}' % REPORTED_TASK,
+        b'{"ClockMs":1,"Running":[["5c0e7a21d94b36f8.0.1.1%b",1,"",0]]}' % (b"0" * 400),
     ],
-    ids=["run", "number", "clock"],
+    ids=["run", "number", "clock", "born", "long_run", "nested_checkpoint"]
+    + ["percent", "load", "checkpoint", "index"],
 )
 def test_number_out_of_range_in_a_report_is_an_invalid_report(body):
     """Guards against an OverflowError that ends the owner's watch, and its term."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -115,3 +115,47 @@
             assert view.is_listed("runner-1")
 
     run_virtual(scenario)
+
+
+HUGE = 10**400
+ODD_NUMBERS = {
+    "processors": b'"Capacity":{"Cpu":%d,"MemMb":256000}' % HUGE,
+    "memory": b'"Capacity":{"Cpu":4000,"MemMb":%d}' % HUGE,
+    "accelerators": b'"Capacity":{"Cpu":4000,"MemMb":256000,"Gpu":%d}' % 2**64,
+    "negative_processors": b'"Capacity":{"Cpu":-4000,"MemMb":256000}',
+    "born": b'"born":%d' % HUGE,
+    "negative_born": b'"born":-1',
+    "remaining": b'"State":"draining","RemainingMs":1e999',
+    "nested_labels": b'"Labels":' + b"[" * 50_000 + b"]" * 50_000,
+    "nested_unknown_field": b'"Else":' + b'{"a":' * 50_000 + b"1" + b"}" * 50_000,
+}
+
+
+@pytest.mark.parametrize("field", ODD_NUMBERS.values(), ids=ODD_NUMBERS)
+def test_odd_number_in_the_entry_of_a_runner_stops_no_other_runner(field):
+    """Guards against arithmetic with an odd number, which ends the term.
+
+    Another writer has overwritten the entry of a runner that is in use.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=3) as cluster:
+            owner = await cluster.owner()
+            await check_jobs_run(cluster)
+            entry = encode_entry(
+                Address=cluster.address_by_runner["runner-0"],
+                born=cluster.runner_by_id["runner-0"].incarnation,
+            )
+            cluster.rows.put(
+                RowId("servers", "", "runner-0"), entry[:-1] + b"," + field + b"}"
+            )
+            serving = make_step(2, latency_target_ms=50, lasting=True, image="web")
+            await cluster.submit(make_job(71, serving))
+            spare = make_step(4, uses_spare=True, image="batch")
+            job = await cluster.submit(make_job(72, spare))
+            await cluster.wait_for(job, JobState.DONE, 6.0)
+            await check_jobs_run(cluster)
+            assert await cluster.owner() is owner
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
