A former owner's row with odd values ends no term

An owner reads what a former owner, perhaps of another build, has written. Callers would see work stop, twice run or stay away.

All four are decoded by validated types now, which ignore fields that they don't know; a task row must fit the job. What can't be read excludes that job alone, within `FaultLog`. Blame counts for tasks that exist.

--- a/flamingoweir/dispatch/_loader.py
+++ b/flamingoweir/dispatch/_loader.py
@@ -22,6 +22,7 @@
 
     def __init__(self, owner_state: OwnerState, wall_ms):
         self._owner_state = owner_state
+        self._fault_log = owner_state.fault_log
         self._wall_ms = wall_ms
 
     def apply_rows(self, rows: list[VersionedRow], is_complete: bool) -> None:
@@ -29,25 +30,23 @@
         for row in rows:
             if row.deleted or row.value is None:
                 continue
-            if row.id.key.endswith(CANCEL_SUFFIX):
-                self._owner_state.cancel_job(row.id.key.removesuffix(CANCEL_SUFFIX))
+            key = row.id.key
+            if key.endswith(CANCEL_SUFFIX):
+                with self._fault_log.contain("cancel_failed", key=key):
+                    self._owner_state.cancel_job(key.removesuffix(CANCEL_SUFFIX))
                 continue
-            self._load_job(row)
+            with self._fault_log.contain("job_unreadable", job=key) as attempt:
+                self._load_job(row)
+            if attempt.failed:
+                self._owner_state.exclude_job(key)
 
     def _load_job(self, row: VersionedRow) -> None:
         if self._owner_state.has_job(row.id.key):
             return
-        try:
-            spec = decode_spec(row.value)
-            job = self._owner_state.add_job(spec)
-        except Exception as error:
-            # Each later owner reads this row too. If it ended their terms, no job at
-            # all would run.
-            log.error("job_unreadable", job=row.id.key, detail=repr(error))
-            self._owner_state.exclude_job(row.id.key)
-            return
-        if job is None:
-            return
+        spec = decode_spec(row.value)
+        if spec.id != row.id.key:
+            raise ValueError(f"the row holds job {spec.id!r}")
+        job = self._owner_state.add_job(spec)
         age_s = max(0.0, (self._wall_ms() - spec.accepted_ms) / 1000)
         job.accepted_s -= age_s
         log.info(
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -365,6 +365,8 @@
         for job in self.job_by_id.values():
             for task_id in job.blame_by_task:
                 task = job.find(task_id)
+                if task is None:
+                    continue
                 for attempt in task.attempt_by_run.values():
                     found.add(attempt.runner)
         return frozenset(found)
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -5,6 +5,7 @@
 import anyio
 
 from ..clock import Clock
+from ..faults import Containment
 from ..fleet import Runner
 from ..jobs import FINAL_STATES, StateRecord, decode_state, restore_tasks
 from ..logs import get_logger
@@ -242,9 +243,12 @@
             job = self.owner_state.job_by_id.get(job_id)
             if job is not None:
                 job.restore_state(record.state, record.blame_by_task)
-        for job in self.owner_state.job_by_id.values():
-            job.update_state()
-            self.owner_state.restore_allocations(job)
+        for job in list(self.owner_state.job_by_id.values()):
+            with self._contain("job_restore_failed", job=job.spec.id) as attempt:
+                job.update_state()
+                self.owner_state.restore_allocations(job)
+            if attempt.failed:
+                self.owner_state.exclude_job(job.spec.id)
             await time_slice.give_way_if_over()
         log.info(
             "shard_restored",
@@ -263,11 +267,10 @@
         record_by_job = {}
         for row in states:
             job_id = row.id.key
-            try:
+            with self._contain("state_unreadable", job=job_id) as attempt:
                 record = decode_state(row.value or b"")
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
+            if attempt.failed:
                 # The job may have ended, so that nothing of it may run.
-                log.error("state_unreadable", job=job_id, detail=repr(error))
                 self.owner_state.exclude_job(job_id)
                 continue
             if record.state not in FINAL_STATES or job_id in unfinished:
@@ -282,17 +285,19 @@
         if job is None or row.value is None:
             log.warning("tasks_without_job", key=row.id.key)
             return
-        try:
+        with self._contain("tasks_unreadable", key=row.id.key) as attempt:
             occurrence, step, number = row.id.key.rsplit(".", 3)[1:]
             tasks_key = (int(occurrence), int(step), int(number))
             restore_tasks(job, tasks_key, row.value)
-        except (ValueError, KeyError, IndexError, TypeError) as error:
-            log.error("tasks_unreadable", key=row.id.key, detail=repr(error))
+        if attempt.failed:
             self.owner_state.exclude_job(job_id)
             return
         committer.record_row(job_id, tasks_key)
         self.owner_state.changed_job_ids.add(job_id)
 
+    def _contain(self, event: str, **subject: str) -> Containment:
+        return self.owner_state.fault_log.contain(event, **subject)
+
     async def _read(self, table: str, parts: Sequence[str]) -> RowPage:
         while True:
             try:
@@ -325,9 +330,7 @@
 
     def _watch_runner(self, runner: Runner) -> None:
         """Connect to a runner, and poll it in the background."""
-        with self.owner_state.fault_log.contain(
-            "runner_connect_failed", runner=runner.id
-        ) as attempt:
+        with self._contain("runner_connect_failed", runner=runner.id) as attempt:
             link = self._context.connect(runner.entry)
         if attempt.failed:
             self.owner_state.record_no_address(runner)
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -239,6 +239,8 @@
 
     def find(self, task: TaskId) -> Task | None:
         """Return a task's state, or None if the job has no such task."""
+        if task.job != self.spec.id:
+            return None
         step_run = self.run_by_step.get((task.occurrence, task.step))
         if step_run is None or not 0 <= task.index < len(step_run.tasks):
             return None
@@ -386,7 +388,9 @@
         """Restore the state and the blame that were read from the store."""
         if state in FINAL_STATES or self.state is JobState.PENDING:
             self.state = state
-        self.blame_by_task = dict(blame_by_task)
+        for task_id, blame in blame_by_task.items():
+            if self.find(task_id) is not None:
+                self.blame_by_task[task_id] = blame
 
     def cancel(self) -> bool:
         """Cancel the job; return whether its state changed."""
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -3,11 +3,17 @@
 from dataclasses import dataclass, field
 
 import orjson
+import pydantic
 
-from ..resources import Resources
 from ._attempt import TaskId
 from ._job import TASKS_PER_ROW, Job, JobState, StepRun, Task
-from ._spec import JobSpec, QueuePolicy, StepSpec
+from ._spec import JobSpec, find_invalid_dependency
+
+#: Latest run, whether done, failures, checkpoint and attempts of a task; an attempt has
+#: its run, runner and incarnation.
+_TaskRecord = tuple[int, bool, int, str, list[tuple[int, str, int]]]
+_SPEC = pydantic.TypeAdapter(JobSpec)
+_TASKS = pydantic.TypeAdapter(list[_TaskRecord])
 
 
 def encode_spec(spec: JobSpec) -> bytes:
@@ -20,19 +26,19 @@
 
     Raises
     ------
-    ValueError, KeyError, TypeError, AttributeError
-        If the data is malformed.
+    ValueError
+        If the data is malformed or no job that can run.
     """
-    fields = orjson.loads(data)
-    steps = []
-    for step in fields["steps"]:
-        step.pop("reserved", None)
-        step["demand"] = Resources(**step["demand"])
-        step["after"] = tuple(step["after"])
-        steps.append(StepSpec(**step))
-    fields["steps"] = tuple(steps)
-    fields["policy"] = QueuePolicy(**fields["policy"])
-    return JobSpec(**fields)
+    spec = _SPEC.validate_json(data, strict=True)
+    if spec.occurrences < 1 or spec.interval_ms < 0:
+        raise ValueError("the occurrences of the job have no due times")
+    for number, step in enumerate(spec.steps):
+        if step.count < 1:
+            raise ValueError(f"step {number} has no tasks")
+    invalid_step = find_invalid_dependency(spec.steps)
+    if invalid_step is not None:
+        raise ValueError(f"step {invalid_step} depends on a step that is not earlier")
+    return spec
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +60,18 @@
     blame_by_task: dict[TaskId, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class _StoredState:
+    """Stored form of a `StateRecord`; tasks are in their text form."""
+
+    state: JobState
+    ended_ms: int
+    blame: dict[str, int] = field(default_factory=dict)
+
+
+_STATE = pydantic.TypeAdapter(_StoredState)
+
+
 def encode_state(record: StateRecord) -> bytes:
     """Return the stored form of the state of a job."""
     fields = {"state": record.state, "ended_ms": record.ended_ms}
@@ -68,14 +86,12 @@
 
     Raises
     ------
-    ValueError, KeyError, TypeError, AttributeError
+    ValueError
         If the data is malformed.
     """
-    fields = orjson.loads(data)
-    blame_by_task = {}
-    for task, blame in fields.get("blame", {}).items():
-        blame_by_task[TaskId.parse(task)] = int(blame)
-    return StateRecord(JobState(fields["state"]), fields["ended_ms"], blame_by_task)
+    stored = _STATE.validate_json(data, strict=True)
+    blame_by_task = {TaskId.parse(task): blame for task, blame in stored.blame.items()}
+    return StateRecord(stored.state, stored.ended_ms, blame_by_task)
 
 
 def row_key(job: str, row: tuple[int, int, int]) -> str:
@@ -113,17 +129,24 @@
 
     Raises
     ------
-    ValueError, KeyError, IndexError, TypeError
-        If the data is malformed or the job has no such step.
+    ValueError
+        If the data is malformed or the job has no such tasks.
     """
     occurrence, step, row_number = row
+    records = _TASKS.validate_json(data, strict=True)
+    first = row_number * TASKS_PER_ROW
+    spec = job.spec
+    if not 0 <= occurrence < spec.occurrences or not 0 <= step < len(spec.steps):
+        raise ValueError(f"the job has no step {step} in occurrence {occurrence}")
+    if first < 0 or first + len(records) > spec.steps[step].count:
+        raise ValueError(f"the step has no {len(records)} tasks from index {first}")
     job.open_occurrence(occurrence)
     step_run = job.run_by_step[occurrence, step]
-    for offset, record in enumerate(orjson.loads(data)):
-        _restore_task(job, step_run, row_number * TASKS_PER_ROW + offset, record)
+    for offset, record in enumerate(records):
+        _restore_task(job, step_run, first + offset, record)
 
 
-def _restore_task(job: Job, step_run: StepRun, index: int, record: list) -> None:
+def _restore_task(job: Job, step_run: StepRun, index: int, record: _TaskRecord) -> None:
     last_run, done, failures, checkpoint, attempts = record
     step_run.tasks[index] = Task(last_run, failures, checkpoint, done)
     if done:
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -1,8 +1,10 @@
 """The record that an owner publishes in the owner row of its shard."""
 
+import math
 from dataclasses import dataclass, field
 
 import orjson
+import pydantic
 
 from ..storage import VersionedRow
 
@@ -59,21 +61,26 @@
     leaving_s_by_runner: dict[str, float] = field(default_factory=dict)
 
 
+_RECORD = pydantic.TypeAdapter(OwnerRecord)
+
+
 def encode_owner_record(record: OwnerRecord) -> bytes:
     """Encode the content of an owner row as JSON."""
     return orjson.dumps(record)
 
 
 def decode_owner_record(row: VersionedRow) -> OwnerRecord | None:
-    """Decode an owner row; return None if its value is missing or malformed."""
+    """Decode an owner row; return None if its value is missing or malformed.
+
+    Fields that this build doesn't know are ignored.
+    """
     if row.value is None:
         return None
     try:
-        fields = orjson.loads(row.value)
-        backlog = fields["backlog"]
-        fields["backlog"] = None if backlog is None else Backlog(**backlog)
-        if not isinstance(fields.get("leaving_s_by_runner", {}), dict):
-            return None
-        return OwnerRecord(**fields)
-    except (ValueError, TypeError, KeyError):
+        record = _RECORD.validate_json(row.value, strict=True)
+    except pydantic.ValidationError:
         return None
+    for leaving_s in record.leaving_s_by_runner.values():
+        if not 0 <= leaving_s < math.inf:
+            return None
+    return record
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -1,5 +1,6 @@
 """Requests of job submitters: submit a job, look up its state, cancel it."""
 
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -355,11 +356,11 @@
         With code BAD_REQUEST if there is no such form: infinite numbers are stored as
         null, and integers of more than 64 bits can't be stored.
     """
-    try:
+    value, stored = b"", None
+    with contextlib.suppress(TypeError, ValueError):
         value = encode_spec(spec)
-    except TypeError:
-        value = None
-    if value is None or decode_spec(value) != spec:
+        stored = decode_spec(value)
+    if stored != spec:
         raise FlamingoweirError(
             ErrorCode.BAD_REQUEST,
             f"job {spec.id} has a number that can't be stored; use finite numbers, and "
--- a/tests/test_unexpected.py
+++ b/tests/test_unexpected.py
@@ -9,14 +9,19 @@
 from hypothesis import strategies as st
 
 from flamingoweir.dispatch._planner import Planner
-from flamingoweir.jobs import JobState
+from flamingoweir.jobs import JobState, encode_spec
 from flamingoweir.ownership import job_row, owner_row, state_row, tasks_row
 from flamingoweir.platform import PlatformRowDecoder
 from flamingoweir.registry import OperatorView, RunnerView
 from flamingoweir.scheduling._owner import ShardOwner
 from flamingoweir.storage import RowId, VersionedRow
 from tests.utils.builders import make_spec, make_timings
-from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.cluster import (
+    SILENT_RUNNER_LAPSE_S,
+    make_job,
+    make_step,
+    run_cluster,
+)
 from tests.utils.fleet import Fleet
 from tests.utils.virtual_time import run_virtual
 
@@ -101,6 +106,20 @@
     run_virtual(scenario)
 
 
+def put_tasks(cluster, job, row: tuple[int, int, int], value: bytes) -> None:
+    cluster.rows.put(tasks_row("s0", job.id, row), value)
+
+
+def put_state(cluster, job, value: bytes) -> None:
+    cluster.rows.put(state_row("s0", job.id), value)
+
+
+def put_job(cluster, job, **changes) -> None:
+    """Overwrite fields in the row of an accepted job."""
+    fields = orjson.loads(encode_spec(job))
+    cluster.rows.put(job_row("s0", job.id), orjson.dumps({**fields, **changes}))
+
+
 @pytest.mark.parametrize(
     "damage",
     [
@@ -110,6 +129,21 @@
         lambda c, job: c.rows.put(RowId("tasks", "s0", job.id + ".x.0.0"), b"[]"),
         lambda c, job: c.rows.put(state_row("s0", job.id), b"[]"),
         lambda c, job: c.rows.put(job_row("s0", job.id), b'{"steps":[1]}'),
+        lambda c, job: put_tasks(c, job, (0, 0, 0), b'[[1,false,"x","",[]]]'),
+        lambda c, job: put_tasks(c, job, (0, 0, 0), b'[[1,false,0,{},[["1",2,3]]]]'),
+        lambda c, job: put_tasks(c, job, (0, 0, 0), b"5"),
+        lambda c, job: put_tasks(c, job, (0, 0, -1), b'[[1,false,0,"",[]]]'),
+        lambda c, job: put_tasks(c, job, (-1, 0, 0), b'[[1,false,0,"",[]]]'),
+        lambda c, job: put_tasks(c, job, (10**9, 0, 0), b'[[1,false,0,"",[]]]'),
+        lambda c, job: put_tasks(c, job, (0, 0, 0), b'[[1,false,0,"",[]]]' * 9),
+        lambda c, job: put_state(c, job, b'{"state":"done","ended_ms":"x"}'),
+        lambda c, job: put_state(c, job, b'{"state":"done","ended_ms":null}'),
+        lambda c, job: put_state(
+            c, job, b'{"state":"running","ended_ms":0,"blame":{"a.0.0.0":"x"}}'
+        ),
+        lambda c, job: put_job(c, job, occurrences="many"),
+        lambda c, job: put_job(c, job, id="0000000000000003"),
+        lambda c, job: put_job(c, job, policy={"service": 7, "priority": "x"}),
     ],
 )
 def test_malformed_row_of_a_job_stops_no_other_job(damage):
@@ -139,17 +173,59 @@
     run_virtual(scenario)
 
 
-def test_malformed_owner_row_is_taken_over():
-    """Guards against a shard that nobody owns any more."""
+@pytest.mark.parametrize(
+    "value",
+    [
+        b'{"holder": 3}',
+        b'{"holder":"f","process":"p","number":1,"backlog":{"waiting_by_queue":7}}',
+        b'{"holder":"f","process":"p","number":1,"backlog":null,'
+        b'"leaving_s_by_runner":{"runner-0":"x","runner-1":null}}',
+        b'{"holder":"f","process":"p","number":1,"backlog":null,'
+        b'"leaving_s_by_runner":{"runner-0":-1e300,"runner-1":-1e300}}',
+        b'{"holder":"f","process":"p","number":1,"backlog":null,"fence":"x"}',
+        b"[" * 50_000 + b"]" * 50_000,
+    ],
+    ids=["holder", "backlog", "leaving_text", "leaving_number", "fence", "nested"],
+)
+def test_malformed_owner_row_is_taken_over(value):
+    """Guards against a shard that nobody owns, and owners that fail by turns."""
 
     async def scenario():
-        async with run_cluster(members=2) as cluster:
+        async with run_cluster(members=3) as cluster:
             owner = await cluster.owner()
             await anyio.sleep(1)
+            lost = await cluster.submit(make_job(1, make_step(2)))
+            await anyio.sleep(0.5)
             cluster.kill_member(owner)
-            cluster.rows.put(owner_row("s0"), b'{"holder": 3}')
-            job = await cluster.submit(make_job(1))
+            cluster.rows.put(owner_row("s0"), value)
+            cluster.runner_by_id["runner-0"].crash()
+            job = await cluster.submit(make_job(2))
             await cluster.wait_for(job, JobState.DONE, MAX_GAP_S + 2.0)
+            await cluster.wait_for(lost, JobState.DONE, SILENT_RUNNER_LAPSE_S + 4.0)
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
+
+
+def test_blame_of_a_task_that_does_not_exist_stops_no_job():
+    """Guards against a row of a former owner that names other tasks than the job's."""
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(
+                make_job(1, make_step(2), make_step(1, after=(0,)))
+            )
+            await anyio.sleep(0.5)
+            cluster.kill_member(owner)
+            blame = b'"%b.7.7.7":1,"%b.0.0.0":1' % ((job.id.encode(),) * 2)
+            put_state(
+                cluster, job, b'{"state":"running","ended_ms":0,"blame":{%b}}' % blame
+            )
+            await cluster.wait_for(job, JobState.DONE, MAX_GAP_S + 4.0)
+            assert (await cluster.owner()).instance.term.failed is False
+            assert not cluster.find_overlaps()
 
     run_virtual(scenario)
 
