An error that concerns one job ends no term

Callers of all jobs saw work stop if the owner met an unexpected error in one of them: each pass of the planner, each write and each reported end handled all jobs in one go, and the next owner met the same job.

A job whose end or encoding fails may be in a wrong state: nothing of it runs any more, what runs is stopped, and its state row says so to later owners, as a task of it may be done. Its submitter can cancel it.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -1,5 +1,6 @@
 """Writes changes to the store, then acts on what has become durable."""
 
+import dataclasses
 from dataclasses import dataclass, field
 
 from ..fleet import Runner
@@ -119,7 +120,8 @@
         for job_id in changed:
             job = self._owner_state.job_by_id.get(job_id)
             if job is not None:
-                self._collect_job(job, batch)
+                self._collect_or_set_aside(job, batch)
+        self._collect_set_aside(batch)
         expired, self._owner_state.expired_job_ids = (
             self._owner_state.expired_job_ids,
             [],
@@ -133,6 +135,28 @@
                 )
         return batch
 
+    def _collect_or_set_aside(self, job: Job, batch: _Batch) -> None:
+        """Add the changes of a job; set the job aside if they can't be written."""
+        of_job = _Batch()
+        try:
+            self._collect_job(job, of_job)
+        except Exception as error:
+            self._owner_state.set_aside_job(job, "job_commit_failed", error)
+            return
+        batch.puts += of_job.puts
+        batch.deletes += of_job.deletes
+        batch.ended_jobs += of_job.ended_jobs
+
+    def _collect_set_aside(self, batch: _Batch) -> None:
+        records = self._owner_state.set_aside_by_job
+        self._owner_state.set_aside_by_job = {}
+        for job_id, record in records.items():
+            if record.state in FINAL_STATES:
+                ended_ms = round(self._context.wall_ms())
+                record = dataclasses.replace(record, ended_ms=ended_ms)
+            row = state_row(self._writer.shard, job_id)
+            batch.puts.append((row, encode_state(record)))
+
     def _collect_job(self, job: Job, batch: _Batch) -> None:
         shard = self._writer.shard
         job_id = job.spec.id
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -17,7 +17,9 @@
     AttemptState,
     Job,
     JobSpec,
+    JobState,
     Outcome,
+    StateRecord,
     StepRun,
     TaskId,
 )
@@ -76,6 +78,8 @@
     ended_ms_by_job : dict of str to int
         When each job ended, in milliseconds since 1970, for jobs whose end is durable
         and whose rows are still in the store.
+    set_aside_by_job : dict of str to StateRecord
+        Records to be written of jobs that were set aside.
     expired_job_ids : list of str
         Ids of jobs whose state row is to be deleted, after their other rows.
     placement_wakeup : Wakeup
@@ -105,6 +109,7 @@
         self.pending_starts: list[Attempt] = []
         self.pending_stops: list[Attempt] = []
         self.ended_ms_by_job: dict[str, int] = {}
+        self.set_aside_by_job: dict[str, StateRecord] = {}
         self.expired_job_ids: list[str] = []
         self.placement_wakeup = Wakeup()
         self.write_wakeup = Wakeup()
@@ -114,7 +119,7 @@
         self.fault_log = FaultLog(metrics, clock)
         self._crash_detector = CrashDetector()
         self._entry_by_id: dict[str, RunnerEntry] = {}
-        self._unreadable_job_ids: set[str] = set()
+        self._excluded_job_ids: set[str] = set()
         self._clock = clock
         self._metrics = metrics
         self._max_lease_s = max_lease_s
@@ -122,11 +127,11 @@
         self._leaving_s_by_runner = leaving_s_by_runner or {}
 
     def has_job(self, job_id: str) -> bool:
-        """Return whether a job was added before, has ended or is unreadable."""
+        """Return whether a job was added before, has ended or is excluded."""
         return (
             job_id in self.job_by_id
             or job_id in self.ended_ms_by_job
-            or job_id in self._unreadable_job_ids
+            or job_id in self._excluded_job_ids
         )
 
     def add_job(self, spec: JobSpec) -> Job | None:
@@ -142,6 +147,10 @@
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job whose cancellation is durable."""
         job = self.job_by_id.get(job_id)
+        if job_id in self._excluded_job_ids:
+            # The next owner reads the record, and deletes the rows of the job.
+            self.set_aside_by_job[job_id] = StateRecord(JobState.CANCELLED)
+            self.write_wakeup.set()
         if job is None or not job.cancel():
             return
         log.info("job_cancelled", job=job_id, attempts=len(list(job.attempts())))
@@ -152,7 +161,30 @@
         """Run nothing of a job whose tasks can't be read: they may be done already."""
         self.job_by_id.pop(job_id, None)
         self.changed_job_ids.discard(job_id)
-        self._unreadable_job_ids.add(job_id)
+        self._excluded_job_ids.add(job_id)
+
+    def set_aside_job(self, job: Job, event: str, error: Exception) -> None:
+        """Exclude a job whose state may be wrong after an error, also for later owners.
+
+        Parameters
+        ----------
+        job : Job
+            The job; what runs of it is stopped.
+        event : str
+            What failed; names the log line and the counter.
+        error : Exception
+            The error.
+        """
+        job_id = job.spec.id
+        self.fault_log.record(event, error, job=job_id)
+        self._metrics.incr("jobs_set_aside")
+        self.exclude_job(job_id)
+        self.set_aside_by_job[job_id] = StateRecord(job.state, set_aside=True)
+        self.write_wakeup.set()
+        for runner in self.runner_by_id.values():
+            for allocation in list(runner.allocation_by_run.values()):
+                if allocation.attempt.task.job == job_id:
+                    self.stop_attempt(allocation.attempt, "job_set_aside")
 
     def record_ended_job(self, job_id: str, ended_ms: int) -> None:
         """Remove a job whose end is durable; its job row can't add it again."""
@@ -274,14 +306,18 @@
         job = self.job_by_id.get(task.job)
         if job is None:
             return
-        now_s = self._clock.now()
         if allocation is not None:
-            self._record_outcome(runner, allocation, outcome, now_s)
-        if outcome is not Outcome.LAPSED or (
-            allocation is not None and allocation.has_survived(SURVIVAL_S)
-        ):
-            job.clear_blame(task)
-        if not job.end(task, run, outcome, checkpoint):
+            self._record_outcome(runner, allocation, outcome, self._clock.now())
+        try:
+            if outcome is not Outcome.LAPSED or (
+                allocation is not None and allocation.has_survived(SURVIVAL_S)
+            ):
+                job.clear_blame(task)
+            changed = job.end(task, run, outcome, checkpoint)
+        except Exception as error:
+            self.set_aside_job(job, "job_end_failed", error)
+            return
+        if not changed:
             return
         step = job.run_by_step[task.occurrence, task.step]
         if outcome is Outcome.FAILED:
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -5,7 +5,7 @@
 import anyio
 
 from ..fleet import Runner
-from ..jobs import StepRun
+from ..jobs import Job, StepRun
 from ..logs import get_logger
 from ..policy import (
     MAX_PLACEMENT_WAIT_S,
@@ -21,6 +21,7 @@
 from ._candidates import CandidateLists
 from ._context import Permit, TermContext
 from ._evictions import Evictions
+from ._job_pauses import JobPauses
 from ._time_slice import TimeSlice
 
 log = get_logger()
@@ -136,6 +137,7 @@
         self._candidates = CandidateLists(self._placement, [], set(), 0.0)
         self._evictions = Evictions(context.owner_state)
         self._headroom = BatchHeadroom()
+        self._pauses = JobPauses(context.owner_state)
 
     async def run(self) -> None:
         """Run placement passes until cancelled."""
@@ -194,19 +196,35 @@
                 ):
                     return
             step = steps.popleft()
-            if self._is_ready(step) and (
-                unplaced.rules_out(step) or not await self._place(step)
-            ):
+            try:
+                was_placed = await self._place_or_make_room(step, unplaced)
+            except PermitWithdrawn:
+                raise
+            except Exception as error:
+                self._pauses.add(step.job.spec.id, error, self._now_s)
+                was_placed = True
+            if not was_placed:
                 tried.add(step)
                 unplaced_count += not step.spec.lasting
                 if unplaced_count > MAX_UNPLACED_STEPS:
                     return
-                if not self._must_leave_room(step, _placing_order(step)[0]):
-                    unplaced.add(step)
-                    self._make_room(step)
             if self._time_slice.is_over():
                 await self._give_way()
 
+    async def _place_or_make_room(self, step: StepRun, unplaced: UnplacedSteps) -> bool:
+        """Place the open tasks of a step; return whether all were placed.
+
+        For a step that found no runner, resources are made free.
+        """
+        if not self._is_ready(step):
+            return True
+        if not unplaced.rules_out(step) and await self._place(step):
+            return True
+        if not self._must_leave_room(step, _placing_order(step)[0]):
+            unplaced.add(step)
+            self._make_room(step)
+        return False
+
     async def _give_way(self) -> None:
         """Let other coroutines run, then check again what may have changed.
 
@@ -239,6 +257,8 @@
         job = step.job
         if self._owner_state.job_by_id.get(job.spec.id) is not job or job.is_final:
             return False
+        if self._pauses.is_paused(job.spec.id, self._now_s):
+            return False
         return bool(step.open_indexes) and step.retry_at_s <= self._now_s
 
     def _make_room(self, step: StepRun) -> None:
@@ -308,20 +328,33 @@
         for job in jobs:
             if self._time_slice.is_over():
                 await self._give_way()
-            job.open_due(wall_ms)
-            for step in job.ready_steps():
-                open_tasks += len(step.open_indexes)
-                if step.ready_since_s is None:
-                    step.ready_since_s = self._now_s
-                if step.retry_at_s <= self._now_s:
-                    key = sort_key(step, self._now_s, wall_ms)
-                    ready.append((key, len(ready), step))
+            if self._pauses.is_paused(job.spec.id, self._now_s):
+                continue
+            try:
+                open_tasks += self._find_ready_of_job(job, wall_ms, ready)
+            except Exception as error:
+                self._pauses.add(job.spec.id, error, self._now_s)
         self._log_load(len(jobs), open_tasks)
         ready.sort()
         steps = [step for _, _, step in ready]
         self._headroom.update(self._measure_load(steps), self._now_s)
         return steps
 
+    def _find_ready_of_job(
+        self, job: Job, wall_ms: float, ready: list[tuple[tuple, int, StepRun]]
+    ) -> int:
+        """Add the ready steps of a job, with sort keys; return their open tasks."""
+        open_tasks = 0
+        job.open_due(wall_ms)
+        for step in job.ready_steps():
+            open_tasks += len(step.open_indexes)
+            if step.ready_since_s is None:
+                step.ready_since_s = self._now_s
+            if step.retry_at_s <= self._now_s:
+                key = sort_key(step, self._now_s, wall_ms)
+                ready.append((key, len(ready), step))
+        return open_tasks
+
     def _measure_load(self, steps: list[StepRun]) -> dict[str, ServiceLoad]:
         """Return the load of the usable runners, by service."""
         load_by_service: dict[str, ServiceLoad] = {}
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -273,6 +273,10 @@
                 # The job may have ended, so that nothing of it may run.
                 self.owner_state.exclude_job(job_id)
                 continue
+            if record.set_aside:
+                log.warning("job_set_aside", job=job_id, state=record.state)
+                self.owner_state.exclude_job(job_id)
+                continue
             if record.state not in FINAL_STATES or job_id in unfinished:
                 record_by_job[job_id] = record
                 continue
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -53,11 +53,15 @@
         Time of the end in milliseconds since 1970; 0 before the end.
     blame_by_task : dict of TaskId to int
         See `Job`.
+    set_aside : bool
+        Whether nothing of the job may run any more, as an error has left an owner in
+        doubt of what was done.
     """
 
     state: JobState
     ended_ms: int = 0
     blame_by_task: dict[TaskId, int] = field(default_factory=dict)
+    set_aside: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +71,7 @@
     state: JobState
     ended_ms: int
     blame: dict[str, int] = field(default_factory=dict)
+    set_aside: bool = False
 
 
 _STATE = pydantic.TypeAdapter(_StoredState)
@@ -74,9 +79,11 @@
 
 def encode_state(record: StateRecord) -> bytes:
     """Return the stored form of the state of a job."""
+    # Builds that don't know a field ignore it.
     fields = {"state": record.state, "ended_ms": record.ended_ms}
+    if record.set_aside:
+        fields["set_aside"] = True
     if record.blame_by_task:
-        # Builds that don't know this field ignore it.
         fields["blame"] = {str(t): b for t, b in record.blame_by_task.items()}
     return orjson.dumps(fields)
 
@@ -91,7 +98,7 @@
     """
     stored = _STATE.validate_json(data, strict=True)
     blame_by_task = {TaskId.parse(task): blame for task, blame in stored.blame.items()}
-    return StateRecord(stored.state, stored.ended_ms, blame_by_task)
+    return StateRecord(stored.state, stored.ended_ms, blame_by_task, stored.set_aside)
 
 
 def row_key(job: str, row: tuple[int, int, int]) -> str:
--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -3,7 +3,10 @@
 import anyio
 import pytest
 
-from flamingoweir.jobs import JobState
+from flamingoweir.dispatch import _committer, _planner
+from flamingoweir.dispatch._planner import Planner
+from flamingoweir.jobs import Job, JobState
+from flamingoweir.policy import PlacementPolicy
 from flamingoweir.standins import MemoryRunnerLink
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
@@ -58,3 +61,119 @@
             assert len(records) > started, "the runner is used again"
 
     run_virtual(scenario)
+
+
+def fail_for_job(monkeypatch, owner: type, method: str, job_id: str, find_job) -> list:
+    """Let a method raise for one job; return the list of its calls for that job."""
+    original = getattr(owner, method)
+    calls = []
+
+    def fail(*args, **kwargs):
+        if find_job(args) == job_id:
+            calls.append(anyio.current_time())
+            raise RuntimeError(f"a fault in {method}")
+        return original(*args, **kwargs)
+
+    monkeypatch.setattr(owner, method, fail)
+    return calls
+
+
+@pytest.mark.parametrize(
+    "module, method, find_job",
+    [
+        (_planner, "sort_key", lambda args: args[0].job.spec.id),
+        (Job, "open_due", lambda args: args[0].spec.id),
+        (Planner, "_choose", lambda args: args[2].job.spec.id),
+        (PlacementPolicy, "candidates", lambda args: args[1].job.spec.id),
+    ],
+    ids=["order", "occurrences", "choice", "candidates"],
+)
+def test_error_in_the_planning_of_one_job_stops_no_other(
+    monkeypatch, module, method, find_job
+):
+    """Guards against a job that ends the term of each owner that plans it."""
+    faulty = make_job(1, make_step(2, label="b"))
+    calls = fail_for_job(monkeypatch, module, method, faulty.id, find_job)
+
+    async def scenario():
+        async with run_cluster(runners=3) as cluster:
+            owner = await cluster.owner()
+            term = owner.instance.term
+            await anyio.sleep(1)
+            await cluster.submit(faulty)
+            for number in range(2, 6):
+                job = await cluster.submit(make_job(number, make_step(3)))
+                await cluster.wait_for(job, JobState.DONE, 3.0)
+            await anyio.sleep(20)
+            assert owner.instance.term is term
+            assert 2 < len(calls) < 30, "it is tried again, and less and less often"
+
+    run_virtual(scenario)
+
+
+def test_job_whose_planning_failed_once_runs_soon(monkeypatch):
+    """Guards against a single error that keeps a job away for good."""
+    plan_order = _planner.sort_key
+    errors = []
+
+    def fail_once(*args):
+        if not errors:
+            errors.append(1)
+            raise RuntimeError("a fault")
+        return plan_order(*args)
+
+    monkeypatch.setattr(_planner, "sort_key", fail_once)
+
+    async def scenario():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1))
+            await cluster.wait_for(job, JobState.DONE, 2.5)
+            assert errors
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize(
+    "module, method, find_job",
+    [
+        (_committer, "encode_tasks", lambda args: args[0].spec.id),
+        (Job, "end", lambda args: args[0].spec.id),
+    ],
+    ids=["encoding", "end"],
+)
+def test_job_whose_state_cannot_be_kept_is_set_aside_for_good(
+    monkeypatch, module, method, find_job
+):
+    """Guards against a job that ends each term, or runs twice after such an error.
+
+    Its tasks may be done, so that later owners must not start them either.
+    """
+    faulty = make_job(1, make_step(2))
+
+    async def scenario():
+        async with run_cluster(runners=3, members=3) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            with monkeypatch.context() as patch:
+                fail_for_job(patch, module, method, faulty.id, find_job)
+                await cluster.submit(faulty)
+                for number in range(2, 6):
+                    job = await cluster.submit(make_job(number, make_step(3)))
+                    await cluster.wait_for(job, JobState.DONE, 3.0)
+                assert (await cluster.owner()) is owner
+                assert not owner.instance.term.failed
+            started = len(cluster.starts(f"{faulty.id}.0.0.0"))
+            cluster.kill_member(owner)
+            await cluster.owner()
+            job = await cluster.submit(make_job(9, make_step(3)))
+            await cluster.wait_for(job, JobState.DONE, 6.0)
+            assert len(cluster.starts(f"{faulty.id}.0.0.0")) == started
+            assert not cluster.find_overlaps()
+            # Its submitter can cancel it.
+            member = next(iter(cluster.member_by_name.values()))
+            await member.instance.handler.cancel(faulty.id, 2.0)
+            await cluster.wait_for(faulty, JobState.CANCELLED, 3.0)
+
+    run_virtual(scenario)
