A target of any size ends no learning

With the errors of a runner contained, it would still stop the paces of all other tasks there.

A measured headroom lies between 0 and 1000 now, and a task on spare processors counts with at most what its runner has.

--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -77,6 +77,8 @@
 #: Lowest measured headroom on a runner above which it need not be measured often. The
 #: load of users does not rise enough within a second to use it up.
 SAFE_HEADROOM = 1.6
+#: Largest headroom that is told apart; submitters choose targets of any size.
+MAX_HEADROOM = 1_000.0
 #: Seconds without measurements after which the baseline of a step is discarded.
 BASELINE_EXPIRY_S = 60.0
 
@@ -271,6 +273,7 @@
                 if allocation.load is not None
                 else _demand_milli(allocation)
             )
+            used = min(max(0.0, used), total_milli)
             share_by_image[allocation.spec.image] = (
                 share_by_image.get(allocation.spec.image, 0.0) + used / total_milli
             )
@@ -454,7 +457,8 @@
     """Return target divided by tail latency, or None without a measurement."""
     if not allocation.load:
         return None
-    return allocation.spec.latency_target_ms / allocation.load
+    headroom = allocation.spec.latency_target_ms / allocation.load
+    return min(MAX_HEADROOM, max(0.0, headroom))
 
 
 def _lowest_headroom(runner: Runner) -> float | None:
--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -1,5 +1,6 @@
 """Paces of tasks on spare processors, compared with a plain computation."""
 
+import math
 import random
 
 import pytest
@@ -77,3 +78,40 @@
                 assert found == expected
                 lowered += sum(pace < 100 for pace in found)
     assert lowered
+
+
+@pytest.mark.parametrize("target_ms", [1.7e308, 1e300, 5e-324])
+@pytest.mark.parametrize("load", [5.0, 1e308, 5e-324, -5.0])
+def test_odd_target_or_load_of_one_task_leaves_the_paces_of_others_alone(
+    target_ms, load
+):
+    """Guards against an overflow by one task, which ends the learning for all others.
+
+    A submitter chooses the target, and a runner reports the load.
+    """
+    capacity = Resources(TOTAL_MILLI, 0, 0)
+    runner = Runner(RunnerEntry("r", 1, "s", "a:1", "z", capacity=capacity), 10.0)
+    demand = Resources(8_000, 0, 0)
+    steps = {
+        "odd": StepSpec(
+            1, demand, image="odd", latency_target_ms=target_ms, lasting=True
+        ),
+        "web": StepSpec(1, demand, image="web", latency_target_ms=50, lasting=True),
+        "batch": StepSpec(1, demand, image="batch", uses_spare=True),
+        "more": StepSpec(1, demand, image="batch", uses_spare=True),
+    }
+    for job, spec in steps.items():
+        attempt = Attempt(TaskId(job, 0, 0, 0), 1, "r", 1, AttemptState.RUNNING)
+        runner.add(attempt, spec)
+    loads = {"odd": load, "web": 100.0, "batch": load, "more": 4_000.0}
+    policy = ColocationPolicy()
+    changes = []
+    for second in range(1, 9):
+        for allocation in runner.allocation_by_run.values():
+            allocation.load = loads[allocation.attempt.task.job]
+        policy.learn(runner, float(second))
+        changes += policy.decide_paces(runner, float(second))
+        for image in ("odd", "web"):
+            assert 0 <= policy._effect_model(image).effect("batch") < math.inf
+    # A serving task is at twice its target: what may disturb it is slowed down.
+    assert changes
