--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -7,6 +7,7 @@
 from flamingoweir.dispatch._planner import Planner
 from flamingoweir.jobs import Job, JobState
 from flamingoweir.policy import PlacementPolicy
+from flamingoweir.registry import OperatorView
 from flamingoweir.standins import MemoryRunnerLink
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
@@ -177,3 +178,31 @@
             await cluster.wait_for(faulty, JobState.CANCELLED, 3.0)
 
     run_virtual(scenario)
+
+
+def test_operator_rows_that_cannot_be_applied_end_no_instance(monkeypatch):
+    """Guards against an error outside a term, which ends process after process."""
+    apply_rows = OperatorView.apply_rows
+    errors = []
+
+    def fail_twice(self, rows, is_whole_table):
+        if len(errors) < 2 and self.configuration is not None:
+            errors.append(1)
+            raise RuntimeError("a fault in the view")
+        apply_rows(self, rows, is_whole_table)
+
+    monkeypatch.setattr(OperatorView, "apply_rows", fail_twice)
+
+    async def scenario():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            cluster.evacuate_zone("gwynedd")
+            await anyio.sleep(1)
+            assert errors
+            for member in cluster.member_by_name.values():
+                assert member.instance.operators.evacuated_zones == {"gwynedd"}
+            job = await cluster.submit(make_job(1))
+            await cluster.wait_for(job, JobState.DONE, 2.5)
+
+    run_virtual(scenario)
