An occurrence that waits is not forgotten with its owner

Which occurrences were open stood in its memory only, and the next owner took all before the latest one with a row as opened.

An occurrence is open now if it is due and not closed, and the state row of the job has the closed ones, as ranges. Opening needs no write, so nothing is lost by not having opened. The rows of closed occurrences are deleted with the write that closes them, but for the latest, after which a former build continues.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -18,6 +18,7 @@
 from ..storage import RowId
 from ._context import TermContext
 from ._orders import OrderSender
+from ._stored_rows import StoredRows
 
 log = get_logger()
 
@@ -62,11 +63,11 @@
         self._owner_state = context.owner_state
         self._writer = context.writer
         self._orders = orders
-        self._task_rows_by_job: dict[str, set[tuple[int, int, int]]] = {}
+        self._stored_rows_by_job: dict[str, StoredRows] = {}
 
     def record_row(self, job: str, row: tuple[int, int, int]) -> None:
-        """Record that a task row is in the store, to delete it when the job ends."""
-        self._task_rows_by_job.setdefault(job, set()).add(row)
+        """Record that a task row is in the store, to delete it later."""
+        self._stored_rows_by_job.setdefault(job, StoredRows()).add(row)
 
     async def run(self) -> None:
         """Write changes until the ownership is lost.
@@ -161,24 +162,53 @@
         shard = self._writer.shard
         job_id = job.spec.id
         finished = job.state in FINAL_STATES and not any(job.attempts())
+        if not finished:
+            self._collect_tasks(job, batch)
         if job.state_changed:
-            job.state_changed = False
-            ended_ms = round(self._context.wall_ms()) if job.is_final else 0
-            record = StateRecord(job.state, ended_ms, job.blame_by_task)
-            value = encode_state(record)
-            batch.puts.append((state_row(shard, job_id), value))
-            log.info("job_state", job=job_id, queue=job.spec.queue, state=job.state)
+            self._collect_state(job, batch)
         if not finished:
-            for row in job.changed_rows:
-                value = encode_tasks(job, row)
-                batch.puts.append((tasks_row(shard, job_id, row), value))
-                self.record_row(job_id, row)
-            job.changed_rows.clear()
             return
-        for row in self._task_rows_by_job.pop(job_id, ()):
+        stored = self._stored_rows_by_job.pop(job_id, StoredRows())
+        for row in stored.take_all():
             batch.deletes.append(tasks_row(shard, job_id, row))
         batch.ended_jobs.append(job_id)
 
+    def _collect_state(self, job: Job, batch: _Batch) -> None:
+        job_id = job.spec.id
+        job.state_changed = False
+        ended_ms = round(self._context.wall_ms()) if job.is_final else 0
+        record = StateRecord(
+            job.state,
+            ended_ms,
+            job.blame_by_task,
+            closed_occurrences=job.closed_occurrences.ranges,
+        )
+        row = state_row(self._writer.shard, job_id)
+        batch.puts.append((row, encode_state(record)))
+        log.info("job_state", job=job_id, queue=job.spec.queue, state=job.state)
+
+    def _collect_tasks(self, job: Job, batch: _Batch) -> None:
+        """Add changed tasks, and drop those of finished occurrences.
+
+        The state row names closed occurrences, so that their rows are not needed any
+        more. It is written before or with the deletion of rows.
+        """
+        shard, job_id = self._writer.shard, job.spec.id
+        for row in job.changed_rows:
+            self.record_row(job_id, row)
+        stored = self._stored_rows_by_job.get(job_id)
+        for row in job.changed_rows:
+            if row[0] in job.finished_occurrences and not stored.is_latest(row[0]):
+                continue
+            value = encode_tasks(job, row)
+            batch.puts.append((tasks_row(shard, job_id, row), value))
+        job.changed_rows.clear()
+        job.close_finished()
+        if not job.closed_occurrences or stored is None:
+            return
+        for row in stored.take_closed(job.closed_occurrences):
+            batch.deletes.append(tasks_row(shard, job_id, row))
+
     def _apply_committed(self, batch: _Batch) -> None:
         for attempt in batch.starts:
             self._orders.start(attempt)
--- a/flamingoweir/dispatch/_load_report.py
+++ b/flamingoweir/dispatch/_load_report.py
@@ -69,7 +69,7 @@
 
 def is_unconfirmed(job: Job) -> bool:
     """Return whether a job counts as begun although no start of a task is confirmed."""
-    if job.is_waiting or job.is_final:
+    if job.is_waiting or job.is_final or job.closed_occurrences:
         return False
     for step_run in job.run_by_step.values():
         for task in step_run.tasks:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -236,6 +236,10 @@
             self._loader.apply_rows([row], True)
             await time_slice.give_way_if_over()
         self._job_follower.resume_from(jobs.version, jobs_read_s)
+        for job_id, record in record_by_job.items():
+            job = self.owner_state.job_by_id.get(job_id)
+            if job is not None:
+                job.restore_closed(record.closed_occurrences)
         for row in tasks:
             self._restore_tasks(row, committer)
             await time_slice.give_way_if_over()
@@ -292,7 +296,8 @@
         with self._contain("tasks_unreadable", key=row.id.key) as attempt:
             occurrence, step, number = row.id.key.rsplit(".", 3)[1:]
             tasks_key = (int(occurrence), int(step), int(number))
-            restore_tasks(job, tasks_key, row.value)
+            if tasks_key[0] not in job.closed_occurrences:
+                restore_tasks(job, tasks_key, row.value)
         if attempt.failed:
             self.owner_state.exclude_job(job_id)
             return
--- a/flamingoweir/jobs/__init__.py
+++ b/flamingoweir/jobs/__init__.py
@@ -1,6 +1,7 @@
 """Jobs of several steps: specification, state and encoding for the store."""
 
 from ._attempt import Attempt, AttemptState, Outcome, TaskId
+from ._index_set import IndexSet
 from ._job import FINAL_STATES, TASKS_PER_ROW, Job, JobState, StepRun, Task
 from ._record import (
     StateRecord,
@@ -19,6 +20,7 @@
     "TASKS_PER_ROW",
     "Attempt",
     "AttemptState",
+    "IndexSet",
     "Job",
     "JobSpec",
     "JobState",
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -1,10 +1,11 @@
 """State of a job, its steps and its tasks, and the transitions between states."""
 
 import enum
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from ._attempt import Attempt, AttemptState, Outcome, TaskId
+from ._index_set import IndexSet
 from ._spec import JobSpec, StepSpec
 
 #: Largest number of tasks of a scheduled job in occurrences that are open and not done.
@@ -88,6 +89,8 @@
         Earliest time of the next start, on the owner's clock, in seconds.
     unplaced_since_s : float or None
         Since when an open task has found no runner, on the owner's clock, in seconds.
+    counts_as_done : bool
+        Whether the occurrence counts the step as done.
     """
 
     def __init__(self, job: "Job", occurrence: int, step: int):
@@ -101,6 +104,7 @@
         self.failed_runs: set[int] = set()
         self.retry_at_s = 0.0
         self.unplaced_since_s: float | None = None
+        self.counts_as_done = False
 
     @property
     def done(self) -> bool:
@@ -129,6 +133,14 @@
             yield from task.attempt_by_run.values()
 
 
+@dataclass(slots=True)
+class _OpenOccurrence:
+    """Counts of an open occurrence: steps that are not done, and attempts."""
+
+    undone_steps: int
+    attempts: int = 0
+
+
 class Job:
     """A job, with the rules for what may start next and what an end changes.
 
@@ -142,13 +154,17 @@
     state : JobState
         State of the job; a final state does not change.
     run_by_step : dict of (int, int) to StepRun
-        Step runs by occurrence and step number, for occurrences that were opened.
+        Step runs by occurrence and step number, for open occurrences.
+    closed_occurrences : IndexSet
+        Occurrences of a scheduled job that are done and have no attempts; their state
+        was dropped. All others that are due are open, or wait to be opened.
+    finished_occurrences : set of int
+        Open occurrences of a scheduled job that can be closed once their tasks are
+        written.
     changed_rows : set of (int, int, int)
         Occurrence, step and row number of each row of tasks to be written.
     state_changed : bool
         Whether ``state`` has changed since it was last written.
-    opened_occurrences : int
-        Number of occurrences that were opened.
     accepted_s : float
         Time of acceptance on the owner's clock, in seconds.
     critical_paths_s : list of float
@@ -164,7 +180,11 @@
         self.run_by_step: dict[tuple[int, int], StepRun] = {}
         self.changed_rows: set[tuple[int, int, int]] = set()
         self.state_changed = False
-        self.opened_occurrences = 0
+        self.closed_occurrences = IndexSet()
+        self.finished_occurrences: set[int] = set()
+        self._open_by_occurrence: dict[int, _OpenOccurrence] = {}
+        #: All occurrences before it are open or closed.
+        self._next_occurrence = 0
         self.accepted_s = 0.0
         self.critical_paths_s = spec.critical_paths_s()
         self.blame_by_task: dict[TaskId, int] = {}
@@ -183,11 +203,12 @@
 
     def open_occurrence(self, occurrence: int) -> None:
         """Create the step runs of an occurrence that is due."""
-        if (occurrence, 0) in self.run_by_step:
+        if occurrence in self._open_by_occurrence:
             return
-        for step in range(len(self.spec.steps)):
+        steps = len(self.spec.steps)
+        self._open_by_occurrence[occurrence] = _OpenOccurrence(steps)
+        for step in range(steps):
             self.run_by_step[occurrence, step] = StepRun(self, occurrence, step)
-        self.opened_occurrences = max(self.opened_occurrences, occurrence + 1)
 
     def open_due(self, wall_ms: float) -> None:
         """Open the occurrences due at ``wall_ms``, in milliseconds since 1970."""
@@ -195,16 +216,43 @@
             return
         new_tasks = sum(step.count for step in self.spec.steps)
         open_tasks = None
-        while self.opened_occurrences < self.spec.occurrences:
-            if self.spec.due_ms(self.opened_occurrences) > wall_ms:
+        while (occurrence := self._find_unopened()) is not None:
+            if self.spec.due_ms(occurrence) > wall_ms:
                 return
             if open_tasks is None:
                 open_tasks = self._count_open_tasks()
             if open_tasks and open_tasks + new_tasks > MAX_OPEN_TASKS:
                 return
-            self.open_occurrence(self.opened_occurrences)
+            self.open_occurrence(occurrence)
             open_tasks += new_tasks
 
+    def close_finished(self) -> bool:
+        """Drop the state of finished occurrences; return whether there were any."""
+        if not self.finished_occurrences:
+            return False
+        for occurrence in self.finished_occurrences:
+            self.closed_occurrences.add(occurrence)
+            del self._open_by_occurrence[occurrence]
+            for step in range(len(self.spec.steps)):
+                del self.run_by_step[occurrence, step]
+        for task_id in list(self.blame_by_task):
+            if task_id.occurrence in self.finished_occurrences:
+                del self.blame_by_task[task_id]
+        self.finished_occurrences.clear()
+        self.state_changed = True
+        return True
+
+    def _find_unopened(self) -> int | None:
+        """Return the first occurrence that is neither open nor closed, or None."""
+        occurrence = self._next_occurrence
+        while occurrence < self.spec.occurrences:
+            gap = self.closed_occurrences.find_gap(occurrence)
+            if gap == occurrence and occurrence not in self._open_by_occurrence:
+                break
+            occurrence = max(gap, occurrence + (gap == occurrence))
+        self._next_occurrence = occurrence
+        return occurrence if occurrence < self.spec.occurrences else None
+
     def _count_open_tasks(self) -> int:
         count = 0
         for step_run in self.run_by_step.values():
@@ -220,9 +268,8 @@
         """
         if not self.spec.scheduled or self.is_final:
             return None
-        if self.opened_occurrences >= self.spec.occurrences:
-            return None
-        return self.spec.due_ms(self.opened_occurrences)
+        occurrence = self._find_unopened()
+        return None if occurrence is None else self.spec.due_ms(occurrence)
 
     def ready_steps(self) -> Iterator[StepRun]:
         """Yield steps with open tasks whose preceding steps are all done."""
@@ -300,8 +347,14 @@
         """Restore an attempt that was read from the store."""
         attempt = Attempt(step.task_id(index), run_number, runner, incarnation)
         step.tasks[index].attempt_by_run[run_number] = attempt
+        self._open_by_occurrence[step.occurrence].attempts += 1
         return attempt
 
+    def restore_step(self, step: StepRun) -> None:
+        """Record that tasks of a step were read from the store."""
+        if step.done:
+            self._count_done_step(step)
+
     def end(
         self, task_id: TaskId, run_number: int, outcome: Outcome, checkpoint: str
     ) -> bool:
@@ -329,7 +382,7 @@
         task = self.find(task_id)
         if step is None or task is None:
             return False
-        known = task.attempt_by_run.pop(run_number, None) is not None
+        known = self._remove_attempt(step, task, run_number)
         if task.done or (not known and outcome is not Outcome.DONE):
             return known and self._mark_changed(step, task_id.index)
         if outcome in (Outcome.DONE, Outcome.FAILED):
@@ -377,11 +430,15 @@
         """Discard an attempt that did not start and cannot start any more."""
         step = self.run_by_step[attempt.task.occurrence, attempt.task.step]
         task = step.tasks[attempt.task.index]
-        if task.attempt_by_run.pop(attempt.run, None) is None:
+        if not self._remove_attempt(step, task, attempt.run):
             return
         self._reopen(step, attempt.task.index)
         self._mark_changed(step, attempt.task.index)
 
+    def restore_closed(self, ranges: Iterable[tuple[int, int]]) -> None:
+        """Restore the closed occurrences that were read from the store."""
+        self.closed_occurrences = IndexSet(ranges)
+
     def restore_state(
         self, state: JobState, blame_by_task: Mapping[TaskId, int]
     ) -> None:
@@ -401,9 +458,12 @@
 
     def update_state(self) -> None:
         """Set the state to done once all tasks of all occurrences are done."""
-        if self.is_final or self.opened_occurrences < self.spec.occurrences:
+        if self.is_final:
             return
-        if all(step_run.done for step_run in self.run_by_step.values()):
+        done_count = len(self.closed_occurrences)
+        for occurrence in self._open_by_occurrence.values():
+            done_count += not occurrence.undone_steps
+        if done_count == self.spec.occurrences:
             self._set_state(JobState.DONE)
 
     def record_checkpoint(self, attempt: Attempt, checkpoint: str) -> None:
@@ -449,6 +509,7 @@
         attempt.last_progress_s = now_s
         task.last_run = run_number
         task.attempt_by_run[run_number] = attempt
+        self._open_by_occurrence[step.occurrence].attempts += 1
         step.open_indexes.discard(index)
         self._mark_changed(step, index)
         return attempt
@@ -466,7 +527,29 @@
             step.tasks[member].done = True
             step.open_indexes.discard(member)
             self._mark_changed(step, member)
-        self.update_state()
+        if step.done:
+            self._count_done_step(step)
+            self.update_state()
+
+    def _remove_attempt(self, step: StepRun, task: Task, run_number: int) -> bool:
+        """Remove an attempt of a task; return whether it was known."""
+        if task.attempt_by_run.pop(run_number, None) is None:
+            return False
+        self._open_by_occurrence[step.occurrence].attempts -= 1
+        self._note_if_finished(step.occurrence)
+        return True
+
+    def _count_done_step(self, step: StepRun) -> None:
+        if step.counts_as_done:
+            return
+        step.counts_as_done = True
+        self._open_by_occurrence[step.occurrence].undone_steps -= 1
+        self._note_if_finished(step.occurrence)
+
+    def _note_if_finished(self, occurrence: int) -> None:
+        counts = self._open_by_occurrence[occurrence]
+        if self.spec.scheduled and not counts.undone_steps and not counts.attempts:
+            self.finished_occurrences.add(occurrence)
 
     def _record_failure(self, step: StepRun, index: int, run_number: int) -> None:
         members = range(len(step.tasks)) if step.spec.gang else (index,)
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -56,12 +56,16 @@
     set_aside : bool
         Whether nothing of the job may run any more, as an error has left an owner in
         doubt of what was done.
+    closed_occurrences : list of (int, int)
+        Ranges of the occurrences that are done; see `Job` and `IndexSet`. A due one in
+        none of them is open, whether or not its tasks have a row.
     """
 
     state: JobState
     ended_ms: int = 0
     blame_by_task: dict[TaskId, int] = field(default_factory=dict)
     set_aside: bool = False
+    closed_occurrences: list[tuple[int, int]] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +76,7 @@
     ended_ms: int
     blame: dict[str, int] = field(default_factory=dict)
     set_aside: bool = False
+    closed: list[tuple[int, int]] = field(default_factory=list)
 
 
 _STATE = pydantic.TypeAdapter(_StoredState)
@@ -83,6 +88,8 @@
     fields = {"state": record.state, "ended_ms": record.ended_ms}
     if record.set_aside:
         fields["set_aside"] = True
+    if record.closed_occurrences:
+        fields["closed"] = record.closed_occurrences
     if record.blame_by_task:
         fields["blame"] = {str(t): b for t, b in record.blame_by_task.items()}
     return orjson.dumps(fields)
@@ -98,7 +105,9 @@
     """
     stored = _STATE.validate_json(data, strict=True)
     blame_by_task = {TaskId.parse(task): blame for task, blame in stored.blame.items()}
-    return StateRecord(stored.state, stored.ended_ms, blame_by_task, stored.set_aside)
+    return StateRecord(
+        stored.state, stored.ended_ms, blame_by_task, stored.set_aside, stored.closed
+    )
 
 
 def row_key(job: str, row: tuple[int, int, int]) -> str:
@@ -151,6 +160,7 @@
     step_run = job.run_by_step[occurrence, step]
     for offset, record in enumerate(records):
         _restore_task(job, step_run, first + offset, record)
+    job.restore_step(step_run)
 
 
 def _restore_task(job: Job, step_run: StepRun, index: int, record: _TaskRecord) -> None:
