Due occurrences, and tasks not started, take bounded memory

An owner opens due occurrences by need: idle ones with 200 steps a job, 2,000 for all jobs, at least one each. As an occurrence counts as open by being due and not closed, what isn't opened is not lost. A task takes memory once it is started, and none once it is done. A pass reads open tasks as far as it places them, counts the attempts of a job once, and gives way within a job of many steps.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -161,7 +161,7 @@
     def _collect_job(self, job: Job, batch: _Batch) -> None:
         shard = self._writer.shard
         job_id = job.spec.id
-        finished = job.state in FINAL_STATES and not any(job.attempts())
+        finished = job.state in FINAL_STATES and not job.attempt_count
         if not finished:
             self._collect_tasks(job, batch)
         if job.state_changed:
--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -75,11 +75,12 @@
             return
         if now_s - step.unplaced_since_s < EVICT_AFTER_S:
             return
-        for index in sorted(step.open_indexes):
-            if not self._choices_left:
+        for index in step.placing_order():
+            # Those that have run before come first.
+            if not self._choices_left or not step.tasks.view(index).last_run:
                 return
             task = step.task_id(index)
-            if not step.tasks[index].last_run or task in self._promise_by_task:
+            if task in self._promise_by_task:
                 continue
             self._choices_left -= 1
             self._evict_for(step, index, candidates, now_s)
--- a/flamingoweir/dispatch/_load_report.py
+++ b/flamingoweir/dispatch/_load_report.py
@@ -72,8 +72,10 @@
     if job.is_waiting or job.is_final or job.closed_occurrences:
         return False
     for step_run in job.run_by_step.values():
-        for task in step_run.tasks:
-            if task.done or task.failures or task.checkpoint:
+        if step_run.tasks.done_count:
+            return False
+        for _, task in step_run.tasks.kept():
+            if task.failures or task.checkpoint:
                 return False
             for attempt in task.attempt_by_run.values():
                 if attempt.state is not AttemptState.ORDERED:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -320,8 +320,9 @@
         if not changed:
             return
         step = job.run_by_step[task.occurrence, task.step]
-        if outcome is Outcome.FAILED:
-            step.tasks[task.index].failed_runners.add(runner.id)
+        state = step.tasks.view(task.index)
+        if outcome is Outcome.FAILED and not state.done:
+            state.failed_runners.add(runner.id)
         log.info(
             "attempt_ended",
             task=str(task),
@@ -332,7 +333,7 @@
         )
         self._metrics.incr(f"attempts_{outcome.value}")
         self._mark_changed(job)
-        if job.is_final or step.spec.gang or step.tasks[task.index].attempt_by_run:
+        if job.is_final or step.spec.gang or state.attempt_by_run:
             self._stop_surplus(job)
 
     def record_listed(self, allocation: Allocation, now_s: float) -> None:
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -5,7 +5,7 @@
 import anyio
 
 from ..fleet import Runner
-from ..jobs import Job, StepRun
+from ..jobs import MAX_IDLE_STEPS, Job, StepRun
 from ..logs import get_logger
 from ..policy import (
     MAX_PLACEMENT_WAIT_S,
@@ -49,6 +49,11 @@
 #: Number of unplaced steps after which a pass ends, as the remaining steps are unlikely
 #: to find resources. Steps with long-running tasks, which come first, don't count.
 MAX_UNPLACED_STEPS = 40
+#: Number of steps in idle occurrences of all scheduled jobs, at most, but for one
+#: occurrence of each. Every pass looks at all of them.
+MAX_ALL_IDLE_STEPS = 2_000
+#: Number of steps of a job after which a pass checks whether it has to give way.
+STEPS_PER_CHECK = 50
 #: Seconds after which a pass looks for steps that have become ready meanwhile, so that
 #: the next step of a job, or an urgent one, need not wait for the end of the pass.
 COLLECT_INTERVAL_S = 0.1
@@ -96,7 +101,7 @@
         spec = step.spec
         if spec.gang or spec.max_per_runner or spec.data_rack:
             return
-        if any(task.failed_runners for task in step.tasks):
+        if any(task.failed_runners for _, task in step.tasks.kept()):
             return
         self._demands_by_kind.setdefault(self._demand_kind(step), []).append(
             spec.demand
@@ -138,6 +143,8 @@
         self._evictions = Evictions(context.owner_state)
         self._headroom = BatchHeadroom()
         self._pauses = JobPauses(context.owner_state)
+        #: Number of steps in idle occurrences of scheduled jobs.
+        self._idle_steps = 0
 
     async def run(self) -> None:
         """Run placement passes until cancelled."""
@@ -220,7 +227,8 @@
             return True
         if not unplaced.rules_out(step) and await self._place(step):
             return True
-        if not self._must_leave_room(step, _placing_order(step)[0]):
+        first = next(step.placing_order(), None)
+        if first is not None and not self._must_leave_room(step, first):
             unplaced.add(step)
             self._make_room(step)
         return False
@@ -324,6 +332,7 @@
         ready = []
         open_tasks = 0
         jobs = list(self._owner_state.job_by_id.values())
+        idle_steps = 0
         wall_ms = self._context.wall_ms()
         for job in jobs:
             if self._time_slice.is_over():
@@ -331,22 +340,39 @@
             if self._pauses.is_paused(job.spec.id, self._now_s):
                 continue
             try:
-                open_tasks += self._find_ready_of_job(job, wall_ms, ready)
+                idle_steps += self._open_due(job, wall_ms)
+                open_tasks += await self._find_ready_of_job(job, wall_ms, ready)
+            except PermitWithdrawn:
+                raise
             except Exception as error:
                 self._pauses.add(job.spec.id, error, self._now_s)
+        self._idle_steps = idle_steps
         self._log_load(len(jobs), open_tasks)
         ready.sort()
         steps = [step for _, _, step in ready]
         self._headroom.update(self._measure_load(steps), self._now_s)
         return steps
 
-    def _find_ready_of_job(
+    def _open_due(self, job: Job, wall_ms: float) -> int:
+        """Open due occurrences of a job; return its steps in idle ones."""
+        if not job.spec.scheduled:
+            job.open_due(wall_ms)
+            return 0
+        idle_steps = job.idle_steps
+        left = max(0, MAX_ALL_IDLE_STEPS - self._idle_steps)
+        job.open_due(wall_ms, min(MAX_IDLE_STEPS, idle_steps + left))
+        opened = job.idle_steps - idle_steps
+        self._idle_steps += opened
+        return idle_steps + opened
+
+    async def _find_ready_of_job(
         self, job: Job, wall_ms: float, ready: list[tuple[tuple, int, StepRun]]
     ) -> int:
         """Add the ready steps of a job, with sort keys; return their open tasks."""
         open_tasks = 0
-        job.open_due(wall_ms)
-        for step in job.ready_steps():
+        for number, step in enumerate(job.ready_steps(), 1):
+            if not number % STEPS_PER_CHECK and self._time_slice.is_over():
+                await self._give_way()
             open_tasks += len(step.open_indexes)
             if step.ready_since_s is None:
                 step.ready_since_s = self._now_s
@@ -383,7 +409,7 @@
         placement = None
         evaluated_s = 0.0
         placed_on: dict[str, Runner] = {}
-        for index in _placing_order(step):
+        for index in step.placing_order():
             if placement is not None and self._time_slice.is_over(evaluated_s):
                 await self._give_way()
                 placement = None
@@ -433,7 +459,7 @@
 
     def _must_leave_room(self, step: StepRun, index: int) -> bool:
         """Return whether a task must leave its resources to batch work for now."""
-        if not step.spec.lasting or step.tasks[index].last_run:
+        if not step.spec.lasting or step.tasks.view(index).last_run:
             return False
         return not self._headroom.allows(
             step.job.spec.policy.service,
@@ -462,10 +488,3 @@
             free_milli=runner.free_resources.processors_milli,
             configuration=self._context.operators.configuration.version,
         )
-
-
-def _placing_order(step: StepRun) -> list[int]:
-    """Return the open indexes; long-running tasks that have run before come first."""
-    return sorted(
-        step.open_indexes, key=lambda index: (not step.tasks[index].last_run, index)
-    )
--- a/flamingoweir/jobs/__init__.py
+++ b/flamingoweir/jobs/__init__.py
@@ -2,7 +2,7 @@
 
 from ._attempt import Attempt, AttemptState, Outcome, TaskId
 from ._index_set import IndexSet
-from ._job import FINAL_STATES, TASKS_PER_ROW, Job, JobState, StepRun, Task
+from ._job import FINAL_STATES, MAX_IDLE_STEPS, TASKS_PER_ROW, Job, JobState, StepRun
 from ._record import (
     StateRecord,
     decode_spec,
@@ -14,9 +14,11 @@
     row_key,
 )
 from ._spec import JobSpec, QueuePolicy, StepSpec, find_invalid_dependency
+from ._task_table import Task
 
 __all__ = [
     "FINAL_STATES",
+    "MAX_IDLE_STEPS",
     "TASKS_PER_ROW",
     "Attempt",
     "AttemptState",
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -2,15 +2,17 @@
 
 import enum
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ._attempt import Attempt, AttemptState, Outcome, TaskId
 from ._index_set import IndexSet
 from ._spec import JobSpec, StepSpec
+from ._task_table import Task, TaskTable
 
-#: Largest number of tasks of a scheduled job in occurrences that are open and not done.
-#: Further occurrences are opened as these end.
-MAX_OPEN_TASKS = 100_000
+#: Largest number of steps in idle occurrences of a scheduled job, unless a single
+#: occurrence has more. An idle one is not done and has no attempt. Others are opened as
+#: these start.
+MAX_IDLE_STEPS = 200
 #: Tasks of a step whose durable state shares a row. A task takes about 100 bytes, and
 #: the smallest limit of a row is 64 KB.
 TASKS_PER_ROW = 200
@@ -34,34 +36,6 @@
 FINAL_STATES = frozenset({JobState.DONE, JobState.FAILED, JobState.CANCELLED})
 
 
-@dataclass(slots=True)
-class Task:
-    """State of a task; all of it but `failed_runners` is durable.
-
-    Attributes
-    ----------
-    last_run : int
-        Run number of the latest attempt; 0 if the task was never started.
-    failures : int
-        Number of attempts that ended as failed.
-    checkpoint : str
-        Latest checkpoint; empty if there is none.
-    done : bool
-        Whether an attempt of the task, or of any member of a gang, ended as done.
-    attempt_by_run : dict of int to Attempt
-        Attempts that have not ended, by run number.
-    failed_runners : set of str
-        Ids of runners on which the task failed; not durable.
-    """
-
-    last_run: int = 0
-    failures: int = 0
-    checkpoint: str = ""
-    done: bool = False
-    attempt_by_run: dict[int, Attempt] = field(default_factory=dict)
-    failed_runners: set[str] = field(default_factory=set)
-
-
 class StepRun:
     """State of one step in one occurrence of a job.
 
@@ -76,9 +50,9 @@
         Numbers of the occurrence and of the step, from 0.
     spec : StepSpec
         Specification of the step.
-    tasks : list of Task
+    tasks : TaskTable
         The tasks, by index.
-    open_indexes : set of int
+    open_indexes : IndexSet
         Indexes of tasks that are not done and have no attempt.
     ready_since_s : float or None
         When the planner first found the step ready, on the owner's clock, in seconds.
@@ -93,13 +67,27 @@
         Whether the occurrence counts the step as done.
     """
 
+    __slots__ = (
+        "counts_as_done",
+        "failed_runs",
+        "job",
+        "occurrence",
+        "open_indexes",
+        "ready_since_s",
+        "retry_at_s",
+        "spec",
+        "step",
+        "tasks",
+        "unplaced_since_s",
+    )
+
     def __init__(self, job: "Job", occurrence: int, step: int):
         self.job = job
         self.occurrence = occurrence
         self.step = step
         self.spec: StepSpec = job.spec.steps[step]
-        self.tasks = [Task() for _ in range(self.spec.count)]
-        self.open_indexes = set(range(self.spec.count))
+        self.tasks = TaskTable(self.spec.count)
+        self.open_indexes = IndexSet([(0, self.spec.count)])
         self.ready_since_s: float | None = None
         self.failed_runs: set[int] = set()
         self.retry_at_s = 0.0
@@ -109,19 +97,22 @@
     @property
     def done(self) -> bool:
         """Whether every task is done."""
-        return not self.open_indexes and all(task.done for task in self.tasks)
+        return self.tasks.done_count == self.spec.count
 
     @property
     def is_away(self) -> bool:
         """Whether a long-running task that has been started before is open."""
         if not self.spec.lasting:
             return False
-        return any(self.tasks[index].last_run for index in self.open_indexes)
+        for index, task in self.tasks.kept():
+            if task.last_run and index in self.open_indexes:
+                return True
+        return False
 
     @property
     def next_run(self) -> int:
         """Number of the next run of a gang."""
-        return 1 + max(task.last_run for task in self.tasks)
+        return 1 + max((task.last_run for _, task in self.tasks.kept()), default=0)
 
     def task_id(self, index: int) -> TaskId:
         """Return the id of a task."""
@@ -129,9 +120,23 @@
 
     def attempts(self) -> Iterator[Attempt]:
         """Yield the attempts that have not ended."""
-        for task in self.tasks:
+        for _, task in self.tasks.kept():
             yield from task.attempt_by_run.values()
 
+    def placing_order(self) -> Iterator[int]:
+        """Yield the open indexes, tasks that have run before first.
+
+        Tasks may be placed meanwhile.
+        """
+        again = []
+        for index, task in self.tasks.kept():
+            if task.last_run and index in self.open_indexes:
+                again.append(index)
+        yield from sorted(again)
+        for index in self.open_indexes:
+            if not self.tasks.view(index).last_run:
+                yield index
+
 
 @dataclass(slots=True)
 class _OpenOccurrence:
@@ -185,6 +190,8 @@
         self._open_by_occurrence: dict[int, _OpenOccurrence] = {}
         #: All occurrences before it are open or closed.
         self._next_occurrence = 0
+        #: Number of attempts that have not ended.
+        self.attempt_count = 0
         self.accepted_s = 0.0
         self.critical_paths_s = spec.critical_paths_s()
         self.blame_by_task: dict[TaskId, int] = {}
@@ -210,21 +217,32 @@
         for step in range(steps):
             self.run_by_step[occurrence, step] = StepRun(self, occurrence, step)
 
-    def open_due(self, wall_ms: float) -> None:
-        """Open the occurrences due at ``wall_ms``, in milliseconds since 1970."""
+    def open_due(self, wall_ms: float, max_idle_steps: int = MAX_IDLE_STEPS) -> None:
+        """Open occurrences that are due, the earliest first.
+
+        Those that are not opened for now are not forgotten; see `closed_occurrences`.
+
+        Parameters
+        ----------
+        wall_ms : float
+            Wall-clock time in milliseconds since 1970.
+        max_idle_steps : int
+            Number of steps that idle occurrences may have; one occurrence may be idle
+            whatever its steps.
+        """
         if not self.spec.scheduled or self.is_final:
             return
-        new_tasks = sum(step.count for step in self.spec.steps)
-        open_tasks = None
+        allowed = None
         while (occurrence := self._find_unopened()) is not None:
             if self.spec.due_ms(occurrence) > wall_ms:
                 return
-            if open_tasks is None:
-                open_tasks = self._count_open_tasks()
-            if open_tasks and open_tasks + new_tasks > MAX_OPEN_TASKS:
+            if allowed is None:
+                allowed = max(1, max_idle_steps // len(self.spec.steps))
+                allowed -= self._count_idle_occurrences()
+            if allowed <= 0:
                 return
             self.open_occurrence(occurrence)
-            open_tasks += new_tasks
+            allowed -= 1
 
     def close_finished(self) -> bool:
         """Drop the state of finished occurrences; return whether there were any."""
@@ -253,11 +271,15 @@
         self._next_occurrence = occurrence
         return occurrence if occurrence < self.spec.occurrences else None
 
-    def _count_open_tasks(self) -> int:
+    @property
+    def idle_steps(self) -> int:
+        """Number of steps in open occurrences that are not done and have no attempt."""
+        return self._count_idle_occurrences() * len(self.spec.steps)
+
+    def _count_idle_occurrences(self) -> int:
         count = 0
-        for step_run in self.run_by_step.values():
-            if not step_run.done:
-                count += len(step_run.tasks)
+        for occurrence in self._open_by_occurrence.values():
+            count += bool(occurrence.undone_steps and not occurrence.attempts)
         return count
 
     def next_due_ms(self) -> int | None:
@@ -275,7 +297,7 @@
         """Yield steps with open tasks whose preceding steps are all done."""
         if self.is_final:
             return
-        for step_run in self.run_by_step.values():
+        for step_run in list(self.run_by_step.values()):
             if not step_run.open_indexes:
                 continue
             if all(
@@ -291,7 +313,7 @@
         step_run = self.run_by_step.get((task.occurrence, task.step))
         if step_run is None or not 0 <= task.index < len(step_run.tasks):
             return None
-        return step_run.tasks[task.index]
+        return step_run.tasks.view(task.index)
 
     def attempts(self) -> Iterator[Attempt]:
         """Yield all attempts that have not ended."""
@@ -316,7 +338,7 @@
         now_s : float
             Time on the owner's clock, in seconds.
         """
-        run_number = step.tasks[index].last_run + 1
+        run_number = step.tasks.view(index).last_run + 1
         return self._add_attempt(step, index, run_number, runner, incarnation, now_s)
 
     def start_gang(
@@ -347,7 +369,7 @@
         """Restore an attempt that was read from the store."""
         attempt = Attempt(step.task_id(index), run_number, runner, incarnation)
         step.tasks[index].attempt_by_run[run_number] = attempt
-        self._open_by_occurrence[step.occurrence].attempts += 1
+        self._count_attempt(step, 1)
         return attempt
 
     def restore_step(self, step: StepRun) -> None:
@@ -382,9 +404,10 @@
         task = self.find(task_id)
         if step is None or task is None:
             return False
-        known = self._remove_attempt(step, task, run_number)
+        known = self._remove_attempt(step, task_id.index, run_number)
         if task.done or (not known and outcome is not Outcome.DONE):
             return known and self._mark_changed(step, task_id.index)
+        task = step.tasks[task_id.index]
         if outcome in (Outcome.DONE, Outcome.FAILED):
             self._begin()
         if checkpoint:
@@ -429,8 +452,7 @@
     def discard_attempt(self, attempt: Attempt) -> None:
         """Discard an attempt that did not start and cannot start any more."""
         step = self.run_by_step[attempt.task.occurrence, attempt.task.step]
-        task = step.tasks[attempt.task.index]
-        if not self._remove_attempt(step, task, attempt.run):
+        if not self._remove_attempt(step, attempt.task.index, attempt.run):
             return
         self._reopen(step, attempt.task.index)
         self._mark_changed(step, attempt.task.index)
@@ -469,8 +491,8 @@
     def record_checkpoint(self, attempt: Attempt, checkpoint: str) -> None:
         """Record a checkpoint that a runner reported for a running attempt."""
         step = self.run_by_step[attempt.task.occurrence, attempt.task.step]
-        task = step.tasks[attempt.task.index]
-        if checkpoint and not task.done:
+        task = step.tasks.view(attempt.task.index)
+        if checkpoint and not task.done and task.attempt_by_run:
             self._set_checkpoint(step, task, checkpoint)
 
     def find_surplus_attempts(self) -> list[Attempt]:
@@ -481,23 +503,21 @@
         """
         found = []
         for step in self.run_by_step.values():
-            for index, task in enumerate(step.tasks):
+            surplus_step = self.is_final or self._is_gang_incomplete(step)
+            for _, task in step.tasks.kept():
+                if not surplus_step and not task.done:
+                    continue
                 for attempt in task.attempt_by_run.values():
-                    if attempt.state is AttemptState.STOPPING:
-                        continue
-                    if (
-                        self.is_final
-                        or task.done
-                        or self._is_gang_incomplete(step, index)
-                    ):
+                    if attempt.state is not AttemptState.STOPPING:
                         found.append(attempt)
         return found
 
-    def _is_gang_incomplete(self, step: StepRun, index: int) -> bool:
-        """Return whether a task is not done and a member of its gang has no attempt."""
-        if not step.spec.gang or step.tasks[index].done:
+    def _is_gang_incomplete(self, step: StepRun) -> bool:
+        """Return whether a step is a gang of which a member has no attempt."""
+        if not step.spec.gang:
             return False
-        return any(not task.attempt_by_run for task in step.tasks)
+        present = sum(bool(task.attempt_by_run) for _, task in step.tasks.kept())
+        return present < step.spec.count
 
     def _add_attempt(
         self, step, index, run_number, runner, incarnation, now_s
@@ -509,7 +529,7 @@
         attempt.last_progress_s = now_s
         task.last_run = run_number
         task.attempt_by_run[run_number] = attempt
-        self._open_by_occurrence[step.occurrence].attempts += 1
+        self._count_attempt(step, 1)
         step.open_indexes.discard(index)
         self._mark_changed(step, index)
         return attempt
@@ -524,21 +544,27 @@
     def _mark_done(self, step: StepRun, index: int) -> None:
         members = range(len(step.tasks)) if step.spec.gang else (index,)
         for member in members:
-            step.tasks[member].done = True
+            step.tasks.mark_done(member)
             step.open_indexes.discard(member)
             self._mark_changed(step, member)
         if step.done:
             self._count_done_step(step)
             self.update_state()
 
-    def _remove_attempt(self, step: StepRun, task: Task, run_number: int) -> bool:
+    def _remove_attempt(self, step: StepRun, index: int, run_number: int) -> bool:
         """Remove an attempt of a task; return whether it was known."""
-        if task.attempt_by_run.pop(run_number, None) is None:
+        if run_number not in step.tasks.view(index).attempt_by_run:
             return False
-        self._open_by_occurrence[step.occurrence].attempts -= 1
+        del step.tasks[index].attempt_by_run[run_number]
+        step.tasks.settle(index)
+        self._count_attempt(step, -1)
         self._note_if_finished(step.occurrence)
         return True
 
+    def _count_attempt(self, step: StepRun, change: int) -> None:
+        self.attempt_count += change
+        self._open_by_occurrence[step.occurrence].attempts += change
+
     def _count_done_step(self, step: StepRun) -> None:
         if step.counts_as_done:
             return
@@ -567,7 +593,7 @@
         self._reopen(step, index)
 
     def _reopen(self, step: StepRun, index: int) -> None:
-        task = step.tasks[index]
+        task = step.tasks.view(index)
         if not task.done and not task.attempt_by_run:
             step.open_indexes.add(index)
 
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -6,8 +6,9 @@
 import pydantic
 
 from ._attempt import TaskId
-from ._job import TASKS_PER_ROW, Job, JobState, StepRun, Task
+from ._job import TASKS_PER_ROW, Job, JobState, StepRun
 from ._spec import JobSpec, find_invalid_dependency
+from ._task_table import Task
 
 #: Latest run, whether done, failures, checkpoint and attempts of a task; an attempt has
 #: its run, runner and incarnation.
@@ -130,7 +131,8 @@
     step_run = job.run_by_step[occurrence, step]
     first = row_number * TASKS_PER_ROW
     records = []
-    for task in step_run.tasks[first : first + TASKS_PER_ROW]:
+    for index in range(first, min(first + TASKS_PER_ROW, len(step_run.tasks))):
+        task = step_run.tasks.view(index)
         attempts = [
             [a.run, a.runner, a.incarnation] for a in task.attempt_by_run.values()
         ]
@@ -165,9 +167,10 @@
 
 def _restore_task(job: Job, step_run: StepRun, index: int, record: _TaskRecord) -> None:
     last_run, done, failures, checkpoint, attempts = record
-    step_run.tasks[index] = Task(last_run, failures, checkpoint, done)
     if done:
         step_run.open_indexes.discard(index)
+    task = Task(last_run, failures, checkpoint, done)
+    step_run.tasks.restore(index, task)
     for run_number, runner, incarnation in attempts:
         job.restore_attempt(step_run, index, run_number, runner, incarnation)
         step_run.open_indexes.discard(index)
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -215,7 +215,7 @@
         avoid : frozenset of str
             Ids of runners that must not be chosen.
         """
-        failed_runners = self._step.tasks[index].failed_runners
+        failed_runners = self._step.tasks.view(index).failed_runners
         if len(failed_runners) < len(self._candidates):
             self._chosen = self._find_best(avoid | failed_runners)
         else:
@@ -296,7 +296,7 @@
 
     The result is 0 while the job has an attempt of any step.
     """
-    if step.unplaced_since_s is None or any(step.job.attempts()):
+    if step.unplaced_since_s is None or step.job.attempt_count:
         return 0.0
     return now_s - step.unplaced_since_s
 
