Steps that no runner can take hold up no others

Callers would see their jobs wait beside free runners: a pass ends after 40 steps without a place, as others are unlikely to find one, and a job with more steps than that, which need a label or a size that no runner has, was tried first in each pass.

A step that would not fit on any empty runner says nothing about the room for others. It no longer counts, and no room is made for it.

Evidence: both cases of test_steps_that_no_runner_can_take_hold_up_no_others fail on the commit before (nothing is placed), and pass here. Found while large jobs were tried for what they cost an owner.

--- a/flamingoweir/dispatch/_candidates.py
+++ b/flamingoweir/dispatch/_candidates.py
@@ -5,6 +5,7 @@
 from ..fleet import Runner
 from ..jobs import StepRun
 from ..policy import PlacementPolicy
+from ..resources import Resources
 
 
 class CandidateLists:
@@ -37,6 +38,20 @@
         self._now_s = now_s
         self._all_by_kind: dict[tuple[str, str], list[Runner]] = {}
         self._unreserved_by_kind: dict[tuple[str, str], list[Runner]] = {}
+        self._is_large_enough: dict[tuple[str, str, Resources], bool] = {}
+
+    def has_large_enough(self, step: StepRun) -> bool:
+        """Return whether a runner suits a step and could hold one of its tasks."""
+        policy, spec = step.job.spec.policy, step.spec
+        key = (policy.service, spec.label, spec.reserved)
+        found = self._is_large_enough.get(key)
+        if found is None:
+            found = any(
+                spec.reserved.fits_in(runner.entry.capacity)
+                for runner in self.find_all(step)
+            )
+            self._is_large_enough[key] = found
+        return found
 
     def find_all(self, step: StepRun) -> list[Runner]:
         """Return the runners that suit a step, also reserved ones."""
@@ -71,5 +86,6 @@
         runners = list(runners)
         suitable = self._placement.candidates(step, runners, self._now_s)
         if len(suitable) < len(runners):
+            self._is_large_enough.clear()
             self._all_by_kind.clear()
             self._unreserved_by_kind.clear()
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -205,19 +205,25 @@
             step = steps.popleft()
             try:
                 was_placed = await self._place_or_make_room(step, unplaced)
+                if not was_placed:
+                    tried.add(step)
+                    unplaced_count += self._shows_lack_of_room(step)
             except PermitWithdrawn:
                 raise
             except Exception as error:
                 self._pauses.add(step.job.spec.id, error, self._now_s)
-                was_placed = True
-            if not was_placed:
-                tried.add(step)
-                unplaced_count += not step.spec.lasting
-                if unplaced_count > MAX_UNPLACED_STEPS:
-                    return
+            if unplaced_count > MAX_UNPLACED_STEPS:
+                return
             if self._time_slice.is_over():
                 await self._give_way()
 
+    def _shows_lack_of_room(self, step: StepRun) -> bool:
+        """Return whether an unplaced step makes it unlikely that others find room.
+
+        One that fits on no runner, even an empty one, says nothing about that.
+        """
+        return not step.spec.lasting and self._candidates.has_large_enough(step)
+
     async def _place_or_make_room(self, step: StepRun, unplaced: UnplacedSteps) -> bool:
         """Place the open tasks of a step; return whether all were placed.
 
@@ -230,7 +236,8 @@
         first = next(step.placing_order(), None)
         if first is not None and not self._must_leave_room(step, first):
             unplaced.add(step)
-            self._make_room(step)
+            if self._candidates.has_large_enough(step):
+                self._make_room(step)
         return False
 
     async def _give_way(self) -> None:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -518,3 +518,26 @@
         assert {a.task.job for a in owner_state.pending_starts} == {"job-60"}
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize(
+    "hopeless", [{"label": "no-such"}, {"processors": 1_000_000}], ids=["label", "size"]
+)
+def test_steps_that_no_runner_can_take_hold_up_no_others(hopeless):
+    """Guards against a job of many such steps, after which each pass ended.
+
+    They are more urgent than the others, as they have waited for longer.
+    """
+
+    async def scenario():
+        planner, _, owner_state = make_owner(2)
+        steps = [batch_spec(1, **hopeless) for _ in range(200)]
+        owner_state.add_job(JobSpec("first", "q", "", tuple(steps), QueuePolicy("s")))
+        await anyio.sleep(0.1)
+        owner_state.add_job(
+            JobSpec("second", "q", "", (batch_spec(3),), QueuePolicy("s"))
+        )
+        await planner.plan()
+        return [attempt.task.job for attempt in owner_state.pending_starts]
+
+    assert run_virtual(scenario) == ["second"] * 3
