Jobs take at most a third of an owner's memory

Callers would lose nearly all jobs beside some jobs of many steps that can never be done: each step takes 1.4 KB, a body has room for 20,000, and there was no bound over all jobs, so that owner after owner exceeded its memory and was killed.

An owner estimates what its jobs take. Beyond a third of the instance's memory an accepted job is parked: its id and queue are kept, and its rows are read again as others end, or at once if it is cancelled. From 80% of that, instances refuse jobs at once with Retry-After, and large ones before small ones: a job may take a tenth of what is left. A request for a job that is stored already is confirmed all the same. A job has at most 5,000 steps. The owner row has the limit only while there is one, so that former builds read it otherwise.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -111,6 +111,7 @@
             clock,
             generator,
             metrics,
+            self.standby.max_job_bytes,
         )
         self._owns_shard = False
         self._shard_released = anyio.Event()
@@ -171,6 +172,7 @@
             self._wall_ms,
             self._metrics,
             self.settings.max_lease_s,
+            self.settings.memory_mb,
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.standby.watch)
--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -79,6 +79,7 @@
         """
         self._writer.count_backlog = self._count_backlog
         self._writer.list_leaving = self._list_leaving
+        self._writer.find_max_job_bytes = self._owner_state.parking.find_max_job_bytes
         while True:
             await self._owner_state.write_wakeup.wait(RENEW_INTERVAL_S)
             batch = self._collect()
--- a/flamingoweir/dispatch/_load_report.py
+++ b/flamingoweir/dispatch/_load_report.py
@@ -55,6 +55,8 @@
             largest_lag_ms=round(1000 * self._largest_lag_s),
             jobs_age_ms=self._jobs_age_ms(now_s),
             jobs=len(jobs),
+            parked=len(self._context.owner_state.parking.queue_by_id),
+            held_kb=self._context.owner_state.parking.held_bytes // 1000,
             waiting=sum(1 for job in jobs if job.is_waiting),
             unconfirmed=sum(1 for job in jobs if is_unconfirmed(job)),
         )
--- a/flamingoweir/dispatch/_loader.py
+++ b/flamingoweir/dispatch/_loader.py
@@ -1,5 +1,7 @@
 """Loads accepted jobs and cancellations from the store."""
 
+from collections.abc import Collection
+
 from ..jobs import decode_spec
 from ..logs import get_logger
 from ..ownership import CANCEL_SUFFIX
@@ -18,11 +20,18 @@
         Receives the jobs.
     wall_ms : callable
         Returns the wall-clock time in milliseconds since 1970.
+
+    Attributes
+    ----------
+    begun_ids : collection of str
+        Ids of jobs with a state in the store; they are never parked.
     """
 
     def __init__(self, owner_state: OwnerState, wall_ms):
         self._owner_state = owner_state
         self._fault_log = owner_state.fault_log
+        self._may_park = True
+        self.begun_ids: Collection[str] = ()
         self._wall_ms = wall_ms
 
     def apply_rows(self, rows: list[VersionedRow], is_complete: bool) -> None:
@@ -40,12 +49,29 @@
             if attempt.failed:
                 self._owner_state.exclude_job(key)
 
+    def load_parked(self, rows: list[VersionedRow]) -> None:
+        """Apply the rows of a job for which there is memory now."""
+        self._may_park = False
+        try:
+            self.apply_rows(rows, False)
+        finally:
+            self._may_park = True
+
     def _load_job(self, row: VersionedRow) -> None:
         if self._owner_state.has_job(row.id.key):
             return
         spec = decode_spec(row.value)
         if spec.id != row.id.key:
             raise ValueError(f"the row holds job {spec.id!r}")
+        parking = self._owner_state.parking
+        if (
+            self._may_park
+            and spec.id not in self.begun_ids
+            and not parking.has_room_for(spec)
+        ):
+            parking.park(spec)
+            log.info("job_parked", job=spec.id, queue=spec.queue)
+            return
         job = self._owner_state.add_job(spec)
         age_s = max(0.0, (self._wall_ms() - spec.accepted_ms) / 1000)
         job.accepted_s -= age_s
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -35,6 +35,7 @@
 )
 from ..registry import RunnerEntry
 from ..wakeup import Wakeup
+from ._parking import JobParking
 
 log = get_logger()
 
@@ -62,6 +63,8 @@
         Longest lease that runners grant, in seconds.
     leaving_s_by_runner : mapping of str to float or None
         What the former owner published; see `OwnerRecord`.
+    memory_mb : float
+        Memory of the instance in megabytes.
 
     Attributes
     ----------
@@ -80,6 +83,8 @@
         and whose rows are still in the store.
     set_aside_by_job : dict of str to StateRecord
         Records to be written of jobs that were set aside.
+    parking : JobParking
+        Accepted jobs for which there is no memory.
     expired_job_ids : list of str
         Ids of jobs whose state row is to be deleted, after their other rows.
     placement_wakeup : Wakeup
@@ -102,7 +107,9 @@
         metrics: Metrics,
         max_lease_s: float,
         leaving_s_by_runner: Mapping[str, float] | None = None,
+        memory_mb: float = 300.0,
     ):
+        self.parking = JobParking(memory_mb)
         self.job_by_id: dict[str, Job] = {}
         self.runner_by_id: dict[str, Runner] = {}
         self.changed_job_ids: set[str] = set()
@@ -130,6 +137,7 @@
         """Return whether a job was added before, has ended or is excluded."""
         return (
             job_id in self.job_by_id
+            or job_id in self.parking.queue_by_id
             or job_id in self.ended_ms_by_job
             or job_id in self._excluded_job_ids
         )
@@ -139,6 +147,7 @@
         if self.has_job(spec.id):
             return None
         job = Job(spec)
+        self.parking.record_held(spec)
         job.accepted_s = self._clock.now()
         self.job_by_id[spec.id] = job
         self.placement_wakeup.set()
@@ -151,6 +160,7 @@
             # The next owner reads the record, and deletes the rows of the job.
             self.set_aside_by_job[job_id] = StateRecord(JobState.CANCELLED)
             self.write_wakeup.set()
+        self.parking.record_cancelled(job_id)
         if job is None or not job.cancel():
             return
         log.info("job_cancelled", job=job_id, attempts=len(list(job.attempts())))
@@ -159,7 +169,7 @@
 
     def exclude_job(self, job_id: str) -> None:
         """Run nothing of a job whose tasks can't be read: they may be done already."""
-        self.job_by_id.pop(job_id, None)
+        self._forget_job(job_id)
         self.changed_job_ids.discard(job_id)
         self._excluded_job_ids.add(job_id)
 
@@ -188,9 +198,14 @@
 
     def record_ended_job(self, job_id: str, ended_ms: int) -> None:
         """Remove a job whose end is durable; its job row can't add it again."""
-        self.job_by_id.pop(job_id, None)
+        self._forget_job(job_id)
         self.ended_ms_by_job[job_id] = ended_ms
 
+    def _forget_job(self, job_id: str) -> None:
+        job = self.job_by_id.pop(job_id, None)
+        if job is not None:
+            self.parking.record_released(job.spec)
+
     def update_runners(self, entry_by_id: dict[str, RunnerEntry]) -> list[Runner]:
         """Update the listed runners; return those that need a connection."""
         to_connect = []
@@ -414,6 +429,8 @@
         for job in self.job_by_id.values():
             if job.is_waiting:
                 waiting[job.spec.queue] = waiting.get(job.spec.queue, 0) + 1
+        for queue in self.parking.queue_by_id.values():
+            waiting[queue] = waiting.get(queue, 0) + 1
         return waiting
 
     def _blame_crashes(self) -> None:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -39,6 +39,7 @@
 from ._loader import JobLoader
 from ._orders import OrderSender
 from ._owner_state import OwnerState
+from ._parked_jobs import ParkedJobLoader
 from ._planner import Planner
 from ._protocols import RunnerLink
 from ._retention import RetentionSweeper
@@ -85,6 +86,8 @@
         Receives counters.
     max_lease_s : float
         Longest lease that runners grant, in seconds.
+    memory_mb : float
+        Memory of the instance in megabytes.
 
     Attributes
     ----------
@@ -107,6 +110,7 @@
         wall_ms: Callable[[], float],
         metrics: Metrics,
         max_lease_s: float,
+        memory_mb: float = 300.0,
     ):
         former = writer.former
         self.owner_state = OwnerState(
@@ -114,6 +118,7 @@
             metrics,
             max_lease_s,
             former.leaving_s_by_runner if former is not None else None,
+            memory_mb,
         )
         self.failed = False
         self._writer = writer
@@ -184,6 +189,8 @@
                 task_group.start_soon(Planner(self._context, self._permit).run)
                 task_group.start_soon(self._send_stops)
                 task_group.start_soon(RetentionSweeper(self._context, self._store).run)
+                parked_jobs = ParkedJobLoader(self._context, self._store, self._loader)
+                task_group.start_soon(parked_jobs.run)
                 task_group.start_soon(
                     LoadReporter(self._context, self._job_follower).run
                 )
@@ -232,6 +239,7 @@
         unfinished = {row.id.key.rsplit(".", 3)[0] for row in tasks}
         record_by_job = self._restore_ended_jobs(states, unfinished)
         time_slice = TimeSlice(self._clock)
+        self._loader.begun_ids = unfinished | record_by_job.keys()
         for row in jobs.rows:
             self._loader.apply_rows([row], True)
             await time_slice.give_way_if_over()
--- a/flamingoweir/jobs/_spec.py
+++ b/flamingoweir/jobs/_spec.py
@@ -5,6 +5,11 @@
 
 from ..resources import Resources
 
+#: Memory of a job without its payload and its steps, in bytes.
+JOB_BYTES = 2_000
+#: Memory of a step, in bytes: its specification and its state.
+STEP_BYTES = 1_400
+
 
 @dataclass(frozen=True, slots=True)
 class StepSpec:
@@ -150,6 +155,11 @@
         """Whether any step runs until the job is cancelled."""
         return any(step.lasting for step in self.steps)
 
+    @property
+    def memory_bytes(self) -> int:
+        """Estimated memory of the job in an owner, before its tasks are started."""
+        return JOB_BYTES + len(self.payload) + STEP_BYTES * len(self.steps)
+
     def due_ms(self, occurrence: int) -> int:
         """Return when an occurrence is due, in milliseconds since 1970."""
         return self.first_due_ms + occurrence * self.interval_ms
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -1,5 +1,6 @@
 """The record that an owner publishes in the owner row of its shard."""
 
+import dataclasses
 import math
 from dataclasses import dataclass, field
 
@@ -50,6 +51,8 @@
         Seconds for which the owner has granted only short leases or none, by id of a
         runner that leaves or is unresponsive. A new owner need not wait for longer ones
         there.
+    max_job_bytes : int or None
+        Largest `JobSpec.memory_bytes` of a job that the owner can hold; None for any.
     """
 
     holder: str
@@ -59,14 +62,22 @@
     released: bool = False
     backlog: Backlog | None = None
     leaving_s_by_runner: dict[str, float] = field(default_factory=dict)
+    max_job_bytes: int | None = None
 
 
 _RECORD = pydantic.TypeAdapter(OwnerRecord)
 
 
 def encode_owner_record(record: OwnerRecord) -> bytes:
-    """Encode the content of an owner row as JSON."""
-    return orjson.dumps(record)
+    """Encode the content of an owner row as JSON.
+
+    The field `max_job_bytes` is left out while it is None: former builds can't read it.
+    """
+    if record.max_job_bytes is not None:
+        return orjson.dumps(record)
+    fields = {f.name: getattr(record, f.name) for f in dataclasses.fields(record)}
+    del fields["max_job_bytes"]
+    return orjson.dumps(fields)
 
 
 def decode_owner_record(row: VersionedRow) -> OwnerRecord | None:
--- a/flamingoweir/ownership/_standby.py
+++ b/flamingoweir/ownership/_standby.py
@@ -22,6 +22,8 @@
 #: Seconds between reads of a standby that defers to no other. It finds a vacant shard
 #: before a standby that defers takes it; such instances are few.
 STRONG_POLL_INTERVAL_S = 0.25
+#: Largest age in seconds of an owner's limit on the memory of a job.
+MAX_LIMIT_AGE_S = 3.0
 #: Fraction by which the interval varies, so that standbys don't read at the same time.
 POLL_JITTER = 0.2
 #: Processors from which a standby defers to no other. An owner of some 250 runners
@@ -155,6 +157,19 @@
             return None
         return observation.record.backlog
 
+    def max_job_bytes(self) -> int | None:
+        """Return the largest memory of a job that the owner can hold; None for any.
+
+        The limit of an owner that has published nothing for `MAX_LIMIT_AGE_S` does not
+        count: it is being replaced.
+        """
+        observation = self.observation
+        if observation is None or observation.record is None:
+            return None
+        if self._clock.now() - observation.changed_s > MAX_LIMIT_AGE_S:
+            return None
+        return observation.record.max_job_bytes
+
     async def wait_for_ownership(self) -> FencedWriter:
         """Poll the owner row until this instance owns the shard; return the writer."""
         interval_s = POLL_INTERVAL_S if self._deference_s else STRONG_POLL_INTERVAL_S
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -82,6 +82,8 @@
         transaction that is sent, also for one that is repeated.
     list_leaving : callable
         Returns `OwnerRecord.leaving_s_by_runner` to publish, called once a write.
+    find_max_job_bytes : callable
+        Returns `OwnerRecord.max_job_bytes` to publish, called for each transaction.
     former : OwnerRecord or None
         What the former owner published last; None if nothing was readable.
     """
@@ -99,6 +101,7 @@
         self.fence = 0
         self.count_backlog: Callable[[], Backlog | None] = _unknown_backlog
         self.list_leaving: Callable[[], dict[str, float]] = dict
+        self.find_max_job_bytes: Callable[[], int | None] = lambda: None
         self.former: OwnerRecord | None = None
         self._store = store
         self._owner_row = owner_row(shard)
@@ -209,6 +212,7 @@
                 self._record,
                 backlog=self.count_backlog(),
                 leaving_s_by_runner=leaving_s_by_runner,
+                max_job_bytes=self.find_max_job_bytes(),
             )
             own = (self._owner_row, encode_owner_record(record))
             transaction = Transaction(
--- a/flamingoweir/platform/_settings.py
+++ b/flamingoweir/platform/_settings.py
@@ -39,6 +39,8 @@
     cpu_share: float = 1.0
     #: Number by which the speed of that share is multiplied.
     cores: float = 1.0
+    #: Memory of a process that exceeds it and is killed.
+    memory_mb: float = 300.0
 
 
 class StoreMessage(WireModel):
@@ -109,4 +111,5 @@
         max_lease_s=bounds.max_hold_ms / 1000,
         grace_s=bounds.grace_s,
         processors=message.limits.cpu_share * message.limits.cores,
+        memory_mb=message.limits.memory_mb,
     )
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -47,9 +47,13 @@
 #: Seconds after which a client may repeat a request that came before this instance
 #: had the data to serve it.
 RETRY_AFTER_S = 1.0
-#: Largest number of tasks of an occurrence of a job. An owner keeps each of them in
-#: memory, where it takes some 440 bytes.
+#: Seconds after which a client may repeat a request that was refused because the owner
+#: can hold no such job.
+FULL_RETRY_AFTER_S = 5.0
+#: Largest number of tasks of an occurrence of a job.
 MAX_TASKS = 100_000
+#: Largest number of steps of a job. An owner creates the state of all in one go.
+MAX_STEPS = 5_000
 #: Number of final job states that are cached; the oldest is dropped first.
 MAX_CACHED_STATES = 20_000
 
@@ -74,6 +78,9 @@
         Source of the jitter of retry pauses.
     metrics : Metrics
         Receives counters.
+    max_job_bytes : callable, optional
+        Returns the largest `JobSpec.memory_bytes` of a job that the shard's owner can
+        hold; None for any.
     """
 
     def __init__(
@@ -84,7 +91,9 @@
         clock: Clock,
         generator: random.Random,
         metrics: Metrics,
+        max_job_bytes: Callable[[], int | None] = lambda: None,
     ):
+        self._max_job_bytes = max_job_bytes
         self._store = store
         self._operators = operators
         self._backlog = backlog
@@ -153,6 +162,10 @@
         value = _encode_exactly(spec)
         shard = shard_name(0)
         row = job_row(shard, spec.id)
+        max_bytes = self._max_job_bytes()
+        if max_bytes is not None and spec.memory_bytes > max_bytes:
+            await self._refuse_unless_stored(spec, row, timeout_s)
+            return
         transaction = Transaction([(row, 0)], [(row, value)], ())
         try:
             version = await self._transact(transaction, timeout_s)
@@ -163,6 +176,24 @@
         log.info("job_accepted", job=spec.id, queue=spec.queue, version=version)
         self._metrics.incr("jobs_accepted")
 
+    async def _refuse_unless_stored(
+        self, spec: JobSpec, row: RowId, timeout_s: float
+    ) -> None:
+        """Refuse a job at once, unless an earlier request for it was accepted.
+
+        Its owner could not hold it until others have ended.
+        """
+        if await self._read_row(row, timeout_s) is not None:
+            log.info("job_already_accepted", job=spec.id, queue=spec.queue)
+            return
+        self._metrics.incr("jobs_refused_full")
+        raise FlamingoweirError(
+            ErrorCode.OVERLOADED,
+            f"job {spec.id} was not accepted: the jobs that wait leave too little "
+            f"memory for it; try again in {FULL_RETRY_AFTER_S:.0f} s",
+            retry_after_s=FULL_RETRY_AFTER_S,
+        )
+
     async def find_state(self, job_id: str, timeout_s: float) -> JobState | None:
         """Return a job's state, or None if the job was never accepted.
 
@@ -267,6 +298,12 @@
                 ErrorCode.NEVER_FITS,
                 f"job {spec.id} has {tasks} tasks; submit at most {MAX_TASKS} at once",
             )
+        if len(spec.steps) > MAX_STEPS:
+            raise FlamingoweirError(
+                ErrorCode.NEVER_FITS,
+                f"job {spec.id} has {len(spec.steps)} steps; submit at most "
+                f"{MAX_STEPS} at once",
+            )
         invalid_step = find_invalid_dependency(spec.steps)
         if invalid_step is not None:
             raise FlamingoweirError(
--- a/flamingoweir/settings/_fleet.py
+++ b/flamingoweir/settings/_fleet.py
@@ -32,6 +32,8 @@
         Time between SIGTERM and SIGKILL, in seconds.
     processors : float
         Processors that the instance may use; a share of one counts as a fraction.
+    memory_mb : float
+        Memory that the instance may use, in megabytes.
     """
 
     name: str
@@ -45,3 +47,4 @@
     max_lease_s: float = 10.0
     grace_s: float = 6.0
     processors: float = 1.0
+    memory_mb: float = 300.0
--- a/tests/test_submitted_bodies.py
+++ b/tests/test_submitted_bodies.py
@@ -200,6 +200,19 @@
     run_virtual(scenario)
 
 
+def test_job_with_more_steps_than_an_owner_creates_in_one_go_is_refused():
+    """A body of 262 KB has room for 20,000 steps, whose state takes 28 MB."""
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            member = await find_other_member(cluster)
+            body = encode_body({"Phases": [{"Count": 1}] * 5_001})
+            assert await post_job(cluster, member, 1, body) == 429
+            await check_other_jobs(cluster)
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize("deadline", [b"nan", b"inf", b"1e12"])
 def test_request_without_a_usable_deadline_ends(deadline):
     """Each such request would be tried anew for as long as the store is away."""
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -106,6 +106,7 @@
             4,
             "store:1",
             processors=processors,
+            memory_mb=cluster.memory_mb,
         )
         links = PlatformLinks(
             self.store, self.store, PlatformRowDecoder(), "op", "servers", self._connect
@@ -154,8 +155,9 @@
         other runs take one second and succeed.
     """
 
-    def __init__(self, seed: int = 0):
+    def __init__(self, seed: int = 0, memory_mb: float = 300.0):
         self.seed = seed
+        self.memory_mb = memory_mb
         self.start_count = 0
         self.rows = MemoryRows()
         self.runner_by_id: dict[str, MemoryRunner] = {}
@@ -313,9 +315,15 @@
 
 
 @asynccontextmanager
-async def run_cluster(members: int = 2, runners: int = 3, seed: int = 0, **fields):
+async def run_cluster(
+    members: int = 2,
+    runners: int = 3,
+    seed: int = 0,
+    memory_mb: float = 300.0,
+    **fields,
+):
     """Run a cluster until the block ends; then end all instances."""
-    cluster = Cluster(seed)
+    cluster = Cluster(seed, memory_mb)
     cluster.configure()
     for number in range(runners):
         cluster.add_runner(f"runner-{number}", **fields)
