A late start order runs nothing again in its runner's next life

That an order was unanswered was forgotten with the attempt.

An owner remembers such orders for 15 s after the attempt has ended, keeps polling that runner, and tells each new life to stop the run until it has confirmed that. The first poll of a runner that was unresponsive does not wait for an end, so that a new life is seen soon.

--- /dev/null
+++ b/flamingoweir/dispatch/_late_orders.py
@@ -0,0 +1,46 @@
+"""Start orders without a response that may still be carried out."""
+
+from dataclasses import dataclass, field
+
+from ..jobs import TaskId
+
+#: Longest time in seconds after which an order is carried out that got no response,
+#: with a margin for the clock of its runner.
+MAX_LATENESS_S = 15.0
+
+
+@dataclass(slots=True)
+class LateOrders:
+    """Start orders of ended attempts that got no response, by runner.
+
+    The run of such an order can't start on the incarnation that it was sent to: it has
+    ended there. The next incarnation with the same id knows nothing of that.
+
+    Attributes
+    ----------
+    until_s_by_runner : dict of str to dict
+        Until when each run of a task may be started, on the owner's clock, in seconds.
+    """
+
+    until_s_by_runner: dict[str, dict[tuple[TaskId, int], float]] = field(
+        default_factory=dict
+    )
+
+    def record(self, runner: str, task: TaskId, run: int, now_s: float) -> None:
+        """Record that an attempt has ended of which an order got no response."""
+        self._expire(now_s)
+        until_s_by_run = self.until_s_by_runner.setdefault(runner, {})
+        until_s_by_run[task, run] = now_s + MAX_LATENESS_S
+
+    def find(self, runner: str, now_s: float) -> list[tuple[TaskId, int]]:
+        """Return the runs that the next incarnation of a runner must not start."""
+        self._expire(now_s)
+        return list(self.until_s_by_runner.get(runner, ()))
+
+    def _expire(self, now_s: float) -> None:
+        for runner, until_s_by_run in list(self.until_s_by_runner.items()):
+            for key, until_s in list(until_s_by_run.items()):
+                if now_s > until_s:
+                    del until_s_by_run[key]
+            if not until_s_by_run:
+                del self.until_s_by_runner[runner]
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -80,6 +80,10 @@
         """Send one stop order for an unknown run; later polls repeat it if needed."""
         self._task_group.start_soon(self._stop_run_once, runner_id, task, run)
 
+    def forbid_run(self, runner: Runner, task: TaskId, run: int) -> None:
+        """Send stop orders until an incarnation of a runner will not start a run."""
+        self._task_group.start_soon(self._forbid_run, runner, task, run)
+
     def _find_allocation(self, attempt: Attempt) -> tuple[Runner, Allocation] | None:
         runner = self._owner_state.runner_by_id.get(attempt.runner)
         allocation = runner.find(attempt.task, attempt.run) if runner else None
@@ -210,6 +214,25 @@
         runner.poll_wakeup.set()
         return True
 
+    async def _forbid_run(self, runner: Runner, task: TaskId, run: int) -> None:
+        incarnation = runner.incarnation
+        while runner.incarnation == incarnation:
+            link = self._link_by_runner.get(runner.id)
+            if link is None or self._owner_state.runner_by_id.get(runner.id) != runner:
+                return
+            with self._contain("forbid", runner.id):
+                try:
+                    await link.stop(task, run, self._context.writer.fence)
+                except Fenced:
+                    self._term_end.signal(
+                        f"runner {runner.id} has received a higher fencing token"
+                    )
+                except RunnerUnreachable:
+                    await anyio.sleep(RESEND_PAUSE_S)
+                    continue
+                return
+            await anyio.sleep(RESEND_PAUSE_S)
+
     async def _stop_run_once(self, runner_id: str, task: TaskId, run: int) -> None:
         with self._contain("stop_run", runner_id):
             await self._stop_run(runner_id, task, run)
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -35,6 +35,7 @@
 )
 from ..registry import RunnerEntry
 from ..wakeup import Wakeup
+from ._late_orders import LateOrders
 from ._parking import JobParking
 
 log = get_logger()
@@ -83,6 +84,8 @@
         and whose rows are still in the store.
     set_aside_by_job : dict of str to StateRecord
         Records to be written of jobs that were set aside.
+    late_orders : LateOrders
+        Start orders that the next incarnation of a runner might carry out.
     parking : JobParking
         Accepted jobs for which there is no memory.
     expired_job_ids : list of str
@@ -110,6 +113,7 @@
         memory_mb: float = 300.0,
     ):
         self.parking = JobParking(memory_mb)
+        self.late_orders = LateOrders()
         self.job_by_id: dict[str, Job] = {}
         self.runner_by_id: dict[str, Runner] = {}
         self.changed_job_ids: set[str] = set()
@@ -318,6 +322,8 @@
     ) -> None:
         """Record the end of an attempt that a runner reported or whose lease lapsed."""
         allocation = runner.remove(task, run)
+        if allocation is not None:
+            self._record_late_order(runner, allocation)
         job = self.job_by_id.get(task.job)
         if job is None:
             return
@@ -376,8 +382,10 @@
     def discard_attempt(self, attempt: Attempt, reason: str) -> None:
         """Remove an attempt that did not start and can't start any more."""
         runner = self.runner_by_id.get(attempt.runner)
-        if runner is None or runner.remove(attempt.task, attempt.run) is None:
+        allocation = runner and runner.remove(attempt.task, attempt.run)
+        if allocation is None:
             return
+        self._record_late_order(runner, allocation)
         job = self.job_by_id.get(attempt.task.job)
         if job is None:
             return
@@ -492,6 +500,13 @@
                 runner.id, allocation.attempt.task.job, failed, now_s
             )
 
+    def _record_late_order(self, runner: Runner, allocation: Allocation) -> None:
+        if allocation.start_unanswered:
+            attempt = allocation.attempt
+            self.late_orders.record(
+                runner.id, attempt.task, attempt.run, self._clock.now()
+            )
+
     def _stop_surplus(self, job: Job) -> None:
         for attempt in job.find_surplus_attempts():
             self.stop_attempt(
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -100,6 +100,9 @@
             return False
         if runner.entry.incarnation not in (0, runner.incarnation):
             return False
+        if self._owner_state.late_orders.find(runner.id, self._clock.now()):
+            # A new incarnation must be noticed before such an order reaches it.
+            return False
         idle_s = runner.last_response_s + IDLE_POLL_INTERVAL_S - self._clock.now()
         if idle_s <= 0:
             return False
@@ -166,6 +169,8 @@
         runner = self._runner
         if (
             runner.incarnation is None
+            # It may have restarted.
+            or runner.unresponsive_since_s is not None
             or runner.last_durable_end < runner.last_received_end
         ):
             return 0.0
@@ -286,6 +291,10 @@
             running=len(report.running),
             lost=len(lost),
         )
+        for task, run in self._owner_state.late_orders.find(
+            runner.id, self._clock.now()
+        ):
+            self._orders.forbid_run(runner, task, run)
         for allocation in lost:
             attempt = allocation.attempt
             if (attempt.task, attempt.run) in running:
--- /dev/null
+++ b/tests/test_late_orders.py
@@ -0,0 +1,46 @@
+"""Start orders that reach a runner's next incarnation, which has the same id."""
+
+import anyio
+import pytest
+
+from flamingoweir.jobs import JobState
+from tests.utils.cluster import make_job, run_cluster
+from tests.utils.virtual_time import run_virtual
+
+#: Age in seconds of a runner when it restarts; all late orders come before the clock of
+#: its new incarnation has reached it.
+FORMER_LIFE_S = 20.0
+
+
+@pytest.mark.parametrize("late_s", [2.5, 4.0, 12.0])
+@pytest.mark.parametrize("listed_after_s", [0.0, 1.1])
+def test_late_order_starts_no_task_again_that_was_done(late_s, listed_after_s):
+    """Guards against a task that runs twice after its runner has restarted.
+
+    The first start order gets no response, the second one is carried out, and the task
+    is done. The new incarnation knows of neither, and its clock begins anew, so that
+    the deadline of the first order is far ahead.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            link = owner.link_by_runner["runner-0"]
+            link.lose_starts = 1
+            link.delivery_delay_s = late_s
+            job = await cluster.submit(make_job(1))
+            await cluster.wait_for(job, JobState.DONE, 3.0)
+            await anyio.sleep(0.5)
+            runner = cluster.runner_by_id["runner-0"]
+            runner.crash(closes=True)
+            await anyio.sleep(0.1)
+            runner.restart()
+            await anyio.sleep(listed_after_s)
+            cluster.list_runner("runner-0")
+            await anyio.sleep(late_s + 6.0)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 1
+            other = await cluster.submit(make_job(2))
+            await cluster.wait_for(other, JobState.DONE, 3.0)
+
+    run_virtual(scenario)
