--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -419,6 +419,20 @@
         )
         self.stop_wakeup.set()
 
+    def stop_stalled(self, runner: Runner, allocation: Allocation) -> None:
+        """Stop an attempt without progress.
+
+        The first one counts against its runner. A task that makes none on another
+        runner either is a slow one.
+        """
+        attempt = allocation.attempt
+        if not allocation.earlier_stalls:
+            self.health.record_fault(runner.id, self._clock.now())
+        job = self.job_by_id.get(attempt.task.job)
+        if job is not None:
+            job.record_stall(attempt.task)
+        self.stop_attempt(attempt, "stalled")
+
     def find_suspect_runners(self) -> frozenset[str]:
         """Return the ids of runners with attempts of tasks suspected of a crash."""
         found = set()
@@ -471,7 +485,8 @@
             self._stop_surplus(job)
 
     def _allocate(self, step: StepRun, attempt: Attempt, runner: Runner) -> None:
-        runner.add(attempt, step.spec)
+        allocation = runner.add(attempt, step.spec)
+        allocation.earlier_stalls = step.tasks.view(attempt.task.index).stalls
         self.pending_starts.append(attempt)
         self._mark_changed(step.job)
 
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -219,15 +219,14 @@
             self._stop_stalled(sent_s)
 
     def _stop_stalled(self, sent_s: float) -> None:
-        """Stop attempts without progress and record that the runner is unhealthy.
+        """Stop attempts without progress.
 
         Only the time until the poll was sent counts: its response may have been under
         way for long, with progress as of its sending.
         """
         runner = self._runner
         for allocation in find_stalled(runner, sent_s):
-            self._owner_state.health.record_fault(runner.id, self._clock.now())
-            self._owner_state.stop_attempt(allocation.attempt, "stalled")
+            self._owner_state.stop_stalled(runner, allocation)
 
     def _adjust_paces(self) -> None:
         """Adjust the paces of tasks on spare processors, to protect serving tasks.
@@ -319,8 +318,7 @@
         self._owner_state.record_listed(allocation, now_s)
         allocation.expect_listed_after_s = min(allocation.expect_listed_after_s, now_s)
         if task.progress_percent >= attempt.progress_percent + MIN_PROGRESS_PERCENT:
-            attempt.progress_percent = task.progress_percent
-            attempt.last_progress_s = now_s
+            attempt.record_progress(task.progress_percent, now_s)
         job = self._owner_state.job_by_id.get(attempt.task.job)
         if job is not None:
             job.record_checkpoint(attempt, task.checkpoint)
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -35,6 +35,7 @@
 
     __slots__ = (
         "attempt",
+        "earlier_stalls",
         "expect_listed_after_s",
         "load",
         "headroom_deviation",
@@ -51,6 +52,8 @@
     def __init__(self, attempt: Attempt, spec: StepSpec):
         self.attempt = attempt
         self.spec = spec
+        #: Number of earlier attempts at the task that made no progress.
+        self.earlier_stalls = 0
         #: If a poll sent after this time does not list the attempt, it is not there.
         self.expect_listed_after_s = float("inf")
         #: Load in the latest poll's report; see `RunningTask.load`.
--- a/flamingoweir/jobs/_attempt.py
+++ b/flamingoweir/jobs/_attempt.py
@@ -98,6 +98,8 @@
         Progress in percent, as last recorded from the runner's reports.
     last_progress_s : float
         Time of the last progress on the owner's clock, in seconds.
+    longest_progress_s : float
+        Longest time in seconds between two points of progress.
     pace_percent : int
         Pace that the runner confirmed, in percent of full speed; negative if unknown.
     requested_pace_percent : int
@@ -112,5 +114,23 @@
     created_s: float = 0.0
     progress_percent: float = 0.0
     last_progress_s: float = 0.0
+    longest_progress_s: float = 0.0
     pace_percent: int = 100
     requested_pace_percent: int = 100
+
+    def record_progress(self, percent: float, now_s: float) -> None:
+        """Record progress that a runner reported.
+
+        Parameters
+        ----------
+        percent : float
+            Progress in percent.
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        if self.progress_percent:
+            # The first point includes the time until the start.
+            passed_s = now_s - self.last_progress_s
+            self.longest_progress_s = max(self.longest_progress_s, passed_s)
+        self.progress_percent = percent
+        self.last_progress_s = now_s
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -495,6 +495,12 @@
         if checkpoint and not task.done and task.attempt_by_run:
             self._set_checkpoint(step, task, checkpoint)
 
+    def record_stall(self, task_id: TaskId) -> None:
+        """Record that an attempt at a task is stopped as it makes no progress."""
+        step = self.run_by_step.get((task_id.occurrence, task_id.step))
+        if step is not None and not step.tasks.view(task_id.index).done:
+            step.tasks[task_id.index].stalls += 1
+
     def find_surplus_attempts(self) -> list[Attempt]:
         """Return attempts that should be stopped and are not stopping yet.
 
--- a/flamingoweir/jobs/_task_table.py
+++ b/flamingoweir/jobs/_task_table.py
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True)
 class Task:
-    """State of a task; all of it but `failed_runners` is durable.
+    """State of a task; all of it but `failed_runners` and `stalls` is durable.
 
     Attributes
     ----------
@@ -26,6 +26,8 @@
         Attempts that have not ended, by run number.
     failed_runners : set of str
         Ids of runners on which the task failed; not durable.
+    stalls : int
+        Number of attempts that were stopped as they made no progress; not durable.
     """
 
     last_run: int = 0
@@ -34,6 +36,7 @@
     done: bool = False
     attempt_by_run: dict[int, Attempt] = field(default_factory=dict)
     failed_runners: set[str] = field(default_factory=set)
+    stalls: int = 0
 
 
 #: Stand for all tasks that were never started, and for those that are done and have no
