A quick task that is seldom polled does not count as slow

The longest time between two reports of progress stood for the pace of a task, so that a task of 3 s whose runner is polled every second or two was waited for up to 6 s when it hung, where it was 2.5 s before. The time is divided by the percents gained now.

Evidence: test_rare_reports_do_not_make_a_quick_task_a_slow_one fails on the commit before.

--- a/flamingoweir/jobs/_attempt.py
+++ b/flamingoweir/jobs/_attempt.py
@@ -98,8 +98,8 @@
         Progress in percent, as last recorded from the runner's reports.
     last_progress_s : float
         Time of the last progress on the owner's clock, in seconds.
-    longest_progress_s : float
-        Longest time in seconds between two points of progress.
+    slowest_percent_s : float
+        Longest time in seconds that a percent of progress has taken.
     pace_percent : int
         Pace that the runner confirmed, in percent of full speed; negative if unknown.
     requested_pace_percent : int
@@ -114,7 +114,7 @@
     created_s: float = 0.0
     progress_percent: float = 0.0
     last_progress_s: float = 0.0
-    longest_progress_s: float = 0.0
+    slowest_percent_s: float = 0.0
     pace_percent: int = 100
     requested_pace_percent: int = 100
 
@@ -124,13 +124,14 @@
         Parameters
         ----------
         percent : float
-            Progress in percent.
+            Progress in percent, more than before.
         now_s : float
             Time on the owner's clock, in seconds.
         """
         if self.progress_percent:
-            # The first point includes the time until the start.
+            # Until the first progress, some of the time passes before the start.
             passed_s = now_s - self.last_progress_s
-            self.longest_progress_s = max(self.longest_progress_s, passed_s)
+            percent_s = passed_s / (percent - self.progress_percent)
+            self.slowest_percent_s = max(self.slowest_percent_s, percent_s)
         self.progress_percent = percent
         self.last_progress_s = now_s
--- a/flamingoweir/policy/_stragglers.py
+++ b/flamingoweir/policy/_stragglers.py
@@ -24,7 +24,7 @@
 def stall_s(allocation: Allocation) -> float:
     """Return the seconds without progress after which an attempt counts as hung."""
     expected_s = SLOWDOWN * allocation.spec.estimate_s / 100
-    seen_s = SLOWDOWN * allocation.attempt.longest_progress_s
+    seen_s = SLOWDOWN * allocation.attempt.slowest_percent_s
     first_s = min(MAX_FIRST_STALL_S, max(STALL_S, expected_s, seen_s))
     return first_s * 2 ** min(allocation.earlier_stalls, MAX_DOUBLINGS)
 
--- a/tests/test_long_tasks.py
+++ b/tests/test_long_tasks.py
@@ -6,7 +6,7 @@
 from flamingoweir.dispatch import RunnerReport
 from flamingoweir.fleet import Allocation
 from flamingoweir.jobs import Attempt, Outcome, TaskId
-from flamingoweir.policy._stragglers import MAX_DOUBLINGS, stall_s
+from flamingoweir.policy._stragglers import MAX_DOUBLINGS, STALL_S, stall_s
 from flamingoweir.standins import MemoryRunnerLink
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
@@ -87,3 +87,13 @@
             assert sum(bool(r.quarantine_s) for r in records.values()) <= 1
 
     run_virtual(scenario)
+
+
+def test_rare_reports_do_not_make_a_quick_task_a_slow_one():
+    """Guards against a hung task that is kept for long, as it was seldom polled."""
+    allocation = Allocation(
+        Attempt(TaskId("job", 0, 0, 0), 1, "r", 1), make_step(estimate_s=3.0)
+    )
+    for second, percent in enumerate((20.0, 50.0, 80.0)):
+        allocation.attempt.record_progress(percent, 2.0 * second)
+    assert stall_s(allocation) == STALL_S
