--- a/flamingoweir/dispatch/_loader.py
+++ b/flamingoweir/dispatch/_loader.py
@@ -44,9 +44,9 @@
                 with self._fault_log.contain("cancel_failed", key=key):
                     self._owner_state.cancel_job(key.removesuffix(CANCEL_SUFFIX))
                 continue
-            with self._fault_log.contain("job_unreadable", job=key) as attempt:
+            with self._fault_log.contain("job_unreadable", job=key) as block:
                 self._load_job(row)
-            if attempt.failed:
+            if block.failed:
                 self._owner_state.exclude_job(key)
 
     def load_parked(self, rows: list[VersionedRow]) -> None:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -256,10 +256,10 @@
             if job is not None:
                 job.restore_state(record.state, record.blame_by_task)
         for job in list(self.owner_state.job_by_id.values()):
-            with self._contain("job_restore_failed", job=job.spec.id) as attempt:
+            with self._contain("job_restore_failed", job=job.spec.id) as block:
                 job.update_state()
                 self.owner_state.restore_allocations(job)
-            if attempt.failed:
+            if block.failed:
                 self.owner_state.exclude_job(job.spec.id)
             await time_slice.give_way_if_over()
         log.info(
@@ -279,9 +279,9 @@
         record_by_job = {}
         for row in states:
             job_id = row.id.key
-            with self._contain("state_unreadable", job=job_id) as attempt:
+            with self._contain("state_unreadable", job=job_id) as block:
                 record = decode_state(row.value or b"")
-            if attempt.failed:
+            if block.failed:
                 # The job may have ended, so that nothing of it may run.
                 self.owner_state.exclude_job(job_id)
                 continue
@@ -301,12 +301,12 @@
         if job is None or row.value is None:
             log.warning("tasks_without_job", key=row.id.key)
             return
-        with self._contain("tasks_unreadable", key=row.id.key) as attempt:
+        with self._contain("tasks_unreadable", key=row.id.key) as block:
             occurrence, step, number = row.id.key.rsplit(".", 3)[1:]
             tasks_key = (int(occurrence), int(step), int(number))
             if tasks_key[0] not in job.closed_occurrences:
                 restore_tasks(job, tasks_key, row.value)
-        if attempt.failed:
+        if block.failed:
             self.owner_state.exclude_job(job_id)
             return
         committer.record_row(job_id, tasks_key)
@@ -347,9 +347,9 @@
 
     def _watch_runner(self, runner: Runner) -> None:
         """Connect to a runner, and poll it in the background."""
-        with self._contain("runner_connect_failed", runner=runner.id) as attempt:
+        with self._contain("runner_connect_failed", runner=runner.id) as block:
             link = self._context.connect(runner.entry)
-        if attempt.failed:
+        if block.failed:
             self.owner_state.record_no_address(runner)
             return
         self._link_by_runner[runner.id] = link
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -244,10 +244,10 @@
             self.open_occurrence(occurrence)
             allowed -= 1
 
-    def close_finished(self) -> bool:
-        """Drop the state of finished occurrences; return whether there were any."""
+    def close_finished(self) -> None:
+        """Drop the state of finished occurrences."""
         if not self.finished_occurrences:
-            return False
+            return
         for occurrence in self.finished_occurrences:
             self.closed_occurrences.add(occurrence)
             del self._open_by_occurrence[occurrence]
@@ -258,7 +258,6 @@
                 del self.blame_by_task[task_id]
         self.finished_occurrences.clear()
         self.state_changed = True
-        return True
 
     def _find_unopened(self) -> int | None:
         """Return the first occurrence that is neither open nor closed, or None."""
--- a/flamingoweir/registry/_view.py
+++ b/flamingoweir/registry/_view.py
@@ -215,9 +215,9 @@
     def _apply_row(self, row: VersionedRow) -> bool:
         """Update a runner's entry; return whether anything changed."""
         runner = row.id.key
-        with self._fault_log.contain("runner_row_unreadable", runner=runner) as attempt:
+        with self._fault_log.contain("runner_row_unreadable", runner=runner) as block:
             entry = self._row_decoder.decode_runner(runner, row.value or b"")
-        if attempt.failed:
+        if block.failed:
             return self._mark_unlisted(runner)
         previous = self.entry_by_id.get(runner)
         if entry == previous and runner not in self._unlisted_s_by_id:
