--- a/flamingoweir/jobs/_spec.py
+++ b/flamingoweir/jobs/_spec.py
@@ -131,6 +131,7 @@
         Number of times that the steps run.
     first_due_ms : int
         Time at which occurrence 0 is due, in milliseconds since 1970; 0 for at once.
+        Further occurrences count from there.
     interval_ms : int
         Time between occurrences in milliseconds.
     """
@@ -148,7 +149,7 @@
     @property
     def scheduled(self) -> bool:
         """Whether occurrences have due times."""
-        return self.first_due_ms > 0
+        return self.first_due_ms > 0 or self.occurrences > 1
 
     @property
     def lasting(self) -> bool:
--- a/tests/test_occurrences.py
+++ b/tests/test_occurrences.py
@@ -195,3 +195,22 @@
             assert not cluster.find_overlaps()
 
     run_virtual(scenario)
+
+
+def test_occurrences_without_a_first_due_time_all_run():
+    """Guards against a job that runs once and is never done.
+
+    Its occurrences count from 1970, so that all of them are due.
+    """
+
+    async def scenario():
+        async with run_cluster(members=2) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = make_job(1, make_step(2), occurrences=3, interval_ms=1000)
+            await cluster.submit(job, owner)
+            await cluster.wait_for(job, JobState.DONE, 6.0)
+            assert not find_undone(cluster, job)
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
