--- a/flamingoweir/platform/_ingress.py
+++ b/flamingoweir/platform/_ingress.py
@@ -20,7 +20,7 @@
 
 log = get_logger()
 
-JOB_ID = re.compile(r"[0-9a-f]{16}")
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 DEADLINE_HEADER = b"x-deadline-ms"
 #: Timeout of a request without a deadline header, in seconds.
 DEFAULT_TIMEOUT_S = 2.5
@@ -195,7 +195,7 @@
         if not JOB_ID.fullmatch(job_id):
             raise FlamingoweirError(
                 ErrorCode.NOT_FOUND,
-                f"{job_id!r} is not a job id; use 16 lower-case hexadecimal digits",
+                f"{job_id!r} is not a job id; use 16 hexadecimal digits",
             )
         if head.method == "POST":
             spec = await self._read_job_spec(head, queue, job_id, receive)
--- a/tests/test_submitted_bodies.py
+++ b/tests/test_submitted_bodies.py
@@ -16,6 +16,7 @@
 from flamingoweir.errors import ErrorCode, FlamingoweirError
 from flamingoweir.jobs import Job, JobState, encode_spec
 from flamingoweir.ownership import job_row
+from flamingoweir.platform._ingress import JOB_ID
 from tests.utils.cluster import Cluster, Member, make_job, make_step, run_cluster
 from tests.utils.ingress import post_job
 from tests.utils.virtual_time import run_virtual
@@ -200,6 +201,13 @@
     run_virtual(scenario)
 
 
+def test_id_with_upper_case_digits_is_an_id():
+    """Guards against a submission that is answered as if its queue did not exist."""
+    assert JOB_ID.fullmatch("5C0E7A21d94b36f8")
+    assert not JOB_ID.fullmatch("5C0E7A21d94b36fg")
+    assert not JOB_ID.fullmatch("5C0E7A21d94b36f")
+
+
 def test_job_with_more_steps_than_an_owner_creates_in_one_go_is_refused():
     """A body of 262 KB has room for 20,000 steps, whose state takes 28 MB."""
 
