An entry without a runner behind it counts for no room

Callers of batch would wait beside long-running jobs: one entry of another writer that announces processors that no machine has made the fleet look large, so that new long-running tasks left nothing for batch. Only runners that have answered this owner count now; an entry may be all that there is of one.

Evidence: test_short_batch_is_in_time_beside_more_long_running_jobs_than_fit, with such an entry, fails on the commit before and passes here. A new owner hears from all runners within its first polls, so that plays without odd entries change only there."

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -392,6 +392,9 @@
         """Return the load of the usable runners, by service."""
         load_by_service: dict[str, ServiceLoad] = {}
         for runner in self._candidates.runners:
+            if runner.incarnation is None:
+                # Its entry may be all that there is of it.
+                continue
             load = load_by_service.setdefault(runner.entry.service, ServiceLoad())
             lasting_milli = runner.lasting_reserved.processors_milli
             load.capacity_milli += runner.entry.capacity.processors_milli
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -6,10 +6,13 @@
 """
 
 import anyio
+import pytest
 
 from flamingoweir.jobs import JobState, Outcome
 from flamingoweir.policy import BatchHeadroom, ServiceLoad
+from flamingoweir.storage import RowId
 from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.entries import encode_entry
 from tests.utils.virtual_time import run_virtual
 
 SERVICE = "turning"
@@ -24,12 +27,20 @@
     return headroom
 
 
-def test_short_batch_is_in_time_beside_more_long_running_jobs_than_fit():
-    """Guards against batch that waits until a long-running job ends."""
+@pytest.mark.parametrize("odd_entry", [False, True])
+def test_short_batch_is_in_time_beside_more_long_running_jobs_than_fit(odd_entry):
+    """Guards against batch that waits until a long-running job ends.
+
+    An entry of another writer, with a capacity that no runner has, must not count.
+    """
 
     async def scenario():
         async with run_cluster(runners=4, processors=8) as cluster:
             await cluster.owner()
+            if odd_entry:
+                capacity = {"Cpu": 2**60, "MemMb": 2**60}
+                entry = encode_entry(Capacity=capacity)
+                cluster.rows.put(RowId("servers", "", "odd"), entry)
             await anyio.sleep(1)
             batch = []
             for number in range(1, 13):
