--- a/tests/test_job_cost.py
+++ b/tests/test_job_cost.py
@@ -7,29 +7,14 @@
 
 from flamingoweir.dispatch._planner import MAX_ALL_IDLE_STEPS
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
-from flamingoweir.jobs import Job, JobState, Outcome, QueuePolicy, encode_spec
+from flamingoweir.jobs import Job, JobState, Outcome, QueuePolicy
 from flamingoweir.ownership import job_row
 from tests.utils.cluster import SERVICE, make_job, make_step, run_cluster
+from tests.utils.schedules import make_late, store_job
 from tests.utils.virtual_time import run_virtual
 
 #: Memory of an instance on the users' platform, in bytes.
 INSTANCE_BYTES = 300_000_000
-#: Occurrences that are due of a job that is 60 days late, with one a minute.
-DUE = 60 * 24 * 60
-
-
-def make_late(number: int, *steps, due: int = DUE, **fields):
-    """Return a scheduled job of which many occurrences are due at once."""
-    policy = QueuePolicy(SERVICE, 1, 3, 2.0, 1.0)
-    return make_job(
-        number,
-        *steps,
-        first_due_ms=1,
-        interval_ms=1,
-        occurrences=due,
-        policy=policy,
-        **fields,
-    )
 
 
 def count_steps(owner) -> int:
@@ -202,12 +187,6 @@
     run_virtual(scenario)
 
 
-def store_job(cluster, job) -> None:
-    """Store a job as an instance does that does not know yet that the owner is full."""
-    cluster.spec_by_id[job.id] = job
-    cluster.rows.put(job_row("s0", job.id), encode_spec(job))
-
-
 @pytest.mark.parametrize("killed", [False, True])
 def test_jobs_beyond_the_memory_of_an_owner_wait_and_run(killed):
     """Guards against accepted jobs that are lost for want of memory."""
--- a/tests/test_occurrences.py
+++ b/tests/test_occurrences.py
@@ -8,23 +8,9 @@
 from flamingoweir.jobs import JobState, QueuePolicy
 from flamingoweir.ownership import state_row, tasks_row
 from tests.utils.cluster import SERVICE, Cluster, make_job, make_step, run_cluster
+from tests.utils.schedules import LEAD_S, make_scheduled
 from tests.utils.virtual_time import run_virtual
 
-#: Seconds from the submission to the first due time.
-LEAD_S = 1.0
-
-
-def make_scheduled(cluster: Cluster, number: int, *steps, interval_s, times, **fields):
-    """Return a job whose first occurrence is due in `LEAD_S`."""
-    return make_job(
-        number,
-        *steps,
-        first_due_ms=round(cluster.wall_ms() + 1000 * LEAD_S),
-        interval_ms=round(1000 * interval_s),
-        occurrences=times,
-        **fields,
-    )
-
 
 def find_undone(cluster: Cluster, job) -> list[str]:
     """Return the tasks of a job that have not ended as done exactly once."""
