An odd entry in the list of instances leaves out no other

Callers of the product's own interface would lose every instance: one malformed entry in the platform's list (no port, a kind that is not named, a number too large, nested too deeply) raised in the task that reads the list, which ended the process, and each other one.

The list is split into its entries first, as a parser refuses all of a document of which a part is nested too deeply; each entry is decoded by validated types within `FaultLog`. A list that is cut off counts as not read, so that the former one stays.

The users' platform has another list, whose entries are rows of their own; this code does not run there."

--- a/flamingoweir/daemon/_daemon.py
+++ b/flamingoweir/daemon/_daemon.py
@@ -11,6 +11,7 @@
 from ..entry import CallerApp, EntryApp, create_operator_app
 from ..environment import Environment
 from ..exit_status import ExitStatus
+from ..faults import FaultLog
 from ..membership import TcpPeerTransport, serve_peers
 from ..metrics import create_metrics
 from ..routing import HttpRunnerLink
@@ -129,13 +130,9 @@
         )
         settings = dataclasses.replace(self._requested, instance=own_settings)
         clock = BootClock()
-        return Node(
-            settings,
-            create_links(settings, clock),
-            clock,
-            random.Random(),
-            create_metrics(own_settings.statsd),
-        )
+        metrics = create_metrics(own_settings.statsd)
+        links = create_links(settings, clock, FaultLog(metrics, clock))
+        return Node(settings, links, clock, random.Random(), metrics)
 
     @staticmethod
     def _create_app(node: Node) -> EntryApp:
@@ -164,7 +161,9 @@
         await self.target(scope, receive, send)
 
 
-def create_links(settings: Settings, clock: BootClock) -> NodeLinks:
+def create_links(
+    settings: Settings, clock: BootClock, fault_log: FaultLog
+) -> NodeLinks:
     """Return links to the platform, workers, runners and peers over the network.
 
     Parameters
@@ -173,6 +172,8 @@
         All settings.
     clock : BootClock
         Clock for the idle times of connections to runners.
+    fault_log : FaultLog
+        Records entries of the platform's list that can't be read.
     """
     platform = HttpClient(
         settings.platform.address,
@@ -189,7 +190,7 @@
     return NodeLinks(
         HttpTable(platform),
         HttpObjectStore(platform),
-        HttpInstanceList(platform),
+        HttpInstanceList(platform, fault_log),
         connect_worker,
         connect_runner,
         TcpPeerTransport,
--- a/flamingoweir/storage/_http.py
+++ b/flamingoweir/storage/_http.py
@@ -5,8 +5,10 @@
 
 import orjson
 
+from ..faults import FaultLog
 from ..resources import Resources
 from ..transport import HttpClient, RequestNotSent, Response, ResponseLost
+from ._instance_entries import decode_instances
 from ._protocols import (
     Instance,
     InstanceKind,
@@ -119,15 +121,21 @@
     ----------
     client : HttpClient
         Client for the platform's address.
+    fault_log : FaultLog, optional
+        Records entries that can't be read.
     """
 
-    def __init__(self, client: HttpClient):
+    def __init__(self, client: HttpClient, fault_log: FaultLog | None = None):
         self._client = client
+        self._fault_log = fault_log or FaultLog()
 
     async def instances(self) -> list[Instance]:
         """See `InstanceList.instances`."""
         response = await _read(self._client, "/instances")
-        return [parse_instance(fields) for fields in orjson.loads(response.body)]
+        try:
+            return decode_instances(response.body, self._fault_log)
+        except ValueError as error:
+            raise TableUnavailable(f"the platform's list: {error}") from error
 
 
 def _object_path(name: str) -> str:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,16 +1,19 @@
 """An odd entry among those of the runners stops no other runner and no job."""
 
 import anyio
+import orjson
 import pytest
 
 from flamingoweir.jobs import JobState
+from flamingoweir.membership import Directory
 from flamingoweir.platform import PlatformRowDecoder
 from flamingoweir.registry import UnreadableRow
 from flamingoweir.registry._view import UNLISTED_GRACE_S
-from flamingoweir.storage import RowId
+from flamingoweir.storage import HttpInstanceList, RowId
+from flamingoweir.transport import Response
 from tests.utils.cluster import AbsentRunnerLink, make_job, make_step, run_cluster
 from tests.utils.entries import encode_entry
-from tests.utils.virtual_time import run_virtual
+from tests.utils.virtual_time import VirtualClock, run_virtual
 
 #: Seconds in which a job of one second is done beside an odd entry.
 MAX_JOB_S = 2.5
@@ -159,3 +162,87 @@
             assert not cluster.find_overlaps()
 
     run_virtual(scenario)
+
+
+GOOD_INSTANCES = [
+    {
+        "name": f"runner-{number}",
+        "kind": "runner",
+        "zone": "powys",
+        "rack": "rack-1",
+        "address": f"127.0.0.1:{8000 + number}",
+        "service": "quotes",
+    }
+    for number in range(2)
+]
+ODD_INSTANCES = {
+    "no_object": b"7",
+    "null": b"null",
+    "no_name": b'{"kind":"runner"}',
+    "unknown_kind": b'{"name":"a","kind":"x","zone":"","rack":"",'
+    b'"address":"1.2.3.4:5"}',
+    "no_port": b'{"name":"a","kind":"runner","zone":"","rack":"","address":"1.2.3.4"}',
+    "large_port": b'{"name":"a","kind":"runner","zone":"","rack":"",'
+    b'"address":"1.2.3.4:70000"}',
+    "large_number": b'{"name":"a","kind":"worker","zone":"","rack":"",'
+    b'"address":"1.2.3.4:5","capacity":{"processors_milli":%d}}' % HUGE,
+    "nested": b'{"name":' + b"[" * 50_000 + b"]" * 50_000 + b"}",
+    "nested_unknown_field": b'{"else":' + b'{"a":' * 50_000 + b"1" + b"}" * 50_001,
+    "brackets_in_text": b'{"name":"]}\\",[{","kind":"x"}',
+}
+
+
+class ListClient:
+    """Client of a platform that answers each call with the same body."""
+
+    def __init__(self, body: bytes):
+        self._body = body
+
+    async def call(self, method: str, path: str) -> Response:
+        return Response(200, self._body)
+
+
+@pytest.mark.parametrize("odd", ODD_INSTANCES.values(), ids=ODD_INSTANCES)
+@pytest.mark.parametrize("position", [0, 1, 2])
+def test_odd_entry_in_the_list_of_instances_leaves_out_no_other(odd, position):
+    """Guards against an entry that ends each process that reads the list.
+
+    This list is that of the product's own platform interface.
+    """
+    entries = [orjson.dumps(instance) for instance in GOOD_INSTANCES]
+    entries.insert(position, odd)
+    body = b" [" + b" ,".join(entries) + b"]\n"
+    directory = Directory(HttpInstanceList(ListClient(body)), VirtualClock())
+
+    async def scenario():
+        assert await directory.refresh()
+        assert sorted(directory.by_name) == ["runner-0", "runner-1"]
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b"[", b'["', b"[[]", b"\xff"])
+def test_list_of_instances_that_is_no_array_is_read_later(body):
+    """Guards against a process that ends, or forgets all instances."""
+    good = orjson.dumps(GOOD_INSTANCES)
+    client = ListClient(good)
+    directory = Directory(HttpInstanceList(client), VirtualClock())
+
+    async def scenario():
+        assert await directory.refresh()
+        client._body = body
+        assert not await directory.refresh()
+        assert len(directory.by_name) == 2
+
+    run_virtual(scenario)
+
+
+def test_empty_list_of_instances_is_a_list():
+    """Guards against instances that stay after all have left."""
+    directory = Directory(HttpInstanceList(ListClient(b" [ ] ")), VirtualClock())
+
+    async def scenario():
+        assert await directory.refresh()
+        assert not directory.by_name
+
+    run_virtual(scenario)
