Passes and polls take less of an owner's time again

A pass makes no coroutine for a job of few steps and no copy of its steps, and headrooms are bounded by comparisons.

--- a/flamingoweir/dispatch/_job_pauses.py
+++ b/flamingoweir/dispatch/_job_pauses.py
@@ -36,6 +36,8 @@
 
     def is_paused(self, job_id: str, now_s: float) -> bool:
         """Return whether a job is to be passed over."""
+        if not self._pause_by_job:
+            return False
         pause = self._pause_by_job.get(job_id)
         return pause is not None and now_s < pause.until_s
 
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -1,6 +1,7 @@
 """Decides which ready tasks start, and on which runners."""
 
 from collections import deque
+from collections.abc import Iterable
 
 import anyio
 
@@ -348,7 +349,15 @@
                 continue
             try:
                 idle_steps += self._open_due(job, wall_ms)
-                open_tasks += await self._find_ready_of_job(job, wall_ms, ready)
+                if len(job.run_by_step) <= STEPS_PER_CHECK:
+                    open_tasks += self._add_ready(job.ready_steps(), wall_ms, ready)
+                    continue
+                steps = list(job.ready_steps())
+                for first in range(0, len(steps), STEPS_PER_CHECK):
+                    some = steps[first : first + STEPS_PER_CHECK]
+                    open_tasks += self._add_ready(some, wall_ms, ready)
+                    if self._time_slice.is_over():
+                        await self._give_way()
             except PermitWithdrawn:
                 raise
             except Exception as error:
@@ -372,14 +381,15 @@
         self._idle_steps += opened
         return idle_steps + opened
 
-    async def _find_ready_of_job(
-        self, job: Job, wall_ms: float, ready: list[tuple[tuple, int, StepRun]]
+    def _add_ready(
+        self,
+        steps: Iterable[StepRun],
+        wall_ms: float,
+        ready: list[tuple[tuple, int, StepRun]],
     ) -> int:
-        """Add the ready steps of a job, with sort keys; return their open tasks."""
+        """Add ready steps with their sort keys; return the number of open tasks."""
         open_tasks = 0
-        for number, step in enumerate(job.ready_steps(), 1):
-            if not number % STEPS_PER_CHECK and self._time_slice.is_over():
-                await self._give_way()
+        for step in steps:
             open_tasks += len(step.open_indexes)
             if step.ready_since_s is None:
                 step.ready_since_s = self._now_s
--- a/flamingoweir/jobs/_attempt.py
+++ b/flamingoweir/jobs/_attempt.py
@@ -132,6 +132,7 @@
             # Until the first progress, some of the time passes before the start.
             passed_s = now_s - self.last_progress_s
             percent_s = passed_s / (percent - self.progress_percent)
-            self.slowest_percent_s = max(self.slowest_percent_s, percent_s)
+            if percent_s > self.slowest_percent_s:
+                self.slowest_percent_s = percent_s
         self.progress_percent = percent
         self.last_progress_s = now_s
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -296,7 +296,7 @@
         """Yield steps with open tasks whose preceding steps are all done."""
         if self.is_final:
             return
-        for step_run in list(self.run_by_step.values()):
+        for step_run in self.run_by_step.values():
             if not step_run.open_indexes:
                 continue
             if all(
--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -273,7 +273,10 @@
                 if allocation.load is not None
                 else _demand_milli(allocation)
             )
-            used = min(max(0.0, used), total_milli)
+            if used > total_milli:
+                used = total_milli
+            elif used < 0.0:
+                used = 0.0
             share_by_image[allocation.spec.image] = (
                 share_by_image.get(allocation.spec.image, 0.0) + used / total_milli
             )
@@ -458,7 +461,9 @@
     if not allocation.load:
         return None
     headroom = allocation.spec.latency_target_ms / allocation.load
-    return min(MAX_HEADROOM, max(0.0, headroom))
+    if headroom > MAX_HEADROOM:
+        return MAX_HEADROOM
+    return headroom if headroom > 0.0 else 0.0
 
 
 def _lowest_headroom(runner: Runner) -> float | None:
