--- a/tests/test_occurrences.py
+++ b/tests/test_occurrences.py
@@ -29,7 +29,7 @@
     return sum(1 for row_id in cluster.rows.row_by_id if row_id.table == "tasks")
 
 
-@pytest.mark.parametrize("ending", ["kill", "shutdown"])
+@pytest.mark.parametrize("ending", ["kill", "shutdown", "two_kills"])
 def test_occurrence_that_waits_is_not_lost_with_its_owner(ending):
     """Guards against a job shown as done although an occurrence was never started.
 
@@ -60,8 +60,10 @@
                 while not cluster.starts(f"{job.id}.1.0.0"):
                     await anyio.sleep(0.05)
             assert not cluster.starts(f"{job.id}.0.0.0")
-            if ending == "kill":
+            if ending != "shutdown":
                 cluster.kill_member(owner)
+                if ending == "two_kills":
+                    cluster.kill_member(await cluster.owner())
             else:
                 del cluster.member_by_name[owner.name]
                 await owner.instance.leave()
