--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -168,7 +168,7 @@
             runner.poll_wakeup.set()
             return
         if result is StartResult.UNSENT:
-            runner.record_no_response(now_s)
+            self._owner_state.record_lost(runner, "a start order was not sent")
         if result is StartResult.NO_ROOM:
             runner.record_no_room(now_s)
         if result is StartResult.UNHEALTHY:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -45,6 +45,8 @@
 LEASE_MARGIN = 1.1
 #: Seconds before a step is tried again after an attempt did not start.
 RETRY_PAUSE_S = 0.05
+#: Largest number of tasks that a line of the log names.
+MAX_LOGGED_TASKS = 20
 #: Placeholder for the pace of an attempt that an earlier owner may have throttled, or
 #: whose latest pace order got no response. It differs from every requested pace, so
 #: that the requested pace is sent.
@@ -279,12 +281,65 @@
             self.end_lapsed_attempts(runner)
             del self.runner_by_id[runner.id]
 
+    def record_lost(self, runner: Runner, detail: str) -> None:
+        """Record a call to a runner that got no response, and log the first of a row.
+
+        Parameters
+        ----------
+        runner : Runner
+            The runner.
+        detail : str
+            Why there is no response.
+        """
+        now_s = self._clock.now()
+        is_first = runner.unresponsive_since_s is None
+        runner.record_no_response(now_s)
+        if not is_first:
+            return
+        unheard_s = runner.unheard_s(now_s)
+        log.warning(
+            "runner_lost",
+            runner=runner.id,
+            unheard_s=None if unheard_s is None else round(unheard_s, 2),
+            detail=detail,
+        )
+        if runner.has_attempts:
+            self._log_awaited(runner, now_s)
+
+    def log_unlisted(self) -> None:
+        """Log the wait for each restored runner that this term has no entry of."""
+        now_s = self._clock.now()
+        for runner in self.runner_by_id.values():
+            if not runner.entry.address:
+                self._log_awaited(runner, now_s)
+
+    def _log_awaited(self, runner: Runner, now_s: float) -> None:
+        """Log until when which tasks of a runner can't be started elsewhere."""
+        tasks = []
+        for task, run in list(runner.allocation_by_run)[:MAX_LOGGED_TASKS]:
+            tasks.append(f"{task}#{run}")
+        log.info(
+            "leases_awaited",
+            runner=runner.id,
+            attempts=len(runner.allocation_by_run),
+            lapse_in_s=round(max(0.0, runner.lapses_in_s(now_s)), 2),
+            granted_by=_find_granter(runner),
+            tasks=" ".join(tasks),
+        )
+
     def end_lapsed_attempts(self, runner: Runner) -> None:
         """End all attempts on a runner whose leases have certainly lapsed."""
+        now_s = self._clock.now()
+        unheard_s = runner.unheard_s(now_s)
         log.warning(
-            "leases_lapsed", runner=runner.id, attempts=len(runner.allocation_by_run)
+            "leases_lapsed",
+            runner=runner.id,
+            attempts=len(runner.allocation_by_run),
+            unheard_s=None if unheard_s is None else round(unheard_s, 2),
+            term_s=round(now_s - self._started_s, 2),
+            granted_by=_find_granter(runner),
         )
-        self._crash_detector.record_lapsed(runner, self._clock.now())
+        self._crash_detector.record_lapsed(runner, now_s)
         for allocation in list(runner.allocation_by_run.values()):
             attempt = allocation.attempt
             self.end_attempt(runner, attempt.task, attempt.run, Outcome.LAPSED, "")
@@ -532,3 +587,8 @@
         self.changed_job_ids.add(job.spec.id)
         self.write_wakeup.set()
         self.placement_wakeup.set()
+
+
+def _find_granter(runner: Runner) -> str:
+    """Return who may have granted the leases that are awaited, for the log."""
+    return "former_owner" if runner.incarnation is None else "this_owner"
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -160,6 +160,7 @@
         )
         self._permit = Permit(self._context, self._runner_follower)
         self._link_by_runner: dict[str, RunnerLink] = {}
+        self._runners_read = False
         self._task_group: anyio.abc.TaskGroup | None = None
         self._orders: OrderSender | None = None
 
@@ -262,11 +263,14 @@
             if block.failed:
                 self.owner_state.exclude_job(job.spec.id)
             await time_slice.give_way_if_over()
+        former = self._writer.former
         log.info(
             "shard_restored",
             shard=self._writer.shard,
             jobs=len(self.owner_state.job_by_id),
             runners_with_attempts=len(self.owner_state.runner_by_id),
+            former=former.process if former is not None else None,
+            released=former.released if former is not None else None,
         )
 
     def _restore_ended_jobs(
@@ -336,6 +340,9 @@
         for runner in self.owner_state.runner_by_id.values():
             leaving = runner.entry.draining or runner.id not in entries
             runner.update_leaving(leaving, now_s)
+        if not self._runners_read:
+            self._runners_read = True
+            self.owner_state.log_unlisted()
         for runner in to_connect:
             self._watch_runner(runner)
         for runner in self.owner_state.runner_by_id.values():
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -180,11 +180,8 @@
 
     def _record_no_response(self, error: Exception) -> None:
         runner = self._runner
-        now_s = self._clock.now()
-        if runner.unresponsive_since_s is None:
-            log.warning("runner_lost", runner=runner.id, detail=str(error))
-        runner.record_no_response(now_s)
-        if not runner.has_attempts or not runner.leases_lapsed(now_s):
+        self._owner_state.record_lost(runner, str(error))
+        if not runner.has_attempts or not runner.leases_lapsed(self._clock.now()):
             return
         self._owner_state.end_lapsed_attempts(runner)
 
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -362,10 +362,29 @@
 
     def leases_lapsed(self, now_s: float) -> bool:
         """Return whether every lease granted so far has certainly lapsed."""
+        return self.lapses_in_s(now_s) < 0
+
+    def lapses_in_s(self, now_s: float) -> float:
+        """Return after how many seconds all leases granted so far have surely lapsed.
+
+        The result is negative once they have.
+        """
+        if self.incarnation is None:
+            return self._earlier_leases_end_s - now_s
+        left_ms = self._leases_end_ms + LAPSE_MARGIN_MS - self._clock_ms
+        return left_ms / (1000 * (1 - CLOCK_DRIFT)) - (now_s - self._clock_read_s)
+
+    def unheard_s(self, now_s: float) -> float | None:
+        """Return the seconds since the last response to this owner; None: no response.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
         if self.incarnation is None:
-            return now_s > self._earlier_leases_end_s
-        passed_ms = 1000 * (now_s - self._clock_read_s) * (1 - CLOCK_DRIFT)
-        return self._clock_ms + passed_ms > self._leases_end_ms + LAPSE_MARGIN_MS
+            return None
+        return now_s - self.last_response_s
 
     def _count_serving(self, image: str, change: int) -> None:
         count = self.serving_count_by_image.get(image, 0) + change
