--- a/tests/test_leaving_runners.py
+++ b/tests/test_leaving_runners.py
@@ -9,10 +9,10 @@
 import pytest
 
 from flamingoweir.fleet import LEAVING_LEASE_S, RUNNER_LEASE_S
-from flamingoweir.jobs import JobState
 from flamingoweir.ownership import OwnerRecord, decode_owner_record, encode_owner_record
 from flamingoweir.storage import RowId, VersionedRow
-from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.cluster import run_cluster
+from tests.utils.losses import check_runs, isolate, last_start_s, start_lasting
 from tests.utils.virtual_time import run_virtual
 
 #: Longest time in seconds after an owner's death for which a long-running task may be
@@ -22,27 +22,6 @@
 DRAINS_S = 5.0
 
 
-async def start_lasting(cluster):
-    """Start a long-running task; return its job and its runner."""
-    await cluster.owner()
-    await anyio.sleep(1)
-    job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
-    await cluster.wait_for(job, JobState.RUNNING, 2.0)
-    (runner_id,) = cluster.starts(f"{job.id}.0.0.0")
-    return job, cluster.runner_by_id[runner_id]
-
-
-def last_start_s(cluster, job) -> float:
-    return [r.at_s for r in cluster.records("start") if r.task.job == job.id][-1]
-
-
-def check_runs(cluster) -> None:
-    for runner in cluster.runner_by_id.values():
-        # Records the ends of runs whose lease has lapsed without a call.
-        runner.advance()
-    assert not cluster.find_overlaps()
-
-
 def test_task_of_a_runner_that_left_with_the_owner_runs_again_soon():
     """Guards against a new owner that waits for leases which nobody granted."""
 
@@ -112,15 +91,6 @@
     run_virtual(scenario)
 
 
-def isolate(cluster, member, runner) -> None:
-    """Cut an owner off from all but one runner, which nobody else reaches."""
-    member.store.silent = True
-    del cluster.member_by_name[member.name]
-    for runner_id, link in member.link_by_runner.items():
-        link.disconnected = runner_id != runner.id
-    cluster.unlist_runner(runner.id)
-
-
 @pytest.mark.parametrize("drains_s", [0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.5, DRAINS_S])
 @pytest.mark.parametrize("offset_s", [0.0, 0.3, 0.6, 0.9])
 def test_task_on_a_leaving_runner_never_runs_twice(drains_s, offset_s):
--- /dev/null
+++ b/tests/test_owner_lost_with_runner.py
@@ -0,0 +1,172 @@
+"""Long-running tasks whose runner is lost together with the owner of their shard.
+
+The next owner can't ask such a runner what runs there, and waits until the leases have
+lapsed that the former owner may have granted. Incident 0016.
+"""
+
+import anyio
+import pytest
+
+from tests.utils.cluster import run_cluster
+from tests.utils.losses import (
+    check_runs,
+    cut_from_store,
+    freeze,
+    isolate,
+    isolate_listed,
+    kill,
+    last_start_s,
+    lose_runner,
+    start_lasting,
+    stop_in_order,
+)
+from tests.utils.virtual_time import run_virtual
+
+#: Longest time in seconds for which a long-running task may be away: 6 from the end of
+#: its last run, and 3 in which nothing of it runs.
+MAX_AWAY_S = 9.0
+#: Seconds of a history, within which all leases have lapsed and all tasks run again.
+HISTORY_S = 25.0
+OWNER_LOSSES = {
+    "killed": kill,
+    "frozen": freeze,
+    "stopped": stop_in_order,
+    "cut-from-the-store": cut_from_store,
+}
+
+
+@pytest.mark.parametrize("listed", [True, False], ids=["listed", "unlisted"])
+@pytest.mark.parametrize("offset_s", [0.0, 0.3, 0.6, 0.9])
+@pytest.mark.parametrize("lose_owner", OWNER_LOSSES.values(), ids=OWNER_LOSSES)
+def test_task_waits_for_leases_that_its_former_owner_did_not_grant(
+    lose_owner, offset_s, listed
+):
+    """Guards against a wait that takes no account of how the former owner ended."""
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(offset_s)
+            lost_s = anyio.current_time()
+            lose_runner(cluster, runner, listed)
+            await lose_owner(cluster, await cluster.owner())
+            await anyio.sleep(lost_s + HISTORY_S - anyio.current_time())
+            assert lost_s < last_start_s(cluster, job) < lost_s + MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("pause_s", [2.7, 3.5, 4.5, 5.5])
+def test_task_waits_anew_with_each_owner_that_dies(pause_s):
+    """Guards against a wait that begins again with each of several owners."""
+
+    async def scenario():
+        async with run_cluster(members=4) as cluster:
+            job, runner = await start_lasting(cluster)
+            lost_s = anyio.current_time()
+            lose_runner(cluster, runner, listed=True)
+            await kill(cluster, await cluster.owner())
+            await anyio.sleep(pause_s)
+            await kill(cluster, await cluster.owner())
+            await anyio.sleep(HISTORY_S)
+            assert lost_s < last_start_s(cluster, job) < lost_s + MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+def test_task_waits_for_leases_that_lapsed_while_no_instance_was_up():
+    """Guards against a wait from the take-over on, however long nobody owned the shard.
+
+    All instances lose power with the runner, and are back after 9.5 s. The task must
+    run again in the 3 s in which nothing may run, counted from the take-over.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            job, runner = await start_lasting(cluster)
+            lose_runner(cluster, runner, listed=False)
+            for member in list(cluster.member_by_name.values()):
+                await kill(cluster, member)
+            await anyio.sleep(9.5)
+            for number in range(3):
+                cluster.add_member(f"front-{number}")
+            await cluster.owner()
+            taken_s = anyio.current_time()
+            await anyio.sleep(HISTORY_S)
+            assert taken_s <= last_start_s(cluster, job) < taken_s + 3.0
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("rate", [1.0, 0.98], ids=["exact", "slow-clock"])
+@pytest.mark.parametrize("away_s", [0.0, 0.3, 3.0, 6.0, 6.9])
+@pytest.mark.parametrize("offset_s", [0.0, 0.4, 0.8])
+def test_task_runs_twice_on_a_runner_that_only_its_former_owner_reaches(
+    offset_s, away_s, rate
+):
+    """Guards against leases that last longer than the next owner waits.
+
+    The former owner is cut from the store, but not from the runner. Meanwhile it is
+    paused for ``away_s``, and then acts on what it held before.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, rate=rate) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(offset_s)
+            owner = await cluster.owner()
+            isolate(cluster, owner, runner)
+            owner.process.paused = True
+            await anyio.sleep(away_s)
+            owner.process.resume()
+            await anyio.sleep(HISTORY_S)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 2
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("rate", [1.0, 0.98], ids=["exact", "slow-clock"])
+@pytest.mark.parametrize("pause_s", [2.5, 3.5, 4.5, 6.0])
+@pytest.mark.parametrize("offset_s", [0.0, 0.3, 0.6, 0.9])
+def test_task_runs_twice_after_two_owners_that_die_in_a_row(offset_s, pause_s, rate):
+    """Guards against an owner that passes on less than the rest of its own wait."""
+
+    async def scenario():
+        async with run_cluster(members=4, rate=rate) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(offset_s)
+            isolate(cluster, await cluster.owner(), runner)
+            await anyio.sleep(pause_s)
+            await kill(cluster, await cluster.owner())
+            await anyio.sleep(HISTORY_S)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 2
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("stays_s", [0.0, 0.5, 1.2, 2.5])
+@pytest.mark.parametrize("offset_s", [0.0, 0.4, 0.8])
+def test_task_runs_twice_after_its_owner_has_left_in_order(offset_s, stays_s):
+    """Guards against a release that comes before the last lease is granted.
+
+    Only the owner that leaves reaches the runner, whose leases run on.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(offset_s)
+            owner = await cluster.owner()
+            isolate_listed(cluster, owner, runner)
+            await anyio.sleep(stays_s)
+            await stop_in_order(cluster, owner)
+            await anyio.sleep(HISTORY_S)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 2
+            check_runs(cluster)
+
+    run_virtual(scenario)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -131,6 +131,8 @@
             return AbsentRunnerLink(entry)
         if link is None:
             link = MemoryRunnerLink(self._cluster.runner_by_id[entry.id])
+            sole_member = self._cluster.sole_member_by_runner.get(entry.id, self.name)
+            link.disconnected = sole_member != self.name
             self.link_by_runner[entry.id] = link
         return link
 
@@ -146,6 +148,8 @@
         The runners, also those without a row in the store.
     address_by_runner : dict of str to str
         The addresses at which the runners listen.
+    sole_member_by_runner : dict of str to str
+        Names of the instances that alone reach a runner over links made later.
     member_by_name : dict of str to Member
         The instances that run.
     spec_by_id : dict of str to JobSpec
@@ -162,6 +166,7 @@
         self.rows = MemoryRows()
         self.runner_by_id: dict[str, MemoryRunner] = {}
         self.address_by_runner: dict[str, str] = {}
+        self.sole_member_by_runner: dict[str, str] = {}
         self.member_by_name: dict[str, Member] = {}
         self.spec_by_id: dict[str, JobSpec] = {}
         self.plan_by_task: dict[str, tuple[float, Outcome]] = {}
@@ -190,10 +195,11 @@
         contention: ContentionModel | None = None,
         address: str = "",
         accelerators: int = 0,
+        rate: float = 1.0,
     ):
         capacity = Resources(round(processors * 1000), 256_000, accelerators)
         runner = MemoryRunner(
-            runner_id, capacity, self.find_spec, self.plan, contention=contention
+            runner_id, capacity, self.find_spec, self.plan, rate, contention
         )
         self.runner_by_id[runner_id] = runner
         self.address_by_runner[runner_id] = address or self._next_address()
