No lease outlives what the owner row says of it

Cause: a new owner can't ask such a runner, and waited for the longest lease that any owner could have caused: 8 s of renewals without the store, and a lease of 4 s after the last of them. It counted from its own start, and knew nothing of how the former owner had ended, of when it had last written, or of what the one before that had left.

Now leases are bounded by the row that the next owner reads. The row says in how many seconds all leases have lapsed, for these runners in particular; an owner that releases the shard names what it has granted, and each owner passes on what is left of earlier ones. The row also has the time of the write on the store's clock, so that an instance that has just started knows how old it is. A runner that responds once and is lost again keeps the earlier owner's bound as well; before, it counted as lapsed at once.

Rows of former builds, which say nothing, count as 12.4 s from when they were first seen; former builds ignore the new fields and wait as before.

Price: while the store is away, tasks run on for 7 s after the last write instead of 11 to 12 s. test_renewals_of_lost_runners played an outage of 7 s within the 8 s of LEASE_VALID_S; it now plays one that ends within the new figure, as far as calls that time out and the next poll allow (it fails as before if nothing is renewed). test_store_outage_lapses_no_lease asks for 5.5 s instead of 5. Rows that are malformed now have the new fields, and three more kinds.

--- a/benchmarks/platform_standin.py
+++ b/benchmarks/platform_standin.py
@@ -157,7 +157,10 @@
 def encode_page(page: RowPage) -> bytes:
     """Write rows."""
     rows = [_encode_row(row) for row in page.rows]
-    return orjson.dumps({"rows": rows, "HasMore": page.more, "Ver": page.version})
+    fields = {"rows": rows, "HasMore": page.more, "Ver": page.version}
+    if page.now_s is not None:
+        fields["NowMs"] = round(1000 * page.now_s)
+    return orjson.dumps(fields)
 
 
 def _decode_id(item: dict) -> RowId:
--- a/flamingoweir/clock.py
+++ b/flamingoweir/clock.py
@@ -3,6 +3,9 @@
 import time
 from typing import Protocol
 
+#: Largest fraction by which a runner's clock may run slow.
+CLOCK_DRIFT = 0.02
+
 
 class Clock(Protocol):
     """A clock that never runs backwards."""
--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -13,7 +13,13 @@
     encode_tasks,
 )
 from ..logs import get_logger
-from ..ownership import Backlog, state_row, tasks_row
+from ..ownership import (
+    SHORT_LEASE_VALID_S,
+    Backlog,
+    longest_lease_s,
+    state_row,
+    tasks_row,
+)
 from ..registry import TableFollower
 from ..storage import RowId
 from ._context import TermContext
@@ -29,6 +35,9 @@
 #: wait. A reported count must include jobs that were accepted 5 s before; 1.9 s of that
 #: are for the age of the count that an instance has read, and 1.1 s for the write.
 MAX_JOBS_AGE_S = 2.0
+#: Largest number of runners of which the owner row names the end of the leases. A row
+#: has at most 64 KiB.
+MAX_SHORT_LEASES = 1000
 
 
 @dataclass(slots=True)
@@ -78,7 +87,7 @@
             If another instance may own the shard.
         """
         self._writer.count_backlog = self._count_backlog
-        self._writer.list_leaving = self._list_leaving
+        self._writer.list_short_leases = self._list_short_leases
         self._writer.find_max_job_bytes = self._owner_state.parking.find_max_job_bytes
         while True:
             await self._owner_state.write_wakeup.wait(RENEW_INTERVAL_S)
@@ -93,21 +102,23 @@
             return None
         return Backlog(self._owner_state.waiting_by_queue())
 
-    def _list_leaving(self) -> dict[str, float]:
-        """Return for how long runners with attempts got short leases or none.
+    def _list_short_leases(self) -> dict[str, float]:
+        """Return in how many seconds leases have lapsed that end before all others.
 
-        These are runners that leave, and unresponsive ones, which may have crashed. A
-        runner that has not responded to this owner may hold leases of a former one.
+        These are leases on runners with attempts that leave, are unresponsive, or have
+        not responded to this owner yet. If they respond, they may be granted a lease.
         """
         now_s = self._context.clock.now()
-        leaving_s_by_runner = {}
+        left_s_by_runner = {}
         for runner in self._owner_state.runner_by_id.values():
-            if runner.incarnation is None or not runner.has_attempts:
+            if not runner.has_attempts or not runner.has_short_leases(now_s):
                 continue
-            since_s = runner.short_leases_since(now_s)
-            if since_s is not None:
-                leaving_s_by_runner[runner.id] = round(now_s - since_s, 3)
-        return leaving_s_by_runner
+            if len(left_s_by_runner) == MAX_SHORT_LEASES:
+                break
+            least_s = longest_lease_s(SHORT_LEASE_VALID_S)
+            left_s = max(runner.lapses_in_s(now_s), least_s)
+            left_s_by_runner[runner.id] = round(left_s, 3)
+        return left_s_by_runner
 
     def _collect(self) -> _Batch:
         batch = _Batch()
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -4,7 +4,7 @@
 from anyio.abc import TaskGroup
 
 from ..faults import Containment
-from ..fleet import Allocation, Runner
+from ..fleet import START_WINDOW_S, Allocation, Runner
 from ..jobs import Attempt, AttemptState, TaskId
 from ..logs import get_logger
 from ._context import Permit, TermContext, TermEnd
@@ -117,11 +117,14 @@
             return
         runner, allocation = found
         task = job.find(attempt.task)
+        now_s = self._context.clock.now()
+        # The order also grants a lease until its deadline.
+        deadline_s = self._context.writer.limit_lease(runner.id, now_s + START_WINDOW_S)
         order = StartOrder(
             attempt.task,
             attempt.run,
             job.spec.payload,
-            runner.start_deadline_ms(self._context.clock.now()),
+            runner.grant_lease(deadline_s, now_s),
             self._context.writer.fence,
             task.checkpoint,
             allocation.ticket,
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -1,16 +1,10 @@
 """The jobs, runners and attempts of a shard in memory; does no input or output."""
 
 import dataclasses
-from collections.abc import Mapping
 
 from ..clock import Clock
 from ..faults import FaultLog
-from ..fleet import (
-    LEAVING_LEASE_S,
-    RUNNER_LEASE_S,
-    Allocation,
-    Runner,
-)
+from ..fleet import Allocation, Runner
 from ..jobs import (
     FINAL_STATES,
     Attempt,
@@ -25,7 +19,7 @@
 )
 from ..logs import get_logger
 from ..metrics import Metrics
-from ..ownership import LEASE_VALID_S
+from ..ownership import EarlierLeases
 from ..policy import (
     SURVIVAL_S,
     ColocationPolicy,
@@ -40,9 +34,6 @@
 
 log = get_logger()
 
-#: Factor by which a lease of a former owner may last longer than it was granted for, on
-#: the owner's clock.
-LEASE_MARGIN = 1.1
 #: Seconds before a step is tried again after an attempt did not start.
 RETRY_PAUSE_S = 0.05
 #: Largest number of tasks that a line of the log names.
@@ -64,8 +55,8 @@
         Counts how attempts end.
     max_lease_s : float
         Longest lease that runners grant, in seconds.
-    leaving_s_by_runner : mapping of str to float or None
-        What the former owner published; see `OwnerRecord`.
+    earlier_leases : EarlierLeases, optional
+        When the leases of earlier owners have lapsed; left out: there are none.
     memory_mb : float
         Memory of the instance in megabytes.
 
@@ -111,7 +102,7 @@
         clock: Clock,
         metrics: Metrics,
         max_lease_s: float,
-        leaving_s_by_runner: Mapping[str, float] | None = None,
+        earlier_leases: EarlierLeases | None = None,
         memory_mb: float = 300.0,
     ):
         self.parking = JobParking(memory_mb)
@@ -137,7 +128,7 @@
         self._metrics = metrics
         self._max_lease_s = max_lease_s
         self._started_s = clock.now()
-        self._leaving_s_by_runner = leaving_s_by_runner or {}
+        self._earlier_leases = earlier_leases or EarlierLeases.none()
 
     def has_job(self, job_id: str) -> bool:
         """Return whether a job was added before, has ended or is excluded."""
@@ -306,12 +297,11 @@
         if runner.has_attempts:
             self._log_awaited(runner, now_s)
 
-    def log_unlisted(self) -> None:
-        """Log the wait for each restored runner that this term has no entry of."""
-        now_s = self._clock.now()
+    def record_unlisted(self) -> None:
+        """Record that restored runners that are not listed can't be called."""
         for runner in self.runner_by_id.values():
             if not runner.entry.address:
-                self._log_awaited(runner, now_s)
+                self.record_lost(runner, "the runner is not listed")
 
     def _log_awaited(self, runner: Runner, now_s: float) -> None:
         """Log until when which tasks of a runner can't be started elsewhere."""
@@ -552,14 +542,8 @@
         return runner
 
     def _new_runner(self, entry: RunnerEntry) -> Runner:
-        leaving_s = self._leaving_s_by_runner.get(entry.id)
-        if leaving_s is None:
-            left_s = LEASE_VALID_S + LEASE_MARGIN * RUNNER_LEASE_S
-        else:
-            # The former owner renews nothing there since before this term.
-            longer_left_s = LEASE_MARGIN * RUNNER_LEASE_S - leaving_s
-            left_s = max(LEASE_MARGIN * LEAVING_LEASE_S, longer_left_s)
-        return Runner(entry, self._max_lease_s, self._started_s + left_s)
+        end_s = self._earlier_leases.find_end_s(entry.id)
+        return Runner(entry, self._max_lease_s, end_s)
 
     def _record_outcome(
         self, runner: Runner, allocation: Allocation, outcome: Outcome, now_s: float
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -112,12 +112,11 @@
         max_lease_s: float,
         memory_mb: float = 300.0,
     ):
-        former = writer.former
         self.owner_state = OwnerState(
             clock,
             metrics,
             max_lease_s,
-            former.leaving_s_by_runner if former is not None else None,
+            writer.earlier_leases,
             memory_mb,
         )
         self.failed = False
@@ -335,14 +334,12 @@
         for runner_id, entry in self._context.runners.entry_by_id.items():
             if self._context.runners.is_listed(runner_id):
                 entries[runner_id] = entry
-        now_s = self._clock.now()
         to_connect = self.owner_state.update_runners(entries)
         for runner in self.owner_state.runner_by_id.values():
-            leaving = runner.entry.draining or runner.id not in entries
-            runner.update_leaving(leaving, now_s)
+            runner.leaving = runner.entry.draining or runner.id not in entries
         if not self._runners_read:
             self._runners_read = True
-            self.owner_state.log_unlisted()
+            self.owner_state.record_unlisted()
         for runner in to_connect:
             self._watch_runner(runner)
         for runner in self.owner_state.runner_by_id.values():
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -130,15 +130,9 @@
             runner.incarnation is not None and runner.unresponsive_since_s is None
         )
         # Repeated renewals without a response would keep the lease from ever lapsing.
-        writer = self._context.writer
         deadline_ms = None
-        if (
-            responsive
-            and runner.has_attempts
-            and writer.may_renew_on_leaving(runner.id)
-        ):
-            leaving = writer.has_published_leaving(runner.id)
-            deadline_ms = runner.renew_lease(sent_s, leaving)
+        if responsive and runner.has_attempts:
+            deadline_ms = self._renew_lease(sent_s)
         try:
             report = await self._link.poll(
                 self._context.writer.fence,
@@ -165,6 +159,12 @@
         runner.record_response(report.clock_ms, self._clock.now())
         self._apply_report(report, sent_s)
 
+    def _renew_lease(self, now_s: float) -> int | None:
+        """Renew the lease; return its end on the runner's clock, None: not allowed."""
+        runner = self._runner
+        end_s = self._context.writer.limit_lease(runner.id, now_s + runner.lease_s)
+        return runner.grant_lease(end_s, now_s) if end_s > now_s else None
+
     def _wait_s(self) -> float:
         runner = self._runner
         if (
@@ -275,10 +275,7 @@
         """
         runner = self._runner
         former = runner.incarnation
-        lost = runner.begin_incarnation(report.incarnation)
-        if runner.leaving_since_s is not None:
-            # A former owner may have granted a longer lease until this response.
-            runner.leaving_since_s = self._clock.now()
+        lost = runner.begin_incarnation(report.incarnation, self._clock.now())
         log.info(
             "runner_seen",
             runner=runner.id,
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -1,5 +1,6 @@
 """The owner's view of one runner: allocations, free resources and leases."""
 
+from ..clock import CLOCK_DRIFT
 from ..jobs import Attempt, StepSpec, TaskId
 from ..registry import RunnerEntry
 from ..resources import Resources
@@ -18,8 +19,6 @@
 #: Seconds within which a start order must reach the runner. A delayed order arrives two
 #: seconds late or more, so that the runner rejects it.
 START_WINDOW_S = 1.5
-#: Largest fraction by which a runner's clock may run slow.
-CLOCK_DRIFT = 0.02
 #: Milliseconds added to every wait for a lease to lapse.
 LAPSE_MARGIN_MS = 100
 #: Fraction of the demanded processors that a serving task uses; the rest is spare.
@@ -139,9 +138,8 @@
         minus infinity: never.
     crashed_incarnation : int
         Incarnation that is known to have crashed while it had attempts; 0: none.
-    leaving_since_s : float or None
-        Since when the runner drains or is listed no more, on the owner's clock, in
-        seconds; it is granted short leases from then on. None while it stays.
+    leaving : bool
+        Whether the runner drains or is listed no more; it is granted short leases.
     no_room_until_s : float
         Until when the runner gets no task because it rejected one for want of room, on
         the owner's clock, in seconds.
@@ -171,7 +169,7 @@
         self.unresponsive_since_s: float | None = None
         self.lost_s = float("-inf")
         self.crashed_incarnation = 0
-        self.leaving_since_s: float | None = None
+        self.leaving = False
         self.no_room_until_s = float("-inf")
         self.poll_wakeup = Wakeup()
         self._max_lease_s = max_lease_s
@@ -282,16 +280,22 @@
             self._count_serving(spec.image, -1)
         return allocation
 
-    def begin_incarnation(self, incarnation: int) -> list[Allocation]:
-        """Record a new incarnation; return the allocations of former ones."""
-        self.incarnation = incarnation
-        self.last_received_end = 0
-        self.last_durable_end = 0
-        self._leases_end_ms = 0
+    def begin_incarnation(self, incarnation: int, now_s: float) -> list[Allocation]:
+        """Record a new incarnation; return the allocations of former ones.
+
+        The leases of an earlier owner go on for those of this incarnation.
+        """
         lost = []
         for allocation in self.allocation_by_run.values():
             if allocation.attempt.incarnation != incarnation:
                 lost.append(allocation)
+        lease_s = 0.0
+        if self.incarnation is None and len(lost) < len(self.allocation_by_run):
+            lease_s = max(0.0, self._earlier_leases_end_s - now_s)
+        self._leases_end_ms = round(self._estimate_clock_ms(now_s) + 1000 * lease_s)
+        self.incarnation = incarnation
+        self.last_received_end = 0
+        self.last_durable_end = 0
         return lost
 
     def record_response(self, clock_ms: float, now_s: float) -> None:
@@ -310,55 +314,36 @@
         """Record that a start was rejected for want of room."""
         self.no_room_until_s = now_s + NO_ROOM_PAUSE_S
 
-    def renew_lease(self, now_s: float, leaving: bool = False) -> int:
-        """Renew the lease; return its new end in ms on the runner's clock.
+    @property
+    def lease_s(self) -> float:
+        """Seconds for which a lease is renewed."""
+        lease_s = LEAVING_LEASE_S if self.leaving else RUNNER_LEASE_S
+        return min(lease_s, self._max_lease_s)
+
+    def grant_lease(self, end_s: float, now_s: float) -> int:
+        """Grant a lease; return its end in ms on the runner's clock.
 
         Parameters
         ----------
-        now_s : float
-            Time on the owner's clock, in seconds.
-        leaving : bool
-            Whether the owner row names the runner as leaving.
+        end_s, now_s : float
+            End of the lease and current time on the owner's clock, in seconds.
         """
-        short = leaving or self.leaving_since_s is not None
-        lease_s = LEAVING_LEASE_S if short else RUNNER_LEASE_S
-        return self._renew(now_s, min(lease_s, self._max_lease_s))
-
-    def update_leaving(self, leaving: bool, now_s: float) -> None:
-        """Record whether the runner drains or is listed no more."""
-        if not leaving:
-            self.leaving_since_s = None
-        elif self.leaving_since_s is None:
-            self.leaving_since_s = now_s
+        end_ms = round(self._estimate_clock_ms(now_s) + 1000 * (end_s - now_s))
+        self._leases_end_ms = max(self._leases_end_ms, end_ms)
+        return end_ms
 
-    def short_leases_since(self, now_s: float) -> float | None:
-        """Return since when the runner has been granted short leases or none.
+    def has_short_leases(self, now_s: float) -> bool:
+        """Return whether the runner is granted short leases, or none for a while.
 
         Parameters
         ----------
         now_s : float
             Time on the owner's clock, in seconds.
-
-        Returns
-        -------
-        float or None
-            Time on the owner's clock, in seconds; None if full leases are granted.
         """
+        if self.leaving or self.incarnation is None:
+            return True
         lost_s = self.unresponsive_since_s
-        if lost_s is None or now_s - lost_s < LOST_AFTER_S:
-            return self.leaving_since_s
-        if self.leaving_since_s is None:
-            return lost_s
-        return min(lost_s, self.leaving_since_s)
-
-    def start_deadline_ms(self, now_s: float) -> int:
-        """Return the deadline of a start ordered now, in ms on the runner's clock.
-
-        The order also grants a lease until then.
-        """
-        deadline_ms = round(self._estimate_clock_ms(now_s) + 1000 * START_WINDOW_S)
-        self._leases_end_ms = max(self._leases_end_ms, deadline_ms)
-        return deadline_ms
+        return lost_s is not None and now_s - lost_s >= LOST_AFTER_S
 
     def leases_lapsed(self, now_s: float) -> bool:
         """Return whether every lease granted so far has certainly lapsed."""
@@ -393,10 +378,5 @@
         else:
             del self.serving_count_by_image[image]
 
-    def _renew(self, now_s: float, lease_s: float) -> int:
-        end_ms = round(self._estimate_clock_ms(now_s) + 1000 * lease_s)
-        self._leases_end_ms = max(self._leases_end_ms, end_ms)
-        return end_ms
-
     def _estimate_clock_ms(self, now_s: float) -> float:
         return self._clock_ms + 1000 * (now_s - self._clock_read_s)
--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -1,6 +1,8 @@
 """Ownership of shards, and the rows that owners write to the store."""
 
+from ._earlier_leases import EarlierLeases
 from ._owner_record import (
+    UNBOUNDED_LEASES_END_IN_S,
     Backlog,
     OwnerRecord,
     decode_owner_record,
@@ -21,26 +23,38 @@
     tasks_row,
 )
 from ._standby import OwnerObservation, Standby
-from ._writer import LEASE_VALID_S, FencedWriter, OwnershipLost
+from ._store_clock import StoreClock
+from ._writer import (
+    LEASE_VALID_S,
+    SHORT_LEASE_VALID_S,
+    FencedWriter,
+    OwnershipLost,
+    longest_lease_s,
+)
 
 __all__ = [
     "CANCEL_SUFFIX",
     "JOB_TABLE",
     "LEASE_VALID_S",
     "OWNER_TABLE",
+    "SHORT_LEASE_VALID_S",
     "STATE_TABLE",
     "TASK_TABLE",
+    "UNBOUNDED_LEASES_END_IN_S",
     "Backlog",
+    "EarlierLeases",
     "FencedWriter",
     "OwnerObservation",
     "OwnerRecord",
     "OwnershipLost",
     "Standby",
+    "StoreClock",
     "cancel_row",
     "decode_owner_record",
     "encode_owner_record",
     "job_parts",
     "job_row",
+    "longest_lease_s",
     "owner_row",
     "shard_name",
     "state_row",
--- /dev/null
+++ b/flamingoweir/ownership/_earlier_leases.py
@@ -0,0 +1,68 @@
+"""When the leases have lapsed that earlier owners of a shard may have granted."""
+
+from collections.abc import Mapping
+
+from ._owner_record import UNBOUNDED_LEASES_END_IN_S, OwnerRecord
+from ._store_clock import StoreClock
+
+
+class EarlierLeases:
+    """When the leases of earlier owners have lapsed, on a new owner's clock.
+
+    Parameters
+    ----------
+    end_s : float
+        When all of them have lapsed, in seconds.
+    end_s_by_runner : mapping of str to float
+        When those on a runner have lapsed, in seconds, for runners with another end.
+    """
+
+    def __init__(self, end_s: float, end_s_by_runner: Mapping[str, float]):
+        self.end_s = end_s
+        self._end_s_by_runner = end_s_by_runner
+
+    @classmethod
+    def none(cls) -> "EarlierLeases":
+        """Return the leases of a shard that had no owner before: there are none."""
+        return cls(float("-inf"), {})
+
+    @classmethod
+    def of(
+        cls, record: OwnerRecord | None, seen_s: float, store_clock: StoreClock
+    ) -> "EarlierLeases":
+        """Return the leases that an owner row bounds.
+
+        Parameters
+        ----------
+        record : OwnerRecord or None
+            Content of the row; None if it is malformed.
+        seen_s : float
+            Time on the new owner's clock, in seconds, by which the row was written.
+        store_clock : StoreClock
+            The store's clock; it tells how long ago the row was written.
+        """
+        if record is None:
+            return cls(seen_s + UNBOUNDED_LEASES_END_IN_S, {})
+
+        def find_end_s(end_in_s: float) -> float:
+            end_s = seen_s + end_in_s
+            if record.written_s is None:
+                return end_s
+            by_store_s = store_clock.surely_reached_at(record.written_s + end_in_s)
+            return end_s if by_store_s is None else min(end_s, by_store_s)
+
+        end_s_by_runner = {}
+        for runner, end_in_s in record.leases_end_in_s_by_runner.items():
+            end_s_by_runner[runner] = find_end_s(end_in_s)
+        return cls(find_end_s(record.leases_end_in_s), end_s_by_runner)
+
+    def find_end_s(self, runner: str) -> float:
+        """Return when the leases on a runner have lapsed, in seconds."""
+        return self._end_s_by_runner.get(runner, self.end_s)
+
+    def left_s_by_runner(self, now_s: float) -> dict[str, float]:
+        """Return the seconds left for each runner with an end of its own."""
+        left_s_by_runner = {}
+        for runner, end_s in self._end_s_by_runner.items():
+            left_s_by_runner[runner] = max(0.0, end_s - now_s)
+        return left_s_by_runner
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -9,6 +9,11 @@
 
 from ..storage import VersionedRow
 
+#: Seconds after an owner's write by which its leases have lapsed, if the row does not
+#: say so: owners of former builds renewed leases of 4 s (with a margin of a tenth) for
+#: 8 s without the store.
+UNBOUNDED_LEASES_END_IN_S = 12.4
+
 
 @dataclass(frozen=True, slots=True)
 class Backlog:
@@ -47,10 +52,15 @@
         Whether the owner has released the shard.
     backlog : Backlog or None
         Jobs that wait to start; None until the owner has read the shard.
-    leaving_s_by_runner : dict of str to float
-        Seconds for which the owner has granted only short leases or none, by id of a
-        runner that leaves or is unresponsive. A new owner need not wait for longer ones
-        there.
+    written_s : float or None
+        Time on the store's clock, in seconds, by which the write was sent; None if the
+        owner doesn't know that clock.
+    leases_end_in_s : float
+        Seconds after the write by which all leases have lapsed that this owner or an
+        earlier one has granted or will grant without another write.
+    leases_end_in_s_by_runner : dict of str to float
+        The same by id of a runner, where leases end earlier: it leaves, or is
+        unresponsive.
     max_job_bytes : int or None
         Largest `JobSpec.memory_bytes` of a job that the owner can hold; None for any.
     """
@@ -61,7 +71,9 @@
     fence: int = 0
     released: bool = False
     backlog: Backlog | None = None
-    leaving_s_by_runner: dict[str, float] = field(default_factory=dict)
+    written_s: float | None = None
+    leases_end_in_s: float = UNBOUNDED_LEASES_END_IN_S
+    leases_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
     max_job_bytes: int | None = None
 
 
@@ -91,7 +103,10 @@
         record = _RECORD.validate_json(row.value, strict=True)
     except pydantic.ValidationError:
         return None
-    for leaving_s in record.leaving_s_by_runner.values():
-        if not 0 <= leaving_s < math.inf:
+    times_s = [record.leases_end_in_s, *record.leases_end_in_s_by_runner.values()]
+    if record.written_s is not None:
+        times_s.append(record.written_s)
+    for time_s in times_s:
+        if not 0 <= time_s < math.inf:
             return None
     return record
--- a/flamingoweir/ownership/_standby.py
+++ b/flamingoweir/ownership/_standby.py
@@ -11,6 +11,7 @@
 from ..storage import RowStore, StoreOutcomeUnknown, StoreRefused, VersionedRow
 from ._owner_record import Backlog, OwnerRecord, decode_owner_record
 from ._rows import OWNER_KEY, OWNER_TABLE
+from ._store_clock import StoreClock
 from ._writer import FencedWriter, OwnershipLost
 
 log = get_logger()
@@ -134,6 +135,7 @@
         self._read_sent_s = float("-inf")
         self._written_after_s = float("-inf")
         self._reachable = True
+        self._store_clock = StoreClock()
         self._acquire_count = 0
         self._acquire_lock = anyio.Lock()
 
@@ -212,6 +214,7 @@
             self._reachable = False
             return False
         now_s = self._clock.now()
+        self._store_clock.record(page.now_s, sent_s, now_s)
         row = page.rows[0] if page.rows else None
         version = row.version if row else 0
         if version != self._version:
@@ -257,9 +260,10 @@
             f"{self._process}/{self._acquire_count}",
             self._clock,
             self._metrics,
+            self._store_clock,
         )
         try:
-            await writer.acquire(row)
+            await writer.acquire(row, self._changed_s)
         except OwnershipLost as error:
             log.info("shard_not_taken", shard=self._shard, detail=str(error))
             return None
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from ..clock import Clock
+from ..clock import CLOCK_DRIFT, Clock
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..storage import (
@@ -17,6 +17,7 @@
     Transaction,
     VersionedRow,
 )
+from ._earlier_leases import EarlierLeases
 from ._owner_record import (
     Backlog,
     OwnerRecord,
@@ -24,16 +25,22 @@
     encode_owner_record,
 )
 from ._rows import owner_row
+from ._store_clock import StoreClock
 
 log = get_logger()
 
 #: Seconds after the latest confirmed write during which an owner may start tasks.
 #: Shorter than TAKEOVER_S, after which a standby takes the shard.
 START_VALID_S = 1.4
-#: Seconds after the latest confirmed write during which an owner renews runners'
-#: leases while the store is unreachable. A new owner adds this time to the duration
-#: of a lease before it treats leases of earlier owners as lapsed.
-LEASE_VALID_S = 8.0
+#: Seconds after the latest confirmed write by which all leases end that an owner
+#: grants. Tasks run on for as long while the store is unreachable, and a task whose
+#: runner is lost with its owner is away for as long.
+LEASE_VALID_S = 7.0
+#: The same for a runner of which the owner row says that its leases end earlier.
+SHORT_LEASE_VALID_S = 2.5
+#: Seconds added to the end of a lease on the owner's clock. The owner estimates the
+#: runner's clock from a response up to five seconds old, which may be off by 0.1 s.
+LEASE_MARGIN_S = 0.2
 #: Seconds for which a standby tries to take a shard before it reads the row again.
 ACQUIRE_TIMEOUT_S = 1.0
 #: Seconds before a write that was refused or got no response is repeated.
@@ -46,6 +53,17 @@
 MAX_BYTES = 500_000
 
 
+def longest_lease_s(granted_s: float) -> float:
+    """Return the longest time that a lease lasts, on the clock of who granted it.
+
+    Parameters
+    ----------
+    granted_s : float
+        Seconds for which it was granted.
+    """
+    return granted_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
+
+
 class OwnershipLost(Exception):
     """Another instance owns the shard, or ownership can no longer be confirmed."""
 
@@ -72,6 +90,8 @@
         Monotonic clock of this instance.
     metrics : Metrics
         Receives counters and durations.
+    store_clock : StoreClock, optional
+        The store's clock, by which the next owner knows when a row was written.
 
     Attributes
     ----------
@@ -80,12 +100,14 @@
     count_backlog : callable
         Returns the `Backlog` to publish, or None while it is not known. Called for each
         transaction that is sent, also for one that is repeated.
-    list_leaving : callable
-        Returns `OwnerRecord.leaving_s_by_runner` to publish, called once a write.
+    list_short_leases : callable
+        Returns `OwnerRecord.leases_end_in_s_by_runner` to publish, called once a write.
     find_max_job_bytes : callable
         Returns `OwnerRecord.max_job_bytes` to publish, called for each transaction.
     former : OwnerRecord or None
         What the former owner published last; None if nothing was readable.
+    earlier_leases : EarlierLeases
+        When the leases have lapsed that earlier owners may have granted.
     """
 
     def __init__(
@@ -96,32 +118,41 @@
         process: str,
         clock: Clock,
         metrics: Metrics,
+        store_clock: StoreClock | None = None,
     ):
         self.shard = shard
         self.fence = 0
         self.count_backlog: Callable[[], Backlog | None] = _unknown_backlog
-        self.list_leaving: Callable[[], dict[str, float]] = dict
+        self.list_short_leases = self._list_earlier_leases
         self.find_max_job_bytes: Callable[[], int | None] = lambda: None
         self.former: OwnerRecord | None = None
+        self.earlier_leases = EarlierLeases.none()
         self._store = store
         self._owner_row = owner_row(shard)
         self._record = OwnerRecord(holder, process, 0)
         self._clock = clock
+        self._store_clock = store_clock or StoreClock()
         self._metrics = metrics
         self._version = 0
         self._confirmed_s = float("-inf")
-        #: Runners in `leaving_s_by_runner` of the latest confirmed write.
-        self._leaving_in_store: frozenset[str] = frozenset()
-        #: Runners in `leaving_s_by_runner` of writes that are not confirmed.
-        self._leaving_in_flight: set[str] = set()
-
-    async def acquire(self, row: VersionedRow | None) -> None:
+        #: When the last lease ends that was granted, on the owner's clock.
+        self._granted_until_s = float("-inf")
+        #: Runners in `leases_end_in_s_by_runner` of the latest confirmed write.
+        self._short_in_store: frozenset[str] = frozenset()
+        #: Runners in `leases_end_in_s_by_runner` of writes that are not confirmed.
+        self._short_in_flight: set[str] = set()
+
+    async def acquire(
+        self, row: VersionedRow | None, seen_s: float | None = None
+    ) -> None:
         """Take the shard if its owner row is unchanged since it was read.
 
         Parameters
         ----------
         row : VersionedRow or None
             Owner row as read; None if it did not exist.
+        seen_s : float or None
+            When the row was first seen, on the owner's clock, in seconds; None: now.
 
         Raises
         ------
@@ -129,7 +160,13 @@
             If another process wrote the row, or the write was not confirmed in time.
         """
         self._version = row.version if row else 0
-        self.former = decode_owner_record(row) if row else None
+        if row is not None:
+            self.former = decode_owner_record(row)
+            self.earlier_leases = EarlierLeases.of(
+                self.former,
+                self._clock.now() if seen_s is None else seen_s,
+                self._store_clock,
+            )
         await self._write((), ())
         self.fence = self._version
 
@@ -141,20 +178,25 @@
         """Return whether leases of runners may still be renewed."""
         return self._clock.now() - self._confirmed_s < LEASE_VALID_S
 
-    def may_renew_on_leaving(self, runner: str) -> bool:
-        """Return whether the lease of a runner that may be published may be renewed.
-
-        A new owner relies on it that nothing is renewed there once it has taken the
-        shard, so that renewals end with the permission to start tasks.
-        """
-        return self.may_start() or not self.has_published_leaving(runner)
+    def limit_lease(self, runner: str, end_s: float) -> float:
+        """Return until when a lease may last, and record that it is granted.
 
-    def has_published_leaving(self, runner: str) -> bool:
-        """Return whether the owner row may name a runner as leaving or unresponsive.
+        No lease outlives what the owner row says of its runner, as the next owner
+        relies on that.
 
-        Only short leases may be granted there, also if the runner leaves no more.
+        Parameters
+        ----------
+        runner : str
+            Id of the runner.
+        end_s : float
+            Until when the lease is wanted, on the owner's clock, in seconds.
         """
-        return runner in self._leaving_in_store or runner in self._leaving_in_flight
+        valid_s = LEASE_VALID_S
+        if runner in self._short_in_store or runner in self._short_in_flight:
+            valid_s = SHORT_LEASE_VALID_S
+        end_s = min(end_s, self._confirmed_s + valid_s)
+        self._granted_until_s = max(self._granted_until_s, end_s)
+        return end_s
 
     async def commit(
         self, puts: Sequence[tuple[RowId, bytes]], deletes: Sequence[RowId]
@@ -204,14 +246,16 @@
         first_sent_s = self._clock.now()
         # Runners that are lost while the write is repeated, as the store is away, keep
         # their full leases.
-        leaving_s_by_runner = self.list_leaving()
-        self._leaving_in_flight.update(leaving_s_by_runner)
+        short_leases = self.list_short_leases()
+        self._short_in_flight.update(short_leases)
         while True:
             sent_s = self._clock.now()
             record = dataclasses.replace(
                 self._record,
                 backlog=self.count_backlog(),
-                leaving_s_by_runner=leaving_s_by_runner,
+                written_s=self._store_clock.latest_at(sent_s),
+                leases_end_in_s=self._leases_end_in_s(sent_s),
+                leases_end_in_s_by_runner=short_leases,
                 max_job_bytes=self.find_max_job_bytes(),
             )
             own = (self._owner_row, encode_owner_record(record))
@@ -236,13 +280,28 @@
             self._version = version
             self._confirmed_s = sent_s
             # Of a repeated write, it is unknown which transaction was applied.
-            self._leaving_in_store = frozenset(self._leaving_in_flight)
-            self._leaving_in_flight.clear()
+            self._short_in_store = frozenset(self._short_in_flight)
+            self._short_in_flight.clear()
             self._metrics.timing(
                 "journal_write_ms", 1000 * (self._clock.now() - first_sent_s)
             )
             return
 
+    def _leases_end_in_s(self, now_s: float) -> float:
+        """Return `OwnerRecord.leases_end_in_s` of a write that is sent now.
+
+        An owner that releases the shard grants nothing more.
+        """
+        lease_s = LEASE_VALID_S
+        if self._record.released:
+            lease_s = max(0.0, self._granted_until_s - now_s)
+        earlier_s = self.earlier_leases.end_s - now_s
+        return max(longest_lease_s(lease_s), earlier_s)
+
+    def _list_earlier_leases(self) -> dict[str, float]:
+        """Return what an earlier owner published, until this owner knows more."""
+        return self.earlier_leases.left_s_by_runner(self._clock.now())
+
     def _find_own_write(self, error: RowVersionConflict) -> tuple[int, int]:
         """Return version and number of the write by this writer that the row holds.
 
--- a/flamingoweir/platform/_store.py
+++ b/flamingoweir/platform/_store.py
@@ -22,7 +22,7 @@
     VersionedRow,
 )
 from ..transport import HttpClient, RequestNotSent, Response, ResponseLost
-from ._model import WireModel
+from ._model import Number, WireModel
 
 log = get_logger()
 
@@ -64,6 +64,8 @@
     has_more: bool = False
     #: Newest version of the store.
     ver: int = 0
+    #: The store's steady clock, in milliseconds.
+    now_ms: Number | None = None
 
 
 class PlatformStore:
@@ -223,7 +225,8 @@
             f"the store sent an invalid response: {error.errors()[0]}"
         ) from error
     rows = [_decode_row(row) for row in page.rows]
-    return RowPage(rows, page.has_more, page.ver)
+    now_s = None if page.now_ms is None else page.now_ms / 1000
+    return RowPage(rows, page.has_more, page.ver, now_s)
 
 
 def _decode_row(row: RowMessage) -> VersionedRow:
--- a/flamingoweir/standins/_rows.py
+++ b/flamingoweir/standins/_rows.py
@@ -29,12 +29,19 @@
         Version of the latest transaction; 0 before the first.
     """
 
+    #: Seconds that the store's clock shows at time 0 of the event loop.
+    CLOCK_OFFSET_S = 5000.0
+
     def __init__(self) -> None:
         self.row_by_id: dict[RowId, VersionedRow] = {}
         self.version = 0
         self._history: list[VersionedRow] = []
         self._discarded_version = 0
 
+    def now_s(self) -> float:
+        """Return the time on the store's clock, in seconds."""
+        return anyio.current_time() + self.CLOCK_OFFSET_S
+
     def apply(self, transaction: Transaction) -> int:
         """Apply a transaction atomically and return its version.
 
@@ -165,9 +172,9 @@
         for row in self.rows.rows(table, part):
             if row.id.key >= first and (not end or row.id.key < end):
                 found.append(row)
-        version = self.rows.version
+        version, now_s = self.rows.version, self.rows.now_s()
         await anyio.sleep(self.response_delay_s)
-        return RowPage(found[:limit], len(found) > limit, version)
+        return RowPage(found[:limit], len(found) > limit, version, now_s)
 
     async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
         """See `RowStore.follow`."""
@@ -176,7 +183,7 @@
         while True:
             changed = self.rows.changes(table, after)
             if changed or anyio.current_time() >= until_s:
-                return RowPage(changed, False, self.rows.version)
+                return RowPage(changed, False, self.rows.version, self.rows.now_s())
             await anyio.sleep(FOLLOW_CHECK_INTERVAL_S)
             if self.down or self.silent:
                 await self._simulate_call()
--- a/flamingoweir/storage/_rows.py
+++ b/flamingoweir/storage/_rows.py
@@ -122,11 +122,14 @@
         Whether more rows follow those of the page.
     version : int
         Newest version of the store at that moment.
+    now_s : float or None
+        The store's steady clock at that moment, in seconds; None if it is not known.
     """
 
     rows: list[VersionedRow] = field(default_factory=list)
     more: bool = False
     version: int = 0
+    now_s: float | None = None
 
 
 class RowStore(Protocol):
--- a/tests/test_leaving_runners.py
+++ b/tests/test_leaving_runners.py
@@ -6,6 +6,7 @@
 """
 
 import anyio
+import orjson
 import pytest
 
 from flamingoweir.fleet import LEAVING_LEASE_S, RUNNER_LEASE_S
@@ -162,9 +163,16 @@
     """Guards against records without the field, or with another type in it."""
     row = RowId("owners", "s0", "owner")
     value = encode_owner_record(OwnerRecord("a", "a/1", 3, 2))
-    older = value.replace(b',"leaving_s_by_runner":{}', b"")
-    assert older != value
-    found = decode_owner_record(VersionedRow(row, older, 5))
-    assert found.leaving_s_by_runner == {}
-    malformed = value.replace(b'"leaving_s_by_runner":{}', b'"leaving_s_by_runner":[1]')
-    assert decode_owner_record(VersionedRow(row, malformed, 5)) is None
+    fields = orjson.loads(value)
+    for name in ("written_s", "leases_end_in_s", "leases_end_in_s_by_runner"):
+        del fields[name]
+    fields["leaving_s_by_runner"] = {"runner-0": 3.0}
+    found = decode_owner_record(VersionedRow(row, orjson.dumps(fields), 5))
+    assert found.holder == "a"
+    # Such an owner renews for 8 s without the store, each time for 4 s and a margin.
+    assert found.leases_end_in_s >= 8 + 4 / 0.98
+    assert found.leases_end_in_s_by_runner == {}
+    for malformed in ([1], {"runner-0": -1.0}, {"runner-0": "x"}, None):
+        fields["leases_end_in_s_by_runner"] = malformed
+        value = orjson.dumps(fields)
+        assert decode_owner_record(VersionedRow(row, value, 5)) is None
--- a/tests/test_renewals_of_lost_runners.py
+++ b/tests/test_renewals_of_lost_runners.py
@@ -3,9 +3,15 @@
 import anyio
 import pytest
 
+from flamingoweir.ownership import LEASE_VALID_S
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
 
+#: Seconds for which the store is away. Leases end `LEASE_VALID_S` after the last write,
+#: up to 0.4 s before; once the store is back, a lost call may take 0.7 s to time out, and
+#: a poll a second.
+OUTAGE_S = LEASE_VALID_S - 2.1
+
 
 @pytest.mark.parametrize("fault", ["down", "silent"])
 @pytest.mark.parametrize("lost_s", [0.3, 0.7, 1.5])
@@ -25,8 +31,7 @@
             link.disconnected = True
             await anyio.sleep(lost_s)
             link.disconnected = False
-            # Within LEASE_VALID_S of the last write.
-            await anyio.sleep(6.5 - lost_s)
+            await anyio.sleep(OUTAGE_S - 0.5 - lost_s)
             setattr(owner.store, fault, False)
             await anyio.sleep(5)
             assert len(cluster.starts(f"{job.id}.0.0.0")) == 1
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -112,7 +112,7 @@
 
 
 def test_store_outage_lapses_no_lease():
-    """A store outage of five seconds must not end running tasks.
+    """A store outage of five seconds and a half must not end running tasks.
 
     The owner can't write, but continues to extend the leases of its runners.
     """
@@ -125,7 +125,7 @@
             await cluster.wait_for(job, JobState.RUNNING, 2.0)
             for member in cluster.member_by_name.values():
                 member.store.down = True
-            await anyio.sleep(5)
+            await anyio.sleep(5.5)
             for member in cluster.member_by_name.values():
                 member.store.down = False
             await anyio.sleep(3)
--- a/tests/test_unexpected.py
+++ b/tests/test_unexpected.py
@@ -10,14 +10,19 @@
 
 from flamingoweir.dispatch._planner import Planner
 from flamingoweir.jobs import JobState, encode_spec
-from flamingoweir.ownership import job_row, owner_row, state_row, tasks_row
+from flamingoweir.ownership import (
+    UNBOUNDED_LEASES_END_IN_S,
+    job_row,
+    owner_row,
+    state_row,
+    tasks_row,
+)
 from flamingoweir.platform import PlatformRowDecoder
 from flamingoweir.registry import OperatorView, RunnerView
 from flamingoweir.scheduling._owner import ShardOwner
 from flamingoweir.storage import RowId, VersionedRow
 from tests.utils.builders import make_spec, make_timings
 from tests.utils.cluster import (
-    SILENT_RUNNER_LAPSE_S,
     make_job,
     make_step,
     run_cluster,
@@ -179,13 +184,26 @@
         b'{"holder": 3}',
         b'{"holder":"f","process":"p","number":1,"backlog":{"waiting_by_queue":7}}',
         b'{"holder":"f","process":"p","number":1,"backlog":null,'
-        b'"leaving_s_by_runner":{"runner-0":"x","runner-1":null}}',
+        b'"leases_end_in_s_by_runner":{"runner-0":"x","runner-1":null}}',
         b'{"holder":"f","process":"p","number":1,"backlog":null,'
-        b'"leaving_s_by_runner":{"runner-0":-1e300,"runner-1":-1e300}}',
+        b'"leases_end_in_s_by_runner":{"runner-0":-1e300,"runner-1":-1e300}}',
+        b'{"holder":"f","process":"p","number":1,"leases_end_in_s":-1e300}',
+        b'{"holder":"f","process":"p","number":1,"leases_end_in_s":"x"}',
+        b'{"holder":"f","process":"p","number":1,"written_s":-1.0}',
         b'{"holder":"f","process":"p","number":1,"backlog":null,"fence":"x"}',
         b"[" * 50_000 + b"]" * 50_000,
     ],
-    ids=["holder", "backlog", "leaving_text", "leaving_number", "fence", "nested"],
+    ids=[
+        "holder",
+        "backlog",
+        "ends_text",
+        "ends_number",
+        "end_number",
+        "end_text",
+        "written",
+        "fence",
+        "nested",
+    ],
 )
 def test_malformed_owner_row_is_taken_over(value):
     """Guards against a shard that nobody owns, and owners that fail by turns."""
@@ -201,7 +219,9 @@
             cluster.runner_by_id["runner-0"].crash()
             job = await cluster.submit(make_job(2))
             await cluster.wait_for(job, JobState.DONE, MAX_GAP_S + 2.0)
-            await cluster.wait_for(lost, JobState.DONE, SILENT_RUNNER_LAPSE_S + 4.0)
+            # Nothing bounds the former owner's leases here.
+            timeout_s = UNBOUNDED_LEASES_END_IN_S + 4.0
+            await cluster.wait_for(lost, JobState.DONE, timeout_s)
             assert not cluster.find_overlaps()
 
     run_virtual(scenario)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -8,11 +8,10 @@
 
 from flamingoweir.daemon._instance import Instance
 from flamingoweir.dispatch import RunnerLink, RunnerUnreachable, StartResult
-from flamingoweir.fleet import RUNNER_LEASE_S
 from flamingoweir.jobs import JobSpec, JobState, Outcome, QueuePolicy, StepSpec, TaskId
 from flamingoweir.links import PlatformLinks
 from flamingoweir.metrics import NoMetrics
-from flamingoweir.ownership import LEASE_VALID_S
+from flamingoweir.ownership import LEASE_VALID_S, longest_lease_s
 from flamingoweir.platform import PlatformRowDecoder
 from flamingoweir.registry import RunnerEntry
 from flamingoweir.resources import Resources
@@ -32,10 +31,9 @@
 QUEUE = "orders"
 HOST = "orders.example"
 PREFIX = "/orders/"
-#: Seconds after which a former owner's attempts on an unreachable runner have lapsed.
-#: The owner may renew the runner's lease for `LEASE_VALID_S`; the last lease ends
-#: `RUNNER_LEASE_S` later, and a tenth of that is a margin.
-SILENT_RUNNER_LAPSE_S = LEASE_VALID_S + 1.1 * RUNNER_LEASE_S
+#: Seconds after the former owner's last write by which its attempts on an unreachable
+#: runner have lapsed.
+SILENT_RUNNER_LAPSE_S = longest_lease_s(LEASE_VALID_S)
 
 
 def make_step(count: int = 1, processors: float = 1.0, **fields) -> StepSpec:
