Leases are renewed at once when the store is back

Callers would see tasks end although the store was back in time: leases that were limited to 7 s after the last write are renewed with the next poll of each runner, and a poll waits for up to a second.

An owner whose write is confirmed more than 3 s after the one before renews the leases of all runners that respond, one call each, on the connections of orders.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -3,7 +3,7 @@
 import dataclasses
 from dataclasses import dataclass, field
 
-from ..fleet import Runner
+from ..fleet import RUNNER_LEASE_S, Runner
 from ..jobs import (
     FINAL_STATES,
     Attempt,
@@ -14,6 +14,7 @@
 )
 from ..logs import get_logger
 from ..ownership import (
+    LEASE_VALID_S,
     SHORT_LEASE_VALID_S,
     Backlog,
     longest_lease_s,
@@ -35,6 +36,8 @@
 #: wait. A reported count must include jobs that were accepted 5 s before; 1.9 s of that
 #: are for the age of the count that an instance has read, and 1.1 s for the write.
 MAX_JOBS_AGE_S = 2.0
+#: Seconds after a confirmed write during which it allows full leases.
+FULL_LEASES_S = LEASE_VALID_S - RUNNER_LEASE_S
 #: Largest number of runners of which the owner row names the end of the leases. A row
 #: has at most 64 KiB.
 MAX_SHORT_LEASES = 1000
@@ -92,7 +95,10 @@
         while True:
             await self._owner_state.write_wakeup.wait(RENEW_INTERVAL_S)
             batch = self._collect()
+            confirmed_s = self._writer.confirmed_s
             await self._writer.commit(batch.puts, batch.deletes)
+            if self._writer.confirmed_s - confirmed_s > FULL_LEASES_S:
+                self._orders.renew_leases()
             self._apply_committed(batch)
 
     def _count_backlog(self) -> Backlog | None:
--- a/flamingoweir/dispatch/_context.py
+++ b/flamingoweir/dispatch/_context.py
@@ -57,6 +57,15 @@
     wall_ms: Callable[[], float]
     metrics: Metrics
 
+    def renew_lease(self, runner: Runner) -> int | None:
+        """Renew a lease; return its end in ms on the runner's clock.
+
+        The result is None if the owner may not renew it now.
+        """
+        now_s = self.clock.now()
+        end_s = self.writer.limit_lease(runner.id, now_s + runner.lease_s)
+        return runner.grant_lease(end_s, now_s) if end_s > now_s else None
+
 
 class Permit:
     """Checks whether tasks may be started.
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -84,6 +84,15 @@
         """Send stop orders until an incarnation of a runner will not start a run."""
         self._task_group.start_soon(self._forbid_run, runner, task, run)
 
+    def renew_leases(self) -> None:
+        """Renew the leases of all runners that respond, without waiting for polls."""
+        for runner in self._owner_state.runner_by_id.values():
+            responsive = (
+                runner.incarnation is not None and runner.unresponsive_since_s is None
+            )
+            if responsive and runner.has_attempts:
+                self._task_group.start_soon(self._renew_lease, runner)
+
     def _find_allocation(self, attempt: Attempt) -> tuple[Runner, Allocation] | None:
         runner = self._owner_state.runner_by_id.get(attempt.runner)
         allocation = runner.find(attempt.task, attempt.run) if runner else None
@@ -253,6 +262,23 @@
         except RunnerUnreachable as error:
             log.info("stop_unanswered", runner=runner_id, detail=str(error))
 
+    async def _renew_lease(self, runner: Runner) -> None:
+        """Renew the lease on one runner once; its polls renew it later."""
+        link = self._link_by_runner.get(runner.id)
+        deadline_ms = self._context.renew_lease(runner)
+        if link is None or deadline_ms is None:
+            return
+        with self._contain("renew", runner.id):
+            try:
+                fence = self._context.writer.fence
+                await link.renew(fence, runner.last_durable_end, deadline_ms)
+            except Fenced:
+                self._term_end.signal(
+                    f"runner {runner.id} has received a higher fencing token"
+                )
+            except RunnerUnreachable as error:
+                log.info("renewal_unanswered", runner=runner.id, detail=str(error))
+
     async def _set_pace(self, attempt: Attempt) -> None:
         try:
             with self._contain("pace", attempt.runner):
--- a/flamingoweir/dispatch/_protocols.py
+++ b/flamingoweir/dispatch/_protocols.py
@@ -216,6 +216,18 @@
         """
         ...
 
+    async def renew(self, fence: int, acknowledged: int, deadline_ms: int) -> None:
+        """Renew the lease beside a poll that waits; see `poll` for the parameters.
+
+        Raises
+        ------
+        RunnerUnreachable
+            If no usable response arrives.
+        Fenced
+            If the runner has received a higher fencing token.
+        """
+        ...
+
     async def aclose(self) -> None:
         """Close all connections."""
         ...
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -132,7 +132,7 @@
         # Repeated renewals without a response would keep the lease from ever lapsing.
         deadline_ms = None
         if responsive and runner.has_attempts:
-            deadline_ms = self._renew_lease(sent_s)
+            deadline_ms = self._context.renew_lease(runner)
         try:
             report = await self._link.poll(
                 self._context.writer.fence,
@@ -159,12 +159,6 @@
         runner.record_response(report.clock_ms, self._clock.now())
         self._apply_report(report, sent_s)
 
-    def _renew_lease(self, now_s: float) -> int | None:
-        """Renew the lease; return its end on the runner's clock, None: not allowed."""
-        runner = self._runner
-        end_s = self._context.writer.limit_lease(runner.id, now_s + runner.lease_s)
-        return runner.grant_lease(end_s, now_s) if end_s > now_s else None
-
     def _wait_s(self) -> float:
         runner = self._runner
         if (
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -170,6 +170,11 @@
         await self._write((), ())
         self.fence = self._version
 
+    @property
+    def confirmed_s(self) -> float:
+        """When the latest confirmed write was sent, on the owner's clock."""
+        return self._confirmed_s
+
     def may_start(self) -> bool:
         """Return whether the latest confirmed write is recent enough to start tasks."""
         return self._clock.now() - self._confirmed_s < START_VALID_S
--- a/flamingoweir/platform/_runners.py
+++ b/flamingoweir/platform/_runners.py
@@ -164,6 +164,28 @@
         message = {"Task": str(task), "Run": run, "Percent": percent}
         await self._send_checked_order("/-/pace", {**message, "FenceToken": fence})
 
+    async def renew(self, fence: int, acknowledged: int, deadline_ms: int) -> None:
+        """Renew the runner's lease on another connection than that of polls.
+
+        Parameters
+        ----------
+        fence : int
+            The owner's fencing token.
+        acknowledged : int
+            Highest number of an end that is stored durably.
+        deadline_ms : int
+            New end of the lease, in milliseconds on the runner's clock.
+
+        Raises
+        ------
+        RunnerUnreachable
+            If there is no valid response.
+        Fenced
+            If the runner has received a higher fencing token.
+        """
+        message = {"AckCursor": acknowledged, "DueMs": deadline_ms}
+        await self._send_checked_order("/-/hold", {**message, "FenceToken": fence})
+
     async def poll(
         self, fence: int, acknowledged: int, deadline_ms: int | None, wait_s: float
     ) -> RunnerReport:
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -455,6 +455,11 @@
                 report = self.runner.poll(fence, acknowledged, deadline_ms)
         return report
 
+    async def renew(self, fence: int, acknowledged: int, deadline_ms: int) -> None:
+        """See `RunnerLink.renew`."""
+        await self._reach_or_fail()
+        self.runner.poll(fence, acknowledged, deadline_ms)
+
     async def aclose(self) -> None:
         """See `RunnerLink.aclose`."""
 
--- a/tests/test_renewals_of_lost_runners.py
+++ b/tests/test_renewals_of_lost_runners.py
@@ -3,14 +3,38 @@
 import anyio
 import pytest
 
+from flamingoweir.jobs import JobState
 from flamingoweir.ownership import LEASE_VALID_S
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
 
 #: Seconds for which the store is away. Leases end `LEASE_VALID_S` after the last write,
-#: up to 0.4 s before; once the store is back, a lost call may take 0.7 s to time out, and
-#: a poll a second.
-OUTAGE_S = LEASE_VALID_S - 2.1
+#: up to 0.4 s before; once the store is back, a lost call may take 0.7 s to time out.
+OUTAGE_S = LEASE_VALID_S - 1.2
+
+
+@pytest.mark.parametrize("fault", ["down", "silent"])
+@pytest.mark.parametrize("offset_s", [0.0, 0.1, 0.2, 0.3, 0.5, 0.7, 0.9])
+def test_tasks_lapse_after_the_store_is_back(offset_s, fault):
+    """Guards against leases that are renewed only once a poll has ended.
+
+    A poll waits for up to a second.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(6, lasting=True)))
+            await anyio.sleep(2 + offset_s)
+            setattr(owner.store, fault, True)
+            await anyio.sleep(OUTAGE_S)
+            setattr(owner.store, fault, False)
+            await anyio.sleep(5)
+            assert len(cluster.records("start")) == 6
+            assert await cluster.state(job) is JobState.RUNNING
+
+    run_virtual(scenario)
 
 
 @pytest.mark.parametrize("fault", ["down", "silent"])
