Reads of the store last as long as their response keeps arriving

Cause: the configuration has 1677 queues by then, some 430 kB as the store sends it. A feed whose response is late falls back to such a read, too.

The timeout now holds for the beginning of a response, and then from part to part of what is read; a read ends after 5 s in any case. A connection that goes silent is given up as before, 0.7 s after its last part. Writes keep their limit: their responses are short, and the owner counts its permission from their sending.

--- a/flamingoweir/_http_connection.py
+++ b/flamingoweir/_http_connection.py
@@ -2,6 +2,7 @@
 
 import select
 import time
+from collections.abc import Callable
 
 import anyio
 import httptools
@@ -55,7 +56,12 @@
             return False
         return self._socket.fileno() >= 0 and not self._poll.poll(0)
 
-    async def exchange(self, request: bytes, is_head: bool) -> tuple[int, bytes]:
+    async def exchange(
+        self,
+        request: bytes,
+        is_head: bool,
+        on_part: Callable[[], None] | None = None,
+    ) -> tuple[int, bytes]:
         """Send a request and return status and body of the response.
 
         Parameters
@@ -64,6 +70,8 @@
             The whole request.
         is_head : bool
             Whether the request's method is HEAD, whose response has no body.
+        on_part : callable, optional
+            Called for each part of the response's body that arrives after its head.
 
         Raises
         ------
@@ -79,7 +87,7 @@
             response, received = await self._receive_head(received)
             if response.status >= 200:
                 break
-        body = await self._receive_body(response, received, is_head)
+        body = await self._receive_body(response, received, is_head, on_part)
         response.release()
         self._idle_since_s = time.monotonic()
         return response.status, body
@@ -110,7 +118,11 @@
         return response, received[end:]
 
     async def _receive_body(
-        self, response: "_ResponseParser", received: bytes, is_head: bool
+        self,
+        response: "_ResponseParser",
+        received: bytes,
+        is_head: bool,
+        on_part: Callable[[], None] | None,
     ) -> bytes:
         """Return the body, and set `reusable` if nothing follows it."""
         if is_head or response.status in BODILESS_STATUSES:
@@ -118,22 +130,26 @@
             return b""
         if response.transfer_encoding is not None:
             return await self._receive_chunks(
-                response, received, response.transfer_encoding
+                response, received, response.transfer_encoding, on_part
             )
         if response.content_length is None:
-            return await self._receive_to_end(received)
+            return await self._receive_to_end(received, on_part)
         missing = response.content_length - len(received)
         if missing > 0:
             parts = [received]
             while missing > 0:
-                parts.append(await self._stream.receive(READ_BYTES))
+                parts.append(await self._receive_part(on_part))
                 missing -= len(parts[-1])
             received = b"".join(parts)
         self.reusable = response.keeps_alive and missing == 0
         return received if missing == 0 else received[: response.content_length]
 
     async def _receive_chunks(
-        self, response: "_ResponseParser", received: bytes, encoding: bytes
+        self,
+        response: "_ResponseParser",
+        received: bytes,
+        encoding: bytes,
+        on_part: Callable[[], None] | None,
     ) -> bytes:
         if encoding.lower() != b"chunked":
             raise MalformedResponse("the response has an unknown transfer encoding")
@@ -142,21 +158,29 @@
         last = received[-len(HEAD_END) - 1 :]
         response.feed(received)
         while not response.is_complete:
-            received = await self._stream.receive(READ_BYTES)
+            received = await self._receive_part(on_part)
             last = (last + received)[-len(HEAD_END) - 1 :]
             response.feed(received)
         ends_here = last.endswith(HEAD_END) and last[0] not in b"\r\n"
         self.reusable = response.keeps_alive and ends_here and not response.has_surplus
         return b"".join(response.parts)
 
-    async def _receive_to_end(self, received: bytes) -> bytes:
+    async def _receive_to_end(
+        self, received: bytes, on_part: Callable[[], None] | None
+    ) -> bytes:
         parts = [received]
         while True:
             try:
-                parts.append(await self._stream.receive(READ_BYTES))
+                parts.append(await self._receive_part(on_part))
             except anyio.EndOfStream:
                 return b"".join(parts)
 
+    async def _receive_part(self, on_part: Callable[[], None] | None) -> bytes:
+        part = await self._stream.receive(READ_BYTES)
+        if on_part is not None:
+            on_part()
+        return part
+
 
 class _ResponseParser:
     """Parses the head of a response, and its body if that is sent in chunks.
--- a/flamingoweir/platform/_store.py
+++ b/flamingoweir/platform/_store.py
@@ -26,10 +26,15 @@
 
 log = get_logger()
 
-#: Timeout of a call, in seconds. A slow store takes up to 60 times its usual 4 ms.
+#: Timeout of a call, and of each further part of what is read, in seconds. A slow store
+#: takes up to 60 times its usual 4 ms.
 CALL_TIMEOUT_S = 0.7
 #: Seconds after the end of the requested wait at which a call to a feed times out.
 FEED_SLACK_S = 0.7
+#: Longest time in seconds of a read whose response keeps arriving. Through a link of 5
+#: megabits per second, half a megabyte takes longer than `CALL_TIMEOUT_S`, and a call
+#: that is repeated begins anew.
+TRANSFER_S = 5.0
 #: Largest number of concurrent calls, apart from the feeds, which have a connection
 #: each.
 MAX_CONNECTIONS = 8
@@ -192,8 +197,9 @@
 ) -> Response:
     """Make one call; convert transport failures and error statuses to store errors."""
     headers = JSON_HEADERS if body else ()
+    transfer_s = TRANSFER_S if method == "GET" else 0.0
     try:
-        response = await client.call(method, path, body, headers, timeout_s)
+        response = await client.call(method, path, body, headers, timeout_s, transfer_s)
     except RequestNotSent as error:
         raise StoreRefused(f"the request was not sent: {error}") from error
     except ResponseLost as error:
--- a/flamingoweir/transport.py
+++ b/flamingoweir/transport.py
@@ -2,7 +2,7 @@
 
 import re
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import anyio
@@ -120,6 +120,7 @@
         body: bytes = b"",
         headers: Sequence[tuple[bytes, bytes]] = (),
         timeout_s: float | None = None,
+        transfer_s: float = 0.0,
     ) -> Response:
         """Send a request and return the response.
 
@@ -133,6 +134,9 @@
             Headers in addition to those that every call has.
         timeout_s : float or None
             Timeout of the call, in seconds; None for the client's timeout.
+        transfer_s : float
+            Seconds that a call may take, if longer than its timeout, while parts of
+            the response's body arrive within the client's timeout of each other.
 
         Raises
         ------
@@ -145,10 +149,11 @@
         async with self._call_limit:
             connection = None
             try:
-                with anyio.fail_after(timeout_s or self._timeout_s):
+                with anyio.fail_after(timeout_s or self._timeout_s) as scope:
+                    on_part = self._extender(scope, transfer_s) if transfer_s else None
                     connection = await self._acquire_connection()
                     status, content = await connection.exchange(
-                        request, method == "HEAD"
+                        request, method == "HEAD", on_part
                     )
             except TimeoutError as error:
                 # Other connections of the same age are likely to be unresponsive too.
@@ -169,6 +174,18 @@
         while self._idle_connections:
             await self._idle_connections.popleft().aclose()
 
+    def _extender(
+        self, scope: anyio.CancelScope, transfer_s: float
+    ) -> Callable[[], None]:
+        """Return a function that gives a call time for the next part of a response."""
+        longest_until_s = anyio.current_time() + transfer_s
+
+        def extend() -> None:
+            until_s = min(anyio.current_time() + self._timeout_s, longest_until_s)
+            scope.deadline = max(scope.deadline, until_s)
+
+        return extend
+
     async def _acquire_connection(self) -> HttpConnection:
         while self._idle_connections:
             connection = self._idle_connections.pop()
