Random histories lose owners together with runners

The tests of that class play chosen offsets and one runner; no test combined the ways to lose an owner with those to lose a runner, clocks of different rates, several owners in a row, and lost or late responses.

The bound is derived from the target and from what the test did: 9 s from the last loss that concerns the task. Losses always leave an instance that reaches the store and two runners that it reaches, each with room for all tasks.

--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -2,9 +2,10 @@
 
 Takeovers, lost responses, restarts and unreachable runners, in combinations that no
 single test covers, may run a task twice, start a step before its predecessors are
-done, or leave a job unfinished. The environment variable ``HISTORY_EXAMPLES`` sets
-the number of histories: ``HISTORY_EXAMPLES=1000 pytest tests/test_histories.py``
-checks more than CI does.
+done, or leave a job unfinished. Owners lost together with runners may keep
+long-running tasks away for longer than users are promised. The environment variable
+``HISTORY_EXAMPLES`` sets the number of histories of each test:
+``HISTORY_EXAMPLES=1000 pytest tests/test_histories.py`` checks more than CI does.
 """
 
 import os
@@ -17,6 +18,16 @@
 from flamingoweir.errors import FlamingoweirError
 from flamingoweir.jobs import JobState, Outcome
 from tests.utils.cluster import SILENT_RUNNER_LAPSE_S, make_job, make_step, run_cluster
+from tests.utils.loss_histories import (
+    MAX_AWAY_S,
+    PROCESSORS,
+    AttemptLog,
+    LossHistory,
+    draw_losses,
+    find_absent,
+    find_late_restarts,
+)
+from tests.utils.losses import check_runs
 from tests.utils.virtual_time import run_virtual
 
 EXAMPLES = int(os.environ.get("HISTORY_EXAMPLES", "40"))
@@ -250,3 +261,55 @@
 @given(st.integers(0, 2**32), STEPS)
 def test_no_task_runs_twice_and_every_job_ends(seed, steps):
     run_virtual(play_history, seed, steps)
+
+
+#: Seconds for which leases may still be granted, or lapse, after the last loss ended.
+CALM_S = 5.0
+
+
+async def play_losses(seed: int) -> None:
+    """Run one history of lost owners and runners, and check the long-running tasks."""
+    generator = random.Random(seed)
+    members = generator.randint(3, 5)
+    async with run_cluster(members, runners=0, seed=seed) as cluster:
+        for number in range(generator.randint(4, 6)):
+            rate = generator.choice((1.0, 0.99, 0.98))
+            cluster.add_runner(f"runner-{number}", PROCESSORS, rate=rate)
+        attempt_log = AttemptLog(cluster)
+        owner = await cluster.owner()
+        await anyio.sleep(1)
+        step = make_step(2, lasting=True)
+        saving_step = make_step(1, lasting=True, checkpoints=True)
+        for job in (make_job(1, step), make_job(2, saving_step)):
+            await cluster.submit(job, owner)
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+        await cluster.submit(make_job(3, make_step(2, 0.5)), owner)
+        await anyio.sleep(generator.uniform(0, 4))
+        history = LossHistory(cluster, attempt_log, generator)
+        await history.play(draw_losses(generator))
+        last_lost_s = max(lost_s for lost_s, _ in history.losses)
+        calm_from_s = max(anyio.current_time() + CALM_S, last_lost_s + MAX_AWAY_S)
+        await anyio.sleep(calm_from_s - anyio.current_time())
+        check_runs(cluster)
+        assert not find_absent(cluster, attempt_log)
+        assert not find_late_restarts(cluster, history, attempt_log)
+
+
+@settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    # As above.
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+@given(st.integers(0, 2**32))
+def test_long_running_tasks_run_again_in_time_and_never_twice(seed):
+    """Guards against waits for leases that nobody granted, and against too short ones.
+
+    The target: a long-running task whose runner and owner are lost together runs again
+    within 9 s of the loss, however both are lost; and no run overlaps another. Where
+    further losses come before it runs again, see `find_late_restarts`.
+    """
+    run_virtual(play_losses, seed)
