Builders of tests say when an incarnation begins

`Runner.begin_incarnation` takes the time since leases of earlier owners go on for the attempts of a first incarnation. No check changes.

--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -103,7 +103,7 @@
 def make_runner(capacity: Resources = WHOLE, runner_id: str = "r") -> Runner:
     entry = RunnerEntry(runner_id, 1, SERVICE, "host:1", "powys", capacity=capacity)
     runner = Runner(entry, 10.0)
-    runner.begin_incarnation(1)
+    runner.begin_incarnation(1, 0.0)
     return runner
 
 
--- a/tests/test_eviction.py
+++ b/tests/test_eviction.py
@@ -25,7 +25,7 @@
     capacity = Resources(1000 * processors, memory_mb, 0)
     entry = RunnerEntry(runner_id, 1, SERVICE, "host:1", "zone", capacity=capacity)
     runner = Runner(entry, 10.0)
-    runner.begin_incarnation(1)
+    runner.begin_incarnation(1, 0.0)
     return runner
 
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -127,7 +127,7 @@
         entry = RunnerEntry(f"r{number}", 1, "s", "host:1", "zone", capacity=capacity)
         entry_by_id[entry.id] = entry
     for runner in owner_state.update_runners(entry_by_id):
-        runner.begin_incarnation(1)
+        runner.begin_incarnation(1, clock.now())
     for number, step in enumerate(steps):
         owner_state.add_job(
             JobSpec(f"job-{number}", "q", "", (step,), QueuePolicy("s"))
--- a/tests/test_step_placement.py
+++ b/tests/test_step_placement.py
@@ -139,7 +139,7 @@
             labels=frozenset({f"rack-{generator.randrange(3)}"}),
         )
         runner = Runner(entry, 10.0)
-        runner.begin_incarnation(1)
+        runner.begin_incarnation(1, 0.0)
         for index in range(generator.randrange(5)):
             task = TaskId(f"old-{number}", 0, 0, index)
             spec = random_spec(generator, 1)
