Absent long-running tasks are tried again within a long pass

Cause: a placement pass tries each step once, and ends by its time only when all steps that were ready at its start have had their turn. A long-running task that found no room once waited for the end of the pass, and two evictions were all that a pass allows. Leases of runners that this term has never listed lapsed only between passes as well.

Now steps with absent tasks are tried again each time that a pass looks for new steps, ten times a second, with evictions as in a new pass; a runner that is kept free for a step counts for that step. Lapsed attempts on unlisted runners end after each slice.

The two new tests fail without the change.

Tried besides and left out: to end a pass after 1 s that has placed more steps than not.

--- a/flamingoweir/dispatch/_candidates.py
+++ b/flamingoweir/dispatch/_candidates.py
@@ -19,8 +19,8 @@
         Decides which runners suit a step.
     runners : list of Runner
         Runners that may be given tasks.
-    reserved_ids : set of str
-        Ids of runners that are kept free for a step; `reserve` adds to the set.
+    runner_by_step : dict of StepRun to Runner
+        Runners that are kept free, each for one step; `reserve` adds to them.
     now_s : float
         Time on the owner's clock, in seconds.
     """
@@ -29,12 +29,12 @@
         self,
         placement: PlacementPolicy,
         runners: list[Runner],
-        reserved_ids: set[str],
+        runner_by_step: dict[StepRun, Runner],
         now_s: float,
     ):
         self.runners = runners
         self._placement = placement
-        self._reserved_ids = reserved_ids
+        self._runner_by_step = runner_by_step
         self._now_s = now_s
         self._all_by_kind: dict[tuple[str, str], list[Runner]] = {}
         self._unreserved_by_kind: dict[tuple[str, str], list[Runner]] = {}
@@ -63,21 +63,35 @@
         return found
 
     def find(self, step: StepRun) -> list[Runner]:
-        """Return the runners that suit a step and are not reserved."""
-        if not self._reserved_ids:
+        """Return the runners that suit a step and are not reserved for another one."""
+        if not self._runner_by_step:
             return self.find_all(step)
         kind = (step.job.spec.policy.service, step.spec.label)
         found = self._unreserved_by_kind.get(kind)
         if found is None:
-            found = [r for r in self.find_all(step) if r.id not in self._reserved_ids]
+            reserved_ids = self.reserved_ids
+            found = [r for r in self.find_all(step) if r.id not in reserved_ids]
             self._unreserved_by_kind[kind] = found
+        own = self._runner_by_step.get(step)
+        if own is not None and own in self.find_all(step):
+            return [*found, own]
         return found
 
-    def reserve(self, runner: Runner) -> None:
-        """Keep a runner free."""
-        self._reserved_ids.add(runner.id)
+    @property
+    def reserved_ids(self) -> frozenset[str]:
+        """Ids of the runners that are kept free for a step."""
+        return frozenset(runner.id for runner in self._runner_by_step.values())
+
+    def reserve(self, step: StepRun, runner: Runner) -> None:
+        """Keep a runner free for a step."""
+        self._runner_by_step[step] = runner
         self._unreserved_by_kind.clear()
 
+    def release(self, step: StepRun) -> None:
+        """Keep no runner free for a step any more."""
+        if self._runner_by_step.pop(step, None) is not None:
+            self._unreserved_by_kind.clear()
+
     def recheck(self, step: StepRun, runners: Iterable[Runner]) -> None:
         """Collect anew if a runner that got tasks of a step may get no more.
 
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -135,12 +135,12 @@
         self._next_pass_s = float("-inf")
         self._longest_pass_s = 0.0
         self._now_s = 0.0
-        self._reserved_ids: set[str] = set()
+        self._runner_by_step: dict[StepRun, Runner] = {}
         self._placement = PlacementPolicy(
             context.owner_state.health, context.owner_state.colocation
         )
         self._time_slice = TimeSlice(context.clock)
-        self._candidates = CandidateLists(self._placement, [], set(), 0.0)
+        self._candidates = CandidateLists(self._placement, [], {}, 0.0)
         self._evictions = Evictions(context.owner_state)
         self._headroom = BatchHeadroom()
         self._pauses = JobPauses(context.owner_state)
@@ -175,7 +175,7 @@
         permit is withdrawn meanwhile.
         """
         self._time_slice = TimeSlice(self._context.clock)
-        self._reserved_ids = set()
+        self._runner_by_step = {}
         self._collect_runners()
         self._evictions.begin_pass(self._now_s)
         try:
@@ -199,6 +199,7 @@
                 ready = await self._find_ready_steps()
                 steps = deque(step for step in ready if step not in tried)
                 collected_s = self._context.clock.now()
+                await self._retry_absent([s for s in ready if s in tried and s.is_away])
                 if not steps or (
                     now_s - started_s > MAX_PASS_S and in_first_list.isdisjoint(steps)
                 ):
@@ -218,6 +219,27 @@
             if self._time_slice.is_over():
                 await self._give_way()
 
+    async def _retry_absent(self, steps: list[StepRun]) -> None:
+        """Try steps again that found no room earlier in the pass, as in a new pass.
+
+        Under a high load a pass may last for half a minute, as more urgent steps than
+        the last ones keep coming. Users notice the absence of a long-running task at
+        once.
+        """
+        if not steps:
+            return
+        self._evictions.begin_pass(self._now_s)
+        unplaced = UnplacedSteps(self._now_s)
+        for step in steps:
+            try:
+                await self._place_or_make_room(step, unplaced)
+            except PermitWithdrawn:
+                raise
+            except Exception as error:
+                self._pauses.add(step.job.spec.id, error, self._now_s)
+            if self._time_slice.is_over():
+                await self._give_way()
+
     def _shows_lack_of_room(self, step: StepRun) -> bool:
         """Return whether an unplaced step makes it unlikely that others find room.
 
@@ -233,6 +255,7 @@
         if not self._is_ready(step):
             return True
         if not unplaced.rules_out(step) and await self._place(step):
+            self._candidates.release(step)
             return True
         first = next(step.placing_order(), None)
         if first is not None and not self._must_leave_room(step, first):
@@ -252,6 +275,7 @@
         await self._time_slice.give_way()
         if not self._permit.is_valid():
             raise PermitWithdrawn
+        self._owner_state.remove_lapsed_unlisted()
         self._collect_runners()
         # Work that each slice repeats must not use the slice up.
         self._time_slice.stop()
@@ -265,7 +289,7 @@
             if self._permit.allows_runner(r)
         ]
         self._candidates = CandidateLists(
-            self._placement, usable, self._reserved_ids, self._now_s
+            self._placement, usable, self._runner_by_step, self._now_s
         )
 
     def _is_ready(self, step: StepRun) -> bool:
@@ -289,17 +313,17 @@
         )
         if step.spec.uses_spare or step.spec.gang:
             return
-        if (
-            len(self._reserved_ids) >= MAX_RESERVED_RUNNERS
-            or self._now_s - step.ready_since_s < reserve_after_s
-        ):
+        if self._now_s - step.ready_since_s < reserve_after_s:
+            return
+        # A step that is tried again in the same pass gets a better choice.
+        self._candidates.release(step)
+        reserved_ids = self._candidates.reserved_ids
+        if len(reserved_ids) >= MAX_RESERVED_RUNNERS:
             return
         candidates = self._candidates.find_all(step)
-        runner = self._placement.reserve(
-            step, candidates, frozenset(self._reserved_ids)
-        )
+        runner = self._placement.reserve(step, candidates, reserved_ids)
         if runner is not None:
-            self._candidates.reserve(runner)
+            self._candidates.reserve(step, runner)
 
     def _log_load(self, jobs: int, open_tasks: int) -> None:
         """Log the load of the runners every `LOAD_LOG_INTERVAL_S`."""
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -14,6 +14,7 @@
 from flamingoweir.dispatch._committer import RENEW_INTERVAL_S
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._planner import Planner, UnplacedSteps
+from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Job, JobSpec, Outcome, QueuePolicy, StepSpec
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.policy import MAX_PLACEMENT_WAIT_S, PlacementPolicy
@@ -405,6 +406,89 @@
     run_virtual(scenario)
 
 
+#: Number of jobs that a slow instance takes some seconds to place, in one pass.
+BACKLOG_JOBS = 4_000
+#: Longest time in seconds until a task is placed that has become open, or for which
+#: there is room, during such a pass: the time between two searches and a margin.
+MAX_IN_PASS_S = 0.3
+
+
+def add_backlog(owner_state) -> None:
+    """Add many jobs of one task that needs no processors."""
+    spec = StepSpec(1, Resources(0, 1, 0))
+    for number in range(BACKLOG_JOBS):
+        owner_state.add_job(
+            JobSpec(f"backlog-{number}", "q", "", (spec,), QueuePolicy("s"))
+        )
+
+
+async def change_during_long_pass(planner, owner_state, change) -> None:
+    """Run a planner with a backlog, change something, and wait `MAX_IN_PASS_S`."""
+    add_backlog(owner_state)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(planner.run)
+        await anyio.sleep(0.3)
+        change()
+        await anyio.sleep(MAX_IN_PASS_S)
+        assert 0 < len(owner_state.pending_starts) < BACKLOG_JOBS, "no long pass"
+        tasks.cancel_scope.cancel()
+
+
+def test_absent_task_is_placed_as_there_is_room_during_a_long_pass(charge):
+    """Guards against an absent task that is tried once in a pass of half a minute.
+
+    Seen on tomen-dail-large: a long-running task that failed runs again after 16 s.
+    """
+    charge(EVALUATION_S, PLACED_TASK_S)
+
+    async def scenario():
+        lasting = batch_spec(1, 31, lasting=True)
+        blocker = batch_spec(4, 2, max_per_runner=1)
+        planner, _, owner_state = make_owner(4, lasting, blocker)
+        runners = list(owner_state.runner_by_id.values())
+        absent = owner_state.job_by_id["job-0"].run_by_step[0, 0]
+        failed = owner_state.add_attempt(absent, 0, runners[0])
+        owner_state.end_attempt(runners[0], failed.task, 1, Outcome.FAILED, "")
+        blocked = owner_state.job_by_id["job-1"].run_by_step[0, 0]
+        for index, runner in enumerate(runners):
+            owner_state.add_attempt(blocked, index, runner)
+
+        def make_room():
+            task = blocked.task_id(2)
+            owner_state.end_attempt(runners[2], task, 1, Outcome.DONE, "")
+
+        await change_during_long_pass(planner, owner_state, make_room)
+        assert list(absent.tasks[0].attempt_by_run) == [2]
+
+    run_virtual(scenario)
+
+
+def test_task_of_an_unlisted_runner_is_placed_during_a_long_pass(charge, monkeypatch):
+    """Guards against leases that lapse only once a long pass has ended.
+
+    The runner is not listed in this term, so that no poll finds that they have lapsed.
+    """
+    charge(EVALUATION_S, PLACED_TASK_S)
+    lapsed_ids = set()
+    monkeypatch.setattr(Runner, "leases_lapsed", lambda self, _: self.id in lapsed_ids)
+
+    async def scenario():
+        planner, _, owner_state = make_owner(4, batch_spec(1, lasting=True))
+        job = owner_state.job_by_id["job-0"]
+        step = job.run_by_step[0, 0]
+        step.open_indexes.discard(0)
+        step.tasks[0].last_run = 1
+        job.restore_attempt(step, 0, 1, "gone", 1)
+        owner_state.restore_allocations(job)
+
+        await change_during_long_pass(
+            planner, owner_state, lambda: lapsed_ids.add("gone")
+        )
+        assert list(step.tasks[0].attempt_by_run) == [2]
+
+    run_virtual(scenario)
+
+
 def test_runner_after_its_quarantine_gets_tasks_of_one_step():
     """Guards against a faulty runner that gets the tasks of many jobs as a probe."""
 
