A question about a job is answered within its own time

Callers could wait beyond their deadline for the state of an accepted job, where a refusal would have let them ask another instance.

Cause: each of up to three reads of the store was retried for the whole time of the request, and nothing limited the wait for one of the client's eight connections.

--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -40,8 +40,8 @@
 
 #: Mean pause before a failed call to the store is repeated, in seconds.
 RETRY_PAUSE_S = 0.1
-#: Shortest timeout of a store transaction, in seconds. An unloaded store takes 5 ms.
-MIN_TRANSACT_TIMEOUT_S = 0.05
+#: Shortest timeout of a call to the store, in seconds. An unloaded store takes 5 ms.
+MIN_CALL_TIMEOUT_S = 0.05
 #: Largest age of a reported number of waiting jobs, in seconds.
 MAX_BACKLOG_AGE_S = 1.9
 #: Seconds after which a client may repeat a request that came before this instance
@@ -183,7 +183,8 @@
 
         Its owner could not hold it until others have ended.
         """
-        if await self._read_row(row, timeout_s) is not None:
+        until_s = self._clock.now() + timeout_s
+        if await self._read_row(row, until_s) is not None:
             log.info("job_already_accepted", job=spec.id, queue=spec.queue)
             return
         self._metrics.incr("jobs_refused_full")
@@ -202,24 +203,25 @@
         job_id : str
             Id of the job.
         timeout_s : float
-            Seconds for which a read of the store is retried.
+            Seconds that all reads of the store may take together.
 
         Raises
         ------
         FlamingoweirError
-            If the store can't be read.
+            If the store can't be read in time.
         """
         final_state = self._final_state_by_job.get(job_id)
         if final_state is not None:
             return final_state
+        until_s = self._clock.now() + timeout_s
         shard = shard_name(0)
-        state = await self._read_state(shard, job_id, timeout_s)
+        state = await self._read_state(shard, job_id, until_s)
         if state is not None:
             return state
-        if await self._read_row(job_row(shard, job_id), timeout_s) is not None:
+        if await self._read_row(job_row(shard, job_id), until_s) is not None:
             return JobState.PENDING
         # The job may have ended between the two reads.
-        return await self._read_state(shard, job_id, timeout_s)
+        return await self._read_state(shard, job_id, until_s)
 
     async def cancel(self, job_id: str, timeout_s: float) -> bool:
         """Cancel a job durably.
@@ -243,17 +245,16 @@
             If the store can't be read, or does not confirm the cancellation in time.
         """
         shard = shard_name(0)
-        started_s = self._clock.now()
+        until_s = self._clock.now() + timeout_s
         while True:
-            remaining_s = timeout_s - (self._clock.now() - started_s)
-            row = await self._read_row(job_row(shard, job_id), remaining_s)
+            row = await self._read_row(job_row(shard, job_id), until_s)
             if row is None:
-                return await self._read_state(shard, job_id, remaining_s) is not None
+                return await self._read_state(shard, job_id, until_s) is not None
             transaction = Transaction(
                 [(row.id, row.version)], [(cancel_row(shard, job_id), b"{}")], ()
             )
             try:
-                await self._transact(transaction, remaining_s)
+                await self._transact(transaction, until_s - self._clock.now())
             except RowVersionConflict:
                 continue
             log.info("cancel_accepted", job=job_id)
@@ -328,7 +329,7 @@
         while True:
             remaining_s = timeout_s - (self._clock.now() - started_s)
             try:
-                with anyio.fail_after(max(MIN_TRANSACT_TIMEOUT_S, remaining_s)):
+                with anyio.fail_after(max(MIN_CALL_TIMEOUT_S, remaining_s)):
                     return await self._store.transact(transaction)
             except TimeoutError:
                 outcome_unknown = True
@@ -351,26 +352,33 @@
                 )
             await anyio.sleep(RETRY_PAUSE_S * self._generator.uniform(0.5, 1.5))
 
-    async def _read_row(self, row: RowId, timeout_s: float) -> VersionedRow | None:
-        """Return a row, or None if it does not exist; retry failed reads."""
-        started_s = self._clock.now()
+    async def _read_row(self, row: RowId, until_s: float) -> VersionedRow | None:
+        """Return a row, or None if it does not exist; retry failed reads.
+
+        A read ends at ``until_s`` on the instance's clock, also one that still waits
+        for a connection: the submitter can then ask another instance.
+        """
         while True:
+            remaining_s = until_s - self._clock.now()
             try:
-                page = await self._store.read(
-                    row.table, row.part, row.key, row.key + "\0", 1
-                )
+                with anyio.fail_after(max(MIN_CALL_TIMEOUT_S, remaining_s)):
+                    page = await self._store.read(
+                        row.table, row.part, row.key, row.key + "\0", 1
+                    )
                 return page.rows[0] if page.rows else None
+            except TimeoutError:
+                detail = "no response before the submitter's deadline"
             except (StoreRefused, StoreOutcomeUnknown) as error:
                 detail = str(error)
-            if self._clock.now() - started_s + RETRY_PAUSE_S >= timeout_s:
+            if self._clock.now() + RETRY_PAUSE_S >= until_s:
                 log.warning("store_gave_no_answer", row=row.key, detail=detail)
                 raise store_unavailable_error()
             await anyio.sleep(RETRY_PAUSE_S * self._generator.uniform(0.5, 1.5))
 
     async def _read_state(
-        self, shard: str, job_id: str, timeout_s: float
+        self, shard: str, job_id: str, until_s: float
     ) -> JobState | None:
-        row = await self._read_row(state_row(shard, job_id), timeout_s)
+        row = await self._read_row(state_row(shard, job_id), until_s)
         if row is None or row.value is None:
             return None
         state = decode_state(row.value).state
--- a/tests/utils/ingress.py
+++ b/tests/utils/ingress.py
@@ -1,5 +1,7 @@
 """Requests of submitters as the adapter receives them, without a socket."""
 
+import orjson
+
 from flamingoweir.jobs import decode_spec
 from flamingoweir.ownership import job_row
 from flamingoweir.platform._ingress import IngressApp
@@ -37,3 +39,25 @@
     if row is not None:
         cluster.spec_by_id[job_id] = decode_spec(row.value)
     return statuses[0]
+
+
+async def get_state(
+    cluster: Cluster, member: Member, job_id: str, deadline: bytes = b"3000"
+) -> tuple[int, dict]:
+    """Ask for the state of a job; return the HTTP status and the body."""
+    app = IngressApp(member.instance.handler, cluster.wall_ms)
+    statuses, parts = [], []
+
+    async def send(message):
+        if message["type"] == "http.response.start":
+            statuses.append(message["status"])
+        parts.append(message.get("body", b""))
+
+    scope = {
+        "type": "http",
+        "method": "GET",
+        "path": PREFIX + job_id,
+        "headers": [(b"host", HOST.encode()), (b"x-deadline-ms", deadline)],
+    }
+    await app(scope, None, send)
+    return statuses[0], orjson.loads(b"".join(parts))
