A job whose stored state can't be read gets an error, not a wrong state

Callers who asked for the state of a job saw `pending` for one that was done, if its row was no Base64, and otherwise an exception of the server without a line in the log.

Now the answer is status 500 with code `internal`, and the line `state_unreadable` names the job. A cancellation only asks whether the row is there. The four cases of test_state_row_that_is_unreadable_gets_an_answer failed before.

--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -249,7 +249,8 @@
         while True:
             row = await self._read_row(job_row(shard, job_id), until_s)
             if row is None:
-                return await self._read_state(shard, job_id, until_s) is not None
+                row = await self._read_row(state_row(shard, job_id), until_s)
+                return row is not None
             transaction = Transaction(
                 [(row.id, row.version)], [(cancel_row(shard, job_id), b"{}")], ()
             )
@@ -379,9 +380,17 @@
         self, shard: str, job_id: str, until_s: float
     ) -> JobState | None:
         row = await self._read_row(state_row(shard, job_id), until_s)
-        if row is None or row.value is None:
+        if row is None:
             return None
-        state = decode_state(row.value).state
+        try:
+            state = decode_state(row.value or b"").state
+        except ValueError as error:
+            log.error("state_unreadable", job=job_id, detail=str(error))
+            raise FlamingoweirError(
+                ErrorCode.INTERNAL,
+                f"the stored state of job {job_id} can't be read; ask the operators of "
+                "this instance",
+            ) from error
         if state in FINAL_STATES:
             self._cache_final_state(job_id, state)
         return state
--- a/tests/test_status_reads.py
+++ b/tests/test_status_reads.py
@@ -3,9 +3,12 @@
 import random
 
 import anyio
+import pytest
 
 from flamingoweir import transport
+from flamingoweir.jobs import JobState
 from flamingoweir.metrics import NoMetrics
+from flamingoweir.ownership import state_row
 from flamingoweir.platform._store import PlatformStore
 from flamingoweir.queues import SubmissionHandler
 from tests.utils.cluster import make_job, run_cluster
@@ -19,6 +22,15 @@
 MAX_ANSWER_S = DEADLINE_S / 2
 
 
+async def submit_and_end(cluster):
+    """Let a job run to its end; return it."""
+    await cluster.owner()
+    await anyio.sleep(1)
+    job = await cluster.submit(make_job(1))
+    await cluster.wait_for(job, JobState.DONE, 10.0)
+    return job
+
+
 def test_state_is_asked_for_while_the_store_is_lost_twice():
     """Guards against reads that each take the whole time that a submitter waits."""
 
@@ -79,3 +91,20 @@
             assert anyio.current_time() - started_s < MAX_ANSWER_S
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("value", [b"", b"{", b'{"state":"frozen","ended_ms":0}', None])
+def test_state_row_that_is_unreadable_gets_an_answer(value):
+    """Guards against a wrong state, or none, for a job whose row can't be read."""
+
+    async def scenario():
+        async with run_cluster(members=2) as cluster:
+            job = await submit_and_end(cluster)
+            cluster.rows.put(state_row("s0", job.id), value)
+            member = cluster.add_member("front-new")
+            await anyio.sleep(1)
+            status, body = await get_state(cluster, member, job.id)
+            assert status == 500
+            assert body["error"]["code"] == "internal"
+
+    run_virtual(scenario)
