A listed runner without a connection stays known to its owner

Only runners that are not listed are dropped now, and only attempts that exist are logged as lapsed.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -261,7 +261,7 @@
         self._stop_surplus(job)
 
     def remove_lapsed_unlisted(self) -> None:
-        """End lapsed attempts on runners never listed in this term; drop these runners.
+        """End lapsed attempts on runners without an address; drop those not listed.
 
         These runners come from attempts in the store, and their address is unknown.
         """
@@ -269,8 +269,10 @@
         for runner in list(self.runner_by_id.values()):
             if runner.entry.address or not runner.leases_lapsed(now_s):
                 continue
-            self.end_lapsed_attempts(runner)
-            del self.runner_by_id[runner.id]
+            if runner.has_attempts:
+                self.end_lapsed_attempts(runner)
+            if runner.id not in self._entry_by_id:
+                del self.runner_by_id[runner.id]
 
     def record_lost(self, runner: Runner, detail: str) -> None:
         """Record a call to a runner that got no response, and log the first of a row.
