An owner's first leases end when its row says

Callers would see a task run twice (TWICE) after two changes of the owner in a row: the first owner doesn't reach a runner and dies; the second one reaches it, and is cut off from the store before its second write.

Cause: the second owner's first writes pass on what is left of the first one's leases on the runner, which may be nothing. Its own leases there were limited to 2.5 s after the write (SHORT_LEASE_VALID_S), whatever that row said, so that the third owner took them for lapsed while they ran on. Rows of an owner that has begun to list runners itself say 2.75 s at least.

Now a lease on a runner that the row names ends when the row says, if that is earlier. If it would end before the next poll, the owner writes its row at once and renews after that.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -97,7 +97,9 @@
             batch = self._collect()
             confirmed_s = self._writer.confirmed_s
             await self._writer.commit(batch.puts, batch.deletes)
-            if self._writer.confirmed_s - confirmed_s > FULL_LEASES_S:
+            was_away = self._writer.confirmed_s - confirmed_s > FULL_LEASES_S
+            if was_away or self._owner_state.renewal_awaits_write:
+                self._owner_state.renewal_awaits_write = False
                 self._orders.renew_leases()
             self._apply_committed(batch)
 
--- a/flamingoweir/dispatch/_context.py
+++ b/flamingoweir/dispatch/_context.py
@@ -6,7 +6,7 @@
 import anyio
 
 from ..clock import Clock
-from ..fleet import Runner
+from ..fleet import LEAVING_LEASE_S, Runner
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..ownership import FencedWriter, OwnershipLost
@@ -60,10 +60,15 @@
     def renew_lease(self, runner: Runner) -> int | None:
         """Renew a lease; return its end in ms on the runner's clock.
 
-        The result is None if the owner may not renew it now.
+        The result is None if the owner may not renew it now. If it may end before the
+        next poll renews it, all leases are renewed after the next write, which is made
+        at once.
         """
         now_s = self.clock.now()
         end_s = self.writer.limit_lease(runner.id, now_s + runner.lease_s)
+        if end_s < now_s + min(runner.lease_s, LEAVING_LEASE_S):
+            self.owner_state.renewal_awaits_write = True
+            self.owner_state.write_wakeup.set()
         return runner.grant_lease(end_s, now_s) if end_s > now_s else None
 
 
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -89,6 +89,8 @@
         Set when there are changes to write.
     stop_wakeup : Wakeup
         Set when there are attempts to stop.
+    renewal_awaits_write : bool
+        Whether a lease was renewed for less, as the owner row doesn't allow more.
     health : RunnerHealth
         Which runners may be used, judged by how tasks end on them.
     colocation : ColocationPolicy
@@ -118,6 +120,7 @@
         self.placement_wakeup = Wakeup()
         self.write_wakeup = Wakeup()
         self.stop_wakeup = Wakeup()
+        self.renewal_awaits_write = False
         self.health = RunnerHealth()
         self.colocation = ColocationPolicy()
         self.fault_log = FaultLog(metrics, clock)
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -64,6 +64,18 @@
     return granted_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
 
 
+def _short_valid_s(end_in_s: float) -> float:
+    """Return for how long after a write a short lease may last by the owner's clock.
+
+    Parameters
+    ----------
+    end_in_s : float
+        Seconds after the write by which the lease has lapsed, as the owner row says.
+    """
+    longest_s = (end_in_s - LEASE_MARGIN_S) * (1 - CLOCK_DRIFT)
+    return min(SHORT_LEASE_VALID_S, longest_s)
+
+
 class OwnershipLost(Exception):
     """Another instance owns the shard, or ownership can no longer be confirmed."""
 
@@ -137,10 +149,11 @@
         self._confirmed_s = float("-inf")
         #: When the last lease ends that was granted, on the owner's clock.
         self._granted_until_s = float("-inf")
-        #: Runners in `leases_end_in_s_by_runner` of the latest confirmed write.
-        self._short_in_store: frozenset[str] = frozenset()
-        #: Runners in `leases_end_in_s_by_runner` of writes that are not confirmed.
-        self._short_in_flight: set[str] = set()
+        #: For how long leases are valid by `leases_end_in_s_by_runner` of the latest
+        #: confirmed write.
+        self._short_in_store: dict[str, float] = {}
+        #: The same of writes that are not confirmed; the least of them.
+        self._short_in_flight: dict[str, float] = {}
 
     async def acquire(
         self, row: VersionedRow | None, seen_s: float | None = None
@@ -196,9 +209,11 @@
         end_s : float
             Until when the lease is wanted, on the owner's clock, in seconds.
         """
-        valid_s = LEASE_VALID_S
-        if runner in self._short_in_store or runner in self._short_in_flight:
-            valid_s = SHORT_LEASE_VALID_S
+        valid_s = min(
+            LEASE_VALID_S,
+            self._short_in_store.get(runner, LEASE_VALID_S),
+            self._short_in_flight.get(runner, LEASE_VALID_S),
+        )
         end_s = min(end_s, self._confirmed_s + valid_s)
         self._granted_until_s = max(self._granted_until_s, end_s)
         return end_s
@@ -252,7 +267,10 @@
         # Runners that are lost while the write is repeated, as the store is away, keep
         # their full leases.
         short_leases = self.list_short_leases()
-        self._short_in_flight.update(short_leases)
+        for runner, end_in_s in short_leases.items():
+            valid_s = _short_valid_s(end_in_s)
+            known_s = self._short_in_flight.get(runner, valid_s)
+            self._short_in_flight[runner] = min(known_s, valid_s)
         while True:
             sent_s = self._clock.now()
             record = dataclasses.replace(
@@ -285,8 +303,7 @@
             self._version = version
             self._confirmed_s = sent_s
             # Of a repeated write, it is unknown which transaction was applied.
-            self._short_in_store = frozenset(self._short_in_flight)
-            self._short_in_flight.clear()
+            self._short_in_store, self._short_in_flight = self._short_in_flight, {}
             self._metrics.timing(
                 "journal_write_ms", 1000 * (self._clock.now() - first_sent_s)
             )
