A release says no less than an earlier row said of a runner

A task could run twice (TWICE) after two releases of the shard within moments. The row of the first one names a runner that its owner doesn't reach, with a later end than all other leases. The second owner reaches that runner, so that it names it no more, and releases the shard before it has renewed a lease there: its row then says that all leases have lapsed.

The bound of all leases now includes what the earlier row said of single runners. It differs only in the row of an owner that releases the shard within seconds of taking it.

Evidence: test_release_says_less_than_an_earlier_row_said_of_a_runner failed before (a row that says 0.2 s where 5 s are left).

--- a/flamingoweir/ownership/_earlier_leases.py
+++ b/flamingoweir/ownership/_earlier_leases.py
@@ -60,6 +60,11 @@
         """Return when the leases on a runner have lapsed, in seconds."""
         return self._end_s_by_runner.get(runner, self.end_s)
 
+    @property
+    def latest_end_s(self) -> float:
+        """When the last of the leases has lapsed, in seconds."""
+        return max([self.end_s, *self._end_s_by_runner.values()])
+
     def left_s_by_runner(self, now_s: float) -> dict[str, float]:
         """Return the seconds left for each runner with an end of its own."""
         left_s_by_runner = {}
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -312,12 +312,13 @@
     def _leases_end_in_s(self, now_s: float) -> float:
         """Return `OwnerRecord.leases_end_in_s` of a write that is sent now.
 
-        An owner that releases the shard grants nothing more.
+        An owner that releases the shard grants nothing more. A runner that an earlier
+        row named may be named no more, as it responds; what was granted there goes on.
         """
         lease_s = LEASE_VALID_S
         if self._record.released:
             lease_s = max(0.0, self._granted_until_s - now_s)
-        earlier_s = self.earlier_leases.end_s - now_s
+        earlier_s = self.earlier_leases.latest_end_s - now_s
         return max(longest_lease_s(lease_s), earlier_s)
 
     def _list_earlier_leases(self) -> dict[str, float]:
--- a/tests/test_earlier_leases.py
+++ b/tests/test_earlier_leases.py
@@ -131,3 +131,28 @@
         assert record.leases_end_in_s >= longest_lease_s(LEASE_VALID_S)
 
     run_virtual(scenario)
+
+
+def test_release_says_less_than_an_earlier_row_said_of_a_runner():
+    """Guards against an owner that releases the shard before it has granted anything.
+
+    The row of the owner before, which had released the shard too, named a runner with a
+    later end than all others. The runner responds now, and is named no more.
+    """
+
+    async def scenario():
+        rows = MemoryRows()
+        first = make_writer(rows)
+        await first.acquire(None)
+        first.list_short_leases = lambda: {"runner-0": 5.0}
+        await first.release()
+        released_s = anyio.current_time()
+        second = make_writer(rows)
+        await second.acquire(rows.row_by_id[owner_row("s0")], released_s)
+        second.list_short_leases = dict
+        await second.release()
+        record = read_record(rows)
+        ends_s = record.written_s - rows.CLOCK_OFFSET_S + record.leases_end_in_s
+        assert ends_s >= released_s + 4.9
+
+    run_virtual(scenario)
