--- a/tests/test_owner_lost_with_runner.py
+++ b/tests/test_owner_lost_with_runner.py
@@ -10,6 +10,7 @@
 from tests.utils.cluster import run_cluster
 from tests.utils.losses import (
     check_runs,
+    cut_after_next_owner,
     cut_from_store,
     freeze,
     isolate,
@@ -170,3 +171,32 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("rate", [1.0, 0.98], ids=["exact", "slow-clock"])
+@pytest.mark.parametrize("offset_s", [0.0, 0.3, 0.6, 0.9])
+@pytest.mark.parametrize("state", ["ready", "draining"])
+def test_task_runs_twice_on_a_runner_that_responds_once_to_its_next_owner(
+    state, offset_s, rate
+):
+    """Guards against an owner that forgets earlier leases with the first response.
+
+    The former owner is cut from the store and renews leases until the next one calls.
+    Then nobody reaches the runner any more. Only the next owner knows that the runner
+    drains, and grants a shorter lease than the former one has granted.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, rate=rate) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(offset_s)
+            cut_after_next_owner(cluster, runner)
+            await cut_from_store(cluster, await cluster.owner())
+            cluster.list_runner(runner.id, state=state)
+            lost_s = anyio.current_time()
+            await anyio.sleep(HISTORY_S)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 2
+            assert last_start_s(cluster, job) < lost_s + MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
--- a/tests/utils/losses.py
+++ b/tests/utils/losses.py
@@ -75,3 +75,21 @@
     for other in cluster.member_by_name.values():
         if other is not member and runner.id in other.link_by_runner:
             other.link_by_runner[runner.id].disconnected = True
+
+
+def cut_after_next_owner(cluster: Cluster, runner) -> None:
+    """Cut a runner from everybody once it has responded to its next owner."""
+    first_fences = []
+    respond = runner.poll
+
+    def respond_and_cut(fence, *args):
+        report = respond(fence, *args)
+        first_fences.append(fence)
+        if fence > first_fences[0]:
+            cluster.sole_member_by_runner[runner.id] = "nobody"
+            for member in cluster.member_by_name.values():
+                if runner.id in member.link_by_runner:
+                    member.link_by_runner[runner.id].disconnected = True
+        return report
+
+    runner.poll = respond_and_cut
