A poll that waits ends with the incarnation that was called

Cause: the stand-in runner's link went on with that poll on the next incarnation, and granted it a lease until a deadline on the former clock. A process that crashes ends its connections, and on the platform a call names its incarnation (X-Expect-Instance), so that no poll that waits reaches the next one.

Now such a poll fails, as one of a runner that has crashed.

--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -448,6 +448,9 @@
         report = self.runner.poll(fence, acknowledged, deadline_ms)
         while not report.ended and anyio.current_time() < until_s:
             await anyio.sleep(POLL_CHECK_INTERVAL_S)
+            if self.runner.incarnation != report.incarnation:
+                # The connection ended with the incarnation that was called.
+                raise RunnerUnreachable(self.runner.id)
             if self.disconnected or not self.runner.up:
                 await self._reach_or_fail()
             self.runner.advance()
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -1,10 +1,11 @@
-"""Start orders that reach a runner's next incarnation, which has the same id."""
+"""Calls that reach a runner's next incarnation, which has the same id."""
 
 import anyio
 import pytest
 
 from flamingoweir.jobs import JobState
 from tests.utils.cluster import make_job, run_cluster
+from tests.utils.losses import check_runs, cut_runner, kill, start_lasting
 from tests.utils.virtual_time import run_virtual
 
 #: Age in seconds of a runner when it restarts; all late orders come before the clock of
@@ -44,3 +45,28 @@
             await cluster.wait_for(other, JobState.DONE, 3.0)
 
     run_virtual(scenario)
+
+
+def test_next_incarnation_carries_out_a_poll_that_waited_for_the_former_one():
+    """Guards against a lease that ends by the clock of a former incarnation.
+
+    Seeds 16 and 62640 of tests/test_histories.py: a runner restarts during a poll that
+    waits, and is then cut off together with the owner.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(FORMER_LIFE_S)
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+            await anyio.sleep(2)
+            owner = await cluster.owner()
+            cut_runner(cluster, runner)
+            await kill(cluster, owner)
+            await anyio.sleep(25)
+            assert cluster.starts(f"{job.id}.0.0.0")[-1] != runner.id
+            check_runs(cluster)
+
+    run_virtual(scenario)
--- a/tests/utils/losses.py
+++ b/tests/utils/losses.py
@@ -77,6 +77,14 @@
             other.link_by_runner[runner.id].disconnected = True
 
 
+def cut_runner(cluster: Cluster, runner) -> None:
+    """Cut a runner from everybody; it stays listed."""
+    cluster.sole_member_by_runner[runner.id] = "nobody"
+    for member in cluster.member_by_name.values():
+        if runner.id in member.link_by_runner:
+            member.link_by_runner[runner.id].disconnected = True
+
+
 def cut_after_next_owner(cluster: Cluster, runner) -> None:
     """Cut a runner from everybody once it has responded to its next owner."""
     first_fences = []
@@ -86,10 +94,7 @@
         report = respond(fence, *args)
         first_fences.append(fence)
         if fence > first_fences[0]:
-            cluster.sole_member_by_runner[runner.id] = "nobody"
-            for member in cluster.member_by_name.values():
-                if runner.id in member.link_by_runner:
-                    member.link_by_runner[runner.id].disconnected = True
+            cut_runner(cluster, runner)
         return report
 
     runner.poll = respond_and_cut
