Later owners know which tasks may have crashed a lost runner

Cause: an owner tells a crash from a cut by the next life of the machine, and kept until then in memory which machine it was, which tasks are suspected and how much. Its successor read only that the task had an attempt there.

Now the suspicion of a run (runner, machine, incarnation, blame, until when on the wall clock) is stored with the state of its job, in the next write, once the runner has been silent for half a second. It ends, also in the store, if the runner responds with the same incarnation, and with the blame if a next life proves a crash, in one row. What a former owner has recorded of a runner counts: other attempts of it are not suspected. A crash counts for 35 s from the loss, as about before (30 s from the lapse of the leases).

A state row keeps at most 200 suspected runs on 50 runners, the latest, which are half of the smallest row. Former builds ignore the field; rows without it are read as before.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -9,6 +9,8 @@
     Attempt,
     Job,
     StateRecord,
+    Suspicion,
+    TaskId,
     encode_state,
     encode_tasks,
 )
@@ -183,11 +185,27 @@
             ended_ms,
             job.blame_by_task,
             closed_occurrences=job.closed_occurrences.ranges,
+            suspicion_by_run=self._find_suspicions(job),
         )
         row = state_row(self._writer.shard, job_id)
         batch.puts.append((row, encode_state(record)))
         log.info("job_state", job=job_id, queue=job.spec.queue, state=job.state)
 
+    def _find_suspicions(self, job: Job) -> dict[tuple[TaskId, int], Suspicion]:
+        """Return the suspicions of a job that still count, by the wall clock."""
+        if job.is_final:
+            return {}
+        now_s = self._context.clock.now()
+        wall_s = self._context.wall_ms() / 1000
+        suspicion_by_run = {}
+        for run, suspicion in job.suspicion_by_run.items():
+            left_s = suspicion.until_s - now_s
+            if left_s > 0:
+                suspicion_by_run[run] = dataclasses.replace(
+                    suspicion, until_s=wall_s + left_s
+                )
+        return suspicion_by_run
+
     def _collect_tasks(self, job: Job, batch: _Batch) -> None:
         """Add changed tasks, and drop those of finished occurrences.
 
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -7,6 +7,7 @@
 from ..faults import FaultLog
 from ..fleet import (
     LEAVING_LEASE_S,
+    LOST_AFTER_S,
     RUNNER_LEASE_S,
     Allocation,
     Runner,
@@ -21,6 +22,7 @@
     Outcome,
     StateRecord,
     StepRun,
+    Suspicion,
     TaskId,
 )
 from ..logs import get_logger
@@ -267,6 +269,7 @@
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
             allocation.started_s = float("-inf")
+        self._crash_detector.restore(job.suspicion_by_run)
         self._stop_surplus(job)
 
     def remove_lapsed_unlisted(self) -> None:
@@ -294,6 +297,8 @@
         now_s = self._clock.now()
         is_first = runner.unresponsive_since_s is None
         runner.record_no_response(now_s)
+        if now_s - runner.unresponsive_since_s >= LOST_AFTER_S:
+            self._suspect_tasks(runner, now_s)
         if not is_first:
             return
         unheard_s = runner.unheard_s(now_s)
@@ -339,7 +344,7 @@
             term_s=round(now_s - self._started_s, 2),
             granted_by=_find_granter(runner),
         )
-        self._crash_detector.record_lapsed(runner, now_s)
+        self._suspect_tasks(runner, now_s)
         for allocation in list(runner.allocation_by_run.values()):
             attempt = allocation.attempt
             self.end_attempt(runner, attempt.task, attempt.run, Outcome.LAPSED, "")
@@ -347,14 +352,18 @@
     def record_restart(
         self, runner: Runner, former: int | None, lost: list[Allocation]
     ) -> None:
-        """Record that a runner has restarted with the same id and lost allocations."""
+        """Record a new incarnation of a runner's id, and which allocations it lost."""
+        self.record_response(runner)
         crash = self._crash_detector.find_crash_of_restarted(runner, former, lost)
         if crash is not None:
             self._blame(crash)
 
     def record_response(self, runner: Runner) -> None:
         """Record that a runner responds that did not respond before."""
-        self._crash_detector.record_response(runner)
+        for suspect in self._crash_detector.record_response(runner):
+            job = self.job_by_id.get(suspect.task.job)
+            if job is not None and job.end_suspicion(suspect.task, suspect.run):
+                self.changed_job_ids.add(job.spec.id)
 
     def add_attempt(self, step: StepRun, index: int, runner: Runner) -> Attempt:
         """Create an attempt of a task on a runner whose incarnation is known."""
@@ -510,10 +519,26 @@
             waiting[queue] = waiting.get(queue, 0) + 1
         return waiting
 
+    def _suspect_tasks(self, runner: Runner, now_s: float) -> None:
+        """Record which tasks may have crashed a lost runner, also for later owners."""
+        lost = self._crash_detector.record_lost(runner, now_s)
+        if lost is None:
+            return
+        for suspect in lost.suspects:
+            job = self.job_by_id.get(suspect.task.job)
+            if job is None:
+                continue
+            suspicion = Suspicion(
+                lost.id, lost.machine, lost.incarnation, suspect.blame, lost.until_s
+            )
+            job.suspect(suspect.task, suspect.run, suspicion)
+            self.changed_job_ids.add(job.spec.id)
+        self.write_wakeup.set()
+
     def _blame_crashes(self) -> None:
         now_s = self._clock.now()
         crashes = self._crash_detector.find_crashes(
-            self.runner_by_id.values(), self._entry_by_id, now_s
+            self.runner_by_id, self._entry_by_id, now_s
         )
         for crash in crashes:
             self._blame(crash)
@@ -526,6 +551,9 @@
             job = self.job_by_id.get(suspect.task.job)
             if job is None:
                 continue
+            suspected = job.end_suspicion(suspect.task, suspect.run)
+            if crash.recorded and not suspected:
+                continue
             given_up = job.blame_task(suspect.task, suspect.blame)
             self._mark_changed(job)
             if not given_up:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -1,5 +1,6 @@
 """One term of an owner, from taking a shard until losing or releasing it."""
 
+import dataclasses
 from collections.abc import Callable, Sequence
 
 import anyio
@@ -7,7 +8,14 @@
 from ..clock import Clock
 from ..faults import Containment
 from ..fleet import Runner
-from ..jobs import FINAL_STATES, StateRecord, decode_state, restore_tasks
+from ..jobs import (
+    FINAL_STATES,
+    StateRecord,
+    Suspicion,
+    TaskId,
+    decode_state,
+    restore_tasks,
+)
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..ownership import (
@@ -18,6 +26,7 @@
     OwnershipLost,
     job_parts,
 )
+from ..policy import RETURN_WINDOW_S
 from ..registry import (
     OperatorView,
     RowDecoder,
@@ -255,7 +264,9 @@
         for job_id, record in record_by_job.items():
             job = self.owner_state.job_by_id.get(job_id)
             if job is not None:
-                job.restore_state(record.state, record.blame_by_task)
+                job.restore_state(
+                    record.state, record.blame_by_task, self._find_suspicions(record)
+                )
         for job in list(self.owner_state.job_by_id.values()):
             with self._contain("job_restore_failed", job=job.spec.id) as block:
                 job.update_state()
@@ -284,7 +295,7 @@
         for row in states:
             job_id = row.id.key
             with self._contain("state_unreadable", job=job_id) as block:
-                record = decode_state(row.value or b"")
+                record = decode_state(job_id, row.value or b"")
             if block.failed:
                 # The job may have ended, so that nothing of it may run.
                 self.owner_state.exclude_job(job_id)
@@ -316,6 +327,22 @@
         committer.record_row(job_id, tasks_key)
         self.owner_state.changed_job_ids.add(job_id)
 
+    def _find_suspicions(
+        self, record: StateRecord
+    ) -> dict[tuple[TaskId, int], Suspicion]:
+        """Return the suspicions of a record that still count, by the owner's clock."""
+        now_s = self._clock.now()
+        wall_s = self._context.wall_ms() / 1000
+        suspicion_by_run = {}
+        for run, suspicion in record.suspicion_by_run.items():
+            # A wall clock that was set must not prolong them.
+            left_s = min(RETURN_WINDOW_S, suspicion.until_s - wall_s)
+            if left_s > 0:
+                suspicion_by_run[run] = dataclasses.replace(
+                    suspicion, until_s=now_s + left_s
+                )
+        return suspicion_by_run
+
     def _contain(self, event: str, **subject: str) -> Containment:
         return self.owner_state.fault_log.contain(event, **subject)
 
--- a/flamingoweir/fleet/__init__.py
+++ b/flamingoweir/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from ._runner import (
     LEAVING_LEASE_S,
+    LOST_AFTER_S,
     RUNNER_LEASE_S,
     START_WINDOW_S,
     Allocation,
@@ -10,6 +11,7 @@
 
 __all__ = [
     "LEAVING_LEASE_S",
+    "LOST_AFTER_S",
     "RUNNER_LEASE_S",
     "START_WINDOW_S",
     "Allocation",
--- a/flamingoweir/jobs/__init__.py
+++ b/flamingoweir/jobs/__init__.py
@@ -2,7 +2,15 @@
 
 from ._attempt import Attempt, AttemptState, Outcome, TaskId
 from ._index_set import IndexSet
-from ._job import FINAL_STATES, MAX_IDLE_STEPS, TASKS_PER_ROW, Job, JobState, StepRun
+from ._job import (
+    FINAL_STATES,
+    MAX_IDLE_STEPS,
+    TASKS_PER_ROW,
+    Job,
+    JobState,
+    StepRun,
+    Suspicion,
+)
 from ._record import (
     StateRecord,
     decode_spec,
@@ -31,6 +39,7 @@
     "StateRecord",
     "StepRun",
     "StepSpec",
+    "Suspicion",
     "Task",
     "TaskId",
     "decode_spec",
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -33,6 +33,33 @@
 #: it, so that two runners at least have crashed.
 MAX_BLAME = 4
 
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A lost runner that a task may have crashed, while nothing shows a crash yet.
+
+    Attributes
+    ----------
+    runner : str
+        Id of the runner.
+    machine : str
+        Its machine, or its address if the machine is not known.
+    incarnation : int
+        Its incarnation. A later one of the machine shows that the runner has crashed.
+    blame : int
+        Blame of the task for the crash.
+    until_s : float
+        Until when a crash counts, in seconds: on the owner's clock in a `Job`, since
+        1970 in a `StateRecord`.
+    """
+
+    runner: str
+    machine: str
+    incarnation: int
+    blame: int
+    until_s: float
+
+
 FINAL_STATES = frozenset({JobState.DONE, JobState.FAILED, JobState.CANCELLED})
 
 
@@ -177,6 +204,9 @@
     blame_by_task : dict of TaskId to int
         How much tasks are suspected of crashing the runners that start them; tasks that
         are not suspected are missing.
+    suspicion_by_run : dict of (TaskId, int) to Suspicion
+        What the next owner has to know of lost runners to blame tasks for their
+        crashes, by task and run.
     """
 
     def __init__(self, spec: JobSpec):
@@ -195,6 +225,7 @@
         self.accepted_s = 0.0
         self.critical_paths_s = spec.critical_paths_s()
         self.blame_by_task: dict[TaskId, int] = {}
+        self.suspicion_by_run: dict[tuple[TaskId, int], Suspicion] = {}
         if not spec.scheduled:
             self.open_occurrence(0)
 
@@ -256,6 +287,9 @@
         for task_id in list(self.blame_by_task):
             if task_id.occurrence in self.finished_occurrences:
                 del self.blame_by_task[task_id]
+        for task_id, run in list(self.suspicion_by_run):
+            if task_id.occurrence in self.finished_occurrences:
+                del self.suspicion_by_run[task_id, run]
         self.finished_occurrences.clear()
         self.state_changed = True
 
@@ -443,6 +477,21 @@
         self._set_state(JobState.FAILED)
         return True
 
+    def suspect(self, task_id: TaskId, run: int, suspicion: Suspicion) -> None:
+        """Record that a run of a task may have crashed a runner."""
+        task = self.find(task_id)
+        if task is None or task.done or self.is_final:
+            return
+        self.suspicion_by_run[task_id, run] = suspicion
+        self.state_changed = True
+
+    def end_suspicion(self, task_id: TaskId, run: int) -> bool:
+        """End the suspicion of a run, by a crash or none; return whether it had one."""
+        if self.suspicion_by_run.pop((task_id, run), None) is None:
+            return False
+        self.state_changed = True
+        return True
+
     def clear_blame(self, task_id: TaskId) -> None:
         """Record that a runner was up for some time after it had started a task."""
         if self.blame_by_task.pop(task_id, None) is not None:
@@ -461,14 +510,21 @@
         self.closed_occurrences = IndexSet(ranges)
 
     def restore_state(
-        self, state: JobState, blame_by_task: Mapping[TaskId, int]
+        self,
+        state: JobState,
+        blame_by_task: Mapping[TaskId, int],
+        suspicion_by_run: Mapping[tuple[TaskId, int], Suspicion],
     ) -> None:
-        """Restore the state and the blame that were read from the store."""
+        """Restore the state, blame and suspicions that were read from the store."""
         if state in FINAL_STATES or self.state is JobState.PENDING:
             self.state = state
         for task_id, blame in blame_by_task.items():
             if self.find(task_id) is not None:
                 self.blame_by_task[task_id] = blame
+        for (task_id, run), suspicion in suspicion_by_run.items():
+            task = self.find(task_id)
+            if task is not None and not task.done:
+                self.suspicion_by_run[task_id, run] = suspicion
 
     def cancel(self) -> bool:
         """Cancel the job; return whether its state changed."""
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -6,13 +6,22 @@
 import pydantic
 
 from ._attempt import TaskId
-from ._job import TASKS_PER_ROW, Job, JobState, StepRun
+from ._job import TASKS_PER_ROW, Job, JobState, StepRun, Suspicion
 from ._spec import JobSpec, find_invalid_dependency
 from ._task_table import Task
 
 #: Latest run, whether done, failures, checkpoint and attempts of a task; an attempt has
 #: its run, runner and incarnation.
 _TaskRecord = tuple[int, bool, int, str, list[tuple[int, str, int]]]
+#: Occurrence, step, index, run and blame of a task that may have crashed a runner.
+_SuspectRecord = tuple[int, int, int, int, int]
+#: Id, machine and incarnation of a lost runner, until when its crash counts in
+#: milliseconds since 1970, and the tasks that may have crashed it.
+_LostRecord = tuple[str, str, int, int, list[_SuspectRecord]]
+#: Largest numbers of lost runners and of suspected runs in a state row, the latest
+#: first. The texts of a runner have at most 200 bytes each, so that this is 30 KB.
+MAX_LOST_RUNNERS = 50
+MAX_SUSPECTED_RUNS = 200
 _SPEC = pydantic.TypeAdapter(JobSpec)
 _TASKS = pydantic.TypeAdapter(list[_TaskRecord])
 
@@ -57,6 +66,8 @@
     set_aside : bool
         Whether nothing of the job may run any more, as an error has left an owner in
         doubt of what was done.
+    suspicion_by_run : dict of (TaskId, int) to Suspicion
+        See `Job`.
     closed_occurrences : list of (int, int)
         Ranges of the occurrences that are done; see `Job` and `IndexSet`. A due one in
         none of them is open, whether or not its tasks have a row.
@@ -67,6 +78,7 @@
     blame_by_task: dict[TaskId, int] = field(default_factory=dict)
     set_aside: bool = False
     closed_occurrences: list[tuple[int, int]] = field(default_factory=list)
+    suspicion_by_run: dict[tuple[TaskId, int], Suspicion] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +90,7 @@
     blame: dict[str, int] = field(default_factory=dict)
     set_aside: bool = False
     closed: list[tuple[int, int]] = field(default_factory=list)
+    lost: list[_LostRecord] = field(default_factory=list)
 
 
 _STATE = pydantic.TypeAdapter(_StoredState)
@@ -93,11 +106,13 @@
         fields["closed"] = record.closed_occurrences
     if record.blame_by_task:
         fields["blame"] = {str(t): b for t, b in record.blame_by_task.items()}
+    if record.suspicion_by_run:
+        fields["lost"] = _encode_suspicions(record.suspicion_by_run)
     return orjson.dumps(fields)
 
 
-def decode_state(data: bytes) -> StateRecord:
-    """Return the state that `encode_state` encoded.
+def decode_state(job: str, data: bytes) -> StateRecord:
+    """Return the state of a job that `encode_state` encoded.
 
     Raises
     ------
@@ -106,11 +121,41 @@
     """
     stored = _STATE.validate_json(data, strict=True)
     blame_by_task = {TaskId.parse(task): blame for task, blame in stored.blame.items()}
+    suspicion_by_run = {}
+    for runner, machine, incarnation, until_ms, suspects in stored.lost:
+        for occurrence, step, index, run, blame in suspects:
+            suspicion_by_run[TaskId(job, occurrence, step, index), run] = Suspicion(
+                runner, machine, incarnation, blame, until_ms / 1000
+            )
     return StateRecord(
-        stored.state, stored.ended_ms, blame_by_task, stored.set_aside, stored.closed
+        stored.state,
+        stored.ended_ms,
+        blame_by_task,
+        stored.set_aside,
+        stored.closed,
+        suspicion_by_run,
     )
 
 
+def _encode_suspicions(
+    suspicion_by_run: dict[tuple[TaskId, int], Suspicion],
+) -> list[_LostRecord]:
+    """Return the stored form of suspicions, by runner; the latest if there are many."""
+    latest = sorted(
+        suspicion_by_run.items(), key=lambda item: item[1].until_s, reverse=True
+    )
+    suspects_by_runner: dict[tuple, list[_SuspectRecord]] = {}
+    for (task, run), suspicion in latest[:MAX_SUSPECTED_RUNS]:
+        until_ms = round(1000 * suspicion.until_s)
+        runner = suspicion.runner, suspicion.machine, suspicion.incarnation, until_ms
+        suspects = suspects_by_runner.setdefault(runner, [])
+        suspects.append((task.occurrence, task.step, task.index, run, suspicion.blame))
+    records = []
+    for runner, suspects in list(suspects_by_runner.items())[:MAX_LOST_RUNNERS]:
+        records.append((*runner, suspects))
+    return records
+
+
 def row_key(job: str, row: tuple[int, int, int]) -> str:
     """Return the key of a row of tasks.
 
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -1,7 +1,7 @@
 """Scheduling policies: order, placement, colocation, health; no input or output."""
 
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy, PaceChange
-from ._crashes import SURVIVAL_S, Crash, CrashDetector
+from ._crashes import RETURN_WINDOW_S, SURVIVAL_S, Crash, CrashDetector, LostRunner
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
 from ._headroom import BatchHeadroom, ServiceLoad
@@ -13,11 +13,13 @@
 __all__ = [
     "EVICT_AFTER_S",
     "MAX_PLACEMENT_WAIT_S",
+    "RETURN_WINDOW_S",
     "SURVIVAL_S",
     "BatchHeadroom",
     "ColocationPolicy",
     "Crash",
     "CrashDetector",
+    "LostRunner",
     "PaceChange",
     "PlacementPolicy",
     "RunnerHealth",
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from ..fleet import Allocation, Runner
-from ..jobs import TaskId
+from ..jobs import Suspicion, TaskId
 from ..registry import RunnerEntry
 
 #: Seconds after its start from which an attempt is not suspected of a crash.
@@ -21,9 +21,9 @@
 WEAK_BLAME = 1
 #: Blame for a crash within `EARLY_CRASH_S` of the start.
 STRONG_BLAME = 2
-#: Seconds after the loss of a runner within which the next life of its machine shows
-#: that it has crashed.
-RETURN_WINDOW_S = 30.0
+#: Seconds after the loss of a runner was recorded within which the next life of its
+#: machine shows that it has crashed. At least 30 s are left when its leases lapse.
+RETURN_WINDOW_S = 35.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,33 +47,52 @@
 
 @dataclass(frozen=True, slots=True)
 class Crash:
-    """A runner that has crashed, by its id, and the tasks that may have caused it."""
+    """A runner that has crashed.
+
+    Attributes
+    ----------
+    runner : str
+        Id of the runner.
+    suspects : tuple of Suspect
+        The tasks that may have caused it.
+    recorded : bool
+        Whether they were recorded when the runner was lost; see `LostRunner`.
+    """
 
     runner: str
     suspects: tuple[Suspect, ...]
+    recorded: bool
 
 
 @dataclass(frozen=True, slots=True)
-class _Life:
-    """One life of a machine, which a runner is."""
+class LostRunner:
+    """A runner that was lost with attempts, of which it is not known if it has crashed.
+
+    Attributes
+    ----------
+    id : str
+        Id of the runner.
+    machine : str
+        Its machine, or its address if the machine is not known.
+    incarnation : int
+        Its incarnation.
+    suspects : tuple of Suspect
+        The tasks that may have crashed it. Others that it had are not suspected.
+    until_s : float
+        Until when a crash counts, on the owner's clock, in seconds.
+    """
 
+    id: str
     machine: str
     incarnation: int
+    suspects: tuple[Suspect, ...]
+    until_s: float
 
     def is_over(self, born_by_machine: Mapping[str, int]) -> bool:
         """Return whether the machine has a later life."""
         return born_by_machine.get(self.machine, 0) > self.incarnation
 
 
-@dataclass(frozen=True, slots=True)
-class _LostRunner:
-    """A runner whose attempts have ended; a crash counts until ``until_s``."""
-
-    life: _Life
-    suspects: tuple[Suspect, ...]
-    until_s: float
-
-
 class CrashDetector:
     """Tells runners that have crashed from runners that are cut off.
 
@@ -81,16 +100,40 @@
     """
 
     def __init__(self) -> None:
-        #: Runners whose attempts have ended, by id.
-        self._lost_by_runner: dict[str, _LostRunner] = {}
+        #: Runners that were lost, by id; also those of former owners.
+        self._lost_by_runner: dict[str, LostRunner] = {}
 
-    def record_lapsed(self, runner: Runner, now_s: float) -> None:
-        """Record that the leases of a runner have lapsed, before its attempts end."""
-        life = _find_life(runner)
-        suspects = _find_suspects(runner.allocation_by_run.values(), runner.lost_s)
-        if life is not None and suspects:
-            until_s = now_s + RETURN_WINDOW_S
-            self._lost_by_runner[runner.id] = _LostRunner(life, suspects, until_s)
+    def record_lost(self, runner: Runner, now_s: float) -> LostRunner | None:
+        """Record that an unresponsive runner is lost.
+
+        Returns
+        -------
+        LostRunner or None
+            None if the loss is recorded already, by a former owner maybe, or if no task
+            is suspected.
+        """
+        lost = _find_lost(runner, now_s + RETURN_WINDOW_S)
+        if lost is None or not lost.suspects or self._is_recorded(lost):
+            return None
+        self._lost_by_runner[runner.id] = lost
+        return lost
+
+    def restore(self, suspicion_by_run: Mapping[tuple[TaskId, int], Suspicion]) -> None:
+        """Restore what former owners have recorded of the tasks of a job."""
+        for (task, run), suspicion in suspicion_by_run.items():
+            suspects = (Suspect(task, run, suspicion.blame),)
+            known = self._lost_by_runner.get(suspicion.runner)
+            if known is not None and known.incarnation > suspicion.incarnation:
+                continue
+            if known is not None and known.incarnation == suspicion.incarnation:
+                suspects = known.suspects + suspects
+            self._lost_by_runner[suspicion.runner] = LostRunner(
+                suspicion.runner,
+                suspicion.machine,
+                suspicion.incarnation,
+                suspects,
+                suspicion.until_s,
+            )
 
     def find_crash_of_restarted(
         self, runner: Runner, former: int | None, lost: Iterable[Allocation]
@@ -108,21 +151,29 @@
         """
         if runner.crashed_incarnation and former in (None, runner.crashed_incarnation):
             return None
-        lapsed = self._lost_by_runner.pop(runner.id, None)
-        if lapsed is not None and lapsed.life.incarnation < runner.incarnation:
-            return Crash(runner.id, lapsed.suspects)
+        recorded = self._lost_by_runner.pop(runner.id, None)
+        if recorded is not None and recorded.incarnation < runner.incarnation:
+            return Crash(runner.id, recorded.suspects, True)
         suspects = _find_suspects(lost, runner.lost_s)
-        return Crash(runner.id, suspects) if suspects else None
+        return Crash(runner.id, suspects, False) if suspects else None
 
-    def record_response(self, runner: Runner) -> None:
-        """Record that a runner responds: with the same incarnation, it was cut off."""
-        lapsed = self._lost_by_runner.get(runner.id)
-        if lapsed is not None and lapsed.life.incarnation == runner.incarnation:
-            del self._lost_by_runner[runner.id]
+    def record_response(self, runner: Runner) -> tuple[Suspect, ...]:
+        """Record that a runner responds: with the same incarnation, it was cut off.
+
+        Returns
+        -------
+        tuple of Suspect
+            The tasks that are not suspected any more.
+        """
+        recorded = self._lost_by_runner.get(runner.id)
+        if recorded is None or recorded.incarnation != runner.incarnation:
+            return ()
+        del self._lost_by_runner[runner.id]
+        return recorded.suspects
 
     def find_crashes(
         self,
-        runners: Iterable[Runner],
+        runner_by_id: Mapping[str, Runner],
         entry_by_id: Mapping[str, RunnerEntry],
         now_s: float,
     ) -> list[Crash]:
@@ -130,7 +181,7 @@
 
         Parameters
         ----------
-        runners : iterable of Runner
+        runner_by_id : mapping of str to Runner
             Runners that may have attempts.
         entry_by_id : mapping of str to RunnerEntry
             The listed runners.
@@ -138,7 +189,7 @@
             Time on the owner's clock, in seconds.
         """
         unresponsive = []
-        for runner in runners:
+        for runner in runner_by_id.values():
             if runner.unresponsive_since_s is not None and runner.has_attempts:
                 unresponsive.append(runner)
         if not unresponsive and not self._lost_by_runner:
@@ -149,25 +200,32 @@
             born = max(entry.incarnation, born_by_machine.get(machine, 0))
             born_by_machine[machine] = born
         crashes = []
-        for runner_id, lost in list(self._lost_by_runner.items()):
-            if lost.life.is_over(born_by_machine):
-                crashes.append(Crash(runner_id, lost.suspects))
-            elif now_s <= lost.until_s:
-                continue
-            del self._lost_by_runner[runner_id]
         for runner in unresponsive:
-            life = _find_life(runner)
-            if life is None or not life.is_over(born_by_machine):
+            lost = _find_lost(runner, now_s)
+            if lost is None or not lost.is_over(born_by_machine):
                 continue
-            runner.crashed_incarnation = life.incarnation
-            suspects = _find_suspects(runner.allocation_by_run.values(), runner.lost_s)
-            if suspects:
-                crashes.append(Crash(runner.id, suspects))
+            runner.crashed_incarnation = lost.incarnation
+            if lost.suspects and not self._is_recorded(lost):
+                crashes.append(Crash(runner.id, lost.suspects, False))
+        for runner_id, recorded in list(self._lost_by_runner.items()):
+            if recorded.is_over(born_by_machine):
+                crashes.append(Crash(runner_id, recorded.suspects, True))
+                runner = runner_by_id.get(runner_id)
+                if runner is not None and runner.incarnation is None:
+                    # Its response must not count as another crash.
+                    runner.crashed_incarnation = recorded.incarnation
+            elif now_s <= recorded.until_s:
+                continue
+            del self._lost_by_runner[runner_id]
         return crashes
 
+    def _is_recorded(self, lost: LostRunner) -> bool:
+        recorded = self._lost_by_runner.get(lost.id)
+        return recorded is not None and recorded.incarnation == lost.incarnation
+
 
-def _find_life(runner: Runner) -> _Life | None:
-    """Return the life of an unresponsive runner.
+def _find_lost(runner: Runner, until_s: float) -> LostRunner | None:
+    """Return what is known of an unresponsive runner.
 
     The result is None if the runner was to leave, or if its crash is known already.
     """
@@ -177,7 +235,12 @@
         return None
     if runner.crashed_incarnation == incarnation:
         return None
-    return _Life(_machine(entry), incarnation)
+    of_life = []
+    for allocation in runner.allocation_by_run.values():
+        if allocation.attempt.incarnation == incarnation:
+            of_life.append(allocation)
+    suspects = _find_suspects(of_life, runner.lost_s)
+    return LostRunner(runner.id, _machine(entry), incarnation, suspects, until_s)
 
 
 def _find_suspects(
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -373,7 +373,7 @@
         row = await self._read_row(state_row(shard, job_id), timeout_s)
         if row is None or row.value is None:
             return None
-        state = decode_state(row.value).state
+        state = decode_state(job_id, row.value).state
         if state in FINAL_STATES:
             self._cache_final_state(job_id, state)
         return state
