--- a/tests/test_renewals_of_lost_runners.py
+++ b/tests/test_renewals_of_lost_runners.py
@@ -3,9 +3,39 @@
 import anyio
 import pytest
 
+from flamingoweir.jobs import JobState
+from flamingoweir.ownership import LEASE_VALID_S
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
 
+#: Seconds for which the store is away. Leases end `LEASE_VALID_S` after the last write,
+#: up to 0.4 s before; once the store is back, a lost call may take 0.7 s to time out.
+OUTAGE_S = LEASE_VALID_S - 1.2
+
+
+@pytest.mark.parametrize("fault", ["down", "silent"])
+@pytest.mark.parametrize("offset_s", [0.0, 0.1, 0.2, 0.3, 0.5, 0.7, 0.9])
+def test_tasks_lapse_after_the_store_is_back(offset_s, fault):
+    """Guards against leases that are renewed only once a poll has ended.
+
+    A poll waits for up to a second.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(6, lasting=True)))
+            await anyio.sleep(2 + offset_s)
+            setattr(owner.store, fault, True)
+            await anyio.sleep(OUTAGE_S)
+            setattr(owner.store, fault, False)
+            await anyio.sleep(5)
+            assert len(cluster.records("start")) == 6
+            assert await cluster.state(job) is JobState.RUNNING
+
+    run_virtual(scenario)
+
 
 @pytest.mark.parametrize("fault", ["down", "silent"])
 @pytest.mark.parametrize("lost_s", [0.3, 0.7, 1.5])
@@ -25,8 +55,7 @@
             link.disconnected = True
             await anyio.sleep(lost_s)
             link.disconnected = False
-            # Within LEASE_VALID_S of the last write.
-            await anyio.sleep(6.5 - lost_s)
+            await anyio.sleep(OUTAGE_S - 0.5 - lost_s)
             setattr(owner.store, fault, False)
             await anyio.sleep(5)
             assert len(cluster.starts(f"{job.id}.0.0.0")) == 1
