A task that is about to be given up takes down no runner every 1.8 s

Cause: a runner that is lost before the first poll after a start has a lease of 1.5 s, so that the task starts again 1.8 s later, four times before the first next life is listed.

Now the attempt of a task that is given up if all its suspicions prove true ends no sooner than 3.5 s after the loss was noticed. Other attempts on the runner end as before.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -22,7 +22,9 @@
 from ..metrics import Metrics
 from ..ownership import EarlierLeases
 from ..policy import (
+    RETURN_WINDOW_S,
     SURVIVAL_S,
+    SUSPECT_WAIT_S,
     ColocationPolicy,
     Crash,
     CrashDetector,
@@ -272,7 +274,8 @@
             if runner.entry.address or not runner.leases_lapsed(now_s):
                 continue
             self.end_lapsed_attempts(runner)
-            del self.runner_by_id[runner.id]
+            if not runner.has_attempts:
+                del self.runner_by_id[runner.id]
 
     def record_lost(self, runner: Runner, detail: str) -> None:
         """Record a call to a runner that got no response, and log the first of a row.
@@ -288,7 +291,7 @@
         is_first = runner.unresponsive_since_s is None
         runner.record_no_response(now_s)
         if now_s - runner.unresponsive_since_s >= LOST_AFTER_S:
-            self._suspect_tasks(runner, now_s)
+            self._suspect_tasks(runner)
         if not is_first:
             return
         unheard_s = runner.unheard_s(now_s)
@@ -322,22 +325,43 @@
         )
 
     def end_lapsed_attempts(self, runner: Runner) -> None:
-        """End all attempts on a runner whose leases have certainly lapsed."""
+        """End attempts on a runner whose leases have certainly lapsed.
+
+        Those that may be given up for the loss of the runner wait a little longer.
+        """
         now_s = self._clock.now()
+        self._suspect_tasks(runner)
+        attempts = []
+        for allocation in runner.allocation_by_run.values():
+            if not self._waits_for_crash(allocation.attempt, now_s):
+                attempts.append(allocation.attempt)
+        if not attempts:
+            return
         unheard_s = runner.unheard_s(now_s)
         log.warning(
             "leases_lapsed",
             runner=runner.id,
-            attempts=len(runner.allocation_by_run),
+            attempts=len(attempts),
             unheard_s=None if unheard_s is None else round(unheard_s, 2),
             term_s=round(now_s - self._started_s, 2),
             granted_by=_find_granter(runner),
         )
-        self._suspect_tasks(runner, now_s)
-        for allocation in list(runner.allocation_by_run.values()):
-            attempt = allocation.attempt
+        for attempt in attempts:
             self.end_attempt(runner, attempt.task, attempt.run, Outcome.LAPSED, "")
 
+    def _waits_for_crash(self, attempt: Attempt, now_s: float) -> bool:
+        """Return whether a task is not started elsewhere yet, as it may be given up.
+
+        Leases of a runner that is lost right after a start are short.
+        """
+        job = self.job_by_id.get(attempt.task.job)
+        if job is None:
+            return False
+        suspicion = job.suspicion_by_run.get((attempt.task, attempt.run))
+        if suspicion is None or not job.may_be_given_up(attempt.task):
+            return False
+        return suspicion.until_s - now_s > RETURN_WINDOW_S - SUSPECT_WAIT_S
+
     def record_restart(
         self, runner: Runner, former: int | None, lost: list[Allocation]
     ) -> None:
@@ -508,9 +532,9 @@
             waiting[queue] = waiting.get(queue, 0) + 1
         return waiting
 
-    def _suspect_tasks(self, runner: Runner, now_s: float) -> None:
+    def _suspect_tasks(self, runner: Runner) -> None:
         """Record which tasks may have crashed a lost runner, also for later owners."""
-        lost = self._crash_detector.record_lost(runner, now_s)
+        lost = self._crash_detector.record_lost(runner)
         if lost is None:
             return
         for suspect in lost.suspects:
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -485,6 +485,14 @@
         self.suspicion_by_run[task_id, run] = suspicion
         self.state_changed = True
 
+    def may_be_given_up(self, task_id: TaskId) -> bool:
+        """Return whether a task is given up if all its suspicions prove true."""
+        blame = self.blame_by_task.get(task_id, 0)
+        for (suspected, _), suspicion in self.suspicion_by_run.items():
+            if suspected == task_id:
+                blame += suspicion.blame
+        return blame >= MAX_BLAME
+
     def end_suspicion(self, task_id: TaskId, run: int) -> bool:
         """End the suspicion of a run, by a crash or none; return whether it had one."""
         if self.suspicion_by_run.pop((task_id, run), None) is None:
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -1,7 +1,14 @@
 """Scheduling policies: order, placement, colocation, health; no input or output."""
 
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy, PaceChange
-from ._crashes import RETURN_WINDOW_S, SURVIVAL_S, Crash, CrashDetector, LostRunner
+from ._crashes import (
+    RETURN_WINDOW_S,
+    SURVIVAL_S,
+    SUSPECT_WAIT_S,
+    Crash,
+    CrashDetector,
+    LostRunner,
+)
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
 from ._headroom import BatchHeadroom, ServiceLoad
@@ -15,6 +22,7 @@
     "MAX_PLACEMENT_WAIT_S",
     "RETURN_WINDOW_S",
     "SURVIVAL_S",
+    "SUSPECT_WAIT_S",
     "BatchHeadroom",
     "ColocationPolicy",
     "Crash",
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -21,9 +21,14 @@
 WEAK_BLAME = 1
 #: Blame for a crash within `EARLY_CRASH_S` of the start.
 STRONG_BLAME = 2
-#: Seconds after the loss of a runner was recorded within which the next life of its
+#: Seconds after the loss of a runner was noticed within which the next life of its
 #: machine shows that it has crashed. At least 30 s are left when its leases lapse.
 RETURN_WINDOW_S = 35.0
+#: Seconds after the loss of a runner was noticed before which a task is not started
+#: elsewhere that is given up if all its suspicions prove true. It would take another
+#: runner down every 1.8 s. Any task of a lost runner may have to wait as long, for a
+#: full lease.
+SUSPECT_WAIT_S = 3.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +108,7 @@
         #: Runners that were lost, by id; also those of former owners.
         self._lost_by_runner: dict[str, LostRunner] = {}
 
-    def record_lost(self, runner: Runner, now_s: float) -> LostRunner | None:
+    def record_lost(self, runner: Runner) -> LostRunner | None:
         """Record that an unresponsive runner is lost.
 
         Returns
@@ -112,7 +117,7 @@
             None if the loss is recorded already, by a former owner maybe, or if no task
             is suspected.
         """
-        lost = _find_lost(runner, now_s + RETURN_WINDOW_S)
+        lost = _find_lost(runner)
         if lost is None or not lost.suspects or self._is_recorded(lost):
             return None
         self._lost_by_runner[runner.id] = lost
@@ -201,7 +206,7 @@
             born_by_machine[machine] = born
         crashes = []
         for runner in unresponsive:
-            lost = _find_lost(runner, now_s)
+            lost = _find_lost(runner)
             if lost is None or not lost.is_over(born_by_machine):
                 continue
             runner.crashed_incarnation = lost.incarnation
@@ -224,7 +229,7 @@
         return recorded is not None and recorded.incarnation == lost.incarnation
 
 
-def _find_lost(runner: Runner, until_s: float) -> LostRunner | None:
+def _find_lost(runner: Runner) -> LostRunner | None:
     """Return what is known of an unresponsive runner.
 
     The result is None if the runner was to leave, or if its crash is known already.
@@ -240,6 +245,7 @@
         if allocation.attempt.incarnation == incarnation:
             of_life.append(allocation)
     suspects = _find_suspects(of_life, runner.lost_s)
+    until_s = runner.lost_s + RETURN_WINDOW_S
     return LostRunner(runner.id, _machine(entry), incarnation, suspects, until_s)
 
 
--- a/tests/test_suspicions.py
+++ b/tests/test_suspicions.py
@@ -1,11 +1,13 @@
 """What is stored of lost runners, for later owners to blame tasks for their crashes."""
 
+import itertools
 from dataclasses import dataclass, field
 
 import anyio
 import pydantic
 import pytest
 
+from flamingoweir.fleet import RUNNER_LEASE_S
 from flamingoweir.jobs import (
     JobState,
     StateRecord,
@@ -115,3 +117,26 @@
             assert not cluster.find_overlaps()
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("silent", [False, True], ids=["closes", "silent"])
+def test_suspected_task_is_away_for_no_longer_than_a_full_lease(silent):
+    """Guards against a task that waits for machines that don't come back."""
+
+    async def scenario():
+        async with run_cluster(members=1, runners=6) as cluster:
+            job = make_job(1, make_step(1, lasting=True))
+            task = f"{job.id}.0.0.0"
+            crashing = CrashingTasks(cluster, {task}, down_s=100.0, silent=silent)
+            cluster.tasks.start_soon(crashing.run)
+            await cluster.owner()
+            await anyio.sleep(1)
+            await cluster.submit(job)
+            await anyio.sleep(20)
+            starts = [r.at_s for r in cluster.records("start") if str(r.task) == task]
+            gaps_s = [later - at for at, later in itertools.pairwise(starts)]
+            assert len(gaps_s) >= 3
+            # A call that times out takes half a second.
+            assert max(gaps_s) < RUNNER_LEASE_S + 1.0
+
+    run_virtual(scenario)
