No crash is blamed on a task that has run for long since

Callers would see a long-running job shown as failed, without an end `failed` (LOST): its first run is lost with its runner right after the start, a later one runs on for 15 s, the third is lost right after its start, and the machines of the first and the third come back.

Cause: 2 s of running, or an end that a runner reports, cleared the blame that had been given. A crash that was not told yet by the next life of its machine was still blamed on the task when it was told, beside the next one.

Now that clears suspicions of earlier runs as well, also in the store. Suspicions that have expired leave the job's memory, and a poll marks a job as changed only if it is.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -1,6 +1,7 @@
 """The jobs, runners and attempts of a shard in memory; does no input or output."""
 
 import dataclasses
+from collections.abc import Iterable
 
 from ..clock import Clock
 from ..faults import FaultLog
@@ -29,6 +30,7 @@
     Crash,
     CrashDetector,
     RunnerHealth,
+    Suspect,
 )
 from ..registry import RunnerEntry
 from ..wakeup import Wakeup
@@ -373,7 +375,10 @@
 
     def record_response(self, runner: Runner) -> None:
         """Record that a runner responds that did not respond before."""
-        for suspect in self._crash_detector.record_response(runner):
+        self._end_suspicions(self._crash_detector.record_response(runner))
+
+    def _end_suspicions(self, suspects: Iterable[Suspect]) -> None:
+        for suspect in suspects:
             job = self.job_by_id.get(suspect.task.job)
             if job is not None and job.end_suspicion(suspect.task, suspect.run):
                 self.changed_job_ids.add(job.spec.id)
@@ -441,11 +446,12 @@
         attempt = allocation.attempt
         self.record_start(attempt)
         job = self.job_by_id.get(attempt.task.job)
-        if job is None or not job.blame_by_task:
+        if job is None or not (job.blame_by_task or job.suspicion_by_run):
             return
         if allocation.has_survived(SURVIVAL_S):
             job.clear_blame(attempt.task)
-            self.changed_job_ids.add(job.spec.id)
+            if job.state_changed:
+                self.changed_job_ids.add(job.spec.id)
 
     def record_start(self, attempt: Attempt) -> None:
         """Record a confirmed start; the next write includes the job's new state."""
@@ -549,9 +555,9 @@
         self.write_wakeup.set()
 
     def _blame_crashes(self) -> None:
-        now_s = self._clock.now()
+        self._end_suspicions(self._crash_detector.forget_expired(self._clock.now()))
         crashes = self._crash_detector.find_crashes(
-            self.runner_by_id, self._entry_by_id, now_s
+            self.runner_by_id, self._entry_by_id
         )
         for crash in crashes:
             self._blame(crash)
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -501,9 +501,15 @@
         return True
 
     def clear_blame(self, task_id: TaskId) -> None:
-        """Record that a runner was up for some time after it had started a task."""
+        """Record that a runner was up for some time after it had started a task.
+
+        That also speaks against suspicions of other runs of it.
+        """
         if self.blame_by_task.pop(task_id, None) is not None:
             self.state_changed = True
+        for suspected, run in list(self.suspicion_by_run):
+            if suspected == task_id:
+                self.end_suspicion(suspected, run)
 
     def discard_attempt(self, attempt: Attempt) -> None:
         """Discard an attempt that did not start and cannot start any more."""
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -8,6 +8,7 @@
     Crash,
     CrashDetector,
     LostRunner,
+    Suspect,
 )
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
@@ -33,6 +34,7 @@
     "RunnerHealth",
     "ServiceLoad",
     "StepPlacement",
+    "Suspect",
     "choose_evictions",
     "find_stalled",
     "objective_s",
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -176,11 +176,25 @@
         del self._lost_by_runner[runner.id]
         return recorded.suspects
 
+    def forget_expired(self, now_s: float) -> list[Suspect]:
+        """Forget lost runners whose crash counts no more; return the suspects.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        suspects = []
+        for runner_id, recorded in list(self._lost_by_runner.items()):
+            if now_s > recorded.until_s:
+                suspects += recorded.suspects
+                del self._lost_by_runner[runner_id]
+        return suspects
+
     def find_crashes(
         self,
         runner_by_id: Mapping[str, Runner],
         entry_by_id: Mapping[str, RunnerEntry],
-        now_s: float,
     ) -> list[Crash]:
         """Return the crashes that the listed runners show, each of them once.
 
@@ -190,8 +204,6 @@
             Runners that may have attempts.
         entry_by_id : mapping of str to RunnerEntry
             The listed runners.
-        now_s : float
-            Time on the owner's clock, in seconds.
         """
         unresponsive = []
         for runner in runner_by_id.values():
@@ -219,9 +231,7 @@
                 if runner is not None and runner.incarnation is None:
                     # Its response must not count as another crash.
                     runner.crashed_incarnation = recorded.incarnation
-            elif now_s <= recorded.until_s:
-                continue
-            del self._lost_by_runner[runner_id]
+                del self._lost_by_runner[runner_id]
         return crashes
 
     def _is_recorded(self, lost: LostRunner) -> bool:
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -115,3 +115,37 @@
             assert await cluster.state(job) is JobState.RUNNING
 
     run_virtual(scenario)
+
+
+def test_task_that_ran_for_long_since_is_not_given_up_for_an_earlier_crash():
+    """Guards against blame for a crash that is told after a later run has cleared it.
+
+    The machines of the first and of the third run crash right after the start; the
+    first one comes back when the third run has begun.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=6) as cluster:
+            first_crash = CrashingTasks(cluster, set(), down_s=25.0)
+            crashing = CrashingTasks(cluster, set())
+            await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            task = f"{job.id}.0.0.0"
+            for run in range(1, 4):
+                while len(cluster.starts(task)) < run:
+                    await anyio.sleep(0.01)
+                runner = cluster.runner_by_id[cluster.starts(task)[-1]]
+                if run == 1:
+                    first_crash.crash(runner)
+                    back_s = anyio.current_time() + 25.0
+                elif run == 2:
+                    await anyio.sleep_until(back_s - 4.0)
+                    crashing.crash(runner)
+                else:
+                    assert anyio.current_time() < back_s + 0.5
+                    crashing.crash(runner)
+            await anyio.sleep(15)
+            assert await cluster.state(job) is JobState.RUNNING
+
+    run_virtual(scenario)
