A planned restart of a runner that is cut off is no crash

Callers would see a job shown as failed without an end `failed` (LOST): two runners in a row are cut off from the owner right after they started a task, drain in order, and are back.

Cause: whether a runner drains was looked at when its loss was recorded, which is half a second after the loss since suspicions are stored; before, it was when its leases lapsed.

Now a listed entry that drains, of the same life, ends the suspicions of a lost runner at any time, also in the store.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -555,7 +555,10 @@
         self.write_wakeup.set()
 
     def _blame_crashes(self) -> None:
-        self._end_suspicions(self._crash_detector.forget_expired(self._clock.now()))
+        settled = self._crash_detector.forget_settled(
+            self._entry_by_id, self._clock.now()
+        )
+        self._end_suspicions(settled)
         crashes = self._crash_detector.find_crashes(
             self.runner_by_id, self._entry_by_id
         )
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -176,17 +176,29 @@
         del self._lost_by_runner[runner.id]
         return recorded.suspects
 
-    def forget_expired(self, now_s: float) -> list[Suspect]:
+    def forget_settled(
+        self, entry_by_id: Mapping[str, RunnerEntry], now_s: float
+    ) -> list[Suspect]:
         """Forget lost runners whose crash counts no more; return the suspects.
 
+        These are runners that were cut off and have announced since that they leave,
+        and those that were lost long ago.
+
         Parameters
         ----------
+        entry_by_id : mapping of str to RunnerEntry
+            The listed runners.
         now_s : float
             Time on the owner's clock, in seconds.
         """
         suspects = []
         for runner_id, recorded in list(self._lost_by_runner.items()):
-            if now_s > recorded.until_s:
+            entry = entry_by_id.get(runner_id)
+            leaves = entry is not None and entry.draining
+            if leaves and entry.incarnation > recorded.incarnation:
+                # A later life, which find_crashes looks at.
+                leaves = False
+            if leaves or now_s > recorded.until_s:
                 suspects += recorded.suspects
                 del self._lost_by_runner[runner_id]
         return suspects
--- a/tests/test_suspicions.py
+++ b/tests/test_suspicions.py
@@ -140,3 +140,43 @@
             assert max(gaps_s) < RUNNER_LEASE_S + 1.0
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("kill", [False, True], ids=["same_owner", "next_owner"])
+def test_planned_restart_of_a_runner_that_is_cut_off_blames_nothing(kill):
+    """Guards against a job that is given up for runners that drained in order.
+
+    The owner can't reach them when they announce it.
+    """
+
+    async def scenario():
+        async with run_cluster(members=4, runners=6) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            task = f"{job.id}.0.0.0"
+            for restart in range(1, 3):
+                while len(cluster.starts(task)) < restart:
+                    await anyio.sleep(0.01)
+                runner = cluster.runner_by_id[cluster.starts(task)[-1]]
+                for member in cluster.member_by_name.values():
+                    if runner.id in member.link_by_runner:
+                        member.link_by_runner[runner.id].disconnected = True
+                cluster.sole_member_by_runner[runner.id] = "nobody"
+                await anyio.sleep(2)
+                cluster.list_runner(runner.id, state="draining")
+                await anyio.sleep(0.5)
+                if kill:
+                    cluster.kill_member(await cluster.owner())
+                runner.crash()
+                cluster.unlist_runner(runner.id)
+                await anyio.sleep(1)
+                address = cluster.address_by_runner[runner.id]
+                returned = cluster.add_runner(f"{runner.id}+", address=address)
+                returned.incarnation = runner.incarnation + 1
+                cluster.list_runner(returned.id)
+            await anyio.sleep(15)
+            assert not read_state(cluster, job).blame_by_task
+            assert await cluster.state(job) is JobState.RUNNING
+
+    run_virtual(scenario)
