--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -267,7 +267,7 @@
         self._stop_surplus(job)
 
     def remove_lapsed_unlisted(self) -> None:
-        """End lapsed attempts on runners never listed in this term; drop these runners.
+        """End lapsed attempts on runners without an address; drop those not listed.
 
         These runners come from attempts in the store, and their address is unknown.
         """
@@ -275,8 +275,9 @@
         for runner in list(self.runner_by_id.values()):
             if runner.entry.address or not runner.leases_lapsed(now_s):
                 continue
-            self.end_lapsed_attempts(runner)
-            if not runner.has_attempts:
+            if runner.has_attempts:
+                self.end_lapsed_attempts(runner)
+            if runner.id not in self._entry_by_id and not runner.has_attempts:
                 del self.runner_by_id[runner.id]
 
     def record_lost(self, runner: Runner, detail: str) -> None:
