--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -383,7 +383,7 @@
         if row is None:
             return None
         try:
-            state = decode_state(row.value or b"").state
+            state = decode_state(job_id, row.value or b"").state
         except ValueError as error:
             log.error("state_unreadable", job=job_id, detail=str(error))
             raise FlamingoweirError(
