Room made for an absent long-running task is kept for it

Callers saw long-running tasks away for 10 s and more after a loss of runners, in calm time. Cause: batch is stopped to make room for such a task, one task after the other, and until the last has ended another absent task, a smaller one, takes what is free by then. It lasts, so that it can't be evicted again, and the larger task finds no room.

The new test fails without the change.

Now steps with long-running tasks leave out runners on which room is being made for other steps, for the 2 s of the promise at most. Batch may fill the gap meanwhile, as before.

--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -57,6 +57,27 @@
                 continue
             del self._promise_by_task[task]
 
+    def leave_promised(
+        self, step: StepRun, candidates: Sequence[Runner]
+    ) -> Sequence[Runner]:
+        """Return the candidates without those on which others are promised room.
+
+        Parameters
+        ----------
+        step : StepRun
+            Step with long-running tasks, which could not be evicted from there.
+        candidates : sequence of Runner
+            Runners that suit the step.
+        """
+        own = (step.job.spec.id, step.occurrence, step.step)
+        promised_ids = set()
+        for task, promise in self._promise_by_task.items():
+            if promise.runner and (task.job, task.occurrence, task.step) != own:
+                promised_ids.add(promise.runner)
+        if not promised_ids:
+            return candidates
+        return [runner for runner in candidates if runner.id not in promised_ids]
+
     def make_room(
         self, step: StepRun, candidates: Sequence[Runner], now_s: float
     ) -> None:
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -464,6 +464,8 @@
                 continue
             if placement is None:
                 candidates = self._candidates.find(step)
+                if step.spec.lasting:
+                    candidates = self._evictions.leave_promised(step, candidates)
                 placement = StepPlacement(
                     self._placement, step, candidates, self._now_s
                 )
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -17,7 +17,7 @@
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Job, JobSpec, Outcome, QueuePolicy, StepSpec
 from flamingoweir.metrics import NoMetrics
-from flamingoweir.policy import MAX_PLACEMENT_WAIT_S, PlacementPolicy
+from flamingoweir.policy import EVICT_AFTER_S, MAX_PLACEMENT_WAIT_S, PlacementPolicy
 from flamingoweir.policy._health import QUARANTINE_S
 from flamingoweir.registry import RunnerEntry
 from flamingoweir.resources import Resources
@@ -489,6 +489,63 @@
     run_virtual(scenario)
 
 
+def test_room_made_for_an_absent_task_is_not_taken_by_another_one():
+    """Guards against a large absent task whose room a smaller one takes.
+
+    What long-running tasks take can't be evicted again. Seen on tomen-dail: room is
+    made for both, the smaller one takes the larger one's, and that waits for 10 s.
+    """
+
+    async def scenario():
+        small = batch_spec(1, 4, lasting=True)
+        large = batch_spec(1, 8, lasting=True)
+        planner, _, owner_state = make_owner(
+            2,
+            small,
+            large,
+            batch_spec(4, 2),
+            batch_spec(1, 4, lasting=True),
+            batch_spec(1, 4),
+            processors=8,
+        )
+        first, second = owner_state.runner_by_id.values()
+        steps = [job.run_by_step[0, 0] for job in owner_state.job_by_id.values()]
+
+        def run(step, index, runner):
+            attempt = owner_state.add_attempt(step, index, runner)
+            owner_state.record_start(attempt)
+
+        def end(step, index, runner, outcome):
+            owner_state.end_attempt(runner, step.task_id(index), 1, outcome, "")
+
+        for step in steps[:2]:
+            run(step, 0, first)
+            end(step, 0, first, Outcome.LAPSED)
+        for index in range(4):
+            run(steps[2], index, first)
+        run(steps[3], 0, second)
+        await anyio.sleep(1.0)
+        # The youngest is evicted first.
+        run(steps[4], 0, second)
+        await planner.plan()
+        await anyio.sleep(EVICT_AFTER_S + 0.1)
+        await planner.plan()
+        stops = {str(attempt.task)[:5] for attempt in owner_state.pending_stops}
+        assert stops == {"job-2", "job-4"}
+        owner_state.cancel_job("job-2")
+        owner_state.cancel_job("job-4")
+        for ended in (range(2), range(2, 4)):
+            for index in ended:
+                end(steps[2], index, first, Outcome.STOPPED)
+            await planner.plan()
+        end(steps[4], 0, second, Outcome.STOPPED)
+        await planner.plan()
+        runners = [step.tasks[0].attempt_by_run[2].runner for step in steps[:2]]
+        assert runners == [second.id, first.id]
+
+    run_virtual(scenario)
+
+
 def test_runner_after_its_quarantine_gets_tasks_of_one_step():
     """Guards against a faulty runner that gets the tasks of many jobs as a probe."""
 
