Batch leaves the room that is made for an absent task as well

Now all steps but those that use spare processors leave out runners on which room is being made for another step. The new case of the test fails without the change.

--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -65,7 +65,7 @@
         Parameters
         ----------
         step : StepRun
-            Step with long-running tasks, which could not be evicted from there.
+            Step of which tasks are to be placed.
         candidates : sequence of Runner
             Runners that suit the step.
         """
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -1,7 +1,7 @@
 """Decides which ready tasks start, and on which runners."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import anyio
 
@@ -463,9 +463,7 @@
             if index not in step.open_indexes:
                 continue
             if placement is None:
-                candidates = self._candidates.find(step)
-                if step.spec.lasting:
-                    candidates = self._evictions.leave_promised(step, candidates)
+                candidates = self._find_candidates(step)
                 placement = StepPlacement(
                     self._placement, step, candidates, self._now_s
                 )
@@ -489,6 +487,13 @@
         self._candidates.recheck(step, placed_on.values())
         return True
 
+    def _find_candidates(self, step: StepRun) -> Sequence[Runner]:
+        """Return the runners that suit a step and are not kept free for others."""
+        candidates = self._candidates.find(step)
+        if step.spec.uses_spare:
+            return candidates
+        return self._evictions.leave_promised(step, candidates)
+
     def _choose(
         self, placement: StepPlacement, step: StepRun, index: int
     ) -> Runner | None:
@@ -516,7 +521,7 @@
     def _place_gang(self, step: StepRun) -> bool:
         if len(step.open_indexes) < step.spec.count:
             return False
-        runners = place_gang(step, self._candidates.find(step))
+        runners = place_gang(step, self._find_candidates(step))
         if runners is None:
             return False
         self._owner_state.add_gang_attempts(step, runners)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -489,8 +489,9 @@
     run_virtual(scenario)
 
 
-def test_room_made_for_an_absent_task_is_not_taken_by_another_one():
-    """Guards against a large absent task whose room a smaller one takes.
+@pytest.mark.parametrize("batch", [False, True], ids=["absent", "batch"])
+def test_room_made_for_an_absent_task_is_not_taken_by_another_one(batch):
+    """Guards against a large absent task whose room a smaller one or batch takes.
 
     What long-running tasks take can't be evicted again. Seen on tomen-dail: room is
     made for both, the smaller one takes the larger one's, and that waits for 10 s.
@@ -500,15 +501,16 @@
         small = batch_spec(1, 4, lasting=True)
         large = batch_spec(1, 8, lasting=True)
         planner, _, owner_state = make_owner(
-            2,
+            3,
             small,
             large,
             batch_spec(4, 2),
             batch_spec(1, 4, lasting=True),
             batch_spec(1, 4),
+            batch_spec(1, 5, gang=True),
             processors=8,
         )
-        first, second = owner_state.runner_by_id.values()
+        first, second, third = owner_state.runner_by_id.values()
         steps = [job.run_by_step[0, 0] for job in owner_state.job_by_id.values()]
 
         def run(step, index, runner):
@@ -524,6 +526,8 @@
         for index in range(4):
             run(steps[2], index, first)
         run(steps[3], 0, second)
+        # Of all runners, it has the most room until two tasks on the first have ended.
+        run(steps[5], 0, third)
         await anyio.sleep(1.0)
         # The youngest is evicted first.
         run(steps[4], 0, second)
@@ -534,14 +538,19 @@
         assert stops == {"job-2", "job-4"}
         owner_state.cancel_job("job-2")
         owner_state.cancel_job("job-4")
-        for ended in (range(2), range(2, 4)):
-            for index in ended:
-                end(steps[2], index, first, Outcome.STOPPED)
+        if batch:
+            spec = JobSpec("more", "q", "", (batch_spec(9, 2),), QueuePolicy("s"))
+            owner_state.add_job(spec)
+            # It has a runner kept free for it, too.
+            owner_state.cancel_job("job-0")
+        for index in range(4):
+            end(steps[2], index, first, Outcome.STOPPED)
             await planner.plan()
         end(steps[4], 0, second, Outcome.STOPPED)
         await planner.plan()
-        runners = [step.tasks[0].attempt_by_run[2].runner for step in steps[:2]]
-        assert runners == [second.id, first.id]
+        assert steps[1].tasks[0].attempt_by_run[2].runner == first.id
+        if not batch:
+            assert steps[0].tasks[0].attempt_by_run[2].runner == second.id
 
     run_virtual(scenario)
 
