New long-running tasks leave the room that tasks of lost runners need

Callers saw long-running tasks away for 13 to 18 s after a loss of runners that were back in less than a second, without any change of the owner.

Cause: the next life of a machine is listed, empty, seconds before the leases of its former one have lapsed. In that time both counted as capacity for new long-running tasks, and the tasks of the former life counted nowhere once it was unlisted. New ones took the room; when the absent ones became open, the fleet was full of tasks that can't be evicted.

Both cases of the new test fail without the change.

Now runners that don't respond or leave count as no capacity, and their long-running tasks as placed, since they need room elsewhere soon.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -423,17 +423,27 @@
         return open_tasks
 
     def _measure_load(self, steps: list[StepRun]) -> dict[str, ServiceLoad]:
-        """Return the load of the usable runners, by service."""
+        """Return the load of the usable runners, by service.
+
+        Long-running tasks of runners that are lost or leave count as well: in a few
+        seconds they need room on the others.
+        """
         load_by_service: dict[str, ServiceLoad] = {}
         for runner in self._candidates.runners:
-            if runner.incarnation is None:
+            if runner.incarnation is None or runner.unresponsive_since_s is not None:
                 # Its entry may be all that there is of it.
                 continue
             load = load_by_service.setdefault(runner.entry.service, ServiceLoad())
             lasting_milli = runner.lasting_reserved.processors_milli
             load.capacity_milli += runner.entry.capacity.processors_milli
-            load.lasting_milli += lasting_milli
             load.batch_milli += runner.reserved.processors_milli - lasting_milli
+            if not runner.leaving:
+                load.lasting_milli += lasting_milli
+        for runner in self._owner_state.runner_by_id.values():
+            load = load_by_service.get(runner.entry.service)
+            is_lost = runner.unresponsive_since_s is not None
+            if load is not None and (is_lost or runner.leaving):
+                load.lasting_milli += runner.lasting_reserved.processors_milli
         for step in steps:
             load = load_by_service.get(step.job.spec.policy.service)
             if load is None or step.spec.lasting:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -489,6 +489,41 @@
     run_virtual(scenario)
 
 
+@pytest.mark.parametrize("unlisted", [False, True], ids=["listed", "unlisted"])
+def test_new_lasting_tasks_leave_the_room_of_a_lost_runner(unlisted):
+    """Guards against new long-running tasks that take what absent ones will need.
+
+    A runner is lost, and the next life of its machine is empty. The tasks of the former
+    one can't be started elsewhere yet, as its leases have not lapsed.
+    """
+
+    async def scenario():
+        old = batch_spec(8, 10, lasting=True)
+        new = batch_spec(8, 10, lasting=True)
+        planner, permission, owner_state = make_owner(5, old, new, processors=20)
+        runners = list(owner_state.runner_by_id.values())
+        steps = [job.run_by_step[0, 0] for job in owner_state.job_by_id.values()]
+        for index in range(8):
+            owner_state.add_attempt(steps[0], index, runners[index // 2])
+        now_s = anyio.current_time()
+        runners[0].record_no_response(now_s)
+        if unlisted:
+            permission.forbidden_ids.add("r0")
+            runners[0].leaving = True
+        # The fifth runner is the next life of the first one's machine.
+        await planner.plan()
+        assert len(steps[1].open_indexes) == 8
+        for index in range(2):
+            owner_state.end_attempt(
+                runners[0], steps[0].task_id(index), 1, Outcome.LAPSED, ""
+            )
+        await planner.plan()
+        assert not steps[0].open_indexes
+        assert len(steps[1].open_indexes) == 8
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize("batch", [False, True], ids=["absent", "batch"])
 def test_room_made_for_an_absent_task_is_not_taken_by_another_one(batch):
     """Guards against a large absent task whose room a smaller one or batch takes.
