--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -9,6 +9,8 @@
     Attempt,
     Job,
     StateRecord,
+    Suspicion,
+    TaskId,
     encode_state,
     encode_tasks,
 )
@@ -97,7 +99,9 @@
             batch = self._collect()
             confirmed_s = self._writer.confirmed_s
             await self._writer.commit(batch.puts, batch.deletes)
-            if self._writer.confirmed_s - confirmed_s > FULL_LEASES_S:
+            was_away = self._writer.confirmed_s - confirmed_s > FULL_LEASES_S
+            if was_away or self._owner_state.renewal_awaits_write:
+                self._owner_state.renewal_awaits_write = False
                 self._orders.renew_leases()
             self._apply_committed(batch)
 
@@ -200,11 +204,27 @@
             ended_ms,
             job.blame_by_task,
             closed_occurrences=job.closed_occurrences.ranges,
+            suspicion_by_run=self._find_suspicions(job),
         )
         row = state_row(self._writer.shard, job_id)
         batch.puts.append((row, encode_state(record)))
         log.info("job_state", job=job_id, queue=job.spec.queue, state=job.state)
 
+    def _find_suspicions(self, job: Job) -> dict[tuple[TaskId, int], Suspicion]:
+        """Return the suspicions of a job that still count, by the wall clock."""
+        if job.is_final:
+            return {}
+        now_s = self._context.clock.now()
+        wall_s = self._context.wall_ms() / 1000
+        suspicion_by_run = {}
+        for run, suspicion in job.suspicion_by_run.items():
+            left_s = suspicion.until_s - now_s
+            if left_s > 0:
+                suspicion_by_run[run] = dataclasses.replace(
+                    suspicion, until_s=wall_s + left_s
+                )
+        return suspicion_by_run
+
     def _collect_tasks(self, job: Job, batch: _Batch) -> None:
         """Add changed tasks, and drop those of finished occurrences.
 
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -1,10 +1,11 @@
 """The jobs, runners and attempts of a shard in memory; does no input or output."""
 
 import dataclasses
+from collections.abc import Iterable
 
 from ..clock import Clock
 from ..faults import FaultLog
-from ..fleet import Allocation, Runner
+from ..fleet import LOST_AFTER_S, Allocation, Runner
 from ..jobs import (
     FINAL_STATES,
     Attempt,
@@ -15,17 +16,21 @@
     Outcome,
     StateRecord,
     StepRun,
+    Suspicion,
     TaskId,
 )
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..ownership import EarlierLeases
 from ..policy import (
+    RETURN_WINDOW_S,
     SURVIVAL_S,
+    SUSPECT_WAIT_S,
     ColocationPolicy,
     Crash,
     CrashDetector,
     RunnerHealth,
+    Suspect,
 )
 from ..registry import RunnerEntry
 from ..wakeup import Wakeup
@@ -89,6 +94,8 @@
         Set when there are changes to write.
     stop_wakeup : Wakeup
         Set when there are attempts to stop.
+    renewal_awaits_write : bool
+        Whether a lease was renewed for less, as the owner row doesn't allow more.
     health : RunnerHealth
         Which runners may be used, judged by how tasks end on them.
     colocation : ColocationPolicy
@@ -118,6 +125,7 @@
         self.placement_wakeup = Wakeup()
         self.write_wakeup = Wakeup()
         self.stop_wakeup = Wakeup()
+        self.renewal_awaits_write = False
         self.health = RunnerHealth()
         self.colocation = ColocationPolicy()
         self.fault_log = FaultLog(metrics, clock)
@@ -258,10 +266,11 @@
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
             allocation.started_s = float("-inf")
+        self._crash_detector.restore(job.suspicion_by_run)
         self._stop_surplus(job)
 
     def remove_lapsed_unlisted(self) -> None:
-        """End lapsed attempts on runners never listed in this term; drop these runners.
+        """End lapsed attempts on runners without an address; drop those not listed.
 
         These runners come from attempts in the store, and their address is unknown.
         """
@@ -269,8 +278,10 @@
         for runner in list(self.runner_by_id.values()):
             if runner.entry.address or not runner.leases_lapsed(now_s):
                 continue
-            self.end_lapsed_attempts(runner)
-            del self.runner_by_id[runner.id]
+            if runner.has_attempts:
+                self.end_lapsed_attempts(runner)
+            if runner.id not in self._entry_by_id and not runner.has_attempts:
+                del self.runner_by_id[runner.id]
 
     def record_lost(self, runner: Runner, detail: str) -> None:
         """Record a call to a runner that got no response, and log the first of a row.
@@ -285,6 +296,8 @@
         now_s = self._clock.now()
         is_first = runner.unresponsive_since_s is None
         runner.record_no_response(now_s)
+        if now_s - runner.unresponsive_since_s >= LOST_AFTER_S:
+            self._suspect_tasks(runner)
         if not is_first:
             return
         unheard_s = runner.unheard_s(now_s)
@@ -318,33 +331,61 @@
         )
 
     def end_lapsed_attempts(self, runner: Runner) -> None:
-        """End all attempts on a runner whose leases have certainly lapsed."""
+        """End attempts on a runner whose leases have certainly lapsed.
+
+        Those that may be given up for the loss of the runner wait a little longer.
+        """
         now_s = self._clock.now()
+        self._suspect_tasks(runner)
+        attempts = []
+        for allocation in runner.allocation_by_run.values():
+            if not self._waits_for_crash(allocation.attempt, now_s):
+                attempts.append(allocation.attempt)
+        if not attempts:
+            return
         unheard_s = runner.unheard_s(now_s)
         log.warning(
             "leases_lapsed",
             runner=runner.id,
-            attempts=len(runner.allocation_by_run),
+            attempts=len(attempts),
             unheard_s=None if unheard_s is None else round(unheard_s, 2),
             term_s=round(now_s - self._started_s, 2),
             granted_by=_find_granter(runner),
         )
-        self._crash_detector.record_lapsed(runner, now_s)
-        for allocation in list(runner.allocation_by_run.values()):
-            attempt = allocation.attempt
+        for attempt in attempts:
             self.end_attempt(runner, attempt.task, attempt.run, Outcome.LAPSED, "")
 
+    def _waits_for_crash(self, attempt: Attempt, now_s: float) -> bool:
+        """Return whether a task is not started elsewhere yet, as it may be given up.
+
+        Leases of a runner that is lost right after a start are short.
+        """
+        job = self.job_by_id.get(attempt.task.job)
+        if job is None:
+            return False
+        suspicion = job.suspicion_by_run.get((attempt.task, attempt.run))
+        if suspicion is None or not job.may_be_given_up(attempt.task):
+            return False
+        return suspicion.until_s - now_s > RETURN_WINDOW_S - SUSPECT_WAIT_S
+
     def record_restart(
         self, runner: Runner, former: int | None, lost: list[Allocation]
     ) -> None:
-        """Record that a runner has restarted with the same id and lost allocations."""
+        """Record a new incarnation of a runner's id, and which allocations it lost."""
+        self.record_response(runner)
         crash = self._crash_detector.find_crash_of_restarted(runner, former, lost)
         if crash is not None:
             self._blame(crash)
 
     def record_response(self, runner: Runner) -> None:
         """Record that a runner responds that did not respond before."""
-        self._crash_detector.record_response(runner)
+        self._end_suspicions(self._crash_detector.record_response(runner))
+
+    def _end_suspicions(self, suspects: Iterable[Suspect]) -> None:
+        for suspect in suspects:
+            job = self.job_by_id.get(suspect.task.job)
+            if job is not None and job.end_suspicion(suspect.task, suspect.run):
+                self.changed_job_ids.add(job.spec.id)
 
     def add_attempt(self, step: StepRun, index: int, runner: Runner) -> Attempt:
         """Create an attempt of a task on a runner whose incarnation is known."""
@@ -409,11 +450,12 @@
         attempt = allocation.attempt
         self.record_start(attempt)
         job = self.job_by_id.get(attempt.task.job)
-        if job is None or not job.blame_by_task:
+        if job is None or not (job.blame_by_task or job.suspicion_by_run):
             return
         if allocation.has_survived(SURVIVAL_S):
             job.clear_blame(attempt.task)
-            self.changed_job_ids.add(job.spec.id)
+            if job.state_changed:
+                self.changed_job_ids.add(job.spec.id)
 
     def record_start(self, attempt: Attempt) -> None:
         """Record a confirmed start; the next write includes the job's new state."""
@@ -500,10 +542,29 @@
             waiting[queue] = waiting.get(queue, 0) + 1
         return waiting
 
+    def _suspect_tasks(self, runner: Runner) -> None:
+        """Record which tasks may have crashed a lost runner, also for later owners."""
+        lost = self._crash_detector.record_lost(runner)
+        if lost is None:
+            return
+        for suspect in lost.suspects:
+            job = self.job_by_id.get(suspect.task.job)
+            if job is None:
+                continue
+            suspicion = Suspicion(
+                lost.id, lost.machine, lost.incarnation, suspect.blame, lost.until_s
+            )
+            job.suspect(suspect.task, suspect.run, suspicion)
+            self.changed_job_ids.add(job.spec.id)
+        self.write_wakeup.set()
+
     def _blame_crashes(self) -> None:
-        now_s = self._clock.now()
+        settled = self._crash_detector.forget_settled(
+            self._entry_by_id, self._clock.now()
+        )
+        self._end_suspicions(settled)
         crashes = self._crash_detector.find_crashes(
-            self.runner_by_id.values(), self._entry_by_id, now_s
+            self.runner_by_id, self._entry_by_id
         )
         for crash in crashes:
             self._blame(crash)
@@ -516,6 +577,9 @@
             job = self.job_by_id.get(suspect.task.job)
             if job is None:
                 continue
+            suspected = job.end_suspicion(suspect.task, suspect.run)
+            if crash.recorded and not suspected:
+                continue
             given_up = job.blame_task(suspect.task, suspect.blame)
             self._mark_changed(job)
             if not given_up:
