A runner that leaves a start order unanswered is polled at once

Callers would see a long-running task kept for 9.4 s from running, if it was placed on an idle runner that had gone dark (virtual time; of the random histories: 9.06 s): its loss was noticed with the next poll of an idle runner, up to five seconds later. An order without a response now causes a poll, as a confirmed one does; 7.4 s in the test, which fails without the change (bound 9 s).

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -150,6 +150,8 @@
             self._context.metrics.incr(f"starts_{result.value}")
             if result is StartResult.UNKNOWN:
                 allocation.start_unanswered = True
+                # Only a poll shows whether the runner is lost.
+                runner.poll_wakeup.set()
                 await anyio.sleep(RESEND_PAUSE_S)
                 continue
             self._handle_start_result(attempt, runner, allocation, result)
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -8,6 +8,9 @@
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
 
+#: Longest time in seconds for which a long-running task may be kept from running.
+MAX_NOTICED_S = 9.0
+
 
 def test_starts_cause_no_poll_while_ends_are_not_durable(monkeypatch):
     """Guards against polls that list the same ends again.
@@ -52,3 +55,27 @@
 
     run_virtual(scenario)
     assert early == []
+
+
+def test_idle_runner_that_is_dark_keeps_its_task_for_long():
+    """Guards against a loss that is noticed with the next poll of an idle runner only.
+
+    Such a poll may be five seconds away. Seed 2887150612 of
+    `test_long_running_tasks_run_again_in_time_and_never_twice`.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1, runners=2) as cluster:
+            await cluster.owner()
+            # Soon after the second poll of the idle runners has ended.
+            await anyio.sleep(6.5)
+            for runner in cluster.runner_by_id.values():
+                runner.crash()
+            job = await cluster.submit(make_job(1, make_step(lasting=True)))
+            await anyio.sleep(0.2)
+            cluster.add_runner("spare", 8)
+            started_s = anyio.current_time()
+            await cluster.wait_for(job, JobState.RUNNING, 15.0)
+            assert anyio.current_time() - started_s < MAX_NOTICED_S
+
+    run_virtual(scenario)
