--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -32,7 +32,7 @@
     RunnerHealth,
     Suspect,
 )
-from ..registry import RunnerEntry
+from ..registry import UNLISTED_GRACE_S, RunnerEntry
 from ..wakeup import Wakeup
 from ._late_orders import LateOrders
 from ._parking import JobParking
@@ -131,6 +131,8 @@
         self.fault_log = FaultLog(metrics, clock)
         self._crash_detector = CrashDetector()
         self._entry_by_id: dict[str, RunnerEntry] = {}
+        #: When the list of runners was first read, on the owner's clock, in seconds.
+        self._runners_read_s = float("inf")
         self._excluded_job_ids: set[str] = set()
         self._clock = clock
         self._metrics = metrics
@@ -215,6 +217,7 @@
         """Update the listed runners; return those that need a connection."""
         to_connect = []
         self._entry_by_id = entry_by_id
+        self._runners_read_s = min(self._runners_read_s, self._clock.now())
         self._blame_crashes()
         for runner_id, entry in entry_by_id.items():
             with self.fault_log.contain("runner_update_failed", runner=runner_id):
@@ -272,9 +275,13 @@
     def remove_lapsed_unlisted(self) -> None:
         """End lapsed attempts on runners without an address; drop those not listed.
 
-        These runners come from attempts in the store, and their address is unknown.
+        These runners come from attempts in the store, and their address is unknown. An
+        entry may be missing for a while after an outage, of a runner that has ends to
+        report.
         """
         now_s = self._clock.now()
+        if now_s - self._runners_read_s < UNLISTED_GRACE_S:
+            return
         for runner in list(self.runner_by_id.values()):
             if runner.entry.address or not runner.leases_lapsed(now_s):
                 continue
--- a/flamingoweir/registry/__init__.py
+++ b/flamingoweir/registry/__init__.py
@@ -9,9 +9,16 @@
     Service,
 )
 from ._follower import TableFollower
-from ._view import OperatorView, RowDecoder, RunnerView, UnreadableRow
+from ._view import (
+    UNLISTED_GRACE_S,
+    OperatorView,
+    RowDecoder,
+    RunnerView,
+    UnreadableRow,
+)
 
 __all__ = [
+    "UNLISTED_GRACE_S",
     "Configuration",
     "MaintenanceWave",
     "OperatorView",
--- a/tests/test_owner_lost_with_runner.py
+++ b/tests/test_owner_lost_with_runner.py
@@ -7,7 +7,8 @@
 import anyio
 import pytest
 
-from tests.utils.cluster import run_cluster
+from flamingoweir.jobs import JobState
+from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.losses import (
     check_runs,
     cut_after_next_owner,
@@ -200,3 +201,34 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("missing_s", [0.0, 0.5, 1.5])
+def test_task_that_was_done_is_started_before_its_runner_is_asked(missing_s):
+    """Guards against a wait that is over before the new owner has read the runners.
+
+    No instance is up for longer than leases last. The runner lives, has an end to
+    report, and is listed again ``missing_s`` after the instances are back.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, runners=2) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step()))
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+            (runner_id,) = cluster.starts(f"{job.id}.0.0.0")
+            for member in list(cluster.member_by_name.values()):
+                await kill(cluster, member)
+            await anyio.sleep(9.5)
+            if missing_s:
+                cluster.unlist_runner(runner_id)
+            for number in range(3):
+                cluster.add_member(f"front-{number}")
+            await cluster.owner()
+            await anyio.sleep(missing_s)
+            cluster.list_runner(runner_id)
+            await cluster.wait_for(job, JobState.DONE, 5.0)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 1
+
+    run_virtual(scenario)
