--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -19,7 +19,7 @@
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.policy import EVICT_AFTER_S, MAX_PLACEMENT_WAIT_S, PlacementPolicy
 from flamingoweir.policy._health import QUARANTINE_S
-from flamingoweir.registry import RunnerEntry
+from flamingoweir.registry import UNLISTED_GRACE_S, RunnerEntry
 from flamingoweir.resources import Resources
 from tests.utils.virtual_time import VirtualClock, charge_calls, run_virtual
 
@@ -480,6 +480,8 @@
         step.tasks[0].last_run = 1
         job.restore_attempt(step, 0, 1, "gone", 1)
         owner_state.restore_allocations(job)
+        # An entry may be missing for as long.
+        await anyio.sleep(UNLISTED_GRACE_S)
 
         await change_during_long_pass(
             planner, owner_state, lambda: lapsed_ids.add("gone")
