A stopped run that never started is not waited for

Callers would see a long-running task away for 9.74 s (bound 9 s) in one random history: the start order of its second run is lost, and its runner may be given nothing by then. The run is stopped, but whether it was there only the next report shows, and the poll for it waited a second for an end that nothing could report.

A poll waits for no end while a run that was never listed is being stopped.

--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -166,12 +166,28 @@
             # It may have restarted.
             or runner.unresponsive_since_s is not None
             or runner.last_durable_end < runner.last_received_end
+            or self._awaits_void_attempt()
         ):
             return 0.0
         if not runner.serving_count or not runner.spare_demand_milli:
             return POLL_WAIT_S
         return self._owner_state.colocation.measure_interval_s(runner)
 
+    def _awaits_void_attempt(self) -> bool:
+        """Return whether a run that was never listed has been stopped.
+
+        If it had not started, the runner has no end to report that a poll could wait
+        for, and the next report shows that it is not there.
+        """
+        for allocation in self._runner.allocation_by_run.values():
+            if allocation.attempt.state is not AttemptState.STOPPING:
+                continue
+            if allocation.listed_s > float("-inf"):
+                continue
+            if allocation.expect_listed_after_s < float("inf"):
+                return True
+        return False
+
     def _record_no_response(self, error: Exception) -> None:
         runner = self._runner
         self._owner_state.record_lost(runner, str(error))
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -1,8 +1,9 @@
 """Polls of runners: ends must be seen soon, with no polls that bring nothing new."""
 
 import anyio
+import pytest
 
-from flamingoweir.dispatch._watch import DURABLE_WAIT_S
+from flamingoweir.dispatch._watch import DURABLE_WAIT_S, POLL_WAIT_S
 from flamingoweir.jobs import JobState, Outcome
 from flamingoweir.standins import MemoryRunnerLink
 from tests.utils.cluster import make_job, make_step, run_cluster
@@ -79,3 +80,33 @@
             assert anyio.current_time() - started_s < MAX_NOTICED_S
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("offset_s", [0.0, 0.2, 0.4, 0.6, 0.8])
+def test_run_that_never_started_keeps_its_task_for_two_polls(offset_s):
+    """Guards against a poll that waits for the end of a run that is not there.
+
+    The start order is lost, and its runner may be given no tasks by then. Seed
+    887376376 of `test_long_running_tasks_run_again_in_time_and_never_twice`.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            # Keeps the runner polled.
+            await cluster.submit(make_job(1, make_step(lasting=True)))
+            await anyio.sleep(2 + offset_s)
+            (link,) = owner.link_by_runner.values()
+            link.lose_starts, link.delivery_delay_s = 1, 30.0
+            job = await cluster.submit(make_job(2))
+            await anyio.sleep(0.1)
+            cluster.add_runner("other")
+            cluster.list_runner("runner-0", state="draining")
+            drained_s = anyio.current_time()
+            while not cluster.starts(f"{job.id}.0.0.0"):
+                await anyio.sleep(0.01)
+            # The order times out, and the poll that is under way ends.
+            assert anyio.current_time() - drained_s < 0.5 + POLL_WAIT_S + 0.2
+
+    run_virtual(scenario)
