The owner row stays within what the store accepts, whatever runners are called

An owner that lost all its runners would have had its row refused, and then lost the shard: the row names up to 1000 of them, and ids may have 200 bytes. Their total length is limited now; test_row_of_an_owner_that_lost_all_runners_is_too_large_for_the_store fails without the limit.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -38,11 +38,12 @@
 #: wait. A reported count must include jobs that were accepted 5 s before; 1.9 s of that
 #: are for the age of the count that an instance has read, and 1.1 s for the write.
 MAX_JOBS_AGE_S = 2.0
-#: Seconds after a confirmed write during which it allows full leases.
+#: Seconds between two confirmed writes after which leases were not renewed in full, so
+#: that they are renewed at once.
 FULL_LEASES_S = LEASE_VALID_S - RUNNER_LEASE_S
-#: Largest number of runners of which the owner row names the end of the leases. A row
-#: has at most 64 KiB.
-MAX_SHORT_LEASES = 1000
+#: Largest total length of the ids of runners that the owner row names with the end of
+#: their leases. A row has at most 64 KiB; each end adds some ten bytes to an id.
+MAX_SHORT_LEASE_BYTES = 25_000
 
 
 @dataclass(slots=True)
@@ -120,10 +121,12 @@
         """
         now_s = self._context.clock.now()
         left_s_by_runner = {}
+        id_bytes = 0
         for runner in self._owner_state.runner_by_id.values():
             if not runner.has_attempts or not runner.has_short_leases(now_s):
                 continue
-            if len(left_s_by_runner) == MAX_SHORT_LEASES:
+            id_bytes += len(runner.id.encode())
+            if id_bytes > MAX_SHORT_LEASE_BYTES:
                 break
             least_s = longest_lease_s(SHORT_LEASE_VALID_S)
             left_s = max(runner.lapses_in_s(now_s), least_s)
--- a/flamingoweir/ownership/_earlier_leases.py
+++ b/flamingoweir/ownership/_earlier_leases.py
@@ -48,7 +48,7 @@
             end_s = seen_s + end_in_s
             if record.written_s is None:
                 return end_s
-            by_store_s = store_clock.surely_reached_at(record.written_s + end_in_s)
+            by_store_s = store_clock.reached_by(record.written_s + end_in_s)
             return end_s if by_store_s is None else min(end_s, by_store_s)
 
         end_s_by_runner = {}
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -59,8 +59,8 @@
         Seconds after the write by which all leases have lapsed that this owner or an
         earlier one has granted or will grant without another write.
     leases_end_in_s_by_runner : dict of str to float
-        The same by id of a runner, where leases end earlier: it leaves, or is
-        unresponsive.
+        The same by id of a runner that leaves, is unresponsive, or has not responded to
+        this owner yet. Leases mostly end earlier there.
     max_job_bytes : int or None
         Largest `JobSpec.memory_bytes` of a job that the owner can hold; None for any.
     """
--- a/flamingoweir/ownership/_store_clock.py
+++ b/flamingoweir/ownership/_store_clock.py
@@ -30,7 +30,7 @@
         self._sent_s = sent_s
         self._received_s = received_s
 
-    def latest_at(self, at_s: float) -> float | None:
+    def upper_bound_at(self, at_s: float) -> float | None:
         """Return the latest time that the store's clock may show; None if unknown.
 
         Parameters
@@ -42,7 +42,7 @@
             return None
         return self._store_s + at_s - self._sent_s
 
-    def surely_reached_at(self, store_s: float) -> float | None:
+    def reached_by(self, store_s: float) -> float | None:
         """Return when the store's clock has surely reached a time; None if unknown.
 
         Parameters
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -276,7 +276,7 @@
             record = dataclasses.replace(
                 self._record,
                 backlog=self.count_backlog(),
-                written_s=self._store_clock.latest_at(sent_s),
+                written_s=self._store_clock.upper_bound_at(sent_s),
                 leases_end_in_s=self._leases_end_in_s(sent_s),
                 leases_end_in_s_by_runner=short_leases,
                 max_job_bytes=self.find_max_job_bytes(),
--- a/tests/test_earlier_leases.py
+++ b/tests/test_earlier_leases.py
@@ -16,8 +16,12 @@
     owner_row,
 )
 from flamingoweir.standins import MemoryRows, RowsLink
+from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import VirtualClock, run_virtual
 
+#: Largest value of a row that the store accepts, in bytes.
+MAX_ROW_BYTES = 65_536
+
 
 def make_clock(rows: MemoryRows, sent_s: float, received_s: float) -> StoreClock:
     """Return a clock with one response, written right after the call was sent."""
@@ -156,3 +160,24 @@
         assert ends_s >= released_s + 4.9
 
     run_virtual(scenario)
+
+
+def test_row_of_an_owner_that_lost_all_runners_is_too_large_for_the_store():
+    """Guards against an owner that loses the shard as its row is refused."""
+
+    async def scenario():
+        async with run_cluster(members=1, runners=0) as cluster:
+            for number in range(400):
+                cluster.add_runner(f"runner-{number:0193d}", 1)
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            await cluster.submit(make_job(1, make_step(400, lasting=True)))
+            await anyio.sleep(3)
+            for link in owner.link_by_runner.values():
+                link.disconnected = True
+            await anyio.sleep(2)
+            row = cluster.rows.row_by_id[owner_row("s0")]
+            assert decode_owner_record(row).leases_end_in_s_by_runner
+            assert len(row.value) < MAX_ROW_BYTES
+
+    run_virtual(scenario)
