Customers in configuration, settings and jobs; planner and handler split

Cause: the operators' configuration names customers with keys, weights and caps, of which nothing was read. Their parts need the planner's collection of ready steps and the handler's calls to the store as modules of their own.

Change: `customers.Customer`; `Tenants` and `Public` of the configuration, `Policies`, `StrictRevoke` and `RevokeMs` of the settings are decoded; `JobSpec.customer`. Split without a change of behaviour: dispatch/_ready_steps.py, dispatch/_fleet_load.py, queues/_store_calls.py. Two tests name the module that the code has moved to.

--- a/flamingoweir/dispatch/_context.py
+++ b/flamingoweir/dispatch/_context.py
@@ -72,6 +72,10 @@
         return runner.grant_lease(end_s, now_s) if end_s > now_s else None
 
 
+class PermitWithdrawn(Exception):
+    """Tasks may no longer be started; the pass ends."""
+
+
 class Permit:
     """Checks whether tasks may be started.
 
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -1,28 +1,28 @@
 """Decides which ready tasks start, and on which runners."""
 
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 import anyio
 
 from ..fleet import Runner
-from ..jobs import MAX_IDLE_STEPS, Job, StepRun
+from ..jobs import StepRun
 from ..logs import get_logger
 from ..policy import (
     MAX_PLACEMENT_WAIT_S,
     BatchHeadroom,
     PlacementPolicy,
-    ServiceLoad,
     StepPlacement,
     place_gang,
-    sort_key,
     unplaced_s,
 )
 from ..resources import Resources
 from ._candidates import CandidateLists
-from ._context import Permit, TermContext
+from ._context import Permit, PermitWithdrawn, TermContext
 from ._evictions import Evictions
+from ._fleet_load import FleetLoadLog, measure_load
 from ._job_pauses import JobPauses
+from ._ready_steps import ReadySteps
 from ._time_slice import TimeSlice
 
 log = get_logger()
@@ -45,16 +45,9 @@
 RESERVE_AFTER_LASTING_S = 0.1
 #: Largest number of runners reserved at the same time.
 MAX_RESERVED_RUNNERS = 4
-#: Seconds between log lines on the load of the runners.
-LOAD_LOG_INTERVAL_S = 2.0
 #: Number of unplaced steps after which a pass ends, as the remaining steps are unlikely
 #: to find resources. Steps with long-running tasks, which come first, don't count.
 MAX_UNPLACED_STEPS = 40
-#: Number of steps in idle occurrences of all scheduled jobs, at most, but for one
-#: occurrence of each. Every pass looks at all of them.
-MAX_ALL_IDLE_STEPS = 2_000
-#: Number of steps of a job after which a pass checks whether it has to give way.
-STEPS_PER_CHECK = 50
 #: Seconds after which a pass looks for steps that have become ready meanwhile, so that
 #: the next step of a job, or an urgent one, need not wait for the end of the pass.
 COLLECT_INTERVAL_S = 0.1
@@ -63,10 +56,6 @@
 MAX_PASS_S = 0.5
 
 
-class PermitWithdrawn(Exception):
-    """Tasks may no longer be started; the pass ends."""
-
-
 class UnplacedSteps:
     """Steps that found no runner in the current pass.
 
@@ -131,9 +120,7 @@
         self._context = context
         self._owner_state = context.owner_state
         self._permit = permit
-        self._load_logged_s = float("-inf")
         self._next_pass_s = float("-inf")
-        self._longest_pass_s = 0.0
         self._now_s = 0.0
         self._runner_by_step: dict[StepRun, Runner] = {}
         self._placement = PlacementPolicy(
@@ -144,8 +131,8 @@
         self._evictions = Evictions(context.owner_state)
         self._headroom = BatchHeadroom()
         self._pauses = JobPauses(context.owner_state)
-        #: Number of steps in idle occurrences of scheduled jobs.
-        self._idle_steps = 0
+        self._ready_steps = ReadySteps(context, self._pauses)
+        self._load_log = FleetLoadLog(context.owner_state)
 
     async def run(self) -> None:
         """Run placement passes until cancelled."""
@@ -162,7 +149,7 @@
             await self.plan()
             pass_s = self._context.clock.now() - started_s
             self._context.metrics.timing("placement_pass_ms", 1000 * pass_s)
-            self._longest_pass_s = max(self._longest_pass_s, pass_s)
+            self._load_log.record_pass(pass_s)
             pause_s = min(self._time_slice.busy_s, MAX_PASS_PAUSE_S)
             self._next_pass_s = max(
                 self._next_pass_s, self._context.clock.now() + pause_s
@@ -280,6 +267,10 @@
         # Work that each slice repeats must not use the slice up.
         self._time_slice.stop()
 
+    async def _give_way_if_over(self) -> None:
+        if self._time_slice.is_over():
+            await self._give_way()
+
     def _collect_runners(self) -> None:
         """Collect the runners that may be given tasks now."""
         self._now_s = self._context.clock.now()
@@ -325,134 +316,23 @@
         if runner is not None:
             self._candidates.reserve(step, runner)
 
-    def _log_load(self, jobs: int, open_tasks: int) -> None:
-        """Log the load of the runners every `LOAD_LOG_INTERVAL_S`."""
-        if self._now_s - self._load_logged_s < LOAD_LOG_INTERVAL_S:
-            return
-        self._load_logged_s = self._now_s
-        serving = 0
-        total_milli = reserved_milli = spare_demand_milli = 0
-        total_mb = reserved_mb = 0
-        for runner in self._owner_state.runner_by_id.values():
-            capacity, reserved = runner.entry.capacity, runner.reserved
-            total_milli += capacity.processors_milli
-            total_mb += capacity.memory_mb
-            reserved_milli += reserved.processors_milli
-            reserved_mb += reserved.memory_mb
-            spare_demand_milli += runner.spare_demand_milli
-            serving += bool(runner.serving_count)
-        log.info(
-            "fleet_load",
-            runners=len(self._owner_state.runner_by_id),
-            usable=len(self._candidates.runners),
-            serving=serving,
-            cores=total_milli // 1000,
-            cores_reserved=reserved_milli // 1000,
-            cores_wanted_spare=spare_demand_milli // 1000,
-            memory_share=round(reserved_mb / max(1, total_mb), 2),
-            longest_pass_ms=round(1000 * self._longest_pass_s),
-            jobs=jobs,
-            open_tasks=open_tasks,
-        )
-        self._longest_pass_s = 0.0
-
     async def _find_ready_steps(self) -> list[StepRun]:
-        """Return the ready steps, the most urgent first.
-
-        Jobs may change while the search gives way; `_is_ready` checks a step again.
-        """
-        ready = []
-        open_tasks = 0
-        jobs = list(self._owner_state.job_by_id.values())
-        idle_steps = 0
-        wall_ms = self._context.wall_ms()
-        for job in jobs:
-            if self._time_slice.is_over():
-                await self._give_way()
-            if self._pauses.is_paused(job.spec.id, self._now_s):
-                continue
-            try:
-                idle_steps += self._open_due(job, wall_ms)
-                if len(job.run_by_step) <= STEPS_PER_CHECK:
-                    open_tasks += self._add_ready(job.ready_steps(), wall_ms, ready)
-                    continue
-                steps = list(job.ready_steps())
-                for first in range(0, len(steps), STEPS_PER_CHECK):
-                    some = steps[first : first + STEPS_PER_CHECK]
-                    open_tasks += self._add_ready(some, wall_ms, ready)
-                    if self._time_slice.is_over():
-                        await self._give_way()
-            except PermitWithdrawn:
-                raise
-            except Exception as error:
-                self._pauses.add(job.spec.id, error, self._now_s)
-        self._idle_steps = idle_steps
-        self._log_load(len(jobs), open_tasks)
-        ready.sort()
-        steps = [step for _, _, step in ready]
-        self._headroom.update(self._measure_load(steps), self._now_s)
+        """Return the ready steps, the most urgent first."""
+        steps = await self._ready_steps.find(
+            lambda: self._now_s, self._give_way_if_over
+        )
+        self._load_log.log(
+            self._candidates.runners,
+            self._ready_steps.job_count,
+            self._ready_steps.open_tasks,
+            self._now_s,
+        )
+        load_by_service = measure_load(
+            self._candidates.runners, self._owner_state.runner_by_id.values(), steps
+        )
+        self._headroom.update(load_by_service, self._now_s)
         return steps
 
-    def _open_due(self, job: Job, wall_ms: float) -> int:
-        """Open due occurrences of a job; return its steps in idle ones."""
-        if not job.spec.scheduled:
-            job.open_due(wall_ms)
-            return 0
-        idle_steps = job.idle_steps
-        left = max(0, MAX_ALL_IDLE_STEPS - self._idle_steps)
-        job.open_due(wall_ms, min(MAX_IDLE_STEPS, idle_steps + left))
-        opened = job.idle_steps - idle_steps
-        self._idle_steps += opened
-        return idle_steps + opened
-
-    def _add_ready(
-        self,
-        steps: Iterable[StepRun],
-        wall_ms: float,
-        ready: list[tuple[tuple, int, StepRun]],
-    ) -> int:
-        """Add ready steps with their sort keys; return the number of open tasks."""
-        open_tasks = 0
-        for step in steps:
-            open_tasks += len(step.open_indexes)
-            if step.ready_since_s is None:
-                step.ready_since_s = self._now_s
-            if step.retry_at_s <= self._now_s:
-                key = sort_key(step, self._now_s, wall_ms)
-                ready.append((key, len(ready), step))
-        return open_tasks
-
-    def _measure_load(self, steps: list[StepRun]) -> dict[str, ServiceLoad]:
-        """Return the load of the usable runners, by service.
-
-        Long-running tasks of runners that are lost or leave count as well: in a few
-        seconds they need room on the others.
-        """
-        load_by_service: dict[str, ServiceLoad] = {}
-        for runner in self._candidates.runners:
-            if runner.incarnation is None or runner.unresponsive_since_s is not None:
-                # Its entry may be all that there is of it.
-                continue
-            load = load_by_service.setdefault(runner.entry.service, ServiceLoad())
-            lasting_milli = runner.lasting_reserved.processors_milli
-            load.capacity_milli += runner.entry.capacity.processors_milli
-            load.batch_milli += runner.reserved.processors_milli - lasting_milli
-            if not runner.leaving:
-                load.lasting_milli += lasting_milli
-        for runner in self._owner_state.runner_by_id.values():
-            load = load_by_service.get(runner.entry.service)
-            is_lost = runner.unresponsive_since_s is not None
-            if load is not None and (is_lost or runner.leaving):
-                load.lasting_milli += runner.lasting_reserved.processors_milli
-        for step in steps:
-            load = load_by_service.get(step.job.spec.policy.service)
-            if load is None or step.spec.lasting:
-                continue
-            load.batch_milli += (
-                len(step.open_indexes) * step.spec.reserved.processors_milli
-            )
-        return load_by_service
-
     async def _place(self, step: StepRun) -> bool:
         """Place the open tasks of a step; return whether all were placed.
 
--- a/flamingoweir/jobs/_spec.py
+++ b/flamingoweir/jobs/_spec.py
@@ -134,6 +134,9 @@
         Further occurrences count from there.
     interval_ms : int
         Time between occurrences in milliseconds.
+    customer : str
+        Name of the customer whose job it is, also after the customer's key was removed;
+        empty if there is none.
     """
 
     id: str
@@ -145,6 +148,7 @@
     occurrences: int = 1
     first_due_ms: int = 0
     interval_ms: int = 0
+    customer: str = ""
 
     @property
     def scheduled(self) -> bool:
--- a/flamingoweir/platform/_row_decoder.py
+++ b/flamingoweir/platform/_row_decoder.py
@@ -9,6 +9,7 @@
 import pydantic
 from pydantic import Field
 
+from ..customers import Customer, digest_key
 from ..jobs import QueuePolicy
 from ..registry import (
     Configuration,
@@ -60,6 +61,8 @@
     target_latency_ms: float = 0
     #: Set if placement on this queue needs tickets of the advice service.
     advice: AdviceMessage | None = None
+    #: Whether calls need no key of a customer.
+    public: bool = False
 
 
 class ServiceMessage(WireModel):
@@ -76,17 +79,8 @@
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
 
 
-class ConfigMessage(WireModel):
-    """Configuration of all queues and services."""
-
-    version: int
-    routes: list[RouteMessage] = Field(default_factory=list)
-    services: list[ServiceMessage] = Field(default_factory=list)
-    limits: LimitsMessage = LimitsMessage()
-
-
 class CapacityMessage(WireModel):
-    """Resources of a runner."""
+    """Resources of a runner, or limits of a customer."""
 
     #: Processors, in thousandths of a core.
     cpu: Count = 0
@@ -99,6 +93,28 @@
         return Resources(self.cpu, self.mem_mb, self.gpu)
 
 
+class TenantMessage(WireModel):
+    """Configuration of a customer, whom the platform calls a tenant."""
+
+    name: Text
+    api_keys: list[str] = Field(default_factory=list)
+    priority: int = 0
+    weight: Number = 1.0
+    #: Largest amounts that the customer may have running; 0: no limit.
+    cap: CapacityMessage = CapacityMessage()
+
+
+class ConfigMessage(WireModel):
+    """Configuration of all queues, services and customers."""
+
+    version: int
+    routes: list[RouteMessage] = Field(default_factory=list)
+    services: list[ServiceMessage] = Field(default_factory=list)
+    limits: LimitsMessage = LimitsMessage()
+    #: Customers; None in installations without customers.
+    tenants: list[TenantMessage] | None = None
+
+
 class RunnerMessage(WireModel):
     """Row that a runner writes about itself."""
 
@@ -149,8 +165,16 @@
         services = {}
         for service in message.services:
             services[service.name] = Service(service.name, service.standby)
+        customers = {}
+        for tenant in message.tenants or ():
+            customers[tenant.name] = _decode_customer(tenant)
         return Configuration(
-            message.version, queues, services, message.limits.max_body_bytes
+            message.version,
+            queues,
+            services,
+            message.limits.max_body_bytes,
+            customers,
+            message.tenants is not None,
         )
 
     def decode_evacuated_zone(self, key: str) -> str | None:
@@ -219,7 +243,19 @@
         route.target_latency_ms / 1000,
         advice is not None,
     )
-    return Queue(route.name, route.host, route.path_prefix, policy, advice)
+    return Queue(
+        route.name, route.host, route.path_prefix, policy, advice, route.public
+    )
+
+
+def _decode_customer(tenant: TenantMessage) -> Customer:
+    return Customer(
+        tenant.name,
+        frozenset(digest_key(key) for key in tenant.api_keys),
+        tenant.weight,
+        tenant.cap.to_resources(),
+        tenant.priority,
+    )
 
 
 def _parse(message_type: type[Message], value: bytes) -> Message:
--- a/flamingoweir/platform/_settings.py
+++ b/flamingoweir/platform/_settings.py
@@ -11,6 +11,9 @@
 #: Environment variable that holds the path of the settings file.
 SETTINGS_PATH_VARIABLE = "FLAMINGOWEIR_BOOT"
 
+#: Name of the set of rules on customers and their keys.
+CUSTOMERS_POLICY = "tenants"
+
 
 class ListenMessage(WireModel):
     """Addresses that the process listens on, as ``host:port``."""
@@ -30,6 +33,9 @@
     max_hold_ms: float = 10_000
     #: Time between SIGTERM and SIGKILL.
     grace_s: float = 6.0
+    #: Whether withdrawn keys must not work `revoke_ms` after their withdrawal.
+    strict_revoke: bool = False
+    revoke_ms: float | None = None
 
 
 class LimitsMessage(WireModel):
@@ -62,6 +68,8 @@
     listen: ListenMessage
     limits: LimitsMessage = LimitsMessage()
     policy_bounds: BoundsMessage = BoundsMessage()
+    #: Names of the sets of rules that are in force.
+    policies: list[str] = Field(default_factory=list)
     #: Location of the platform's store.
     platform: StoreMessage = Field(alias="platform")
 
@@ -99,6 +107,9 @@
         location = ".".join(str(part) for part in first["loc"])
         raise SettingsError(f"{path}: {location}: {first['msg']}") from error
     bounds = message.policy_bounds
+    revoke_s = None
+    if bounds.strict_revoke and bounds.revoke_ms is not None:
+        revoke_s = bounds.revoke_ms / 1000
     return FleetSettings(
         name=message.node_name,
         host=message.ip,
@@ -112,4 +123,6 @@
         grace_s=bounds.grace_s,
         processors=message.limits.cpu_share * message.limits.cores,
         memory_mb=message.limits.memory_mb,
+        customers=CUSTOMERS_POLICY in message.policies,
+        revoke_s=revoke_s,
     )
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -4,14 +4,10 @@
 import random
 from collections.abc import Callable
 
-import anyio
-
 from ..clock import Clock
 from ..errors import (
     ErrorCode,
     FlamingoweirError,
-    outcome_unknown_error,
-    store_unavailable_error,
 )
 from ..jobs import (
     FINAL_STATES,
@@ -30,18 +26,12 @@
     RowId,
     RowStore,
     RowVersionConflict,
-    StoreOutcomeUnknown,
-    StoreRefused,
     Transaction,
-    VersionedRow,
 )
+from ._store_calls import StoreCalls
 
 log = get_logger()
 
-#: Mean pause before a failed call to the store is repeated, in seconds.
-RETRY_PAUSE_S = 0.1
-#: Shortest timeout of a call to the store, in seconds. An unloaded store takes 5 ms.
-MIN_CALL_TIMEOUT_S = 0.05
 #: Largest age of a reported number of waiting jobs, in seconds.
 MAX_BACKLOG_AGE_S = 1.9
 #: Seconds after which a client may repeat a request that came before this instance
@@ -94,11 +84,10 @@
         max_job_bytes: Callable[[], int | None] = lambda: None,
     ):
         self._max_job_bytes = max_job_bytes
-        self._store = store
+        self._calls = StoreCalls(store, clock, generator, metrics)
         self._operators = operators
         self._backlog = backlog
         self._clock = clock
-        self._generator = generator
         self._metrics = metrics
         self._final_state_by_job: dict[str, JobState] = {}
 
@@ -168,7 +157,7 @@
             return
         transaction = Transaction([(row, 0)], [(row, value)], ())
         try:
-            version = await self._transact(transaction, timeout_s)
+            version = await self._calls.transact(transaction, timeout_s)
         except RowVersionConflict:
             log.info("job_already_accepted", job=spec.id, queue=spec.queue)
             self._metrics.incr("jobs_known")
@@ -184,7 +173,7 @@
         Its owner could not hold it until others have ended.
         """
         until_s = self._clock.now() + timeout_s
-        if await self._read_row(row, until_s) is not None:
+        if await self._calls.read_row(row, until_s) is not None:
             log.info("job_already_accepted", job=spec.id, queue=spec.queue)
             return
         self._metrics.incr("jobs_refused_full")
@@ -218,7 +207,7 @@
         state = await self._read_state(shard, job_id, until_s)
         if state is not None:
             return state
-        if await self._read_row(job_row(shard, job_id), until_s) is not None:
+        if await self._calls.read_row(job_row(shard, job_id), until_s) is not None:
             return JobState.PENDING
         # The job may have ended between the two reads.
         return await self._read_state(shard, job_id, until_s)
@@ -247,15 +236,15 @@
         shard = shard_name(0)
         until_s = self._clock.now() + timeout_s
         while True:
-            row = await self._read_row(job_row(shard, job_id), until_s)
+            row = await self._calls.read_row(job_row(shard, job_id), until_s)
             if row is None:
-                row = await self._read_row(state_row(shard, job_id), until_s)
+                row = await self._calls.read_row(state_row(shard, job_id), until_s)
                 return row is not None
             transaction = Transaction(
                 [(row.id, row.version)], [(cancel_row(shard, job_id), b"{}")], ()
             )
             try:
-                await self._transact(transaction, until_s - self._clock.now())
+                await self._calls.transact(transaction, until_s - self._clock.now())
             except RowVersionConflict:
                 continue
             log.info("cancel_accepted", job=job_id)
@@ -314,72 +303,10 @@
                 "come before it; list every step after the steps that it depends on",
             )
 
-    async def _transact(self, transaction: Transaction, timeout_s: float) -> int:
-        """Apply a transaction and return its version; retry until its outcome is known.
-
-        Raises
-        ------
-        RowVersionConflict
-            If a precondition did not hold.
-        FlamingoweirError
-            If the outcome is still unknown, or the store still refuses, at the end of
-            `timeout_s`.
-        """
-        started_s = self._clock.now()
-        outcome_unknown = False
-        while True:
-            remaining_s = timeout_s - (self._clock.now() - started_s)
-            try:
-                with anyio.fail_after(max(MIN_CALL_TIMEOUT_S, remaining_s)):
-                    return await self._store.transact(transaction)
-            except TimeoutError:
-                outcome_unknown = True
-                detail = "no response before the submitter's deadline"
-            except StoreOutcomeUnknown as error:
-                outcome_unknown = True
-                self._metrics.incr("store_silent")
-                detail = str(error)
-            except StoreRefused as error:
-                self._metrics.incr("store_refused")
-                detail = str(error)
-            if self._clock.now() - started_s + RETRY_PAUSE_S >= timeout_s:
-                log.warning(
-                    "store_gave_no_answer", unsure=outcome_unknown, detail=detail
-                )
-                raise (
-                    outcome_unknown_error()
-                    if outcome_unknown
-                    else store_unavailable_error()
-                )
-            await anyio.sleep(RETRY_PAUSE_S * self._generator.uniform(0.5, 1.5))
-
-    async def _read_row(self, row: RowId, until_s: float) -> VersionedRow | None:
-        """Return a row, or None if it does not exist; retry failed reads.
-
-        A read ends at ``until_s`` on the instance's clock, also one that still waits
-        for a connection: the submitter can then ask another instance.
-        """
-        while True:
-            remaining_s = until_s - self._clock.now()
-            try:
-                with anyio.fail_after(max(MIN_CALL_TIMEOUT_S, remaining_s)):
-                    page = await self._store.read(
-                        row.table, row.part, row.key, row.key + "\0", 1
-                    )
-                return page.rows[0] if page.rows else None
-            except TimeoutError:
-                detail = "no response before the submitter's deadline"
-            except (StoreRefused, StoreOutcomeUnknown) as error:
-                detail = str(error)
-            if self._clock.now() + RETRY_PAUSE_S >= until_s:
-                log.warning("store_gave_no_answer", row=row.key, detail=detail)
-                raise store_unavailable_error()
-            await anyio.sleep(RETRY_PAUSE_S * self._generator.uniform(0.5, 1.5))
-
     async def _read_state(
         self, shard: str, job_id: str, until_s: float
     ) -> JobState | None:
-        row = await self._read_row(state_row(shard, job_id), until_s)
+        row = await self._calls.read_row(state_row(shard, job_id), until_s)
         if row is None:
             return None
         try:
--- a/flamingoweir/registry/_entries.py
+++ b/flamingoweir/registry/_entries.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ..customers import Customer
 from ..jobs import QueuePolicy
 from ..resources import Resources
 
@@ -39,6 +40,8 @@
         Scheduling policy of the queue's jobs.
     advice : PlacementAdviceTimes or None
         Times of placement advice; None if the queue's tasks need no tickets.
+    public : bool
+        Whether requests for the queue need no key, where customers have keys.
     """
 
     name: str
@@ -46,6 +49,7 @@
     prefix: str
     policy: QueuePolicy
     advice: PlacementAdviceTimes | None = None
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,12 +82,39 @@
         Pools of runners.
     max_body_bytes : int
         Maximum size of a request body, in bytes.
+    customer_by_name : dict of str to Customer
+        Customers, who submit jobs under keys of their own.
+    names_customers : bool
+        Whether the configuration has a list of customers, which may be empty.
     """
 
     version: int
     queue_by_name: dict[str, Queue] = field(default_factory=dict)
     service_by_name: dict[str, Service] = field(default_factory=dict)
     max_body_bytes: int = 262_144
+    customer_by_name: dict[str, Customer] = field(default_factory=dict)
+    names_customers: bool = False
+    _customer_by_digest: dict[bytes, Customer] = field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        customer_by_digest = {}
+        for customer in self.customer_by_name.values():
+            for digest in customer.key_digests:
+                customer_by_digest[digest] = customer
+        object.__setattr__(self, "_customer_by_digest", customer_by_digest)
+
+    def find_customer(self, digest: bytes) -> Customer | None:
+        """Return the customer with the key of a digest, or None.
+
+        Parameters
+        ----------
+        digest : bytes
+            Result of `customers.digest_key`. The time of the look-up says nothing
+            about a key, as close digests belong to unrelated keys.
+        """
+        return self._customer_by_digest.get(digest)
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the host's queue with the longest prefix of the path, or None."""
--- a/flamingoweir/settings/_fleet.py
+++ b/flamingoweir/settings/_fleet.py
@@ -34,6 +34,11 @@
         Processors that the instance may use; a share of one counts as a fraction.
     memory_mb : float
         Memory that the instance may use, in megabytes.
+    customers : bool
+        Whether requests for queues that are not public need a customer's key.
+    revoke_s : float or None
+        Seconds after the confirmation of a configuration without a key from which no
+        request with that key may succeed; None: no limit.
     """
 
     name: str
@@ -48,3 +53,5 @@
     grace_s: float = 6.0
     processors: float = 1.0
     memory_mb: float = 300.0
+    customers: bool = False
+    revoke_s: float | None = None
--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from flamingoweir.dispatch import _committer, _planner
+from flamingoweir.dispatch import _committer, _ready_steps
 from flamingoweir.dispatch._planner import Planner
 from flamingoweir.jobs import Job, JobState
 from flamingoweir.policy import PlacementPolicy
@@ -82,7 +82,7 @@
 @pytest.mark.parametrize(
     "module, method, find_job",
     [
-        (_planner, "sort_key", lambda args: args[0].job.spec.id),
+        (_ready_steps, "sort_key", lambda args: args[0].job.spec.id),
         (Job, "open_due", lambda args: args[0].spec.id),
         (Planner, "_choose", lambda args: args[2].job.spec.id),
         (PlacementPolicy, "candidates", lambda args: args[1].job.spec.id),
@@ -114,7 +114,7 @@
 
 def test_job_whose_planning_failed_once_runs_soon(monkeypatch):
     """Guards against a single error that keeps a job away for good."""
-    plan_order = _planner.sort_key
+    plan_order = _ready_steps.sort_key
     errors = []
 
     def fail_once(*args):
@@ -123,7 +123,7 @@
             raise RuntimeError("a fault")
         return plan_order(*args)
 
-    monkeypatch.setattr(_planner, "sort_key", fail_once)
+    monkeypatch.setattr(_ready_steps, "sort_key", fail_once)
 
     async def scenario():
         async with run_cluster() as cluster:
--- a/tests/test_job_cost.py
+++ b/tests/test_job_cost.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from flamingoweir.dispatch._planner import MAX_ALL_IDLE_STEPS
+from flamingoweir.dispatch._ready_steps import MAX_ALL_IDLE_STEPS
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
 from flamingoweir.jobs import Job, JobState, Outcome, QueuePolicy
 from flamingoweir.ownership import job_row
