The next owner starts with the learnt effects of images

Cause: what images do to each other was known to one owner only. Each new owner began with the prior, filled spare processors with tasks that disturb the serving ones, and slowed all of them down until it had measured every pair.

Change: the owner writes the effects, the most certain first, to a row of at most 30 kB every 5 s with its other changes (fenced as they are). The next owner reads it beside its first passes, and takes what it has not measured itself; older effects count as less certain. A row that is missing or unreadable, or a slow store, delays nothing.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -26,6 +26,7 @@
 from ..registry import TableFollower
 from ..storage import RowId
 from ._context import TermContext
+from ._effect_store import EffectStore
 from ._orders import OrderSender
 from ._stored_rows import StoredRows
 
@@ -68,13 +69,20 @@
         Sends the start orders of attempts that have become durable.
     job_follower : TableFollower
         Follows the table of jobs.
+    effect_store : EffectStore
+        Has the row with the effects of images that are to be kept.
     """
 
     def __init__(
-        self, context: TermContext, orders: OrderSender, job_follower: TableFollower
+        self,
+        context: TermContext,
+        orders: OrderSender,
+        job_follower: TableFollower,
+        effect_store: EffectStore,
     ):
         self._context = context
         self._job_follower = job_follower
+        self._effect_store = effect_store
         self._owner_state = context.owner_state
         self._writer = context.writer
         self._orders = orders
@@ -148,6 +156,9 @@
             if job is not None:
                 self._collect_or_set_aside(job, batch)
         self._collect_set_aside(batch)
+        effects = self._effect_store.take_row()
+        if effects is not None:
+            batch.puts.append(effects)
         expired, self._owner_state.expired_job_ids = (
             self._owner_state.expired_job_ids,
             [],
--- /dev/null
+++ b/flamingoweir/dispatch/_effect_store.py
@@ -0,0 +1,135 @@
+"""Keeps what an owner learns about colocated images for the next owner.
+
+A new owner that knows no effects fills spare processors with tasks that disturb the
+serving tasks, and slows all of them down until it has measured every pair of images.
+"""
+
+import anyio
+import orjson
+import pydantic
+
+from ..logs import get_logger
+from ..ownership import effect_row
+from ..policy import Effect
+from ..storage import RowId, RowStore, StoreOutcomeUnknown, StoreRefused
+from ._context import TermContext
+
+log = get_logger()
+
+#: Seconds between two writes of the row.
+WRITE_INTERVAL_S = 5.0
+#: Seconds before a failed read of the row is repeated.
+READ_RETRY_S = 0.5
+#: Seconds after the start of a term from which the row is not read any more: the owner
+#: has measured the effects itself by then.
+MAX_READ_S = 10.0
+#: Largest size of the row in bytes; the least certain effects are left out. The store
+#: takes rows of 64 KiB.
+MAX_ROW_BYTES = 30_000
+#: Bytes of a pair of images beside their names.
+PAIR_BYTES = 40
+
+
+class EffectRecord(pydantic.BaseModel):
+    """Content of the row.
+
+    Attributes
+    ----------
+    written_ms : float
+        Time of the write in milliseconds since 1970.
+    effects : list of (str, str, float, float)
+        Serving image, disturbing image, mean and variance of each effect.
+    """
+
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+    written_ms: float = pydantic.Field(ge=0, allow_inf_nan=False)
+    effects: list[tuple[str, str, pydantic.FiniteFloat, pydantic.FiniteFloat]]
+
+
+def encode_effects(effects: list[Effect], written_ms: float) -> bytes:
+    """Return the content of the row.
+
+    Parameters
+    ----------
+    effects : list of Effect
+        The effects, the most certain first.
+    written_ms : float
+        Time of the write in milliseconds since 1970.
+    """
+    rows = []
+    size = 0
+    for effect in effects:
+        size += PAIR_BYTES
+        size += len(effect.serving_image.encode()) + len(effect.image.encode())
+        if size > MAX_ROW_BYTES:
+            break
+        mean, variance = round(effect.mean, 4), round(effect.variance, 4)
+        rows.append((effect.serving_image, effect.image, mean, variance))
+    return orjson.dumps({"written_ms": written_ms, "effects": rows})
+
+
+class EffectStore:
+    """Reads the effects that former owners have learnt, and writes those of this one.
+
+    Nothing is written before the row was read or `MAX_READ_S` have passed, so that an
+    owner that was replaced soon leaves what its predecessor knew.
+
+    Parameters
+    ----------
+    context : TermContext
+        Shared objects of the term.
+    store : RowStore
+        Store with the row.
+    """
+
+    def __init__(self, context: TermContext, store: RowStore):
+        self._context = context
+        self._store = store
+        self._colocation = context.owner_state.colocation
+        self._row = effect_row(context.writer.shard)
+        self._may_write = False
+        self._written_s = context.clock.now()
+
+    async def restore(self) -> None:
+        """Read the row and take its effects over; without the store, go on without."""
+        clock = self._context.clock
+        until_s = clock.now() + MAX_READ_S
+        row = self._row
+        while clock.now() < until_s:
+            try:
+                page = await self._store.read(
+                    row.table, row.part, row.key, row.key + "\0", 1
+                )
+            except (StoreRefused, StoreOutcomeUnknown) as error:
+                log.info("effects_not_read", detail=str(error))
+                await anyio.sleep(READ_RETRY_S)
+                continue
+            value = page.rows[0].value if page.rows else None
+            if value is not None:
+                self._apply(value)
+            break
+        self._may_write = True
+
+    def take_row(self) -> tuple[RowId, bytes] | None:
+        """Return the row to be written now, or None."""
+        now_s = self._context.clock.now()
+        if not self._may_write or now_s - self._written_s < WRITE_INTERVAL_S:
+            return None
+        self._written_s = now_s
+        effects = self._colocation.list_effects()
+        if not effects:
+            return None
+        return self._row, encode_effects(effects, self._context.wall_ms())
+
+    def _apply(self, value: bytes) -> None:
+        try:
+            record = EffectRecord.model_validate_json(value)
+        except pydantic.ValidationError as error:
+            log.warning("effects_unreadable", detail=str(error.errors()[0]["msg"]))
+            return
+        # The clock of the instance that wrote it may be ahead.
+        age_s = max(0.0, (self._context.wall_ms() - record.written_ms) / 1000)
+        effects = [Effect(*fields) for fields in record.effects]
+        self._colocation.restore_effects(effects, age_s)
+        log.info("effects_restored", effects=len(effects), age_s=round(age_s, 1))
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -44,6 +44,7 @@
 )
 from ._committer import RENEW_INTERVAL_S, Committer
 from ._context import Permit, TermContext, TermEnd
+from ._effect_store import EffectStore
 from ._load_report import LoadReporter
 from ._loader import JobLoader
 from ._orders import OrderSender
@@ -190,8 +191,12 @@
                     self._link_by_runner,
                 )
                 task_group.start_soon(self._term_end.wait)
-                committer = Committer(self._context, self._orders, self._job_follower)
+                effect_store = EffectStore(self._context, self._store)
+                committer = Committer(
+                    self._context, self._orders, self._job_follower, effect_store
+                )
                 await self._restore_while_renewing(committer)
+                task_group.start_soon(effect_store.restore)
                 task_group.start_soon(committer.run)
                 task_group.start_soon(self._runner_follower.run)
                 task_group.start_soon(self._job_follower.run)
--- a/flamingoweir/ownership/_rows.py
+++ b/flamingoweir/ownership/_rows.py
@@ -11,6 +11,8 @@
 TASK_TABLE = "tasks"
 #: Table of the states of jobs that have started or ended.
 STATE_TABLE = "states"
+#: Table of what owners have learnt of how images disturb each other.
+EFFECT_TABLE = "effects"
 #: Table of the owners of shards.
 OWNER_TABLE = "owners"
 
@@ -20,6 +22,7 @@
 JOB_PARTS = 8
 
 OWNER_KEY = "owner"
+EFFECT_KEY = "effects"
 CANCEL_SUFFIX = ".cancel"
 
 
@@ -65,6 +68,11 @@
     return RowId(OWNER_TABLE, shard, OWNER_KEY)
 
 
+def effect_row(shard: str) -> RowId:
+    """Return the id of the row with the effects that owners of a shard have learnt."""
+    return RowId(EFFECT_TABLE, shard, EFFECT_KEY)
+
+
 def shard_name(number: int) -> str:
     """Return the name of a shard, which is also the part that holds its rows."""
     return f"s{number}"
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -1,6 +1,6 @@
 """Scheduling policies: order, placement, colocation, health; no input or output."""
 
-from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy, PaceChange
+from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
 from ._crashes import (
     RETURN_WINDOW_S,
     SURVIVAL_S,
@@ -10,11 +10,13 @@
     LostRunner,
     Suspect,
 )
+from ._effects import Effect
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
 from ._headroom import BatchHeadroom, ServiceLoad
 from ._health import RunnerHealth
 from ._order import objective_s, sort_key
+from ._paces import PaceChange
 from ._placement import PlacementPolicy, StepPlacement, unplaced_s
 from ._stragglers import find_stalled
 
@@ -28,6 +30,7 @@
     "ColocationPolicy",
     "Crash",
     "CrashDetector",
+    "Effect",
     "LostRunner",
     "PaceChange",
     "PlacementPolicy",
--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -8,11 +8,23 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 
 from ..fleet import Allocation, Runner
 from ..jobs import Attempt, AttemptState, StepSpec
-from ._effects import PRIOR_BASELINE, BaselineHeadroom, EffectModel, new_baseline
+from ._effects import (
+    PRIOR_BASELINE,
+    BaselineHeadroom,
+    Effect,
+    EffectModel,
+    new_baseline,
+)
+from ._paces import (
+    PaceChange,
+    lower_paces,
+    pause_all,
+    raise_paces,
+    restore_full_pace,
+)
 
 #: Expected headroom (target divided by tail latency) below which paces are lowered; at
 #: 1.0 the tail latency equals the target.
@@ -45,9 +57,6 @@
 NEGLIGIBLE_LOSS = 0.02
 #: Lowest pace in percent; a task that would have to be slower is paused.
 MIN_PACE_PERCENT = 15
-#: Percentage points by which a new pace must differ from the requested one; a pause and
-#: full pace always apply.
-PACE_STEP_PERCENT = 10
 #: Weight of the latest error in the average deviation of a task from the model.
 DEVIATION_WEIGHT = 0.2
 #: Shortest time in seconds between measurements of a runner from which effects are
@@ -83,25 +92,6 @@
 BASELINE_EXPIRY_S = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class PaceChange:
-    """New pace of an attempt.
-
-    Attributes
-    ----------
-    attempt : Attempt
-        The attempt.
-    pace_percent : int
-        Share of full speed, from 0 to 100.
-    headroom : float
-        Lowest measured headroom on the runner; infinity without serving tasks.
-    """
-
-    attempt: Attempt
-    pace_percent: int
-    headroom: float
-
-
 class ColocationPolicy:
     """Learn effects between images, and decide on placement and pace by them.
 
@@ -202,7 +192,7 @@
         if not allocations:
             return []
         if not runner.serving_count:
-            return _restore_full_pace(allocations)
+            return restore_full_pace(allocations)
         lowest = _lowest_headroom(runner)
         if lowest is None:
             return []
@@ -210,13 +200,13 @@
             runner.id, now_s
         )
         if over_target_s >= MAX_OVER_TARGET_S:
-            return _pause_all(allocations, lowest)
+            return pause_all(allocations, lowest)
         ceilings = self._highest_paces(runner, allocations, LOWER_PACE_HEADROOM)
-        changes = _lower_paces(allocations, ceilings, lowest)
+        changes = lower_paces(allocations, ceilings, lowest)
         if runner.id in self._over_target_since_s_by_runner:
             return changes
         floors = self._highest_paces(runner, allocations, RAISE_PACE_HEADROOM)
-        return changes + _raise_paces(allocations, floors, lowest)
+        return changes + raise_paces(allocations, floors, lowest)
 
     def measure_interval_s(self, runner: Runner) -> float:
         """Return the seconds after which a runner should be measured again.
@@ -257,6 +247,31 @@
                 found.append(attempt)
         return found
 
+    def list_effects(self) -> list[Effect]:
+        """Return the effects that were learnt, the most certain first."""
+        effects = []
+        for serving_image, model in self._model_by_image.items():
+            for image, mean, variance in model.list_effects():
+                effects.append(Effect(serving_image, image, mean, variance))
+        effects.sort(key=lambda effect: effect.variance)
+        return effects
+
+    def restore_effects(self, effects: Iterable[Effect], age_s: float) -> None:
+        """Take over effects that another owner has learnt.
+
+        Those that this owner has measured already stay as they are.
+
+        Parameters
+        ----------
+        effects : iterable of Effect
+            The effects.
+        age_s : float
+            Seconds since they were learnt; the older, the less certain they are.
+        """
+        for effect in effects:
+            model = self._effect_model(effect.serving_image)
+            model.restore(effect.image, effect.mean, effect.variance, age_s)
+
     def remove_runner(self, runner: str) -> None:
         """Discard the state of a runner that was removed or has no serving tasks."""
         self._over_target_since_s_by_runner.pop(runner, None)
@@ -476,44 +491,6 @@
     return lowest
 
 
-def _pause_all(allocations: list[Allocation], lowest: float) -> list[PaceChange]:
-    """Pause all tasks: slowing down the disturbing ones did not restore headroom."""
-    return _lower_paces(allocations, [0] * len(allocations), lowest)
-
-
-def _lower_paces(
-    allocations: list[Allocation], paces: list[int], lowest: float
-) -> list[PaceChange]:
-    changes = []
-    for allocation, percent in zip(allocations, paces, strict=True):
-        requested = allocation.attempt.requested_pace_percent
-        if percent <= requested - PACE_STEP_PERCENT or (not percent and requested):
-            changes.append(PaceChange(allocation.attempt, percent, lowest))
-    return changes
-
-
-def _raise_paces(
-    allocations: list[Allocation], paces: list[int], lowest: float
-) -> list[PaceChange]:
-    changes = []
-    for allocation, percent in zip(allocations, paces, strict=True):
-        requested = allocation.attempt.requested_pace_percent
-        if percent >= requested + PACE_STEP_PERCENT or (
-            percent == 100 and requested < 100
-        ):
-            changes.append(PaceChange(allocation.attempt, percent, lowest))
-    return changes
-
-
-def _restore_full_pace(allocations: list[Allocation]) -> list[PaceChange]:
-    """Return to full pace on a runner without serving tasks."""
-    changes = []
-    for allocation in allocations:
-        if allocation.attempt.requested_pace_percent < 100:
-            changes.append(PaceChange(allocation.attempt, 100, float("inf")))
-    return changes
-
-
 def _spare_allocations(runner: Runner) -> Iterator[Allocation]:
     for allocation in runner.allocation_by_run.values():
         if allocation.spec.uses_spare:
--- a/flamingoweir/policy/_effects.py
+++ b/flamingoweir/policy/_effects.py
@@ -38,6 +38,25 @@
 LOW_DECAY_S = 30.0
 
 
+@dataclass(frozen=True, slots=True)
+class Effect:
+    """A learnt effect of a batch image on a serving image.
+
+    Attributes
+    ----------
+    serving_image, image : str
+        The disturbed image and the disturbing one.
+    mean, variance : float
+        Headroom that is lost if the disturbing image uses all processors of a runner,
+        and the variance of that estimate.
+    """
+
+    serving_image: str
+    image: str
+    mean: float
+    variance: float
+
+
 @dataclass(slots=True)
 class BaselineHeadroom:
     """Headroom that the tasks of a step have without disturbance.
@@ -108,6 +127,36 @@
         """Return the expected effect of an image, at least 0."""
         return self.mean_by_image.get(image, PRIOR_EFFECT)
 
+    def list_effects(self) -> list[tuple[str, float, float]]:
+        """Return image, mean and variance of each effect."""
+        effects = []
+        for image, position in self._position_by_image.items():
+            variance = self._covariance[position][position]
+            effects.append((image, self.mean_by_image[image], variance))
+        return effects
+
+    def restore(self, image: str, mean: float, variance: float, age_s: float) -> None:
+        """Add an effect that was learnt earlier, unless the image is known here.
+
+        Its covariance with other effects is not restored.
+
+        Parameters
+        ----------
+        image : str
+            The disturbing image.
+        mean, variance : float
+            Estimate of the effect, and the variance of the estimate.
+        age_s : float
+            Seconds since the effect was learnt.
+        """
+        if image in self.mean_by_image:
+            return
+        self._add_image(image)
+        self.mean_by_image[image] = min(MAX_EFFECT, max(0.0, mean))
+        position = self._position_by_image[image]
+        grown_variance = max(0.0, variance) + EFFECT_DRIFT_STD**2 * max(0.0, age_s)
+        self._covariance[position][position] = min(PRIOR_EFFECT_STD**2, grown_variance)
+
     def learn(
         self,
         headroom: float,
