Learnt effects: bounded row, age of each effect, and a read beside the restore

Change: sizes are those of the encoded entries, longer ones are left out; an error of this optional row is contained. Variances grow with the time since the last measurement, effects that are hardly known are left out, and nothing is written unless something was measured. Of a stored and a measured effect the more certain one counts. The row is read beside the restore of the shard.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -70,7 +70,7 @@
     job_follower : TableFollower
         Follows the table of jobs.
     effect_store : EffectStore
-        Has the row with the effects of images that are to be kept.
+        Provides the row of learnt effects to be written.
     """
 
     def __init__(
@@ -156,7 +156,9 @@
             if job is not None:
                 self._collect_or_set_aside(job, batch)
         self._collect_set_aside(batch)
-        effects = self._effect_store.take_row()
+        effects = None
+        with self._owner_state.fault_log.contain("effects_not_written"):
+            effects = self._effect_store.take_row()
         if effects is not None:
             batch.puts.append(effects)
         expired, self._owner_state.expired_job_ids = (
--- a/flamingoweir/dispatch/_effect_store.py
+++ b/flamingoweir/dispatch/_effect_store.py
@@ -19,15 +19,17 @@
 #: Seconds between two writes of the row.
 WRITE_INTERVAL_S = 5.0
 #: Seconds before a failed read of the row is repeated.
-READ_RETRY_S = 0.5
-#: Seconds after the start of a term from which the row is not read any more: the owner
+READ_RETRY_S = 0.1
+#: Seconds from the start of a term from which the row is not read any more: the owner
 #: has measured the effects itself by then.
 MAX_READ_S = 10.0
 #: Largest size of the row in bytes; the least certain effects are left out. The store
-#: takes rows of 64 KiB.
+#: takes rows of 64 KiB, and refuses all other changes of the owner with a larger one.
 MAX_ROW_BYTES = 30_000
-#: Bytes of a pair of images beside their names.
-PAIR_BYTES = 40
+#: Bytes of the row without its effects.
+FRAME_BYTES = 100
+#: Largest size of an effect in the row, in bytes; longer names are left out.
+MAX_EFFECT_BYTES = 600
 
 
 class EffectRecord(pydantic.BaseModel):
@@ -58,14 +60,18 @@
         Time of the write in milliseconds since 1970.
     """
     rows = []
-    size = 0
+    size = FRAME_BYTES
     for effect in effects:
-        size += PAIR_BYTES
-        size += len(effect.serving_image.encode()) + len(effect.image.encode())
+        mean, variance = round(effect.mean, 4), round(effect.variance, 4)
+        row = (effect.serving_image, effect.image, mean, variance)
+        # As encoded: submitters choose the names, and some characters take six bytes.
+        row_size = len(orjson.dumps(row)) + 1
+        if row_size > MAX_EFFECT_BYTES:
+            continue
+        size += row_size
         if size > MAX_ROW_BYTES:
             break
-        mean, variance = round(effect.mean, 4), round(effect.variance, 4)
-        rows.append((effect.serving_image, effect.image, mean, variance))
+        rows.append(row)
     return orjson.dumps({"written_ms": written_ms, "effects": rows})
 
 
@@ -92,36 +98,43 @@
         self._written_s = context.clock.now()
 
     async def restore(self) -> None:
-        """Read the row and take its effects over; without the store, go on without."""
-        clock = self._context.clock
-        until_s = clock.now() + MAX_READ_S
-        row = self._row
-        while clock.now() < until_s:
-            try:
-                page = await self._store.read(
-                    row.table, row.part, row.key, row.key + "\0", 1
-                )
-            except (StoreRefused, StoreOutcomeUnknown) as error:
-                log.info("effects_not_read", detail=str(error))
-                await anyio.sleep(READ_RETRY_S)
-                continue
-            value = page.rows[0].value if page.rows else None
+        """Read the row and take its effects over.
+
+        The term goes on meanwhile, and does without them if the row can't be read.
+        """
+        with anyio.move_on_after(MAX_READ_S):
+            value = await self._read()
             if value is not None:
-                self._apply(value)
-            break
+                with self._context.owner_state.fault_log.contain("effects_not_taken"):
+                    self._apply(value)
         self._may_write = True
 
     def take_row(self) -> tuple[RowId, bytes] | None:
         """Return the row to be written now, or None."""
         now_s = self._context.clock.now()
-        if not self._may_write or now_s - self._written_s < WRITE_INTERVAL_S:
+        written_s = self._written_s
+        if not self._may_write or now_s - written_s < WRITE_INTERVAL_S:
             return None
         self._written_s = now_s
-        effects = self._colocation.list_effects()
+        if self._colocation.measured_s < written_s:
+            return None
+        effects = self._colocation.list_effects(now_s)
         if not effects:
             return None
         return self._row, encode_effects(effects, self._context.wall_ms())
 
+    async def _read(self) -> bytes | None:
+        row = self._row
+        while True:
+            try:
+                page = await self._store.read(
+                    row.table, row.part, row.key, row.key + "\0", 1
+                )
+                return page.rows[0].value if page.rows else None
+            except (StoreRefused, StoreOutcomeUnknown) as error:
+                log.info("effects_not_read", detail=str(error))
+            await anyio.sleep(READ_RETRY_S)
+
     def _apply(self, value: bytes) -> None:
         try:
             record = EffectRecord.model_validate_json(value)
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -195,8 +195,8 @@
                 committer = Committer(
                     self._context, self._orders, self._job_follower, effect_store
                 )
-                await self._restore_while_renewing(committer)
                 task_group.start_soon(effect_store.restore)
+                await self._restore_while_renewing(committer)
                 task_group.start_soon(committer.run)
                 task_group.start_soon(self._runner_follower.run)
                 task_group.start_soon(self._job_follower.run)
--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -247,11 +247,23 @@
                 found.append(attempt)
         return found
 
-    def list_effects(self) -> list[Effect]:
-        """Return the effects that were learnt, the most certain first."""
+    @property
+    def measured_s(self) -> float:
+        """When an effect was last measured, on the owner's clock, in seconds."""
+        times_s = [model.measured_s for model in self._model_by_image.values()]
+        return max(times_s, default=float("-inf"))
+
+    def list_effects(self, now_s: float) -> list[Effect]:
+        """Return the effects that were learnt, the most certain first.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds; older effects are less certain.
+        """
         effects = []
         for serving_image, model in self._model_by_image.items():
-            for image, mean, variance in model.list_effects():
+            for image, mean, variance in model.list_effects(now_s):
                 effects.append(Effect(serving_image, image, mean, variance))
         effects.sort(key=lambda effect: effect.variance)
         return effects
@@ -259,7 +271,7 @@
     def restore_effects(self, effects: Iterable[Effect], age_s: float) -> None:
         """Take over effects that another owner has learnt.
 
-        Those that this owner has measured already stay as they are.
+        Those of which this owner is more certain stay as they are.
 
         Parameters
         ----------
@@ -268,6 +280,7 @@
         age_s : float
             Seconds since they were learnt; the older, the less certain they are.
         """
+        self._headrooms_by_runner.clear()
         for effect in effects:
             model = self._effect_model(effect.serving_image)
             model.restore(effect.image, effect.mean, effect.variance, age_s)
--- a/flamingoweir/policy/_effects.py
+++ b/flamingoweir/policy/_effects.py
@@ -22,6 +22,8 @@
 MAX_EFFECT = 40.0
 #: Standard deviation of the drift of an effect within a second.
 EFFECT_DRIFT_STD = 0.1
+#: Variance up to which an effect counts as learnt.
+MAX_LISTED_VARIANCE = 0.5 * PRIOR_EFFECT_STD**2
 #: Mean and standard deviation of the headroom of an unknown, undisturbed task.
 PRIOR_BASELINE = 2.0
 PRIOR_BASELINE_STD = 1.5
@@ -127,16 +129,27 @@
         """Return the expected effect of an image, at least 0."""
         return self.mean_by_image.get(image, PRIOR_EFFECT)
 
-    def list_effects(self) -> list[tuple[str, float, float]]:
-        """Return image, mean and variance of each effect."""
+    @property
+    def measured_s(self) -> float:
+        """When an effect was last measured here, on the owner's clock, in seconds."""
+        return float("-inf") if self._predicted_s is None else self._predicted_s
+
+    def list_effects(self, now_s: float) -> list[tuple[str, float, float]]:
+        """Return image, mean and variance as of now of each effect that was learnt.
+
+        Those that are hardly more certain than an unknown one are left out.
+        """
         effects = []
+        age_s = 0.0 if self._predicted_s is None else now_s - self._predicted_s
         for image, position in self._position_by_image.items():
             variance = self._covariance[position][position]
-            effects.append((image, self.mean_by_image[image], variance))
+            variance += EFFECT_DRIFT_STD**2 * max(0.0, age_s)
+            if variance <= MAX_LISTED_VARIANCE:
+                effects.append((image, self.mean_by_image[image], variance))
         return effects
 
     def restore(self, image: str, mean: float, variance: float, age_s: float) -> None:
-        """Add an effect that was learnt earlier, unless the image is known here.
+        """Add an effect that was learnt earlier, if it is more certain than here.
 
         Its covariance with other effects is not restored.
 
@@ -149,13 +162,16 @@
         age_s : float
             Seconds since the effect was learnt.
         """
-        if image in self.mean_by_image:
-            return
         self._add_image(image)
-        self.mean_by_image[image] = min(MAX_EFFECT, max(0.0, mean))
         position = self._position_by_image[image]
         grown_variance = max(0.0, variance) + EFFECT_DRIFT_STD**2 * max(0.0, age_s)
-        self._covariance[position][position] = min(PRIOR_EFFECT_STD**2, grown_variance)
+        if grown_variance >= self._covariance[position][position]:
+            return
+        self.mean_by_image[image] = min(MAX_EFFECT, max(0.0, mean))
+        for row in self._covariance:
+            row[position] = 0.0
+        self._covariance[position] = [0.0] * len(self._covariance)
+        self._covariance[position][position] = grown_variance
 
     def learn(
         self,
--- a/flamingoweir/policy/_paces.py
+++ b/flamingoweir/policy/_paces.py
@@ -37,6 +37,7 @@
 def lower_paces(
     allocations: list[Allocation], paces: list[int], lowest: float
 ) -> list[PaceChange]:
+    """Return the changes to paces that are clearly lower than the requested ones."""
     changes = []
     for allocation, percent in zip(allocations, paces, strict=True):
         requested = allocation.attempt.requested_pace_percent
@@ -48,6 +49,7 @@
 def raise_paces(
     allocations: list[Allocation], paces: list[int], lowest: float
 ) -> list[PaceChange]:
+    """Return the changes to paces that are clearly higher than the requested ones."""
     changes = []
     for allocation, percent in zip(allocations, paces, strict=True):
         requested = allocation.attempt.requested_pace_percent
