Learnt effects: any error while the row is read leaves the term running

Cause: a test whose store takes keyword arguments only ended the term, as the read of an optional row raised an unexpected error.

Change: the whole read is contained, and uses the keywords of RowStore.read.

Result: 42 tests of effects, ownership and contained errors pass; before, one of ownership failed.

--- a/flamingoweir/dispatch/_effect_store.py
+++ b/flamingoweir/dispatch/_effect_store.py
@@ -102,11 +102,14 @@
 
         The term goes on meanwhile, and does without them if the row can't be read.
         """
-        with anyio.move_on_after(MAX_READ_S):
+        fault_log = self._context.owner_state.fault_log
+        with (
+            fault_log.contain("effects_not_taken"),
+            anyio.move_on_after(MAX_READ_S),
+        ):
             value = await self._read()
             if value is not None:
-                with self._context.owner_state.fault_log.contain("effects_not_taken"):
-                    self._apply(value)
+                self._apply(value)
         self._may_write = True
 
     def take_row(self) -> tuple[RowId, bytes] | None:
@@ -128,7 +131,7 @@
         while True:
             try:
                 page = await self._store.read(
-                    row.table, row.part, row.key, row.key + "\0", 1
+                    row.table, row.part, first=row.key, limit=1
                 )
                 return page.rows[0].value if page.rows else None
             except (StoreRefused, StoreOutcomeUnknown) as error:
