An owner that shuts down while the store is away renews leases until it is back

Cause: an instance that got SIGTERM ended its term at once. While the store was away it could not release the shard and no other instance could take it, so that the leases of all tasks ended 4 s after the last poll at the latest.

Change: the owner ends its term once the store has confirmed another write, asked for at once, or when its grace period is nearly over. An owner that has not read the shard yet leaves at once.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -24,6 +24,9 @@
 OPERATOR_FEED_WAIT_S = 0.9
 #: Age in seconds of the operators' table from which an instance is not ready.
 MAX_TABLE_AGE_S = 4.0
+#: Seconds of the grace period that are kept for releasing the shard, after an owner
+#: that shuts down has waited for the store.
+LEAVE_MARGIN_S = 1.8
 #: Seconds for which an instance leaves the shard to others after an unexpected error
 #: has ended its term; longer than a standby takes.
 FAILED_TERM_PAUSE_S = 3.0
@@ -136,7 +139,7 @@
         if not self._owns_shard:
             return
         if self.term is not None:
-            self.term.step_down()
+            await self.term.leave(self.settings.grace_s - LEAVE_MARGIN_S)
         await self._shard_released.wait()
 
     async def _run_terms(self) -> None:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -61,6 +61,8 @@
 FEED_WAIT_S = 0.7
 #: Seconds before a failed read of the shard's tables is repeated.
 READ_RETRY_PAUSE_S = 0.1
+#: Seconds between looks whether a write was confirmed.
+CONFIRMATION_POLL_S = 0.02
 #: Longest time in seconds for which an owner renews the ownership of a shard whose
 #: tables it has not read yet. After that, a standby takes the shard, which may read
 #: them faster.
@@ -169,6 +171,7 @@
         self._permit = Permit(self._context, self._runner_follower)
         self._link_by_runner: dict[str, RunnerLink] = {}
         self._runners_read = False
+        self._restored = False
         self._task_group: anyio.abc.TaskGroup | None = None
         self._orders: OrderSender | None = None
 
@@ -192,6 +195,7 @@
                 task_group.start_soon(self._term_end.wait)
                 committer = Committer(self._context, self._orders, self._job_follower)
                 await self._restore_while_renewing(committer)
+                self._restored = True
                 task_group.start_soon(committer.run)
                 task_group.start_soon(self._runner_follower.run)
                 task_group.start_soon(self._job_follower.run)
@@ -215,8 +219,26 @@
                 await link.aclose()
         return reason
 
-    def step_down(self) -> None:
-        """End the term because the instance shuts down."""
+    async def leave(self, max_wait_s: float) -> None:
+        """End the term for a shutdown, once the store has confirmed another write.
+
+        While the store is away the shard can't be released, and no other instance can
+        take it: this owner goes on renewing the leases, so that the tasks survive. An
+        owner that has not read the shard yet renews none, and ends its term at once.
+
+        Parameters
+        ----------
+        max_wait_s : float
+            Seconds after which the term ends in any case.
+        """
+        started_s = self._clock.now()
+        self.owner_state.write_wakeup.set()
+        while self._restored and self._writer.confirmed_s < started_s:
+            waited_s = self._clock.now() - started_s
+            if waited_s >= max_wait_s or not self._writer.may_renew_leases():
+                log.warning("left_without_store", waited_s=round(waited_s, 2))
+                break
+            await anyio.sleep(CONFIRMATION_POLL_S)
         self._term_end.signal("shutdown")
 
     async def _restore_while_renewing(self, committer: Committer) -> None:
--- a/tests/test_renewals_of_lost_runners.py
+++ b/tests/test_renewals_of_lost_runners.py
@@ -61,3 +61,34 @@
             assert len(cluster.starts(f"{job.id}.0.0.0")) == 1
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("fault", ["down", "silent"])
+@pytest.mark.parametrize("left_after_s", [0.3, 1.2, 3.0])
+def test_tasks_outlive_an_owner_that_leaves_without_the_store(left_after_s, fault):
+    """Guards against an owner that stops renewing leases before it can be replaced.
+
+    It is told to shut down while the store is away; the store is back within its grace
+    period.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, make_step(6, lasting=True)))
+            await anyio.sleep(2)
+            for member in cluster.member_by_name.values():
+                setattr(member.store, fault, True)
+            await anyio.sleep(left_after_s)
+            cluster.tasks.start_soon(owner.instance.leave)
+            await anyio.sleep(OUTAGE_S - 0.5 - left_after_s)
+            for member in cluster.member_by_name.values():
+                setattr(member.store, fault, False)
+            await anyio.sleep(3)
+            cluster.kill_member(owner)
+            await anyio.sleep(5)
+            assert len(cluster.records("start")) == 6
+            assert await cluster.state(job) is JobState.RUNNING
+
+    run_virtual(scenario)
