--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -62,6 +62,8 @@
 FEED_WAIT_S = 0.7
 #: Seconds before a failed read of the shard's tables is repeated.
 READ_RETRY_PAUSE_S = 0.1
+#: Seconds between checks whether a write was confirmed.
+CONFIRMATION_POLL_S = 0.02
 #: Longest time in seconds for which an owner renews the ownership of a shard whose
 #: tables it has not read yet. After that, a standby takes the shard, which may read
 #: them faster.
@@ -170,6 +172,8 @@
         self._permit = Permit(self._context, self._runner_follower)
         self._link_by_runner: dict[str, RunnerLink] = {}
         self._runners_read = False
+        #: Whether the shard was read and the term has not ended.
+        self._is_running = False
         self._task_group: anyio.abc.TaskGroup | None = None
         self._orders: OrderSender | None = None
 
@@ -197,6 +201,7 @@
                 )
                 task_group.start_soon(effect_store.restore)
                 await self._restore_while_renewing(committer)
+                self._is_running = True
                 task_group.start_soon(committer.run)
                 task_group.start_soon(self._runner_follower.run)
                 task_group.start_soon(self._job_follower.run)
@@ -214,14 +219,33 @@
             self.failed = True
             reason = reason or f"unexpected error: {group.exceptions[0]!r}"
             log.error("term_failed", shard=self._writer.shard, exc_info=group)
+        self._is_running = False
         log.info("term_ended", shard=self._writer.shard, reason=reason)
         with anyio.CancelScope(shield=True):
             for link in self._link_by_runner.values():
                 await link.aclose()
         return reason
 
-    def step_down(self) -> None:
-        """End the term because the instance shuts down."""
+    async def leave(self, max_wait_s: float) -> None:
+        """End the term for a shutdown, once the store has confirmed another write.
+
+        While the store is away the shard can't be released, and no other instance can
+        take it: this owner goes on renewing the leases, so that the tasks survive. An
+        owner that has not read the shard yet renews none, and ends its term at once.
+
+        Parameters
+        ----------
+        max_wait_s : float
+            Seconds after which the term ends in any case.
+        """
+        started_s = self._clock.now()
+        self.owner_state.write_wakeup.set()
+        while self._is_running and self._writer.confirmed_s < started_s:
+            waited_s = self._clock.now() - started_s
+            if waited_s >= max_wait_s:
+                log.warning("left_without_store", waited_s=round(waited_s, 2))
+                break
+            await anyio.sleep(CONFIRMATION_POLL_S)
         self._term_end.signal("shutdown")
 
     async def _restore_while_renewing(self, committer: Committer) -> None:
