Entry instances refuse calls at once while the store is unavailable

Cause: while the store was silent, every submission was sent to it, tried until 0.42 of the caller's deadline and answered with 504, which the caller can't safely retry.

Change: `StoreAvailability` decides from this instance's calls to the store, those of the operators' feed included. After 8 calls in a row without success since the latest response, the first sent at least 0.45 s ago, new calls for queues with an objective get 503 with a Retry-After of 1 to 3 s, and nothing of them is sent. `StoreMonitor` observes the calls, sends reads that make up the number of calls, and probes the store until it is back. Calls that were sent keep their outcome; states in the cache are answered. Queues without an objective are served as before.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -84,15 +84,6 @@
         self._wall_ms = wall_ms
         fault_log = FaultLog(metrics, clock)
         self.operators = OperatorView(links.row_decoder, fault_log)
-        self._follower = TableFollower(
-            links.store,
-            links.operator_table,
-            ("",),
-            OPERATOR_FEED_WAIT_S,
-            self.operators.apply_rows,
-            clock,
-            fault_log,
-        )
         process = f"{generator.getrandbits(64):016x}"
         self.standby = Standby(
             links.owner_store,
@@ -113,6 +104,16 @@
             metrics,
             self.standby.max_job_bytes,
         )
+        self._follower = TableFollower(
+            links.store,
+            links.operator_table,
+            ("",),
+            OPERATOR_FEED_WAIT_S,
+            self.operators.apply_rows,
+            clock,
+            fault_log,
+            self.handler.store_monitor.record_feed_call,
+        )
         self._owns_shard = False
         self._shard_released = anyio.Event()
 
@@ -127,6 +128,7 @@
         """Follow the operators' table and own the shard in turn until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follower.run)
+            tasks.start_soon(self.handler.store_monitor.run)
             tasks.start_soon(self._run_terms)
 
     async def leave(self) -> None:
--- a/flamingoweir/platform/_ingress.py
+++ b/flamingoweir/platform/_ingress.py
@@ -202,9 +202,12 @@
             await self._handler.submit(spec, head.timeout_s)
             return 200, {}
         if head.method == "GET":
-            return _encode_state(await self._handler.find_state(job_id, head.timeout_s))
+            state = await self._handler.find_state(job_id, head.timeout_s, queue.policy)
+            return _encode_state(state)
         if head.method == "DELETE":
-            was_accepted = await self._handler.cancel(job_id, head.timeout_s)
+            was_accepted = await self._handler.cancel(
+                job_id, head.timeout_s, queue.policy
+            )
             return (200, {}) if was_accepted else (410, {})
         raise FlamingoweirError(
             ErrorCode.BAD_REQUEST,
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -16,11 +16,13 @@
 from ._health import RunnerHealth
 from ._order import objective_s, sort_key
 from ._placement import PlacementPolicy, StepPlacement, unplaced_s
+from ._store_availability import RESPONSE_LIMIT_S, StoreAvailability
 from ._stragglers import find_stalled
 
 __all__ = [
     "EVICT_AFTER_S",
     "MAX_PLACEMENT_WAIT_S",
+    "RESPONSE_LIMIT_S",
     "RETURN_WINDOW_S",
     "SURVIVAL_S",
     "SUSPECT_WAIT_S",
@@ -34,6 +36,7 @@
     "RunnerHealth",
     "ServiceLoad",
     "StepPlacement",
+    "StoreAvailability",
     "Suspect",
     "choose_evictions",
     "find_stalled",
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -13,6 +13,7 @@
     FINAL_STATES,
     JobSpec,
     JobState,
+    QueuePolicy,
     decode_spec,
     decode_state,
     encode_spec,
@@ -29,6 +30,7 @@
     Transaction,
 )
 from ._store_calls import StoreCalls
+from ._store_monitor import StoreMonitor
 
 log = get_logger()
 
@@ -46,6 +48,8 @@
 MAX_STEPS = 5_000
 #: Number of final job states that are cached; the oldest is dropped first.
 MAX_CACHED_STATES = 20_000
+#: Id of the job whose row is read to see whether the store responds.
+PROBE_JOB_ID = 16 * "0"
 
 
 class SubmissionHandler:
@@ -71,6 +75,11 @@
     max_job_bytes : callable, optional
         Returns the largest `JobSpec.memory_bytes` of a job that the shard's owner can
         hold; None for any.
+
+    Attributes
+    ----------
+    store_monitor : StoreMonitor
+        Knows whether the store is unavailable.
     """
 
     def __init__(
@@ -84,7 +93,10 @@
         max_job_bytes: Callable[[], int | None] = lambda: None,
     ):
         self._max_job_bytes = max_job_bytes
-        self._calls = StoreCalls(store, clock, generator, metrics)
+        self.store_monitor = StoreMonitor(
+            store, job_row(shard_name(0), PROBE_JOB_ID), clock, generator, metrics
+        )
+        self._calls = StoreCalls(store, clock, generator, metrics, self.store_monitor)
         self._operators = operators
         self._backlog = backlog
         self._clock = clock
@@ -149,6 +161,7 @@
         """
         self._validate(spec)
         value = _encode_exactly(spec)
+        self.store_monitor.check_available(spec.policy)
         shard = shard_name(0)
         row = job_row(shard, spec.id)
         max_bytes = self._max_job_bytes()
@@ -184,7 +197,9 @@
             retry_after_s=FULL_RETRY_AFTER_S,
         )
 
-    async def find_state(self, job_id: str, timeout_s: float) -> JobState | None:
+    async def find_state(
+        self, job_id: str, timeout_s: float, policy: QueuePolicy | None = None
+    ) -> JobState | None:
         """Return a job's state, or None if the job was never accepted.
 
         Parameters
@@ -193,6 +208,8 @@
             Id of the job.
         timeout_s : float
             Seconds that all reads of the store may take together.
+        policy : QueuePolicy, optional
+            Policy of the queue that was addressed.
 
         Raises
         ------
@@ -202,6 +219,7 @@
         final_state = self._final_state_by_job.get(job_id)
         if final_state is not None:
             return final_state
+        self.store_monitor.check_available(policy)
         until_s = self._clock.now() + timeout_s
         shard = shard_name(0)
         state = await self._read_state(shard, job_id, until_s)
@@ -212,7 +230,9 @@
         # The job may have ended between the two reads.
         return await self._read_state(shard, job_id, until_s)
 
-    async def cancel(self, job_id: str, timeout_s: float) -> bool:
+    async def cancel(
+        self, job_id: str, timeout_s: float, policy: QueuePolicy | None = None
+    ) -> bool:
         """Cancel a job durably.
 
         Parameters
@@ -221,6 +241,8 @@
             Id of the job.
         timeout_s : float
             Seconds that the submitter waits.
+        policy : QueuePolicy, optional
+            Policy of the queue that was addressed.
 
         Returns
         -------
@@ -233,6 +255,7 @@
         FlamingoweirError
             If the store can't be read, or does not confirm the cancellation in time.
         """
+        self.store_monitor.check_available(policy)
         shard = shard_name(0)
         until_s = self._clock.now() + timeout_s
         while True:
--- a/flamingoweir/queues/_store_calls.py
+++ b/flamingoweir/queues/_store_calls.py
@@ -16,6 +16,7 @@
     Transaction,
     VersionedRow,
 )
+from ._store_monitor import StoreMonitor
 
 log = get_logger()
 
@@ -38,6 +39,8 @@
         Source of the jitter of retry pauses.
     metrics : Metrics
         Receives counters.
+    monitor : StoreMonitor
+        Observes every call.
     """
 
     def __init__(
@@ -46,11 +49,13 @@
         clock: Clock,
         generator: random.Random,
         metrics: Metrics,
+        monitor: StoreMonitor,
     ):
         self._store = store
         self._clock = clock
         self._generator = generator
         self._metrics = metrics
+        self._monitor = monitor
 
     async def transact(self, transaction: Transaction, timeout_s: float) -> int:
         """Apply a transaction and return its version; retry until its outcome is known.
@@ -69,7 +74,9 @@
             remaining_s = timeout_s - (self._clock.now() - started_s)
             try:
                 with anyio.fail_after(max(MIN_CALL_TIMEOUT_S, remaining_s)):
-                    return await self._store.transact(transaction)
+                    return await self._monitor.call(
+                        lambda: self._store.transact(transaction)
+                    )
             except TimeoutError:
                 outcome_unknown = True
                 detail = "no response before the submitter's deadline"
@@ -101,8 +108,10 @@
             remaining_s = until_s - self._clock.now()
             try:
                 with anyio.fail_after(max(MIN_CALL_TIMEOUT_S, remaining_s)):
-                    page = await self._store.read(
-                        row.table, row.part, row.key, row.key + "\0", 1
+                    page = await self._monitor.call(
+                        lambda: self._store.read(
+                            row.table, row.part, row.key, row.key + "\0", 1
+                        )
                     )
                 return page.rows[0] if page.rows else None
             except TimeoutError:
--- /dev/null
+++ b/flamingoweir/queues/_store_monitor.py
@@ -0,0 +1,230 @@
+"""Refuses submitters' calls at once while the store is unavailable."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+
+from ..clock import Clock
+from ..errors import ErrorCode, FlamingoweirError
+from ..faults import FaultLog
+from ..jobs import QueuePolicy
+from ..logs import get_logger
+from ..metrics import Metrics
+from ..policy import RESPONSE_LIMIT_S, StoreAvailability
+from ..storage import (
+    RowId,
+    RowStore,
+    RowVersionConflict,
+    StoreOutcomeUnknown,
+    StoreRefused,
+)
+from ..wakeup import Wakeup
+
+log = get_logger()
+
+Result = TypeVar("Result")
+
+#: Seconds between reviews of pending calls.
+REVIEW_INTERVAL_S = 0.05
+#: Delay of a review in seconds from which the event loop counts as having been paused,
+#: so that responses may have arrived that were not received yet.
+MIN_PAUSE_S = 0.2
+#: Timeout of a probe in seconds; longer than `RESPONSE_LIMIT_S`, so that one without
+#: a response counts as unanswered.
+PROBE_TIMEOUT_S = RESPONSE_LIMIT_S + 0.01
+#: Mean pause between probes of an unavailable store, in seconds. Together with the
+#: timeout of a probe, an instance refuses calls for up to 0.54 s after the return.
+PROBE_PAUSE_S = 0.05
+#: Range of Retry-After, in seconds; random, so that submitters don't return together.
+RETRY_AFTER_S = (1.0, 3.0)
+#: Seconds that the watching task waits when there is nothing to watch.
+IDLE_WAIT_S = 60.0
+
+
+class StoreMonitor:
+    """Observe calls to the store, and decide whether new ones are sent.
+
+    Parameters
+    ----------
+    store : RowStore
+        The store, which is probed while it is unavailable.
+    probe_row : RowId
+        Row that probes and checks read; it need not exist.
+    clock : Clock
+        Monotonic clock of this instance.
+    generator : random.Random
+        Source of jitter.
+    metrics : Metrics
+        Receives counters.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        probe_row: RowId,
+        clock: Clock,
+        generator: random.Random,
+        metrics: Metrics,
+    ):
+        self._store = store
+        self._probe_row = probe_row
+        self._clock = clock
+        self._generator = generator
+        self._metrics = metrics
+        self._fault_log = FaultLog(metrics, clock)
+        self._availability = StoreAvailability()
+        self._unavailable_since_s: float | None = None
+        self._wakeup = Wakeup()
+
+    def check_available(self, policy: QueuePolicy | None) -> None:
+        """Refuse a submitter's call before anything of it is sent.
+
+        Parameters
+        ----------
+        policy : QueuePolicy or None
+            Policy of the queue that is addressed. Calls for queues without an objective
+            are always sent.
+
+        Raises
+        ------
+        FlamingoweirError
+            With code STORE_UNAVAILABLE if the store is unavailable.
+        """
+        if policy is None or policy.objective_s <= 0:
+            return
+        self._wakeup.set()
+        if not self._availability.unavailable:
+            return
+        self._metrics.incr("store_unavailable_refused")
+        now_s = self._clock.now()
+        log.info(
+            "call_not_sent",
+            unavailable_s=round(now_s - self._unavailable_since_s, 3),
+            response_age_s=self._response_age_s(now_s),
+        )
+        raise FlamingoweirError(
+            ErrorCode.STORE_UNAVAILABLE,
+            "the store does not respond to this instance; nothing was sent to it, try "
+            "again later or on another instance",
+            retry_after_s=self._generator.uniform(*RETRY_AFTER_S),
+        )
+
+    async def call(self, send: Callable[[], Awaitable[Result]]) -> Result:
+        """Make a call to the store, and record whether it is answered."""
+        call = self._availability.begin_call(self._clock.now())
+        try:
+            result = await send()
+        except RowVersionConflict:
+            self._record_response(call)
+            raise
+        except StoreRefused as error:
+            # A refusal by the rate limit is a response of a store in service.
+            if error.overloaded:
+                self._record_response(call)
+            else:
+                self._availability.record_failure(call)
+            raise
+        except StoreOutcomeUnknown:
+            self._availability.record_failure(call)
+            raise
+        except BaseException:
+            self._availability.record_timeout(call, self._clock.now())
+            raise
+        self._record_response(call)
+        return result
+
+    def record_feed_call(self, sent_s: float, answered: bool) -> None:
+        """Record the end of a call of the operators' table's feed."""
+        call = self._availability.begin_call(sent_s)
+        if answered:
+            self._record_response(call)
+        else:
+            self._availability.record_failure(call)
+
+    async def run(self) -> None:
+        """Review pending calls and probe the store until cancelled.
+
+        This takes effect from the first call for a queue with an objective.
+        """
+        while True:
+            if not await self._wakeup.wait(IDLE_WAIT_S):
+                continue
+            while self._availability.has_evidence:
+                with self._fault_log.contain("store_review_failed") as review:
+                    await self._review()
+                if review.failed:
+                    await anyio.sleep(REVIEW_INTERVAL_S)
+
+    async def _review(self) -> None:
+        if self._availability.unavailable:
+            await self._probe()
+            pause_s = PROBE_PAUSE_S * self._generator.uniform(0.5, 1.5)
+            await anyio.sleep(pause_s)
+            return
+        due_s = self._clock.now() + REVIEW_INTERVAL_S
+        await anyio.sleep(REVIEW_INTERVAL_S)
+        self._record_pause(due_s)
+        reads = self._decide()
+        if not reads:
+            return
+        due_s = self._clock.now() + PROBE_TIMEOUT_S
+        async with anyio.create_task_group() as tasks:
+            for _ in range(reads):
+                tasks.start_soon(self._probe)
+        self._record_pause(due_s)
+        self._decide()
+
+    def _decide(self) -> int:
+        """Review the evidence; return how many check reads are to be sent now."""
+        now_s = self._clock.now()
+        reads = self._availability.review(now_s)
+        if self._availability.unavailable:
+            self._unavailable_since_s = now_s
+            self._metrics.incr("store_unavailable")
+            log.warning(
+                "store_unavailable",
+                failed_calls=self._availability.failed_calls,
+                response_age_s=self._response_age_s(now_s),
+            )
+        elif reads:
+            log.info(
+                "store_checked",
+                reads=reads,
+                failed_calls=self._availability.failed_calls,
+                response_age_s=self._response_age_s(now_s),
+            )
+        return reads
+
+    def _record_pause(self, due_s: float) -> None:
+        now_s = self._clock.now()
+        if now_s - due_s >= MIN_PAUSE_S:
+            self._availability.record_pause(now_s - due_s, now_s)
+
+    async def _probe(self) -> None:
+        """Read a row, to see whether the store responds."""
+        row = self._probe_row
+        # A read that is given up has been recorded, and no result is needed.
+        with anyio.move_on_after(PROBE_TIMEOUT_S):
+            try:
+                await self.call(
+                    lambda: self._store.read(
+                        row.table, row.part, row.key, row.key + "\0", 1
+                    )
+                )
+            except (StoreRefused, StoreOutcomeUnknown):
+                return
+
+    def _record_response(self, call: int) -> None:
+        now_s = self._clock.now()
+        if self._availability.unavailable:
+            log.info(
+                "store_available",
+                unavailable_s=round(now_s - self._unavailable_since_s, 3),
+            )
+        self._availability.record_response(call, now_s)
+
+    def _response_age_s(self, now_s: float) -> float | None:
+        last_s = self._availability.last_response_s
+        return None if last_s == float("-inf") else round(now_s - last_s, 3)
--- a/flamingoweir/registry/_follower.py
+++ b/flamingoweir/registry/_follower.py
@@ -42,6 +42,9 @@
         Monotonic clock of this instance.
     fault_log : FaultLog, optional
         Records unexpected errors, after which the whole table is read again.
+    record_call : callable, optional
+        Called with the time at which a call was sent and with whether the store has
+        responded, at the end of each call.
 
     Attributes
     ----------
@@ -59,6 +62,7 @@
         apply_rows: Callable[[list[VersionedRow], bool], None],
         clock: Clock,
         fault_log: FaultLog | None = None,
+        record_call: Callable[[float, bool], None] = lambda sent_s, answered: None,
     ):
         self._fault_log = fault_log or FaultLog()
         self._store = store
@@ -70,6 +74,7 @@
         self._version = 0
         self._resumed = False
         self._reachable = True
+        self._record_call = record_call
         self.last_synced_s = float("-inf")
 
     def resume_from(self, version: int, synced_s: float) -> None:
@@ -99,11 +104,14 @@
                     unchanged = False
                     synced = True
             except HistoryTruncated as error:
+                self._record_call(sent_s, True)
                 log.info("feed_history_gone", table=self._table, detail=str(error))
                 synced = False
                 continue
             except (StoreRefused, StoreOutcomeUnknown) as error:
                 self._record_failure(error)
+                # A refusal by the rate limit is a response.
+                self._record_call(sent_s, getattr(error, "overloaded", False))
                 # The failed call may have missed changes, so the table is read again.
                 synced = False
                 await anyio.sleep(RETRY_PAUSE_S)
@@ -113,6 +121,7 @@
                 synced = False
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
+            self._record_call(sent_s, True)
             # A response without changes is sent only at the end of the wait.
             self._record_success(sent_s + self._wait_s if unchanged else sent_s)
 
--- /dev/null
+++ b/tests/test_store_availability.py
@@ -0,0 +1,213 @@
+"""Submitters' calls at instances whose store is unavailable, slow or unreliable."""
+
+import random
+from dataclasses import replace
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from flamingoweir.errors import FlamingoweirError
+from flamingoweir.jobs import JobState
+from flamingoweir.ownership import job_row
+from flamingoweir.policy import StoreAvailability
+from flamingoweir.policy._store_availability import (
+    MIN_FAILED_CALLS,
+    RESPONSE_LIMIT_S,
+)
+from flamingoweir.storage import StoreOutcomeUnknown, StoreRefused
+from tests.utils.cluster import make_job, run_cluster
+from tests.utils.ingress import get_state
+from tests.utils.virtual_time import run_virtual
+
+MEMBERS = 10
+CALLS_PER_S = 30
+#: Timeout of a call whose caller waits 3 s.
+TIMEOUT_S = 1.26
+#: Longest time in seconds for which instances may refuse calls once the store is back.
+MAX_REFUSING_S = 0.55
+
+
+class Load:
+    """Calls that submit jobs to random instances, and what became of them.
+
+    Attributes
+    ----------
+    calls : list of (float, int, JobSpec, FlamingoweirError or None)
+        Time of arrival and status of each call, its job, and the error.
+    """
+
+    def __init__(self, cluster, objective_s: float):
+        policy = replace(make_job(0).policy, objective_s=objective_s)
+        self.calls = []
+        self._cluster = cluster
+        self._policy = policy
+        self._generator = random.Random(4)
+
+    async def run(self, duration_s: float) -> None:
+        members = list(self._cluster.member_by_name.values())
+        async with anyio.create_task_group() as tasks:
+            for _ in range(round(duration_s * CALLS_PER_S)):
+                tasks.start_soon(self.submit, self._generator.choice(members))
+                await anyio.sleep(1 / CALLS_PER_S)
+
+    async def submit(self, member) -> None:
+        started_s = anyio.current_time()
+        job = make_job(self._generator.getrandbits(64), policy=self._policy)
+        status, failure = 200, None
+        try:
+            await member.instance.handler.submit(job, TIMEOUT_S)
+        except FlamingoweirError as error:
+            status, failure = error.http_status, error
+        self.calls.append((started_s, status, job, failure))
+
+    def count(self, status: int, since_s: float = 0.0) -> int:
+        return sum(call[0] >= since_s and call[1] == status for call in self.calls)
+
+
+def break_calls(link, generator, fault: str) -> None:
+    """Let the store answer an instance slowly, or fail a part of its calls."""
+    simulate_call = link._simulate_call
+
+    async def simulate_faulty_call() -> None:
+        await simulate_call()
+        if fault == "slow":
+            await anyio.sleep(generator.uniform(0.25, 0.396))
+        if fault == "refusing" and generator.random() < 1 / 3:
+            raise StoreRefused("refused")
+        if fault == "losing" and generator.random() < 0.35:
+            await anyio.sleep(link.timeout_s)
+            raise StoreOutcomeUnknown("response lost")
+
+    link._simulate_call = simulate_faulty_call
+
+
+async def run_outage(fault: str, objective_s: float) -> Load:
+    """Run an outage of 6 s and the second after it; return the calls from its start."""
+    async with run_cluster(members=MEMBERS, runners=0) as cluster:
+        await cluster.owner()
+        load = Load(cluster, objective_s)
+        await load.run(2.0)
+        load.calls.clear()
+        members = cluster.member_by_name.values()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(load.run, 7.0)
+            for member in members:
+                setattr(member.store, fault, True)
+            await anyio.sleep(6.0)
+            for member in members:
+                setattr(member.store, fault, False)
+            back_s = anyio.current_time()
+        for _, status, job, error in load.calls:
+            if status == 503:
+                assert job_row("s0", job.id) not in cluster.rows.row_by_id
+            if status == 503 and "nothing was sent" in error.message:
+                assert 1 <= error.retry_after_s <= 3
+        print(
+            f"{fault}, objective {objective_s}: 503 {load.count(503)}, 504 "
+            f"{load.count(504)}, after return: 200 {load.count(200, back_s)}, "
+            f"503 {load.count(503, back_s)}"
+        )
+        assert not load.count(503, back_s + MAX_REFUSING_S)
+        return load
+
+
+def test_calls_in_a_silent_outage_are_refused_before_they_are_sent():
+    """Guards against calls with unknown outcome, which callers can't safely retry.
+
+    Queues without an objective are served as before.
+    """
+    before = run_virtual(run_outage, "silent", 0.0)
+    assert not before.count(503)
+    after = run_virtual(run_outage, "silent", 1.0)
+    assert after.count(504) < before.count(504) / 3
+    assert after.count(503) > 2 * after.count(504)
+
+
+def test_calls_to_a_store_that_refuses_all_are_answered_at_once():
+    """Guards against callers that are held up by tries that are all refused."""
+    load = run_virtual(run_outage, "down", 1.0)
+    assert not load.count(504)
+    assert load.count(503) > 100
+
+
+@pytest.mark.parametrize("fault", ["slow", "refusing", "losing"])
+def test_store_that_answers_some_calls_is_available(fault):
+    """Guards against refusals by a store that is slow or fails a part of the calls."""
+
+    async def scenario():
+        async with run_cluster(members=MEMBERS, runners=0) as cluster:
+            await cluster.owner()
+            generator = random.Random(7)
+            events = []
+            for member in cluster.member_by_name.values():
+                break_calls(member.store, generator, fault)
+                monitor = member.instance.handler.store_monitor
+                monitor._metrics = SimpleNamespace(incr=events.append)
+            load = Load(cluster, 1.0)
+            await load.run(30.0)
+            assert not events, "the store was taken for unavailable"
+            assert load.count(200) > 0.8 * len(load.calls)
+
+    run_virtual(scenario)
+
+
+def test_only_the_instance_that_is_cut_off_refuses_calls():
+    """Guards against refusals elsewhere, for known ends, and of calls already sent."""
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            job = await cluster.submit(make_job(1))
+            await cluster.wait_for(job, JobState.DONE, 5.0)
+            member = next(m for m in cluster.member_by_name.values() if m != owner)
+            assert (await get_state(cluster, member, job.id))[0] == 200
+            member.store.silent = True
+            load = Load(cluster, 1.0)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(load.submit, member)
+                await anyio.sleep(1.1)
+                asked_s = anyio.current_time()
+                assert (await get_state(cluster, member, f"{2:016x}"))[0] == 503
+                assert anyio.current_time() == asked_s
+                assert (await get_state(cluster, member, job.id))[0] == 200
+                await load.submit(owner)
+                await load.submit(member)
+                member.store.silent = False
+            statuses = [status for _, status, _, _ in load.calls]
+            assert statuses == [200, 503, 504]
+
+    run_virtual(scenario)
+
+
+def test_call_from_before_a_response_or_a_pause_is_no_evidence():
+    """Guards against a slow call, or a paused process, that is taken for an outage."""
+    availability = StoreAvailability()
+    calls = [availability.begin_call(0.0) for _ in range(20)]
+    assert availability.review(RESPONSE_LIMIT_S / 2) == 0
+    availability.record_pause(3.0, 3.2)
+    availability.review(3.2)
+    assert not availability.unavailable
+    availability.record_response(calls.pop(), 3.3)
+    for call in calls:
+        availability.record_failure(call)
+    assert availability.review(9.0) == 0
+    assert not availability.unavailable
+
+
+def test_checks_and_decision_wait_until_a_slow_store_would_have_answered():
+    """Guards against load on a slow store, and refusals after a burst of failures."""
+    availability = StoreAvailability()
+    availability.begin_call(0.0)
+    assert availability.review(0.4) == 0
+    assert availability.review(RESPONSE_LIMIT_S) == MIN_FAILED_CALLS - 1
+    assert availability.review(0.6) == 0
+    for _ in range(MIN_FAILED_CALLS):
+        availability.record_failure(availability.begin_call(0.6))
+    availability.record_response(availability.begin_call(0.7), 0.7)
+    for _ in range(MIN_FAILED_CALLS):
+        availability.record_failure(availability.begin_call(0.8))
+    availability.review(0.9)
+    assert not availability.unavailable
+    availability.review(1.3)
+    assert availability.unavailable
