Keys of customers at the entry instances

The configuration names customers with keys, and nothing checked the keys of requests.

Change: `policy/_key_validity.py` decides from the age of the proof that the configuration is the newest one, counted from the sending of the read (`TableFollower.proof_sent_s`); `queues/_authentication.py` applies it on arrival. 401 with WWW-Authenticate for a missing or unknown key, 503 if this instance can't know, also while the newest configuration row can't be read (`OperatorView.configuration_readable`). Jobs carry their customer; another customer's job gets 410 for GET and DELETE, and 409 for POST (`queues/_job_states.py`, which also has the state reads of the handler). State rows name the customer.

Two faults that keys depend on: a feed that answers without changes while the store withholds them no longer moves the follower past these changes, and an invalid response of the store is described without its contents, which may be keys.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -13,7 +13,7 @@
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..ownership import FencedWriter, OwnershipLost, Standby, shard_name
-from ..queues import SubmissionHandler
+from ..queues import Authentication, SubmissionHandler
 from ..registry import OperatorView, TableFollower
 from ..settings import FleetSettings
 
@@ -112,6 +112,15 @@
             generator,
             metrics,
             self.standby.max_job_bytes,
+            Authentication(
+                self.operators,
+                lambda: self._follower.proof_sent_s,
+                clock,
+                metrics,
+                settings.customers,
+                settings.revoke_s,
+                settings.config_apply_s,
+            ),
         )
         self._owns_shard = False
         self._shard_released = anyio.Event()
--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -208,6 +208,7 @@
             job.blame_by_task,
             closed_occurrences=job.closed_occurrences.ranges,
             suspicion_by_run=self._find_suspicions(job),
+            customer=job.spec.customer,
         )
         row = state_row(self._writer.shard, job_id)
         batch.puts.append((row, encode_state(record)))
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -196,7 +196,9 @@
         self.fault_log.record(event, error, job=job_id)
         self._metrics.incr("jobs_set_aside")
         self.exclude_job(job_id)
-        self.set_aside_by_job[job_id] = StateRecord(job.state, set_aside=True)
+        self.set_aside_by_job[job_id] = StateRecord(
+            job.state, set_aside=True, customer=job.spec.customer
+        )
         self.write_wakeup.set()
         for runner in self.runner_by_id.values():
             for allocation in list(runner.allocation_by_run.values()):
--- a/flamingoweir/errors.py
+++ b/flamingoweir/errors.py
@@ -22,6 +22,7 @@
     NOT_FOUND = "not_found"
     CONFLICT = "conflict"
     FORBIDDEN_BRANCH = "forbidden_branch"
+    UNAUTHENTICATED = "unauthenticated"
     BODY_TOO_LARGE = "body_too_large"
     OVERLOADED = "overloaded"
     TEAM_LIMIT = "team_limit"
@@ -43,6 +44,7 @@
     ErrorCode.NOT_FOUND: 404,
     ErrorCode.CONFLICT: 409,
     ErrorCode.FORBIDDEN_BRANCH: 403,
+    ErrorCode.UNAUTHENTICATED: 401,
     ErrorCode.BODY_TOO_LARGE: 413,
     ErrorCode.OVERLOADED: 503,
     ErrorCode.TEAM_LIMIT: 429,
--- a/flamingoweir/jobs/__init__.py
+++ b/flamingoweir/jobs/__init__.py
@@ -13,6 +13,7 @@
 )
 from ._record import (
     StateRecord,
+    decode_customer,
     decode_spec,
     decode_state,
     encode_spec,
@@ -42,6 +43,7 @@
     "Suspicion",
     "Task",
     "TaskId",
+    "decode_customer",
     "decode_spec",
     "decode_state",
     "encode_spec",
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -51,6 +51,17 @@
     return spec
 
 
+def decode_customer(data: bytes) -> str:
+    """Return the name of the customer of a job that `encode_spec` encoded.
+
+    Raises
+    ------
+    ValueError
+        If the data is malformed.
+    """
+    return _CUSTOMER.validate_json(data, strict=True).customer
+
+
 @dataclass(frozen=True, slots=True)
 class StateRecord:
     """Durable state of a job.
@@ -71,6 +82,8 @@
     closed_occurrences : list of (int, int)
         Ranges of the occurrences that are done; see `Job` and `IndexSet`. A due one in
         none of them is open, whether or not its tasks have a row.
+    customer : str or None
+        Name of the job's customer, empty if it has none; None if it is not known here.
     """
 
     state: JobState
@@ -79,6 +92,7 @@
     set_aside: bool = False
     closed_occurrences: list[tuple[int, int]] = field(default_factory=list)
     suspicion_by_run: dict[tuple[TaskId, int], Suspicion] = field(default_factory=dict)
+    customer: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,8 +105,17 @@
     set_aside: bool = False
     closed: list[tuple[int, int]] = field(default_factory=list)
     lost: list[_LostRecord] = field(default_factory=list)
+    customer: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _StoredCustomer:
+    """The part of a stored `JobSpec` that names the customer."""
+
+    customer: str = ""
 
 
+_CUSTOMER = pydantic.TypeAdapter(_StoredCustomer)
 _STATE = pydantic.TypeAdapter(_StoredState)
 
 
@@ -108,6 +131,8 @@
         fields["blame"] = {str(t): b for t, b in record.blame_by_task.items()}
     if record.suspicion_by_run:
         fields["lost"] = _encode_suspicions(record.suspicion_by_run)
+    if record.customer is not None:
+        fields["customer"] = record.customer
     return orjson.dumps(fields)
 
 
@@ -134,6 +159,7 @@
         stored.set_aside,
         stored.closed,
         suspicion_by_run,
+        stored.customer,
     )
 
 
--- a/flamingoweir/platform/_ingress.py
+++ b/flamingoweir/platform/_ingress.py
@@ -3,13 +3,14 @@
 import math
 import re
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import orjson
 import pydantic
 from pydantic import Field
 
 from ..asgi import error_body, error_headers, read_body, send_response
+from ..customers import digest_key
 from ..errors import ErrorCode, FlamingoweirError
 from ..jobs import JobSpec, JobState, StepSpec
 from ..logs import get_logger
@@ -22,6 +23,9 @@
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 DEADLINE_HEADER = b"x-deadline-ms"
+AUTHORIZATION_HEADER = b"authorization"
+#: Authentication scheme of customers' keys.
+KEY_SCHEME = "Bearer"
 #: Timeout of a request without a deadline header, in seconds.
 DEFAULT_TIMEOUT_S = 2.5
 #: Fraction of the time until the deadline after which a request times out. If the
@@ -120,12 +124,15 @@
         Method, host without the port, and path.
     timeout_s : float
         Seconds that the request may take.
+    key_digest : bytes or None
+        Digest of the customer's key; None if the request has none.
     """
 
     method: str
     host: str
     path: str
     timeout_s: float
+    key_digest: bytes | None = field(default=None, repr=False)
 
 
 class IngressApp:
@@ -178,6 +185,8 @@
             )
             status = STATUS_BY_CODE.get(error.code, error.http_status)
             headers = [*error_headers(error), *self._closing_header()]
+            if error.code is ErrorCode.UNAUTHENTICATED:
+                headers.append((b"www-authenticate", KEY_SCHEME.encode()))
             await send_response(send, status, headers, error_body(error))
             return
         headers = [(b"content-type", b"application/json"), *self._closing_header()]
@@ -189,6 +198,7 @@
     async def _dispatch(self, head: RequestHead, receive) -> tuple[int, dict]:
         """Handle a request; return the HTTP status and the JSON body."""
         queue = self._handler.find_queue(head.host, head.path)
+        customer = self._handler.authentication.find_customer(queue, head.key_digest)
         job_id = head.path.removeprefix(queue.prefix)
         if not job_id and head.method == "GET":
             return 200, {"Waiting": self._handler.count_waiting(queue)}
@@ -198,13 +208,14 @@
                 f"{job_id!r} is not a job id; use 16 hexadecimal digits",
             )
         if head.method == "POST":
-            spec = await self._read_job_spec(head, queue, job_id, receive)
+            spec = await self._read_job_spec(head, queue, job_id, customer, receive)
             await self._handler.submit(spec, head.timeout_s)
             return 200, {}
         if head.method == "GET":
-            return _encode_state(await self._handler.find_state(job_id, head.timeout_s))
+            state = await self._handler.find_state(job_id, head.timeout_s, customer)
+            return _encode_state(state)
         if head.method == "DELETE":
-            was_accepted = await self._handler.cancel(job_id, head.timeout_s)
+            was_accepted = await self._handler.cancel(job_id, head.timeout_s, customer)
             return (200, {}) if was_accepted else (410, {})
         raise FlamingoweirError(
             ErrorCode.BAD_REQUEST,
@@ -212,7 +223,12 @@
         )
 
     async def _read_job_spec(
-        self, head: RequestHead, queue: Queue, job_id: str, receive
+        self,
+        head: RequestHead,
+        queue: Queue,
+        job_id: str,
+        customer: str | None,
+        receive,
     ) -> JobSpec:
         """Return the job in a request body; raise FlamingoweirError if invalid."""
         body = await read_body(receive, self._handler.max_body_bytes)
@@ -235,18 +251,37 @@
             occurrences=max(1, message.times),
             first_due_ms=message.start_at_ms if message.times else 0,
             interval_ms=message.interval_ms,
+            customer=customer or "",
         )
 
 
 def _read_head(scope) -> RequestHead:
     host = ""
     timeout_s = DEFAULT_TIMEOUT_S
+    key_digest = None
     for name, value in scope["headers"]:
         if name == b"host":
             host = value.decode("latin-1").partition(":")[0]
         if name == DEADLINE_HEADER:
             timeout_s = _read_timeout(value)
-    return RequestHead(scope["method"], host, scope["path"], timeout_s)
+        if name == AUTHORIZATION_HEADER:
+            key_digest = _digest_key(value)
+    return RequestHead(scope["method"], host, scope["path"], timeout_s, key_digest)
+
+
+def _digest_key(value: bytes) -> bytes | None:
+    """Return the digest of the key in an authorization header, or None.
+
+    The key goes no further than this, so that no log line or error can contain it.
+    """
+    try:
+        scheme, _, key = value.decode().partition(" ")
+    except UnicodeDecodeError:
+        return None
+    key = key.strip()
+    if scheme.lower() != KEY_SCHEME.lower() or not key:
+        return None
+    return digest_key(key)
 
 
 def _read_timeout(value: bytes) -> float:
--- a/flamingoweir/platform/_row_decoder.py
+++ b/flamingoweir/platform/_row_decoder.py
@@ -148,6 +148,10 @@
 class PlatformRowDecoder:
     """Decode rows of operators and runners; implements `RowDecoder`."""
 
+    def is_configuration(self, key: str) -> bool:
+        """Return whether a row holds the configuration."""
+        return key == CONFIGURATION_KEY
+
     def decode_configuration(self, key: str, value: bytes) -> Configuration | None:
         """Return the configuration in a row, or None if the row holds something else.
 
@@ -156,7 +160,7 @@
         UnreadableRow
             If the value is not a valid configuration.
         """
-        if key != CONFIGURATION_KEY:
+        if not self.is_configuration(key):
             return None
         message = _parse(ConfigMessage, value)
         queues = {}
--- a/flamingoweir/platform/_settings.py
+++ b/flamingoweir/platform/_settings.py
@@ -36,6 +36,8 @@
     #: Whether withdrawn keys must not work `revoke_ms` after their withdrawal.
     strict_revoke: bool = False
     revoke_ms: float | None = None
+    #: Time within which an instance must apply a new configuration.
+    config_apply_ms: float = 3_000
 
 
 class LimitsMessage(WireModel):
@@ -125,4 +127,5 @@
         memory_mb=message.limits.memory_mb,
         customers=CUSTOMERS_POLICY in message.policies,
         revoke_s=revoke_s,
+        config_apply_s=bounds.config_apply_ms / 1000,
     )
--- a/flamingoweir/platform/_store.py
+++ b/flamingoweir/platform/_store.py
@@ -226,9 +226,11 @@
     try:
         page = RowsMessage.model_validate_json(response.body)
     except pydantic.ValidationError as error:
-        # The store may have carried out a call whose response can't be decoded.
+        # The store may have carried out a call whose response can't be decoded. The
+        # response may contain keys of customers, which must not be logged.
+        first = error.errors(include_input=False, include_url=False)[0]
         raise StoreOutcomeUnknown(
-            f"the store sent an invalid response: {error.errors()[0]}"
+            f"the store sent an invalid response: {first['loc']}: {first['msg']}"
         ) from error
     rows = [_decode_row(row) for row in page.rows]
     now_s = None if page.now_ms is None else page.now_ms / 1000
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -14,6 +14,7 @@
 from ._gangs import place_gang
 from ._headroom import BatchHeadroom, ServiceLoad
 from ._health import RunnerHealth
+from ._key_validity import KeyDecision, decide_key
 from ._order import objective_s, sort_key
 from ._placement import PlacementPolicy, StepPlacement, unplaced_s
 from ._stragglers import find_stalled
@@ -28,6 +29,7 @@
     "ColocationPolicy",
     "Crash",
     "CrashDetector",
+    "KeyDecision",
     "LostRunner",
     "PaceChange",
     "PlacementPolicy",
@@ -36,6 +38,7 @@
     "StepPlacement",
     "Suspect",
     "choose_evictions",
+    "decide_key",
     "find_stalled",
     "objective_s",
     "place_gang",
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -10,17 +10,15 @@
     FlamingoweirError,
 )
 from ..jobs import (
-    FINAL_STATES,
     JobSpec,
     JobState,
     decode_spec,
-    decode_state,
     encode_spec,
     find_invalid_dependency,
 )
 from ..logs import get_logger
 from ..metrics import Metrics
-from ..ownership import Backlog, cancel_row, job_row, shard_name, state_row
+from ..ownership import Backlog, cancel_row, job_row, shard_name
 from ..registry import OperatorView, Queue
 from ..storage import (
     RowId,
@@ -28,6 +26,8 @@
     RowVersionConflict,
     Transaction,
 )
+from ._authentication import Authentication
+from ._job_states import JobStates, may_access_row
 from ._store_calls import StoreCalls
 
 log = get_logger()
@@ -44,8 +44,6 @@
 MAX_TASKS = 100_000
 #: Largest number of steps of a job. An owner creates the state of all in one go.
 MAX_STEPS = 5_000
-#: Number of final job states that are cached; the oldest is dropped first.
-MAX_CACHED_STATES = 20_000
 
 
 class SubmissionHandler:
@@ -71,6 +69,8 @@
     max_job_bytes : callable, optional
         Returns the largest `JobSpec.memory_bytes` of a job that the shard's owner can
         hold; None for any.
+    authentication : Authentication, optional
+        Checks the keys of requests. By default, no request is served that needs a key.
     """
 
     def __init__(
@@ -82,14 +82,18 @@
         generator: random.Random,
         metrics: Metrics,
         max_job_bytes: Callable[[], int | None] = lambda: None,
+        authentication: Authentication | None = None,
     ):
+        self.authentication = authentication or Authentication(
+            operators, lambda: float("-inf"), clock, metrics
+        )
         self._max_job_bytes = max_job_bytes
         self._calls = StoreCalls(store, clock, generator, metrics)
+        self._job_states = JobStates(self._calls)
         self._operators = operators
         self._backlog = backlog
         self._clock = clock
         self._metrics = metrics
-        self._final_state_by_job: dict[str, JobState] = {}
 
     @property
     def max_body_bytes(self) -> int:
@@ -147,33 +151,43 @@
             If the job is invalid or the store does not confirm it in time. The
             verdict is NOT_RUN only if the job is not stored and never will be.
         """
+        until_s = self._clock.now() + timeout_s
         self._validate(spec)
         value = _encode_exactly(spec)
         shard = shard_name(0)
         row = job_row(shard, spec.id)
         max_bytes = self._max_job_bytes()
         if max_bytes is not None and spec.memory_bytes > max_bytes:
-            await self._refuse_unless_stored(spec, row, timeout_s)
+            await self._refuse_unless_stored(spec, row, until_s)
             return
         transaction = Transaction([(row, 0)], [(row, value)], ())
         try:
             version = await self._calls.transact(transaction, timeout_s)
-        except RowVersionConflict:
+        except RowVersionConflict as conflict:
+            stored = conflict.row_by_id.get(row)
+            await self._job_states.require_same_customer(spec, stored, until_s)
             log.info("job_already_accepted", job=spec.id, queue=spec.queue)
             self._metrics.incr("jobs_known")
             return
-        log.info("job_accepted", job=spec.id, queue=spec.queue, version=version)
+        log.info(
+            "job_accepted",
+            job=spec.id,
+            queue=spec.queue,
+            customer=spec.customer,
+            version=version,
+        )
         self._metrics.incr("jobs_accepted")
 
     async def _refuse_unless_stored(
-        self, spec: JobSpec, row: RowId, timeout_s: float
+        self, spec: JobSpec, row: RowId, until_s: float
     ) -> None:
         """Refuse a job at once, unless an earlier request for it was accepted.
 
         Its owner could not hold it until others have ended.
         """
-        until_s = self._clock.now() + timeout_s
-        if await self._calls.read_row(row, until_s) is not None:
+        stored = await self._calls.read_row(row, until_s)
+        if stored is not None:
+            await self._job_states.require_same_customer(spec, stored, until_s)
             log.info("job_already_accepted", job=spec.id, queue=spec.queue)
             return
         self._metrics.incr("jobs_refused_full")
@@ -184,8 +198,10 @@
             retry_after_s=FULL_RETRY_AFTER_S,
         )
 
-    async def find_state(self, job_id: str, timeout_s: float) -> JobState | None:
-        """Return a job's state, or None if the job was never accepted.
+    async def find_state(
+        self, job_id: str, timeout_s: float, customer: str | None = None
+    ) -> JobState | None:
+        """Return a job's state, or None if the customer has no such job.
 
         Parameters
         ----------
@@ -193,26 +209,31 @@
             Id of the job.
         timeout_s : float
             Seconds that all reads of the store may take together.
+        customer : str or None
+            Who asks; see `Authentication.find_customer`.
 
         Raises
         ------
         FlamingoweirError
             If the store can't be read in time.
         """
-        final_state = self._final_state_by_job.get(job_id)
-        if final_state is not None:
-            return final_state
         until_s = self._clock.now() + timeout_s
-        shard = shard_name(0)
-        state = await self._read_state(shard, job_id, until_s)
-        if state is not None:
-            return state
-        if await self._calls.read_row(job_row(shard, job_id), until_s) is not None:
-            return JobState.PENDING
-        # The job may have ended between the two reads.
-        return await self._read_state(shard, job_id, until_s)
-
-    async def cancel(self, job_id: str, timeout_s: float) -> bool:
+        stored = await self._job_states.read(job_id, until_s)
+        if stored is None:
+            row = await self._calls.read_row(job_row(shard_name(0), job_id), until_s)
+            if row is not None:
+                return JobState.PENDING if may_access_row(row, customer) else None
+            # The job may have ended between the two reads.
+            stored = await self._job_states.read(job_id, until_s)
+        if stored is None:
+            return None
+        if not await self._job_states.may_access(job_id, stored, customer, until_s):
+            return None
+        return stored.state
+
+    async def cancel(
+        self, job_id: str, timeout_s: float, customer: str | None = None
+    ) -> bool:
         """Cancel a job durably.
 
         Parameters
@@ -221,11 +242,13 @@
             Id of the job.
         timeout_s : float
             Seconds that the submitter waits.
+        customer : str or None
+            Who asks; see `Authentication.find_customer`.
 
         Returns
         -------
         bool
-            False if the job was never accepted. True also for a job that has ended
+            False if the customer has no such job. True also for a job that has ended
             and whose rows are still stored.
 
         Raises
@@ -238,8 +261,9 @@
         while True:
             row = await self._calls.read_row(job_row(shard, job_id), until_s)
             if row is None:
-                row = await self._calls.read_row(state_row(shard, job_id), until_s)
-                return row is not None
+                return await self._job_states.has_ended(job_id, customer, until_s)
+            if not may_access_row(row, customer):
+                return False
             transaction = Transaction(
                 [(row.id, row.version)], [(cancel_row(shard, job_id), b"{}")], ()
             )
@@ -303,30 +327,6 @@
                 "come before it; list every step after the steps that it depends on",
             )
 
-    async def _read_state(
-        self, shard: str, job_id: str, until_s: float
-    ) -> JobState | None:
-        row = await self._calls.read_row(state_row(shard, job_id), until_s)
-        if row is None:
-            return None
-        try:
-            state = decode_state(job_id, row.value or b"").state
-        except ValueError as error:
-            log.error("state_unreadable", job=job_id, detail=str(error))
-            raise FlamingoweirError(
-                ErrorCode.INTERNAL,
-                f"the stored state of job {job_id} can't be read; ask the operators of "
-                "this instance",
-            ) from error
-        if state in FINAL_STATES:
-            self._cache_final_state(job_id, state)
-        return state
-
-    def _cache_final_state(self, job_id: str, state: JobState) -> None:
-        self._final_state_by_job[job_id] = state
-        if len(self._final_state_by_job) > MAX_CACHED_STATES:
-            del self._final_state_by_job[next(iter(self._final_state_by_job))]
-
 
 def _encode_exactly(spec: JobSpec) -> bytes:
     """Return the stored form of a job, from which an owner reads the same job.
--- a/flamingoweir/registry/_follower.py
+++ b/flamingoweir/registry/_follower.py
@@ -20,6 +20,9 @@
 
 #: Seconds between attempts while the store is unreachable.
 RETRY_PAUSE_S = 0.15
+#: Seconds for which an answer without changes is not trusted to be complete. A store
+#: that is about to drop its history may withhold changes for up to a second.
+WITHHELD_S = 1.1
 
 
 class TableFollower:
@@ -47,7 +50,13 @@
     ----------
     last_synced_s : float
         Latest clock time, in seconds, at which the copy is known to have been
-        current; minus infinity if there is none.
+        current, if the store withholds no changes and waits as long as it is asked to;
+        minus infinity if there is none.
+    proof_sent_s : float
+        Clock time, in seconds, at which the latest read was sent whose answer showed
+        the copy to be current; minus infinity if there is none. It doesn't depend on
+        how long the store waited, but changes of the last second before it may be
+        missing.
     """
 
     def __init__(
@@ -71,6 +80,9 @@
         self._resumed = False
         self._reachable = True
         self.last_synced_s = float("-inf")
+        self.proof_sent_s = float("-inf")
+        #: Version of an answer without changes, and when it was received.
+        self._unchanged: tuple[int, float] | None = None
 
     def resume_from(self, version: int, synced_s: float) -> None:
         """Follow the changes after a version instead of reading the table first.
@@ -85,6 +97,7 @@
         self._version = version
         self._resumed = True
         self.last_synced_s = synced_s
+        self.proof_sent_s = synced_s
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -93,7 +106,7 @@
             sent_s = self._clock.now()
             try:
                 if synced:
-                    unchanged = await self._read_changes()
+                    unchanged = await self._read_changes(sent_s)
                 else:
                     await self._read_table()
                     unchanged = False
@@ -115,19 +128,39 @@
                 continue
             # A response without changes is sent only at the end of the wait.
             self._record_success(sent_s + self._wait_s if unchanged else sent_s)
+            self.proof_sent_s = sent_s
 
     async def _read_table(self) -> None:
         page = await read_all(self._store, self._table, self._parts)
         self._apply_rows(page.rows, True)
         self._version = page.version
+        self._unchanged = None
 
-    async def _read_changes(self) -> bool:
+    async def _read_changes(self, sent_s: float) -> bool:
         page = await self._store.follow(self._table, self._version, self._wait_s)
         rows = [row for row in page.rows if row.id.part in self._parts]
         if rows:
             self._apply_rows(rows, False)
-        self._version = max(self._version, page.version)
-        return not page.rows
+        if page.rows:
+            self._version = max(self._version, page.version)
+            self._unchanged = None
+            return False
+        self._advance_unchanged(page.version, sent_s)
+        return True
+
+    def _advance_unchanged(self, version: int, sent_s: float) -> None:
+        """Follow from the version of an answer without changes, once it is complete.
+
+        If the store has withheld changes up to that version, it drops the history
+        within WITHHELD_S, and a call from the earlier version fails. A call from the
+        later version would never receive them.
+        """
+        if self._unchanged is not None:
+            unchanged_version, received_s = self._unchanged
+            if sent_s - received_s < WITHHELD_S:
+                return
+            self._version = max(self._version, unchanged_version)
+        self._unchanged = version, self._clock.now()
 
     def _record_success(self, synced_s: float) -> None:
         self.last_synced_s = max(self.last_synced_s, min(synced_s, self._clock.now()))
--- a/flamingoweir/registry/_view.py
+++ b/flamingoweir/registry/_view.py
@@ -27,6 +27,10 @@
 class RowDecoder(Protocol):
     """Decodes rows of operators and runners; methods raise UnreadableRow."""
 
+    def is_configuration(self, key: str) -> bool:
+        """Return whether a row holds the configuration."""
+        ...
+
     def decode_configuration(self, key: str, value: bytes) -> Configuration | None:
         """Return the configuration, or None if the row holds something else."""
         ...
@@ -58,6 +62,9 @@
     ----------
     configuration : Configuration or None
         Newest configuration that was read, by version; None before the first.
+    configuration_readable : bool
+        Whether this is the configuration in the newest row: False if that row is
+        missing, can't be decoded, or has a lower version.
     evacuated_zones : set of str
         Zones that operators took out of service: no task may be started there.
     wave_by_number : dict of int to MaintenanceWave
@@ -70,6 +77,7 @@
         self._zone_by_key: dict[str, str] = {}
         self._wave_by_key: dict[str, MaintenanceWave] = {}
         self.configuration: Configuration | None = None
+        self.configuration_readable = False
 
     @property
     def evacuated_zones(self) -> set[str]:
@@ -92,13 +100,18 @@
             Whether the rows are the whole table; zones and waves of other rows are
             removed.
         """
+        was_readable = self.configuration_readable
         if is_whole_table:
+            # True again once a row of this table has been applied.
+            self.configuration_readable = False
             present = {row.id.key for row in rows}
             for key in [k for k in self._zone_by_key if k not in present]:
                 self._remove(key)
             for key in [k for k in self._wave_by_key if k not in present]:
                 self._remove(key)
         for row in rows:
+            if self._row_decoder.is_configuration(row.id.key):
+                self.configuration_readable = False
             if row.deleted:
                 self._remove(row.id.key)
                 continue
@@ -106,6 +119,13 @@
                 continue
             with self._fault_log.contain("operator_row_unreadable", key=row.id.key):
                 self._apply_row(row.id.key, row.value)
+        if self.configuration_readable != was_readable:
+            version = self.configuration.version if self.configuration else None
+            log.info(
+                "configuration_readable",
+                readable=self.configuration_readable,
+                version_in_force=version,
+            )
 
     def _apply_row(self, key: str, value: bytes) -> None:
         zone = self._row_decoder.decode_evacuated_zone(key)
@@ -123,7 +143,15 @@
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         current_version = self.configuration.version if self.configuration else -1
-        if configuration.version <= current_version:
+        if configuration.version < current_version:
+            log.warning(
+                "configuration_outdated",
+                version=configuration.version,
+                in_force=current_version,
+            )
+            return
+        self.configuration_readable = True
+        if configuration.version == current_version:
             return
         self.configuration = configuration
         log.info(
--- a/flamingoweir/settings/_fleet.py
+++ b/flamingoweir/settings/_fleet.py
@@ -39,6 +39,9 @@
     revoke_s : float or None
         Seconds after the confirmation of a configuration without a key from which no
         request with that key may succeed; None: no limit.
+    config_apply_s : float
+        Seconds after the confirmation of a configuration within which an instance that
+        can reach the store must apply it.
     """
 
     name: str
@@ -55,3 +58,4 @@
     memory_mb: float = 300.0
     customers: bool = False
     revoke_s: float | None = None
+    config_apply_s: float = 3.0
