--- a/flamingoweir/standins/_rows.py
+++ b/flamingoweir/standins/_rows.py
@@ -27,6 +27,8 @@
         All rows that exist.
     version : int
         Version of the latest transaction; 0 before the first.
+    feeds_withheld : bool
+        Whether feeds get no changes, as from a store that is about to drop its history.
     """
 
     #: Seconds that the store's clock shows at time 0 of the event loop.
@@ -35,8 +37,10 @@
     def __init__(self) -> None:
         self.row_by_id: dict[RowId, VersionedRow] = {}
         self.version = 0
+        self.feeds_withheld = False
         self._history: list[VersionedRow] = []
         self._discarded_version = 0
+        self._discarded_version_by_table: dict[str, int] = {}
 
     def now_s(self) -> float:
         """Return the time on the store's clock, in seconds."""
@@ -94,8 +98,13 @@
         HistoryTruncated
             If the history after this version was discarded.
         """
-        if after < self._discarded_version:
+        discarded_version = max(
+            self._discarded_version, self._discarded_version_by_table.get(table, 0)
+        )
+        if after < discarded_version:
             raise HistoryTruncated(f"table {table!r} after version {after}")
+        if self.feeds_withheld:
+            return []
         latest: dict[RowId, VersionedRow] = {}
         for row in self._history:
             if row.id.table == table and row.version > after:
@@ -107,6 +116,16 @@
         self._discarded_version = self.version
         self._history.clear()
 
+    def discard_table_history(self, table: str) -> None:
+        """Discard the history of one table, up to its latest change."""
+        kept = []
+        for row in self._history:
+            if row.id.table != table:
+                kept.append(row)
+                continue
+            self._discarded_version_by_table[table] = row.version
+        self._history = kept
+
 
 class RowsLink(RowStore):
     """An instance's link to the rows, with faults that a test can inject.
@@ -132,6 +151,9 @@
         Seconds from the effect of a read or transaction until its response.
     timeout_s : float
         Seconds until a call without a response fails.
+    longest_wait_s : float
+        Seconds after which a call of `follow` is answered, if that is before its wait
+        ends.
     """
 
     def __init__(self, rows: MemoryRows, delay_s: float = 0.004):
@@ -143,6 +165,7 @@
         self.response_delay_s = 0.0
         self.delay_s = delay_s
         self.timeout_s = 0.7
+        self.longest_wait_s = float("inf")
         self._delayed_transactions: list[tuple[float, Transaction]] = []
 
     async def transact(self, transaction: Transaction) -> int:
@@ -179,7 +202,7 @@
     async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
         """See `RowStore.follow`."""
         await self._simulate_call()
-        until_s = anyio.current_time() + wait_s
+        until_s = anyio.current_time() + min(wait_s, self.longest_wait_s)
         while True:
             changed = self.rows.changes(table, after)
             if changed or anyio.current_time() >= until_s:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -118,6 +118,23 @@
     assert load_platform_settings(str(path)).processors == pytest.approx(processors)
 
 
+def test_platform_settings_say_whether_and_how_fast_keys_are_revoked(tmp_path):
+    """Guards against keys that are not checked, or that work for too long."""
+    bounds = "[PolicyBounds]\nRevokeMs = 4000\nConfigApplyMs = 2500\n"
+    path = tmp_path / "node.toml"
+    text = SETTINGS.replace("[PolicyBounds]\n", bounds)
+    path.write_text(text)
+    settings = load_platform_settings(str(path))
+    assert (settings.customers, settings.revoke_s) == (False, None)
+    path.write_text(
+        'Policies = ["tenants"]\n'
+        + text.replace("[PolicyBounds]\n", "[PolicyBounds]\nStrictRevoke = true\n")
+    )
+    settings = load_platform_settings(str(path))
+    assert (settings.customers, settings.revoke_s) == (True, 4.0)
+    assert settings.config_apply_s == 2.5
+
+
 def test_invalid_platform_setting_is_named(tmp_path):
     path = tmp_path / "node.toml"
     path.write_text(SETTINGS.replace('"10.200.1.7:8169"', "7"))
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -47,7 +47,8 @@
     return JobSpec(f"{number:016x}", QUEUE, "(text)", steps or (make_step(),), **fields)
 
 
-def make_configuration(version: int) -> bytes:
+def make_configuration(version: int, public: bool = False, **fields) -> bytes:
+    """Return a configuration with one queue; `fields` are added to it as they are."""
     route = {
         "Name": QUEUE,
         "Host": HOST,
@@ -57,8 +58,15 @@
         "Stretch": 2.0,
         "TargetLatencyMs": 1000,
     }
+    if public:
+        route["Public"] = True
     return orjson.dumps(
-        {"Version": version, "Routes": [route], "Services": [{"Name": SERVICE}]}
+        {
+            "Version": version,
+            "Routes": [route],
+            "Services": [{"Name": SERVICE}],
+            **fields,
+        }
     )
 
 
@@ -108,14 +116,16 @@
             "store:1",
             processors=processors,
             memory_mb=cluster.memory_mb,
+            **cluster.settings,
         )
+        clock = VirtualClock(cluster.clock_rate_by_member.get(name, 1.0))
         links = PlatformLinks(
             self.store, self.store, PlatformRowDecoder(), "op", "servers", self._connect
         )
         generator = random.Random(f"{cluster.seed}/{name}/{cluster.start_count}")
         cluster.start_count += 1
         self.instance = Instance(
-            settings, links, VirtualClock(), generator, NoMetrics(), cluster.wall_ms
+            settings, links, clock, generator, NoMetrics(), cluster.wall_ms
         )
 
     async def run(self) -> None:
@@ -155,6 +165,10 @@
         The instances that run.
     spec_by_id : dict of str to JobSpec
         The jobs submitted, by job id.
+    settings : dict
+        Further fields of the settings of instances that are added later.
+    clock_rate_by_member : dict of str to float
+        Rates of the clocks of instances that are added later, by name.
     plan_by_task : dict of str to (float, Outcome)
         Run time in seconds and outcome, by ``TASK#RUN`` or by ``TASK`` for all runs;
         other runs take one second and succeed.
@@ -170,6 +184,8 @@
         self.sole_member_by_runner: dict[str, str] = {}
         self.member_by_name: dict[str, Member] = {}
         self.spec_by_id: dict[str, JobSpec] = {}
+        self.settings: dict = {}
+        self.clock_rate_by_member: dict[str, float] = {}
         self.plan_by_task: dict[str, tuple[float, Outcome]] = {}
         self.tasks = None
 
@@ -177,8 +193,9 @@
     def wall_ms() -> float:
         return 1000 * anyio.current_time()
 
-    def configure(self, version: int = 1) -> None:
-        self.rows.put(RowId("op", "", "config"), make_configuration(version))
+    def configure(self, version: int = 1, **fields) -> None:
+        """Write a configuration; see `make_configuration`."""
+        self.rows.put(RowId("op", "", "config"), make_configuration(version, **fields))
 
     def evacuate_zone(self, zone: str) -> None:
         self.rows.put(RowId("op", "", f"evacuate/{zone}"), b"{}")
--- a/tests/utils/ingress.py
+++ b/tests/utils/ingress.py
@@ -1,5 +1,7 @@
 """Requests of submitters as the adapter receives them, without a socket."""
 
+from dataclasses import dataclass
+
 import orjson
 
 from flamingoweir.jobs import decode_spec
@@ -61,3 +63,40 @@
     }
     await app(scope, None, send)
     return statuses[0], orjson.loads(b"".join(parts))
+
+
+@dataclass
+class Answer:
+    """Response to a request: status, headers by name, and the raw body."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+async def call(
+    cluster: Cluster,
+    member: Member,
+    method: str,
+    path: str = "",
+    key: str | None = None,
+    body: bytes = b"",
+    scheme: str = "Bearer",
+) -> Answer:
+    """Make a request under a path of the queue, with a key if one is given."""
+    app = IngressApp(member.instance.handler, cluster.wall_ms)
+    messages = []
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message):
+        messages.append(message)
+
+    headers = [(b"host", HOST.encode()), (b"x-deadline-ms", b"3000")]
+    if key is not None:
+        headers.append((b"authorization", f"{scheme} {key}".encode()))
+    scope = {"type": "http", "method": method, "path": PREFIX + path}
+    await app({**scope, "headers": headers}, receive, send)
+    start, end = messages
+    return Answer(start["status"], dict(start["headers"]), end["body"])
