--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -15,6 +15,7 @@
 from ._gangs import place_gang
 from ._headroom import BatchHeadroom, ServiceLoad
 from ._health import RunnerHealth
+from ._key_validity import KeyDecision, decide_key
 from ._order import objective_s, sort_key
 from ._paces import PaceChange
 from ._placement import PlacementPolicy, StepPlacement, unplaced_s
@@ -33,6 +34,7 @@
     "Crash",
     "CrashDetector",
     "Effect",
+    "KeyDecision",
     "LostRunner",
     "PaceChange",
     "PlacementPolicy",
@@ -42,6 +44,7 @@
     "StoreAvailability",
     "Suspect",
     "choose_evictions",
+    "decide_key",
     "find_stalled",
     "objective_s",
     "place_gang",
