Order by customers' shares, and limits on their submissions

Cause: when more work waits than fits, one customer with many times its usual load makes the jobs of all others late.

Change: steps of customers below their weighted dominant share go first, submissions beyond a customer's rate go last and are parked first. While such excess waits for lack of capacity, the owner row publishes the fraction to admit, and instances refuse the rest with 429. Reports by customer.

--- a/flamingoweir/customers/__init__.py
+++ b/flamingoweir/customers/__init__.py
@@ -1,5 +1,6 @@
 """Customers, who submit jobs, and their keys."""
 
 from ._customer import Customer, digest_key
+from ._limit import CustomerLimit
 
-__all__ = ["Customer", "digest_key"]
+__all__ = ["Customer", "CustomerLimit", "digest_key"]
--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -111,7 +111,10 @@
         age_s = self._context.clock.now() - self._job_follower.last_synced_s
         if age_s > MAX_JOBS_AGE_S:
             return None
-        return Backlog(self._owner_state.waiting_by_queue())
+        return Backlog(
+            self._owner_state.waiting_by_queue(),
+            limit_by_customer=self._owner_state.customer_load.limit_by_customer,
+        )
 
     def _list_short_leases(self) -> dict[str, float]:
         """Return in how many seconds leases have lapsed that end before all others.
--- a/flamingoweir/dispatch/_loader.py
+++ b/flamingoweir/dispatch/_loader.py
@@ -64,13 +64,15 @@
         if spec.id != row.id.key:
             raise ValueError(f"the row holds job {spec.id!r}")
         parking = self._owner_state.parking
+        load = self._owner_state.customer_load
+        is_excess = load.mark(spec) if self._may_park else load.is_excess(spec.id)
         if (
             self._may_park
             and spec.id not in self.begun_ids
-            and not parking.has_room_for(spec)
+            and not parking.has_room_for(spec, is_excess)
         ):
-            parking.park(spec)
-            log.info("job_parked", job=spec.id, queue=spec.queue)
+            parking.park(spec, is_excess)
+            log.info("job_parked", job=spec.id, queue=spec.queue, excess=is_excess)
             return
         job = self._owner_state.add_job(spec)
         age_s = max(0.0, (self._wall_ms() - spec.accepted_ms) / 1000)
@@ -81,4 +83,5 @@
             queue=spec.queue,
             steps=len(spec.steps),
             age_ms=round(1000 * age_s),
+            excess=is_excess,
         )
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -34,6 +34,7 @@
 )
 from ..registry import UNLISTED_GRACE_S, RunnerEntry
 from ..wakeup import Wakeup
+from ._customer_load import CustomerLoad
 from ._late_orders import LateOrders
 from ._parking import JobParking
 
@@ -82,6 +83,8 @@
         and whose rows are still in the store.
     set_aside_by_job : dict of str to StateRecord
         Records to be written of jobs that were set aside.
+    customer_load : CustomerLoad
+        Submissions of each customer beyond its rate.
     late_orders : LateOrders
         Start orders that the next incarnation of a runner might carry out.
     parking : JobParking
@@ -113,6 +116,7 @@
         memory_mb: float = 300.0,
     ):
         self.parking = JobParking(memory_mb)
+        self.customer_load = CustomerLoad()
         self.late_orders = LateOrders()
         self.job_by_id: dict[str, Job] = {}
         self.runner_by_id: dict[str, Runner] = {}
--- a/flamingoweir/dispatch/_parking.py
+++ b/flamingoweir/dispatch/_parking.py
@@ -16,6 +16,9 @@
 LARGEST_JOB_BYTES = 7_500_000
 #: Fraction of that up to which parked jobs are loaded.
 LOAD_FRACTION = 0.95
+#: The same for jobs beyond the rate of their customer. It is below `ACCEPT_FRACTION` by
+#: more than a tenth, so that such jobs don't make instances refuse those of others.
+EXCESS_FRACTION = 0.5
 
 
 class JobParking:
@@ -41,6 +44,9 @@
         self.queue_by_id: dict[str, str] = {}
         self._max_bytes = HELD_SHARE * 1e6 * memory_mb
         self._cancelled_ids: deque[str] = deque()
+        #: Ids of parked jobs within the rate of their customers, and beyond it.
+        self._ordinary_ids: deque[str] = deque()
+        self._excess_ids: deque[str] = deque()
 
     def find_max_job_bytes(self) -> int | None:
         """Return the largest memory of a job to be accepted now; None for any."""
@@ -48,15 +54,25 @@
         limit_bytes = int(MAX_JOB_FRACTION * left_bytes)
         return None if limit_bytes >= LARGEST_JOB_BYTES else limit_bytes
 
-    def has_room_for(self, spec: JobSpec) -> bool:
-        """Return whether a job may be held; a first one always may."""
+    def has_room_for(self, spec: JobSpec, is_excess: bool = False) -> bool:
+        """Return whether a job may be held; a first one always may.
+
+        Parameters
+        ----------
+        spec : JobSpec
+            The job.
+        is_excess : bool
+            Whether it is beyond the rate of its customer. Such jobs are parked first.
+        """
         if not self.held_bytes:
             return True
-        return self.held_bytes + spec.memory_bytes <= self._max_bytes
+        fraction = EXCESS_FRACTION if is_excess else 1.0
+        return self.held_bytes + spec.memory_bytes <= fraction * self._max_bytes
 
-    def park(self, spec: JobSpec) -> None:
-        """List a job that is not held."""
+    def park(self, spec: JobSpec, is_excess: bool = False) -> None:
+        """List a job that is not held; see `has_room_for`."""
         self.queue_by_id[spec.id] = spec.queue
+        (self._excess_ids if is_excess else self._ordinary_ids).append(spec.id)
 
     def record_held(self, spec: JobSpec) -> None:
         """Record that a job is held from now on."""
@@ -80,8 +96,12 @@
             job_id = self._cancelled_ids.popleft()
             if self.queue_by_id.pop(job_id, None) is not None:
                 return job_id
-        if not self.queue_by_id or self.held_bytes > LOAD_FRACTION * self._max_bytes:
-            return None
-        job_id = next(iter(self.queue_by_id))
-        del self.queue_by_id[job_id]
-        return job_id
+        for job_ids, fraction in (
+            (self._ordinary_ids, LOAD_FRACTION),
+            (self._excess_ids, EXCESS_FRACTION * LOAD_FRACTION),
+        ):
+            while job_ids and self.held_bytes <= fraction * self._max_bytes:
+                job_id = job_ids.popleft()
+                if self.queue_by_id.pop(job_id, None) is not None:
+                    return job_id
+        return None
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -1,6 +1,5 @@
 """Decides which ready tasks start, and on which runners."""
 
-from collections import deque
 from collections.abc import Sequence
 
 import anyio
@@ -174,7 +173,7 @@
     async def _place_ready_steps(self) -> None:
         unplaced = UnplacedSteps(self._now_s)
         started_s = self._now_s
-        steps = deque(await self._find_ready_steps())
+        steps = self._ready_steps.make_queue(await self._find_ready_steps())
         collected_s = self._context.clock.now()
         in_first_list = set(steps)
         tried: set[StepRun] = set()
@@ -184,14 +183,16 @@
             if now_s - collected_s > COLLECT_INTERVAL_S:
                 # Steps have become ready since, and may be more urgent.
                 ready = await self._find_ready_steps()
-                steps = deque(step for step in ready if step not in tried)
+                steps = self._ready_steps.make_queue(
+                    step for step in ready if step not in tried
+                )
                 collected_s = self._context.clock.now()
                 await self._retry_absent([s for s in ready if s in tried and s.is_away])
                 if not steps or (
                     now_s - started_s > MAX_PASS_S and in_first_list.isdisjoint(steps)
                 ):
                     return
-            step = steps.popleft()
+            step = steps.pop()
             try:
                 was_placed = await self._place_or_make_room(step, unplaced)
                 if not was_placed:
@@ -319,7 +320,9 @@
     async def _find_ready_steps(self) -> list[StepRun]:
         """Return the ready steps, the most urgent first."""
         steps = await self._ready_steps.find(
-            lambda: self._now_s, self._give_way_if_over
+            lambda: self._now_s,
+            self._give_way_if_over,
+            lambda: self._candidates.runners,
         )
         self._load_log.log(
             self._candidates.runners,
--- a/flamingoweir/dispatch/_ready_steps.py
+++ b/flamingoweir/dispatch/_ready_steps.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Awaitable, Callable, Iterable
 
+from ..fleet import Runner
 from ..jobs import MAX_IDLE_STEPS, Job, StepRun
 from ..policy import sort_key
 from ._context import PermitWithdrawn, TermContext
+from ._customer_order import StepQueue, drop_surplus_excess, rank_by_customer
 from ._job_pauses import JobPauses
 
 #: Number of steps in idle occurrences of all scheduled jobs, at most, but for one
@@ -37,11 +39,18 @@
         self._idle_steps = 0
         self.job_count = 0
         self.open_tasks = 0
+        self._key_by_step: dict[StepRun, tuple] = {}
+
+    def make_queue(self, steps: Iterable[StepRun]) -> StepQueue:
+        """Return a queue of steps that `find` has returned last, in that order."""
+        shares = self._context.owner_state.customer_load.shares
+        return StepQueue(steps, self._key_by_step, shares)
 
     async def find(
         self,
         read_now_s: Callable[[], float],
         give_way_if_over: Callable[[], Awaitable[None]],
+        find_usable: Callable[[], Iterable[Runner]],
     ) -> list[StepRun]:
         """Return the ready steps, the most urgent first.
 
@@ -55,6 +64,8 @@
             whenever the pass has given way.
         give_way_if_over : callable
             Lets other coroutines run if the time slice of the pass is over.
+        find_usable : callable
+            Returns the runners that may be given tasks.
 
         Raises
         ------
@@ -63,7 +74,8 @@
         """
         ready: list[tuple[tuple, int, StepRun]] = []
         open_tasks = 0
-        jobs = list(self._context.owner_state.job_by_id.values())
+        owner_state = self._context.owner_state
+        jobs = drop_surplus_excess(list(owner_state.job_by_id.values()), owner_state)
         idle_steps = 0
         wall_ms = self._context.wall_ms()
         for job in jobs:
@@ -86,9 +98,13 @@
             except Exception as error:
                 self._pauses.add(job.spec.id, error, read_now_s())
         self._idle_steps = idle_steps
-        self.job_count = len(jobs)
+        self.job_count = len(owner_state.job_by_id)
         self.open_tasks = open_tasks
+        ready = rank_by_customer(ready, owner_state, find_usable())
         ready.sort()
+        self._key_by_step = {}
+        if owner_state.customer_load.shares is not None:
+            self._key_by_step = {step: key for key, _, step in ready}
         return [step for _, _, step in ready]
 
     def _open_due(self, job: Job, wall_ms: float) -> int:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -44,6 +44,8 @@
 )
 from ._committer import RENEW_INTERVAL_S, Committer
 from ._context import Permit, TermContext, TermEnd
+from ._customer_limits import LimitFinder
+from ._customer_report import CustomerReporter
 from ._load_report import LoadReporter
 from ._loader import JobLoader
 from ._orders import OrderSender
@@ -128,6 +130,9 @@
             writer.earlier_leases,
             memory_mb,
         )
+        self.owner_state.customer_load.find_configuration = lambda: (
+            operators.configuration
+        )
         self.failed = False
         self._writer = writer
         self._store = store
@@ -203,6 +208,8 @@
                 task_group.start_soon(
                     LoadReporter(self._context, self._job_follower).run
                 )
+                task_group.start_soon(LimitFinder(self._context, self._permit).run)
+                task_group.start_soon(CustomerReporter(self._context).run)
         except* OwnershipLost as group:
             reason = str(group.exceptions[0])
         except* Exception as group:
@@ -249,6 +256,9 @@
         record_by_job = self._restore_ended_jobs(states, unfinished)
         time_slice = TimeSlice(self._clock)
         self._loader.begun_ids = unfinished | record_by_job.keys()
+        for row in jobs.rows:
+            self.owner_state.customer_load.add_restored(row)
+            await time_slice.give_way_if_over()
         for row in jobs.rows:
             self._loader.apply_rows([row], True)
             await time_slice.give_way_if_over()
--- a/flamingoweir/errors.py
+++ b/flamingoweir/errors.py
@@ -25,6 +25,7 @@
     BODY_TOO_LARGE = "body_too_large"
     OVERLOADED = "overloaded"
     TEAM_LIMIT = "team_limit"
+    CUSTOMER_LIMIT = "customer_limit"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_RUNNER = "no_runner"
     RUNNER_FAILED = "runner_failed"
@@ -46,6 +47,7 @@
     ErrorCode.BODY_TOO_LARGE: 413,
     ErrorCode.OVERLOADED: 503,
     ErrorCode.TEAM_LIMIT: 429,
+    ErrorCode.CUSTOMER_LIMIT: 429,
     ErrorCode.DEADLINE_EXCEEDED: 504,
     ErrorCode.NO_RUNNER: 503,
     ErrorCode.RUNNER_FAILED: 502,
--- a/flamingoweir/jobs/_spec.py
+++ b/flamingoweir/jobs/_spec.py
@@ -137,6 +137,9 @@
     customer : str
         Name of the customer whose job it is, also after the customer's key was removed;
         empty if there is none.
+    admitted_fraction : float
+        Fraction of the customer's submissions that was admitted when this one was. The
+        arrival rate is estimated from it, with those that were refused.
     """
 
     id: str
@@ -149,6 +152,7 @@
     first_due_ms: int = 0
     interval_ms: int = 0
     customer: str = ""
+    admitted_fraction: float = 1.0
 
     @property
     def scheduled(self) -> bool:
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -7,6 +7,7 @@
 import orjson
 import pydantic
 
+from ..customers import CustomerLimit
 from ..storage import VersionedRow
 
 #: Seconds after an owner's write by which its leases have lapsed, if the row does not
@@ -25,10 +26,13 @@
         Number of jobs of which no task has started.
     delay_s_by_queue : dict of str to float
         Expected seconds until a job accepted now starts its first task.
+    limit_by_customer : dict of str to CustomerLimit
+        Limits on the submissions of customers whose excess waits for capacity.
     """
 
     waiting_by_queue: dict[str, int] = field(default_factory=dict)
     delay_s_by_queue: dict[str, float] = field(default_factory=dict)
+    limit_by_customer: dict[str, CustomerLimit] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,14 +88,21 @@
     """Encode the content of an owner row as JSON.
 
     The field `max_job_bytes` is left out while it is None: former builds can't read it.
+    The limits of customers are left out where there are none.
     """
-    if record.max_job_bytes is not None:
-        return orjson.dumps(record)
-    fields = {f.name: getattr(record, f.name) for f in dataclasses.fields(record)}
-    del fields["max_job_bytes"]
+    fields = _to_fields(record)
+    if record.max_job_bytes is None:
+        del fields["max_job_bytes"]
+    if record.backlog is not None and not record.backlog.limit_by_customer:
+        fields["backlog"] = _to_fields(record.backlog)
+        del fields["backlog"]["limit_by_customer"]
     return orjson.dumps(fields)
 
 
+def _to_fields(record: OwnerRecord | Backlog) -> dict:
+    return {f.name: getattr(record, f.name) for f in dataclasses.fields(record)}
+
+
 def decode_owner_record(row: VersionedRow) -> OwnerRecord | None:
     """Decode an owner row; return None if its value is missing or malformed.
 
@@ -109,4 +120,8 @@
     for time_s in times_s:
         if not 0 <= time_s < math.inf:
             return None
+    limits = record.backlog.limit_by_customer.values() if record.backlog else ()
+    for limit in limits:
+        if not (0 <= limit.admitted <= 1 and 0 <= limit.retry_after_s < math.inf):
+            return None
     return record
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -10,16 +10,34 @@
     LostRunner,
     Suspect,
 )
+from ._customer_limits import (
+    RateMeter,
+    TokenBucket,
+    choose_published,
+    find_limit,
+    retry_after_s,
+)
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
 from ._headroom import BatchHeadroom, ServiceLoad
 from ._health import RunnerHealth
-from ._order import objective_s, sort_key
+from ._order import AWAY_PRIORITY, objective_s, sort_key
 from ._placement import PlacementPolicy, StepPlacement, unplaced_s
+from ._shares import (
+    ABOVE_SHARE,
+    BELOW_SHARE,
+    EXCESS,
+    FairShares,
+    weighted_share,
+)
 from ._stragglers import find_stalled
 
 __all__ = [
+    "ABOVE_SHARE",
+    "AWAY_PRIORITY",
+    "BELOW_SHARE",
     "EVICT_AFTER_S",
+    "EXCESS",
     "MAX_PLACEMENT_WAIT_S",
     "RETURN_WINDOW_S",
     "SURVIVAL_S",
@@ -28,17 +46,24 @@
     "ColocationPolicy",
     "Crash",
     "CrashDetector",
+    "FairShares",
     "LostRunner",
     "PaceChange",
     "PlacementPolicy",
+    "RateMeter",
     "RunnerHealth",
     "ServiceLoad",
     "StepPlacement",
     "Suspect",
+    "TokenBucket",
     "choose_evictions",
+    "choose_published",
+    "find_limit",
     "find_stalled",
     "objective_s",
     "place_gang",
+    "retry_after_s",
     "sort_key",
     "unplaced_s",
+    "weighted_share",
 ]
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -1,6 +1,7 @@
 """Requests of job submitters: submit a job, look up its state, cancel it."""
 
 import contextlib
+import functools
 import random
 from collections.abc import Callable
 
@@ -28,6 +29,7 @@
     RowVersionConflict,
     Transaction,
 )
+from ._customer_gate import CustomerGate
 from ._store_calls import StoreCalls
 
 log = get_logger()
@@ -85,6 +87,7 @@
     ):
         self._max_job_bytes = max_job_bytes
         self._calls = StoreCalls(store, clock, generator, metrics)
+        self._customer_gate = CustomerGate(backlog, operators, generator, metrics)
         self._operators = operators
         self._backlog = backlog
         self._clock = clock
@@ -148,12 +151,17 @@
             verdict is NOT_RUN only if the job is not stored and never will be.
         """
         self._validate(spec)
+        spec, limit = self._customer_gate.check(spec)
         value = _encode_exactly(spec)
         shard = shard_name(0)
         row = job_row(shard, spec.id)
         max_bytes = self._max_job_bytes()
         if max_bytes is not None and spec.memory_bytes > max_bytes:
-            await self._refuse_unless_stored(spec, row, timeout_s)
+            await self._refuse_unless_stored(spec, row, timeout_s, self._refuse_full)
+            return
+        if limit is not None:
+            refuse = functools.partial(self._customer_gate.refuse, limit=limit)
+            await self._refuse_unless_stored(spec, row, timeout_s, refuse)
             return
         transaction = Transaction([(row, 0)], [(row, value)], ())
         try:
@@ -166,18 +174,23 @@
         self._metrics.incr("jobs_accepted")
 
     async def _refuse_unless_stored(
-        self, spec: JobSpec, row: RowId, timeout_s: float
+        self,
+        spec: JobSpec,
+        row: RowId,
+        timeout_s: float,
+        refuse: Callable[[JobSpec], FlamingoweirError],
     ) -> None:
-        """Refuse a job at once, unless an earlier request for it was accepted.
-
-        Its owner could not hold it until others have ended.
-        """
+        """Refuse a job at once, unless an earlier request for it was accepted."""
         until_s = self._clock.now() + timeout_s
         if await self._calls.read_row(row, until_s) is not None:
             log.info("job_already_accepted", job=spec.id, queue=spec.queue)
             return
+        raise refuse(spec)
+
+    def _refuse_full(self, spec: JobSpec) -> FlamingoweirError:
+        """Return the error for a job that its owner could not hold for now."""
         self._metrics.incr("jobs_refused_full")
-        raise FlamingoweirError(
+        return FlamingoweirError(
             ErrorCode.OVERLOADED,
             f"job {spec.id} was not accepted: the jobs that wait leave too little "
             f"memory for it; try again in {FULL_RETRY_AFTER_S:.0f} s",
--- a/flamingoweir/scheduling/_fairness.py
+++ b/flamingoweir/scheduling/_fairness.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from ..policy import weighted_share
 from ..resources import Resources
 from ._context import OwnerContext
 from ._job import Job, JobKind, JobSpec
@@ -71,13 +72,11 @@
         """
         spec = job.spec
         used = self.usage.used_by(spec.team) + planned_usage.used_by(spec.team)
-        weighted_share = used.dominant_share(self._shard_capacity) / self._weight(
-            spec.team
-        )
+        share = weighted_share(used, self._shard_capacity, self._weight(spec.team))
         is_service = spec.kind is JobKind.SERVICE
         expected_s = self._run_times.expected_s(spec)
         return JobSortKey(
-            not is_service, not spec.urgent, weighted_share, -spec.priority, expected_s
+            not is_service, not spec.urgent, share, -spec.priority, expected_s
         )
 
     def refusal_reason(self, spec: JobSpec, planned_usage: TeamUsage) -> str:
