What each customer has allocated on all runners

Cause: caps and shares of customers (docs/design/0015) need the sum of what a customer has running, also while its tasks are stopped or its runners are cut off.

Change: `CustomerUsage` holds the sums of the full demands of all allocations, by customer. OwnerState updates it in the two places where allocations are added to and removed from runners. An allocation remembers its customer, so that it is removed by the same amount after its job has ended, was set aside or excluded. Nothing decides by it yet.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -34,6 +34,7 @@
 )
 from ..registry import UNLISTED_GRACE_S, RunnerEntry
 from ..wakeup import Wakeup
+from ._customer_usage import CustomerUsage
 from ._late_orders import LateOrders
 from ._parking import JobParking
 
@@ -82,6 +83,8 @@
         and whose rows are still in the store.
     set_aside_by_job : dict of str to StateRecord
         Records to be written of jobs that were set aside.
+    customer_usage : CustomerUsage
+        Sums of the demands of all allocations, by customer.
     late_orders : LateOrders
         Start orders that the next incarnation of a runner might carry out.
     parking : JobParking
@@ -113,6 +116,7 @@
         memory_mb: float = 300.0,
     ):
         self.parking = JobParking(memory_mb)
+        self.customer_usage = CustomerUsage()
         self.late_orders = LateOrders()
         self.job_by_id: dict[str, Job] = {}
         self.runner_by_id: dict[str, Runner] = {}
@@ -264,7 +268,7 @@
             step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
             attempt.pace_percent = UNKNOWN_PACE_PERCENT
             attempt.created_s = attempt.last_progress_s = self._clock.now()
-            allocation = runner.add(attempt, step.spec)
+            allocation = self._add_allocation(runner, attempt, step)
             # A poll with the new fencing token lists what earlier owners started.
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
@@ -414,7 +418,7 @@
         self, runner: Runner, task: TaskId, run: int, outcome: Outcome, checkpoint: str
     ) -> None:
         """Record the end of an attempt that a runner reported or whose lease lapsed."""
-        allocation = runner.remove(task, run)
+        allocation = self._remove_allocation(runner, task, run)
         if allocation is not None:
             self._record_late_order(runner, allocation)
         job = self.job_by_id.get(task.job)
@@ -476,7 +480,9 @@
     def discard_attempt(self, attempt: Attempt, reason: str) -> None:
         """Remove an attempt that did not start and can't start any more."""
         runner = self.runner_by_id.get(attempt.runner)
-        allocation = runner and runner.remove(attempt.task, attempt.run)
+        allocation = runner and self._remove_allocation(
+            runner, attempt.task, attempt.run
+        )
         if allocation is None:
             return
         self._record_late_order(runner, allocation)
@@ -601,11 +607,27 @@
             self._stop_surplus(job)
 
     def _allocate(self, step: StepRun, attempt: Attempt, runner: Runner) -> None:
-        allocation = runner.add(attempt, step.spec)
+        allocation = self._add_allocation(runner, attempt, step)
         allocation.earlier_stalls = step.tasks.view(attempt.task.index).stalls
         self.pending_starts.append(attempt)
         self._mark_changed(step.job)
 
+    def _add_allocation(
+        self, runner: Runner, attempt: Attempt, step: StepRun
+    ) -> Allocation:
+        customer = step.job.spec.customer
+        allocation = runner.add(attempt, step.spec, customer)
+        self.customer_usage.add(customer, step.spec.demand)
+        return allocation
+
+    def _remove_allocation(
+        self, runner: Runner, task: TaskId, run: int
+    ) -> Allocation | None:
+        allocation = runner.remove(task, run)
+        if allocation is not None:
+            self.customer_usage.remove(allocation.customer, allocation.spec.demand)
+        return allocation
+
     def _add_unlisted(self, runner_id: str) -> Runner:
         entry = RunnerEntry(runner_id, 0, "", "", "")
         runner = self._new_runner(entry)
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -34,6 +34,7 @@
 
     __slots__ = (
         "attempt",
+        "customer",
         "earlier_stalls",
         "expect_listed_after_s",
         "load",
@@ -48,9 +49,11 @@
         "unthrottled_since_s",
     )
 
-    def __init__(self, attempt: Attempt, spec: StepSpec):
+    def __init__(self, attempt: Attempt, spec: StepSpec, customer: str = ""):
         self.attempt = attempt
         self.spec = spec
+        #: Name of the job's customer, kept when the job is gone; empty: none.
+        self.customer = customer
         #: Number of earlier attempts at the task that made no progress.
         self.earlier_stalls = 0
         #: If a poll sent after this time does not list the attempt, it is not there.
@@ -216,9 +219,9 @@
         wanted = self.spare_demand_milli + spec.demand.processors_milli
         return wanted / max(1, self.spare_available_milli) - 1
 
-    def add(self, attempt: Attempt, spec: StepSpec) -> Allocation:
-        """Allocate resources for an attempt."""
-        allocation = Allocation(attempt, spec)
+    def add(self, attempt: Attempt, spec: StepSpec, customer: str = "") -> Allocation:
+        """Allocate resources for an attempt at a task of a customer's job."""
+        allocation = Allocation(attempt, spec, customer)
         self.allocation_by_run[attempt.task, attempt.run] = allocation
         self.revision += 1
         self.reserved = self.reserved + spec.reserved
