--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -35,6 +35,7 @@
 from ..registry import UNLISTED_GRACE_S, RunnerEntry
 from ..wakeup import Wakeup
 from ._customer_load import CustomerLoad
+from ._customer_usage import CustomerUsage
 from ._late_orders import LateOrders
 from ._parking import JobParking
 
@@ -85,6 +86,8 @@
         Records to be written of jobs that were set aside.
     customer_load : CustomerLoad
         Submissions of each customer beyond its rate.
+    customer_usage : CustomerUsage
+        Sums of the demands of all allocations, by customer.
     late_orders : LateOrders
         Start orders that the next incarnation of a runner might carry out.
     parking : JobParking
@@ -117,6 +120,7 @@
     ):
         self.parking = JobParking(memory_mb)
         self.customer_load = CustomerLoad()
+        self.customer_usage = CustomerUsage()
         self.late_orders = LateOrders()
         self.job_by_id: dict[str, Job] = {}
         self.runner_by_id: dict[str, Runner] = {}
@@ -268,7 +272,7 @@
             step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
             attempt.pace_percent = UNKNOWN_PACE_PERCENT
             attempt.created_s = attempt.last_progress_s = self._clock.now()
-            allocation = runner.add(attempt, step.spec)
+            allocation = self._add_allocation(runner, attempt, step)
             # A poll with the new fencing token lists what earlier owners started.
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
@@ -418,7 +422,7 @@
         self, runner: Runner, task: TaskId, run: int, outcome: Outcome, checkpoint: str
     ) -> None:
         """Record the end of an attempt that a runner reported or whose lease lapsed."""
-        allocation = runner.remove(task, run)
+        allocation = self._remove_allocation(runner, task, run)
         if allocation is not None:
             self._record_late_order(runner, allocation)
         job = self.job_by_id.get(task.job)
@@ -480,7 +484,9 @@
     def discard_attempt(self, attempt: Attempt, reason: str) -> None:
         """Remove an attempt that did not start and can't start any more."""
         runner = self.runner_by_id.get(attempt.runner)
-        allocation = runner and runner.remove(attempt.task, attempt.run)
+        allocation = runner and self._remove_allocation(
+            runner, attempt.task, attempt.run
+        )
         if allocation is None:
             return
         self._record_late_order(runner, allocation)
@@ -605,11 +611,27 @@
             self._stop_surplus(job)
 
     def _allocate(self, step: StepRun, attempt: Attempt, runner: Runner) -> None:
-        allocation = runner.add(attempt, step.spec)
+        allocation = self._add_allocation(runner, attempt, step)
         allocation.earlier_stalls = step.tasks.view(attempt.task.index).stalls
         self.pending_starts.append(attempt)
         self._mark_changed(step.job)
 
+    def _add_allocation(
+        self, runner: Runner, attempt: Attempt, step: StepRun
+    ) -> Allocation:
+        customer = step.job.spec.customer
+        allocation = runner.add(attempt, step.spec, customer)
+        self.customer_usage.add(customer, step.spec.demand)
+        return allocation
+
+    def _remove_allocation(
+        self, runner: Runner, task: TaskId, run: int
+    ) -> Allocation | None:
+        allocation = runner.remove(task, run)
+        if allocation is not None:
+            self.customer_usage.remove(allocation.customer, allocation.spec.demand)
+        return allocation
+
     def _add_unlisted(self, runner_id: str) -> Runner:
         entry = RunnerEntry(runner_id, 0, "", "", "")
         runner = self._new_runner(entry)
