Tests of customers' shares, excess and limits

Cause: the order by shares and the limits on submissions had no tests.

Change: tests on virtual time replay a customer with ten times its usual load, full fleets with 20 and 620 customers of weights 1 to 10, a change of owner, and old limits.

--- /dev/null
+++ b/tests/test_customer_shares.py
@@ -0,0 +1,405 @@
+"""Order by customers' shares, submissions beyond a rate, and limits on submissions.
+
+Replays one customer that sends ten times its usual load, and fleets that are full.
+"""
+
+import random
+
+import anyio
+import orjson
+import pytest
+
+from flamingoweir.customers import Customer, CustomerLimit
+from flamingoweir.dispatch._customer_load import CustomerLoad
+from flamingoweir.dispatch._customer_order import (
+    MAX_LISTED_EXCESS,
+    StepQueue,
+    drop_surplus_excess,
+    rank_by_customer,
+)
+from flamingoweir.dispatch._customer_report import MAX_REPORTED, CustomerReporter
+from flamingoweir.dispatch._owner_state import OwnerState
+from flamingoweir.dispatch._parking import HELD_SHARE, JobParking
+from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
+from flamingoweir.fleet import Runner
+from flamingoweir.jobs import Outcome, encode_spec
+from flamingoweir.metrics import NoMetrics
+from flamingoweir.ownership import (
+    Backlog,
+    OwnerRecord,
+    decode_owner_record,
+    encode_owner_record,
+    job_row,
+    owner_row,
+)
+from flamingoweir.policy import TokenBucket, choose_published, find_limit, sort_key
+from flamingoweir.registry import Configuration, RunnerEntry
+from flamingoweir.resources import Resources
+from flamingoweir.storage import VersionedRow
+from tests.utils.cluster import SERVICE, make_job, make_step, run_cluster
+from tests.utils.customers import Arrivals, configure_customers
+from tests.utils.virtual_time import VirtualClock, run_virtual
+
+NOW_S = 1000.0
+#: Largest size of the owner row in bytes; the smallest limit of a row is 64 KB.
+MAX_ROW_BYTES = 64_000
+
+
+def make_state(*customers: Customer, processors: int = 100, named: bool = True):
+    """Return an owner's state and its single runner."""
+    state = OwnerState(VirtualClock(), NoMetrics(), 10.0)
+    by_name = {customer.name: customer for customer in customers}
+    configuration = Configuration(1, {}, {}, 1, by_name, named)
+    state.customer_load.find_configuration = lambda: configuration
+    entry = RunnerEntry(
+        "r", 1, SERVICE, "a:1", "z", capacity=Resources(1000 * processors, 1, 0)
+    )
+    return state, Runner(entry, 10.0)
+
+
+def add_steps(state: OwnerState, customer: str, count: int, first: int, **fields):
+    """Add jobs accepted within a second, and return their steps, ready to be ranked."""
+    ready = []
+    for number in range(first, first + count):
+        spec = make_job(number, make_step(**fields), customer=customer)
+        job = state.add_job(spec)
+        job.accepted_s = NOW_S - number / 1e4
+        step = job.run_by_step[0, 0]
+        ready.append((sort_key(step, NOW_S, 0.0), number, step))
+    return ready
+
+
+def find_order(state: OwnerState, runner: Runner, ready) -> list[str]:
+    """Return customers in the order in which steps are placed that all find room."""
+    ranked = sorted(rank_by_customer(ready, state, [runner]))
+    key_by_step = {step: key for key, _, step in ranked}
+    steps = [step for _, _, step in ranked]
+    queue = StepQueue(steps, key_by_step, state.customer_load.shares)
+    order = []
+    while queue:
+        step = queue.pop()
+        customer = step.job.spec.customer
+        order.append(customer)
+        state.customer_usage.add(customer, step.spec.demand)
+    return order
+
+
+def virtual(function, *args):
+    async def scenario():
+        return function(*args)
+
+    return run_virtual(scenario)
+
+
+@pytest.mark.parametrize("customers", [20, 620])
+def test_full_fleet_is_shared_by_weight(customers):
+    """Guards against shares that follow the amount of waiting work, not the weight."""
+
+    def check():
+        named = [Customer(f"c{n}", weight=1 + n % 10) for n in range(customers)]
+        slots = 4 * sum(round(customer.weight) for customer in named)
+        state, runner = make_state(*named, processors=slots)
+        ready = []
+        for number, customer in enumerate(named):
+            count = 50 + 30 * (number == 3)
+            ready += add_steps(state, customer.name, count, 100 * number)
+        first = find_order(state, runner, ready)[:slots]
+        for customer in named:
+            assert first.count(customer.name) == 4 * customer.weight
+
+    virtual(check)
+
+
+def test_customer_that_exceeds_its_share_in_a_pass_goes_back_at_once():
+    """Guards against a pass that gives one customer all room before shares change.
+
+    A wide task of a customer below its share is placed before, although it exceeds the
+    share; jobs without a customer count as below theirs.
+    """
+
+    def check():
+        state, runner = make_state(Customer("a"), Customer("b"), processors=10)
+        ready = add_steps(state, "b", 1, 1, processors=9.0)
+        ready += add_steps(state, "a", 8, 100) + add_steps(state, "", 2, 10)
+        order = find_order(state, runner, ready)
+        assert order.index("b") < 8
+        assert order[-3:] == ["a"] * 3
+        assert max(n for n, name in enumerate(order) if name == "") < 8
+
+    virtual(check)
+
+
+def test_absent_task_goes_first_whatever_its_customer_uses():
+    """Guards against a service of a customer above its share that stays away."""
+
+    def check():
+        state, runner = make_state(Customer("a"), Customer("b"), processors=4)
+        state.customer_usage.add("a", Resources(4000, 0, 0))
+        (away,) = add_steps(state, "a", 1, 1, lasting=True)
+        step = away[2]
+        attempt = step.job.start(step, 0, "r", 1, NOW_S)
+        step.job.end(attempt.task, attempt.run, Outcome.FAILED, "")
+        ready = [(sort_key(step, NOW_S, 0.0), 1, step)] + add_steps(state, "b", 2, 10)
+        assert find_order(state, runner, ready) == ["a", "b", "b"]
+
+    virtual(check)
+
+
+@pytest.mark.parametrize("named", [True, False])
+def test_order_without_customers_is_as_before(named):
+    """Guards against an order that changes where no customers are configured."""
+
+    def check():
+        state, runner = make_state(named=named)
+        ready = add_steps(state, "" if named else "a", 30, 1)
+        random.Random(1).shuffle(ready)
+        ranked = sorted(rank_by_customer(ready, state, [runner]))
+        assert [r[2] for r in ranked] == [r[2] for r in sorted(ready)]
+        assert named or ranked == sorted(ready)
+        jobs = list(state.job_by_id.values())
+        assert drop_surplus_excess(jobs, state) == jobs
+
+    virtual(check)
+
+
+def send_flood(load: CustomerLoad, per_s: int, seconds: int, seed: int | None = None):
+    """Mark a customer's arrivals, or restore them in another order; return excess."""
+    specs = []
+    for number in range(per_s * seconds):
+        accepted_ms = round(1e6 + 1000 * number / per_s)
+        specs.append(make_job(number, customer="a", accepted_ms=accepted_ms))
+    if seed is not None:
+        random.Random(seed).shuffle(specs)
+        for spec in specs:
+            row = VersionedRow(job_row("s0", spec.id), encode_spec(spec), 1)
+            load.add_restored(row)
+    return {spec.id for spec in specs if load.mark(spec)}
+
+
+def test_next_owner_marks_the_same_jobs_as_excess():
+    """Guards against excess that goes first, as the owner was replaced.
+
+    A customer with weight 10 that sends 50 a second for 8 s is entitled to 80 and a
+    burst of 20. Jobs whose acceptance time is not known are not excess.
+    """
+
+    def check():
+        loads = [make_state(Customer("a", weight=10))[0].customer_load for _ in "xy"]
+        excess = send_flood(loads[0], 50, 8)
+        assert abs(400 - len(excess) - 100) <= 1
+        assert send_flood(loads[1], 50, 8, seed=5) == excess
+        unknown = make_job(9999, customer="a")
+        assert not loads[0].mark(unknown)
+        assert not loads[0].mark(make_job(9998, accepted_ms=1_000_100))
+
+    virtual(check)
+
+
+def test_bucket_allows_the_weight_per_second():
+    """Guards against a usual load that is marked, or a weight of 0 that entitles."""
+    bucket = TokenBucket()
+    assert all(bucket.take(number / 10, 10.0) for number in range(100))
+    assert not TokenBucket().take(1.0, 0.0)
+    assert TokenBucket().take(1.0, 0.2)
+
+
+def test_excess_goes_last_and_costs_a_pass_little():
+    """Guards against a backlog of one customer that each pass lists and sorts."""
+
+    def check():
+        state, runner = make_state(Customer("a", weight=10), Customer("b"))
+        excess = send_flood(state.customer_load, 50, 8)
+        for number in range(400):
+            state.add_job(make_job(number, customer="a", accepted_ms=1))
+        add_steps(state, "b", 5, 1000)
+        jobs = drop_surplus_excess(list(state.job_by_id.values()), state)
+        assert len(jobs) == 405 - len(excess) + MAX_LISTED_EXCESS
+        ready = []
+        for number, job in enumerate(jobs):
+            step = job.run_by_step[0, 0]
+            job.accepted_s = NOW_S
+            ready.append((sort_key(step, NOW_S, 0.0), number, step))
+        last = sorted(rank_by_customer(ready, state, [runner]))[-MAX_LISTED_EXCESS:]
+        assert all(step.job.spec.id in excess for _, _, step in last)
+
+    virtual(check)
+
+
+def test_excess_is_parked_first():
+    """Guards against one customer's backlog that takes the memory for all others."""
+    spec = make_job(1, customer="a")
+    parking = JobParking(3e-6 * 100 * spec.memory_bytes / (3 * HELD_SHARE))
+    while parking.has_room_for(spec, True):
+        parking.record_held(spec)
+    assert parking.has_room_for(spec)
+    assert parking.find_max_job_bytes() > spec.memory_bytes
+    parking.park(make_job(2, customer="a"), True)
+    parking.park(make_job(3, customer="b"))
+    assert parking.take() == make_job(3).id
+    assert parking.take() is None
+    parking.held_bytes = 0
+    assert parking.take() == make_job(2).id
+
+
+def test_limit_admits_the_weight_and_names_the_time_to_drain():
+    """Guards against limits on a usual load, and an owner row that outgrows its limit.
+
+    A build that doesn't know limits ignores the field; a row without it is read.
+    """
+    assert find_limit(10, 9.0, 50, 5.0) is None
+    assert find_limit(10, 40.0, 0, 5.0) is None
+    assert find_limit(10, 40.0, 20, 5.0) == CustomerLimit(0.25, 4.0)
+    candidates = [(n, f"customer-{n}", CustomerLimit(0.1, 4.0)) for n in range(620)]
+    limits = choose_published(candidates)
+    assert len(limits) == 50
+    assert "customer-619" in limits
+    record = OwnerRecord("i", "i/1", 1, backlog=Backlog({"q": 1}, {}, limits))
+    value = encode_owner_record(record)
+    assert len(value) < MAX_ROW_BYTES / 4
+    assert decode_owner_record(VersionedRow(owner_row("s0"), value, 1)) == record
+    bare = OwnerRecord("i", "i/1", 1, backlog=Backlog({"q": 1}))
+    fields = orjson.loads(encode_owner_record(bare))
+    assert "limit_by_customer" not in fields["backlog"]
+    fields["backlog"]["no_such_field"] = {"a": 1}
+    row = VersionedRow(owner_row("s0"), orjson.dumps(fields), 1)
+    assert decode_owner_record(row) == bare
+
+
+def test_report_is_bounded():
+    """Guards against a log and metrics that grow with the number of customers."""
+
+    def check(monkeypatch):
+        named = [Customer(f"c{n}") for n in range(620)]
+        state, _ = make_state(*named)
+        gauges, lines = set(), []
+        metrics = NoMetrics()
+        metrics.gauge = lambda name, value: gauges.add(name)
+        context = type("Context", (), {})()
+        context.owner_state, context.clock = state, VirtualClock()
+        context.wall_ms, context.metrics = lambda: 1e6, metrics
+        reporter = CustomerReporter(context)
+        logger = "flamingoweir.dispatch._customer_report.log.info"
+        monkeypatch.setattr(logger, lambda event, **fields: lines.append(fields))
+        for first in range(0, 620, 10):
+            for customer in named[first : first + 10]:
+                state.customer_usage.add(customer.name, Resources(1000 * first, 0, 0))
+            lines.clear()
+            reporter.report()
+            assert len(lines) == MAX_REPORTED + 1
+        assert lines[-1]["customers"] == 600
+        assert len(gauges) <= 9 * 50
+
+    with pytest.MonkeyPatch.context() as patch:
+        virtual(check, patch)
+
+
+async def run_flood(cluster, arrivals: Arrivals, flood: float) -> None:
+    """Send the usual load of four customers; one sends a multiple of it for 8 s."""
+    await cluster.owner()
+    await anyio.sleep(1)
+    async with anyio.create_task_group() as tasks:
+        for name in "abc":
+            tasks.start_soon(arrivals.send, name, 21, 2 / 3)
+        tasks.start_soon(arrivals.send, "d", 3, 2 / 3)
+        await anyio.sleep(2)
+        count = round(8 * 1.5 * flood)
+        tasks.start_soon(arrivals.send, "d", count, 8 / count)
+    await anyio.sleep(4)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_flood_of_one_customer_has_no_effect_on_the_others(seed):
+    """Guards against a customer with ten times its load that makes others late.
+
+    The four customers usually need 6 of 8 processors. Only the one that sends too much
+    is refused, with a time to come back, and refused jobs are never stored.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=2, processors=4, seed=seed) as cluster:
+            configure_customers(cluster, *[Customer(name, weight=2) for name in "abcd"])
+            arrivals = Arrivals(cluster)
+            await run_flood(cluster, arrivals, 10)
+            assert [arrivals.in_time(name) for name in "abc"] == [1.0] * 3
+            assert len(arrivals.error_by_id) > 40
+            for job_id, error in arrivals.error_by_id.items():
+                assert arrivals.customer_by_id[job_id] == "d"
+                assert error.code is ErrorCode.CUSTOMER_LIMIT
+                assert error.verdict is Verdict.NOT_RUN
+                assert 1.0 <= error.retry_after_s <= 15.0
+                assert job_row("s0", job_id) not in cluster.rows.row_by_id
+            # A customer that sends no more than its weight is admitted again.
+            await anyio.sleep(8)
+            refused = len(arrivals.error_by_id)
+            await arrivals.send("d", 6, 0.7)
+            assert len(arrivals.error_by_id) == refused
+
+    run_virtual(scenario)
+
+
+def test_no_submission_is_refused_while_runners_are_free():
+    """Guards against a refusal of work that the fleet has room for."""
+
+    async def scenario():
+        async with run_cluster(runners=6, processors=8) as cluster:
+            configure_customers(cluster, *[Customer(name, weight=2) for name in "abcd"])
+            arrivals = Arrivals(cluster)
+            await run_flood(cluster, arrivals, 10)
+            assert not arrivals.error_by_id
+            assert [arrivals.in_time(name) for name in "abcd"] == [1.0] * 4
+
+    run_virtual(scenario)
+
+
+def test_stored_job_is_never_refused_and_old_limits_do_not_count():
+    """Guards against a refusal that says "not run" of a job that runs.
+
+    A submitter whose first request got no response repeats it with the same id.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            configure_customers(cluster, Customer("a"))
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job = await cluster.submit(make_job(1, customer="a"))
+            backlog = Backlog(limit_by_customer={"a": CustomerLimit(0.0, 3.0)})
+            standby = owner.instance.standby
+            handler = owner.instance.handler
+            gate = handler._customer_gate
+            gate._backlog = lambda max_age_s: backlog
+            await handler.submit(job, 2.0)
+            with pytest.raises(FlamingoweirError) as refused:
+                await handler.submit(make_job(2, customer="a"), 2.0)
+            assert refused.value.http_status == 429
+            await handler.submit(make_job(3, customer="b"), 2.0)
+            await handler.submit(make_job(4), 2.0)
+            # The owner publishes no more; what it published last grows old.
+            gate._backlog = standby.backlog
+            owner.store.down = True
+            await anyio.sleep(4)
+            assert gate.check(make_job(5, customer="a"))[1] is None
+
+    run_virtual(scenario)
+
+
+def test_flood_of_weight_over_a_full_fleet_serves_by_weight():
+    """Guards against capacity that goes to whoever sends most.
+
+    Two customers send four times what the fleet runs; one has three times the weight.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=2, processors=4) as cluster:
+            weights = (Customer("a", weight=12), Customer("b", weight=4))
+            configure_customers(cluster, *weights)
+            arrivals = Arrivals(cluster, run_s=2.0)
+            await cluster.owner()
+            await anyio.sleep(1)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(arrivals.send, "a", 80, 0.12)
+                tasks.start_soon(arrivals.send, "b", 32, 0.3)
+            started = arrivals.started()
+            assert 2.2 <= started["a"] / started["b"] <= 4.0
+
+    run_virtual(scenario)
