--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -3,13 +3,16 @@
 Replays one customer that sends ten times its usual load, and fleets that are full.
 """
 
+import dataclasses
 import random
+from types import SimpleNamespace
 
 import anyio
 import orjson
 import pytest
 
 from flamingoweir.customers import Customer, CustomerLimit
+from flamingoweir.dispatch._customer_limits import LimitFinder
 from flamingoweir.dispatch._customer_load import CustomerLoad
 from flamingoweir.dispatch._customer_order import (
     MAX_LISTED_EXCESS,
@@ -57,6 +60,15 @@
     return state, Runner(entry, 10.0)
 
 
+def make_context(state: OwnerState, metrics=None) -> SimpleNamespace:
+    return SimpleNamespace(
+        owner_state=state,
+        clock=VirtualClock(),
+        wall_ms=lambda: 1e6,
+        metrics=metrics or NoMetrics(),
+    )
+
+
 def add_steps(state: OwnerState, customer: str, count: int, first: int, **fields):
     """Add jobs accepted within a second, and return their steps, ready to be ranked."""
     ready = []
@@ -135,12 +147,15 @@
     def check():
         state, runner = make_state(Customer("a"), Customer("b"), processors=4)
         state.customer_usage.add("a", Resources(4000, 0, 0))
-        (away,) = add_steps(state, "a", 1, 1, lasting=True)
-        step = away[2]
-        attempt = step.job.start(step, 0, "r", 1, NOW_S)
-        step.job.end(attempt.task, attempt.run, Outcome.FAILED, "")
-        ready = [(sort_key(step, NOW_S, 0.0), 1, step)] + add_steps(state, "b", 2, 10)
-        assert find_order(state, runner, ready) == ["a", "b", "b"]
+        ready = add_steps(state, "a", 1, 1, lasting=True)
+        ready += add_steps(state, "b", 1, 2, lasting=True)
+        steps = [step for _, _, step in ready]
+        for step in steps:
+            attempt = step.job.start(step, 0, "r", 1, NOW_S)
+            step.job.end(attempt.task, attempt.run, Outcome.FAILED, "")
+        ready = [(sort_key(step, NOW_S, 0.0), n, step) for n, step in enumerate(steps)]
+        ready += add_steps(state, "b", 2, 10)
+        assert find_order(state, runner, ready) == ["a", "b", "b", "b"]
 
     virtual(check)
 
@@ -265,18 +280,37 @@
     assert decode_owner_record(row) == bare
 
 
+@pytest.mark.parametrize("free", [0, 1])
+def test_customer_is_limited_only_while_its_excess_fits_nowhere(free):
+    """Guards against a refusal while runners are free and the excess waits for a cap."""
+
+    def check():
+        state, runner = make_state(Customer("a", weight=1), processors=free)
+        state.runner_by_id["r"] = runner
+        runner.incarnation = 1
+        load = state.customer_load
+        for number in range(40):
+            spec = make_job(number, customer="a", accepted_ms=999_000 + number)
+            load.mark(spec)
+            state.add_job(spec).run_by_step[0, 0].ready_since_s = NOW_S - 1
+        permit = SimpleNamespace(allows_runner=lambda runner: True)
+        LimitFinder(make_context(state), permit).update()
+        assert set(load.limit_by_customer) == (set() if free else {"a"})
+
+    virtual(check)
+
+
 def test_report_is_bounded():
     """Guards against a log and metrics that grow with the number of customers."""
 
     def check(monkeypatch):
         named = [Customer(f"c{n}") for n in range(620)]
-        state, _ = make_state(*named)
+        state, runner = make_state(*named)
+        rank_by_customer([], state, [runner])
         gauges, lines = set(), []
         metrics = NoMetrics()
         metrics.gauge = lambda name, value: gauges.add(name)
-        context = type("Context", (), {})()
-        context.owner_state, context.clock = state, VirtualClock()
-        context.wall_ms, context.metrics = lambda: 1e6, metrics
+        context = make_context(state, metrics)
         reporter = CustomerReporter(context)
         logger = "flamingoweir.dispatch._customer_report.log.info"
         monkeypatch.setattr(logger, lambda event, **fields: lines.append(fields))
@@ -377,7 +411,12 @@
             # The owner publishes no more; what it published last grows old.
             gate._backlog = standby.backlog
             owner.store.down = True
-            await anyio.sleep(4)
+            await anyio.sleep(0.1)
+            record = dataclasses.replace(standby.observation.record, backlog=backlog)
+            observed = dataclasses.replace(standby.observation, record=record)
+            standby.observation = observed
+            assert gate.check(make_job(5, customer="a"))[1] is not None
+            await anyio.sleep(2)
             assert gate.check(make_job(5, customer="a"))[1] is None
 
     run_virtual(scenario)
