Caps of customers: decision, planner, orders, submission

Cause: customers have caps on what they have running (docs/design/0015, part 2).

Change: policy/_caps.py decides whether a task or a gang may start. The planner asks before each task and each gang; steps of customers at their caps aren't listed, so that they are not tried, don't count as unplaced and get no room or runner. An attempt that was placed before a change of the configuration is checked again before its start order is sent. An attempt that lapsed while its order had no response counts until the order can't be carried out any more. A new configuration wakes the planner. A gang larger than the cap is refused on submission unless it is stored already.

--- /dev/null
+++ b/flamingoweir/dispatch/_customer_caps.py
@@ -0,0 +1,155 @@
+"""Holds tasks of customers back that have as much running as their caps allow."""
+
+from dataclasses import dataclass
+
+from ..fleet import Allocation
+from ..jobs import StepRun
+from ..logs import get_logger
+from ..policy import allows_gang, allows_task, is_within
+from ..registry import Configuration
+from ..resources import Resources
+from ._context import TermContext
+
+log = get_logger()
+
+#: Seconds for which a step must not have been held back before its wait is logged as
+#: ended for lack of resources. Where a customer is at its cap and the fleet is full, a
+#: step may be held back in every second pass.
+MIN_UNHELD_S = 1.0
+NO_CAP = Resources()
+
+
+@dataclass(slots=True)
+class _Wait:
+    """When a step began to wait and was last held back, on the owner's clock."""
+
+    since_s: float
+    held_s: float
+
+
+class CustomerCaps:
+    """Decides whether tasks of a step may start, and logs how long steps wait.
+
+    Parameters
+    ----------
+    context : TermContext
+        Shared objects of the term.
+    """
+
+    def __init__(self, context: TermContext):
+        self._context = context
+        self._usage = context.owner_state.customer_usage
+        self._wait_by_step: dict[StepRun, _Wait] = {}
+
+    def holds(self, step: StepRun) -> bool:
+        """Return whether the cap of its customer keeps the step waiting.
+
+        That is so if the next task, or all tasks of a gang, may not start.
+        """
+        customer = step.job.spec.customer
+        if not customer:
+            return False
+        cap = find_cap(self._context.operators.configuration, customer)
+        if cap is None:
+            return False
+        used, spec = self._usage.used_by(customer), step.spec
+        if spec.gang:
+            # One of which some members still run can't start anyway.
+            is_held = len(step.open_indexes) == spec.count and not allows_gang(
+                cap, used, spec
+            )
+        else:
+            is_held = not allows_task(cap, used, spec.demand)
+        if is_held:
+            self._hold(step, cap, used)
+        return is_held
+
+    def end_wait(self, step: StepRun) -> None:
+        """End the wait of a step that lacks resources and not room under the cap."""
+        wait = self._wait_by_step.get(step)
+        if wait is None:
+            return
+        if self._context.clock.now() - wait.held_s >= MIN_UNHELD_S:
+            self._end(step)
+
+    def begin_list(self) -> None:
+        """End what has passed, before the ready steps are listed.
+
+        These are the waits of steps without open tasks, and the usage by orders that
+        can't be carried out any more.
+        """
+        self._usage.remove_expired(self._context.clock.now())
+        job_by_id = self._context.owner_state.job_by_id
+        for step in list(self._wait_by_step):
+            job = step.job
+            is_gone = job_by_id.get(job.spec.id) is not job or job.is_final
+            if is_gone or not step.open_indexes:
+                self._end(step)
+
+    def _hold(self, step: StepRun, cap: Resources, used: Resources) -> None:
+        # The cap keeps the step waiting, so that it hasn't lacked resources meanwhile.
+        step.unplaced_since_s = None
+        now_s = self._context.clock.now()
+        wait = self._wait_by_step.get(step)
+        if wait is not None:
+            wait.held_s = now_s
+            return
+        self._wait_by_step[step] = _Wait(now_s, now_s)
+        synced_s = self._context.operator_follower.last_synced_s
+        log.info(
+            "cap_wait_began",
+            step=_name(step),
+            customer=step.job.spec.customer,
+            demand=step.spec.demand.as_text(),
+            gang=step.spec.count if step.spec.gang else 0,
+            open_tasks=len(step.open_indexes),
+            used=used.as_text(),
+            cap=cap.as_text(),
+            configuration=self._context.operators.configuration.version,
+            configuration_age_ms=round(1000 * (now_s - synced_s)),
+        )
+
+    def _end(self, step: StepRun) -> None:
+        wait = self._wait_by_step.pop(step)
+        customer = step.job.spec.customer
+        cap = find_cap(self._context.operators.configuration, customer)
+        log.info(
+            "cap_wait_ended",
+            step=_name(step),
+            customer=customer,
+            waited_ms=round(1000 * (self._context.clock.now() - wait.since_s)),
+            open_tasks=len(step.open_indexes),
+            job_state=step.job.state.value,
+            used=self._usage.used_by(customer).as_text(),
+            cap=(cap or NO_CAP).as_text(),
+        )
+
+
+def may_send_start(context: TermContext, allocation: Allocation) -> bool:
+    """Return whether the cap still allows the start of an attempt that was placed.
+
+    An attempt may be placed under a higher cap and become durable late, as while the
+    store is unavailable. The sum of the customer includes the attempt itself.
+    """
+    usage = context.owner_state.customer_usage
+    if allocation.attempt.created_s > usage.caps_changed_s:
+        return True
+    cap = find_cap(context.operators.configuration, allocation.customer)
+    if cap is None:
+        return True
+    used, spec = usage.used_by(allocation.customer), allocation.spec
+    if spec.gang:
+        return is_within(cap, used)
+    return allows_task(cap, used - spec.demand, spec.demand)
+
+
+def find_cap(configuration: Configuration | None, customer: str) -> Resources | None:
+    """Return the cap of a customer; None: it has no cap, or is not configured."""
+    if not customer or configuration is None:
+        return None
+    found = configuration.customer_by_name.get(customer)
+    return None if found is None or found.cap == NO_CAP else found.cap
+
+
+def _name(step: StepRun) -> str:
+    return f"{step.job.spec.id}.{step.occurrence}.{step.step}"
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -8,6 +8,7 @@
 from ..jobs import Attempt, AttemptState, TaskId
 from ..logs import get_logger
 from ._context import Permit, TermContext, TermEnd
+from ._customer_caps import may_send_start
 from ._owner_state import UNKNOWN_PACE_PERCENT
 from ._protocols import (
     Fenced,
@@ -145,6 +146,9 @@
             if not runner.has_room_for(allocation):
                 self._discard_or_stop(attempt, allocation, "capacity_shrunk")
                 return
+            if not may_send_start(self._context, allocation):
+                self._discard_or_stop(attempt, allocation, "cap_lowered")
+                return
             allocation.start_sent = True
             result, _ = await link.start(order)
             self._context.metrics.incr(f"starts_{result.value}")
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -268,7 +268,7 @@
             step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
             attempt.pace_percent = UNKNOWN_PACE_PERCENT
             attempt.created_s = attempt.last_progress_s = self._clock.now()
-            allocation = self._add_allocation(runner, attempt, step)
+            allocation = self.customer_usage.allocate(runner, attempt, step)
             # A poll with the new fencing token lists what earlier owners started.
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
@@ -418,9 +418,10 @@
         self, runner: Runner, task: TaskId, run: int, outcome: Outcome, checkpoint: str
     ) -> None:
         """Record the end of an attempt that a runner reported or whose lease lapsed."""
-        allocation = self._remove_allocation(runner, task, run)
+        allocation = self.customer_usage.release(runner, task, run)
         if allocation is not None:
             self._record_late_order(runner, allocation)
+            self.customer_usage.keep_late(allocation, outcome, self._clock.now())
         job = self.job_by_id.get(task.job)
         if job is None:
             return
@@ -480,7 +481,7 @@
     def discard_attempt(self, attempt: Attempt, reason: str) -> None:
         """Remove an attempt that did not start and can't start any more."""
         runner = self.runner_by_id.get(attempt.runner)
-        allocation = runner and self._remove_allocation(
+        allocation = runner and self.customer_usage.release(
             runner, attempt.task, attempt.run
         )
         if allocation is None:
@@ -607,27 +608,11 @@
             self._stop_surplus(job)
 
     def _allocate(self, step: StepRun, attempt: Attempt, runner: Runner) -> None:
-        allocation = self._add_allocation(runner, attempt, step)
+        allocation = self.customer_usage.allocate(runner, attempt, step)
         allocation.earlier_stalls = step.tasks.view(attempt.task.index).stalls
         self.pending_starts.append(attempt)
         self._mark_changed(step.job)
 
-    def _add_allocation(
-        self, runner: Runner, attempt: Attempt, step: StepRun
-    ) -> Allocation:
-        customer = step.job.spec.customer
-        allocation = runner.add(attempt, step.spec, customer)
-        self.customer_usage.add(customer, step.spec.demand)
-        return allocation
-
-    def _remove_allocation(
-        self, runner: Runner, task: TaskId, run: int
-    ) -> Allocation | None:
-        allocation = runner.remove(task, run)
-        if allocation is not None:
-            self.customer_usage.remove(allocation.customer, allocation.spec.demand)
-        return allocation
-
     def _add_unlisted(self, runner_id: str) -> Runner:
         entry = RunnerEntry(runner_id, 0, "", "", "")
         runner = self._new_runner(entry)
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -19,6 +19,7 @@
 from ..resources import Resources
 from ._candidates import CandidateLists
 from ._context import Permit, PermitWithdrawn, TermContext
+from ._customer_caps import CustomerCaps
 from ._evictions import Evictions
 from ._fleet_load import FleetLoadLog, measure_load
 from ._job_pauses import JobPauses
@@ -131,7 +132,8 @@
         self._evictions = Evictions(context.owner_state)
         self._headroom = BatchHeadroom()
         self._pauses = JobPauses(context.owner_state)
-        self._ready_steps = ReadySteps(context, self._pauses)
+        self._caps = CustomerCaps(context)
+        self._ready_steps = ReadySteps(context, self._pauses, self._caps)
         self._load_log = FleetLoadLog(context.owner_state)
 
     async def run(self) -> None:
@@ -237,16 +239,21 @@
     async def _place_or_make_room(self, step: StepRun, unplaced: UnplacedSteps) -> bool:
         """Place the open tasks of a step; return whether all were placed.
 
-        For a step that found no runner, resources are made free.
+        For a step that found no runner, resources are made free. One whose customer is
+        at its cap counts as placed.
         """
         if not self._is_ready(step):
             return True
+        if self._caps.holds(step):
+            self._candidates.release(step)
+            return True
         if not unplaced.rules_out(step) and await self._place(step):
             self._candidates.release(step)
             return True
         first = next(step.placing_order(), None)
         if first is not None and not self._must_leave_room(step, first):
             unplaced.add(step)
+            self._caps.end_wait(step)
             if self._candidates.has_large_enough(step):
                 self._make_room(step)
         return False
@@ -352,6 +359,8 @@
                     return True
             if index not in step.open_indexes:
                 continue
+            if self._caps.holds(step):
+                break
             if placement is None:
                 candidates = self._find_candidates(step)
                 placement = StepPlacement(
--- a/flamingoweir/dispatch/_ready_steps.py
+++ b/flamingoweir/dispatch/_ready_steps.py
@@ -5,6 +5,7 @@
 from ..jobs import MAX_IDLE_STEPS, Job, StepRun
 from ..policy import sort_key
 from ._context import PermitWithdrawn, TermContext
+from ._customer_caps import CustomerCaps
 from ._job_pauses import JobPauses
 
 #: Number of steps in idle occurrences of all scheduled jobs, at most, but for one
@@ -23,6 +24,8 @@
         Shared objects of the term.
     pauses : JobPauses
         Jobs that are passed over after an error.
+    caps : CustomerCaps
+        Holds steps back whose customers are at their caps; they aren't listed.
 
     Attributes
     ----------
@@ -30,9 +33,10 @@
         Numbers of jobs and of tasks to be placed in the latest list.
     """
 
-    def __init__(self, context: TermContext, pauses: JobPauses):
+    def __init__(self, context: TermContext, pauses: JobPauses, caps: CustomerCaps):
         self._context = context
         self._pauses = pauses
+        self._caps = caps
         #: Number of steps in idle occurrences of scheduled jobs.
         self._idle_steps = 0
         self.job_count = 0
@@ -63,6 +67,7 @@
         """
         ready: list[tuple[tuple, int, StepRun]] = []
         open_tasks = 0
+        self._caps.begin_list()
         jobs = list(self._context.owner_state.job_by_id.values())
         idle_steps = 0
         wall_ms = self._context.wall_ms()
@@ -74,12 +79,16 @@
                 idle_steps += self._open_due(job, wall_ms)
                 if len(job.run_by_step) <= STEPS_PER_CHECK:
                     steps = job.ready_steps()
-                    open_tasks += _add_ready(steps, read_now_s(), wall_ms, ready)
+                    open_tasks += _add_ready(
+                        steps, read_now_s(), wall_ms, ready, self._caps
+                    )
                     continue
                 steps = list(job.ready_steps())
                 for first in range(0, len(steps), STEPS_PER_CHECK):
                     some = steps[first : first + STEPS_PER_CHECK]
-                    open_tasks += _add_ready(some, read_now_s(), wall_ms, ready)
+                    open_tasks += _add_ready(
+                        some, read_now_s(), wall_ms, ready, self._caps
+                    )
                     await give_way_if_over()
             except PermitWithdrawn:
                 raise
@@ -109,6 +118,7 @@
     now_s: float,
     wall_ms: float,
     ready: list[tuple[tuple, int, StepRun]],
+    caps: CustomerCaps,
 ) -> int:
     """Add ready steps with their sort keys; return the number of open tasks."""
     open_tasks = 0
@@ -116,6 +126,6 @@
         open_tasks += len(step.open_indexes)
         if step.ready_since_s is None:
             step.ready_since_s = now_s
-        if step.retry_at_s <= now_s:
+        if step.retry_at_s <= now_s and not caps.holds(step):
             ready.append((sort_key(step, now_s, wall_ms), len(ready), step))
     return open_tasks
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -179,6 +179,7 @@
         also serves submitters.
         """
         reason = ""
+        unsubscribe = self._context.operators.subscribe(self._record_configuration)
         try:
             async with anyio.create_task_group() as task_group:
                 self._task_group = task_group
@@ -209,6 +210,8 @@
             self.failed = True
             reason = reason or f"unexpected error: {group.exceptions[0]!r}"
             log.error("term_failed", shard=self._writer.shard, exc_info=group)
+        finally:
+            unsubscribe()
         log.info("term_ended", shard=self._writer.shard, reason=reason)
         with anyio.CancelScope(shield=True):
             for link in self._link_by_runner.values():
@@ -219,6 +222,11 @@
         """End the term because the instance shuts down."""
         self._term_end.signal("shutdown")
 
+    def _record_configuration(self) -> None:
+        """Record that caps may have changed, and plan by the new ones at once."""
+        self.owner_state.customer_usage.caps_changed_s = self._clock.now()
+        self.owner_state.placement_wakeup.set()
+
     async def _restore_while_renewing(self, committer: Committer) -> None:
         """Restore the shard's state while empty writes renew the ownership."""
         restored = anyio.Event()
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -1,5 +1,12 @@
 """Scheduling policies: order, placement, colocation, health; no input or output."""
 
+from ._caps import (
+    allows_gang,
+    allows_task,
+    find_oversized_gang,
+    gang_demand,
+    is_within,
+)
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy, PaceChange
 from ._crashes import (
     RETURN_WINDOW_S,
@@ -35,8 +42,13 @@
     "ServiceLoad",
     "StepPlacement",
     "Suspect",
+    "allows_gang",
+    "allows_task",
     "choose_evictions",
+    "find_oversized_gang",
     "find_stalled",
+    "gang_demand",
+    "is_within",
     "objective_s",
     "place_gang",
     "sort_key",
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -28,6 +28,7 @@
     RowVersionConflict,
     Transaction,
 )
+from ._cap_check import find_cap_error
 from ._store_calls import StoreCalls
 
 log = get_logger()
@@ -155,6 +156,10 @@
         if max_bytes is not None and spec.memory_bytes > max_bytes:
             await self._refuse_unless_stored(spec, row, timeout_s)
             return
+        error = find_cap_error(spec, self._operators.configuration)
+        if error is not None and not await self._is_stored(row, timeout_s):
+            self._metrics.incr("jobs_refused_cap")
+            raise error
         transaction = Transaction([(row, 0)], [(row, value)], ())
         try:
             version = await self._calls.transact(transaction, timeout_s)
@@ -172,8 +177,7 @@
 
         Its owner could not hold it until others have ended.
         """
-        until_s = self._clock.now() + timeout_s
-        if await self._calls.read_row(row, until_s) is not None:
+        if await self._is_stored(row, timeout_s):
             log.info("job_already_accepted", job=spec.id, queue=spec.queue)
             return
         self._metrics.incr("jobs_refused_full")
@@ -184,6 +188,10 @@
             retry_after_s=FULL_RETRY_AFTER_S,
         )
 
+    async def _is_stored(self, row: RowId, timeout_s: float) -> bool:
+        until_s = self._clock.now() + timeout_s
+        return await self._calls.read_row(row, until_s) is not None
+
     async def find_state(self, job_id: str, timeout_s: float) -> JobState | None:
         """Return a job's state, or None if the job was never accepted.
 
--- a/flamingoweir/registry/_view.py
+++ b/flamingoweir/registry/_view.py
@@ -70,6 +70,18 @@
         self._zone_by_key: dict[str, str] = {}
         self._wave_by_key: dict[str, MaintenanceWave] = {}
         self.configuration: Configuration | None = None
+        self._on_configuration: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> Callable[[], None]:
+        """Call back after every change of the configuration.
+
+        Returns
+        -------
+        callable
+            Ends the calls.
+        """
+        self._on_configuration.append(callback)
+        return lambda: self._on_configuration.remove(callback)
 
     @property
     def evacuated_zones(self) -> set[str]:
@@ -132,6 +144,8 @@
             previous=current_version,
             queues=len(configuration.queue_by_name),
         )
+        for callback in list(self._on_configuration):
+            callback()
 
     def _remove(self, key: str) -> None:
         zone = self._zone_by_key.pop(key, None)
--- a/flamingoweir/resources.py
+++ b/flamingoweir/resources.py
@@ -43,6 +43,10 @@
             and self.accelerators <= available.accelerators
         )
 
+    def as_text(self) -> str:
+        """Return processors / 1000, megabytes and accelerators, for a line of text."""
+        return f"{self.processors_milli}/{self.memory_mb}/{self.accelerators}"
+
     def dominant_share(self, total: "Resources") -> float:
         """Return the largest of the fractions of ``total`` that the resources use.
 
