--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -282,7 +282,7 @@
 
 @pytest.mark.parametrize("free", [0, 1])
 def test_customer_is_limited_only_while_its_excess_fits_nowhere(free):
-    """Guards against a refusal while runners are free and the excess waits for a cap."""
+    """Guards against a refusal while runners are free, for excess that a cap holds."""
 
     def check():
         state, runner = make_state(Customer("a", weight=1), processors=free)
