Limit no customer that waits for its cap, or for a moment

Cause: a customer's excess that waits for its cap looked like a lack of capacity whenever the fleet was full for a moment, so that the owner published a limit.

Change: steps held back by a cap don't count, and capacity must be lacking for 0.5 s.

--- a/flamingoweir/dispatch/_customer_limits.py
+++ b/flamingoweir/dispatch/_customer_limits.py
@@ -6,8 +6,9 @@
 from ..fleet import Runner
 from ..jobs import Job, StepRun
 from ..logs import get_logger
-from ..policy import RateMeter, choose_published, find_limit
+from ..policy import RateMeter, allows_task, choose_published, find_limit
 from ._context import Permit, TermContext
+from ._customer_caps import find_cap
 
 log = get_logger()
 
@@ -16,6 +17,9 @@
 #: Seconds for which a step has been ready from which it waits for capacity. Passes take
 #: less than that unless much waits.
 WAITING_S = 0.5
+#: Seconds for which capacity must be lacking. A fleet that is full for a moment has
+#: room again before a refused submitter would come back.
+LACKING_S = 0.5
 #: Number of waiting jobs of a customer that are looked at in an update.
 MAX_EXAMINED_JOBS = 50
 
@@ -40,6 +44,8 @@
         self._owner_state = context.owner_state
         self._load = context.owner_state.customer_load
         self._drained_by_customer: dict[str, RateMeter] = {}
+        #: Since when capacity has been lacking, on the owner's clock, in seconds.
+        self._lacking_since_s: dict[str, float] = {}
 
     async def run(self) -> None:
         """Update the limits until cancelled."""
@@ -85,9 +91,9 @@
             del self._load.waiting_excess[job_id]
             drained = self._drained_by_customer.setdefault(customer, RateMeter())
             drained.add(now_s)
-        for customer in list(self._drained_by_customer):
-            if customer not in waiting_by_customer:
-                del self._drained_by_customer[customer]
+        for by_customer in (self._drained_by_customer, self._lacking_since_s):
+            for customer in [c for c in by_customer if c not in waiting_by_customer]:
+                del by_customer[customer]
         return waiting_by_customer
 
     def _find_usable(self) -> list[Runner]:
@@ -114,14 +120,25 @@
             len(jobs),
             drained.per_s(now_s) if drained is not None else 0.0,
         )
-        if limit is None or not self._lacks_capacity(jobs, usable, now_s):
+        if limit is None or not self._lacks_capacity(customer, jobs, usable, now_s):
+            self._lacking_since_s.pop(customer, None)
             return None
-        return limit
+        since_s = self._lacking_since_s.setdefault(customer, now_s)
+        return limit if now_s - since_s >= LACKING_S else None
 
     def _lacks_capacity(
-        self, jobs: list[Job | None], usable: list[Runner], now_s: float
+        self,
+        customer: str,
+        jobs: list[Job | None],
+        usable: list[Runner],
+        now_s: float,
     ) -> bool:
-        """Return whether steps wait, and none of them would fit on a runner."""
+        """Return whether steps wait, and none of them would fit on a runner.
+
+        A step that waits for the cap of its customer does not wait for capacity.
+        """
+        cap = find_cap(self._load.find_configuration(), customer)
+        used = self._owner_state.customer_usage.used_by(customer)
         examined = 0
         tried = set()
         for job in jobs:
@@ -129,6 +146,8 @@
                 continue
             steps = _find_waiting_steps(job, now_s)
             for step in steps:
+                if cap is not None and not allows_task(cap, used, step.spec.demand):
+                    return False
                 if step.spec.uses_spare:
                     # Only the planner can tell whether spare processors suffice.
                     if step.unplaced_since_s is None:
