--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -51,7 +51,7 @@
             f"r{number}", 1, SERVICE, "host:1", "zone", capacity=capacity
         )
     for runner in owner_state.update_runners(entry_by_id):
-        runner.begin_incarnation(1)
+        runner.begin_incarnation(1, clock.now())
     return owner_state
 
 
--- a/flamingoweir/dispatch/_customer_load.py
+++ b/flamingoweir/dispatch/_customer_load.py
@@ -1,6 +1,6 @@
 """What an owner knows of the load that each customer causes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 import orjson
 
@@ -44,6 +44,8 @@
         #: Acceptance time in milliseconds, id, customer and admitted fraction of jobs
         #: that are not marked yet.
         self._unmarked: list[tuple[int, str, str, float]] = []
+        #: Customers of jobs that have arrived since marks were last made, by job id.
+        self._undecided: dict[str, str] = {}
         self._restored_ids: set[str] = set()
         self._bucket_by_customer: dict[str, TokenBucket] = {}
         self._arrivals_by_customer: dict[str, RateMeter] = {}
@@ -101,23 +103,19 @@
             self._unmarked.append(
                 (spec.accepted_ms, spec.id, spec.customer, spec.admitted_fraction)
             )
-        is_excess = self.is_excess(spec.id)
-        if is_excess:
-            self.waiting_excess[spec.id] = spec.customer
-        return is_excess
+        self._undecided[spec.id] = spec.customer
+        return self.is_excess(spec.id)
 
     def is_excess(self, job_id: str) -> bool:
         """Return whether a job is beyond the rate of its customer."""
-        if self._unmarked and self.in_force:
-            self._mark_all()
-        return job_id in self._excess_ids
+        return job_id in self.excess_ids
 
     @property
-    def has_excess(self) -> bool:
-        """Whether any job is beyond the rate of its customer."""
-        if self._unmarked and self.in_force:
+    def excess_ids(self) -> Set[str]:
+        """Ids of the jobs that are beyond the rates of their customers."""
+        if (self._unmarked or self._undecided) and self.in_force:
             self._mark_all()
-        return bool(self._excess_ids)
+        return self._excess_ids
 
     def arrivals_per_s(self, customer: str, now_s: float) -> float:
         """Return the submissions per second, also refused ones, by the wall clock."""
@@ -128,6 +126,9 @@
         """Drop what is known of jobs that have ended, and of customers without jobs."""
         self._excess_ids = {id for id in self._excess_ids if is_held(id)}
         self._restored_ids.clear()
+        if self.find_configuration() is not None and not self.in_force:
+            self._unmarked.clear()
+            self._undecided.clear()
         known = self.customer_by_name
         for by_customer in (self._bucket_by_customer, self._arrivals_by_customer):
             for name in [name for name in by_customer if name not in known]:
@@ -146,3 +147,7 @@
             self._arrivals_by_customer[customer].add(at_s, count)
             if not bucket.take(at_s, self.weight(customer)):
                 self._excess_ids.add(job_id)
+        for job_id, customer in self._undecided.items():
+            if job_id in self._excess_ids:
+                self.waiting_excess[job_id] = customer
+        self._undecided.clear()
--- a/flamingoweir/dispatch/_customer_order.py
+++ b/flamingoweir/dispatch/_customer_order.py
@@ -13,7 +13,6 @@
 #: Number of excess jobs of a customer that a list has, at most, of those that have not
 #: begun. A pass ends after some 40 steps without room; more would only cost time.
 MAX_LISTED_EXCESS = 100
-_NOTHING = Resources()
 
 
 def drop_surplus_excess(jobs: list[Job], owner_state: OwnerState) -> list[Job]:
@@ -23,13 +22,14 @@
     kept: earlier ones are late already.
     """
     load = owner_state.customer_load
-    if not load.in_force or not load.has_excess:
+    excess_ids = load.excess_ids
+    if not load.in_force or not excess_ids:
         return jobs
     kept = []
     listed_by_customer: dict[str, int] = {}
     for job in reversed(jobs):
         spec = job.spec
-        if spec.customer and job.is_waiting and load.is_excess(spec.id):
+        if spec.id in excess_ids and job.is_waiting:
             listed = listed_by_customer.get(spec.customer, 0)
             if listed >= MAX_LISTED_EXCESS:
                 continue
@@ -39,66 +39,74 @@
     return kept
 
 
-def rank_by_customer(
-    ready: list[tuple[tuple, int, StepRun]],
-    owner_state: OwnerState,
-    usable: Iterable[Runner],
-) -> list[tuple[tuple, int, StepRun]]:
-    """Return ready steps whose sort keys contain the rank of their customers.
+class CustomerRanking:
+    """Adds the ranks of customers to the sort keys of ready steps.
 
-    The rank follows the priority. Without customers in the configuration, the keys stay
-    as they are.
+    Ranks and shares are those of the time when the object is made; they are looked up
+    once for each customer, as a list may have thousands of steps.
 
     Parameters
     ----------
-    ready : list of (tuple, int, StepRun)
-        Sort key, number and step of each ready step.
     owner_state : OwnerState
-        Usage and load of customers; the shares of this list are stored there.
+        Usage and load of the customers; their shares are stored there.
+    ready : iterable of (tuple, int, StepRun)
+        Sort key, number and step of each ready step.
     usable : iterable of Runner
         Runners that may be given tasks.
     """
-    load = owner_state.customer_load
-    load.shares = None
-    if not load.in_force:
-        return ready
-    load.shares = _find_shares(ready, owner_state, usable)
-    rank_by_customer: dict[str, int] = {}
-    ranked = []
-    for key, number, step in ready:
-        rank = BELOW_SHARE
-        spec = step.job.spec
-        if spec.customer and key[0] != AWAY_PRIORITY:
-            rank = rank_by_customer.get(spec.customer)
-            if rank is None:
-                is_below = load.shares.is_below(spec.customer)
-                rank = BELOW_SHARE if is_below else ABOVE_SHARE
-                rank_by_customer[spec.customer] = rank
-            if load.is_excess(spec.id):
+
+    def __init__(
+        self,
+        owner_state: OwnerState,
+        ready: Iterable[tuple[tuple, int, StepRun]],
+        usable: Iterable[Runner],
+    ):
+        self._load = owner_state.customer_load
+        customers = {step.job.spec.customer for _, _, step in ready}
+        customers.discard("")
+        shares = _find_shares(customers, owner_state, usable)
+        self._rank_by_name = {"": BELOW_SHARE}
+        for name in customers:
+            rank = BELOW_SHARE if shares.is_below(name) else ABOVE_SHARE
+            self._rank_by_name[name] = rank
+        self._load.shares = shares
+
+    def add_ranks(
+        self, ready: Iterable[tuple[tuple, int, StepRun]]
+    ) -> list[tuple[tuple, int, StepRun]]:
+        """Return ready steps with the rank after the priority in their sort keys."""
+        excess_ids = self._load.excess_ids
+        ranked = []
+        for key, number, step in ready:
+            spec = step.job.spec
+            rank = self._rank_by_name[spec.customer]
+            if spec.id in excess_ids:
                 rank = EXCESS
-        ranked.append(((key[0], rank, *key[1:]), number, step))
-    return ranked
+            if key[0] == AWAY_PRIORITY:
+                rank = BELOW_SHARE
+            ranked.append(((key[0], rank, *key[1:]), number, step))
+        return ranked
 
 
 def _find_shares(
-    ready: Iterable[tuple[tuple, int, StepRun]],
-    owner_state: OwnerState,
-    usable: Iterable[Runner],
+    wanting: Iterable[str], owner_state: OwnerState, usable: Iterable[Runner]
 ) -> FairShares:
     """Return the shares, with all customers that use or want capacity."""
     load = owner_state.customer_load
     find_used = owner_state.customer_usage.used_by
-    capacity = Resources()
+    processors_milli = memory_mb = accelerators = 0
     for runner in usable:
-        capacity = capacity + runner.entry.capacity
-    shares = FairShares(capacity, load.weight, find_used)
-    for name in load.customer_by_name:
-        if find_used(name) != _NOTHING:
-            shares.add_active(name)
-    for _, _, step in ready:
-        if step.job.spec.customer:
-            shares.add_active(step.job.spec.customer)
-    return shares
+        capacity = runner.entry.capacity
+        processors_milli += capacity.processors_milli
+        memory_mb += capacity.memory_mb
+        accelerators += capacity.accelerators
+    weight_by_customer = {name: load.weight(name) for name in wanting}
+    for name, customer in load.customer_by_name.items():
+        used = find_used(name)
+        if used.processors_milli or used.memory_mb or used.accelerators:
+            weight_by_customer[name] = max(0.0, customer.weight)
+    total = Resources(processors_milli, memory_mb, accelerators)
+    return FairShares(total, weight_by_customer, find_used)
 
 
 class StepQueue:
--- a/flamingoweir/dispatch/_customer_report.py
+++ b/flamingoweir/dispatch/_customer_report.py
@@ -61,7 +61,8 @@
     def report(self) -> None:
         """Log one line for each of the largest customers and one for the others."""
         owner_state = self._context.owner_state
-        self._load.forget_ended(owner_state.has_job)
+        held, parked = owner_state.job_by_id, owner_state.parking.queue_by_id
+        self._load.forget_ended(lambda job_id: job_id in held or job_id in parked)
         if not self._load.in_force:
             return
         rows = sorted(self._collect().values(), key=_size, reverse=True)
--- a/flamingoweir/dispatch/_ready_steps.py
+++ b/flamingoweir/dispatch/_ready_steps.py
@@ -7,7 +7,7 @@
 from ..policy import sort_key
 from ._context import PermitWithdrawn, TermContext
 from ._customer_caps import CustomerCaps
-from ._customer_order import StepQueue, drop_surplus_excess, rank_by_customer
+from ._customer_order import CustomerRanking, StepQueue, drop_surplus_excess
 from ._job_pauses import JobPauses
 
 #: Number of steps in idle occurrences of all scheduled jobs, at most, but for one
@@ -15,6 +15,8 @@
 MAX_ALL_IDLE_STEPS = 2_000
 #: Number of steps of a job after which a pass checks whether it has to give way.
 STEPS_PER_CHECK = 50
+#: Number of ready steps after whose ranking a pass checks the same.
+STEPS_PER_RANKING = 500
 
 
 class ReadySteps:
@@ -109,7 +111,13 @@
         self._idle_steps = idle_steps
         self.job_count = len(owner_state.job_by_id)
         self.open_tasks = open_tasks
-        ready = rank_by_customer(ready, owner_state, find_usable())
+        owner_state.customer_load.shares = None
+        if owner_state.customer_load.in_force:
+            ranking = CustomerRanking(owner_state, ready, find_usable())
+            for first in range(0, len(ready), STEPS_PER_RANKING):
+                some = slice(first, first + STEPS_PER_RANKING)
+                ready[some] = ranking.add_ranks(ready[some])
+                await give_way_if_over()
         ready.sort()
         self._key_by_step = {}
         if owner_state.customer_load.shares is not None:
--- a/flamingoweir/policy/_shares.py
+++ b/flamingoweir/policy/_shares.py
@@ -8,7 +8,7 @@
 others. In the order of time alone, its backlog makes the jobs of the others late.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ..resources import Resources
 
@@ -41,8 +41,8 @@
     ----------
     capacity : Resources
         Usable capacity of all runners.
-    find_weight : callable
-        Takes the name of a customer; returns its weight, which is not negative.
+    weight_by_customer : mapping of str to float
+        Weights, 0 or more, of the customers that use or want capacity.
     find_used : callable
         Takes the name of a customer; returns the `Resources` that it uses now.
     """
@@ -50,25 +50,17 @@
     def __init__(
         self,
         capacity: Resources,
-        find_weight: Callable[[str], float],
+        weight_by_customer: Mapping[str, float],
         find_used: Callable[[str], Resources],
     ):
         self.capacity = capacity
-        self._find_weight = find_weight
+        self._weight_by_customer = weight_by_customer
         self._find_used = find_used
-        self._weight_by_active: dict[str, float] = {}
-        self._weight_sum = 0.0
-
-    def add_active(self, customer: str) -> None:
-        """Record that a customer uses or wants capacity."""
-        if customer not in self._weight_by_active:
-            weight = self._find_weight(customer)
-            self._weight_by_active[customer] = weight
-            self._weight_sum += weight
+        self._weight_sum = sum(weight_by_customer.values())
 
     def is_below(self, customer: str) -> bool:
-        """Return whether an active customer uses less than its fair share now."""
-        weight = self._weight_by_active[customer]
+        """Return whether one of the customers uses less than its fair share now."""
+        weight = self._weight_by_customer[customer]
         share = weighted_share(self._find_used(customer), self.capacity, weight)
         # Compares share / weight with 1 / sum of weights.
         return share * self._weight_sum < 1.0
@@ -77,7 +69,7 @@
         """Return the fair share of a customer, as a fraction of the fleet."""
         if self._weight_sum <= 0:
             return 0.0
-        return self._weight_by_active.get(customer, 0.0) / self._weight_sum
+        return self._weight_by_customer.get(customer, 0.0) / self._weight_sum
 
     def received(self, customer: str) -> float:
         """Return the dominant share that a customer uses now."""
