Stricter tests of limits and of the order without customers

Cause: trials on a scratch copy showed that a step at its cap could count as a lack of capacity, refused submissions could be left out of the arrival rate, and customers could be ranked where none are configured, without a failing test.

Change: cases for the three.

--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -179,14 +179,17 @@
     """
 
     async def scenario():
-        state, _ = make_state(named=False)
-        ready = add_steps(state, "a", 30, 1) + add_steps(state, "", 30, 50)
+        state, runner = make_state(named=False)
+        state.customer_usage.add("a", runner.entry.capacity)
+        ready = add_steps(state, "a", 30, 50) + add_steps(state, "", 30, 1)
         random.Random(1).shuffle(ready)
         state.job_by_id = {step.job.spec.id: step.job for _, _, step in ready}
         expected = [sort_key(step, NOW_S, 0.0) for _, _, step in sorted(ready)]
         context = make_context(state)
         steps = ReadySteps(context, JobPauses(state), CustomerCaps(context))
-        found = await steps.find(lambda: NOW_S, anyio.lowlevel.checkpoint, list)
+        found = await steps.find(
+            lambda: NOW_S, anyio.lowlevel.checkpoint, lambda: [runner]
+        )
         queue = steps.make_queue(found)
         taken = [queue.pop() for _ in found]
         assert [sort_key(step, NOW_S, 0.0) for step in taken] == expected
@@ -249,6 +252,20 @@
     assert TokenBucket().take(1.0, 0.2)
 
 
+def test_arrival_rate_includes_refused_submissions():
+    """Guards against limits that end, and begin again, as they take effect."""
+
+    def check():
+        load = make_state(Customer("a", weight=10))[0].customer_load
+        for number in range(100):
+            accepted_ms = 1_000_000 + 100 * number
+            spec = make_job(number, customer="a", accepted_ms=accepted_ms)
+            load.mark(dataclasses.replace(spec, admitted_fraction=0.1))
+        assert 80 <= load.arrivals_per_s("a", 1010) <= 120
+
+    virtual(check)
+
+
 def test_excess_goes_last_and_costs_a_pass_little():
     """Guards against a backlog of one customer that each pass lists and sorts."""
 
@@ -311,12 +328,14 @@
     assert decode_owner_record(row) == bare
 
 
-@pytest.mark.parametrize("free", [0, 1])
-def test_customer_is_limited_only_while_its_excess_fits_nowhere(free):
+@pytest.mark.parametrize(("free", "cap"), [(0, 0), (1, 0), (0, 1000)])
+def test_customer_is_limited_only_while_its_excess_fits_nowhere(free, cap):
     """Guards against a refusal while runners are free, for excess that a cap holds."""
 
     def check():
-        state, runner = make_state(Customer("a", weight=1), processors=free)
+        customer = Customer("a", weight=1, cap=Resources(cap, 0, 0))
+        state, runner = make_state(customer, processors=free)
+        state.customer_usage.add("a", Resources(1000, 0, 0))
         state.runner_by_id["r"] = runner
         runner.incarnation = 1
         load = state.customer_load
@@ -331,7 +350,7 @@
         loop = asyncio.get_running_loop()
         loop.virtual_s += LACKING_S
         finder.update()
-        assert set(load.limit_by_customer) == (set() if free else {"a"})
+        assert set(load.limit_by_customer) == (set() if free or cap else {"a"})
 
     virtual(check)
 
