--- /dev/null
+++ b/tests/test_caps.py
@@ -0,0 +1,319 @@
+"""Caps: what they let start, what a pass does with steps that they hold back."""
+
+import dataclasses
+import io
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from flamingoweir import logs
+from flamingoweir.customers import Customer
+from flamingoweir.dispatch._customer_caps import may_send_start
+from flamingoweir.dispatch._owner_state import OwnerState
+from flamingoweir.dispatch._planner import MAX_UNPLACED_STEPS, RESERVE_AFTER_S, Planner
+from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
+from flamingoweir.jobs import JobSpec, Outcome, QueuePolicy, StepSpec
+from flamingoweir.metrics import NoMetrics
+from flamingoweir.policy import allows_gang, allows_task
+from flamingoweir.registry import Configuration, RunnerEntry
+from flamingoweir.resources import Resources
+from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.virtual_time import VirtualClock, run_virtual
+
+CAP = Resources(10_000, 0, 0)
+ONE = Resources(1000, 100, 0)
+
+
+@pytest.mark.parametrize(
+    ("used", "demand", "allowed"),
+    [
+        (Resources(9000, 0, 0), Resources(1000, 0, 0), True),
+        (Resources(9001, 0, 0), Resources(1000, 0, 0), False),
+        (Resources(4999, 0, 0), Resources(20_000, 0, 0), True),
+        (Resources(5000, 0, 0), Resources(5001, 0, 0), False),
+        (Resources(50_000, 0, 0), Resources(0, 1, 1), False),
+        (Resources(0, 10**9, 10**9), Resources(1, 10**9, 10**9), True),
+    ],
+)
+def test_task_starts_under_its_cap_or_below_half_of_it(used, demand, allowed):
+    """Guards against a sum beyond cap and one task, and a large task that never runs.
+
+    A cap of 0 in a resource is none.
+    """
+    assert allows_task(CAP, used, demand) is allowed
+
+
+def test_cap_of_any_resource_holds():
+    """Guards against a customer that exceeds its cap in memory or accelerators."""
+    for cap, demand in (
+        (Resources(0, 100, 0), Resources(0, 60, 0)),
+        (Resources(0, 0, 10), Resources(0, 0, 6)),
+    ):
+        assert allows_task(cap, Resources(), demand)
+        assert not allows_task(cap, demand, demand)
+
+
+def test_gang_starts_only_as_a_whole_under_the_cap():
+    """Guards against a gang that exceeds the cap by more than one task."""
+    gang = StepSpec(5, Resources(2000, 0, 0), gang=True)
+    assert allows_gang(CAP, Resources(), gang)
+    assert not allows_gang(CAP, Resources(1, 0, 0), gang)
+    assert not allows_gang(Resources(9999, 0, 0), Resources(), gang)
+
+
+@pytest.fixture
+def log_lines():
+    """Return a function that returns the lines logged so far about caps."""
+    stream = io.StringIO()
+    logs.configure(stream, "info")
+
+    def find() -> list[str]:
+        return [line for line in stream.getvalue().splitlines() if "event=cap_" in line]
+
+    yield find
+    logs.configure(io.StringIO(), "error")
+
+
+class Owner:
+    """A planner over runners with room for everything unless a test fills them."""
+
+    def __init__(self, cap: Resources | None = CAP, processors: int = 64):
+        clock = VirtualClock()
+        self.state = OwnerState(clock, NoMetrics(), 10.0)
+        capacity = Resources(processors * 1000, 100_000, 0)
+        entry = RunnerEntry("r", 1, "s", "host:1", "zone", capacity=capacity)
+        for runner in self.state.update_runners({"r": entry}):
+            runner.begin_incarnation(1, clock.now())
+        self.runner = self.state.runner_by_id["r"]
+        self.operators = SimpleNamespace(configuration=None)
+        self.configure(cap)
+        self.context = SimpleNamespace(
+            owner_state=self.state,
+            clock=clock,
+            wall_ms=lambda: 1000 * clock.now(),
+            operators=self.operators,
+            operator_follower=SimpleNamespace(last_synced_s=clock.now()),
+            metrics=NoMetrics(),
+        )
+        permit = SimpleNamespace(is_valid=lambda: True, allows_runner=lambda _: True)
+        self.planner = Planner(self.context, permit)
+
+    def configure(self, cap: Resources | None) -> None:
+        customers = {}
+        if cap is not None:
+            customers["kaje80"] = Customer("kaje80", cap=cap)
+        self.operators.configuration = Configuration(1, customer_by_name=customers)
+
+    def add(self, number: int, step: StepSpec, customer: str = "kaje80"):
+        policy = QueuePolicy("s")
+        spec = JobSpec(f"job-{number}", "q", "", (step,), policy, customer=customer)
+        job = self.state.add_job(spec)
+        return job.run_by_step[0, 0]
+
+    def running(self) -> int:
+        return len(self.runner.allocation_by_run)
+
+    def end_one(self) -> None:
+        attempt = next(iter(self.runner.allocation_by_run.values())).attempt
+        self.state.end_attempt(self.runner, attempt.task, attempt.run, Outcome.DONE, "")
+
+
+def run_owner(scenario, **fields) -> None:
+    async def run():
+        await scenario(Owner(**fields))
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize("uses_spare", [False, True])
+def test_pass_starts_tasks_up_to_the_cap_and_more_when_it_is_raised(uses_spare):
+    """Guards against a customer beyond its cap, or held back by one that is gone."""
+
+    async def scenario(owner):
+        step = owner.add(1, StepSpec(40, ONE, uses_spare=uses_spare))
+        await owner.planner.plan()
+        await owner.planner.plan()
+        assert owner.running() == 10
+        owner.end_one()
+        await owner.planner.plan()
+        assert owner.running() == 10
+        owner.configure(Resources(12_000, 0, 0))
+        await owner.planner.plan()
+        assert owner.running() == 12
+        owner.configure(Resources(2_000, 0, 0))
+        owner.end_one()
+        await owner.planner.plan()
+        assert owner.running() == 11
+        owner.configure(None)
+        await owner.planner.plan()
+        assert not step.open_indexes
+
+    run_owner(scenario)
+
+
+def test_gang_waits_until_all_of_it_fits_under_the_cap():
+    """Guards against a gang that starts though the customer has too much running."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(7, ONE))
+        await owner.planner.plan()
+        gang = owner.add(2, StepSpec(4, ONE, gang=True))
+        await owner.planner.plan()
+        assert len(gang.open_indexes) == 4
+        owner.end_one()
+        await owner.planner.plan()
+        assert not gang.open_indexes
+
+    run_owner(scenario)
+
+
+def test_steps_at_the_cap_do_not_end_the_pass_before_other_customers(monkeypatch):
+    """Guards against a customer at its cap that keeps others from being tried.
+
+    Its steps are not evaluated, nor kept a runner, nor counted as without room.
+    """
+
+    async def scenario(owner):
+        lasting = StepSpec(1, ONE, lasting=True)
+        owner.add(0, StepSpec(10, ONE))
+        await owner.planner.plan()
+        tried = []
+        for number in range(3 * MAX_UNPLACED_STEPS):
+            owner.add(number + 1, lasting if number % 2 else StepSpec(1, ONE))
+        other = owner.add(1000, StepSpec(54, ONE, estimate_s=30.0), customer="")
+        place = Planner._place
+
+        async def record(planner, step):
+            tried.append(step)
+            return await place(planner, step)
+
+        monkeypatch.setattr(Planner, "_place", record)
+        await anyio.sleep(2 * RESERVE_AFTER_S)
+        await owner.planner.plan()
+        assert not other.open_indexes
+        assert tried == [other]
+        assert not owner.planner._runner_by_step
+
+    run_owner(scenario)
+
+
+def test_wait_for_the_cap_is_logged_once_and_not_for_each_task(log_lines):
+    """Guards against lines that no one can follow, and against none at all."""
+
+    async def scenario(owner):
+        step = owner.add(1, StepSpec(15, ONE))
+        for _ in range(5):
+            await owner.planner.plan()
+            await anyio.sleep(0.1)
+            owner.end_one()
+        assert step.unplaced_since_s is None
+        await owner.planner.plan()
+        await owner.planner.plan()
+        began, ended = log_lines()
+        assert "event=cap_wait_began" in began
+        assert "used=10000/1000/0 cap=10000/0/0" in began
+        assert "event=cap_wait_ended" in ended
+        assert "waited_ms=500" in ended
+
+    run_owner(scenario)
+
+
+@pytest.mark.parametrize("cap", [None, Resources()])
+def test_without_a_cap_the_same_tasks_start_as_without_customers(cap, log_lines):
+    """Guards against decisions that change where no customer has a cap."""
+
+    async def scenario(owner):
+        other = Owner(None, 20)
+        for number in range(12):
+            step = StepSpec(3, ONE, gang=number % 3 == 0, uses_spare=number % 4 == 0)
+            owner.add(number, step, customer="kaje80")
+            other.add(number, step, customer="")
+        for _ in range(4):
+            await owner.planner.plan()
+            await other.planner.plan()
+            assert list(owner.runner.allocation_by_run) == list(
+                other.runner.allocation_by_run
+            )
+            owner.end_one()
+            other.end_one()
+            await anyio.sleep(RESERVE_AFTER_S)
+        assert not log_lines()
+
+    run_owner(scenario, cap=cap, processors=20)
+
+
+def make_capped(number: int, *steps: StepSpec):
+    return dataclasses.replace(make_job(number, *steps), customer="kaje80")
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_attempts_placed_under_a_higher_cap_are_not_started(gang):
+    """Guards against orders that are sent long after their cap was lowered.
+
+    While the store is away, attempts wait to become durable; the lowered cap arrives
+    once it is back.
+    """
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(6, ONE, gang=gang))
+        await owner.planner.plan()
+        allocations = list(owner.runner.allocation_by_run.values())
+        assert len(allocations) == 6
+        assert all(may_send_start(owner.context, a) for a in allocations)
+        owner.configure(Resources(2000, 0, 0))
+        owner.state.customer_usage.caps_changed_s = owner.context.clock.now()
+        started = 0
+        for allocation in allocations:
+            if may_send_start(owner.context, allocation):
+                started += 1
+                continue
+            owner.state.discard_attempt(allocation.attempt, "cap_lowered")
+        assert started == 2
+
+    run_owner(scenario)
+
+
+def test_gang_larger_than_the_cap_is_refused_unless_it_was_accepted():
+    """Guards against a gang that waits forever, and against an untrue refusal."""
+
+    async def scenario():
+        async with run_cluster() as cluster:
+            cluster.configure(2, {"kaje80": Resources(4000, 0, 0)})
+            await cluster.owner()
+            await anyio.sleep(1)
+            accepted = await cluster.submit(make_capped(1, make_step(4, gang=True)))
+            cluster.configure(3, {"kaje80": Resources(3000, 0, 0)})
+            await anyio.sleep(1)
+            await cluster.submit(accepted)
+            refused = make_capped(2, make_step(3), make_step(4, gang=True))
+            with pytest.raises(FlamingoweirError) as caught:
+                await cluster.submit(refused)
+            assert caught.value.code is ErrorCode.NEVER_FITS
+            assert caught.value.verdict is Verdict.NOT_RUN
+            assert await cluster.state(refused) is None
+            await cluster.submit(make_job(3, make_step(4, gang=True)))
+            await cluster.submit(make_capped(4, make_step(4, 30.0)))
+
+    run_virtual(scenario)
+
+
+def test_changed_configuration_wakes_the_planner():
+    """Guards against tasks that wait for the next change once a cap is raised."""
+
+    async def scenario():
+        async with run_cluster() as cluster:
+            cluster.configure(2, {"kaje80": Resources(1000, 0, 0)})
+            member = await cluster.owner()
+            await anyio.sleep(1)
+            woken = member.instance.term.owner_state.placement_wakeup
+            await woken.wait(0.0)
+            woken.set = lambda: seen.append(anyio.current_time())
+            seen = []
+            cluster.configure(3, {"kaje80": Resources(2000, 0, 0)})
+            changed_s = anyio.current_time()
+            await anyio.sleep(0.05)
+            assert seen
+            assert seen[0] - changed_s < 0.05
+
+    run_virtual(scenario)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -47,7 +47,9 @@
     return JobSpec(f"{number:016x}", QUEUE, "(text)", steps or (make_step(),), **fields)
 
 
-def make_configuration(version: int) -> bytes:
+def make_configuration(
+    version: int, cap_by_customer: dict[str, Resources] | None = None
+) -> bytes:
     route = {
         "Name": QUEUE,
         "Host": HOST,
@@ -57,9 +59,17 @@
         "Stretch": 2.0,
         "TargetLatencyMs": 1000,
     }
-    return orjson.dumps(
-        {"Version": version, "Routes": [route], "Services": [{"Name": SERVICE}]}
-    )
+    row = {"Version": version, "Routes": [route], "Services": [{"Name": SERVICE}]}
+    if cap_by_customer is not None:
+        row["Tenants"] = []
+        for name, cap in cap_by_customer.items():
+            amounts = {
+                "Cpu": cap.processors_milli,
+                "MemMb": cap.memory_mb,
+                "Gpu": cap.accelerators,
+            }
+            row["Tenants"].append({"Name": name, "ApiKeys": [], "Cap": amounts})
+    return orjson.dumps(row)
 
 
 class AbsentRunnerLink:
@@ -177,8 +187,11 @@
     def wall_ms() -> float:
         return 1000 * anyio.current_time()
 
-    def configure(self, version: int = 1) -> None:
-        self.rows.put(RowId("op", "", "config"), make_configuration(version))
+    def configure(
+        self, version: int = 1, cap_by_customer: dict[str, Resources] | None = None
+    ) -> None:
+        value = make_configuration(version, cap_by_customer)
+        self.rows.put(RowId("op", "", "config"), value)
 
     def evacuate_zone(self, zone: str) -> None:
         self.rows.put(RowId("op", "", f"evacuate/{zone}"), b"{}")
