--- a/flamingoweir/policy/_customer_limits.py
+++ b/flamingoweir/policy/_customer_limits.py
@@ -17,11 +17,12 @@
 #: Time constant of measured rates, in seconds. The objectives of jobs and the bursts
 #: that are to be limited take a few seconds.
 RATE_TIME_S = 2.0
-#: Bounds of the time after which a refused submitter may come back, in seconds. The
-#: figures of the owner change within two seconds; a submitter that comes back later
-#: than ten has lost the value of most jobs.
-MIN_RETRY_AFTER_S = 1.0
+#: Longest time after which a refused submitter may come back, in seconds, without
+#: jitter. The value of most jobs is lost later than that.
 MAX_RETRY_AFTER_S = 10.0
+#: Seconds that the waiting excess must last for a limit. Instances act on a limit for
+#: about as long after it was lifted, and runners must not become free meanwhile.
+MIN_EXCESS_S = 2.0
 #: Largest fraction that jitter adds to the time to come back.
 RETRY_JITTER = 0.5
 #: Least fraction of submissions that is admitted, so that the arrival rate stays known.
@@ -100,14 +101,17 @@
     Returns
     -------
     CustomerLimit or None
-        None if the customer sends no more than it is entitled to.
+        None if the customer sends no more than it is entitled to, or its excess will
+        soon have drained.
     """
     if not excess_waiting or arrivals_per_s <= weight:
         return None
     drain_s = math.inf
     if drained_per_s > 0:
         drain_s = excess_waiting / drained_per_s
-    retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, drain_s))
+    if drain_s < MIN_EXCESS_S:
+        return None
+    retry_after_s = min(MAX_RETRY_AFTER_S, drain_s)
     admitted = max(MIN_ADMITTED, weight / arrivals_per_s)
     return CustomerLimit(round(admitted, 3), round(retry_after_s, 1))
 
--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -311,6 +311,7 @@
     """
     assert find_limit(10, 9.0, 50, 5.0) is None
     assert find_limit(10, 40.0, 0, 5.0) is None
+    assert find_limit(10, 40.0, 9, 5.0) is None
     assert find_limit(10, 40.0, 20, 5.0) == CustomerLimit(0.25, 4.0)
     candidates = [(n, f"customer-{n}", CustomerLimit(0.1, 4.0)) for n in range(620)]
     limits = choose_published(candidates)
@@ -415,7 +416,7 @@
                 assert arrivals.customer_by_id[job_id] == "d"
                 assert error.code is ErrorCode.CUSTOMER_LIMIT
                 assert error.verdict is Verdict.NOT_RUN
-                assert 1.0 <= error.retry_after_s <= 15.0
+                assert 2.0 <= error.retry_after_s <= 15.0
                 assert job_row("s0", job_id) not in cluster.rows.row_by_id
             # A customer that sends no more than its weight is admitted again.
             await anyio.sleep(8)
