--- a/tests/test_cap_histories.py
+++ b/tests/test_cap_histories.py
@@ -24,6 +24,8 @@
 EXCESS = 0.1
 #: Seconds after a configuration is stored in which an earlier one may be in force.
 APPLY_S = 3.0
+#: Seconds that a stop takes; until then the run uses its resources.
+STOP_S = 0.8
 FAULTS = (
     "freeze",
     "kill",
@@ -68,9 +70,11 @@
         """Submit a burst of jobs: single, spare, large and lasting tasks, and gangs."""
         for _ in range(self.generator.randint(1, 3)):
             number = len(self.cluster.spec_by_id) + 1
+            members = self.generator.randint(2, 5)
             steps = self.generator.choice(
                 (
-                    (make_step(8), make_step(2, 2.0, after=(0,), gang=True)),
+                    (make_step(8),),
+                    (make_step(3), make_step(members, after=(0,), gang=True)),
                     (make_step(6, 0.5, uses_spare=True),),
                     (make_step(2, 3.0),),
                     (make_step(2, lasting=True),),
@@ -128,6 +132,8 @@
     """Run one history and check the sums of what the runners run."""
     async with run_cluster(members=3, runners=4, seed=seed, processors=8) as cluster:
         history = CapHistory(cluster, seed)
+        for runner in cluster.runner_by_id.values():
+            runner.stop_s = STOP_S
         await history.change_caps(0)
         await cluster.owner()
         # The first version, without customers, isn't in force any more.
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -9,11 +9,12 @@
 
 from flamingoweir import logs
 from flamingoweir.customers import Customer
+from flamingoweir.dispatch._committer import Committer
 from flamingoweir.dispatch._customer_caps import may_send_start
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._planner import MAX_UNPLACED_STEPS, RESERVE_AFTER_S, Planner
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
-from flamingoweir.jobs import JobSpec, Outcome, QueuePolicy, StepSpec
+from flamingoweir.jobs import JobSpec, JobState, Outcome, QueuePolicy, StepSpec
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.policy import allows_gang, allows_task
 from flamingoweir.registry import Configuration, RunnerEntry
@@ -168,10 +169,40 @@
     run_owner(scenario)
 
 
+def test_gang_and_tasks_of_one_pass_stay_under_the_cap_together():
+    """Guards against a gang checked only when the steps of a pass are collected."""
+
+    async def scenario(owner):
+        # The step with an estimate has less slack and goes first.
+        owner.add(1, StepSpec(7, ONE, estimate_s=1.0))
+        gang = owner.add(2, StepSpec(4, ONE, gang=True))
+        await owner.planner.plan()
+        assert owner.running() == 7
+        assert len(gang.open_indexes) == 4
+
+    run_owner(scenario)
+
+
+def test_wait_for_the_cap_is_not_a_wait_for_room():
+    """Guards against tasks that start where they disturb serving tasks.
+
+    That is allowed after a wait for room, which must not include a wait for the cap.
+    """
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(10, ONE, estimate_s=1.0))
+        step = owner.add(2, StepSpec(1, ONE))
+        step.unplaced_since_s = owner.context.clock.now()
+        await owner.planner.plan()
+        assert step.unplaced_since_s is None
+
+    run_owner(scenario)
+
+
 def test_steps_at_the_cap_do_not_end_the_pass_before_other_customers(monkeypatch):
     """Guards against a customer at its cap that keeps others from being tried.
 
-    Its steps are not evaluated, nor kept a runner, nor counted as without room.
+    Its steps are not tried, nor kept a runner, nor counted as without room.
     """
 
     async def scenario(owner):
@@ -182,13 +213,13 @@
         for number in range(3 * MAX_UNPLACED_STEPS):
             owner.add(number + 1, lasting if number % 2 else StepSpec(1, ONE))
         other = owner.add(1000, StepSpec(54, ONE, estimate_s=30.0), customer="")
-        place = Planner._place
+        place = Planner._place_or_make_room
 
-        async def record(planner, step):
+        async def record(planner, step, unplaced):
             tried.append(step)
-            return await place(planner, step)
+            return await place(planner, step, unplaced)
 
-        monkeypatch.setattr(Planner, "_place", record)
+        monkeypatch.setattr(Planner, "_place_or_make_room", record)
         await anyio.sleep(2 * RESERVE_AFTER_S)
         await owner.planner.plan()
         assert not other.open_indexes
@@ -274,6 +305,36 @@
     run_owner(scenario)
 
 
+def test_cap_lowered_during_a_write_withdraws_the_starts(monkeypatch):
+    """Guards against start orders that nothing checks once attempts are durable."""
+
+    async def scenario():
+        async with run_cluster(members=1, runners=2) as cluster:
+            cluster.configure(2, {"kaje80": Resources(8000, 0, 0)})
+            member = await cluster.owner()
+            await anyio.sleep(1)
+            apply_committed = Committer._apply_committed
+            customer = Customer("kaje80", cap=Resources(2000, 0, 0))
+            lowered = dataclasses.replace(
+                member.instance.term._context.operators.configuration,
+                version=3,
+                customer_by_name={"kaje80": customer},
+            )
+
+            def lower_and_apply(committer, batch):
+                if batch.starts:
+                    committer._context.operators._apply_configuration(lowered)
+                apply_committed(committer, batch)
+
+            monkeypatch.setattr(Committer, "_apply_committed", lower_and_apply)
+            job = await cluster.submit(make_capped(1, make_step(6)))
+            await anyio.sleep(0.9)
+            assert len(cluster.records("start")) == 2
+            await cluster.wait_for(job, JobState.DONE, 5.0)
+
+    run_virtual(scenario)
+
+
 def test_gang_larger_than_the_cap_is_refused_unless_it_was_accepted():
     """Guards against a gang that waits forever, and against an untrue refusal."""
 
--- a/tests/test_customer_usage.py
+++ b/tests/test_customer_usage.py
@@ -4,9 +4,11 @@
 leaks, keeps its jobs waiting beside free runners.
 """
 
+import anyio
 import pytest
 
 from flamingoweir.dispatch._customer_usage import CustomerUsage
+from flamingoweir.dispatch._late_orders import MAX_LATENESS_S
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.jobs import JobSpec, Outcome, QueuePolicy, StepSpec
 from flamingoweir.metrics import NoMetrics
@@ -108,6 +110,35 @@
     run_with_owner(check)
 
 
+@pytest.mark.parametrize("customer", ["", "kaje80"])
+def test_lapsed_attempt_counts_while_its_order_may_be_carried_out(customer):
+    """Guards against a late order that starts beside a full cap, and against a leak.
+
+    An order without a response may start a run on the next incarnation of its runner.
+    """
+
+    async def scenario():
+        clock = VirtualClock()
+        owner_state = OwnerState(clock, NoMetrics(), 10.0)
+        _, attempts, runner = add_attempts(owner_state, make_spec(customer))
+        for allocation in runner.allocation_by_run.values():
+            allocation.start_unanswered = True
+        usage = owner_state.customer_usage
+        end(owner_state, runner, attempts[0], Outcome.LAPSED)
+        end(owner_state, runner, attempts[1], Outcome.DONE)
+        late = DEMAND if customer else NOTHING
+        assert usage.used_by("kaje80") == late
+        await anyio.sleep(MAX_LATENESS_S)
+        usage.remove_expired(clock.now())
+        assert usage.used_by("kaje80") == late
+        await anyio.sleep(0.1)
+        usage.remove_expired(clock.now())
+        assert usage.used_by("kaje80") == NOTHING
+        assert not usage._usage_by_customer
+
+    run_virtual(scenario)
+
+
 def test_customers_without_allocations_take_no_memory():
     """Guards against a table that grows with every customer that ever had a job."""
     usage = CustomerUsage()
