--- a/flamingoweir/queues/_customer_gate.py
+++ b/flamingoweir/queues/_customer_gate.py
@@ -59,6 +59,11 @@
         Source of random choices and jitter.
     metrics : Metrics
         Receives counters.
+
+    Attributes
+    ----------
+    refusals : RefusalCounts
+        Counts refusals by customer and cause, also those of other causes.
     """
 
     def __init__(
@@ -71,7 +76,7 @@
         self._backlog = backlog
         self._operators = operators
         self._generator = generator
-        self._refusals = RefusalCounts(metrics)
+        self.refusals = RefusalCounts(metrics)
 
     def check(self, spec: JobSpec) -> tuple[JobSpec, CustomerLimit | None]:
         """Decide whether to admit a job.
@@ -108,7 +113,7 @@
             retry_after_s=round(pause_s, 1),
             configuration=configuration.version if configuration else None,
         )
-        self._refusals.record(spec.customer, "limit")
+        self.refusals.record(spec.customer, "limit")
         return FlamingoweirError(
             ErrorCode.CUSTOMER_LIMIT,
             f"job {spec.id} was not accepted: customer {spec.customer!r} submits more "
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -167,6 +167,7 @@
         error = find_cap_error(spec, self._operators.configuration)
         if error is not None and not await self._is_stored(row, timeout_s):
             self._metrics.incr("jobs_refused_cap")
+            self._customer_gate.refusals.record(spec.customer, "cap")
             raise error
         transaction = Transaction([(row, 0)], [(row, value)], ())
         try:
