Marks of excess don't trust acceptance times that are ahead of the owner's clock

Cause: an instance with a fast clock moves the time of a customer's token bucket ahead, so that later jobs from other instances get no tokens and all count as excess.

Change: a job counts as accepted at the owner's wall-clock time at the latest.

--- a/benchmarks/customer_shares.py
+++ b/benchmarks/customer_shares.py
@@ -71,7 +71,7 @@
             round(wall_ms - generator.uniform(0, 8_000)),
             customer=name,
         )
-        load.mark(spec)
+        load.mark(spec, wall_ms)
         job = owner_state.add_job(spec)
         job.accepted_s -= (wall_ms - spec.accepted_ms) / 1000
         used = Resources(generator.randrange(9000), 2_000, 0)
--- a/flamingoweir/dispatch/_customer_load.py
+++ b/flamingoweir/dispatch/_customer_load.py
@@ -43,7 +43,7 @@
         self._excess_ids: set[str] = set()
         #: Acceptance time in milliseconds, id, customer and admitted fraction of jobs
         #: that are not marked yet.
-        self._unmarked: list[tuple[int, str, str, float]] = []
+        self._unmarked: list[tuple[float, str, str, float]] = []
         #: Customers of jobs that have arrived since marks were last made, by job id.
         self._undecided: dict[str, str] = {}
         self._restored_ids: set[str] = set()
@@ -69,11 +69,18 @@
         customer = self.customer_by_name.get(name)
         return DEFAULT_WEIGHT if customer is None else max(0.0, customer.weight)
 
-    def add_restored(self, row: VersionedRow) -> None:
+    def add_restored(self, row: VersionedRow, now_ms: float) -> None:
         """Record the arrival of a job that an earlier owner may have known.
 
         Rows come in the order of their keys; marks are made in the order of acceptance
         once all rows have been recorded. Jobs that have ended count as well.
+
+        Parameters
+        ----------
+        row : VersionedRow
+            Row of the job.
+        now_ms : float
+            Wall-clock time in milliseconds since 1970.
         """
         value = row.value or b""
         if b'"customer":"' not in value or b'"customer":""' in value:
@@ -88,20 +95,31 @@
             return
         self._restored_ids.add(row.id.key)
         if accepted_ms > 0:
-            self._unmarked.append((accepted_ms, row.id.key, customer, admitted))
+            at_ms = min(accepted_ms, now_ms)
+            self._unmarked.append((at_ms, row.id.key, customer, admitted))
 
-    def mark(self, spec: JobSpec) -> bool:
+    def mark(self, spec: JobSpec, now_ms: float) -> bool:
         """Record the arrival of a job; return whether it is beyond its customer's rate.
 
         A job without a customer or an acceptance time never is.
+
+        Parameters
+        ----------
+        spec : JobSpec
+            The job.
+        now_ms : float
+            Wall-clock time in milliseconds since 1970. A job that an instance with a
+            fast clock has accepted counts as accepted now; otherwise the jobs of all
+            others would be beyond the rate until that time.
         """
         if not spec.customer:
             return False
         if spec.id in self._restored_ids:
             self._restored_ids.discard(spec.id)
         elif spec.accepted_ms > 0:
+            at_ms = min(spec.accepted_ms, now_ms)
             self._unmarked.append(
-                (spec.accepted_ms, spec.id, spec.customer, spec.admitted_fraction)
+                (at_ms, spec.id, spec.customer, spec.admitted_fraction)
             )
         self._undecided[spec.id] = spec.customer
         return self.is_excess(spec.id)
@@ -137,8 +155,8 @@
     def _mark_all(self) -> None:
         """Mark the recorded arrivals, in the order of their acceptance."""
         arrivals, self._unmarked = sorted(self._unmarked), []
-        for accepted_ms, job_id, customer, admitted in arrivals:
-            at_s = accepted_ms / 1000
+        for at_ms, job_id, customer, admitted in arrivals:
+            at_s = at_ms / 1000
             bucket = self._bucket_by_customer.get(customer)
             if bucket is None:
                 bucket = self._bucket_by_customer[customer] = TokenBucket()
--- a/flamingoweir/dispatch/_loader.py
+++ b/flamingoweir/dispatch/_loader.py
@@ -65,7 +65,10 @@
             raise ValueError(f"the row holds job {spec.id!r}")
         parking = self._owner_state.parking
         load = self._owner_state.customer_load
-        is_excess = load.mark(spec) if self._may_park else load.is_excess(spec.id)
+        if self._may_park:
+            is_excess = load.mark(spec, self._wall_ms())
+        else:
+            is_excess = load.is_excess(spec.id)
         if (
             self._may_park
             and spec.id not in self.begun_ids
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -265,7 +265,7 @@
         time_slice = TimeSlice(self._clock)
         self._loader.begun_ids = unfinished | record_by_job.keys()
         for row in jobs.rows:
-            self.owner_state.customer_load.add_restored(row)
+            self.owner_state.customer_load.add_restored(row, self._context.wall_ms())
             await time_slice.give_way_if_over()
         for row in jobs.rows:
             self._loader.apply_rows([row], True)
--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -49,6 +49,8 @@
 from tests.utils.virtual_time import VirtualClock, run_virtual
 
 NOW_S = 1000.0
+#: Wall-clock time in milliseconds after all arrivals that are marked.
+LATER_MS = 2e6
 #: Largest size of the owner row in bytes; the smallest limit of a row is 64 KB.
 MAX_ROW_BYTES = 64_000
 
@@ -221,8 +223,8 @@
         random.Random(seed).shuffle(specs)
         for spec in specs:
             row = VersionedRow(job_row("s0", spec.id), encode_spec(spec), 1)
-            load.add_restored(row)
-    return {spec.id for spec in specs if load.mark(spec)}
+            load.add_restored(row, LATER_MS)
+    return {spec.id for spec in specs if load.mark(spec, LATER_MS)}
 
 
 def test_next_owner_marks_the_same_jobs_as_excess():
@@ -238,8 +240,8 @@
         assert abs(400 - len(excess) - 100) <= 1
         assert send_flood(loads[1], 50, 8, seed=5) == excess
         unknown = make_job(9999, customer="a")
-        assert not loads[0].mark(unknown)
-        assert not loads[0].mark(make_job(9998, accepted_ms=1_000_100))
+        assert not loads[0].mark(unknown, LATER_MS)
+        assert not loads[0].mark(make_job(9998, accepted_ms=1_000_100), LATER_MS)
 
     virtual(check)
 
@@ -252,6 +254,20 @@
     assert TokenBucket().take(1.0, 0.2)
 
 
+def test_fast_clock_of_an_instance_marks_no_usual_load():
+    """Guards against one acceptance time ahead that makes later jobs excess."""
+
+    def check():
+        load = make_state(Customer("a", weight=10))[0].customer_load
+        for number in range(300):
+            now_ms = 1_000_000 + 100 * number
+            ahead_ms = 60_000 if number % 10 == 0 else 0
+            spec = make_job(number, customer="a", accepted_ms=now_ms + ahead_ms)
+            assert not load.mark(spec, now_ms)
+
+    virtual(check)
+
+
 def test_arrival_rate_includes_refused_submissions():
     """Guards against limits that end, and begin again, as they take effect."""
 
@@ -260,7 +276,7 @@
         for number in range(100):
             accepted_ms = 1_000_000 + 100 * number
             spec = make_job(number, customer="a", accepted_ms=accepted_ms)
-            load.mark(dataclasses.replace(spec, admitted_fraction=0.1))
+            load.mark(dataclasses.replace(spec, admitted_fraction=0.1), LATER_MS)
         assert 80 <= load.arrivals_per_s("a", 1010) <= 120
 
     virtual(check)
@@ -342,7 +358,7 @@
         load = state.customer_load
         for number in range(40):
             spec = make_job(number, customer="a", accepted_ms=999_000 + number)
-            load.mark(spec)
+            load.mark(spec, LATER_MS)
             state.add_job(spec).run_by_step[0, 0].ready_since_s = NOW_S - 1
         permit = SimpleNamespace(allows_runner=lambda runner: True)
         finder = LimitFinder(make_context(state), permit)
