--- /dev/null
+++ b/flamingoweir/dispatch/_customer_order.py
@@ -0,0 +1,170 @@
+"""Orders ready steps by the shares of their customers."""
+
+import heapq
+from collections import deque
+from collections.abc import Iterable, Iterator, Sequence
+
+from ..fleet import Runner
+from ..jobs import Job, StepRun
+from ..policy import ABOVE_SHARE, AWAY_PRIORITY, BELOW_SHARE, EXCESS, FairShares
+from ..resources import Resources
+from ._owner_state import OwnerState
+
+#: Number of excess jobs of a customer that a list has, at most, of those that have not
+#: begun. A pass ends after some 40 steps without room; more would only cost time.
+MAX_LISTED_EXCESS = 100
+
+
+def drop_surplus_excess(jobs: list[Job], owner_state: OwnerState) -> list[Job]:
+    """Return the jobs without the excess that has no prospect of being placed.
+
+    Of each customer, the latest `MAX_LISTED_EXCESS` excess jobs that have not begun are
+    kept: earlier ones are late already.
+    """
+    load = owner_state.customer_load
+    excess_ids = load.excess_ids
+    if not load.in_force or not excess_ids:
+        return jobs
+    kept = []
+    listed_by_customer: dict[str, int] = {}
+    for job in reversed(jobs):
+        spec = job.spec
+        if spec.id in excess_ids and job.is_waiting:
+            listed = listed_by_customer.get(spec.customer, 0)
+            if listed >= MAX_LISTED_EXCESS:
+                continue
+            listed_by_customer[spec.customer] = listed + 1
+        kept.append(job)
+    kept.reverse()
+    return kept
+
+
+class CustomerRanking:
+    """Adds the ranks of customers to the sort keys of ready steps.
+
+    Ranks and shares are those of the time when the object is made; they are looked up
+    once for each customer, as a list may have thousands of steps.
+
+    Parameters
+    ----------
+    owner_state : OwnerState
+        Usage and load of the customers; their shares are stored there.
+    ready : iterable of (tuple, int, StepRun)
+        Sort key, number and step of each ready step.
+    usable : iterable of Runner
+        Runners that may be given tasks.
+    """
+
+    def __init__(
+        self,
+        owner_state: OwnerState,
+        ready: Iterable[tuple[tuple, int, StepRun]],
+        usable: Iterable[Runner],
+    ):
+        self._load = owner_state.customer_load
+        customers = {step.job.spec.customer for _, _, step in ready}
+        customers.discard("")
+        shares = _find_shares(customers, owner_state, usable)
+        self._rank_by_name = {"": BELOW_SHARE}
+        for name in customers:
+            rank = BELOW_SHARE if shares.is_below(name) else ABOVE_SHARE
+            self._rank_by_name[name] = rank
+        self._load.shares = shares
+
+    def add_ranks(
+        self, ready: Iterable[tuple[tuple, int, StepRun]]
+    ) -> list[tuple[tuple, int, StepRun]]:
+        """Return ready steps with the rank after the priority in their sort keys."""
+        excess_ids = self._load.excess_ids
+        ranked = []
+        for key, number, step in ready:
+            spec = step.job.spec
+            rank = self._rank_by_name[spec.customer]
+            if spec.id in excess_ids:
+                rank = EXCESS
+            if key[0] == AWAY_PRIORITY:
+                rank = BELOW_SHARE
+            ranked.append(((key[0], rank, *key[1:]), number, step))
+        return ranked
+
+
+def _find_shares(
+    wanting: Iterable[str], owner_state: OwnerState, usable: Iterable[Runner]
+) -> FairShares:
+    """Return the shares, with all customers that use or want capacity."""
+    load = owner_state.customer_load
+    find_used = owner_state.customer_usage.used_by
+    processors_milli = memory_mb = accelerators = 0
+    for runner in usable:
+        capacity = runner.entry.capacity
+        processors_milli += capacity.processors_milli
+        memory_mb += capacity.memory_mb
+        accelerators += capacity.accelerators
+    weight_by_customer = {name: load.weight(name) for name in wanting}
+    for name, customer in load.customer_by_name.items():
+        used = find_used(name)
+        if used.processors_milli or used.memory_mb or used.accelerators:
+            weight_by_customer[name] = max(0.0, customer.weight)
+    total = Resources(processors_milli, memory_mb, accelerators)
+    return FairShares(total, weight_by_customer, find_used)
+
+
+class StepQueue:
+    """Steps of a pass, the most urgent first.
+
+    A step whose customer has exceeded its fair share since the list was made goes back
+    behind those of customers that are below theirs. A customer's share is compared
+    before each step, so that one with a wide step is served too.
+
+    Parameters
+    ----------
+    steps : iterable of StepRun
+        The steps in order.
+    key_by_step : dict of StepRun to tuple
+        Sort keys with ranks; empty without customers.
+    shares : FairShares or None
+        Shares of the customers; None without customers.
+    """
+
+    def __init__(
+        self,
+        steps: Iterable[StepRun],
+        key_by_step: dict[StepRun, tuple],
+        shares: FairShares | None,
+    ):
+        self._steps = deque(steps)
+        self._key_by_step = key_by_step
+        self._shares = shares
+        self._demoted: list[tuple[tuple, int, StepRun]] = []
+        self._demoted_count = 0
+
+    def __bool__(self) -> bool:
+        return bool(self._steps or self._demoted)
+
+    def __iter__(self) -> Iterator[StepRun]:
+        yield from self._steps
+        for _, _, step in self._demoted:
+            yield step
+
+    def pop(self) -> StepRun:
+        """Remove and return the most urgent step."""
+        if self._shares is None:
+            return self._steps.popleft()
+        while self._steps:
+            step = self._steps[0]
+            key = self._key_by_step[step]
+            if self._demoted and self._demoted[0][0] < key:
+                break
+            self._steps.popleft()
+            if not self._has_lost_rank(step, key):
+                return step
+            self._demoted_count += 1
+            key = (key[0], ABOVE_SHARE, *key[2:])
+            heapq.heappush(self._demoted, (key, self._demoted_count, step))
+        return heapq.heappop(self._demoted)[2]
+
+    def _has_lost_rank(self, step: StepRun, key: Sequence) -> bool:
+        spec = step.job.spec
+        if key[1] != BELOW_SHARE or key[0] == AWAY_PRIORITY or not spec.customer:
+            return False
+        return not self._shares.is_below(spec.customer)
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -1,6 +1,5 @@
 """Decides which ready tasks start, and on which runners."""
 
-from collections import deque
 from collections.abc import Sequence
 
 import anyio
@@ -19,6 +18,7 @@
 from ..resources import Resources
 from ._candidates import CandidateLists
 from ._context import Permit, PermitWithdrawn, TermContext
+from ._customer_caps import CustomerCaps
 from ._evictions import Evictions
 from ._fleet_load import FleetLoadLog, measure_load
 from ._job_pauses import JobPauses
@@ -131,7 +131,8 @@
         self._evictions = Evictions(context.owner_state)
         self._headroom = BatchHeadroom()
         self._pauses = JobPauses(context.owner_state)
-        self._ready_steps = ReadySteps(context, self._pauses)
+        self._caps = CustomerCaps(context)
+        self._ready_steps = ReadySteps(context, self._pauses, self._caps)
         self._load_log = FleetLoadLog(context.owner_state)
 
     async def run(self) -> None:
@@ -174,7 +175,7 @@
     async def _place_ready_steps(self) -> None:
         unplaced = UnplacedSteps(self._now_s)
         started_s = self._now_s
-        steps = deque(await self._find_ready_steps())
+        steps = self._ready_steps.make_queue(await self._find_ready_steps())
         collected_s = self._context.clock.now()
         in_first_list = set(steps)
         tried: set[StepRun] = set()
@@ -184,14 +185,16 @@
             if now_s - collected_s > COLLECT_INTERVAL_S:
                 # Steps have become ready since, and may be more urgent.
                 ready = await self._find_ready_steps()
-                steps = deque(step for step in ready if step not in tried)
+                steps = self._ready_steps.make_queue(
+                    step for step in ready if step not in tried
+                )
                 collected_s = self._context.clock.now()
                 await self._retry_absent([s for s in ready if s in tried and s.is_away])
                 if not steps or (
                     now_s - started_s > MAX_PASS_S and in_first_list.isdisjoint(steps)
                 ):
                     return
-            step = steps.popleft()
+            step = steps.pop()
             try:
                 was_placed = await self._place_or_make_room(step, unplaced)
                 if not was_placed:
@@ -237,16 +240,21 @@
     async def _place_or_make_room(self, step: StepRun, unplaced: UnplacedSteps) -> bool:
         """Place the open tasks of a step; return whether all were placed.
 
-        For a step that found no runner, resources are made free.
+        For a step that found no runner, resources are made free. One whose customer is
+        at its cap counts as placed.
         """
         if not self._is_ready(step):
             return True
+        if self._caps.holds(step):
+            self._candidates.release(step)
+            return True
         if not unplaced.rules_out(step) and await self._place(step):
             self._candidates.release(step)
             return True
         first = next(step.placing_order(), None)
         if first is not None and not self._must_leave_room(step, first):
             unplaced.add(step)
+            self._caps.end_wait(step)
             if self._candidates.has_large_enough(step):
                 self._make_room(step)
         return False
@@ -319,7 +327,9 @@
     async def _find_ready_steps(self) -> list[StepRun]:
         """Return the ready steps, the most urgent first."""
         steps = await self._ready_steps.find(
-            lambda: self._now_s, self._give_way_if_over
+            lambda: self._now_s,
+            self._give_way_if_over,
+            lambda: self._candidates.runners,
         )
         self._load_log.log(
             self._candidates.runners,
@@ -352,6 +362,8 @@
                     return True
             if index not in step.open_indexes:
                 continue
+            if self._caps.holds(step):
+                break
             if placement is None:
                 candidates = self._find_candidates(step)
                 placement = StepPlacement(
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -44,6 +44,8 @@
 )
 from ._committer import RENEW_INTERVAL_S, Committer
 from ._context import Permit, TermContext, TermEnd
+from ._customer_limits import LimitFinder
+from ._customer_report import CustomerReporter
 from ._effect_store import EffectStore
 from ._load_report import LoadReporter
 from ._loader import JobLoader
@@ -131,6 +133,9 @@
             writer.earlier_leases,
             memory_mb,
         )
+        self.owner_state.customer_load.find_configuration = lambda: (
+            operators.configuration
+        )
         self.failed = False
         self._writer = writer
         self._store = store
@@ -184,6 +189,7 @@
         also serves submitters.
         """
         reason = ""
+        unsubscribe = self._context.operators.subscribe(self._record_configuration)
         try:
             async with anyio.create_task_group() as task_group:
                 self._task_group = task_group
@@ -213,12 +219,16 @@
                 task_group.start_soon(
                     LoadReporter(self._context, self._job_follower).run
                 )
+                task_group.start_soon(LimitFinder(self._context, self._permit).run)
+                task_group.start_soon(CustomerReporter(self._context).run)
         except* OwnershipLost as group:
             reason = str(group.exceptions[0])
         except* Exception as group:
             self.failed = True
             reason = reason or f"unexpected error: {group.exceptions[0]!r}"
             log.error("term_failed", shard=self._writer.shard, exc_info=group)
+        finally:
+            unsubscribe()
         self._is_running = False
         log.info("term_ended", shard=self._writer.shard, reason=reason)
         with anyio.CancelScope(shield=True):
@@ -248,6 +258,11 @@
             await anyio.sleep(CONFIRMATION_POLL_S)
         self._term_end.signal("shutdown")
 
+    def _record_configuration(self) -> None:
+        """Record that caps may have changed, and plan by the new ones at once."""
+        self.owner_state.customer_usage.caps_changed_s = self._clock.now()
+        self.owner_state.placement_wakeup.set()
+
     async def _restore_while_renewing(self, committer: Committer) -> None:
         """Restore the shard's state while empty writes renew the ownership."""
         restored = anyio.Event()
@@ -278,6 +293,9 @@
         record_by_job = self._restore_ended_jobs(states, unfinished)
         time_slice = TimeSlice(self._clock)
         self._loader.begun_ids = unfinished | record_by_job.keys()
+        for row in jobs.rows:
+            self.owner_state.customer_load.add_restored(row, self._context.wall_ms())
+            await time_slice.give_way_if_over()
         for row in jobs.rows:
             self._loader.apply_rows([row], True)
             await time_slice.give_way_if_over()
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -1,5 +1,12 @@
 """Scheduling policies: order, placement, colocation, health; no input or output."""
 
+from ._caps import (
+    allows_gang,
+    allows_task,
+    find_oversized_gang,
+    gang_demand,
+    is_within,
+)
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
 from ._crashes import (
     RETURN_WINDOW_S,
@@ -10,20 +17,38 @@
     LostRunner,
     Suspect,
 )
+from ._customer_limits import (
+    RateMeter,
+    TokenBucket,
+    choose_published,
+    find_limit,
+    retry_after_s,
+)
 from ._effects import Effect
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
 from ._headroom import BatchHeadroom, ServiceLoad
 from ._health import RunnerHealth
 from ._key_validity import KeyDecision, decide_key
-from ._order import objective_s, sort_key
+from ._order import AWAY_PRIORITY, objective_s, sort_key
 from ._paces import PaceChange
 from ._placement import PlacementPolicy, StepPlacement, unplaced_s
+from ._shares import (
+    ABOVE_SHARE,
+    BELOW_SHARE,
+    EXCESS,
+    FairShares,
+    weighted_share,
+)
 from ._store_availability import RESPONSE_LIMIT_S, StoreAvailability
 from ._stragglers import find_stalled
 
 __all__ = [
+    "ABOVE_SHARE",
+    "AWAY_PRIORITY",
+    "BELOW_SHARE",
     "EVICT_AFTER_S",
+    "EXCESS",
     "MAX_PLACEMENT_WAIT_S",
     "RESPONSE_LIMIT_S",
     "RETURN_WINDOW_S",
@@ -34,20 +59,32 @@
     "Crash",
     "CrashDetector",
     "Effect",
+    "FairShares",
     "KeyDecision",
     "LostRunner",
     "PaceChange",
     "PlacementPolicy",
+    "RateMeter",
     "RunnerHealth",
     "ServiceLoad",
     "StepPlacement",
     "StoreAvailability",
     "Suspect",
+    "TokenBucket",
+    "allows_gang",
+    "allows_task",
     "choose_evictions",
+    "choose_published",
     "decide_key",
+    "find_limit",
+    "find_oversized_gang",
     "find_stalled",
+    "gang_demand",
+    "is_within",
     "objective_s",
     "place_gang",
+    "retry_after_s",
     "sort_key",
     "unplaced_s",
+    "weighted_share",
 ]
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -1,6 +1,7 @@
 """Requests of job submitters: submit a job, look up its state, cancel it."""
 
 import contextlib
+import functools
 import random
 from collections.abc import Callable
 
@@ -28,6 +29,8 @@
     Transaction,
 )
 from ._authentication import Authentication
+from ._cap_check import find_cap_error
+from ._customer_gate import CustomerGate
 from ._job_states import JobStates, may_access_row
 from ._store_calls import StoreCalls
 from ._store_monitor import StoreMonitor
@@ -102,6 +105,7 @@
         )
         self._calls = StoreCalls(store, clock, generator, metrics, self.store_monitor)
         self._job_states = JobStates(self._calls)
+        self._customer_gate = CustomerGate(backlog, operators, generator, metrics)
         self._operators = operators
         self._backlog = backlog
         self._clock = clock
@@ -165,13 +169,23 @@
         """
         until_s = self._clock.now() + timeout_s
         self._validate(spec)
+        spec, limit = self._customer_gate.check(spec)
         value = _encode_exactly(spec)
         self.store_monitor.check_available(spec.policy)
         shard = shard_name(0)
         row = job_row(shard, spec.id)
         max_bytes = self._max_job_bytes()
         if max_bytes is not None and spec.memory_bytes > max_bytes:
-            await self._refuse_unless_stored(spec, row, until_s)
+            await self._refuse_unless_stored(spec, row, until_s, self._refuse_full)
+            return
+        cap_error = find_cap_error(spec, self._operators.configuration)
+        if cap_error is not None:
+            refuse = functools.partial(self._refuse_cap, error=cap_error)
+            await self._refuse_unless_stored(spec, row, until_s, refuse)
+            return
+        if limit is not None:
+            refuse = functools.partial(self._customer_gate.refuse, limit=limit)
+            await self._refuse_unless_stored(spec, row, until_s, refuse)
             return
         transaction = Transaction([(row, 0)], [(row, value)], ())
         try:
@@ -192,25 +206,36 @@
         self._metrics.incr("jobs_accepted")
 
     async def _refuse_unless_stored(
-        self, spec: JobSpec, row: RowId, until_s: float
+        self,
+        spec: JobSpec,
+        row: RowId,
+        until_s: float,
+        refuse: Callable[[JobSpec], FlamingoweirError],
     ) -> None:
-        """Refuse a job at once, unless an earlier request for it was accepted.
-
-        Its owner could not hold it until others have ended.
-        """
+        """Refuse a job at once, unless an earlier request for it was accepted."""
         stored = await self._calls.read_row(row, until_s)
         if stored is not None:
             await self._job_states.require_same_customer(spec, stored, until_s)
             log.info("job_already_accepted", job=spec.id, queue=spec.queue)
             return
+        raise refuse(spec)
+
+    def _refuse_full(self, spec: JobSpec) -> FlamingoweirError:
+        """Return the error for a job that its owner could not hold for now."""
         self._metrics.incr("jobs_refused_full")
-        raise FlamingoweirError(
+        return FlamingoweirError(
             ErrorCode.OVERLOADED,
             f"job {spec.id} was not accepted: the jobs that wait leave too little "
             f"memory for it; try again in {FULL_RETRY_AFTER_S:.0f} s",
             retry_after_s=FULL_RETRY_AFTER_S,
         )
 
+    def _refuse_cap(self, spec: JobSpec, error: FlamingoweirError) -> FlamingoweirError:
+        """Count the refusal of a job that its customer's cap never lets run."""
+        self._metrics.incr("jobs_refused_cap")
+        self._customer_gate.refusals.record(spec.customer, "cap")
+        return error
+
     async def find_state(
         self,
         job_id: str,
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -47,7 +47,12 @@
     return JobSpec(f"{number:016x}", QUEUE, "(text)", steps or (make_step(),), **fields)
 
 
-def make_configuration(version: int, public: bool = False, **fields) -> bytes:
+def make_configuration(
+    version: int,
+    cap_by_customer: dict[str, Resources] | None = None,
+    public: bool = False,
+    **fields,
+) -> bytes:
     """Return a configuration with one queue; `fields` are added to it as they are."""
     route = {
         "Name": QUEUE,
@@ -60,14 +65,22 @@
     }
     if public:
         route["Public"] = True
-    return orjson.dumps(
-        {
-            "Version": version,
-            "Routes": [route],
-            "Services": [{"Name": SERVICE}],
-            **fields,
-        }
-    )
+    row = {
+        "Version": version,
+        "Routes": [route],
+        "Services": [{"Name": SERVICE}],
+        **fields,
+    }
+    if cap_by_customer is not None:
+        row["Tenants"] = []
+        for name, cap in cap_by_customer.items():
+            amounts = {
+                "Cpu": cap.processors_milli,
+                "MemMb": cap.memory_mb,
+                "Gpu": cap.accelerators,
+            }
+            row["Tenants"].append({"Name": name, "ApiKeys": [], "Cap": amounts})
+    return orjson.dumps(row)
 
 
 class AbsentRunnerLink:
@@ -193,9 +206,15 @@
     def wall_ms() -> float:
         return 1000 * anyio.current_time()
 
-    def configure(self, version: int = 1, **fields) -> None:
+    def configure(
+        self,
+        version: int = 1,
+        cap_by_customer: dict[str, Resources] | None = None,
+        **fields,
+    ) -> None:
         """Write a configuration; see `make_configuration`."""
-        self.rows.put(RowId("op", "", "config"), make_configuration(version, **fields))
+        value = make_configuration(version, cap_by_customer, **fields)
+        self.rows.put(RowId("op", "", "config"), value)
 
     def evacuate_zone(self, zone: str) -> None:
         self.rows.put(RowId("op", "", f"evacuate/{zone}"), b"{}")
