Deferral under a load that exceeds the fleet, first state

Change: a decision each 0.3 s after Moore and Hodgson's rule by the measured drain rate; deferred jobs follow the others of their priority.

--- /dev/null
+++ b/flamingoweir/dispatch/_deferrals.py
@@ -0,0 +1,279 @@
+"""The jobs that are deferred while the load exceeds the fleet, and why."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from ..jobs import Job, JobState, StepRun
+from ..logs import get_logger
+from ..policy import (
+    DrainRate,
+    MeanWork,
+    RunRatio,
+    SizeClasses,
+    WaitingJob,
+    choose_deferred,
+    job_value,
+    objective_s,
+    remaining_chain_s,
+    remaining_work,
+    total_work,
+)
+from ._owner_state import OwnerState
+
+log = get_logger()
+
+#: Seconds between decisions. Tasks run for a second or more, so that little changes
+#: earlier.
+DECISION_INTERVAL_S = 0.3
+
+
+@dataclass(slots=True)
+class _TrackedJob:
+    """A batch job of a queue with an objective."""
+
+    job: Job
+    work: float
+    size_class: int
+    deadline_s: float
+    #: Whether its end, or that of its objective, was recorded.
+    is_counted: bool = False
+
+
+class _QueueRecord:
+    """What is learnt of the jobs of one queue."""
+
+    def __init__(self) -> None:
+        self.mean_work = MeanWork()
+        self.classes = SizeClasses()
+        self.run_ratio = RunRatio()
+
+
+class Deferrals:
+    """Measures the drain rate, and decides every `DECISION_INTERVAL_S` what to defer.
+
+    It covers the batch jobs of queues with an objective, except those with gangs or due
+    times. A new owner has no drain rate for the first seconds and defers nothing.
+
+    Parameters
+    ----------
+    owner_state : OwnerState
+        Jobs and ends of tasks.
+
+    Attributes
+    ----------
+    job_ids : set of str
+        Ids of the deferred jobs.
+    """
+
+    def __init__(self, owner_state: OwnerState):
+        self.job_ids: set[str] = set()
+        self._owner_state = owner_state
+        self._updated_s = float("-inf")
+        self._tracked_by_id: dict[str, _TrackedJob] = {}
+        self._record_by_queue: dict[str, _QueueRecord] = {}
+        #: Rates on spare and on reserved processors, by service.
+        self._rates_by_service: dict[str, tuple[DrainRate, DrainRate]] = {}
+        #: Ratios of the queues of services whose drain rate is known.
+        self._ratio_by_queue: dict[str, float] = {}
+
+    def order_of(self, job: Job) -> tuple[bool, float]:
+        """Return whether a job is deferred, and the factor for its declared run times.
+
+        The factor is 1 unless the load exceeds the fleet.
+        """
+        job_id = job.spec.id
+        if not self._ratio_by_queue or job_id not in self._tracked_by_id:
+            return False, 1.0
+        ratio = self._ratio_by_queue.get(job.spec.queue, 1.0)
+        return job_id in self.job_ids, ratio
+
+    def update(
+        self,
+        ready: Iterable[StepRun],
+        fits_somewhere: Callable[[StepRun], bool],
+        now_s: float,
+    ) -> None:
+        """Decide anew if the last decision is old enough.
+
+        Parameters
+        ----------
+        ready : iterable of StepRun
+            Steps with tasks that may be placed.
+        fits_somewhere : callable
+            Returns whether an empty runner could hold a task of a step. One that fits
+            nowhere doesn't wait for room.
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        if now_s - self._updated_s < DECISION_INTERVAL_S:
+            return
+        self._updated_s = now_s
+        deferred: set[str] = set()
+        self._ratio_by_queue = {}
+        with self._owner_state.fault_log.contain("deferral_failed") as containment:
+            self._update_rates(ready, fits_somewhere, now_s)
+            self._track_jobs(now_s)
+            for service, rates in self._rates_by_service.items():
+                per_s = [rate.per_s() for rate in rates]
+                if any(rate is not None for rate in per_s):
+                    deferred |= self._decide(service, per_s, now_s)
+            self._log_changes(deferred, now_s)
+        self.job_ids = set() if containment.failed else deferred
+
+    def _update_rates(
+        self,
+        ready: Iterable[StepRun],
+        fits_somewhere: Callable[[StepRun], bool],
+        now_s: float,
+    ) -> None:
+        waiting = _find_waiting(ready, fits_somewhere)
+        work_by_kind: dict[tuple[str, int], float] = {}
+        runs_by_kind: dict[tuple[str, int], list[float]] = {}
+        for end in self._owner_state.task_ends.collect():
+            if not _is_covered(end.job):
+                continue
+            kind = end.job.spec.policy.service, 0 if end.spec.uses_spare else 1
+            work = end.spec.demand.processors_milli * end.spec.estimate_s / 1000
+            work_by_kind[kind] = work_by_kind.get(kind, 0.0) + work
+            if end.run_s is not None:
+                runs_by_kind.setdefault(kind, []).append(end.run_s)
+                record = self._record_of(end.job.spec.queue)
+                record.run_ratio.record(end.run_s, end.spec.estimate_s)
+        for service, _ in {*waiting, *work_by_kind}:
+            if service not in self._rates_by_service:
+                self._rates_by_service[service] = (DrainRate(), DrainRate())
+        for service, rates in self._rates_by_service.items():
+            for number, rate in enumerate(rates):
+                kind = service, number
+                runs = runs_by_kind.get(kind, ())
+                mean_run_s = sum(runs) / len(runs) if runs else 0.0
+                ended_work = work_by_kind.get(kind, 0.0)
+                rate.update(ended_work, mean_run_s, kind in waiting, now_s)
+
+    def _track_jobs(self, now_s: float) -> None:
+        """Add new jobs, and record those that have ended or passed their objective."""
+        for job_id, job in self._owner_state.job_by_id.items():
+            if job_id in self._tracked_by_id or job.is_final or not _is_covered(job):
+                continue
+            with self._owner_state.fault_log.contain("deferral_failed", job=job_id):
+                self._track(job, now_s)
+        for job_id, tracked in list(self._tracked_by_id.items()):
+            job = tracked.job
+            is_late = tracked.deadline_s < now_s
+            if not tracked.is_counted and (is_late or job.state is JobState.DONE):
+                classes = self._record_of(job.spec.queue).classes
+                classes.record_outcome(tracked.size_class, not is_late)
+                tracked.is_counted = True
+            if job.is_final or self._owner_state.job_by_id.get(job_id) is not job:
+                del self._tracked_by_id[job_id]
+
+    def _track(self, job: Job, now_s: float) -> None:
+        record = self._record_of(job.spec.queue)
+        work = total_work(job)
+        deadline_s = job.accepted_s + objective_s(job)
+        record.mean_work.record(work)
+        self._tracked_by_id[job.spec.id] = _TrackedJob(
+            job,
+            work,
+            record.classes.classify(work),
+            deadline_s,
+            # A job that was restored late says nothing about the order here.
+            is_counted=deadline_s < now_s,
+        )
+
+    def _decide(
+        self, service: str, rates: list[float | None], now_s: float
+    ) -> set[str]:
+        """Return the ids of the jobs of a service to defer."""
+        jobs = []
+        for job_id, tracked in self._tracked_by_id.items():
+            if tracked.job.spec.policy.service != service:
+                continue
+            with self._owner_state.fault_log.contain("deferral_failed", job=job_id):
+                jobs.append(self._describe(tracked, now_s))
+        return choose_deferred(jobs, rates, now_s, self._may_defer)
+
+    def _describe(self, tracked: _TrackedJob, now_s: float) -> WaitingJob:
+        spec = tracked.job.spec
+        record = self._record_of(spec.queue)
+        ratio = self._ratio_by_queue.get(spec.queue)
+        if ratio is None:
+            ratio = self._ratio_by_queue[spec.queue] = record.run_ratio.value
+            record.classes.begin_decision()
+        left_s = tracked.deadline_s - now_s
+        return WaitingJob(
+            spec.id,
+            spec.policy.priority,
+            tracked.deadline_s,
+            job_value(tracked.work, record.mean_work.mean),
+            remaining_work(tracked.job),
+            ratio * remaining_chain_s(tracked.job) <= left_s,
+            spec.id in self.job_ids,
+        )
+
+    def _may_defer(self, job_id: str) -> bool:
+        tracked = self._tracked_by_id[job_id]
+        classes = self._record_of(tracked.job.spec.queue).classes
+        if not classes.allows(tracked.size_class):
+            return False
+        classes.record_deferred(tracked.size_class)
+        return True
+
+    def _log_changes(self, deferred: set[str], now_s: float) -> None:
+        for job_id in deferred ^ self.job_ids:
+            tracked = self._tracked_by_id.get(job_id)
+            if tracked is None or tracked.deadline_s < now_s:
+                continue
+            spec = tracked.job.spec
+            rates = self._rates_by_service[spec.policy.service]
+            mean_work = self._record_of(spec.queue).mean_work.mean
+            spare, reserved = remaining_work(tracked.job)
+            log.info(
+                "job_deferred" if job_id in deferred else "job_taken_back",
+                job=job_id,
+                queue=spec.queue,
+                value=round(job_value(tracked.work, mean_work), 2),
+                size_class=tracked.size_class,
+                remaining_spare_s=round(spare, 1),
+                remaining_reserved_s=round(reserved, 1),
+                deadline_in_s=round(tracked.deadline_s - now_s, 2),
+                drain_spare=_rounded(rates[0].per_s()),
+                drain_reserved=_rounded(rates[1].per_s()),
+                drain_age_s=round(min(rate.age_s(now_s) for rate in rates), 1),
+            )
+
+    def _record_of(self, queue: str) -> _QueueRecord:
+        record = self._record_by_queue.get(queue)
+        if record is None:
+            record = self._record_by_queue[queue] = _QueueRecord()
+        return record
+
+
+def _is_covered(job: Job) -> bool:
+    """Return whether the jobs that may be deferred include a job."""
+    spec = job.spec
+    if spec.policy.objective_s <= 0 or spec.scheduled:
+        return False
+    return not any(step.lasting or step.gang for step in spec.steps)
+
+
+def _find_waiting(
+    ready: Iterable[StepRun], fits_somewhere: Callable[[StepRun], bool]
+) -> set[tuple[str, int]]:
+    """Return the services, and kinds of processors, for which tasks wait for room."""
+    waiting = set()
+    for step in ready:
+        spec = step.spec
+        if step.unplaced_since_s is None or not _is_covered(step.job):
+            continue
+        kind = step.job.spec.policy.service, 0 if spec.uses_spare else 1
+        # A step with a limit of its own may find no room on a fleet that is empty.
+        if kind in waiting or spec.label or spec.data_rack or spec.max_per_runner:
+            continue
+        if fits_somewhere(step):
+            waiting.add(kind)
+    return waiting
+
+
+def _rounded(rate: float | None) -> float | None:
+    return None if rate is None else round(rate, 1)
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -36,6 +36,7 @@
 from ..wakeup import Wakeup
 from ._late_orders import LateOrders
 from ._parking import JobParking
+from ._task_ends import TaskEnds
 
 log = get_logger()
 
@@ -84,6 +85,8 @@
         Records to be written of jobs that were set aside.
     late_orders : LateOrders
         Start orders that the next incarnation of a runner might carry out.
+    task_ends : TaskEnds
+        Ends of batch tasks that the planner has not collected.
     parking : JobParking
         Accepted jobs for which there is no memory.
     expired_job_ids : list of str
@@ -114,6 +117,7 @@
     ):
         self.parking = JobParking(memory_mb)
         self.late_orders = LateOrders()
+        self.task_ends = TaskEnds()
         self.job_by_id: dict[str, Job] = {}
         self.runner_by_id: dict[str, Runner] = {}
         self.changed_job_ids: set[str] = set()
@@ -433,6 +437,8 @@
             return
         if not changed:
             return
+        if allocation is not None and outcome is Outcome.DONE:
+            self.task_ends.record(job, allocation, self._clock.now())
         step = job.run_by_step[task.occurrence, task.step]
         state = step.tasks.view(task.index)
         if outcome is Outcome.FAILED and not state.done:
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -19,6 +19,7 @@
 from ..resources import Resources
 from ._candidates import CandidateLists
 from ._context import Permit, PermitWithdrawn, TermContext
+from ._deferrals import Deferrals
 from ._evictions import Evictions
 from ._fleet_load import FleetLoadLog, measure_load
 from ._job_pauses import JobPauses
@@ -131,7 +132,8 @@
         self._evictions = Evictions(context.owner_state)
         self._headroom = BatchHeadroom()
         self._pauses = JobPauses(context.owner_state)
-        self._ready_steps = ReadySteps(context, self._pauses)
+        self._deferrals = Deferrals(context.owner_state)
+        self._ready_steps = ReadySteps(context, self._pauses, self._deferrals)
         self._load_log = FleetLoadLog(context.owner_state)
 
     async def run(self) -> None:
@@ -331,6 +333,7 @@
             self._candidates.runners, self._owner_state.runner_by_id.values(), steps
         )
         self._headroom.update(load_by_service, self._now_s)
+        self._deferrals.update(steps, self._candidates.has_large_enough, self._now_s)
         return steps
 
     async def _place(self, step: StepRun) -> bool:
--- a/flamingoweir/dispatch/_ready_steps.py
+++ b/flamingoweir/dispatch/_ready_steps.py
@@ -5,6 +5,7 @@
 from ..jobs import MAX_IDLE_STEPS, Job, StepRun
 from ..policy import sort_key
 from ._context import PermitWithdrawn, TermContext
+from ._deferrals import Deferrals
 from ._job_pauses import JobPauses
 
 #: Number of steps in idle occurrences of all scheduled jobs, at most, but for one
@@ -23,6 +24,8 @@
         Shared objects of the term.
     pauses : JobPauses
         Jobs that are passed over after an error.
+    deferrals : Deferrals
+        Jobs that go after those that can end in time.
 
     Attributes
     ----------
@@ -30,8 +33,9 @@
         Numbers of jobs and of tasks to be placed in the latest list.
     """
 
-    def __init__(self, context: TermContext, pauses: JobPauses):
+    def __init__(self, context: TermContext, pauses: JobPauses, deferrals: Deferrals):
         self._context = context
+        self._deferrals = deferrals
         self._pauses = pauses
         #: Number of steps in idle occurrences of scheduled jobs.
         self._idle_steps = 0
@@ -74,12 +78,12 @@
                 idle_steps += self._open_due(job, wall_ms)
                 if len(job.run_by_step) <= STEPS_PER_CHECK:
                     steps = job.ready_steps()
-                    open_tasks += _add_ready(steps, read_now_s(), wall_ms, ready)
+                    open_tasks += self._add_ready(steps, read_now_s(), wall_ms, ready)
                     continue
                 steps = list(job.ready_steps())
                 for first in range(0, len(steps), STEPS_PER_CHECK):
                     some = steps[first : first + STEPS_PER_CHECK]
-                    open_tasks += _add_ready(some, read_now_s(), wall_ms, ready)
+                    open_tasks += self._add_ready(some, read_now_s(), wall_ms, ready)
                     await give_way_if_over()
             except PermitWithdrawn:
                 raise
@@ -103,19 +107,21 @@
         self._idle_steps += opened
         return idle_steps + opened
 
-
-def _add_ready(
-    steps: Iterable[StepRun],
-    now_s: float,
-    wall_ms: float,
-    ready: list[tuple[tuple, int, StepRun]],
-) -> int:
-    """Add ready steps with their sort keys; return the number of open tasks."""
-    open_tasks = 0
-    for step in steps:
-        open_tasks += len(step.open_indexes)
-        if step.ready_since_s is None:
-            step.ready_since_s = now_s
-        if step.retry_at_s <= now_s:
-            ready.append((sort_key(step, now_s, wall_ms), len(ready), step))
-    return open_tasks
+    def _add_ready(
+        self,
+        steps: Iterable[StepRun],
+        now_s: float,
+        wall_ms: float,
+        ready: list[tuple[tuple, int, StepRun]],
+    ) -> int:
+        """Add ready steps with their sort keys; return the number of open tasks."""
+        open_tasks = 0
+        for step in steps:
+            open_tasks += len(step.open_indexes)
+            if step.ready_since_s is None:
+                step.ready_since_s = now_s
+            if step.retry_at_s <= now_s:
+                order = self._deferrals.order_of(step.job)
+                key = sort_key(step, now_s, wall_ms, *order)
+                ready.append((key, len(ready), step))
+        return open_tasks
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -10,13 +10,23 @@
     LostRunner,
     Suspect,
 )
+from ._deferral import WaitingJob, choose_deferred
+from ._drain_rate import DrainRate, RunRatio
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
 from ._headroom import BatchHeadroom, ServiceLoad
 from ._health import RunnerHealth
 from ._order import objective_s, sort_key
 from ._placement import PlacementPolicy, StepPlacement, unplaced_s
+from ._size_classes import SizeClasses
 from ._stragglers import find_stalled
+from ._valuation import (
+    MeanWork,
+    job_value,
+    remaining_chain_s,
+    remaining_work,
+    total_work,
+)
 
 __all__ = [
     "EVICT_AFTER_S",
@@ -28,17 +38,27 @@
     "ColocationPolicy",
     "Crash",
     "CrashDetector",
+    "DrainRate",
     "LostRunner",
+    "MeanWork",
     "PaceChange",
     "PlacementPolicy",
+    "RunRatio",
     "RunnerHealth",
     "ServiceLoad",
+    "SizeClasses",
     "StepPlacement",
     "Suspect",
+    "WaitingJob",
+    "choose_deferred",
     "choose_evictions",
     "find_stalled",
+    "job_value",
     "objective_s",
     "place_gang",
+    "remaining_chain_s",
+    "remaining_work",
     "sort_key",
+    "total_work",
     "unplaced_s",
 ]
--- a/flamingoweir/policy/_order.py
+++ b/flamingoweir/policy/_order.py
@@ -1,7 +1,8 @@
 """Order in which steps are placed when more work waits than fits.
 
 Queues with a higher priority go first. Within a priority, jobs that can still end
-within their objective go first, those with the least slack first. Jobs that can't are
+within their objective go first, those with the least slack first. Those of them that
+were deferred, as the fleet can't finish all in time, come next. Jobs that can't are
 late anyway and keep a part of their value only; they follow as long as they can end
 within `MAX_VALUABLE_OBJECTIVES`, the youngest first. The others have no value any more
 and go last; those older than that limit go after the jobs of all queues. A step with
@@ -34,7 +35,13 @@
     return max(MIN_OBJECTIVE_S, policy.stretch * longest_s + policy.objective_s)
 
 
-def sort_key(step: StepRun, now_s: float, wall_ms: float) -> tuple[int, int, float]:
+def sort_key(
+    step: StepRun,
+    now_s: float,
+    wall_ms: float,
+    is_deferred: bool = False,
+    run_ratio: float = 1.0,
+) -> tuple[int, int, float]:
     """Return the sort key of a step; the step with the lowest key is placed first.
 
     Parameters
@@ -46,6 +53,11 @@
     wall_ms : float
         Wall-clock time in milliseconds since 1970, to which due times of occurrences
         refer.
+    is_deferred : bool
+        Whether the job was chosen to go after those that can end in time; see
+        `choose_deferred`.
+    run_ratio : float
+        Factor for the declared run times of the job.
     """
     job = step.job
     priority = job.spec.policy.priority
@@ -56,11 +68,11 @@
         age_s = (wall_ms - job.spec.due_ms(step.occurrence)) / 1000
     allowed_s = objective_s(job)
     if age_s > MAX_VALUABLE_OBJECTIVES * allowed_s:
-        return priority + 1000, 2, -age_s
-    remaining_s = job.critical_paths_s[step.step]
+        return priority + 1000, 3, -age_s
+    remaining_s = run_ratio * job.critical_paths_s[step.step]
     slack_s = allowed_s - age_s - remaining_s
     if slack_s >= 0.0:
-        return priority, 0, slack_s
+        return priority, int(is_deferred), slack_s
     if age_s + remaining_s <= MAX_VALUABLE_OBJECTIVES * allowed_s:
-        return priority, 1, age_s
-    return priority, 2, age_s
+        return priority, 2, age_s
+    return priority, 3, age_s
--- /dev/null
+++ b/flamingoweir/policy/_size_classes.py
@@ -0,0 +1,72 @@
+"""Classes of jobs by size, and how often each is served in time.
+
+Addresses a load that exceeds the fleet for long: of equally urgent jobs, the large ones
+have the least value for the work that they need, so that a decision by that alone never
+serves them. A class that is served clearly less often than its queue is spared.
+"""
+
+from bisect import insort
+from collections import deque
+
+#: Fractions of a queue's jobs below the classes: the fifth below the largest tenth, and
+#: the largest tenth.
+CLASS_BOUNDS = (0.7, 0.9)
+#: Number of the latest jobs of a queue by which sizes are judged, and from which on.
+MAX_SIZES = 200
+MIN_SIZES = 20
+#: Callers need each class to be served at least half as often as the queue. A class is
+#: spared from a higher fraction on, as jobs that are kept may still end late.
+MIN_SERVED_FRACTION = 0.75
+#: Factor by which earlier outcomes count less with each job of the queue that ends.
+OUTCOME_DECAY = 0.99
+
+
+class SizeClasses:
+    """The classes of one queue: 0 for most jobs, 1 for large and 2 for the largest."""
+
+    def __init__(self) -> None:
+        self._sizes: deque[float] = deque()
+        self._sorted: list[float] = []
+        self._ended = [0.0] * (len(CLASS_BOUNDS) + 1)
+        self._in_time = [0.0] * (len(CLASS_BOUNDS) + 1)
+        self._deferred = [0] * (len(CLASS_BOUNDS) + 1)
+
+    def classify(self, work: float) -> int:
+        """Record the work of an accepted job; return its class."""
+        self._sizes.append(work)
+        insort(self._sorted, work)
+        if len(self._sizes) > MAX_SIZES:
+            self._sorted.remove(self._sizes.popleft())
+        if len(self._sorted) < MIN_SIZES:
+            return 0
+        size_class = 0
+        for bound in CLASS_BOUNDS:
+            size_class += work >= self._sorted[int(bound * len(self._sorted))]
+        return size_class
+
+    def record_outcome(self, size_class: int, in_time: bool) -> None:
+        """Record a job that has ended, or whose objective has passed."""
+        for number in range(len(self._ended)):
+            self._ended[number] *= OUTCOME_DECAY
+            self._in_time[number] *= OUTCOME_DECAY
+        self._ended[size_class] += 1.0
+        self._in_time[size_class] += in_time
+
+    def begin_decision(self) -> None:
+        """Forget the jobs that the last decision deferred."""
+        self._deferred = [0] * len(self._deferred)
+
+    def allows(self, size_class: int) -> bool:
+        """Return whether a decision may defer one more job of a class.
+
+        The jobs that it has deferred already count as not served.
+        """
+        ended = self._ended[size_class] + self._deferred[size_class] + 1.0
+        queue_ended = sum(self._ended) + sum(self._deferred) + 1.0
+        served = self._in_time[size_class] / ended
+        # A queue of which nothing is in time says nothing about its classes.
+        return served >= MIN_SERVED_FRACTION * sum(self._in_time) / queue_ended
+
+    def record_deferred(self, size_class: int) -> None:
+        """Record that the current decision defers a job of a class."""
+        self._deferred[size_class] += 1
