--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,7 +1,7 @@
 """Compares orders of waiting steps under a load that exceeds the fleet.
 
-Run ``python -m benchmarks.overload``. The load is that of `tests.utils.overload`. Prints
-the share of jobs in time, the share of their value that callers get, the share in time
+Run ``python -m benchmarks.overload``. The load is that of `tests.utils.overload`.
+Prints the share of jobs in time, the share of their value that callers get, the share in time
 of the lower 70%, the next fifth and the largest tenth of the jobs by size, and how many
 jobs were deferred. `--cost` measures a decision with 2000 waiting jobs instead.
 """
@@ -63,7 +63,7 @@
 
 
 def order_deferred_last(step, now_s, order) -> tuple:
-    """Return the key with deferral; deferred jobs among late ones, the youngest first."""
+    """Return the key with deferral; deferred jobs among late ones by age."""
     priority, rank, slack_s = order_deferred(step, now_s, order)
     if rank == 1:
         return (priority, 2, now_s - step.job.accepted_s)
--- a/flamingoweir/dispatch/_deferrals.py
+++ b/flamingoweir/dispatch/_deferrals.py
@@ -8,6 +8,7 @@
 from ..policy import (
     DrainRate,
     MeanWork,
+    OpenWork,
     RunRatio,
     SizeClasses,
     WaitingJob,
@@ -200,13 +201,18 @@
         if ratio is None:
             ratio = self._ratio_by_queue[spec.queue] = record.run_ratio.value
             record.classes.begin_decision()
+        value = job_value(tracked.work, record.mean_work.mean)
+        remaining = sum(remaining_work(tracked.job))
+        open_work = []
+        for step in tracked.job.run_by_step.values():
+            if step.open_indexes:
+                open_work.append(_describe_step(step, tracked.deadline_s, ratio))
         left_s = tracked.deadline_s - now_s
         return WaitingJob(
             spec.id,
             spec.policy.priority,
-            tracked.deadline_s,
-            job_value(tracked.work, record.mean_work.mean),
-            remaining_work(tracked.job),
+            value / remaining if remaining else float("inf"),
+            open_work,
             ratio * remaining_chain_s(tracked.job) <= left_s,
             spec.id in self.job_ids,
         )
@@ -249,6 +255,13 @@
         return record
 
 
+def _describe_step(step: StepRun, deadline_s: float, ratio: float) -> OpenWork:
+    spec = step.spec
+    due_s = deadline_s - ratio * step.job.critical_paths_s[step.step]
+    milli = len(step.open_indexes) * spec.demand.processors_milli
+    return OpenWork(due_s, 0 if spec.uses_spare else 1, milli * spec.estimate_s / 1000)
+
+
 def _is_covered(job: Job) -> bool:
     """Return whether the jobs that may be deferred include a job."""
     spec = job.spec
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -10,7 +10,7 @@
     LostRunner,
     Suspect,
 )
-from ._deferral import WaitingJob, choose_deferred
+from ._deferral import OpenWork, WaitingJob, choose_deferred
 from ._drain_rate import DrainRate, RunRatio
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
@@ -41,6 +41,7 @@
     "DrainRate",
     "LostRunner",
     "MeanWork",
+    "OpenWork",
     "PaceChange",
     "PlacementPolicy",
     "RunRatio",
--- a/flamingoweir/policy/_deferral.py
+++ b/flamingoweir/policy/_deferral.py
@@ -3,9 +3,11 @@
 Addresses a load that exceeds the fleet for longer than an objective lasts. In the
 order of least slack, jobs go first that in truth no longer can end in time, and each of
 them makes the next one late. The decision follows the rule of Moore and Hodgson for the
-fewest late jobs: in the order of their deadlines, jobs are given the capacity that the
-drain rate promises; whenever one would end late, the job with the least value for its
-remaining work among those considered so far is deferred, until the rest fits. A
+fewest late jobs: in the order in which they are due, steps are given the capacity that
+the drain rate promises; whenever one would start too late, the job with the least value
+for its remaining work among those considered so far is deferred, until the rest fits.
+The tasks of a step are due when they must have started for the job to end in time. Work
+that may end just before the deadline leaves no time for the steps that follow. A
 deferred job goes after those of its priority that are kept; it is neither dropped nor
 stopped.
 """
@@ -21,9 +23,29 @@
 TAKE_BACK_FACTOR = 1.25
 
 
+@dataclass(frozen=True, slots=True)
+class OpenWork:
+    """Tasks of a step that have not started.
+
+    Attributes
+    ----------
+    due_s : float
+        Time by which they must start for the job to end in time, on the owner's clock,
+        in seconds.
+    kind : int
+        0 for spare and 1 for reserved processors.
+    work : float
+        Their estimated work in processor-seconds.
+    """
+
+    due_s: float
+    kind: int
+    work: float
+
+
 @dataclass(frozen=True, slots=True)
 class WaitingJob:
-    """A batch job that has not ended.
+    """A batch job with tasks that have not started.
 
     Attributes
     ----------
@@ -31,12 +53,10 @@
         Id of the job.
     priority : int
         Priority of its queue; 0 goes first.
-    deadline_s : float
-        End of its objective on the owner's clock, in seconds.
-    value : float
-        Value if it ends in time; see `job_value`.
-    work : tuple of (float, float)
-        Remaining work on spare and on reserved processors, in processor-seconds.
+    density : float
+        Value if it ends in time, divided by its remaining work.
+    open_work : sequence of OpenWork
+        Its tasks that have not started, by step.
     can_end_in_time : bool
         Whether its longest chain fits before the deadline. Other jobs are not deferred,
         but those of higher priorities take capacity.
@@ -46,9 +66,8 @@
 
     id: str
     priority: int
-    deadline_s: float
-    value: float
-    work: tuple[float, float]
+    density: float
+    open_work: Sequence[OpenWork]
     can_end_in_time: bool = True
     is_deferred: bool = False
 
@@ -72,18 +91,17 @@
         Time on the owner's clock, in seconds.
     may_defer : callable
         Called with the id of a job that is to be deferred; returns whether it may be.
-        It is asked once per job, and a job that may be deferred is deferred.
+        A job that may be deferred is deferred.
     """
     deferred: set[str] = set()
     taken = [0.0] * len(rates)
-    ordered = sorted(jobs, key=lambda job: (job.priority, job.deadline_s, job.id))
-    for _, group in groupby(ordered, key=lambda job: job.priority):
+    for _, group in groupby(sorted(jobs, key=_priority_of), key=_priority_of):
         equals = list(group)
-        _defer_equals(equals, rates, list(taken), now_s, may_defer, deferred)
+        deferred |= _defer_equals(equals, rates, list(taken), now_s, may_defer)
         # Deferred and late jobs go before those of lower priorities as well.
         for job in equals:
-            for kind, work in enumerate(job.work):
-                taken[kind] += work
+            for part in job.open_work:
+                taken[part.kind] += part.work
     return deferred
 
 
@@ -93,32 +111,54 @@
     taken: list[float],
     now_s: float,
     may_defer: Callable[[str], bool],
-    deferred: set[str],
-) -> None:
-    """Add the jobs to defer among those of one priority, sorted by deadline."""
-    heaps: list[list] = [[] for _ in rates]
+) -> set[str]:
+    """Return the ids of the jobs of one priority to defer.
+
+    Parameters
+    ----------
+    jobs : list of WaitingJob
+        The jobs of the priority.
+    rates : sequence of float or None
+        Drain rates, by kind of processors.
+    taken : list of float
+        Work that goes first, by kind of processors; it is changed.
+    now_s : float
+        Time on the owner's clock, in seconds.
+    may_defer : callable
+        See `choose_deferred`.
+    """
+    parts = []
     for job in jobs:
         if not job.can_end_in_time:
             continue
-        work = _counted_work(job)
-        for kind in range(len(rates)):
-            if work[kind] > 0.0:
-                taken[kind] += work[kind]
-                heappush(heaps[kind], (job.value / sum(work), job.id, work))
-        for kind, rate in enumerate(rates):
-            if rate is None or work[kind] <= 0.0:
+        factor = TAKE_BACK_FACTOR if job.is_deferred else 1.0
+        for part in job.open_work:
+            parts.append((part.due_s, job.id, part.kind, factor * part.work, job))
+    parts.sort(key=lambda part: part[:3])
+    deferred: set[str] = set()
+    #: Work that was given capacity, by job.
+    given_by_job: dict[str, list[float]] = {}
+    heaps: list[list[tuple[float, str]]] = [[] for _ in rates]
+    for due_s, job_id, kind, work, job in parts:
+        rate = rates[kind]
+        if rate is None or work <= 0.0 or job_id in deferred:
+            continue
+        given = given_by_job.setdefault(job_id, [0.0] * len(rates))
+        if not given[kind]:
+            density = job.density / (TAKE_BACK_FACTOR if job.is_deferred else 1.0)
+            heappush(heaps[kind], (density, job_id))
+        given[kind] += work
+        taken[kind] += work
+        promised = rate * (due_s - now_s)
+        while taken[kind] > promised and heaps[kind]:
+            _, least = heappop(heaps[kind])
+            if least in deferred or not may_defer(least):
                 continue
-            promised = rate * (job.deadline_s - now_s)
-            while taken[kind] > promised and heaps[kind]:
-                _, job_id, its_work = heappop(heaps[kind])
-                if job_id in deferred or not may_defer(job_id):
-                    continue
-                deferred.add(job_id)
-                for number, part in enumerate(its_work):
-                    taken[number] -= part
-
-
-def _counted_work(job: WaitingJob) -> tuple[float, ...]:
-    if not job.is_deferred:
-        return job.work
-    return tuple(TAKE_BACK_FACTOR * part for part in job.work)
+            deferred.add(least)
+            for number, its_work in enumerate(given_by_job[least]):
+                taken[number] -= its_work
+    return deferred
+
+
+def _priority_of(job: WaitingJob) -> int:
+    return job.priority
