--- a/flamingoweir/policy/_deferral.py
+++ b/flamingoweir/policy/_deferral.py
@@ -23,6 +23,11 @@
 TAKE_BACK_FACTOR = 1.25
 
 
+#: Fraction of the drain rate that is promised. Tasks end unevenly, and a step ends with
+#: its slowest task: of jobs that just fit, some end late.
+PROMISED_FRACTION = 0.8
+
+
 @dataclass(frozen=True, slots=True)
 class OpenWork:
     """Tasks of a step that have not started.
@@ -149,7 +154,7 @@
             heappush(heaps[kind], (density, job_id))
         given[kind] += work
         taken[kind] += work
-        promised = rate * (due_s - now_s)
+        promised = PROMISED_FRACTION * rate * (due_s - now_s)
         while taken[kind] > promised and heaps[kind]:
             _, least = heappop(heaps[kind])
             if least in deferred or not may_defer(least):
--- a/flamingoweir/policy/_size_classes.py
+++ b/flamingoweir/policy/_size_classes.py
@@ -16,9 +16,13 @@
 MIN_SIZES = 20
 #: Callers need each class to be served at least half as often as the queue. A class is
 #: spared from a higher fraction on, as jobs that are kept may still end late.
-MIN_SERVED_FRACTION = 0.75
-#: Factor by which earlier outcomes count less with each job of the queue that ends.
-OUTCOME_DECAY = 0.99
+MIN_SERVED_FRACTION = 0.6
+#: Factor by which earlier outcomes count less with each job of the queue that ends. The
+#: largest tenth needs the outcomes of several hundred jobs of the queue: with a factor
+#: of 0.99, a few large jobs that were late by chance had many small ones deferred.
+OUTCOME_DECAY = 0.998
+#: Number of outcomes, served as often as the queue, with which a class begins.
+PRIOR_OUTCOMES = 3.0
 
 
 class SizeClasses:
@@ -61,11 +65,13 @@
 
         The jobs that it has deferred already count as not served.
         """
-        ended = self._ended[size_class] + self._deferred[size_class] + 1.0
-        queue_ended = sum(self._ended) + sum(self._deferred) + 1.0
-        served = self._in_time[size_class] / ended
-        # A queue of which nothing is in time says nothing about its classes.
-        return served >= MIN_SERVED_FRACTION * sum(self._in_time) / queue_ended
+        if size_class == 0:
+            return True
+        outcomes = sum(self._ended) + sum(self._deferred)
+        queue_share = (sum(self._in_time) + 1.0) / (outcomes + 1.0)
+        in_time = self._in_time[size_class] + PRIOR_OUTCOMES * queue_share
+        ended = self._ended[size_class] + self._deferred[size_class] + PRIOR_OUTCOMES
+        return in_time / ended >= MIN_SERVED_FRACTION * queue_share
 
     def record_deferred(self, size_class: int) -> None:
         """Record that the current decision defers a job of a class."""
--- a/tests/utils/overload.py
+++ b/tests/utils/overload.py
@@ -16,7 +16,7 @@
 from flamingoweir.dispatch._task_ends import TaskEnds
 from flamingoweir.faults import FaultLog
 from flamingoweir.fleet import Allocation
-from flamingoweir.jobs import Job, JobSpec, Outcome, QueuePolicy, StepSpec
+from flamingoweir.jobs import Attempt, Job, JobSpec, Outcome, QueuePolicy, StepSpec
 from flamingoweir.policy import job_value, objective_s, sort_key, total_work
 from flamingoweir.resources import Resources
 
@@ -189,6 +189,34 @@
     return _summarize(arrivals, ended_s, len(deferred), changes, placed)
 
 
+def measure_rate(specs: list[JobSpec], processors: int) -> tuple[Deferrals, float]:
+    """Return deferrals of jobs that wait, with a known drain rate, and the time.
+
+    Jobs of their own drain ``processors`` of work a second while the others wait.
+    """
+    state = _OwnerState()
+    deferrals = Deferrals(state)
+    policy = QueuePolicy(SERVICE, 1, 3, 2.0, 1.0)
+    step = StepSpec(1, Resources(1000, 0, 0), ESTIMATE_S, uses_spare=True)
+    ended = Job(JobSpec("ended", "queue-1", "", (step,), policy))
+    waiting = Job(JobSpec("waiting", "queue-1", "", (step,), policy))
+    waiting.run_by_step[0, 0].unplaced_since_s = 0.0
+    now_s = 0.0
+    while now_s < 6.0:
+        now_s += 0.31
+        attempt = Attempt(ended.run_by_step[0, 0].task_id(0), 1, "runner", 1)
+        allocation = Allocation(attempt, step)
+        allocation.started_s = now_s - ESTIMATE_S
+        for _ in range(round(0.31 * processors / ESTIMATE_S)):
+            state.task_ends.record(ended, allocation, now_s)
+        deferrals.update([waiting.run_by_step[0, 0]], lambda step: True, now_s)
+    for spec in specs:
+        job = Job(spec)
+        job.accepted_s = now_s
+        state.job_by_id[spec.id] = job
+    return deferrals, now_s
+
+
 def _summarize(arrivals, ended_s, deferred, changes, placed) -> Result:
     jobs = []
     for at_s, spec in arrivals:
