--- a/flamingoweir/dispatch/_deferrals.py
+++ b/flamingoweir/dispatch/_deferrals.py
@@ -8,14 +8,15 @@
 from ..policy import (
     DrainRate,
     MeanWork,
-    OpenWork,
     RunRatio,
     SizeClasses,
+    StepWork,
     WaitingJob,
     choose_deferred,
+    find_open_work,
     job_value,
+    list_steps,
     objective_s,
-    remaining_chain_s,
     remaining_work,
     total_work,
 )
@@ -26,6 +27,9 @@
 #: Seconds between decisions. Tasks run for a second or more, so that little changes
 #: earlier.
 DECISION_INTERVAL_S = 0.3
+#: Seconds between decisions for each job, so that the processor time for decisions is
+#: bounded however many jobs wait.
+INTERVAL_PER_JOB_S = 0.0003
 
 
 @dataclass(slots=True)
@@ -36,6 +40,7 @@
     work: float
     size_class: int
     deadline_s: float
+    steps: list[StepWork]
     #: Whether its end, or that of its objective, was recorded.
     is_counted: bool = False
 
@@ -106,7 +111,10 @@
         now_s : float
             Time on the owner's clock, in seconds.
         """
-        if now_s - self._updated_s < DECISION_INTERVAL_S:
+        interval_s = max(
+            DECISION_INTERVAL_S, INTERVAL_PER_JOB_S * len(self._tracked_by_id)
+        )
+        if now_s - self._updated_s < interval_s:
             return
         self._updated_s = now_s
         deferred: set[str] = set()
@@ -178,6 +186,7 @@
             work,
             record.classes.classify(work),
             deadline_s,
+            list_steps(job),
             # A job that was restored late says nothing about the order here.
             is_counted=deadline_s < now_s,
         )
@@ -202,18 +211,14 @@
             ratio = self._ratio_by_queue[spec.queue] = record.run_ratio.value
             record.classes.begin_decision()
         value = job_value(tracked.work, record.mean_work.mean)
-        remaining = sum(remaining_work(tracked.job))
-        open_work = []
-        for step in tracked.job.run_by_step.values():
-            if step.open_indexes:
-                open_work.append(_describe_step(step, tracked.deadline_s, ratio))
-        left_s = tracked.deadline_s - now_s
+        remaining, open_work = find_open_work(tracked.steps, tracked.deadline_s, ratio)
         return WaitingJob(
             spec.id,
             spec.policy.priority,
             value / remaining if remaining else float("inf"),
             open_work,
-            ratio * remaining_chain_s(tracked.job) <= left_s,
+            # The step that has to start first decides.
+            all(part.due_s >= now_s for part in open_work),
             spec.id in self.job_ids,
         )
 
@@ -255,13 +260,6 @@
         return record
 
 
-def _describe_step(step: StepRun, deadline_s: float, ratio: float) -> OpenWork:
-    spec = step.spec
-    due_s = deadline_s - ratio * step.job.critical_paths_s[step.step]
-    milli = len(step.open_indexes) * spec.demand.processors_milli
-    return OpenWork(due_s, 0 if spec.uses_spare else 1, milli * spec.estimate_s / 1000)
-
-
 def _is_covered(job: Job) -> bool:
     """Return whether the jobs that may be deferred include a job."""
     spec = job.spec
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -10,7 +10,7 @@
     LostRunner,
     Suspect,
 )
-from ._deferral import OpenWork, WaitingJob, choose_deferred
+from ._deferral import WaitingJob, choose_deferred
 from ._drain_rate import DrainRate, RunRatio
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
@@ -22,8 +22,11 @@
 from ._stragglers import find_stalled
 from ._valuation import (
     MeanWork,
+    OpenWork,
+    StepWork,
+    find_open_work,
     job_value,
-    remaining_chain_s,
+    list_steps,
     remaining_work,
     total_work,
 )
@@ -49,15 +52,17 @@
     "ServiceLoad",
     "SizeClasses",
     "StepPlacement",
+    "StepWork",
     "Suspect",
     "WaitingJob",
     "choose_deferred",
     "choose_evictions",
+    "find_open_work",
     "find_stalled",
     "job_value",
+    "list_steps",
     "objective_s",
     "place_gang",
-    "remaining_chain_s",
     "remaining_work",
     "sort_key",
     "total_work",
--- a/flamingoweir/policy/_deferral.py
+++ b/flamingoweir/policy/_deferral.py
@@ -13,9 +13,12 @@
 """
 
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
 from heapq import heappop, heappush
 from itertools import groupby
+from operator import attrgetter
+from typing import NamedTuple
+
+from ._valuation import OpenWork
 
 #: Factor by which the work of a job that is deferred already counts more. It is taken
 #: back only if clearly more room has become free, so that jobs that just fit don't
@@ -28,28 +31,7 @@
 PROMISED_FRACTION = 0.8
 
 
-@dataclass(frozen=True, slots=True)
-class OpenWork:
-    """Tasks of a step that have not started.
-
-    Attributes
-    ----------
-    due_s : float
-        Time by which they must start for the job to end in time, on the owner's clock,
-        in seconds.
-    kind : int
-        0 for spare and 1 for reserved processors.
-    work : float
-        Their estimated work in processor-seconds.
-    """
-
-    due_s: float
-    kind: int
-    work: float
-
-
-@dataclass(frozen=True, slots=True)
-class WaitingJob:
+class WaitingJob(NamedTuple):
     """A batch job with tasks that have not started.
 
     Attributes
@@ -100,7 +82,8 @@
     """
     deferred: set[str] = set()
     taken = [0.0] * len(rates)
-    for _, group in groupby(sorted(jobs, key=_priority_of), key=_priority_of):
+    by_priority = attrgetter("priority")
+    for _, group in groupby(sorted(jobs, key=by_priority), key=by_priority):
         equals = list(group)
         deferred |= _defer_equals(equals, rates, list(taken), now_s, may_defer)
         # Deferred and late jobs go before those of lower priorities as well.
@@ -133,25 +116,28 @@
         See `choose_deferred`.
     """
     parts = []
-    for job in jobs:
+    for number, job in enumerate(jobs):
         if not job.can_end_in_time:
             continue
-        factor = TAKE_BACK_FACTOR if job.is_deferred else 1.0
-        for part in job.open_work:
-            parts.append((part.due_s, job.id, part.kind, factor * part.work, job))
-    parts.sort(key=lambda part: part[:3])
+        for due_s, kind, work in job.open_work:
+            parts.append((due_s, number, kind, work))
+    parts.sort()
     deferred: set[str] = set()
     #: Work that was given capacity, by job.
     given_by_job: dict[str, list[float]] = {}
     heaps: list[list[tuple[float, str]]] = [[] for _ in rates]
-    for due_s, job_id, kind, work, job in parts:
+    for due_s, job_number, kind, work in parts:
+        job = jobs[job_number]
         rate = rates[kind]
-        if rate is None or work <= 0.0 or job_id in deferred:
+        if rate is None or work <= 0.0 or job.id in deferred:
             continue
-        given = given_by_job.setdefault(job_id, [0.0] * len(rates))
+        factor = TAKE_BACK_FACTOR if job.is_deferred else 1.0
+        work *= factor
+        given = given_by_job.get(job.id)
+        if given is None:
+            given = given_by_job[job.id] = [0.0] * len(rates)
         if not given[kind]:
-            density = job.density / (TAKE_BACK_FACTOR if job.is_deferred else 1.0)
-            heappush(heaps[kind], (density, job_id))
+            heappush(heaps[kind], (job.density / factor, job.id))
         given[kind] += work
         taken[kind] += work
         promised = PROMISED_FRACTION * rate * (due_s - now_s)
@@ -163,7 +149,3 @@
             for number, its_work in enumerate(given_by_job[least]):
                 taken[number] -= its_work
     return deferred
-
-
-def _priority_of(job: WaitingJob) -> int:
-    return job.priority
--- a/flamingoweir/policy/_valuation.py
+++ b/flamingoweir/policy/_valuation.py
@@ -7,8 +7,10 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
+from typing import NamedTuple
 
-from ..jobs import Job
+from ..jobs import Job, StepRun
 
 #: Value of a job without work, and the value that work as large as the queue's mean
 #: adds to it.
@@ -63,20 +65,86 @@
     return spare, reserved
 
 
-def remaining_chain_s(job: Job) -> float:
-    """Return the estimated seconds of the longest chain of steps that are to start.
+class StepWork(NamedTuple):
+    """What a decision has to know of a step; it does not change.
 
-    A step whose tasks all run counts as done: how long it goes on is not known.
+    Attributes
+    ----------
+    run : StepRun
+        The step.
+    kind : int
+        0 for spare and 1 for reserved processors.
+    task_work : float
+        Estimated work of a task in processor-seconds.
+    path_s : float
+        Estimated seconds of the longest chain that starts with the step.
     """
-    longest_s = 0.0
-    for step in job.run_by_step.values():
-        if step.done:
-            continue
-        path_s = job.critical_paths_s[step.step]
-        if not step.open_indexes:
-            path_s -= step.spec.estimate_s
-        longest_s = max(longest_s, path_s)
-    return longest_s
+
+    run: StepRun
+    kind: int
+    task_work: float
+    path_s: float
+
+
+class OpenWork(NamedTuple):
+    """Tasks of a step that have not started.
+
+    Attributes
+    ----------
+    due_s : float
+        Time by which they must start for the job to end in time, on the owner's clock,
+        in seconds.
+    kind : int
+        0 for spare and 1 for reserved processors.
+    work : float
+        Their estimated work in processor-seconds.
+    """
+
+    due_s: float
+    kind: int
+    work: float
+
+
+def list_steps(job: Job) -> list[StepWork]:
+    """Return the steps of a job that has one occurrence."""
+    steps = []
+    for run in job.run_by_step.values():
+        spec = run.spec
+        task_work = spec.demand.processors_milli * spec.estimate_s / 1000
+        path_s = job.critical_paths_s[run.step]
+        steps.append(StepWork(run, 0 if spec.uses_spare else 1, task_work, path_s))
+    return steps
+
+
+def find_open_work(
+    steps: Iterable[StepWork], deadline_s: float, run_ratio: float
+) -> tuple[float, list[OpenWork]]:
+    """Return the remaining work of a job, and its tasks that have not started.
+
+    Parameters
+    ----------
+    steps : iterable of StepWork
+        The steps of the job.
+    deadline_s : float
+        End of its objective on the owner's clock, in seconds.
+    run_ratio : float
+        Factor for declared run times.
+
+    Returns
+    -------
+    tuple of (float, list of OpenWork)
+        Work of the tasks that are not done, in processor-seconds, and those that have
+        not started, by step.
+    """
+    remaining = 0.0
+    found = []
+    for run, kind, task_work, path_s in steps:
+        remaining += (run.spec.count - run.tasks.done_count) * task_work
+        open_count = len(run.open_indexes)
+        if open_count:
+            due_s = deadline_s - run_ratio * path_s
+            found.append(OpenWork(due_s, kind, open_count * task_work))
+    return remaining, found
 
 
 class MeanWork:
