--- a/benchmarks/colocation.py
+++ b/benchmarks/colocation.py
@@ -90,7 +90,10 @@
                 )
                 steps.append(step)
             job = make_job(
-                self._next_number(), *steps, policy=QueuePolicy(SERVICE, 2, 2, 2.0, 1.0)
+                self._next_number(),
+                *steps,
+                policy=QueuePolicy(SERVICE, 2, 2, 2.0, 1.0),
+                accepted_ms=round(self._cluster.wall_ms()),
             )
             for number, step in enumerate(steps):
                 for index in range(step.count):
