--- a/benchmarks/customer_shares.py
+++ b/benchmarks/customer_shares.py
@@ -20,6 +20,7 @@
 from flamingoweir.dispatch._customer_caps import CustomerCaps
 from flamingoweir.dispatch._customer_limits import LimitFinder
 from flamingoweir.dispatch._customer_report import CustomerReporter
+from flamingoweir.dispatch._deferrals import Deferrals
 from flamingoweir.dispatch._job_pauses import JobPauses
 from flamingoweir.dispatch._ready_steps import ReadySteps
 from flamingoweir.jobs import JobSpec, QueuePolicy, StepSpec
@@ -92,7 +93,8 @@
     clock = BootClock()
     context = _make_context(clock, customers, jobs, runners, flood)
     pauses = JobPauses(context.owner_state)
-    ready_steps = ReadySteps(context, pauses, CustomerCaps(context))
+    deferrals = Deferrals(context.owner_state)
+    ready_steps = ReadySteps(context, pauses, CustomerCaps(context), deferrals)
     usable = list(context.owner_state.runner_by_id.values())
     order_ms, take_ms, listed = [], [], 0
     for _ in range(ROUNDS):
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -24,6 +24,8 @@
     find_limit,
     retry_after_s,
 )
+from ._deferral import WaitingJob, choose_deferred
+from ._drain_rate import DrainRate, RunRatio
 from ._effects import Effect
 from ._eviction import EVICT_AFTER_S, choose_evictions
 from ._gangs import place_gang
@@ -40,8 +42,19 @@
     FairShares,
     weighted_share,
 )
+from ._size_classes import SizeClasses
 from ._store_availability import RESPONSE_LIMIT_S, StoreAvailability
 from ._stragglers import find_stalled
+from ._valuation import (
+    MeanWork,
+    OpenWork,
+    StepWork,
+    find_open_work,
+    job_value,
+    list_steps,
+    remaining_work,
+    total_work,
+)
 
 __all__ = [
     "ABOVE_SHARE",
@@ -58,33 +71,51 @@
     "ColocationPolicy",
     "Crash",
     "CrashDetector",
+    "DrainRate",
     "Effect",
     "FairShares",
     "KeyDecision",
     "LostRunner",
+    "MeanWork",
+    "OpenWork",
     "PaceChange",
     "PlacementPolicy",
     "RateMeter",
+    "RunRatio",
     "RunnerHealth",
     "ServiceLoad",
+    "SizeClasses",
     "StepPlacement",
+    "StepWork",
     "StoreAvailability",
     "Suspect",
+    "Suspect",
     "TokenBucket",
+    "WaitingJob",
     "allows_gang",
     "allows_task",
+    "choose_deferred",
+    "choose_evictions",
     "choose_evictions",
     "choose_published",
     "decide_key",
     "find_limit",
+    "find_open_work",
     "find_oversized_gang",
     "find_stalled",
+    "find_stalled",
     "gang_demand",
     "is_within",
+    "job_value",
+    "list_steps",
+    "objective_s",
     "objective_s",
     "place_gang",
+    "place_gang",
+    "remaining_work",
     "retry_after_s",
     "sort_key",
+    "total_work",
     "unplaced_s",
     "weighted_share",
 ]
--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -24,6 +24,7 @@
     drop_surplus_excess,
 )
 from flamingoweir.dispatch._customer_report import MAX_REPORTED, CustomerReporter
+from flamingoweir.dispatch._deferrals import Deferrals
 from flamingoweir.dispatch._job_pauses import JobPauses
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._parking import HELD_SHARE, JobParking
@@ -188,7 +189,9 @@
         state.job_by_id = {step.job.spec.id: step.job for _, _, step in ready}
         expected = [sort_key(step, NOW_S, 0.0) for _, _, step in sorted(ready)]
         context = make_context(state)
-        steps = ReadySteps(context, JobPauses(state), CustomerCaps(context))
+        steps = ReadySteps(
+            context, JobPauses(state), CustomerCaps(context), Deferrals(state)
+        )
         found = await steps.find(
             lambda: NOW_S, anyio.lowlevel.checkpoint, lambda: [runner]
         )
