Keys: a configuration that changes in place is not trusted, and no row in an error

Change: such a row makes the configuration unreadable until a higher version comes (`configuration_changed_in_place`); `RevokeMs` is 5000 by default; the error gives status and size.

--- a/flamingoweir/platform/_settings.py
+++ b/flamingoweir/platform/_settings.py
@@ -35,7 +35,7 @@
     grace_s: float = 6.0
     #: Whether withdrawn keys must not work `revoke_ms` after their withdrawal.
     strict_revoke: bool = False
-    revoke_ms: float | None = None
+    revoke_ms: float = 5000
     #: Time within which an instance must apply a new configuration.
     config_apply_ms: float = 3_000
 
@@ -109,9 +109,7 @@
         location = ".".join(str(part) for part in first["loc"])
         raise SettingsError(f"{path}: {location}: {first['msg']}") from error
     bounds = message.policy_bounds
-    revoke_s = None
-    if bounds.strict_revoke and bounds.revoke_ms is not None:
-        revoke_s = bounds.revoke_ms / 1000
+    revoke_s = bounds.revoke_ms / 1000 if bounds.strict_revoke else None
     return FleetSettings(
         name=message.node_name,
         host=message.ip,
--- a/flamingoweir/platform/_store.py
+++ b/flamingoweir/platform/_store.py
@@ -212,9 +212,10 @@
         )
     if response.status in (200, 410, 412):
         return response
+    # The body may contain rows, and a row of the operators' table contains keys.
     raise StoreRefused(
-        f"the store responded with unexpected status {response.status}: "
-        f"{response.body[:200]!r}"
+        f"the store responded with unexpected status {response.status} and "
+        f"{len(response.body)} bytes"
     )
 
 
--- a/flamingoweir/registry/_view.py
+++ b/flamingoweir/registry/_view.py
@@ -162,9 +162,12 @@
                 in_force=current_version,
             )
             return
-        self.configuration_readable = True
         if configuration.version == current_version:
+            self.configuration_readable = configuration == self.configuration
+            if not self.configuration_readable:
+                log.warning("configuration_changed_in_place", version=current_version)
             return
+        self.configuration_readable = True
         self.configuration = configuration
         log.info(
             "configuration_in_force",
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -438,3 +438,27 @@
     for text in [logged, *texts]:
         for key in (KAJE, LUME, "gkcu-second", "ungu-unknown"):
             assert key not in text
+
+
+def test_configuration_changed_in_place_needs_a_new_version():
+    """Guards against a key that works on after its row was rewritten in place.
+
+    A configuration with other contents must have a higher version.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1) as cluster:
+            member = cluster.member_by_name["front-0"]
+            await cluster.owner()
+            operators = member.instance.operators
+            cluster.configure(2, Tenants=[{"Name": "a", "ApiKeys": ["key-a"]}])
+            await anyio.sleep(1)
+            assert operators.configuration_readable
+            cluster.configure(2, Tenants=[{"Name": "a", "ApiKeys": []}])
+            await anyio.sleep(1)
+            assert not operators.configuration_readable
+            cluster.configure(3, Tenants=[{"Name": "a", "ApiKeys": []}])
+            await anyio.sleep(1)
+            assert operators.configuration_readable
+
+    run_virtual(scenario)
