Check reads and probes no longer keep a loaded store overloaded

Cause: a check sent up to 7 reads per instance at once, every instance that saw the same hiccup checked together, and each unavailable instance sent a read every 0.51 s that it gave up after 0.46 s, while the store still worked on it.

Change: in doubt, an instance sends one check read after a random 0 to 0.3 s and then one every 0.5 to 0.8 s. From 1 s without a response, pending calls count as well, so that an instance with few calls decides by time. Reads are given up after 0.75 s. Probes start 0.3 s apart, growing to 1 s, with jitter of 20%; the time is measured between starts, as with a silent store a pause after each timeout would add 0.7 s to the refusals. Reviews go on in steps of 0.05 s while reads are pending, so that a pause of the event loop in a check is noticed.

--- a/flamingoweir/policy/_store_availability.py
+++ b/flamingoweir/policy/_store_availability.py
@@ -14,12 +14,15 @@
 RESPONSE_LIMIT_S = 0.45
 #: Number of consecutive unanswered or refused calls from which the store counts as
 #: unavailable. A store that loses 35% of its responses reaches it by chance in one of
-#: 4,400 sequences. Not more than the concurrent calls of `PlatformStore`, as a call
-#: that waits for a connection says nothing about the store.
+#: 4,400 sequences.
 MIN_FAILED_CALLS = 8
-#: Shortest time in seconds between rounds of check reads. The reads must not become a
-#: load of their own on a store that is too slow.
-CHECK_INTERVAL_S = 1.0
+#: Seconds without a response after which pending calls count before they are
+#: unanswered. An instance with few calls decides by this time, as more reads to reach
+#: `MIN_FAILED_CALLS` sooner would keep a loaded store overloaded.
+MIN_SILENT_S = 1.0
+#: Age in seconds from which a pending call counts after `MIN_SILENT_S`; 25 times what
+#: a call usually takes.
+MIN_PENDING_S = 0.1
 
 
 class StoreAvailability:
@@ -37,8 +40,8 @@
         Time of the latest response, moved forward by later pauses; minus infinity if
         there is none.
     failed_calls : int
-        Number of calls without success since the latest response, as of the latest
-        `review`.
+        Number of calls that count as failed since the latest response, as of the
+        latest `review`.
     """
 
     def __init__(self) -> None:
@@ -49,7 +52,6 @@
         self._next_call = 0
         self._failed_calls = 0
         self._first_failed_s = float("inf")
-        self._next_check_s = float("-inf")
 
     @property
     def has_evidence(self) -> bool:
@@ -95,34 +97,34 @@
         self._failed_calls = 0
         self._first_failed_s = float("inf")
 
-    def review(self, now_s: float) -> int:
-        """Update `unavailable`; return how many check reads are to be sent now.
+    def review(self, now_s: float) -> bool:
+        """Update `unavailable`; return whether check reads are needed to decide.
 
-        Once a call is unanswered or refused for `RESPONSE_LIMIT_S` without a response
-        to any other call, check reads make up the number of calls that decides: an
-        instance may have only a few calls a second.
+        They are needed once a call is unanswered or refused for `RESPONSE_LIMIT_S`
+        without a response to any other call: an instance may have only a few calls a
+        second.
         """
         if self.unavailable:
-            return 0
+            return False
         failed_calls = self._failed_calls
         first_s = self._first_failed_s
         pending_calls = 0
         for sent_s in self._sent_s_by_call.values():
             if sent_s < self.last_response_s:
                 continue
-            pending_calls += 1
             first_s = min(first_s, sent_s)
-            failed_calls += self._is_unanswered(sent_s, now_s)
+            if self._is_unanswered(sent_s, now_s):
+                failed_calls += 1
+            elif now_s - sent_s >= MIN_PENDING_S:
+                pending_calls += 1
+        silent_s = now_s - first_s
+        if silent_s >= MIN_SILENT_S:
+            failed_calls += pending_calls
         self.failed_calls = failed_calls
-        if now_s - first_s < RESPONSE_LIMIT_S:
-            return 0
-        if failed_calls >= MIN_FAILED_CALLS:
-            self.unavailable = True
-            return 0
-        if now_s < self._next_check_s:
-            return 0
-        self._next_check_s = now_s + CHECK_INTERVAL_S
-        return max(0, MIN_FAILED_CALLS - self._failed_calls - pending_calls)
+        if silent_s < RESPONSE_LIMIT_S:
+            return False
+        self.unavailable = failed_calls >= MIN_FAILED_CALLS
+        return not self.unavailable
 
     def _is_unanswered(self, sent_s: float, now_s: float) -> bool:
         return sent_s >= self.last_response_s and now_s - sent_s >= RESPONSE_LIMIT_S
--- a/flamingoweir/queues/_store_monitor.py
+++ b/flamingoweir/queues/_store_monitor.py
@@ -1,5 +1,6 @@
 """Refuses submitters' calls at once while the store is unavailable."""
 
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -12,7 +13,7 @@
 from ..jobs import QueuePolicy
 from ..logs import get_logger
 from ..metrics import Metrics
-from ..policy import RESPONSE_LIMIT_S, StoreAvailability
+from ..policy import StoreAvailability
 from ..storage import (
     RowId,
     RowStore,
@@ -31,12 +32,24 @@
 #: Delay of a review in seconds from which the event loop counts as having been paused,
 #: so that responses may have arrived that were not received yet.
 MIN_PAUSE_S = 0.2
-#: Timeout of a probe in seconds; longer than `RESPONSE_LIMIT_S`, so that one without
-#: a response counts as unanswered.
-PROBE_TIMEOUT_S = RESPONSE_LIMIT_S + 0.01
-#: Mean pause between probes of an unavailable store, in seconds. Together with the
-#: timeout of a probe, an instance refuses calls for up to 0.54 s after the return.
-PROBE_PAUSE_S = 0.05
+#: Timeout of a check read or probe in seconds; not below that of an ordinary call
+#: (0.7 s). A store that is behind still works on a read that was given up.
+PROBE_TIMEOUT_S = 0.75
+#: Range of the delay from the first doubt until a check read, in seconds; random, as
+#: all instances see the same hiccup of the store.
+CHECK_DELAY_S = (0.0, 0.3)
+#: Range of the time between check reads, in seconds.
+CHECK_INTERVAL_S = (0.5, 0.8)
+#: Time in seconds from sending the first probe of an unavailable store to sending the
+#: next one; with the jitter, an instance refuses calls for up to 0.5 s after a return
+#: within the first two probes.
+MIN_PROBE_INTERVAL_S = 0.3
+#: Longest such time in seconds. 100 instances then send 100 probes a second.
+MAX_PROBE_INTERVAL_S = 1.0
+#: Factor by which the time grows from probe to probe.
+PROBE_INTERVAL_GROWTH = 1.4
+#: Range of the random factor of the time between probes.
+PROBE_JITTER = (0.8, 1.2)
 #: Range of Retry-After, in seconds; random, so that submitters don't return together.
 RETRY_AFTER_S = (1.0, 3.0)
 #: Seconds that the watching task waits when there is nothing to watch.
@@ -76,6 +89,9 @@
         self._fault_log = FaultLog(metrics, clock)
         self._availability = StoreAvailability()
         self._unavailable_since_s: float | None = None
+        self._in_doubt = False
+        self._next_read_s = float("-inf")
+        self._probe_interval_s = MIN_PROBE_INTERVAL_S
         self._wakeup = Wakeup()
 
     def check_available(self, policy: QueuePolicy | None) -> None:
@@ -148,73 +164,79 @@
 
         This takes effect from the first call for a queue with an objective.
         """
-        while True:
-            if not await self._wakeup.wait(IDLE_WAIT_S):
-                continue
-            while self._availability.has_evidence:
-                with self._fault_log.contain("store_review_failed") as review:
-                    await self._review()
-                if review.failed:
-                    await anyio.sleep(REVIEW_INTERVAL_S)
-
-    async def _review(self) -> None:
-        if self._availability.unavailable:
-            await self._probe()
-            pause_s = PROBE_PAUSE_S * self._generator.uniform(0.5, 1.5)
-            await anyio.sleep(pause_s)
-            return
-        due_s = self._clock.now() + REVIEW_INTERVAL_S
-        await anyio.sleep(REVIEW_INTERVAL_S)
-        self._record_pause(due_s)
-        reads = self._decide()
-        if not reads:
-            return
-        due_s = self._clock.now() + PROBE_TIMEOUT_S
         async with anyio.create_task_group() as tasks:
-            for _ in range(reads):
-                tasks.start_soon(self._probe)
-        self._record_pause(due_s)
-        self._decide()
+            while True:
+                if not await self._wakeup.wait(IDLE_WAIT_S):
+                    continue
+                while self._availability.has_evidence:
+                    due_s = self._clock.now() + REVIEW_INTERVAL_S
+                    await anyio.sleep(REVIEW_INTERVAL_S)
+                    with self._fault_log.contain("store_review_failed"):
+                        self._record_pause(due_s)
+                        if self._review():
+                            tasks.start_soon(self._read)
 
-    def _decide(self) -> int:
-        """Review the evidence; return how many check reads are to be sent now."""
+    def _review(self) -> bool:
+        """Review the evidence; return whether a read is to be sent now."""
         now_s = self._clock.now()
-        reads = self._availability.review(now_s)
         if self._availability.unavailable:
+            return self._is_probe_due(now_s)
+        in_doubt = self._availability.review(now_s)
+        if self._availability.unavailable:
+            self._in_doubt = False
             self._unavailable_since_s = now_s
+            self._probe_interval_s = MIN_PROBE_INTERVAL_S
+            self._next_read_s = now_s + self._generator.uniform(0, MIN_PROBE_INTERVAL_S)
             self._metrics.incr("store_unavailable")
             log.warning(
                 "store_unavailable",
                 failed_calls=self._availability.failed_calls,
                 response_age_s=self._response_age_s(now_s),
             )
-        elif reads:
-            log.info(
-                "store_checked",
-                reads=reads,
-                failed_calls=self._availability.failed_calls,
-                response_age_s=self._response_age_s(now_s),
-            )
-        return reads
+            return False
+        if in_doubt and not self._in_doubt:
+            due_s = now_s + self._generator.uniform(*CHECK_DELAY_S)
+            self._next_read_s = max(self._next_read_s, due_s)
+        self._in_doubt = in_doubt
+        if not in_doubt or now_s < self._next_read_s:
+            return False
+        self._next_read_s = now_s + self._generator.uniform(*CHECK_INTERVAL_S)
+        log.info(
+            "store_checked",
+            failed_calls=self._availability.failed_calls,
+            response_age_s=self._response_age_s(now_s),
+        )
+        return True
+
+    def _is_probe_due(self, now_s: float) -> bool:
+        if now_s < self._next_read_s:
+            return False
+        jitter = self._generator.uniform(*PROBE_JITTER)
+        self._next_read_s = now_s + self._probe_interval_s * jitter
+        self._probe_interval_s = min(
+            MAX_PROBE_INTERVAL_S, self._probe_interval_s * PROBE_INTERVAL_GROWTH
+        )
+        return True
 
     def _record_pause(self, due_s: float) -> None:
         now_s = self._clock.now()
         if now_s - due_s >= MIN_PAUSE_S:
             self._availability.record_pause(now_s - due_s, now_s)
 
-    async def _probe(self) -> None:
+    async def _read(self) -> None:
         """Read a row, to see whether the store responds."""
         row = self._probe_row
-        # A read that is given up has been recorded, and no result is needed.
-        with anyio.move_on_after(PROBE_TIMEOUT_S):
-            try:
-                await self.call(
-                    lambda: self._store.read(
-                        row.table, row.part, row.key, row.key + "\0", 1
-                    )
+        with (
+            self._fault_log.contain("store_read_failed"),
+            # A read that is given up has been recorded, and no result is needed.
+            anyio.move_on_after(PROBE_TIMEOUT_S),
+            contextlib.suppress(StoreRefused, StoreOutcomeUnknown),
+        ):
+            await self.call(
+                lambda: self._store.read(
+                    row.table, row.part, row.key, row.key + "\0", 1
                 )
-            except (StoreRefused, StoreOutcomeUnknown):
-                return
+            )
 
     def _record_response(self, call: int) -> None:
         now_s = self._clock.now()
