A repeated call whose first may be stored never counts as not run

Cause: a call that ended with 504 may have stored its job. A second call with the same id that reached the same instance while the store was unavailable got 503 with verdict not_run.

The check that a refused job isn't stored could not fail, as the silent link applied no writes. It now applies them and loses the responses, and the test also checks that each job with 200 or 504 is stored.

--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -31,6 +31,7 @@
 )
 from ._store_calls import StoreCalls
 from ._store_monitor import StoreMonitor
+from ._unknown_outcomes import UnknownOutcomes
 
 log = get_logger()
 
@@ -102,6 +103,7 @@
         self._clock = clock
         self._metrics = metrics
         self._final_state_by_job: dict[str, JobState] = {}
+        self._unknown_outcomes = UnknownOutcomes()
 
     @property
     def max_body_bytes(self) -> int:
@@ -161,9 +163,17 @@
         """
         self._validate(spec)
         value = _encode_exactly(spec)
-        self.store_monitor.check_available(spec.policy)
-        shard = shard_name(0)
-        row = job_row(shard, spec.id)
+        if spec.policy.objective_s <= 0:
+            await self._store(spec, value, timeout_s)
+            return
+        self.store_monitor.check_available(
+            spec.policy, is_repeat=spec.id in self._unknown_outcomes
+        )
+        with self._unknown_outcomes.track(spec.id):
+            await self._store(spec, value, timeout_s)
+
+    async def _store(self, spec: JobSpec, value: bytes, timeout_s: float) -> None:
+        row = job_row(shard_name(0), spec.id)
         max_bytes = self._max_job_bytes()
         if max_bytes is not None and spec.memory_bytes > max_bytes:
             await self._refuse_unless_stored(spec, row, timeout_s)
--- a/flamingoweir/queues/_store_monitor.py
+++ b/flamingoweir/queues/_store_monitor.py
@@ -94,7 +94,9 @@
         self._probe_interval_s = MIN_PROBE_INTERVAL_S
         self._wakeup = Wakeup()
 
-    def check_available(self, policy: QueuePolicy | None) -> None:
+    def check_available(
+        self, policy: QueuePolicy | None, is_repeat: bool = False
+    ) -> None:
         """Refuse a submitter's call before anything of it is sent.
 
         Parameters
@@ -102,6 +104,9 @@
         policy : QueuePolicy or None
             Policy of the queue that is addressed. Calls for queues without an objective
             are always sent.
+        is_repeat : bool, optional
+            Whether an earlier call may have stored the job. Such a call is sent, as
+            "not run" may be wrong.
 
         Raises
         ------
@@ -113,13 +118,15 @@
         self._wakeup.set()
         if not self._availability.unavailable:
             return
-        self._metrics.incr("store_unavailable_refused")
         now_s = self._clock.now()
         log.info(
-            "call_not_sent",
+            "repeat_sent" if is_repeat else "call_not_sent",
             unavailable_s=round(now_s - self._unavailable_since_s, 3),
             response_age_s=self._response_age_s(now_s),
         )
+        if is_repeat:
+            return
+        self._metrics.incr("store_unavailable_refused")
         raise FlamingoweirError(
             ErrorCode.STORE_UNAVAILABLE,
             "the store does not respond to this instance; nothing was sent to it, try "
--- a/tests/test_store_availability.py
+++ b/tests/test_store_availability.py
@@ -7,7 +7,11 @@
 import anyio
 import pytest
 
-from flamingoweir.errors import FlamingoweirError
+from flamingoweir.errors import (
+    FlamingoweirError,
+    outcome_unknown_error,
+    store_unavailable_error,
+)
 from flamingoweir.jobs import JobState
 from flamingoweir.ownership import job_row
 from flamingoweir.policy import StoreAvailability
@@ -16,6 +20,8 @@
     MIN_SILENT_S,
     RESPONSE_LIMIT_S,
 )
+from flamingoweir.queues import _unknown_outcomes
+from flamingoweir.queues._unknown_outcomes import UnknownOutcomes
 from flamingoweir.storage import StoreOutcomeUnknown, StoreRefused
 from tests.utils.cluster import make_job, run_cluster
 from tests.utils.ingress import get_state
@@ -68,6 +74,24 @@
         return sum(call[0] >= since_s and call[1] == status for call in self.calls)
 
 
+def lose_responses(link) -> None:
+    """Let an instance's writes take effect without a response, and its reads fail."""
+
+    async def apply_without_response(transaction) -> int:
+        await anyio.sleep(link.delay_s)
+        link._apply_ignoring_conflict(transaction)
+        await anyio.sleep(link.timeout_s)
+        raise StoreOutcomeUnknown("response lost")
+
+    link.silent = True
+    link.transact = apply_without_response
+
+
+def restore_responses(link) -> None:
+    link.silent = link.down = False
+    vars(link).pop("transact", None)
+
+
 def break_calls(link, generator, fault: str) -> None:
     """Let the store answer an instance slowly, or fail a part of its calls."""
     simulate_call = link._simulate_call
@@ -85,6 +109,18 @@
     link._simulate_call = simulate_faulty_call
 
 
+async def call_repeatedly(member, job, calls: int) -> list[int]:
+    """Submit a job several times; return the statuses."""
+    statuses = []
+    for _ in range(calls):
+        try:
+            await member.instance.handler.submit(job, TIMEOUT_S)
+            statuses.append(200)
+        except FlamingoweirError as error:
+            statuses.append(error.http_status)
+    return statuses
+
+
 async def run_outage(fault: str, objective_s: float) -> Load:
     """Run an outage of 6 s and the second after it; return the calls from its start."""
     async with run_cluster(members=MEMBERS, runners=0) as cluster:
@@ -96,14 +132,17 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(load.run, 7.0)
             for member in members:
-                setattr(member.store, fault, True)
+                if fault == "silent":
+                    lose_responses(member.store)
+                else:
+                    member.store.down = True
             await anyio.sleep(6.0)
             for member in members:
-                setattr(member.store, fault, False)
+                restore_responses(member.store)
             back_s = anyio.current_time()
         for _, status, job, error in load.calls:
-            if status == 503:
-                assert job_row("s0", job.id) not in cluster.rows.row_by_id
+            stored = job_row("s0", job.id) in cluster.rows.row_by_id
+            assert stored is (status == 200 or (fault, status) == ("silent", 504))
             if status == 503 and "nothing was sent" in error.message:
                 assert 1 <= error.retry_after_s <= 3
         print(
@@ -182,6 +221,46 @@
     run_virtual(scenario)
 
 
+def test_repeated_call_whose_first_may_be_stored_never_counts_as_not_run():
+    """Guards against "not run" for a job that an earlier call has stored."""
+
+    async def scenario():
+        async with run_cluster(members=2, runners=0) as cluster:
+            owner = await cluster.owner()
+            member = next(m for m in cluster.member_by_name.values() if m != owner)
+            policy = replace(make_job(0).policy, objective_s=1.0)
+            lose_responses(member.store)
+            job = make_job(1, policy=policy)
+            assert await call_repeatedly(member, job, 3) == [504, 504, 504]
+            assert job_row("s0", job.id) in cluster.rows.row_by_id
+            refused = make_job(2, policy=policy)
+            assert await call_repeatedly(member, refused, 1) == [503]
+            member.store.down = True
+            assert await call_repeatedly(member, job, 1) == [504]
+            assert await call_repeatedly(member, refused, 1) == [503]
+            restore_responses(member.store)
+            assert await call_repeatedly(member, job, 1) == [200]
+            assert await call_repeatedly(member, refused, 1) == [200]
+
+    run_virtual(scenario)
+
+
+def test_ids_of_unknown_outcome_are_bounded(monkeypatch):
+    """Guards against memory that grows with each call of a long outage."""
+    monkeypatch.setattr(_unknown_outcomes, "MAX_REMEMBERED", 2)
+    outcomes = UnknownOutcomes()
+    for job_id in ("a", "b", "a", "c"):
+        with pytest.raises(FlamingoweirError), outcomes.track(job_id):
+            raise outcome_unknown_error()
+    assert [job_id in outcomes for job_id in "abc"] == [True, False, True]
+    with pytest.raises(FlamingoweirError), outcomes.track("d"):
+        raise store_unavailable_error()
+    with outcomes.track("a"):
+        pass
+    assert "a" not in outcomes
+    assert "d" not in outcomes
+
+
 def test_call_from_before_a_response_or_a_pause_is_no_evidence():
     """Guards against a slow call, or a paused process, that is taken for an outage."""
     availability = StoreAvailability()
