Tests for parts of the store monitor that no test needed

Cause: a review removed code that no test missed: responses with a version conflict, 429 or 410 counted as responses; the feed's calls; pause detection, also while a check read is pending; the refusal of DELETE and its queue's policy; containment of faults; the age rule of calls that were given up; the pause between probes.

Change: a test for each.

--- a/tests/test_store_availability.py
+++ b/tests/test_store_availability.py
@@ -1,7 +1,11 @@
 """Submitters' calls at instances whose store is unavailable, slow or unreliable."""
 
+import asyncio
 import random
+from contextlib import asynccontextmanager
 from dataclasses import replace
+from functools import partial
+from itertools import pairwise
 from types import SimpleNamespace
 
 import anyio
@@ -21,11 +25,20 @@
     RESPONSE_LIMIT_S,
 )
 from flamingoweir.queues import _unknown_outcomes
+from flamingoweir.queues._store_monitor import StoreMonitor
 from flamingoweir.queues._unknown_outcomes import UnknownOutcomes
-from flamingoweir.storage import StoreOutcomeUnknown, StoreRefused
+from flamingoweir.registry._follower import TableFollower
+from flamingoweir.storage import (
+    HistoryTruncated,
+    RowId,
+    RowPage,
+    RowVersionConflict,
+    StoreOutcomeUnknown,
+    StoreRefused,
+)
 from tests.utils.cluster import make_job, run_cluster
-from tests.utils.ingress import get_state
-from tests.utils.virtual_time import run_virtual
+from tests.utils.ingress import delete_job, get_state
+from tests.utils.virtual_time import VirtualClock, run_virtual
 
 MEMBERS = 10
 CALLS_PER_S = 30
@@ -317,3 +330,185 @@
     assert availability.review(0.9)
     availability.review(MIN_SILENT_S)
     assert availability.unavailable
+
+
+class ProbedStore:
+    """A store whose reads have a given outcome: an error, or None for no response."""
+
+    def __init__(self):
+        self.outcome = None
+        self.read_times_s = []
+
+    async def read(self, *args) -> None:
+        self.read_times_s.append(anyio.current_time())
+        if self.outcome is None:
+            await anyio.sleep_forever()
+        raise self.outcome
+
+
+@asynccontextmanager
+async def run_monitor(calls: int = MIN_FAILED_CALLS):
+    """Run the monitor of an instance with pending calls to a silent store."""
+    store, events = ProbedStore(), []
+    monitor = StoreMonitor(
+        store,
+        RowId("t", "", "k"),
+        VirtualClock(),
+        random.Random(5),
+        SimpleNamespace(incr=events.append),
+    )
+    policy = replace(make_job(0).policy, objective_s=1.0)
+    monitor.check_available(policy)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(monitor.run)
+        for _ in range(calls):
+            tasks.start_soon(monitor.call, anyio.sleep_forever)
+        yield monitor, store, events
+        tasks.cancel_scope.cancel()
+
+
+async def raise_error(error: Exception) -> None:
+    raise error
+
+
+@pytest.mark.parametrize(
+    ("error", "available"),
+    [
+        (RowVersionConflict([]), True),
+        (StoreRefused("429", True), True),
+        (StoreRefused("503"), False),
+        (StoreOutcomeUnknown("connection lost"), False),
+    ],
+)
+def test_any_response_makes_the_store_available(error, available):
+    """Guards against refusals while the store responds, if only by an error."""
+
+    async def scenario():
+        async with run_monitor() as (monitor, _, events):
+            await anyio.sleep(0.6)
+            assert monitor._availability.unavailable
+            with pytest.raises(type(error)):
+                await monitor.call(partial(raise_error, error))
+            assert monitor._availability.unavailable is not available
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize(
+    ("error", "available"),
+    [
+        (None, True),
+        (HistoryTruncated("410"), True),
+        (StoreRefused("429", True), True),
+        (StoreRefused("503"), False),
+        (StoreOutcomeUnknown("connection lost"), False),
+    ],
+)
+def test_calls_of_the_feed_count(error, available):
+    """Guards against an instance that ignores what its feed sees of the store."""
+
+    class FeedStore:
+        async def read(self, *args) -> RowPage:
+            await anyio.sleep_forever()
+
+        async def follow(self, *args) -> RowPage:
+            await anyio.sleep(0.1)
+            if error is not None:
+                raise error
+            return RowPage([], False, 1, None)
+
+    async def scenario():
+        calls = []
+        follower = TableFollower(
+            FeedStore(),
+            "op",
+            ("",),
+            0.9,
+            lambda rows, whole: None,
+            VirtualClock(),
+            record_call=lambda sent_s, answered: calls.append(answered),
+        )
+        follower.resume_from(1, 0.0)
+        with anyio.move_on_after(0.15):
+            await follower.run()
+        assert calls[:1] == [available]
+        async with run_monitor() as (monitor, _, events):
+            await anyio.sleep(0.6)
+            monitor.record_feed_call(anyio.current_time() - 0.1, available)
+            assert monitor._availability.unavailable is not available
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("delay_s", [0.3, 0.8])
+def test_pause_of_the_process_is_no_outage(delay_s):
+    """Guards against responses that a paused process has not read yet.
+
+    The second pause comes while a check read is pending.
+    """
+
+    async def scenario():
+        async with run_monitor(calls=1) as (monitor, store, events):
+            await anyio.sleep(delay_s)
+            assert bool(store.read_times_s) is (delay_s > 0.75)
+            for _ in range(MIN_FAILED_CALLS):
+                monitor._availability.begin_call(anyio.current_time())
+            asyncio.get_running_loop().virtual_s += 1.5
+            await anyio.sleep(0.1)
+            assert "store_unavailable" not in events
+            await anyio.sleep(0.6)
+            assert "store_unavailable" in events
+
+    run_virtual(scenario)
+
+
+def test_probes_of_an_unavailable_store_grow_rarer():
+    """Guards against probes that keep a loaded store overloaded."""
+
+    async def scenario():
+        async with run_monitor() as (_, store, _):
+            await anyio.sleep(12.0)
+            times_s = store.read_times_s
+            pauses_s = [after - before for before, after in pairwise(times_s)]
+            assert pauses_s[0] < 0.45
+            assert all(0.75 <= pause_s <= 1.3 for pause_s in pauses_s[5:])
+            assert 10 <= len(times_s) <= 18
+
+    run_virtual(scenario)
+
+
+def test_fault_in_the_review_or_a_probe_does_not_end_the_monitor(monkeypatch):
+    """Guards against an instance that refuses calls for good after one fault."""
+
+    async def scenario():
+        async with run_monitor() as (monitor, store, events):
+            review = StoreAvailability.review
+            monkeypatch.setattr(StoreAvailability, "review", lambda *_: 1 / 0)
+            await anyio.sleep(0.6)
+            assert "store_review_failed" in events
+            monkeypatch.setattr(StoreAvailability, "review", review)
+            store.outcome = ValueError("fault")
+            await anyio.sleep(2.0)
+            assert "store_unavailable" in events
+            assert "store_read_failed" in events
+            store.outcome = RowVersionConflict([])
+            await anyio.sleep(1.3)
+            assert not monitor._availability.unavailable
+
+    run_virtual(scenario)
+
+
+def test_cancellation_is_refused_for_queues_with_an_objective_only():
+    """Guards against DELETE calls whose outcome is unknown, and refusals elsewhere."""
+
+    async def scenario():
+        async with run_cluster(members=1, runners=0) as cluster:
+            member = await cluster.owner()
+            handler = member.instance.handler
+            handler.store_monitor._availability.unavailable = True
+            handler.store_monitor._unavailable_since_s = anyio.current_time()
+            assert await delete_job(cluster, member, f"{1:016x}") == 503
+            policy = replace(make_job(0).policy, objective_s=0.0)
+            assert not await handler.cancel(f"{1:016x}", 1.0, policy)
+
+    run_virtual(scenario)
--- a/tests/utils/ingress.py
+++ b/tests/utils/ingress.py
@@ -45,6 +45,17 @@
     cluster: Cluster, member: Member, job_id: str, deadline: bytes = b"3000"
 ) -> tuple[int, dict]:
     """Ask for the state of a job; return the HTTP status and the body."""
+    return await _call(cluster, member, "GET", job_id, deadline)
+
+
+async def delete_job(cluster: Cluster, member: Member, job_id: str) -> int:
+    """Cancel a job; return the HTTP status."""
+    return (await _call(cluster, member, "DELETE", job_id, b"3000"))[0]
+
+
+async def _call(
+    cluster: Cluster, member: Member, method: str, job_id: str, deadline: bytes
+) -> tuple[int, dict]:
     app = IngressApp(member.instance.handler, cluster.wall_ms)
     statuses, parts = [], []
 
@@ -55,7 +66,7 @@
 
     scope = {
         "type": "http",
-        "method": "GET",
+        "method": method,
         "path": PREFIX + job_id,
         "headers": [(b"host", HOST.encode()), (b"x-deadline-ms", deadline)],
     }
