--- a/tests/test_store_availability.py
+++ b/tests/test_store_availability.py
@@ -462,6 +462,21 @@
     run_virtual(scenario)
 
 
+@pytest.mark.parametrize(("silent_s", "refusing_s"), [(0.7, 0.55), (12.0, 1.25)])
+def test_refusals_end_soon_after_the_return(silent_s, refusing_s):
+    """Guards against probes that are too rare, above all after a short outage."""
+
+    async def scenario():
+        async with run_monitor() as (monitor, store, _):
+            await anyio.sleep(silent_s)
+            assert monitor._availability.unavailable
+            store.outcome = RowVersionConflict([])
+            await anyio.sleep(refusing_s)
+            assert not monitor._availability.unavailable
+
+    run_virtual(scenario)
+
+
 def test_probes_of_an_unavailable_store_grow_rarer():
     """Guards against probes that keep a loaded store overloaded."""
 
