--- a/tests/test_store_availability.py
+++ b/tests/test_store_availability.py
@@ -337,12 +337,14 @@
 
     def __init__(self):
         self.outcome = None
+        self.delay_s = 0.0
         self.read_times_s = []
 
     async def read(self, *args) -> None:
         self.read_times_s.append(anyio.current_time())
         if self.outcome is None:
             await anyio.sleep_forever()
+        await anyio.sleep(self.delay_s)
         raise self.outcome
 
 
@@ -462,14 +464,18 @@
     run_virtual(scenario)
 
 
-@pytest.mark.parametrize(("silent_s", "refusing_s"), [(0.7, 0.55), (12.0, 1.25)])
-def test_refusals_end_soon_after_the_return(silent_s, refusing_s):
-    """Guards against probes that are too rare, above all after a short outage."""
+@pytest.mark.parametrize(
+    ("silent_s", "delay_s", "refusing_s"),
+    [(0.7, 0.0, 0.55), (12.0, 0.0, 1.25), (0.7, 0.65, 1.25)],
+)
+def test_refusals_end_soon_after_the_return(silent_s, delay_s, refusing_s):
+    """Guards against probes that are too rare, or given up before a slow response."""
 
     async def scenario():
         async with run_monitor() as (monitor, store, _):
             await anyio.sleep(silent_s)
             assert monitor._availability.unavailable
+            store.delay_s = delay_s
             store.outcome = RowVersionConflict([])
             await anyio.sleep(refusing_s)
             assert not monitor._availability.unavailable
