--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -34,6 +34,7 @@
 from ._job_states import JobStates, may_access_row
 from ._store_calls import StoreCalls
 from ._store_monitor import StoreMonitor
+from ._unknown_outcomes import UnknownOutcomes
 
 log = get_logger()
 
@@ -110,6 +111,7 @@
         self._backlog = backlog
         self._clock = clock
         self._metrics = metrics
+        self._unknown_outcomes = UnknownOutcomes()
 
     @property
     def max_body_bytes(self) -> int:
@@ -167,13 +169,22 @@
             If the job is invalid or the store does not confirm it in time. The
             verdict is NOT_RUN only if the job is not stored and never will be.
         """
-        until_s = self._clock.now() + timeout_s
         self._validate(spec)
+        if spec.policy.objective_s <= 0:
+            await self._store(spec, timeout_s)
+            return
+        self.store_monitor.check_available(
+            spec.policy, is_repeat=spec.id in self._unknown_outcomes
+        )
+        with self._unknown_outcomes.track(spec.id):
+            await self._store(spec, timeout_s)
+
+    async def _store(self, spec: JobSpec, timeout_s: float) -> None:
+        """Store a valid job, or refuse it; see `submit`."""
+        until_s = self._clock.now() + timeout_s
         spec, limit = self._customer_gate.check(spec)
         value = _encode_exactly(spec)
-        self.store_monitor.check_available(spec.policy)
-        shard = shard_name(0)
-        row = job_row(shard, spec.id)
+        row = job_row(shard_name(0), spec.id)
         max_bytes = self._max_job_bytes()
         if max_bytes is not None and spec.memory_bytes > max_bytes:
             await self._refuse_unless_stored(spec, row, until_s, self._refuse_full)
