Count the runs of excluded jobs after a take-over

Cause: a new owner excluded a job that was set aside, or whose state or tasks it couldn't read, before it restored allocations. Runs of such a job, which earlier owners had started, were in no sum, so that the customer's other tasks started beside them.

Change: after the other jobs, the attempts in the task rows of excluded jobs are restored as allocations on their runners, and stopped. They count until a runner no longer lists them or the leases of earlier owners have lapsed.

--- a/flamingoweir/dispatch/_customer_usage.py
+++ b/flamingoweir/dispatch/_customer_usage.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..fleet import Allocation, Runner
-from ..jobs import Attempt, Outcome, StepRun, TaskId
+from ..jobs import Attempt, Outcome, StepRun, StepSpec, TaskId
 from ..resources import Resources
 from ._late_orders import MAX_LATENESS_S
 
@@ -43,8 +43,14 @@
 
     def allocate(self, runner: Runner, attempt: Attempt, step: StepRun) -> Allocation:
         """Allocate resources of a runner for an attempt, and count them."""
-        allocation = runner.add(attempt, step.spec, step.job.spec.customer)
-        self.add(allocation.customer, step.spec.demand)
+        return self.restore(runner, attempt, step.spec, step.job.spec.customer)
+
+    def restore(
+        self, runner: Runner, attempt: Attempt, spec: StepSpec, customer: str
+    ) -> Allocation:
+        """Allocate resources for an attempt whose job isn't loaded."""
+        allocation = runner.add(attempt, spec, customer)
+        self.add(customer, spec.demand)
         return allocation
 
     def release(self, runner: Runner, task: TaskId, run: int) -> Allocation | None:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -268,9 +268,7 @@
     def restore_allocations(self, job: Job) -> None:
         """Allocate resources for the attempts of a job read from the store."""
         for attempt in job.attempts():
-            runner = self.runner_by_id.get(attempt.runner)
-            if runner is None:
-                runner = self._add_unlisted(attempt.runner)
+            runner = self.find_or_add_runner(attempt.runner)
             step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
             attempt.pace_percent = UNKNOWN_PACE_PERCENT
             attempt.created_s = attempt.last_progress_s = self._clock.now()
@@ -619,10 +617,12 @@
         self.pending_starts.append(attempt)
         self._mark_changed(step.job)
 
-    def _add_unlisted(self, runner_id: str) -> Runner:
-        entry = RunnerEntry(runner_id, 0, "", "", "")
-        runner = self._new_runner(entry)
-        self.runner_by_id[runner_id] = runner
+    def find_or_add_runner(self, runner_id: str) -> Runner:
+        """Return a runner of a restored attempt; it need not be listed."""
+        runner = self.runner_by_id.get(runner_id)
+        if runner is None:
+            runner = self._new_runner(RunnerEntry(runner_id, 0, "", "", ""))
+            self.runner_by_id[runner_id] = runner
         return runner
 
     def _new_runner(self, entry: RunnerEntry) -> Runner:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -47,6 +47,7 @@
 from ._customer_limits import LimitFinder
 from ._customer_report import CustomerReporter
 from ._effect_store import EffectStore
+from ._excluded_attempts import restore_excluded_attempts
 from ._load_report import LoadReporter
 from ._loader import JobLoader
 from ._orders import OrderSender
@@ -320,6 +321,7 @@
             if block.failed:
                 self.owner_state.exclude_job(job.spec.id)
             await time_slice.give_way_if_over()
+        restore_excluded_attempts(self.owner_state, tasks, jobs.rows, self._clock.now())
         former = self._writer.former
         log.info(
             "shard_restored",
--- a/flamingoweir/jobs/__init__.py
+++ b/flamingoweir/jobs/__init__.py
@@ -13,6 +13,7 @@
 )
 from ._record import (
     StateRecord,
+    decode_attempts,
     decode_customer,
     decode_spec,
     decode_state,
@@ -43,6 +44,7 @@
     "Suspicion",
     "Task",
     "TaskId",
+    "decode_attempts",
     "decode_customer",
     "decode_spec",
     "decode_state",
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -5,7 +5,7 @@
 import orjson
 import pydantic
 
-from ._attempt import TaskId
+from ._attempt import Attempt, TaskId
 from ._job import TASKS_PER_ROW, Job, JobState, StepRun, Suspicion
 from ._spec import JobSpec, find_invalid_dependency
 from ._task_table import Task
@@ -236,6 +236,25 @@
     job.restore_step(step_run)
 
 
+def decode_attempts(
+    job_id: str, row: tuple[int, int, int], data: bytes
+) -> list[Attempt]:
+    """Return the attempts in a row of tasks, without restoring the tasks.
+
+    Raises
+    ------
+    ValueError
+        If the data is malformed.
+    """
+    occurrence, step, row_number = row
+    attempts = []
+    for offset, record in enumerate(_TASKS.validate_json(data, strict=True)):
+        task = TaskId(job_id, occurrence, step, row_number * TASKS_PER_ROW + offset)
+        for run_number, runner, incarnation in record[-1]:
+            attempts.append(Attempt(task, run_number, runner, incarnation))
+    return attempts
+
+
 def _restore_task(job: Job, step_run: StepRun, index: int, record: _TaskRecord) -> None:
     last_run, done, failures, checkpoint, attempts = record
     if done:
