End a pass after the first turn of steps that stop at their caps

Cause: a step that stopped at its customer's cap with open tasks counted as placed, and stayed among the steps that still awaited their first turn. Each time one of its tasks ended it was listed again, so that MAX_PASS_S no longer bounded the pass, and unplaced steps of other customers waited for its end.

Change: a step leaves that set when it has its turn.

Result: with 10 ms a turn, an arrival and an end in each, a pass ends within MAX_PASS_S and two collections; without the change it goes on past 1.5 s, where the test stops it. tests/test_planner.py and tests/test_caps.py pass.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -195,6 +195,7 @@
                 ):
                     return
             step = steps.pop()
+            in_first_list.discard(step)
             try:
                 was_placed = await self._place_or_make_room(step, unplaced)
                 if not was_placed:
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -1,5 +1,6 @@
 """Caps: what they let start, what a pass does with steps that they hold back."""
 
+import asyncio
 import dataclasses
 import io
 from types import SimpleNamespace
@@ -12,7 +13,13 @@
 from flamingoweir.dispatch._committer import Committer
 from flamingoweir.dispatch._customer_caps import may_send_start
 from flamingoweir.dispatch._owner_state import OwnerState
-from flamingoweir.dispatch._planner import MAX_UNPLACED_STEPS, RESERVE_AFTER_S, Planner
+from flamingoweir.dispatch._planner import (
+    COLLECT_INTERVAL_S,
+    MAX_PASS_S,
+    MAX_UNPLACED_STEPS,
+    RESERVE_AFTER_S,
+    Planner,
+)
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
 from flamingoweir.jobs import JobSpec, JobState, Outcome, QueuePolicy, StepSpec
 from flamingoweir.metrics import NoMetrics
@@ -378,3 +385,45 @@
             assert seen[0] - changed_s < 0.05
 
     run_virtual(scenario)
+
+
+class PassTooLong(Exception):
+    """Ends a pass that would go on for as long as jobs arrive."""
+
+
+def test_step_that_stops_at_its_cap_lets_a_long_pass_end(monkeypatch):
+    """Guards against a pass that never ends while jobs arrive and tasks end.
+
+    The step of a customer at its cap keeps open tasks after its turn. It must not count
+    as one that still awaits its first turn: other steps that found no room are not
+    tried again before the next pass.
+    """
+
+    async def scenario():
+        owner = Owner()
+        clock = owner.context.clock
+        owner.add(1, StepSpec(2000, ONE))
+        for number in range(30):
+            owner.add(number + 2, StepSpec(1, ONE), customer="")
+        place = Planner._place_or_make_room
+        started_s = clock.now()
+
+        async def place_slowly(planner, step, unplaced):
+            asyncio.get_running_loop().virtual_s += 0.01
+            if clock.now() - started_s > 3 * MAX_PASS_S:
+                raise PassTooLong
+            was_placed = await place(planner, step, unplaced)
+            owner.end_one()
+            owner.add(round(1000 * clock.now()), StepSpec(1, ONE), customer="")
+            return was_placed
+
+        monkeypatch.setattr(Planner, "_place_or_make_room", place_slowly)
+        monkeypatch.setattr(owner.planner._pauses, "add", raise_error)
+        await owner.planner.plan()
+        assert clock.now() - started_s < MAX_PASS_S + 2 * COLLECT_INTERVAL_S
+
+    run_virtual(scenario)
+
+
+def raise_error(job_id, error, now_s) -> None:
+    raise error
