Withdraw starts only for a lowered cap, and count all late orders

Cause: any new configuration had the starts checked again that were placed before it, also those whose orders were sent already, and the sum contained attempts placed later. Runs were stopped whose orders may have been carried out, and more than a lowered cap requires. An order without a response counted after a lapse only, and not after a discard or a reported stop, though the next incarnation of the runner may carry it out in these cases too.

Change: `CapChanges` records when the cap of a customer was lowered or newly set. Only an attempt placed before that and not sent yet is checked again; attempts placed after it and not sent yet don't count. A gang is withdrawn as a whole, or not at all once an order of a member was sent. `keep_late` counts the attempts that `LateOrders` records.

Two tests stated the former behaviour. Of a gang of 6 over a cap of 2 members the last 2 were sent; none is now. An attempt without a response that ended otherwise than by a lapse was expected not to count; now it is expected to.

--- a/flamingoweir/dispatch/_customer_caps.py
+++ b/flamingoweir/dispatch/_customer_caps.py
@@ -2,12 +2,11 @@
 
 from dataclasses import dataclass
 
-from ..fleet import Allocation
 from ..jobs import StepRun
 from ..logs import get_logger
-from ..policy import allows_gang, allows_task, is_within
-from ..registry import Configuration
+from ..policy import allows_gang, allows_task
 from ..resources import Resources
+from ._cap_withdrawals import find_cap
 from ._context import TermContext
 
 log = get_logger()
@@ -125,31 +124,5 @@
         )
 
 
-def may_send_start(context: TermContext, allocation: Allocation) -> bool:
-    """Return whether the cap still allows the start of an attempt that was placed.
-
-    An attempt may be placed under a higher cap and become durable late, as while the
-    store is unavailable. The sum of the customer includes the attempt itself.
-    """
-    usage = context.owner_state.customer_usage
-    if allocation.attempt.created_s > usage.caps_changed_s:
-        return True
-    cap = find_cap(context.operators.configuration, allocation.customer)
-    if cap is None:
-        return True
-    used, spec = usage.used_by(allocation.customer), allocation.spec
-    if spec.gang:
-        return is_within(cap, used)
-    return allows_task(cap, used - spec.demand, spec.demand)
-
-
-def find_cap(configuration: Configuration | None, customer: str) -> Resources | None:
-    """Return the cap of a customer; None: it has no cap, or is not configured."""
-    if not customer or configuration is None:
-        return None
-    found = configuration.customer_by_name.get(customer)
-    return None if found is None or found.cap == NO_CAP else found.cap
-
-
 def _name(step: StepRun) -> str:
     return f"{step.job.spec.id}.{step.occurrence}.{step.step}"
--- a/flamingoweir/dispatch/_customer_usage.py
+++ b/flamingoweir/dispatch/_customer_usage.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass
 
 from ..fleet import Allocation, Runner
-from ..jobs import Attempt, Outcome, StepRun, StepSpec, TaskId
+from ..jobs import Attempt, StepRun, StepSpec, TaskId
 from ..resources import Resources
+from ._cap_changes import CapChanges
 from ._late_orders import MAX_LATENESS_S
 
 _NOTHING = Resources()
@@ -29,26 +30,33 @@
 
     Attributes
     ----------
-    caps_changed_s : float
-        When the latest configuration came into force, on the owner's clock, in seconds;
-        minus infinity: before the term.
+    cap_changes : CapChanges
+        When the caps of customers were lowered.
     """
 
     def __init__(self) -> None:
-        self.caps_changed_s = float("-inf")
+        self.cap_changes = CapChanges()
         self._usage_by_customer: dict[str, _Usage] = {}
+        #: Allocations of this term whose start orders were not sent yet, in the order
+        #: of placement.
+        self._unsent_by_customer: dict[str, dict[tuple[TaskId, int], Allocation]] = {}
         #: Allocations that ended before their orders can't be carried out any more, and
         #: when that is, on the owner's clock, in seconds.
         self._late: deque[tuple[float, Allocation]] = deque()
 
     def allocate(self, runner: Runner, attempt: Attempt, step: StepRun) -> Allocation:
         """Allocate resources of a runner for an attempt, and count them."""
-        return self.restore(runner, attempt, step.spec, step.job.spec.customer)
+        customer = step.job.spec.customer
+        allocation = self.restore(runner, attempt, step.spec, customer)
+        if customer:
+            unsent = self._unsent_by_customer.setdefault(customer, {})
+            unsent[attempt.task, attempt.run] = allocation
+        return allocation
 
     def restore(
         self, runner: Runner, attempt: Attempt, spec: StepSpec, customer: str
     ) -> Allocation:
-        """Allocate resources for an attempt whose job isn't loaded."""
+        """Allocate resources for an attempt of an earlier owner, and count them."""
         allocation = runner.add(attempt, spec, customer)
         self.add(customer, spec.demand)
         return allocation
@@ -58,17 +66,41 @@
         allocation = runner.remove(task, run)
         if allocation is not None:
             self.remove(allocation.customer, allocation.spec.demand)
+            self._remove_unsent(allocation)
         return allocation
 
-    def keep_late(self, allocation: Allocation, outcome: Outcome, now_s: float) -> None:
-        """Go on counting an attempt that ended, if its order may be carried out.
+    def record_sent(self, allocation: Allocation) -> None:
+        """Record that the start order of an allocation is being sent."""
+        allocation.start_sent = True
+        self._remove_unsent(allocation)
+
+    def used_before(self, allocation: Allocation) -> Resources:
+        """Return what the customer of an allocation uses without those placed after it.
 
-        An order without a response may reach the next incarnation of a runner that was
-        lost, though the lease has lapsed. A run whose end the runner has reported can't
-        start there again.
+        Allocations whose start orders were sent count in any case.
         """
-        if outcome is not Outcome.LAPSED or not allocation.start_unanswered:
+        used = self.used_by(allocation.customer)
+        unsent = self._unsent_by_customer.get(allocation.customer, {})
+        for later in reversed(unsent.values()):
+            if later is allocation:
+                break
+            used = used - later.spec.demand
+        return used
+
+    def _remove_unsent(self, allocation: Allocation) -> None:
+        unsent = self._unsent_by_customer.get(allocation.customer)
+        if unsent is None:
             return
+        unsent.pop((allocation.attempt.task, allocation.attempt.run), None)
+        if not unsent:
+            del self._unsent_by_customer[allocation.customer]
+
+    def keep_late(self, allocation: Allocation, now_s: float) -> None:
+        """Go on counting an attempt that ended, as its order may be carried out.
+
+        An order without a response may reach the next incarnation of a runner, which
+        knows nothing of an end or a stop on the former one; see `LateOrders`.
+        """
         if not allocation.customer:
             return
         self.add(allocation.customer, allocation.spec.demand)
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -7,8 +7,8 @@
 from ..fleet import START_WINDOW_S, Allocation, Runner
 from ..jobs import Attempt, AttemptState, TaskId
 from ..logs import get_logger
+from ._cap_withdrawals import may_send_start
 from ._context import Permit, TermContext, TermEnd
-from ._customer_caps import may_send_start
 from ._owner_state import UNKNOWN_PACE_PERCENT
 from ._protocols import (
     Fenced,
@@ -149,7 +149,7 @@
             if not may_send_start(self._context, allocation):
                 self._discard_or_stop(attempt, allocation, "cap_lowered")
                 return
-            allocation.start_sent = True
+            self._owner_state.customer_usage.record_sent(allocation)
             result, _ = await link.start(order)
             self._context.metrics.incr(f"starts_{result.value}")
             if result is StartResult.UNKNOWN:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -272,7 +272,9 @@
             step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
             attempt.pace_percent = UNKNOWN_PACE_PERCENT
             attempt.created_s = attempt.last_progress_s = self._clock.now()
-            allocation = self.customer_usage.allocate(runner, attempt, step)
+            allocation = self.customer_usage.restore(
+                runner, attempt, step.spec, job.spec.customer
+            )
             # A poll with the new fencing token lists what earlier owners started.
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
@@ -425,7 +427,6 @@
         allocation = self.customer_usage.release(runner, task, run)
         if allocation is not None:
             self._record_late_order(runner, allocation)
-            self.customer_usage.keep_late(allocation, outcome, self._clock.now())
         job = self.job_by_id.get(task.job)
         if job is None:
             return
@@ -640,10 +641,9 @@
 
     def _record_late_order(self, runner: Runner, allocation: Allocation) -> None:
         if allocation.start_unanswered:
-            attempt = allocation.attempt
-            self.late_orders.record(
-                runner.id, attempt.task, attempt.run, self._clock.now()
-            )
+            attempt, now_s = allocation.attempt, self._clock.now()
+            self.late_orders.record(runner.id, attempt.task, attempt.run, now_s)
+            self.customer_usage.keep_late(allocation, now_s)
 
     def _stop_surplus(self, job: Job) -> None:
         for attempt in job.find_surplus_attempts():
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -191,6 +191,7 @@
         """
         reason = ""
         unsubscribe = self._context.operators.subscribe(self._record_configuration)
+        self._record_configuration()
         try:
             async with anyio.create_task_group() as task_group:
                 self._task_group = task_group
@@ -261,7 +262,9 @@
 
     def _record_configuration(self) -> None:
         """Record that caps may have changed, and plan by the new ones at once."""
-        self.owner_state.customer_usage.caps_changed_s = self._clock.now()
+        self.owner_state.customer_usage.cap_changes.record(
+            self._context.operators.configuration, self._clock.now()
+        )
         self.owner_state.placement_wakeup.set()
 
     async def _restore_while_renewing(self, committer: Committer) -> None:
