Hold steps while no caps are known, and keep the wait for a cap apart

Cause: an owner that knew no configuration yet started tasks of customers without any cap. A wait for the cap counted as a wait for room, so that a runner was reserved as soon as the cap was raised. The log did not tell a gang that only a higher cap can start.

Change: without a configuration, steps with a customer are held. `ready_since_s` is set anew while a step is held; `first_ready_s` keeps the first time, which `waited_ms` of `attempt_placed` and the wait for a data rack go by. `find_cap` is in `_cap_changes.py`.

--- a/flamingoweir/dispatch/_cap_changes.py
+++ b/flamingoweir/dispatch/_cap_changes.py
@@ -1,9 +1,17 @@
-"""When the caps of customers were lowered."""
+"""The caps of customers, and when they were lowered."""
 
 from ..registry import Configuration
 from ..resources import Resources
 
 
+def find_cap(configuration: Configuration | None, customer: str) -> Resources | None:
+    """Return the cap of a customer; None: it has no cap, or is not configured."""
+    if not customer or configuration is None:
+        return None
+    found = configuration.customer_by_name.get(customer)
+    return None if found is None or found.cap == Resources() else found.cap
+
+
 class CapChanges:
     """Compares the caps of each configuration with those of the one before.
 
--- a/flamingoweir/dispatch/_cap_withdrawals.py
+++ b/flamingoweir/dispatch/_cap_withdrawals.py
@@ -2,8 +2,7 @@
 
 from ..fleet import Allocation
 from ..policy import allows_task, gang_demand, is_within
-from ..registry import Configuration
-from ..resources import Resources
+from ._cap_changes import find_cap
 from ._context import TermContext
 from ._owner_state import OwnerState
 
@@ -38,14 +37,6 @@
     return is_within(cap, used_before + gang_demand(spec))
 
 
-def find_cap(configuration: Configuration | None, customer: str) -> Resources | None:
-    """Return the cap of a customer; None: it has no cap, or is not configured."""
-    if not customer or configuration is None:
-        return None
-    found = configuration.customer_by_name.get(customer)
-    return None if found is None or found.cap == Resources() else found.cap
-
-
 def _find_members(owner_state: OwnerState, allocation: Allocation) -> list[Allocation]:
     """Return the allocations of a run of a gang, in the order of placement."""
     task = allocation.attempt.task
--- a/flamingoweir/dispatch/_customer_caps.py
+++ b/flamingoweir/dispatch/_customer_caps.py
@@ -4,9 +4,9 @@
 
 from ..jobs import StepRun
 from ..logs import get_logger
-from ..policy import allows_gang, allows_task
+from ..policy import allows_gang, allows_task, find_oversized_gang
 from ..resources import Resources
-from ._cap_withdrawals import find_cap
+from ._cap_changes import find_cap
 from ._context import TermContext
 
 log = get_logger()
@@ -48,7 +48,12 @@
         customer = step.job.spec.customer
         if not customer:
             return False
-        cap = find_cap(self._context.operators.configuration, customer)
+        configuration = self._context.operators.configuration
+        if configuration is None:
+            # The caps are not known yet.
+            self._hold(step, None, self._usage.used_by(customer))
+            return True
+        cap = find_cap(configuration, customer)
         if cap is None:
             return False
         used, spec = self._usage.used_by(customer), step.spec
@@ -85,16 +90,19 @@
             if is_gone or not step.open_indexes:
                 self._end(step)
 
-    def _hold(self, step: StepRun, cap: Resources, used: Resources) -> None:
+    def _hold(self, step: StepRun, cap: Resources | None, used: Resources) -> None:
+        now_s = self._context.clock.now()
         # The cap keeps the step waiting, so that it hasn't lacked resources meanwhile.
         step.unplaced_since_s = None
-        now_s = self._context.clock.now()
+        step.cap_waited_s += now_s - step.ready_since_s
+        step.ready_since_s = now_s
         wait = self._wait_by_step.get(step)
         if wait is not None:
             wait.held_s = now_s
             return
         self._wait_by_step[step] = _Wait(now_s, now_s)
         synced_s = self._context.operator_follower.last_synced_s
+        configuration = self._context.operators.configuration
         log.info(
             "cap_wait_began",
             step=_name(step),
@@ -103,9 +111,12 @@
             gang=step.spec.count if step.spec.gang else 0,
             open_tasks=len(step.open_indexes),
             used=used.as_text(),
-            cap=cap.as_text(),
-            configuration=self._context.operators.configuration.version,
-            configuration_age_ms=round(1000 * (now_s - synced_s)),
+            cap="unknown" if cap is None else cap.as_text(),
+            outcome=_find_outcome(step, cap),
+            configuration=configuration.version if configuration else None,
+            configuration_age_ms=round(1000 * (now_s - synced_s))
+            if configuration
+            else None,
         )
 
     def _end(self, step: StepRun) -> None:
@@ -124,5 +135,14 @@
         )
 
 
+def _find_outcome(step: StepRun, cap: Resources | None) -> str:
+    """Return what a step waits for, as a word for the log."""
+    if cap is None:
+        return "awaits_configuration"
+    if find_oversized_gang(cap, [step.spec]) is not None:
+        return "awaits_higher_cap"
+    return "awaits_ends"
+
+
 def _name(step: StepRun) -> str:
     return f"{step.job.spec.id}.{step.occurrence}.{step.step}"
--- a/flamingoweir/dispatch/_customer_limits.py
+++ b/flamingoweir/dispatch/_customer_limits.py
@@ -7,8 +7,8 @@
 from ..jobs import Job, StepRun
 from ..logs import get_logger
 from ..policy import RateMeter, allows_task, choose_published, find_limit
+from ._cap_changes import find_cap
 from ._context import Permit, TermContext
-from ._customer_caps import find_cap
 
 log = get_logger()
 
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -438,7 +438,7 @@
             task=str(attempt.task),
             run=attempt.run,
             runner=runner.id,
-            waited_ms=round(1000 * (self._now_s - step.ready_since_s)),
+            waited_ms=round(1000 * (self._now_s - step.first_ready_s)),
             free_milli=runner.free_resources.processors_milli,
             configuration=self._context.operators.configuration.version,
         )
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -82,7 +82,10 @@
     open_indexes : IndexSet
         Indexes of tasks that are not done and have no attempt.
     ready_since_s : float or None
-        When the planner first found the step ready, on the owner's clock, in seconds.
+        When the planner first found the step ready, or its customer's cap last kept it
+        waiting, on the owner's clock, in seconds.
+    cap_waited_s : float
+        Seconds from when the step was first found ready to ``ready_since_s``.
     failed_runs : set of int
         Run numbers that were counted as failed. A run of a gang counts once, however
         many members fail.
@@ -95,6 +98,7 @@
     """
 
     __slots__ = (
+        "cap_waited_s",
         "counts_as_done",
         "failed_runs",
         "job",
@@ -116,11 +120,19 @@
         self.tasks = TaskTable(self.spec.count)
         self.open_indexes = IndexSet([(0, self.spec.count)])
         self.ready_since_s: float | None = None
+        self.cap_waited_s = 0.0
         self.failed_runs: set[int] = set()
         self.retry_at_s = 0.0
         self.unplaced_since_s: float | None = None
         self.counts_as_done = False
 
+    @property
+    def first_ready_s(self) -> float | None:
+        """When the planner first found the step ready, before any wait for a cap."""
+        if self.ready_since_s is None:
+            return None
+        return self.ready_since_s - self.cap_waited_s
+
     @property
     def done(self) -> bool:
         """Whether every task is done."""
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -285,7 +285,7 @@
             self._on_data_rack = any(
                 rack in runner.entry.labels for runner in self._candidates
             )
-        since_s = self._step.ready_since_s
+        since_s = self._step.first_ready_s
         if not self._on_data_rack or since_s is None:
             return False
         return self._now_s - since_s < DATA_RACK_WAIT_S
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -232,6 +232,64 @@
     run_owner(scenario)
 
 
+def test_runner_is_reserved_only_after_a_wait_for_room(log_lines):
+    """Guards against a runner kept free at once after the wait for a cap.
+
+    The time that the log gives for a start includes that wait.
+    """
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(10, ONE))
+        await owner.planner.plan()
+        step = owner.add(2, StepSpec(1, Resources(12_000, 0, 0)))
+        first_s = owner.clock.now()
+        while owner.clock.now() < first_s + 4 * RESERVE_AFTER_S:
+            await owner.planner.plan()
+            await anyio.sleep(0.1)
+        await owner.planner.plan()
+        owner.configure(None)
+        await owner.planner.plan()
+        assert not owner.planner._runner_by_step
+        await anyio.sleep(RESERVE_AFTER_S)
+        await owner.planner.plan()
+        assert owner.planner._runner_by_step == {step: owner.runner}
+        assert step.first_ready_s == pytest.approx(first_s)
+
+    run_owner(scenario, processors=20)
+
+
+def test_step_of_a_customer_waits_until_a_configuration_is_known(log_lines):
+    """Guards against an owner that knows no caps yet and starts tasks without any."""
+
+    async def scenario(owner):
+        owner.operators.configuration = None
+        step = owner.add(1, StepSpec(1, ONE))
+        owner.context.operator_follower.last_synced_s = float("-inf")
+        await owner.planner.plan()
+        assert step.open_indexes
+        owner.configure(CAP)
+        await owner.planner.plan()
+        assert not step.open_indexes
+        assert "cap=unknown outcome=awaits_configuration" in log_lines()[0]
+
+    run_owner(scenario)
+
+
+def test_log_tells_a_gang_that_only_a_higher_cap_can_start(log_lines):
+    """Guards against a gang that waits forever and looks like any other wait."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(4, ONE, gang=True))
+        owner.add(2, StepSpec(3, ONE, gang=True))
+        owner.state.customer_usage.add("kaje80", ONE)
+        owner.configure(Resources(3000, 0, 0))
+        await owner.planner.plan()
+        outcomes = [line.split("outcome=")[1].split()[0] for line in log_lines()]
+        assert outcomes == ["awaits_higher_cap", "awaits_ends"]
+
+    run_owner(scenario)
+
+
 def test_steps_at_the_cap_do_not_end_the_pass_before_other_customers(monkeypatch):
     """Guards against a customer at its cap that keeps others from being tried.
 
