Leave room under a cap for a large step that smaller ones pass over

Cause: a task larger than the room that an ended task leaves, and a gang, waited for as long as their customer had smaller tasks, which took that room each time: 800 tasks of one processor and one of 6 under a cap of 10.

Change: once no task of a step has started for 2 s because of its cap, steps of its customer of the same or a lower priority start only if the cap also has room for it, of a gang for all of it. There is one such step for each customer, the one that has waited longest; it must ask for more of a resource with a cap than other steps do, so that the order of equal steps stays. A gang larger than the cap is none. Where less than half of the cap has been in use for 2 s, as while long-running tasks keep a gang from fitting, others start again, since no job may wait for 3 s then. `cap_precedence` logs each change.

--- a/flamingoweir/dispatch/_customer_caps.py
+++ b/flamingoweir/dispatch/_customer_caps.py
@@ -1,12 +1,11 @@
 """Holds tasks of customers back that have as much running as their caps allow."""
 
-from dataclasses import dataclass
-
 from ..jobs import StepRun
 from ..logs import get_logger
 from ..policy import allows_gang, allows_task, find_oversized_gang
 from ..resources import Resources
 from ._cap_changes import find_cap
+from ._cap_precedence import CapPrecedence, CapWait
 from ._context import TermContext
 
 log = get_logger()
@@ -18,14 +17,6 @@
 NO_CAP = Resources()
 
 
-@dataclass(slots=True)
-class _Wait:
-    """When a step began to wait and was last held back, on the owner's clock."""
-
-    since_s: float
-    held_s: float
-
-
 class CustomerCaps:
     """Decides whether tasks of a step may start, and logs how long steps wait.
 
@@ -38,12 +29,14 @@
     def __init__(self, context: TermContext):
         self._context = context
         self._usage = context.owner_state.customer_usage
-        self._wait_by_step: dict[StepRun, _Wait] = {}
+        self._wait_by_step: dict[StepRun, CapWait] = {}
+        self._precedence = CapPrecedence(context)
 
     def holds(self, step: StepRun) -> bool:
         """Return whether the cap of its customer keeps the step waiting.
 
-        That is so if the next task, or all tasks of a gang, may not start.
+        That is so if the next task, or all tasks of a gang, may not start, or must
+        leave room for a larger step of the customer that has waited for long.
         """
         customer = step.job.spec.customer
         if not customer:
@@ -57,6 +50,8 @@
         if cap is None:
             return False
         used, spec = self._usage.used_by(customer), step.spec
+        self._precedence.record_asked(step, cap)
+        before = None
         if spec.gang:
             # One of which some members still run can't start anyway.
             is_held = len(step.open_indexes) == spec.count and not allows_gang(
@@ -64,9 +59,12 @@
             )
         else:
             is_held = not allows_task(cap, used, spec.demand)
-        if is_held:
-            self._hold(step, cap, used)
-        return is_held
+        if not is_held:
+            before = self._precedence.find_before(step, cap, used)
+        if is_held or before is not None:
+            self._hold(step, cap, used, before)
+            return True
+        return False
 
     def end_wait(self, step: StepRun) -> None:
         """End the wait of a step that lacks resources and not room under the cap."""
@@ -89,8 +87,15 @@
             is_gone = job_by_id.get(job.spec.id) is not job or job.is_final
             if is_gone or not step.open_indexes:
                 self._end(step)
-
-    def _hold(self, step: StepRun, cap: Resources | None, used: Resources) -> None:
+        self._precedence.update(self._wait_by_step.items(), self._context.clock.now())
+
+    def _hold(
+        self,
+        step: StepRun,
+        cap: Resources | None,
+        used: Resources,
+        before: StepRun | None = None,
+    ) -> None:
         now_s = self._context.clock.now()
         # The cap keeps the step waiting, so that it hasn't lacked resources meanwhile.
         step.unplaced_since_s = None
@@ -98,9 +103,10 @@
         step.ready_since_s = now_s
         wait = self._wait_by_step.get(step)
         if wait is not None:
-            wait.held_s = now_s
+            wait.record_held(len(step.open_indexes), now_s)
             return
-        self._wait_by_step[step] = _Wait(now_s, now_s)
+        open_tasks = len(step.open_indexes)
+        self._wait_by_step[step] = CapWait(now_s, now_s, now_s, open_tasks)
         synced_s = self._context.operator_follower.last_synced_s
         configuration = self._context.operators.configuration
         log.info(
@@ -112,7 +118,8 @@
             open_tasks=len(step.open_indexes),
             used=used.as_text(),
             cap="unknown" if cap is None else cap.as_text(),
-            outcome=_find_outcome(step, cap),
+            outcome=_find_outcome(step, cap, before),
+            before=None if before is None else _name(before),
             configuration=configuration.version if configuration else None,
             configuration_age_ms=round(1000 * (now_s - synced_s))
             if configuration
@@ -135,13 +142,13 @@
         )
 
 
-def _find_outcome(step: StepRun, cap: Resources | None) -> str:
+def _find_outcome(step: StepRun, cap: Resources | None, before: StepRun | None) -> str:
     """Return what a step waits for, as a word for the log."""
     if cap is None:
         return "awaits_configuration"
     if find_oversized_gang(cap, [step.spec]) is not None:
         return "awaits_higher_cap"
-    return "awaits_ends"
+    return "awaits_ends" if before is None else "leaves_room"
 
 
 def _name(step: StepRun) -> str:
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -5,6 +5,7 @@
     allows_task,
     find_oversized_gang,
     gang_demand,
+    is_below_half,
     is_within,
 )
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
@@ -80,6 +81,7 @@
     "find_oversized_gang",
     "find_stalled",
     "gang_demand",
+    "is_below_half",
     "is_within",
     "objective_s",
     "place_gang",
--- a/flamingoweir/policy/_caps.py
+++ b/flamingoweir/policy/_caps.py
@@ -58,6 +58,14 @@
     return True
 
 
+def is_below_half(cap: Resources, used: Resources) -> bool:
+    """Return whether less than half of the cap of each resource is in use."""
+    for limit, in_use, _ in _by_resource(cap, used, used):
+        if limit and 2 * in_use >= limit:
+            return False
+    return True
+
+
 def find_oversized_gang(cap: Resources, steps: Sequence[StepSpec]) -> int | None:
     """Return the number of the first gang that is larger than a cap, or None.
 
