Test what ends usage, reservations and waits at caps

Cause: tests passed without `remove_expired` when steps are listed, the release of a reserved runner while a step is held, the end of the waits of jobs that are gone, and the end of a term's subscription to the configuration.

Change: one test for each.

--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -12,6 +12,7 @@
 from flamingoweir.customers import Customer
 from flamingoweir.dispatch._cap_withdrawals import may_send_start
 from flamingoweir.dispatch._committer import Committer
+from flamingoweir.dispatch._late_orders import MAX_LATENESS_S
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._planner import (
     COLLECT_INTERVAL_S,
@@ -19,6 +20,7 @@
     MAX_UNPLACED_STEPS,
     RESERVE_AFTER_S,
     Planner,
+    UnplacedSteps,
 )
 from flamingoweir.dispatch._protocols import StartResult
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
@@ -583,3 +585,74 @@
 
 def raise_error(job_id, error, now_s) -> None:
     raise error
+
+
+def test_late_orders_stop_counting_without_any_other_event():
+    """Guards against a customer held at its cap by orders that can't arrive now."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(10, ONE))
+        await owner.planner.plan()
+        for allocation in list(owner.runner.allocation_by_run.values()):
+            allocation.start_unanswered = True
+            owner.end_one()
+        waiting = owner.add(2, StepSpec(1, ONE))
+        await owner.planner.plan()
+        assert waiting.open_indexes
+        await anyio.sleep(MAX_LATENESS_S + 0.1)
+        await owner.planner.plan()
+        assert not waiting.open_indexes
+
+    run_owner(scenario)
+
+
+def test_step_that_its_cap_holds_back_keeps_no_runner_free():
+    """Guards against a runner that is kept free for a step that may not start."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(10, ONE, estimate_s=1.0))
+        await owner.planner.plan()
+        step = owner.add(2, StepSpec(1, ONE))
+        await owner.planner.plan()
+        owner.planner._candidates.reserve(step, owner.runner)
+        unplaced = UnplacedSteps(owner.clock.now())
+        assert await owner.planner._place_or_make_room(step, unplaced)
+        assert not owner.planner._runner_by_step
+
+    run_owner(scenario)
+
+
+def test_wait_of_a_cancelled_job_ends(log_lines):
+    """Guards against waits that are kept in memory after their jobs have ended."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(10, ONE, estimate_s=1.0))
+        owner.add(2, StepSpec(1, ONE))
+        await owner.planner.plan()
+        assert owner.planner._caps._wait_by_step
+        owner.state.cancel_job("job-2")
+        await owner.planner.plan()
+        assert not owner.planner._caps._wait_by_step
+        assert "event=cap_wait_ended" in log_lines()[-1]
+
+    run_owner(scenario)
+
+
+def test_ended_term_follows_no_configuration():
+    """Guards against terms that are kept in memory, and run code, after their end."""
+
+    async def scenario():
+        async with run_cluster(members=1) as cluster:
+            cluster.configure(2, {"kaje80": Resources(1000, 0, 0)})
+            member = await cluster.owner()
+            await anyio.sleep(1)
+            term = member.instance.term
+            changes = term.owner_state.customer_usage.cap_changes
+            assert changes._cap_by_customer
+            term._term_end.signal("test")
+            await anyio.sleep(0.5)
+            cluster.configure(3, {})
+            await anyio.sleep(2)
+            assert changes._cap_by_customer
+
+    run_virtual(scenario)
