Record the caps at the start of a term without waking the planner

Cause: since a term woke the planner at its start, also without customers.

Change: the first record of the caps wakes nothing.

Result: tests/test_crashing_tasks.py passes. Why that test depends on when the first pass runs is not traced.

--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -190,8 +190,8 @@
         also serves submitters.
         """
         reason = ""
+        self._record_caps()
         unsubscribe = self._context.operators.subscribe(self._record_configuration)
-        self._record_configuration()
         try:
             async with anyio.create_task_group() as task_group:
                 self._task_group = task_group
@@ -262,10 +262,13 @@
 
     def _record_configuration(self) -> None:
         """Record that caps may have changed, and plan by the new ones at once."""
+        self._record_caps()
+        self.owner_state.placement_wakeup.set()
+
+    def _record_caps(self) -> None:
         self.owner_state.customer_usage.cap_changes.record(
             self._context.operators.configuration, self._clock.now()
         )
-        self.owner_state.placement_wakeup.set()
 
     async def _restore_while_renewing(self, committer: Committer) -> None:
         """Restore the shard's state while empty writes renew the ownership."""
