--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -272,13 +272,13 @@
     def restore_allocations(self, job: Job) -> None:
         """Allocate resources for the attempts of a job read from the store."""
         for attempt in job.attempts():
-            runner = self.runner_by_id.get(attempt.runner)
-            if runner is None:
-                runner = self._add_unlisted(attempt.runner)
+            runner = self.find_or_add_runner(attempt.runner)
             step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
             attempt.pace_percent = UNKNOWN_PACE_PERCENT
             attempt.created_s = attempt.last_progress_s = self._clock.now()
-            allocation = self.customer_usage.allocate(runner, attempt, step)
+            allocation = self.customer_usage.restore(
+                runner, attempt, step.spec, job.spec.customer
+            )
             # A poll with the new fencing token lists what earlier owners started.
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
@@ -431,7 +431,6 @@
         allocation = self.customer_usage.release(runner, task, run)
         if allocation is not None:
             self._record_late_order(runner, allocation)
-            self.customer_usage.keep_late(allocation, outcome, self._clock.now())
         job = self.job_by_id.get(task.job)
         if job is None:
             return
@@ -625,10 +624,12 @@
         self.pending_starts.append(attempt)
         self._mark_changed(step.job)
 
-    def _add_unlisted(self, runner_id: str) -> Runner:
-        entry = RunnerEntry(runner_id, 0, "", "", "")
-        runner = self._new_runner(entry)
-        self.runner_by_id[runner_id] = runner
+    def find_or_add_runner(self, runner_id: str) -> Runner:
+        """Return a runner of a restored attempt; it need not be listed."""
+        runner = self.runner_by_id.get(runner_id)
+        if runner is None:
+            runner = self._new_runner(RunnerEntry(runner_id, 0, "", "", ""))
+            self.runner_by_id[runner_id] = runner
         return runner
 
     def _new_runner(self, entry: RunnerEntry) -> Runner:
@@ -646,10 +647,9 @@
 
     def _record_late_order(self, runner: Runner, allocation: Allocation) -> None:
         if allocation.start_unanswered:
-            attempt = allocation.attempt
-            self.late_orders.record(
-                runner.id, attempt.task, attempt.run, self._clock.now()
-            )
+            attempt, now_s = allocation.attempt, self._clock.now()
+            self.late_orders.record(runner.id, attempt.task, attempt.run, now_s)
+            self.customer_usage.keep_late(allocation, now_s)
 
     def _stop_surplus(self, job: Job) -> None:
         for attempt in job.find_surplus_attempts():
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -47,6 +47,7 @@
 from ._customer_limits import LimitFinder
 from ._customer_report import CustomerReporter
 from ._effect_store import EffectStore
+from ._excluded_attempts import restore_excluded_attempts
 from ._load_report import LoadReporter
 from ._loader import JobLoader
 from ._orders import OrderSender
@@ -189,6 +190,7 @@
         also serves submitters.
         """
         reason = ""
+        self._record_caps()
         unsubscribe = self._context.operators.subscribe(self._record_configuration)
         try:
             async with anyio.create_task_group() as task_group:
@@ -260,9 +262,14 @@
 
     def _record_configuration(self) -> None:
         """Record that caps may have changed, and plan by the new ones at once."""
-        self.owner_state.customer_usage.caps_changed_s = self._clock.now()
+        self._record_caps()
         self.owner_state.placement_wakeup.set()
 
+    def _record_caps(self) -> None:
+        self.owner_state.customer_usage.cap_changes.record(
+            self._context.operators.configuration, self._clock.now()
+        )
+
     async def _restore_while_renewing(self, committer: Committer) -> None:
         """Restore the shard's state while empty writes renew the ownership."""
         restored = anyio.Event()
@@ -320,6 +327,7 @@
             if block.failed:
                 self.owner_state.exclude_job(job.spec.id)
             await time_slice.give_way_if_over()
+        restore_excluded_attempts(self.owner_state, tasks, jobs.rows, self._clock.now())
         former = self._writer.former
         log.info(
             "shard_restored",
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -5,6 +5,7 @@
     allows_task,
     find_oversized_gang,
     gang_demand,
+    is_below_half,
     is_within,
 )
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
@@ -105,6 +106,7 @@
     "find_stalled",
     "find_stalled",
     "gang_demand",
+    "is_below_half",
     "is_within",
     "job_value",
     "list_steps",
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -1,5 +1,6 @@
 """Caps: what they let start, what a pass does with steps that they hold back."""
 
+import asyncio
 import dataclasses
 import io
 from types import SimpleNamespace
@@ -9,16 +10,33 @@
 
 from flamingoweir import logs
 from flamingoweir.customers import Customer
+from flamingoweir.dispatch._cap_withdrawals import may_send_start
 from flamingoweir.dispatch._committer import Committer
-from flamingoweir.dispatch._customer_caps import may_send_start
+from flamingoweir.dispatch._late_orders import MAX_LATENESS_S
 from flamingoweir.dispatch._owner_state import OwnerState
-from flamingoweir.dispatch._planner import MAX_UNPLACED_STEPS, RESERVE_AFTER_S, Planner
+from flamingoweir.dispatch._planner import (
+    COLLECT_INTERVAL_S,
+    MAX_PASS_S,
+    MAX_UNPLACED_STEPS,
+    RESERVE_AFTER_S,
+    Planner,
+    UnplacedSteps,
+)
+from flamingoweir.dispatch._protocols import StartResult
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
-from flamingoweir.jobs import JobSpec, JobState, Outcome, QueuePolicy, StepSpec
+from flamingoweir.jobs import (
+    AttemptState,
+    JobSpec,
+    JobState,
+    Outcome,
+    QueuePolicy,
+    StepSpec,
+)
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.policy import allows_gang, allows_task
 from flamingoweir.registry import Configuration, RunnerEntry
 from flamingoweir.resources import Resources
+from flamingoweir.standins import MemoryRunnerLink
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import VirtualClock, run_virtual
 
@@ -80,7 +98,7 @@
     """A planner over runners with room for everything unless a test fills them."""
 
     def __init__(self, cap: Resources | None = CAP, processors: int = 64):
-        clock = VirtualClock()
+        clock = self.clock = VirtualClock()
         self.state = OwnerState(clock, NoMetrics(), 10.0)
         capacity = Resources(processors * 1000, 100_000, 0)
         entry = RunnerEntry("r", 1, "s", "host:1", "zone", capacity=capacity)
@@ -104,7 +122,10 @@
         customers = {}
         if cap is not None:
             customers["kaje80"] = Customer("kaje80", cap=cap)
-        self.operators.configuration = Configuration(1, customer_by_name=customers)
+        configuration = Configuration(1, customer_by_name=customers)
+        self.operators.configuration = configuration
+        now_s = self.clock.now()
+        self.state.customer_usage.cap_changes.record(configuration, now_s)
 
     def add(self, number: int, step: StepSpec, customer: str = "kaje80"):
         policy = QueuePolicy("s")
@@ -115,6 +136,20 @@
     def running(self) -> int:
         return len(self.runner.allocation_by_run)
 
+    def send(self, count: int = 1000) -> list:
+        """Send orders as `OrderSender` does; return their allocations."""
+        sent = []
+        for allocation in list(self.runner.allocation_by_run.values()):
+            is_ordered = allocation.attempt.state is AttemptState.ORDERED
+            if len(sent) == count or allocation.start_sent or not is_ordered:
+                continue
+            if may_send_start(self.context, allocation):
+                self.state.customer_usage.record_sent(allocation)
+                sent.append(allocation)
+            else:
+                self.state.discard_attempt(allocation.attempt, "cap_lowered")
+        return sent
+
     def end_one(self) -> None:
         attempt = next(iter(self.runner.allocation_by_run.values())).attempt
         self.state.end_attempt(self.runner, attempt.task, attempt.run, Outcome.DONE, "")
@@ -199,6 +234,64 @@
     run_owner(scenario)
 
 
+def test_runner_is_reserved_only_after_a_wait_for_room(log_lines):
+    """Guards against a runner kept free at once after the wait for a cap.
+
+    The time that the log gives for a start includes that wait.
+    """
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(10, ONE))
+        await owner.planner.plan()
+        step = owner.add(2, StepSpec(1, Resources(12_000, 0, 0)))
+        first_s = owner.clock.now()
+        while owner.clock.now() < first_s + 4 * RESERVE_AFTER_S:
+            await owner.planner.plan()
+            await anyio.sleep(0.1)
+        await owner.planner.plan()
+        owner.configure(None)
+        await owner.planner.plan()
+        assert not owner.planner._runner_by_step
+        await anyio.sleep(RESERVE_AFTER_S)
+        await owner.planner.plan()
+        assert owner.planner._runner_by_step == {step: owner.runner}
+        assert step.first_ready_s == pytest.approx(first_s)
+
+    run_owner(scenario, processors=20)
+
+
+def test_step_of_a_customer_waits_until_a_configuration_is_known(log_lines):
+    """Guards against an owner that knows no caps yet and starts tasks without any."""
+
+    async def scenario(owner):
+        owner.operators.configuration = None
+        step = owner.add(1, StepSpec(1, ONE))
+        owner.context.operator_follower.last_synced_s = float("-inf")
+        await owner.planner.plan()
+        assert step.open_indexes
+        owner.configure(CAP)
+        await owner.planner.plan()
+        assert not step.open_indexes
+        assert "cap=unknown outcome=awaits_configuration" in log_lines()[0]
+
+    run_owner(scenario)
+
+
+def test_log_tells_a_gang_that_only_a_higher_cap_can_start(log_lines):
+    """Guards against a gang that waits forever and looks like any other wait."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(4, ONE, gang=True))
+        owner.add(2, StepSpec(3, ONE, gang=True))
+        owner.state.customer_usage.add("kaje80", ONE)
+        owner.configure(Resources(3000, 0, 0))
+        await owner.planner.plan()
+        outcomes = [line.split("outcome=")[1].split()[0] for line in log_lines()]
+        assert outcomes == ["awaits_higher_cap", "awaits_ends"]
+
+    run_owner(scenario)
+
+
 def test_steps_at_the_cap_do_not_end_the_pass_before_other_customers(monkeypatch):
     """Guards against a customer at its cap that keeps others from being tried.
 
@@ -292,15 +385,60 @@
         allocations = list(owner.runner.allocation_by_run.values())
         assert len(allocations) == 6
         assert all(may_send_start(owner.context, a) for a in allocations)
+        await anyio.sleep(0.1)
         owner.configure(Resources(2000, 0, 0))
-        owner.state.customer_usage.caps_changed_s = owner.context.clock.now()
-        started = 0
-        for allocation in allocations:
-            if may_send_start(owner.context, allocation):
-                started += 1
-                continue
-            owner.state.discard_attempt(allocation.attempt, "cap_lowered")
-        assert started == 2
+        # Part of a gang would be of no use.
+        assert owner.send() == ([] if gang else allocations[:2])
+
+    run_owner(scenario)
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_attempts_whose_orders_were_sent_are_not_withdrawn(gang):
+    """Guards against runs stopped by a lowered cap, and against part of a gang."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(6, ONE, gang=gang))
+        await owner.planner.plan()
+        sent = owner.send(count=3)
+        owner.configure(Resources(2000, 0, 0))
+        assert all(may_send_start(owner.context, a) for a in sent)
+        assert len(owner.send()) == (3 if gang else 0)
+
+    run_owner(scenario)
+
+
+def test_only_a_lowered_cap_withdraws_starts():
+    """Guards against starts withdrawn by a version that changes something else.
+
+    The sum may be above the cap, as while attempts of an earlier owner run.
+    """
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(10, ONE))
+        owner.configure(Resources(20_000, 0, 0))
+        await anyio.sleep(0.1)
+        await owner.planner.plan()
+        owner.state.customer_usage.add("kaje80", Resources(40_000, 0, 0))
+        await anyio.sleep(0.1)
+        owner.configure(Resources(20_000, 0, 0))
+        owner.configure(Resources(30_000, 0, 0))
+        assert len(owner.send()) == 10
+
+    run_owner(scenario)
+
+
+def test_attempts_placed_later_give_way_to_earlier_ones():
+    """Guards against more starts withdrawn than a lowered cap requires."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(2, ONE, estimate_s=1.0))
+        owner.add(2, StepSpec(1, Resources(8000, 0, 0)))
+        await owner.planner.plan()
+        first, second, large = owner.runner.allocation_by_run.values()
+        assert large.spec.demand.processors_milli == 8000
+        owner.configure(Resources(2000, 0, 0))
+        assert owner.send() == [first, second]
 
     run_owner(scenario)
 
@@ -335,6 +473,33 @@
     run_virtual(scenario)
 
 
+def test_lowered_cap_stops_no_run_whose_order_got_no_response(monkeypatch):
+    """Guards against an order that is withdrawn while it may be carried out."""
+    start = MemoryRunnerLink.start
+    silent = [True]
+
+    async def lose_response(link, order):
+        if silent:
+            return StartResult.UNKNOWN, None
+        return await start(link, order)
+
+    async def scenario():
+        async with run_cluster(members=1, runners=2) as cluster:
+            cluster.configure(2, {"kaje80": Resources(4000, 0, 0)})
+            await cluster.owner()
+            await anyio.sleep(1)
+            monkeypatch.setattr(MemoryRunnerLink, "start", lose_response)
+            await cluster.submit(make_capped(1, make_step(4)))
+            await anyio.sleep(0.4)
+            cluster.configure(3, {"kaje80": Resources(1000, 0, 0)})
+            await anyio.sleep(0.4)
+            silent.clear()
+            await anyio.sleep(0.3)
+            assert len(cluster.records("start")) == 4
+
+    run_virtual(scenario)
+
+
 def test_gang_larger_than_the_cap_is_refused_unless_it_was_accepted():
     """Guards against a gang that waits forever, and against an untrue refusal."""
 
@@ -378,3 +543,116 @@
             assert seen[0] - changed_s < 0.05
 
     run_virtual(scenario)
+
+
+class PassTooLong(Exception):
+    """Ends a pass that would go on for as long as jobs arrive."""
+
+
+def test_step_that_stops_at_its_cap_lets_a_long_pass_end(monkeypatch):
+    """Guards against a pass that never ends while jobs arrive and tasks end.
+
+    The step of a customer at its cap keeps open tasks after its turn. It must not count
+    as one that still awaits its first turn: other steps that found no room are not
+    tried again before the next pass.
+    """
+
+    async def scenario():
+        owner = Owner()
+        clock = owner.context.clock
+        owner.add(1, StepSpec(2000, ONE))
+        for number in range(30):
+            owner.add(number + 2, StepSpec(1, ONE), customer="")
+        place = Planner._place_or_make_room
+        started_s = clock.now()
+
+        async def place_slowly(planner, step, unplaced):
+            asyncio.get_running_loop().virtual_s += 0.01
+            if clock.now() - started_s > 3 * MAX_PASS_S:
+                raise PassTooLong
+            was_placed = await place(planner, step, unplaced)
+            owner.end_one()
+            owner.add(round(1000 * clock.now()), StepSpec(1, ONE), customer="")
+            return was_placed
+
+        monkeypatch.setattr(Planner, "_place_or_make_room", place_slowly)
+        monkeypatch.setattr(owner.planner._pauses, "add", raise_error)
+        await owner.planner.plan()
+        assert clock.now() - started_s < MAX_PASS_S + 2 * COLLECT_INTERVAL_S
+
+    run_virtual(scenario)
+
+
+def raise_error(job_id, error, now_s) -> None:
+    raise error
+
+
+def test_late_orders_stop_counting_without_any_other_event():
+    """Guards against a customer held at its cap by orders that can't arrive now."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(10, ONE))
+        await owner.planner.plan()
+        for allocation in list(owner.runner.allocation_by_run.values()):
+            allocation.start_unanswered = True
+            owner.end_one()
+        waiting = owner.add(2, StepSpec(1, ONE))
+        await owner.planner.plan()
+        assert waiting.open_indexes
+        await anyio.sleep(MAX_LATENESS_S + 0.1)
+        await owner.planner.plan()
+        assert not waiting.open_indexes
+
+    run_owner(scenario)
+
+
+def test_step_that_its_cap_holds_back_keeps_no_runner_free():
+    """Guards against a runner that is kept free for a step that may not start."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(10, ONE, estimate_s=1.0))
+        await owner.planner.plan()
+        step = owner.add(2, StepSpec(1, ONE))
+        await owner.planner.plan()
+        owner.planner._candidates.reserve(step, owner.runner)
+        unplaced = UnplacedSteps(owner.clock.now())
+        assert await owner.planner._place_or_make_room(step, unplaced)
+        assert not owner.planner._runner_by_step
+
+    run_owner(scenario)
+
+
+def test_wait_of_a_cancelled_job_ends(log_lines):
+    """Guards against waits that are kept in memory after their jobs have ended."""
+
+    async def scenario(owner):
+        owner.add(1, StepSpec(10, ONE, estimate_s=1.0))
+        owner.add(2, StepSpec(1, ONE))
+        await owner.planner.plan()
+        assert owner.planner._caps._wait_by_step
+        owner.state.cancel_job("job-2")
+        await owner.planner.plan()
+        assert not owner.planner._caps._wait_by_step
+        assert "event=cap_wait_ended" in log_lines()[-1]
+
+    run_owner(scenario)
+
+
+def test_ended_term_follows_no_configuration():
+    """Guards against terms that are kept in memory, and run code, after their end."""
+
+    async def scenario():
+        async with run_cluster(members=1) as cluster:
+            cluster.configure(2, {"kaje80": Resources(1000, 0, 0)})
+            member = await cluster.owner()
+            await anyio.sleep(1)
+            term = member.instance.term
+            changes = term.owner_state.customer_usage.cap_changes
+            assert changes._cap_by_customer
+            term._term_end.signal("test")
+            await anyio.sleep(0.5)
+            cluster.configure(3, {})
+            await anyio.sleep(2)
+            assert changes._cap_by_customer
+
+    run_virtual(scenario)
