Excess: cut the list of ready steps by kind, and keep the earliest

Cause: only the latest 100 excess jobs of a customer were listed, over all its services and labels. The others waited although their runners were free, and due occurrences of scheduled jobs in excess were never opened.

Change: the cut applies to ready steps, after due occurrences were opened. It counts by customer, service, label, priority, image, size and gang, keeps the earliest, and leaves scheduled and long-running jobs alone. Size is part of it because 100 steps that fit nowhere would otherwise hide smaller ones that do.

--- a/flamingoweir/dispatch/_customer_order.py
+++ b/flamingoweir/dispatch/_customer_order.py
@@ -5,38 +5,67 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 from ..fleet import Runner
-from ..jobs import Job, StepRun
+from ..jobs import StepRun
 from ..policy import ABOVE_SHARE, AWAY_PRIORITY, BELOW_SHARE, EXCESS, FairShares
 from ..resources import Resources
 from ._owner_state import OwnerState
 
-#: Number of excess jobs of a customer that a list has, at most, of those that have not
-#: begun. A pass ends after some 40 steps without room; more would only cost time.
+#: Number of steps in excess that a list has, at most, of those that are alike. A pass
+#: ends after some 40 steps without room; more would only cost time.
 MAX_LISTED_EXCESS = 100
 
 
-def drop_surplus_excess(jobs: list[Job], owner_state: OwnerState) -> list[Job]:
-    """Return the jobs without the excess that has no prospect of being placed.
+def drop_surplus_excess(
+    ready: list[tuple[tuple, int, StepRun]], owner_state: OwnerState
+) -> list[tuple[tuple, int, StepRun]]:
+    """Return ready steps without the excess that has no prospect of being placed.
 
-    Of each customer, the latest `MAX_LISTED_EXCESS` excess jobs that have not begun are
-    kept: earlier ones are late already.
+    Of jobs in excess that have not begun, the earliest `MAX_LISTED_EXCESS` steps of
+    each kind are kept; see `_kind_of`. If none of these finds room, no other step of
+    the kind does. Steps of scheduled and long-running jobs are all kept.
+
+    Parameters
+    ----------
+    ready : list of (tuple, int, StepRun)
+        Sort key, number and step of each ready step.
+    owner_state : OwnerState
+        Load of the customers.
     """
     load = owner_state.customer_load
     excess_ids = load.excess_ids
     if not load.in_force or not excess_ids:
-        return jobs
-    kept = []
-    listed_by_customer: dict[str, int] = {}
-    for job in reversed(jobs):
-        spec = job.spec
-        if spec.id in excess_ids and job.is_waiting:
-            listed = listed_by_customer.get(spec.customer, 0)
-            if listed >= MAX_LISTED_EXCESS:
-                continue
-            listed_by_customer[spec.customer] = listed + 1
-        kept.append(job)
-    kept.reverse()
-    return kept
+        return ready
+    excess_by_kind: dict[tuple, list[tuple[int, int]]] = {}
+    for key, number, step in ready:
+        job = step.job
+        if job.spec.id not in excess_ids or not job.is_waiting:
+            continue
+        if not job.spec.scheduled and not job.spec.lasting:
+            excess = excess_by_kind.setdefault(_kind_of(key, step), [])
+            excess.append((job.spec.accepted_ms, number))
+    dropped = set()
+    for excess in excess_by_kind.values():
+        if len(excess) > MAX_LISTED_EXCESS:
+            excess.sort()
+            dropped.update(number for _, number in excess[MAX_LISTED_EXCESS:])
+    if not dropped:
+        return ready
+    return [entry for entry in ready if entry[1] not in dropped]
+
+
+def _kind_of(key: tuple, step: StepRun) -> tuple:
+    """Return what decides which runners have room for a step, and its priority."""
+    spec, job_spec = step.spec, step.job.spec
+    return (
+        job_spec.customer,
+        job_spec.policy.service,
+        spec.label,
+        key[0],
+        spec.demand,
+        spec.uses_spare,
+        spec.image,
+        spec.gang and len(step.open_indexes),
+    )
 
 
 class CustomerRanking:
--- a/flamingoweir/dispatch/_ready_steps.py
+++ b/flamingoweir/dispatch/_ready_steps.py
@@ -92,10 +92,9 @@
         open_tasks = 0
         self._caps.begin_list()
         owner_state = self._context.owner_state
-        jobs = drop_surplus_excess(list(owner_state.job_by_id.values()), owner_state)
         idle_steps = 0
         wall_ms = self._context.wall_ms()
-        for job in jobs:
+        for job in list(owner_state.job_by_id.values()):
             await give_way_if_over()
             if self._pauses.is_paused(job.spec.id, read_now_s()):
                 continue
@@ -119,6 +118,7 @@
         self.open_tasks = open_tasks
         owner_state.customer_load.shares = None
         if owner_state.customer_load.in_force:
+            ready = drop_surplus_excess(ready, owner_state)
             ranking = CustomerRanking(owner_state, ready, find_usable())
             for first in range(0, len(ready), STEPS_PER_RANKING):
                 some = slice(first, first + STEPS_PER_RANKING)
--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -32,7 +32,7 @@
 from flamingoweir.dispatch._ready_steps import ReadySteps
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
 from flamingoweir.fleet import Runner
-from flamingoweir.jobs import Outcome, encode_spec
+from flamingoweir.jobs import Outcome, QueuePolicy, encode_spec
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.ownership import (
     Backlog,
@@ -286,28 +286,91 @@
     virtual(check)
 
 
+def list_ready(state: OwnerState):
+    """Return the ready steps of all jobs, as they are ranked."""
+    ready = []
+    for number, job in enumerate(state.job_by_id.values()):
+        job.accepted_s = NOW_S
+        step = job.run_by_step[0, 0]
+        ready.append((sort_key(step, NOW_S, 0.0), number, step))
+    return ready
+
+
 def test_excess_goes_last_and_costs_a_pass_little():
-    """Guards against a backlog of one customer that each pass lists and sorts."""
+    """Guards against a backlog of one customer that each pass ranks and sorts.
+
+    The earliest jobs are listed; the latest ones would be replaced by each arrival.
+    """
 
     def check():
         state, runner = make_state(Customer("a", weight=10), Customer("b"))
         excess = send_flood(state.customer_load, 50, 8)
-        for number in range(400):
-            state.add_job(make_job(number, customer="a", accepted_ms=1))
+        for number in reversed(range(400)):
+            accepted_ms = round(1e6 + 20 * number)
+            state.add_job(make_job(number, customer="a", accepted_ms=accepted_ms))
         add_steps(state, "b", 5, 1000)
-        jobs = drop_surplus_excess(list(state.job_by_id.values()), state)
-        assert len(jobs) == 405 - len(excess) + MAX_LISTED_EXCESS
-        ready = []
-        for number, job in enumerate(jobs):
-            step = job.run_by_step[0, 0]
-            job.accepted_s = NOW_S
-            ready.append((sort_key(step, NOW_S, 0.0), number, step))
+        ready = drop_surplus_excess(list_ready(state), state)
+        assert len(ready) == 405 - len(excess) + MAX_LISTED_EXCESS
         last = sorted(rank(state, runner, ready))[-MAX_LISTED_EXCESS:]
-        assert all(step.job.spec.id in excess for _, _, step in last)
+        listed = {step.job.spec.id for _, _, step in last}
+        assert listed == set(sorted(excess)[:MAX_LISTED_EXCESS])
 
     virtual(check)
 
 
+@pytest.mark.parametrize("differs", ["service", "label", "size"])
+def test_excess_of_one_kind_hides_no_other(differs):
+    """Guards against excess that waits, with its runners free, behind another kind."""
+
+    def check():
+        state, _ = make_state(Customer("a", weight=10))
+        excess = send_flood(state.customer_load, 50, 8)
+        other = {
+            "service": (make_step(), {"policy": QueuePolicy("other")}),
+            "label": (make_step(label="x"), {}),
+            "size": (make_step(processors=0.5), {}),
+        }[differs]
+        assert len(excess) > 2 * MAX_LISTED_EXCESS + 10
+        others = {max(excess), min(excess), sorted(excess)[150]}
+        for job_id in sorted(excess):
+            step, fields = other if job_id in others else (make_step(), {})
+            number = int(job_id, 16)
+            state.add_job(make_job(number, step, customer="a", accepted_ms=1, **fields))
+        listed = drop_surplus_excess(list_ready(state), state)
+        assert others <= {step.job.spec.id for _, _, step in listed}
+        assert len(listed) == MAX_LISTED_EXCESS + len(others)
+
+    virtual(check)
+
+
+def test_excess_of_scheduled_and_long_running_jobs_is_listed():
+    """Guards against due occurrences that are never opened, as much else waits."""
+
+    async def scenario():
+        state, runner = make_state(Customer("a", weight=10))
+        excess = sorted(send_flood(state.customer_load, 50, 8))
+        due = {"first_due_ms": 900_000, "occurrences": 2, "interval_ms": 1000}
+        for job_id in excess:
+            number, step, fields = int(job_id, 16), make_step(), {}
+            if job_id in excess[-10:-5]:
+                fields = due
+            elif job_id in excess[-5:]:
+                step = make_step(lasting=True)
+            state.add_job(make_job(number, step, customer="a", **fields))
+        context = make_context(state)
+        steps = ReadySteps(
+            context, JobPauses(state), CustomerCaps(context), Deferrals(state)
+        )
+        found = await steps.find(
+            lambda: NOW_S, anyio.lowlevel.checkpoint, lambda: [runner]
+        )
+        assert sum(step.job.spec.scheduled for step in found) == 10
+        assert sum(step.spec.lasting for step in found) == 5
+        assert len(found) == MAX_LISTED_EXCESS + 15
+
+    run_virtual(scenario)
+
+
 def test_excess_is_parked_first():
     """Guards against one customer's backlog that takes the memory for all others."""
     spec = make_job(1, customer="a")
