Customer shares: capacity and use of each service

Cause: shares were computed over the runners of all services. A customer below its share of the whole fleet could take all of a small service, and one with much use elsewhere stood back there.

Change: shares are kept by service, with the usable capacity of its runners and what customers use of it (ServiceUsage, kept by CustomerUsage from the service of the runner at the time of the allocation). Orders that may still be carried out after their end count for caps only. The report shows the service of which a customer has most.

--- a/benchmarks/customer_shares.py
+++ b/benchmarks/customer_shares.py
@@ -77,6 +77,7 @@
         job.accepted_s -= (wall_ms - spec.accepted_ms) / 1000
         used = Resources(generator.randrange(9000), 2_000, 0)
         owner_state.customer_usage.add(name, used)
+        owner_state.customer_usage.by_service.add(SERVICE, name, used)
     return SimpleNamespace(
         owner_state=owner_state,
         clock=clock,
--- a/flamingoweir/dispatch/_customer_load.py
+++ b/flamingoweir/dispatch/_customer_load.py
@@ -27,8 +27,9 @@
     ----------
     find_configuration : callable
         Returns the `Configuration` in force, or None before it is known.
-    shares : FairShares or None
-        Shares as of the latest list of ready steps; None without customers.
+    shares_by_service : dict of str to FairShares, or None
+        Shares of the customers that use or want capacity of each service, as of the
+        latest list of ready steps; None without customers.
     waiting_excess : dict of str to str
         Customers of excess jobs that have not begun, by job id.
     limit_by_customer : dict of str to CustomerLimit
@@ -37,7 +38,7 @@
 
     def __init__(self) -> None:
         self.find_configuration: Callable[[], Configuration | None] = lambda: None
-        self.shares: FairShares | None = None
+        self.shares_by_service: dict[str, FairShares] | None = None
         self.waiting_excess: dict[str, str] = {}
         self.limit_by_customer: dict[str, CustomerLimit] = {}
         self._excess_ids: set[str] = set()
--- a/flamingoweir/dispatch/_customer_order.py
+++ b/flamingoweir/dispatch/_customer_order.py
@@ -1,8 +1,9 @@
 """Orders ready steps by the shares of their customers."""
 
+import functools
 import heapq
 from collections import deque
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from ..fleet import Runner
 from ..jobs import StepRun
@@ -72,7 +73,7 @@
     """Adds the ranks of customers to the sort keys of ready steps.
 
     Ranks and shares are those of the time when the object is made; they are looked up
-    once for each customer, as a list may have thousands of steps.
+    once for each customer and service, as a list may have thousands of steps.
 
     Parameters
     ----------
@@ -91,14 +92,17 @@
         usable: Iterable[Runner],
     ):
         self._load = owner_state.customer_load
-        customers = {step.job.spec.customer for _, _, step in ready}
-        customers.discard("")
-        shares = _find_shares(customers, owner_state, usable)
-        self._rank_by_name = {"": BELOW_SHARE}
-        for name in customers:
-            rank = BELOW_SHARE if shares.is_below(name) else ABOVE_SHARE
-            self._rank_by_name[name] = rank
-        self._load.shares = shares
+        wanting = set()
+        for _, _, step in ready:
+            spec = step.job.spec
+            if spec.customer:
+                wanting.add((spec.policy.service, spec.customer))
+        shares = _find_shares(wanting, owner_state, usable)
+        self._rank_by_user: dict[tuple[str, str], int] = {}
+        for service, name in wanting:
+            rank = BELOW_SHARE if shares[service].is_below(name) else ABOVE_SHARE
+            self._rank_by_user[service, name] = rank
+        self._load.shares_by_service = shares
 
     def add_ranks(
         self, ready: Iterable[tuple[tuple, int, StepRun]]
@@ -108,7 +112,8 @@
         ranked = []
         for key, number, step in ready:
             spec = step.job.spec
-            rank = self._rank_by_name[spec.customer]
+            user = (spec.policy.service, spec.customer)
+            rank = self._rank_by_user.get(user, BELOW_SHARE)
             if spec.id in excess_ids:
                 rank = EXCESS
             if key[0] == AWAY_PRIORITY:
@@ -118,24 +123,42 @@
 
 
 def _find_shares(
-    wanting: Iterable[str], owner_state: OwnerState, usable: Iterable[Runner]
-) -> FairShares:
-    """Return the shares, with all customers that use or want capacity."""
-    load = owner_state.customer_load
-    find_used = owner_state.customer_usage.used_by
-    processors_milli = memory_mb = accelerators = 0
+    wanting: Iterable[tuple[str, str]],
+    owner_state: OwnerState,
+    usable: Iterable[Runner],
+) -> dict[str, FairShares]:
+    """Return the shares by service, with all customers that use or want capacity.
+
+    Parameters
+    ----------
+    wanting : iterable of (str, str)
+        Services and customers that want capacity of them.
+    owner_state : OwnerState
+        Usage and load of the customers.
+    usable : iterable of Runner
+        Runners that may be given tasks.
+    """
+    load, usage = owner_state.customer_load, owner_state.customer_usage.by_service
+    names_by_service = {name: set(usage.customers_of(name)) for name in usage.services}
+    for service, customer in wanting:
+        names_by_service.setdefault(service, set()).add(customer)
+    # Sums of processors, memory and accelerators.
+    sums_by_service = {service: [0, 0, 0] for service in names_by_service}
     for runner in usable:
-        capacity = runner.entry.capacity
-        processors_milli += capacity.processors_milli
-        memory_mb += capacity.memory_mb
-        accelerators += capacity.accelerators
-    weight_by_customer = {name: load.weight(name) for name in wanting}
-    for name, customer in load.customer_by_name.items():
-        used = find_used(name)
-        if used.processors_milli or used.memory_mb or used.accelerators:
-            weight_by_customer[name] = max(0.0, customer.weight)
-    total = Resources(processors_milli, memory_mb, accelerators)
-    return FairShares(total, weight_by_customer, find_used)
+        sums = sums_by_service.get(runner.entry.service)
+        if sums is not None:
+            capacity = runner.entry.capacity
+            sums[0] += capacity.processors_milli
+            sums[1] += capacity.memory_mb
+            sums[2] += capacity.accelerators
+    shares_by_service = {}
+    for service, names in names_by_service.items():
+        shares_by_service[service] = FairShares(
+            Resources(*sums_by_service[service]),
+            {name: load.weight(name) for name in sorted(names)},
+            functools.partial(usage.used_by, service),
+        )
+    return shares_by_service
 
 
 class StepQueue:
@@ -151,19 +174,19 @@
         The steps in order.
     key_by_step : dict of StepRun to tuple
         Sort keys with ranks; empty without customers.
-    shares : FairShares or None
-        Shares of the customers; None without customers.
+    shares_by_service : mapping of str to FairShares, or None
+        Shares of the customers of each service; None without customers.
     """
 
     def __init__(
         self,
         steps: Iterable[StepRun],
         key_by_step: dict[StepRun, tuple],
-        shares: FairShares | None,
+        shares_by_service: Mapping[str, FairShares] | None,
     ):
         self._steps = deque(steps)
         self._key_by_step = key_by_step
-        self._shares = shares
+        self._shares_by_service = shares_by_service
         self._demoted: list[tuple[tuple, int, StepRun]] = []
         self._demoted_count = 0
 
@@ -177,7 +200,7 @@
 
     def pop(self) -> StepRun:
         """Remove and return the most urgent step."""
-        if self._shares is None:
+        if self._shares_by_service is None:
             return self._steps.popleft()
         while self._steps:
             step = self._steps[0]
@@ -196,4 +219,5 @@
         spec = step.job.spec
         if key[1] != BELOW_SHARE or key[0] == AWAY_PRIORITY or not spec.customer:
             return False
-        return not self._shares.is_below(spec.customer)
+        shares = self._shares_by_service[spec.policy.service]
+        return not shares.is_below(spec.customer)
--- a/flamingoweir/dispatch/_customer_report.py
+++ b/flamingoweir/dispatch/_customer_report.py
@@ -95,9 +95,11 @@
             if limit is not None:
                 row.admitted = limit.admitted
                 row.refused_per_s = (1 - limit.admitted) * row.arrivals_per_s
-            if self._load.shares is not None:
-                row.share_due = self._load.shares.due(name)
-                row.share_received = self._load.shares.received(name)
+            # Those of the service of which the customer has most.
+            shares = (self._load.shares_by_service or {}).values()
+            row.share_received, row.share_due = max(
+                ((s.received(name), s.due(name)) for s in shares), default=(0.0, 0.0)
+            )
         for job in owner_state.job_by_id.values():
             row = row_by_name.get(job.spec.customer)
             if row is None or not job.is_waiting:
--- a/flamingoweir/dispatch/_customer_usage.py
+++ b/flamingoweir/dispatch/_customer_usage.py
@@ -7,6 +7,7 @@
 from ..jobs import Attempt, Outcome, StepRun, TaskId
 from ..resources import Resources
 from ._late_orders import MAX_LATENESS_S
+from ._service_usage import ServiceUsage
 
 _NOTHING = Resources()
 
@@ -32,10 +33,13 @@
     caps_changed_s : float
         When the latest configuration came into force, on the owner's clock, in seconds;
         minus infinity: before the term.
+    by_service : ServiceUsage
+        Sums by service, without allocations that have ended.
     """
 
     def __init__(self) -> None:
         self.caps_changed_s = float("-inf")
+        self.by_service = ServiceUsage()
         self._usage_by_customer: dict[str, _Usage] = {}
         #: Allocations that ended before their orders can't be carried out any more, and
         #: when that is, on the owner's clock, in seconds.
@@ -45,6 +49,8 @@
         """Allocate resources of a runner for an attempt, and count them."""
         allocation = runner.add(attempt, step.spec, step.job.spec.customer)
         self.add(allocation.customer, step.spec.demand)
+        service, customer = allocation.service, allocation.customer
+        self.by_service.add(service, customer, step.spec.demand)
         return allocation
 
     def release(self, runner: Runner, task: TaskId, run: int) -> Allocation | None:
@@ -52,6 +58,8 @@
         allocation = runner.remove(task, run)
         if allocation is not None:
             self.remove(allocation.customer, allocation.spec.demand)
+            service, customer = allocation.service, allocation.customer
+            self.by_service.remove(service, customer, allocation.spec.demand)
         return allocation
 
     def keep_late(self, allocation: Allocation, outcome: Outcome, now_s: float) -> None:
--- a/flamingoweir/dispatch/_ready_steps.py
+++ b/flamingoweir/dispatch/_ready_steps.py
@@ -59,7 +59,7 @@
 
     def make_queue(self, steps: Iterable[StepRun]) -> StepQueue:
         """Return a queue of steps that `find` has returned last, in that order."""
-        shares = self._context.owner_state.customer_load.shares
+        shares = self._context.owner_state.customer_load.shares_by_service
         return StepQueue(steps, self._key_by_step, shares)
 
     async def find(
@@ -116,7 +116,7 @@
         self._idle_steps = idle_steps
         self.job_count = len(owner_state.job_by_id)
         self.open_tasks = open_tasks
-        owner_state.customer_load.shares = None
+        owner_state.customer_load.shares_by_service = None
         if owner_state.customer_load.in_force:
             ready = drop_surplus_excess(ready, owner_state)
             ranking = CustomerRanking(owner_state, ready, find_usable())
@@ -126,7 +126,7 @@
                 await give_way_if_over()
         ready.sort()
         self._key_by_step = {}
-        if owner_state.customer_load.shares is not None:
+        if owner_state.customer_load.shares_by_service is not None:
             self._key_by_step = {step: key for key, _, step in ready}
         return [step for _, _, step in ready]
 
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -40,6 +40,7 @@
         "load",
         "headroom_deviation",
         "listed_s",
+        "service",
         "spec",
         "start_sent",
         "start_unanswered",
@@ -54,6 +55,8 @@
         self.spec = spec
         #: Name of the job's customer, kept when the job is gone; empty: none.
         self.customer = customer
+        #: Service of the runner when the allocation was made.
+        self.service = ""
         #: Number of earlier attempts at the task that made no progress.
         self.earlier_stalls = 0
         #: If a poll sent after this time does not list the attempt, it is not there.
@@ -222,6 +225,7 @@
     def add(self, attempt: Attempt, spec: StepSpec, customer: str = "") -> Allocation:
         """Allocate resources for an attempt at a task of a customer's job."""
         allocation = Allocation(attempt, spec, customer)
+        allocation.service = self._entry.service
         self.allocation_by_run[attempt.task, attempt.run] = allocation
         self.revision += 1
         self.reserved = self.reserved + spec.reserved
--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -42,7 +42,14 @@
     job_row,
     owner_row,
 )
-from flamingoweir.policy import TokenBucket, choose_published, find_limit, sort_key
+from flamingoweir.policy import (
+    ABOVE_SHARE,
+    BELOW_SHARE,
+    TokenBucket,
+    choose_published,
+    find_limit,
+    sort_key,
+)
 from flamingoweir.registry import Configuration, RunnerEntry
 from flamingoweir.resources import Resources
 from flamingoweir.storage import VersionedRow
@@ -97,18 +104,24 @@
     return CustomerRanking(state, ready, [runner]).add_ranks(ready)
 
 
+def use(state: OwnerState, customer: str, demand: Resources, service: str = SERVICE):
+    """Count resources as used by a customer."""
+    state.customer_usage.add(customer, demand)
+    state.customer_usage.by_service.add(service, customer, demand)
+
+
 def find_order(state: OwnerState, runner: Runner, ready) -> list[str]:
     """Return customers in the order in which steps are placed that all find room."""
     ranked = sorted(rank(state, runner, ready))
     key_by_step = {step: key for key, _, step in ranked}
     steps = [step for _, _, step in ranked]
-    queue = StepQueue(steps, key_by_step, state.customer_load.shares)
+    queue = StepQueue(steps, key_by_step, state.customer_load.shares_by_service)
     order = []
     while queue:
         step = queue.pop()
         customer = step.job.spec.customer
         order.append(customer)
-        state.customer_usage.add(customer, step.spec.demand)
+        use(state, customer, step.spec.demand, step.job.spec.policy.service)
     return order
 
 
@@ -157,12 +170,73 @@
     virtual(check)
 
 
+def test_shares_are_those_of_the_service():
+    """Guards against a customer that takes a small service because a large one is free.
+
+    "a" wants both services and "b" the small one only; it holds half of that one. What
+    "b" uses elsewhere doesn't count against it there.
+    """
+
+    def check():
+        state, runner = make_state(Customer("a"), Customer("b"), processors=4)
+        large = make_state(processors=400)[1]
+        large.entry = dataclasses.replace(large.entry, id="l", service="large")
+        policy = QueuePolicy("large")
+        use(state, "a", Resources(2000, 0, 0))
+        use(state, "b", Resources(200_000, 0, 0), "large")
+        ready = add_steps(state, "a", 2, 1) + add_steps(state, "b", 2, 10)
+        for number in (20, 21):
+            for customer, offset in (("a", 0), ("b", 10)):
+                spec = make_job(number + offset, customer=customer, policy=policy)
+                job = state.add_job(spec)
+                job.accepted_s = NOW_S - number / 1e4
+                step = job.run_by_step[0, 0]
+                ready.append((sort_key(step, NOW_S, 0.0), number + offset, step))
+        ranking = CustomerRanking(state, ready, [runner, large])
+        rank_by_user = {}
+        for key, _, step in ranking.add_ranks(ready):
+            spec = step.job.spec
+            rank_by_user[spec.policy.service, spec.customer] = key[1]
+        assert rank_by_user == {
+            (SERVICE, "a"): ABOVE_SHARE,
+            (SERVICE, "b"): BELOW_SHARE,
+            ("large", "a"): BELOW_SHARE,
+            ("large", "b"): ABOVE_SHARE,
+        }
+        shares = state.customer_load.shares_by_service[SERVICE]
+        assert shares.capacity == runner.entry.capacity
+        assert shares.received("a") == shares.due("a") == 0.5
+
+    virtual(check)
+
+
+def test_usage_by_service_follows_allocations():
+    """Guards against a share that stays in use after its tasks have ended."""
+
+    def check():
+        state, runner = make_state(Customer("a"))
+        usage = state.customer_usage
+        attempts = []
+        for number, processors in enumerate([1.0, 0.0, 2.0, 0.0]):
+            step = add_steps(state, "a", 1, number, processors=processors)[0][2]
+            attempts.append(step.job.start(step, 0, "r", 1, NOW_S))
+            usage.allocate(runner, attempts[-1], step)
+        assert usage.by_service.used_by(SERVICE, "a") == Resources(3000, 0, 0)
+        # A runner that changes its service still has what was counted before.
+        runner.entry = dataclasses.replace(runner.entry, service="other")
+        for attempt in attempts:
+            usage.release(runner, attempt.task, attempt.run)
+        assert not usage.by_service.services
+
+    virtual(check)
+
+
 def test_absent_task_goes_first_whatever_its_customer_uses():
     """Guards against a service of a customer above its share that stays away."""
 
     def check():
         state, runner = make_state(Customer("a"), Customer("b"), processors=4)
-        state.customer_usage.add("a", Resources(4000, 0, 0))
+        use(state, "a", Resources(4000, 0, 0))
         ready = add_steps(state, "a", 1, 1, lasting=True)
         ready += add_steps(state, "b", 1, 2, lasting=True)
         steps = [step for _, _, step in ready]
@@ -184,7 +258,7 @@
 
     async def scenario():
         state, runner = make_state(named=False)
-        state.customer_usage.add("a", runner.entry.capacity)
+        use(state, "a", runner.entry.capacity)
         ready = add_steps(state, "a", 30, 50) + add_steps(state, "", 30, 1)
         random.Random(1).shuffle(ready)
         state.job_by_id = {step.job.spec.id: step.job for _, _, step in ready}
@@ -455,7 +529,7 @@
         monkeypatch.setattr(logger, lambda event, **fields: lines.append(fields))
         for first in range(0, 620, 10):
             for customer in named[first : first + 10]:
-                state.customer_usage.add(customer.name, Resources(1000 * first, 0, 0))
+                use(state, customer.name, Resources(1000 * first, 0, 0))
             lines.clear()
             reporter.report()
             assert len(lines) == MAX_REPORTED + 1
