Customer metrics: one label for names that are equal in a collector

Cause: customers "a-b" and "a.b" have the same metric name after sanitizing. The collector raised DuplicateTimeseries, so that the refusal itself, or the report, failed.

Change: MetricLabels bounds and distinguishes customers by the sanitized name, without the suffixes that a collector adds to counters.

--- a/flamingoweir/dispatch/_customer_report.py
+++ b/flamingoweir/dispatch/_customer_report.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from ..customers import Customer
+from ..customers import Customer, MetricLabels
 from ..logs import get_logger
 from ..resources import Resources
 from ._context import TermContext
@@ -49,7 +49,7 @@
     def __init__(self, context: TermContext):
         self._context = context
         self._load = context.owner_state.customer_load
-        self._gauged: set[str] = set()
+        self._labels = MetricLabels(MAX_GAUGED)
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -129,10 +129,9 @@
         )
 
     def _set_gauges(self, row: _CustomerRow) -> None:
-        name = row.customer.name
-        if name not in self._gauged and len(self._gauged) >= MAX_GAUGED:
+        label = self._labels.find(row.customer.name)
+        if label is None:
             return
-        self._gauged.add(name)
         values = {
             "weight": row.customer.weight,
             "cap_milli": row.customer.cap.processors_milli,
@@ -145,7 +144,7 @@
             "share_received": row.share_received,
         }
         for field, value in values.items():
-            self._context.metrics.gauge(f"customer_{field}_{name}", value)
+            self._context.metrics.gauge(f"customer_{field}_{label}", value)
 
 
 def _size(row: _CustomerRow) -> tuple[float, int, float]:
--- a/flamingoweir/queues/_customer_gate.py
+++ b/flamingoweir/queues/_customer_gate.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from ..customers import CustomerLimit
+from ..customers import CustomerLimit, MetricLabels
 from ..errors import ErrorCode, FlamingoweirError
 from ..jobs import JobSpec
 from ..logs import get_logger
@@ -33,16 +33,13 @@
 
     def __init__(self, metrics: Metrics):
         self._metrics = metrics
-        self._counted: set[str] = set()
+        self._labels = MetricLabels(MAX_COUNTED_CUSTOMERS)
 
     def record(self, customer: str, cause: str) -> None:
         """Count a refusal; customers without a counter of their own share one."""
-        if customer not in self._counted:
-            if len(self._counted) >= MAX_COUNTED_CUSTOMERS:
-                self._metrics.incr(f"customer_refusals_{cause}_others")
-                return
-            self._counted.add(customer)
-        self._metrics.incr(f"customer_refusals_{cause}_of_{customer}")
+        label = self._labels.find(customer)
+        suffix = "others" if label is None else f"of_{label}"
+        self._metrics.incr(f"customer_refusals_{cause}_{suffix}")
 
 
 class CustomerGate:
--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -33,7 +33,7 @@
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Outcome, QueuePolicy, encode_spec
-from flamingoweir.metrics import NoMetrics
+from flamingoweir.metrics import NoMetrics, PrometheusMetrics
 from flamingoweir.ownership import (
     Backlog,
     OwnerRecord,
@@ -50,6 +50,7 @@
     find_limit,
     sort_key,
 )
+from flamingoweir.queues._customer_gate import RefusalCounts
 from flamingoweir.registry import Configuration, RunnerEntry
 from flamingoweir.resources import Resources
 from flamingoweir.storage import VersionedRow
@@ -540,6 +541,31 @@
         virtual(check, patch)
 
 
+def test_customers_whose_metric_names_are_equal_share_a_counter():
+    """Guards against a refusal or report that fails as a collector has the name."""
+
+    def check():
+        metrics = PrometheusMetrics()
+        counts = RefusalCounts(metrics)
+        names = ["a-b", "a.b", "a-b_total", "a-b_created", "c"]
+        for name in names * 2:
+            counts.record(name, "cap")
+        text = metrics.render().decode()
+        assert "flamingoweir_customer_refusals_cap_of_a_b_total 2.0" in text
+        assert "flamingoweir_customer_refusals_cap_of_c_total 2.0" in text
+        assert "flamingoweir_customer_refusals_cap_others_total 6.0" in text
+        for number in range(100):
+            counts.record(f"n.{number}", "limit")
+        assert metrics.render().decode().count("# TYPE") <= 2 * 53
+        customers = [Customer(name, weight=2 + n) for n, name in enumerate(names)]
+        state, runner = make_state(*customers)
+        rank(state, runner, [])
+        CustomerReporter(make_context(state, metrics)).report()
+        assert "flamingoweir_customer_weight_a_b 2.0" in metrics.render().decode()
+
+    virtual(check)
+
+
 @contextlib.asynccontextmanager
 async def publish_limits(cluster):
     """Run a `LimitFinder` in the owner's term, which doesn't start one."""
