Customer limits: test that the order alone protects other customers

Cause: no test showed that a flood has no effect on others without limits.

Change: test_term_publishes_no_limits also checks that the others are in time.

--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -591,7 +591,10 @@
 
 
 def test_term_publishes_no_limits():
-    """Guards against refusals while runners are free, which `LimitFinder` causes."""
+    """Guards against refusals while runners are free, which `LimitFinder` causes.
+
+    The order alone keeps a flood of one customer from making others late.
+    """
 
     async def scenario():
         async with run_cluster(runners=2, processors=4) as cluster:
@@ -613,6 +616,7 @@
             assert len(seen) > 100
             assert not any(seen)
             assert not arrivals.error_by_id
+            assert [arrivals.in_time(name) for name in "abc"] == [1.0] * 3
 
     run_virtual(scenario)
 
