--- a/flamingoweir/dispatch/_customer_usage.py
+++ b/flamingoweir/dispatch/_customer_usage.py
@@ -8,6 +8,7 @@
 from ..resources import Resources
 from ._cap_changes import CapChanges
 from ._late_orders import MAX_LATENESS_S
+from ._service_usage import ServiceUsage
 
 _NOTHING = Resources()
 
@@ -32,10 +33,13 @@
     ----------
     cap_changes : CapChanges
         When the caps of customers were lowered.
+    by_service : ServiceUsage
+        Sums by service, without allocations that have ended.
     """
 
     def __init__(self) -> None:
         self.cap_changes = CapChanges()
+        self.by_service = ServiceUsage()
         self._usage_by_customer: dict[str, _Usage] = {}
         #: Allocations of this term whose start orders were not sent yet, in the order
         #: of placement.
@@ -59,6 +63,7 @@
         """Allocate resources for an attempt of an earlier owner, and count them."""
         allocation = runner.add(attempt, spec, customer)
         self.add(customer, spec.demand)
+        self.by_service.add(allocation.service, customer, spec.demand)
         return allocation
 
     def release(self, runner: Runner, task: TaskId, run: int) -> Allocation | None:
@@ -66,6 +71,8 @@
         allocation = runner.remove(task, run)
         if allocation is not None:
             self.remove(allocation.customer, allocation.spec.demand)
+            service, customer = allocation.service, allocation.customer
+            self.by_service.remove(service, customer, allocation.spec.demand)
             self._remove_unsent(allocation)
         return allocation
 
--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 from types import SimpleNamespace
@@ -31,8 +32,8 @@
 from flamingoweir.dispatch._ready_steps import ReadySteps
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
 from flamingoweir.fleet import Runner
-from flamingoweir.jobs import Outcome, encode_spec
-from flamingoweir.metrics import NoMetrics
+from flamingoweir.jobs import Outcome, QueuePolicy, encode_spec
+from flamingoweir.metrics import NoMetrics, PrometheusMetrics
 from flamingoweir.ownership import (
     Backlog,
     OwnerRecord,
@@ -41,7 +42,15 @@
     job_row,
     owner_row,
 )
-from flamingoweir.policy import TokenBucket, choose_published, find_limit, sort_key
+from flamingoweir.policy import (
+    ABOVE_SHARE,
+    BELOW_SHARE,
+    TokenBucket,
+    choose_published,
+    find_limit,
+    sort_key,
+)
+from flamingoweir.queues._customer_gate import RefusalCounts
 from flamingoweir.registry import Configuration, RunnerEntry
 from flamingoweir.resources import Resources
 from flamingoweir.storage import VersionedRow
@@ -96,18 +105,24 @@
     return CustomerRanking(state, ready, [runner]).add_ranks(ready)
 
 
+def use(state: OwnerState, customer: str, demand: Resources, service: str = SERVICE):
+    """Count resources as used by a customer."""
+    state.customer_usage.add(customer, demand)
+    state.customer_usage.by_service.add(service, customer, demand)
+
+
 def find_order(state: OwnerState, runner: Runner, ready) -> list[str]:
     """Return customers in the order in which steps are placed that all find room."""
     ranked = sorted(rank(state, runner, ready))
     key_by_step = {step: key for key, _, step in ranked}
     steps = [step for _, _, step in ranked]
-    queue = StepQueue(steps, key_by_step, state.customer_load.shares)
+    queue = StepQueue(steps, key_by_step, state.customer_load.shares_by_service)
     order = []
     while queue:
         step = queue.pop()
         customer = step.job.spec.customer
         order.append(customer)
-        state.customer_usage.add(customer, step.spec.demand)
+        use(state, customer, step.spec.demand, step.job.spec.policy.service)
     return order
 
 
@@ -156,12 +171,73 @@
     virtual(check)
 
 
+def test_shares_are_those_of_the_service():
+    """Guards against a customer that takes a small service because a large one is free.
+
+    "a" wants both services and "b" the small one only; it holds half of that one. What
+    "b" uses elsewhere doesn't count against it there.
+    """
+
+    def check():
+        state, runner = make_state(Customer("a"), Customer("b"), processors=4)
+        large = make_state(processors=400)[1]
+        large.entry = dataclasses.replace(large.entry, id="l", service="large")
+        policy = QueuePolicy("large")
+        use(state, "a", Resources(2000, 0, 0))
+        use(state, "b", Resources(200_000, 0, 0), "large")
+        ready = add_steps(state, "a", 2, 1) + add_steps(state, "b", 2, 10)
+        for number in (20, 21):
+            for customer, offset in (("a", 0), ("b", 10)):
+                spec = make_job(number + offset, customer=customer, policy=policy)
+                job = state.add_job(spec)
+                job.accepted_s = NOW_S - number / 1e4
+                step = job.run_by_step[0, 0]
+                ready.append((sort_key(step, NOW_S, 0.0), number + offset, step))
+        ranking = CustomerRanking(state, ready, [runner, large])
+        rank_by_user = {}
+        for key, _, step in ranking.add_ranks(ready):
+            spec = step.job.spec
+            rank_by_user[spec.policy.service, spec.customer] = key[1]
+        assert rank_by_user == {
+            (SERVICE, "a"): ABOVE_SHARE,
+            (SERVICE, "b"): BELOW_SHARE,
+            ("large", "a"): BELOW_SHARE,
+            ("large", "b"): ABOVE_SHARE,
+        }
+        shares = state.customer_load.shares_by_service[SERVICE]
+        assert shares.capacity == runner.entry.capacity
+        assert shares.received("a") == shares.due("a") == 0.5
+
+    virtual(check)
+
+
+def test_usage_by_service_follows_allocations():
+    """Guards against a share that stays in use after its tasks have ended."""
+
+    def check():
+        state, runner = make_state(Customer("a"))
+        usage = state.customer_usage
+        attempts = []
+        for number, processors in enumerate([1.0, 0.0, 2.0, 0.0]):
+            step = add_steps(state, "a", 1, number, processors=processors)[0][2]
+            attempts.append(step.job.start(step, 0, "r", 1, NOW_S))
+            usage.allocate(runner, attempts[-1], step)
+        assert usage.by_service.used_by(SERVICE, "a") == Resources(3000, 0, 0)
+        # A runner that changes its service still has what was counted before.
+        runner.entry = dataclasses.replace(runner.entry, service="other")
+        for attempt in attempts:
+            usage.release(runner, attempt.task, attempt.run)
+        assert not usage.by_service.services
+
+    virtual(check)
+
+
 def test_absent_task_goes_first_whatever_its_customer_uses():
     """Guards against a service of a customer above its share that stays away."""
 
     def check():
         state, runner = make_state(Customer("a"), Customer("b"), processors=4)
-        state.customer_usage.add("a", Resources(4000, 0, 0))
+        use(state, "a", Resources(4000, 0, 0))
         ready = add_steps(state, "a", 1, 1, lasting=True)
         ready += add_steps(state, "b", 1, 2, lasting=True)
         steps = [step for _, _, step in ready]
@@ -183,7 +259,7 @@
 
     async def scenario():
         state, runner = make_state(named=False)
-        state.customer_usage.add("a", runner.entry.capacity)
+        use(state, "a", runner.entry.capacity)
         ready = add_steps(state, "a", 30, 50) + add_steps(state, "", 30, 1)
         random.Random(1).shuffle(ready)
         state.job_by_id = {step.job.spec.id: step.job for _, _, step in ready}
@@ -285,28 +361,91 @@
     virtual(check)
 
 
+def list_ready(state: OwnerState):
+    """Return the ready steps of all jobs, as they are ranked."""
+    ready = []
+    for number, job in enumerate(state.job_by_id.values()):
+        job.accepted_s = NOW_S
+        step = job.run_by_step[0, 0]
+        ready.append((sort_key(step, NOW_S, 0.0), number, step))
+    return ready
+
+
 def test_excess_goes_last_and_costs_a_pass_little():
-    """Guards against a backlog of one customer that each pass lists and sorts."""
+    """Guards against a backlog of one customer that each pass ranks and sorts.
+
+    The earliest jobs are listed; the latest ones would be replaced by each arrival.
+    """
 
     def check():
         state, runner = make_state(Customer("a", weight=10), Customer("b"))
         excess = send_flood(state.customer_load, 50, 8)
-        for number in range(400):
-            state.add_job(make_job(number, customer="a", accepted_ms=1))
+        for number in reversed(range(400)):
+            accepted_ms = round(1e6 + 20 * number)
+            state.add_job(make_job(number, customer="a", accepted_ms=accepted_ms))
         add_steps(state, "b", 5, 1000)
-        jobs = drop_surplus_excess(list(state.job_by_id.values()), state)
-        assert len(jobs) == 405 - len(excess) + MAX_LISTED_EXCESS
-        ready = []
-        for number, job in enumerate(jobs):
-            step = job.run_by_step[0, 0]
-            job.accepted_s = NOW_S
-            ready.append((sort_key(step, NOW_S, 0.0), number, step))
+        ready = drop_surplus_excess(list_ready(state), state)
+        assert len(ready) == 405 - len(excess) + MAX_LISTED_EXCESS
         last = sorted(rank(state, runner, ready))[-MAX_LISTED_EXCESS:]
-        assert all(step.job.spec.id in excess for _, _, step in last)
+        listed = {step.job.spec.id for _, _, step in last}
+        assert listed == set(sorted(excess)[:MAX_LISTED_EXCESS])
+
+    virtual(check)
+
+
+@pytest.mark.parametrize("differs", ["service", "label", "size"])
+def test_excess_of_one_kind_hides_no_other(differs):
+    """Guards against excess that waits, with its runners free, behind another kind."""
+
+    def check():
+        state, _ = make_state(Customer("a", weight=10))
+        excess = send_flood(state.customer_load, 50, 8)
+        other = {
+            "service": (make_step(), {"policy": QueuePolicy("other")}),
+            "label": (make_step(label="x"), {}),
+            "size": (make_step(processors=0.5), {}),
+        }[differs]
+        assert len(excess) > 2 * MAX_LISTED_EXCESS + 10
+        others = {max(excess), min(excess), sorted(excess)[150]}
+        for job_id in sorted(excess):
+            step, fields = other if job_id in others else (make_step(), {})
+            number = int(job_id, 16)
+            state.add_job(make_job(number, step, customer="a", accepted_ms=1, **fields))
+        listed = drop_surplus_excess(list_ready(state), state)
+        assert others <= {step.job.spec.id for _, _, step in listed}
+        assert len(listed) == MAX_LISTED_EXCESS + len(others)
 
     virtual(check)
 
 
+def test_excess_of_scheduled_and_long_running_jobs_is_listed():
+    """Guards against due occurrences that are never opened, as much else waits."""
+
+    async def scenario():
+        state, runner = make_state(Customer("a", weight=10))
+        excess = sorted(send_flood(state.customer_load, 50, 8))
+        due = {"first_due_ms": 900_000, "occurrences": 2, "interval_ms": 1000}
+        for job_id in excess:
+            number, step, fields = int(job_id, 16), make_step(), {}
+            if job_id in excess[-10:-5]:
+                fields = due
+            elif job_id in excess[-5:]:
+                step = make_step(lasting=True)
+            state.add_job(make_job(number, step, customer="a", **fields))
+        context = make_context(state)
+        steps = ReadySteps(
+            context, JobPauses(state), CustomerCaps(context), Deferrals(state)
+        )
+        found = await steps.find(
+            lambda: NOW_S, anyio.lowlevel.checkpoint, lambda: [runner]
+        )
+        assert sum(step.job.spec.scheduled for step in found) == 10
+        assert sum(step.spec.lasting for step in found) == 5
+        assert len(found) == MAX_LISTED_EXCESS + 15
+
+    run_virtual(scenario)
+
+
 def test_excess_is_parked_first():
     """Guards against one customer's backlog that takes the memory for all others."""
     spec = make_job(1, customer="a")
@@ -391,7 +530,7 @@
         monkeypatch.setattr(logger, lambda event, **fields: lines.append(fields))
         for first in range(0, 620, 10):
             for customer in named[first : first + 10]:
-                state.customer_usage.add(customer.name, Resources(1000 * first, 0, 0))
+                use(state, customer.name, Resources(1000 * first, 0, 0))
             lines.clear()
             reporter.report()
             assert len(lines) == MAX_REPORTED + 1
@@ -402,6 +541,41 @@
         virtual(check, patch)
 
 
+def test_customers_whose_metric_names_are_equal_share_a_counter():
+    """Guards against a refusal or report that fails as a collector has the name."""
+
+    def check():
+        metrics = PrometheusMetrics()
+        counts = RefusalCounts(metrics)
+        names = ["a-b", "a.b", "a-b_total", "a-b_created", "c"]
+        for name in names * 2:
+            counts.record(name, "cap")
+        text = metrics.render().decode()
+        assert "flamingoweir_customer_refusals_cap_of_a_b_total 2.0" in text
+        assert "flamingoweir_customer_refusals_cap_of_c_total 2.0" in text
+        assert "flamingoweir_customer_refusals_cap_others_total 6.0" in text
+        for number in range(100):
+            counts.record(f"n.{number}", "limit")
+        assert metrics.render().decode().count("# TYPE") <= 2 * 53
+        customers = [Customer(name, weight=2 + n) for n, name in enumerate(names)]
+        state, runner = make_state(*customers)
+        rank(state, runner, [])
+        CustomerReporter(make_context(state, metrics)).report()
+        assert "flamingoweir_customer_weight_a_b 2.0" in metrics.render().decode()
+
+    virtual(check)
+
+
+@contextlib.asynccontextmanager
+async def publish_limits(cluster):
+    """Run a `LimitFinder` in the owner's term, which doesn't start one."""
+    term = (await cluster.owner()).instance.term
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(LimitFinder(term._context, term._permit).run)
+        yield
+        tasks.cancel_scope.cancel()
+
+
 async def run_flood(cluster, arrivals: Arrivals, flood: float) -> None:
     """Send the usual load of four customers; one sends a multiple of it for 8 s."""
     await cluster.owner()
@@ -416,6 +590,37 @@
     await anyio.sleep(4)
 
 
+def test_term_publishes_no_limits():
+    """Guards against refusals while runners are free, which `LimitFinder` causes.
+
+    The order alone keeps a flood of one customer from making others late.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=2, processors=4) as cluster:
+            configure_customers(cluster, *[Customer(name, weight=2) for name in "abcd"])
+            arrivals = Arrivals(cluster)
+            owner = await cluster.owner()
+            seen = []
+
+            async def watch():
+                while True:
+                    load = owner.instance.term.owner_state.customer_load
+                    seen.append(dict(load.limit_by_customer))
+                    await anyio.sleep(0.1)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watch)
+                await run_flood(cluster, arrivals, 10)
+                tasks.cancel_scope.cancel()
+            assert len(seen) > 100
+            assert not any(seen)
+            assert not arrivals.error_by_id
+            assert [arrivals.in_time(name) for name in "abc"] == [1.0] * 3
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_flood_of_one_customer_has_no_effect_on_the_others(seed):
     """Guards against a customer with ten times its load that makes others late.
@@ -428,20 +633,21 @@
         async with run_cluster(runners=2, processors=4, seed=seed) as cluster:
             configure_customers(cluster, *[Customer(name, weight=2) for name in "abcd"])
             arrivals = Arrivals(cluster)
-            await run_flood(cluster, arrivals, 10)
-            assert [arrivals.in_time(name) for name in "abc"] == [1.0] * 3
-            assert len(arrivals.error_by_id) > 40
-            for job_id, error in arrivals.error_by_id.items():
-                assert arrivals.customer_by_id[job_id] == "d"
-                assert error.code is ErrorCode.CUSTOMER_LIMIT
-                assert error.verdict is Verdict.NOT_RUN
-                assert 2.0 <= error.retry_after_s <= 15.0
-                assert job_row("s0", job_id) not in cluster.rows.row_by_id
-            # A customer that sends no more than its weight is admitted again.
-            await anyio.sleep(8)
-            refused = len(arrivals.error_by_id)
-            await arrivals.send("d", 6, 0.7)
-            assert len(arrivals.error_by_id) == refused
+            async with publish_limits(cluster):
+                await run_flood(cluster, arrivals, 10)
+                assert [arrivals.in_time(name) for name in "abc"] == [1.0] * 3
+                assert len(arrivals.error_by_id) > 40
+                for job_id, error in arrivals.error_by_id.items():
+                    assert arrivals.customer_by_id[job_id] == "d"
+                    assert error.code is ErrorCode.CUSTOMER_LIMIT
+                    assert error.verdict is Verdict.NOT_RUN
+                    assert 2.0 <= error.retry_after_s <= 15.0
+                    assert job_row("s0", job_id) not in cluster.rows.row_by_id
+                # A customer that sends no more than its weight is admitted again.
+                await anyio.sleep(8)
+                refused = len(arrivals.error_by_id)
+                await arrivals.send("d", 6, 0.7)
+                assert len(arrivals.error_by_id) == refused
 
     run_virtual(scenario)
 
@@ -476,9 +682,10 @@
         async with run_cluster(runners=6, processors=8) as cluster:
             configure_customers(cluster, *[Customer(name, weight=2) for name in "abcd"])
             arrivals = Arrivals(cluster)
-            await run_flood(cluster, arrivals, 10)
-            assert not arrivals.error_by_id
-            assert [arrivals.in_time(name) for name in "abcd"] == [1.0] * 4
+            async with publish_limits(cluster):
+                await run_flood(cluster, arrivals, 10)
+                assert not arrivals.error_by_id
+                assert [arrivals.in_time(name) for name in "abcd"] == [1.0] * 4
 
     run_virtual(scenario)
 
@@ -495,15 +702,16 @@
             capped = Customer("d", weight=2, cap=Resources(2000, 0, 0))
             configure_customers(cluster, *customers, capped)
             arrivals = Arrivals(cluster)
-            await run_flood(cluster, arrivals, 10)
-            assert [arrivals.in_time(name) for name in "abc"] == [1.0] * 3
-            assert not arrivals.error_by_id
-            running = largest = 0
-            for record in cluster.records():
-                if arrivals.customer_by_id[record.task.job] == "d":
-                    running += {"start": 1, "done": -1}.get(record.kind, 0)
-                    largest = max(largest, running)
-            assert largest == 2
+            async with publish_limits(cluster):
+                await run_flood(cluster, arrivals, 10)
+                assert [arrivals.in_time(name) for name in "abc"] == [1.0] * 3
+                assert not arrivals.error_by_id
+                running = largest = 0
+                for record in cluster.records():
+                    if arrivals.customer_by_id[record.task.job] == "d":
+                        running += {"start": 1, "done": -1}.get(record.kind, 0)
+                        largest = max(largest, running)
+                assert largest == 2
 
     run_virtual(scenario)
 
