Drain rate: gaps aren't measured, and it is unknown until enough tasks have ended

A gap in planning, as in an outage of the store, was measured as a low rate. A new owner without ends counted a rate of 0 after 1.2 s. Ends counted after 4 s of waiting at most, in a window of 5 s, which is less than one run of tasks of 20 s.

A gap of more than 1 s (twice the intended interval, if that is longer) drops what was measured and begins to settle anew. The rate needs 20 run times, 10 ends in the window and a mean run time of measurement; the window is 2.5 mean run times, at least 5 s. Until run times are known, the declared ones of what waits decide how long to settle.

Existing tests pass the number of ended tasks, which update() now requires; their assertions are unchanged.

--- a/flamingoweir/dispatch/_deferrals.py
+++ b/flamingoweir/dispatch/_deferrals.py
@@ -120,7 +120,7 @@
         deferred: set[str] = set()
         self._ratio_by_queue = {}
         with self._owner_state.fault_log.contain("deferral_failed") as containment:
-            self._update_rates(ready, fits_somewhere, now_s)
+            self._update_rates(ready, fits_somewhere, now_s, interval_s)
             self._track_jobs(now_s)
             for service, rates in self._rates_by_service.items():
                 per_s = [rate.per_s() for rate in rates]
@@ -134,6 +134,7 @@
         ready: Iterable[StepRun],
         fits_somewhere: Callable[[StepRun], bool],
         now_s: float,
+        interval_s: float,
     ) -> None:
         waiting = _find_waiting(ready, fits_somewhere)
         work_by_kind: dict[tuple[str, int], float] = {}
@@ -157,7 +158,15 @@
                 runs = runs_by_kind.get(kind, ())
                 mean_run_s = sum(runs) / len(runs) if runs else 0.0
                 ended_work = work_by_kind.get(kind, 0.0)
-                rate.update(ended_work, mean_run_s, kind in waiting, now_s)
+                rate.update(
+                    ended_work,
+                    mean_run_s,
+                    kind in waiting,
+                    now_s,
+                    run_count=len(runs),
+                    declared_run_s=waiting.get(kind, 0.0),
+                    interval_s=interval_s,
+                )
 
     def _track_jobs(self, now_s: float) -> None:
         """Add new jobs, and record those that have ended or passed their objective."""
@@ -276,20 +285,29 @@
 
 def _find_waiting(
     ready: Iterable[StepRun], fits_somewhere: Callable[[StepRun], bool]
-) -> set[tuple[str, int]]:
-    """Return the services, and kinds of processors, for which tasks wait for room."""
-    waiting = set()
+) -> dict[tuple[str, int], float]:
+    """Return the mean declared run times of the tasks that wait for room, in seconds.
+
+    They are listed by service and kind of processors.
+    """
+    waiting: set[tuple[str, int]] = set()
+    estimates_by_kind: dict[tuple[str, int], list[float]] = {}
     for step in ready:
         spec = step.spec
         if step.unplaced_since_s is None or not _is_covered(step.job):
             continue
-        kind = step.job.spec.policy.service, 0 if spec.uses_spare else 1
         # A step with a limit of its own may find no room on a fleet that is empty.
-        if kind in waiting or spec.label or spec.data_rack or spec.max_per_runner:
+        if spec.label or spec.data_rack or spec.max_per_runner:
             continue
-        if fits_somewhere(step):
+        kind = step.job.spec.policy.service, 0 if spec.uses_spare else 1
+        estimates_by_kind.setdefault(kind, []).append(spec.estimate_s)
+        if kind not in waiting and fits_somewhere(step):
             waiting.add(kind)
-    return waiting
+    found = {}
+    for kind in waiting:
+        estimates = estimates_by_kind[kind]
+        found[kind] = sum(estimates) / len(estimates)
+    return found
 
 
 def _rounded(rate: float | None) -> float | None:
--- a/flamingoweir/policy/_drain_rate.py
+++ b/flamingoweir/policy/_drain_rate.py
@@ -8,16 +8,26 @@
 from collections import deque
 from dataclasses import dataclass
 
-#: Seconds over which the rate is measured. Tasks run for a few seconds; a shorter
-#: window would see whole waves of them end, or none.
-WINDOW_S = 5.0
-#: Seconds of the window in which tasks must have waited for the rate to be known.
+#: Least seconds over which the rate is measured, and the same in mean run times. A
+#: shorter window would see whole waves of tasks end, or none.
+MIN_WINDOW_S = 5.0
+WINDOW_RUNS = 2.5
+#: Least seconds of the window in which tasks must have waited for the rate to be known.
+#: It is at least a mean run time.
 MIN_MEASURED_S = 1.2
 #: Limits for the time, in seconds, for which tasks have to wait before ends count. What
 #: ends earlier was started while the fleet was not full, so that the time is the mean
 #: run time of tasks.
 MIN_SETTLE_S = 0.3
-MAX_SETTLE_S = 4.0
+MAX_SETTLE_S = 60.0
+#: Number of ended tasks with known run times from which the mean run time is known. A
+#: new owner knows no run times at first.
+MIN_RUNS = 20
+#: Number of ends in the window from which the rate is known. Few ends are chance.
+MIN_WINDOW_ENDS = 10
+#: Seconds between updates from which the time between them is not measured. Nothing is
+#: placed while planning is suspended, as during an outage of the store.
+MAX_GAP_S = 1.0
 #: Quantile of the ratios of real to estimated run times. A step ends with its slowest
 #: task.
 RATIO_QUANTILE = 0.9
@@ -37,6 +47,7 @@
     end_s: float
     duration_s: float
     work: float
+    ends: int
 
 
 class DrainRate:
@@ -49,10 +60,19 @@
         self._intervals: deque[_Interval] = deque()
         self._updated_s: float | None = None
         self._waiting_since_s: float | None = None
-        self._run_s = MIN_SETTLE_S
+        self._run_s = 0.0
+        self._run_count = 0
 
     def update(
-        self, ended_work: float, mean_run_s: float, is_waiting: bool, now_s: float
+        self,
+        ended_work: float,
+        mean_run_s: float,
+        is_waiting: bool,
+        now_s: float,
+        *,
+        run_count: int,
+        declared_run_s: float = 0.0,
+        interval_s: float = 0.0,
     ) -> None:
         """Record what has ended since the last update.
 
@@ -66,11 +86,25 @@
             Whether tasks wait for room now.
         now_s : float
             Time on the owner's clock, in seconds.
+        run_count : int
+            Number of ended tasks whose run times are known.
+        declared_run_s : float
+            Mean declared run time of the tasks that wait, in seconds; 0 if it isn't
+            known.
+        interval_s : float
+            Intended time between updates, in seconds. With very many jobs it exceeds
+            `MAX_GAP_S`.
         """
         began_s, self._updated_s = self._updated_s, now_s
-        if mean_run_s > 0.0:
-            self._run_s += 0.3 * (mean_run_s - self._run_s)
-        while self._intervals and self._intervals[0].end_s < now_s - WINDOW_S:
+        if run_count:
+            self._run_count += run_count
+            weight = max(0.3, run_count / self._run_count)
+            self._run_s += weight * (mean_run_s - self._run_s)
+        if began_s is not None and now_s - began_s > max(MAX_GAP_S, 2 * interval_s):
+            self._intervals.clear()
+            self._waiting_since_s = None
+        window_s = max(MIN_WINDOW_S, WINDOW_RUNS * self._run_s)
+        while self._intervals and self._intervals[0].end_s < now_s - window_s:
             self._intervals.popleft()
         if not is_waiting:
             self._waiting_since_s = None
@@ -78,14 +112,20 @@
         if self._waiting_since_s is None:
             self._waiting_since_s = now_s
             return
-        settle_s = min(max(self._run_s, MIN_SETTLE_S), MAX_SETTLE_S)
+        run_s = self._run_s if self._run_count >= MIN_RUNS else declared_run_s
+        settle_s = min(max(run_s or MAX_SETTLE_S, MIN_SETTLE_S), MAX_SETTLE_S)
         if began_s is not None and began_s - self._waiting_since_s >= settle_s:
-            self._intervals.append(_Interval(now_s, now_s - began_s, ended_work))
+            interval = _Interval(now_s, now_s - began_s, ended_work, run_count)
+            self._intervals.append(interval)
 
     def per_s(self) -> float | None:
         """Return the work that ends per second; None if it isn't known."""
+        if self._run_count < MIN_RUNS:
+            return None
         measured_s = sum(interval.duration_s for interval in self._intervals)
-        if measured_s < MIN_MEASURED_S:
+        if measured_s < max(MIN_MEASURED_S, min(self._run_s, MAX_SETTLE_S)):
+            return None
+        if sum(interval.ends for interval in self._intervals) < MIN_WINDOW_ENDS:
             return None
         return sum(interval.work for interval in self._intervals) / measured_s
 
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -4,6 +4,8 @@
 jobs of two steps with 19 tasks a step on average.
 """
 
+import random
+
 import anyio
 import pytest
 
@@ -104,13 +106,13 @@
     """Guards against a small load that is taken for a small fleet."""
     rate = DrainRate()
     for number in range(20):
-        rate.update(1.0, 0.3, False, 0.3 * number)
+        rate.update(1.0, 0.3, False, 0.3 * number, run_count=20)
     assert rate.per_s() is None
     for number in range(20, 40):
-        rate.update(6.0, 0.3, True, 0.3 * number)
+        rate.update(6.0, 0.3, True, 0.3 * number, run_count=20)
     assert rate.per_s() == pytest.approx(20.0)
     for number in range(40, 60):
-        rate.update(0.0, 0.0, False, 0.3 * number)
+        rate.update(0.0, 0.0, False, 0.3 * number, run_count=0)
     assert rate.per_s() is None
 
 
@@ -118,9 +120,69 @@
     """Guards against deferral at the begin of each burst, when little ends as yet."""
     rate = DrainRate()
     for number in range(10):
-        rate.update(3.0, 2.0, False, 0.3 * number)
+        rate.update(3.0, 2.0, False, 0.3 * number, run_count=20)
     for number in range(10, 16):
-        rate.update(0.3, 2.0, True, 0.3 * number)
+        rate.update(0.3, 2.0, True, 0.3 * number, run_count=20)
+    assert rate.per_s() is None
+
+
+def measure(seconds, begin_s=0.0, rate=None, run_s=1.5, count=3) -> DrainRate:
+    """Update a rate every 0.3 s while tasks wait and 10 units of work end a second."""
+    rate = rate or DrainRate()
+    for number in range(round(seconds / 0.3)):
+        now_s = begin_s + 0.3 * number
+        rate.update(3.0, run_s, True, now_s, run_count=count, declared_run_s=run_s)
+    return rate
+
+
+def test_gap_in_planning_is_not_measured():
+    """Guards against an outage of the store that is taken for a small fleet."""
+    rate = measure(6.0)
+    assert rate.per_s() == pytest.approx(10.0)
+    # The first update after the gap reports all ends that came during it.
+    rate = measure(2.7, begin_s=20.0, rate=rate)
+    assert rate.per_s() is None
+    assert measure(3.0, begin_s=22.7, rate=rate).per_s() == pytest.approx(10.0)
+
+
+def test_updates_at_long_intended_intervals_are_measured():
+    """Guards against a rate that is never known because very many jobs wait."""
+    rate = DrainRate()
+    for number in range(10):
+        at = {"run_count": 20, "declared_run_s": 1.5, "interval_s": 1.5}
+        rate.update(15.0, 1.5, True, 1.5 * number, **at)
+    assert rate.per_s() == pytest.approx(10.0)
+
+
+@pytest.mark.parametrize("seed", [0, 1, 2])
+def test_rate_of_tasks_of_20_s_is_measured_over_their_run_time(seed):
+    """Guards against the time before the first long tasks end taken for a low rate."""
+    generator = random.Random(seed)
+    rate = DrainRate()
+    ends_s = [20.0 * generator.uniform(0.7, 1.3) for _ in range(40)]
+    rates = []
+    for number in range(1, 400):
+        now_s = 0.3 * number
+        ends = 0
+        for index, end_s in enumerate(ends_s):
+            if end_s <= now_s:
+                ends += 1
+                ends_s[index] = end_s + 20.0 * generator.uniform(0.7, 1.3)
+        rate.update(20.0 * ends, 20.0, True, now_s, run_count=ends, declared_run_s=20.0)
+        rates.append(rate.per_s())
+    # Nothing is known until tasks that started on a full fleet have ended.
+    assert not any(rates[:66])
+    assert all(found is not None for found in rates[-100:])
+    # 40 processors are busy. A quarter less is a promise that one more job would break.
+    assert all(30.0 <= found <= 50.0 for found in rates if found is not None)
+
+
+def test_rate_needs_ends():
+    """Guards against an owner without any ends as yet that counts a rate of 0."""
+    assert measure(30.0, count=0).per_s() is None
+    rate = measure(6.0)
+    for number in range(20, 60):
+        rate.update(0.0, 0.0, True, 0.3 * number, run_count=0)
     assert rate.per_s() is None
 
 
@@ -196,6 +258,12 @@
     now = replay(burst, seconds=1.5)
     assert now.deferred == 0
     assert now.placed == replay(burst, order_present, seconds=1.5).placed
+    # Jobs that fit: 3 s of work, with an objective that leaves 12 s more.
+    fitting = Load(2.0, seconds=1.5, bursts=(), objective_s=12.0)
+    now = replay(fitting, seconds=10.0)
+    assert now.deferred == 0
+    assert now.in_time == 1.0
+    assert now.placed == replay(fitting, order_present, seconds=10.0).placed
 
 
 def test_scheduled_gang_and_long_running_steps_keep_their_place():
