Deferral: jobs that go last anyway take no part in the decision

Jobs of a priority counted as equals, so that jobs in excess, and those that wait for the cap of their customer, had normal jobs deferred. They are left out of the decision, of the mean work and of the size classes. Jobs beyond three objectives and steps that fit nowhere no longer take capacity from lower priorities. A decision is about 500 jobs at most, those due first; late ones come after the others. A failed decision clears the run ratios.

--- a/flamingoweir/dispatch/_deferrals.py
+++ b/flamingoweir/dispatch/_deferrals.py
@@ -6,6 +6,7 @@
 from ..jobs import Job, JobState, StepRun
 from ..logs import get_logger
 from ..policy import (
+    MAX_VALUABLE_OBJECTIVES,
     DrainRate,
     MeanWork,
     RunRatio,
@@ -30,6 +31,9 @@
 #: Seconds between decisions for each job, so that the processor time for decisions is
 #: bounded however many jobs wait.
 INTERVAL_PER_JOB_S = 0.0003
+#: Number of jobs of a service in one decision, those due first. A decision holds the
+#: event loop for some 20 us a job; the others aren't deferred.
+MAX_CANDIDATES = 500
 
 
 @dataclass(slots=True)
@@ -121,13 +125,18 @@
         self._ratio_by_queue = {}
         with self._owner_state.fault_log.contain("deferral_failed") as containment:
             self._update_rates(ready, fits_somewhere, now_s, interval_s)
-            self._track_jobs(now_s)
+            listed_ids = {step.job.spec.id for step in ready}
+            self._track_jobs(listed_ids, now_s)
             for service, rates in self._rates_by_service.items():
                 per_s = [rate.per_s() for rate in rates]
                 if any(rate is not None for rate in per_s):
-                    deferred |= self._decide(service, per_s, now_s)
+                    found = self._find_candidates(service, listed_ids, now_s)
+                    deferred |= self._decide(found, fits_somewhere, per_s, now_s)
             self._log_changes(deferred, now_s)
-        self.job_ids = set() if containment.failed else deferred
+        self.job_ids = deferred
+        if containment.failed:
+            self.job_ids = set()
+            self._ratio_by_queue = {}
 
     def _update_rates(
         self,
@@ -168,15 +177,20 @@
                     interval_s=interval_s,
                 )
 
-    def _track_jobs(self, now_s: float) -> None:
+    def _track_jobs(self, listed_ids: set[str], now_s: float) -> None:
         """Add new jobs, and record those that have ended or passed their objective."""
         for job_id, job in self._owner_state.job_by_id.items():
             if job_id in self._tracked_by_id or job.is_final or not _is_covered(job):
                 continue
+            if self._goes_last(job, listed_ids):
+                continue
             with self._owner_state.fault_log.contain("deferral_failed", job=job_id):
                 self._track(job, now_s)
         for job_id, tracked in list(self._tracked_by_id.items()):
             job = tracked.job
+            if self._goes_last(job, listed_ids):
+                # Its end says nothing about the order here.
+                tracked.is_counted = True
             is_late = tracked.deadline_s < now_s
             if not tracked.is_counted and (is_late or job.state is JobState.DONE):
                 classes = self._record_of(job.spec.queue).classes
@@ -200,27 +214,64 @@
             is_counted=deadline_s < now_s,
         )
 
+    def _find_candidates(
+        self, service: str, listed_ids: set[str], now_s: float
+    ) -> list[_TrackedJob]:
+        """Return the jobs of a service among which to decide, those due first.
+
+        Those that are late come after the others, as they can't be deferred. Jobs
+        beyond three objectives go after all others, so that they take nothing.
+        """
+        found = []
+        for tracked in self._tracked_by_id.values():
+            job = tracked.job
+            if job.spec.policy.service != service or self._goes_last(job, listed_ids):
+                continue
+            if now_s - job.accepted_s <= MAX_VALUABLE_OBJECTIVES * objective_s(job):
+                found.append(tracked)
+        found.sort(key=lambda tracked: (tracked.deadline_s < now_s, tracked.deadline_s))
+        return found[:MAX_CANDIDATES]
+
+    def _goes_last(self, job: Job, listed_ids: set[str]) -> bool:
+        """Return whether a job is in excess, or waits for the cap of its customer.
+
+        A step that waits for the cap is ready, but isn't listed.
+        """
+        spec = job.spec
+        if not spec.customer:
+            return False
+        if self._owner_state.customer_load.is_excess(spec.id):
+            return True
+        if spec.id in listed_ids:
+            return False
+        return any(step.open_indexes for step in job.ready_steps())
+
     def _decide(
-        self, service: str, rates: list[float | None], now_s: float
+        self,
+        candidates: list[_TrackedJob],
+        fits_somewhere: Callable[[StepRun], bool],
+        rates: list[float | None],
+        now_s: float,
     ) -> set[str]:
-        """Return the ids of the jobs of a service to defer."""
+        """Return the ids of the candidates, of one service, to defer."""
         jobs = []
-        for job_id, tracked in self._tracked_by_id.items():
-            if tracked.job.spec.policy.service != service:
-                continue
+        for tracked in candidates:
+            job_id = tracked.job.spec.id
             with self._owner_state.fault_log.contain("deferral_failed", job=job_id):
-                jobs.append(self._describe(tracked, now_s))
+                steps = [step for step in tracked.steps if fits_somewhere(step.run)]
+                jobs.append(self._describe(tracked, steps, now_s))
         deferred = choose_deferred(
             jobs, rates, now_s, self._may_defer, self._record_deferred
         )
         if not deferred and all(job.can_end_in_time for job in jobs):
             # The fleet carries the load, so that the order stays as it is without.
-            for tracked in self._tracked_by_id.values():
-                if tracked.job.spec.policy.service == service:
-                    self._ratio_by_queue.pop(tracked.job.spec.queue, None)
+            for tracked in candidates:
+                self._ratio_by_queue.pop(tracked.job.spec.queue, None)
         return deferred
 
-    def _describe(self, tracked: _TrackedJob, now_s: float) -> WaitingJob:
+    def _describe(
+        self, tracked: _TrackedJob, steps: list[StepWork], now_s: float
+    ) -> WaitingJob:
         spec = tracked.job.spec
         record = self._record_of(spec.queue)
         ratio = self._ratio_by_queue.get(spec.queue)
@@ -228,7 +279,7 @@
             ratio = self._ratio_by_queue[spec.queue] = record.run_ratio.value
             record.classes.begin_decision()
         value = job_value(tracked.work, record.mean_work.mean)
-        remaining, open_work = find_open_work(tracked.steps, tracked.deadline_s, ratio)
+        remaining, open_work = find_open_work(steps, tracked.deadline_s, ratio)
         return WaitingJob(
             spec.id,
             spec.policy.priority,
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -32,7 +32,7 @@
 from ._headroom import BatchHeadroom, ServiceLoad
 from ._health import RunnerHealth
 from ._key_validity import KeyDecision, decide_key
-from ._order import AWAY_PRIORITY, objective_s, sort_key
+from ._order import AWAY_PRIORITY, MAX_VALUABLE_OBJECTIVES, objective_s, sort_key
 from ._paces import PaceChange
 from ._placement import PlacementPolicy, StepPlacement, unplaced_s
 from ._shares import (
@@ -63,6 +63,7 @@
     "EVICT_AFTER_S",
     "EXCESS",
     "MAX_PLACEMENT_WAIT_S",
+    "MAX_VALUABLE_OBJECTIVES",
     "RESPONSE_LIMIT_S",
     "RETURN_WINDOW_S",
     "SURVIVAL_S",
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -10,7 +10,7 @@
 import pytest
 
 from flamingoweir.dispatch import _deferrals
-from flamingoweir.jobs import Job, JobState, Outcome, QueuePolicy
+from flamingoweir.jobs import Job, JobSpec, JobState, Outcome, QueuePolicy, StepSpec
 from flamingoweir.policy import (
     DrainRate,
     OpenWork,
@@ -21,8 +21,9 @@
     job_value,
     objective_s,
 )
+from flamingoweir.resources import Resources
 from tests.utils.cluster import SERVICE, make_job, make_step, run_cluster
-from tests.utils.overload import Load, order_present, replay
+from tests.utils.overload import Load, measure_rate, order_present, replay
 from tests.utils.virtual_time import run_virtual
 
 #: Drain rate at which `PROMISED_FRACTION` of it is 1 on spare processors.
@@ -287,6 +288,74 @@
     assert now.placed == replay(fitting, order_present, seconds=10.0).placed
 
 
+@pytest.mark.parametrize("kind", ["excess", "capped", "worthless", "too_large"])
+def test_flood_that_takes_nothing_defers_no_normal_job(kind):
+    """Guards against normal jobs that are deferred for others that go after them.
+
+    400 jobs of another customer are in excess or wait for its cap, or 12 jobs of a
+    higher priority are beyond three objectives or fit nowhere.
+    """
+    processors = Resources(1000, 0, 0)
+    step = StepSpec(20, processors, 1.0, uses_spare=True)
+    policy = QueuePolicy(SERVICE, 1, 3, 2.0, 4.0)
+    normal = [JobSpec(f"n{n}", "queue-1", "", (step,), policy) for n in range(10)]
+    deferrals, now_s = measure_rate(normal, processors=100)
+    state = deferrals._owner_state
+    count = 400
+    if kind in ("worthless", "too_large"):
+        # More would leave no capacity at all, so that nothing could be deferred.
+        count = 12
+        policy = QueuePolicy(SERVICE, 0, 3, 2.0, 4.0)
+    for number in range(count):
+        spec = JobSpec(f"f{number}", "queue-1", "", (step,), policy, customer="b")
+        state.job_by_id[spec.id] = job = Job(spec)
+        job.accepted_s = now_s - (100.0 if kind == "worthless" else 0.0)
+        if kind == "excess":
+            state.customer_load._excess_ids.add(spec.id)
+    ready = []
+    for job in state.job_by_id.values():
+        if kind != "capped" or not job.spec.customer:
+            ready += job.ready_steps()
+    deferrals.update(
+        ready,
+        lambda step: kind != "too_large" or not step.job.spec.customer,
+        now_s + 0.5,
+    )
+    assert not any(job_id.startswith("n") for job_id in deferrals.job_ids)
+    assert not deferrals.job_ids
+
+
+def test_decision_is_about_a_bounded_number_of_jobs(monkeypatch):
+    """Guards against a decision that holds the event loop for tens of milliseconds."""
+    sizes = []
+    monkeypatch.setattr(
+        _deferrals,
+        "choose_deferred",
+        lambda jobs, *args: sizes.append(len(jobs)) or set(),
+    )
+    step = StepSpec(20, Resources(1000, 0, 0), 1.0, uses_spare=True)
+    policy = QueuePolicy(SERVICE, 1, 3, 2.0, 4.0)
+    specs = [JobSpec(f"n{n}", "queue-1", "", (step,), policy) for n in range(900)]
+    deferrals, now_s = measure_rate(specs, processors=100)
+    deferrals.update((), lambda step: True, now_s + 0.5)
+    assert sizes[-1] == 500
+
+
+def test_failed_decision_leaves_the_order_as_it_is(monkeypatch):
+    """Guards against run ratios that stay in force after an error."""
+    step = StepSpec(20, Resources(1000, 0, 0), 1.0, uses_spare=True)
+    policy = QueuePolicy(SERVICE, 1, 3, 2.0, 4.0)
+    spec = JobSpec("n", "queue-1", "", (step,), policy)
+    deferrals, now_s = measure_rate([spec], processors=100)
+
+    def fail(*args):
+        raise ValueError("a fault in the decision")
+
+    monkeypatch.setattr(_deferrals, "choose_deferred", fail)
+    deferrals.update((), lambda step: True, now_s + 0.5)
+    assert not deferrals._ratio_by_queue and not deferrals.job_ids
+
+
 def test_scheduled_gang_and_long_running_steps_keep_their_place():
     """Guards against deferral of work whose order follows other rules."""
     policy = QueuePolicy(SERVICE, 1, 3, 2.0, 1.0)
--- a/tests/utils/overload.py
+++ b/tests/utils/overload.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from flamingoweir.dispatch._customer_load import CustomerLoad
 from flamingoweir.dispatch._deferrals import Deferrals
 from flamingoweir.dispatch._task_ends import TaskEnds
 from flamingoweir.faults import FaultLog
@@ -121,6 +122,7 @@
         self.job_by_id: dict[str, Job] = {}
         self.task_ends = TaskEnds()
         self.fault_log = FaultLog()
+        self.customer_load = CustomerLoad()
 
 
 def order_present(step, now_s, order) -> tuple:
