--- a/flamingoweir/policy/_drain_rate.py
+++ b/flamingoweir/policy/_drain_rate.py
@@ -25,7 +25,7 @@
 MIN_RUNS = 20
 #: Number of ends in the window from which the rate is known. Few ends are chance.
 MIN_WINDOW_ENDS = 10
-#: Seconds between updates from which the time between them is not measured. Nothing is
+#: Longest time in seconds between two updates that counts towards the rate. Nothing is
 #: placed while planning is suspended, as during an outage of the store.
 MAX_GAP_S = 1.0
 #: Quantile of the ratios of real to estimated run times. A step ends with its slowest
