An owner says no more of a silent runner than what is left of its leases

Cause: an owner row says of each runner that leaves, is silent or has not responded to this owner in how many seconds its leases have lapsed, but never less than 2.75 s, as the owner may grant a short lease once the runner responds. Each owner so began a wait of 2.75 s anew.

Change: the floor holds for runners that respond. To any other nothing is granted, whoever owns the shard: if it responds again, no lease outlives what the last row said (limit_lease), and the write that says otherwise is made at once, as before where a row said too little.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -128,7 +128,9 @@
         """Return in how many seconds leases have lapsed that end before all others.
 
         These are leases on runners with attempts that leave, are unresponsive, or have
-        not responded to this owner yet. If they respond, they may be granted a lease.
+        not responded to this owner yet. A runner that does not respond is granted
+        nothing, whoever owns the shard; if it responds again, the next row says so
+        before a lease is granted there.
         """
         now_s = self._context.clock.now()
         left_s_by_runner = {}
@@ -139,7 +141,7 @@
             id_bytes += len(runner.id.encode())
             if id_bytes > MAX_SHORT_LEASE_BYTES:
                 break
-            least_s = longest_lease_s(SHORT_LEASE_VALID_S)
+            least_s = longest_lease_s(SHORT_LEASE_VALID_S) if runner.responds else 0.0
             left_s = max(runner.lapses_in_s(now_s), least_s)
             left_s_by_runner[runner.id] = round(left_s, 3)
         return left_s_by_runner
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -88,10 +88,7 @@
     def renew_leases(self) -> None:
         """Renew the leases of all runners that respond, without waiting for polls."""
         for runner in self._owner_state.runner_by_id.values():
-            responsive = (
-                runner.incarnation is not None and runner.unresponsive_since_s is None
-            )
-            if responsive and runner.has_attempts:
+            if runner.responds and runner.has_attempts:
                 self._task_group.start_soon(self._renew_lease, runner)
 
     def _find_allocation(self, attempt: Attempt) -> tuple[Runner, Allocation] | None:
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -126,12 +126,9 @@
     async def _poll(self) -> None:
         runner = self._runner
         sent_s = self._clock.now()
-        responsive = (
-            runner.incarnation is not None and runner.unresponsive_since_s is None
-        )
         # Repeated renewals without a response would keep the lease from ever lapsing.
         deadline_ms = None
-        if responsive and runner.has_attempts:
+        if runner.responds and runner.has_attempts:
             deadline_ms = self._context.renew_lease(runner)
         try:
             report = await self._link.poll(
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -305,6 +305,11 @@
         self.last_durable_end = 0
         return lost
 
+    @property
+    def responds(self) -> bool:
+        """Whether the latest call of this owner got a response."""
+        return self.incarnation is not None and self.unresponsive_since_s is None
+
     def record_response(self, clock_ms: float, now_s: float) -> None:
         """Record a response that has just arrived, with the runner's clock."""
         self._clock_ms = clock_ms
