The next owner counts on for how long a runner has been missing

Cause: a runner that is not listed, and whose address a new owner doesn't know, is given up once it has been missing for 2.2 s, as its entry may come back after an outage of the store. Each owner counted these from its own first read of the list, so that they never passed where owners live for about as long.

Only time counts in which an owner follows the list: not the gap between two owners, nothing if that was 3 s or longer, and from zero after the list could not be followed.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -1,7 +1,7 @@
 """The jobs, runners and attempts of a shard in memory; does no input or output."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from ..clock import Clock
 from ..faults import FaultLog
@@ -32,11 +32,12 @@
     RunnerHealth,
     Suspect,
 )
-from ..registry import UNLISTED_GRACE_S, RunnerEntry
+from ..registry import RunnerEntry
 from ..wakeup import Wakeup
 from ._customer_load import CustomerLoad
 from ._customer_usage import CustomerUsage
 from ._late_orders import LateOrders
+from ._missing_runners import MissingRunners
 from ._parking import JobParking
 from ._task_ends import TaskEnds
 
@@ -67,6 +68,8 @@
         When the leases of earlier owners have lapsed; left out: there are none.
     memory_mb : float
         Memory of the instance in megabytes.
+    missing_runners : MissingRunners, optional
+        Runners that were missing from the list for earlier owners; left out: none.
 
     Attributes
     ----------
@@ -85,6 +88,8 @@
         and whose rows are still in the store.
     set_aside_by_job : dict of str to StateRecord
         Records to be written of jobs that were set aside.
+    missing_runners : MissingRunners
+        For how long runners with attempts have been missing from the list.
     customer_load : CustomerLoad
         Submissions of each customer beyond its rate.
     customer_usage : CustomerUsage
@@ -120,6 +125,7 @@
         max_lease_s: float,
         earlier_leases: EarlierLeases | None = None,
         memory_mb: float = 300.0,
+        missing_runners: MissingRunners | None = None,
     ):
         self.parking = JobParking(memory_mb)
         self.customer_load = CustomerLoad()
@@ -142,9 +148,8 @@
         self.colocation = ColocationPolicy()
         self.fault_log = FaultLog(metrics, clock)
         self._crash_detector = CrashDetector()
+        self.missing_runners = missing_runners or MissingRunners()
         self._entry_by_id: dict[str, RunnerEntry] = {}
-        #: When the list of runners was first read, on the owner's clock, in seconds.
-        self._runners_read_s = float("inf")
         self._excluded_job_ids: set[str] = set()
         self._clock = clock
         self._metrics = metrics
@@ -227,11 +232,27 @@
         if job is not None:
             self.parking.record_released(job.spec)
 
-    def update_runners(self, entry_by_id: dict[str, RunnerEntry]) -> list[Runner]:
-        """Update the listed runners; return those that need a connection."""
+    def update_runners(
+        self,
+        entry_by_id: dict[str, RunnerEntry],
+        present_ids: Collection[str] | None = None,
+    ) -> list[Runner]:
+        """Update the listed runners; return those that need a connection.
+
+        Parameters
+        ----------
+        entry_by_id : dict of str to RunnerEntry
+            Entries of the runners that count as listed.
+        present_ids : collection of str, optional
+            Ids of those whose entry was there in the latest read; left out: all.
+        """
         to_connect = []
         self._entry_by_id = entry_by_id
-        self._runners_read_s = min(self._runners_read_s, self._clock.now())
+        self.missing_runners.update(
+            self.runner_by_id,
+            entry_by_id if present_ids is None else present_ids,
+            self._clock.now(),
+        )
         self._blame_crashes()
         for runner_id, entry in entry_by_id.items():
             with self.fault_log.contain("runner_update_failed", runner=runner_id):
@@ -294,11 +315,11 @@
         report.
         """
         now_s = self._clock.now()
-        if now_s - self._runners_read_s < UNLISTED_GRACE_S:
-            return
         for runner in list(self.runner_by_id.values()):
             if runner.entry.address or not runner.leases_lapsed(now_s):
                 continue
+            if self.missing_runners.may_return(runner.id, now_s):
+                continue
             if runner.has_attempts:
                 self.end_lapsed_attempts(runner)
             if runner.id not in self._entry_by_id and not runner.has_attempts:
@@ -347,10 +368,16 @@
             runner=runner.id,
             attempts=len(runner.allocation_by_run),
             lapse_in_s=round(max(0.0, runner.lapses_in_s(now_s)), 2),
+            missing_s=self._missing_s(runner, now_s),
             granted_by=_find_granter(runner),
             tasks=" ".join(tasks),
         )
 
+    def _missing_s(self, runner: Runner, now_s: float) -> float | None:
+        """Return for how long a runner is missing from the list, for the log."""
+        missing_s = self.missing_runners.missing_s(runner.id, now_s)
+        return None if missing_s is None else round(missing_s, 2)
+
     def end_lapsed_attempts(self, runner: Runner) -> None:
         """End attempts on a runner whose leases have certainly lapsed.
 
@@ -371,6 +398,7 @@
             attempts=len(attempts),
             unheard_s=None if unheard_s is None else round(unheard_s, 2),
             term_s=round(now_s - self._started_s, 2),
+            missing_s=self._missing_s(runner, now_s),
             granted_by=_find_granter(runner),
         )
         for attempt in attempts:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -43,12 +43,13 @@
     read_all,
 )
 from ._committer import RENEW_INTERVAL_S, Committer
-from ._context import Permit, TermContext, TermEnd
+from ._context import MAX_FEED_AGE_S, Permit, TermContext, TermEnd
 from ._customer_report import CustomerReporter
 from ._effect_store import EffectStore
 from ._excluded_attempts import restore_excluded_attempts
 from ._load_report import LoadReporter
 from ._loader import JobLoader
+from ._missing_runners import MissingRunners
 from ._orders import OrderSender
 from ._owner_state import OwnerState
 from ._parked_jobs import ParkedJobLoader
@@ -132,7 +133,9 @@
             max_lease_s,
             writer.earlier_leases,
             memory_mb,
+            MissingRunners(writer.former_missing_s_by_runner),
         )
+        writer.list_missing_runners = self._list_missing_runners
         self.owner_state.customer_load.find_configuration = lambda: (
             operators.configuration
         )
@@ -414,7 +417,13 @@
         for runner_id, entry in self._context.runners.entry_by_id.items():
             if self._context.runners.is_listed(runner_id):
                 entries[runner_id] = entry
-        to_connect = self.owner_state.update_runners(entries)
+        now_s = self._clock.now()
+        age_s = now_s - self._runner_follower.last_synced_s
+        if self._runners_read and age_s > MAX_FEED_AGE_S:
+            self.owner_state.missing_runners.restart(now_s)
+        to_connect = self.owner_state.update_runners(
+            entries, self._context.runners.present_ids
+        )
         for runner in self.owner_state.runner_by_id.values():
             runner.leaving = runner.entry.draining or runner.id not in entries
         if not self._runners_read:
@@ -429,6 +438,10 @@
             ):
                 runner.poll_wakeup.set()
 
+    def _list_missing_runners(self) -> dict[str, float]:
+        synced_s = min(self._clock.now(), self._runner_follower.last_synced_s)
+        return self.owner_state.missing_runners.list_missing_s(synced_s)
+
     def _watch_runner(self, runner: Runner) -> None:
         """Connect to a runner, and poll it in the background."""
         with self._contain("runner_connect_failed", runner=runner.id) as block:
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -65,6 +65,9 @@
     leases_end_in_s_by_runner : dict of str to float
         The same by id of a runner that leaves, is unresponsive, or has not responded to
         this owner yet. Leases mostly end earlier there.
+    missing_s_by_runner : dict of str to float
+        Seconds for which owners that followed one another have found a runner with
+        attempts missing from the list of runners, by its id.
     max_job_bytes : int or None
         Largest `JobSpec.memory_bytes` of a job that the owner can hold; None for any.
     """
@@ -78,6 +81,7 @@
     written_s: float | None = None
     leases_end_in_s: float = UNBOUNDED_LEASES_END_IN_S
     leases_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
+    missing_s_by_runner: dict[str, float] = field(default_factory=dict)
     max_job_bytes: int | None = None
 
 
@@ -88,9 +92,11 @@
     """Encode the content of an owner row as JSON.
 
     The field `max_job_bytes` is left out while it is None: former builds can't read it.
-    The limits of customers are left out where there are none.
+    Missing runners and the limits of customers are left out where there are none.
     """
     fields = _to_fields(record)
+    if not record.missing_s_by_runner:
+        del fields["missing_s_by_runner"]
     if record.max_job_bytes is None:
         del fields["max_job_bytes"]
     if record.backlog is not None and not record.backlog.limit_by_customer:
@@ -114,7 +120,11 @@
         record = _RECORD.validate_json(row.value, strict=True)
     except pydantic.ValidationError:
         return None
-    times_s = [record.leases_end_in_s, *record.leases_end_in_s_by_runner.values()]
+    times_s = [
+        record.leases_end_in_s,
+        *record.leases_end_in_s_by_runner.values(),
+        *record.missing_s_by_runner.values(),
+    ]
     if record.written_s is not None:
         times_s.append(record.written_s)
     for time_s in times_s:
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -43,6 +43,10 @@
 LEASE_MARGIN_S = 0.2
 #: Seconds for which a standby tries to take a shard before it reads the row again.
 ACQUIRE_TIMEOUT_S = 1.0
+#: Longest time in seconds between the last write of an owner and the first of the next
+#: one for which the store counts as reachable throughout. It exceeds the time after
+#: which a lone weak standby takes the shard.
+MAX_HANDOVER_S = 3.0
 #: Seconds before a write that was refused or got no response is repeated.
 RETRY_PAUSE_S = 0.03
 #: Maximum entries of a transaction, including the owner row and its precondition.
@@ -114,10 +118,15 @@
         transaction that is sent, also for one that is repeated.
     list_short_leases : callable
         Returns `OwnerRecord.leases_end_in_s_by_runner` to publish, called once a write.
+    list_missing_runners : callable
+        Returns `OwnerRecord.missing_s_by_runner`, called for each transaction.
     find_max_job_bytes : callable
         Returns `OwnerRecord.max_job_bytes` to publish, called for each transaction.
     former : OwnerRecord or None
         What the former owner published last; None if nothing was readable.
+    former_missing_s_by_runner : dict of str to float
+        `OwnerRecord.missing_s_by_runner` of the former owner; empty if its row is not
+        recent.
     earlier_leases : EarlierLeases
         When the leases have lapsed that earlier owners may have granted.
     """
@@ -136,9 +145,11 @@
         self.fence = 0
         self.count_backlog: Callable[[], Backlog | None] = _unknown_backlog
         self.list_short_leases = self._list_earlier_leases
+        self.list_missing_runners = lambda: self.former_missing_s_by_runner
         self.find_max_job_bytes: Callable[[], int | None] = lambda: None
         self.former: OwnerRecord | None = None
         self.earlier_leases = EarlierLeases.none()
+        self.former_missing_s_by_runner: dict[str, float] = {}
         self._store = store
         self._owner_row = owner_row(shard)
         self._record = OwnerRecord(holder, process, 0)
@@ -180,9 +191,21 @@
                 self._clock.now() if seen_s is None else seen_s,
                 self._store_clock,
             )
+        if self.former is not None and self._is_recent(self.former):
+            self.former_missing_s_by_runner = self.former.missing_s_by_runner
         await self._write((), ())
         self.fence = self._version
 
+    def _is_recent(self, record: OwnerRecord) -> bool:
+        """Return whether the shard was without an owner for a short time only.
+
+        Longer, the store may have been away, so that entries of runners are missing.
+        """
+        store_s = self._store_clock.upper_bound_at(self._clock.now())
+        if store_s is None or record.written_s is None:
+            return False
+        return abs(store_s - record.written_s) < MAX_HANDOVER_S
+
     @property
     def confirmed_s(self) -> float:
         """When the latest confirmed write was sent, on the owner's clock."""
@@ -279,6 +302,7 @@
                 written_s=self._store_clock.upper_bound_at(sent_s),
                 leases_end_in_s=self._leases_end_in_s(sent_s),
                 leases_end_in_s_by_runner=short_leases,
+                missing_s_by_runner=self.list_missing_runners(),
                 max_job_bytes=self.find_max_job_bytes(),
             )
             own = (self._owner_row, encode_owner_record(record))
--- a/flamingoweir/registry/_view.py
+++ b/flamingoweir/registry/_view.py
@@ -230,6 +230,11 @@
         unlisted_s = self._unlisted_s_by_id.get(runner)
         return unlisted_s is None or self._clock.now() - unlisted_s < UNLISTED_GRACE_S
 
+    @property
+    def present_ids(self) -> set[str]:
+        """Ids of the runners whose entry was there in the latest read."""
+        return self.entry_by_id.keys() - self._unlisted_s_by_id.keys()
+
     def apply_rows(self, rows: list[VersionedRow], is_whole_table: bool) -> None:
         """Update the view from rows of the runners' table.
 
