An owner allows no leases before it has read the shard

Cause: from taking the shard on, an owner's row said that leases of 7.34 s may be granted on every runner that no row names, although an owner polls no runner before it has read the shard. Each such owner began that wait anew.

Change: until an owner has read the shard, its row passes on what earlier owners may have granted, and FencedWriter.limit_lease allows nothing; the first write after that allows leases, and is made at once.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -103,6 +103,9 @@
         self._writer.count_backlog = self._count_backlog
         self._writer.list_short_leases = self._list_short_leases
         self._writer.find_max_job_bytes = self._owner_state.parking.find_max_job_bytes
+        self._writer.grants_leases = True
+        # The first write allows the leases that the first polls renew.
+        self._owner_state.write_wakeup.set()
         while True:
             await self._owner_state.write_wakeup.wait(RENEW_INTERVAL_S)
             batch = self._collect()
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -120,6 +120,9 @@
         Returns `OwnerRecord.leases_end_in_s_by_runner` to publish, called once a write.
     list_missing_runners : callable
         Returns `OwnerRecord.missing_s_by_runner`, called for each transaction.
+    grants_leases : bool
+        Whether writes from now on allow leases. An owner that has not read the shard
+        yet grants none, and its row says so.
     find_max_job_bytes : callable
         Returns `OwnerRecord.max_job_bytes` to publish, called for each transaction.
     former : OwnerRecord or None
@@ -147,6 +150,7 @@
         self.list_short_leases = self._list_earlier_leases
         self.list_missing_runners = lambda: self.former_missing_s_by_runner
         self.find_max_job_bytes: Callable[[], int | None] = lambda: None
+        self.grants_leases = False
         self.former: OwnerRecord | None = None
         self.earlier_leases = EarlierLeases.none()
         self.former_missing_s_by_runner: dict[str, float] = {}
@@ -158,6 +162,8 @@
         self._metrics = metrics
         self._version = 0
         self._confirmed_s = float("-inf")
+        #: Whether the latest confirmed write allows leases.
+        self._grants_in_store = False
         #: When the last lease ends that was granted, on the owner's clock.
         self._granted_until_s = float("-inf")
         #: For how long leases are valid by `leases_end_in_s_by_runner` of the latest
@@ -233,7 +239,7 @@
             Until when the lease is wanted, on the owner's clock, in seconds.
         """
         valid_s = min(
-            LEASE_VALID_S,
+            LEASE_VALID_S if self._grants_in_store else 0.0,
             self._short_in_store.get(runner, LEASE_VALID_S),
             self._short_in_flight.get(runner, LEASE_VALID_S),
         )
@@ -287,6 +293,7 @@
             self._record, number=self._record.number + 1, fence=self.fence
         )
         first_sent_s = self._clock.now()
+        grants_leases = self.grants_leases and not self._record.released
         # Runners that are lost while the write is repeated, as the store is away, keep
         # their full leases.
         short_leases = self.list_short_leases()
@@ -300,7 +307,7 @@
                 self._record,
                 backlog=self.count_backlog(),
                 written_s=self._store_clock.upper_bound_at(sent_s),
-                leases_end_in_s=self._leases_end_in_s(sent_s),
+                leases_end_in_s=self._leases_end_in_s(sent_s, grants_leases),
                 leases_end_in_s_by_runner=short_leases,
                 missing_s_by_runner=self.list_missing_runners(),
                 max_job_bytes=self.find_max_job_bytes(),
@@ -326,6 +333,7 @@
                 continue
             self._version = version
             self._confirmed_s = sent_s
+            self._grants_in_store = grants_leases
             # Of a repeated write, it is unknown which transaction was applied.
             self._short_in_store, self._short_in_flight = self._short_in_flight, {}
             self._metrics.timing(
@@ -333,14 +341,14 @@
             )
             return
 
-    def _leases_end_in_s(self, now_s: float) -> float:
+    def _leases_end_in_s(self, now_s: float, grants_leases: bool) -> float:
         """Return `OwnerRecord.leases_end_in_s` of a write that is sent now.
 
-        An owner that releases the shard grants nothing more. A runner that an earlier
+        Without further leases, those end that were granted. A runner that an earlier
         row named may be named no more, as it responds; what was granted there goes on.
         """
         lease_s = LEASE_VALID_S
-        if self._record.released:
+        if not grants_leases:
             lease_s = max(0.0, self._granted_until_s - now_s)
         earlier_s = self.earlier_leases.latest_end_s - now_s
         return max(longest_lease_s(lease_s), earlier_s)
