Histories: owners that stop in order one after the other, runners that leave

No test has more than two owners in a row, or runners that say that they leave, or holds the 9 s while owners are stopped in order.

Change: `RestartHistory`, a `LossHistory` with three to seven owners stopped about 2 s apart, each back 2 to 4 s later, and runners that leave, vanish while listed, or are cut from all, from all but the owner, or from all but a later owner, perhaps draining; a killed owner in a fifth, an owner cut off right after it reached such a runner, slow and lost responses of the store, runners' clocks at 0.98. `play_losses` takes the members, the drawing and the kind of history; what the existing test draws and checks is unchanged.

--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -28,6 +28,7 @@
     find_late_restarts,
 )
 from tests.utils.losses import check_runs
+from tests.utils.restart_histories import MEMBERS, RestartHistory, draw_restarts
 from tests.utils.virtual_time import run_virtual
 
 EXAMPLES = int(os.environ.get("HISTORY_EXAMPLES", "40"))
@@ -267,10 +268,24 @@
 CALM_S = 5.0
 
 
-async def play_losses(seed: int) -> None:
-    """Run one history of lost owners and runners, and check the long-running tasks."""
+async def play_losses(
+    seed: int, members: int = 0, draw=draw_losses, history_type=LossHistory
+) -> None:
+    """Run one history of lost owners and runners, and check the long-running tasks.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all that is random.
+    members : int
+        Number of instances; 0: three to five.
+    draw : callable
+        Draws what the history plays.
+    history_type : type
+        `LossHistory` or a kind of it.
+    """
     generator = random.Random(seed)
-    members = generator.randint(3, 5)
+    members = members or generator.randint(3, 5)
     async with run_cluster(members, runners=0, seed=seed) as cluster:
         for number in range(generator.randint(4, 6)):
             rate = generator.choice((1.0, 0.99, 0.98))
@@ -285,8 +300,8 @@
             await cluster.wait_for(job, JobState.RUNNING, 2.0)
         await cluster.submit(make_job(3, make_step(2, 0.5)), owner)
         await anyio.sleep(generator.uniform(0, 4))
-        history = LossHistory(cluster, attempt_log, generator)
-        await history.play(draw_losses(generator))
+        history = history_type(cluster, attempt_log, generator)
+        await history.play(draw(generator))
         last_lost_s = max(lost_s for lost_s, _ in history.losses)
         calm_from_s = max(anyio.current_time() + CALM_S, last_lost_s + MAX_AWAY_S)
         await anyio.sleep(calm_from_s - anyio.current_time())
@@ -313,3 +328,28 @@
     further losses come before it runs again, see `find_late_restarts`.
     """
     run_virtual(play_losses, seed)
+
+
+@settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    # As above.
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+@given(st.integers(0, 2**32))
+def test_task_waits_anew_with_each_owner_that_stops_in_order(seed):
+    """Guards against waits that begin anew with each owner, and against too short ones.
+
+    The target: a long-running task whose runner has gone runs again within 9 s of its
+    loss, however many owners follow one another in order meanwhile; and no run overlaps
+    another. The time counts from when the runner crashes or is cut off, not from when
+    it says that it leaves. It counts from a later event only if that is the loss of an
+    owner by a kill or a cut from the store, the loss of a runner that was given the
+    task since, the end of a run by something else than a loss or a lapse, or the stop
+    of the only instance that reached the runner: until then it may have renewed the
+    run's lease. Incident 0018.
+    """
+    run_virtual(play_losses, seed, MEMBERS, draw_restarts, RestartHistory)
