A runner is not given up while its owner can't read the list

What callers saw: after an outage of the store, a task that was done could be started again. Its runner, whose leases had lapsed and whose entry was back 1.2 s after the store, had been given up during the outage.

Cause: the planner gave up unlisted runners before it asked for the permit, so that the time without the list counted as time for which a runner was missing.

Change: it asks for the permit first. Without it, nothing that is given up could be started elsewhere anyway.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -148,9 +148,9 @@
                 await anyio.sleep(pause_s)
             started_s = self._context.clock.now()
             self._next_pass_s = started_s + MIN_PASS_INTERVAL_S
-            self._owner_state.remove_lapsed_unlisted()
             if not self._permit.is_valid():
                 continue
+            self._owner_state.remove_lapsed_unlisted()
             await self.plan()
             pass_s = self._context.clock.now() - started_s
             self._context.metrics.timing("placement_pass_ms", 1000 * pass_s)
