A failed call to the store ends what former owners have counted

What callers saw: a task that was done could be started again after an outage of the store that came with a change of the owner: the former one had counted its runner, whose leases had lapsed, as missing for 2.0 s, and the next one gave it up 0.2 s after it could read the list, although entries are back within two seconds of an outage.

Cause: the count began anew only if the list had been read before, and where the copy was old. An owner that hadn't read it yet went on with what the former one had published, whatever had become of the store meanwhile.

Change: each failed call, of the reads that restore the shard and of the feed, begins the count anew and drops the former owner's.

--- a/flamingoweir/dispatch/_missing_runners.py
+++ b/flamingoweir/dispatch/_missing_runners.py
@@ -53,7 +53,7 @@
         self._former_s_by_runner = {}
 
     def restart(self, now_s: float) -> None:
-        """Begin to count anew, as the list was not followed for a while."""
+        """Begin to count anew, as the store has not responded to each call."""
         self._former_s_by_runner = {}
         for runner in self._since_s_by_runner:
             self._since_s_by_runner[runner] = now_s
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -43,7 +43,7 @@
     read_all,
 )
 from ._committer import RENEW_INTERVAL_S, Committer
-from ._context import MAX_FEED_AGE_S, Permit, TermContext, TermEnd
+from ._context import Permit, TermContext, TermEnd
 from ._customer_report import CustomerReporter
 from ._effect_store import EffectStore
 from ._excluded_attempts import restore_excluded_attempts
@@ -406,6 +406,7 @@
             try:
                 return await read_all(self._store, table, parts)
             except (StoreRefused, StoreOutcomeUnknown) as error:
+                self.owner_state.missing_runners.restart(self._clock.now())
                 if not self._writer.may_renew_leases():
                     raise OwnershipLost(
                         f"can't read the shard's tables: {error}"
@@ -418,8 +419,7 @@
             if self._context.runners.is_listed(runner_id):
                 entries[runner_id] = entry
         now_s = self._clock.now()
-        age_s = now_s - self._runner_follower.last_synced_s
-        if self._runners_read and age_s > MAX_FEED_AGE_S:
+        if self._runner_follower.interrupted:
             self.owner_state.missing_runners.restart(now_s)
         to_connect = self.owner_state.update_runners(
             entries, self._context.runners.present_ids
--- a/flamingoweir/registry/_follower.py
+++ b/flamingoweir/registry/_follower.py
@@ -51,6 +51,8 @@
 
     Attributes
     ----------
+    interrupted : bool
+        Whether a call has failed since the copy was last known to be current.
     last_synced_s : float
         Latest clock time, in seconds, at which the copy is known to have been
         current, if the store withholds no changes and waits as long as it is asked to;
@@ -84,6 +86,7 @@
         self._resumed = False
         self._reachable = True
         self._record_call = record_call
+        self.interrupted = False
         self.last_synced_s = float("-inf")
         self.proof_sent_s = float("-inf")
         #: Version of an answer without changes, and when it was received.
@@ -172,12 +175,14 @@
         self._unchanged = version, self._clock.now()
 
     def _record_success(self, synced_s: float) -> None:
+        self.interrupted = False
         self.last_synced_s = max(self.last_synced_s, min(synced_s, self._clock.now()))
         if not self._reachable:
             self._reachable = True
             log.info("feed_regained", table=self._table, version=self._version)
 
     def _record_failure(self, error: Exception) -> None:
+        self.interrupted = True
         if self._reachable:
             self._reachable = False
             log.warning("feed_lost", table=self._table, detail=str(error))
