What the owner row says of runners is bounded with all its bytes

The limits of the runners that an owner row names counted the bytes of their ids, not the ten or so that each entry adds.

Both limits now count what an entry adds. With ids of 12 bytes the row names 2,045 runners with the ends of leases instead of 2,083. The test fills both limits with ids of 4, 12 and 200 bytes.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -27,6 +27,7 @@
 from ..storage import RowId
 from ._context import TermContext
 from ._effect_store import EffectStore
+from ._missing_runners import ENTRY_BYTES
 from ._orders import OrderSender
 from ._stored_rows import StoredRows
 
@@ -42,9 +43,9 @@
 #: Seconds between two confirmed writes after which leases were not renewed in full, so
 #: that they are renewed at once.
 FULL_LEASES_S = LEASE_VALID_S - RUNNER_LEASE_S
-#: Largest total length of the ids of runners that the owner row names with the end of
-#: their leases. A row has at most 64 KiB; each end adds some ten bytes to an id.
-MAX_SHORT_LEASE_BYTES = 25_000
+#: Largest total length of what the owner row says of the ends of leases. A row has at
+#: most 64 KiB.
+MAX_SHORT_LEASE_BYTES = 45_000
 
 
 @dataclass(slots=True)
@@ -137,12 +138,12 @@
         """
         now_s = self._context.clock.now()
         left_s_by_runner = {}
-        id_bytes = 0
+        published_bytes = 0
         for runner in self._owner_state.runner_by_id.values():
             if not runner.has_attempts or not runner.has_short_leases(now_s):
                 continue
-            id_bytes += len(runner.id.encode())
-            if id_bytes > MAX_SHORT_LEASE_BYTES:
+            published_bytes += len(runner.id.encode()) + ENTRY_BYTES
+            if published_bytes > MAX_SHORT_LEASE_BYTES:
                 break
             least_s = longest_lease_s(SHORT_LEASE_VALID_S) if runner.responds else 0.0
             left_s = max(runner.lapses_in_s(now_s), least_s)
--- a/flamingoweir/dispatch/_missing_runners.py
+++ b/flamingoweir/dispatch/_missing_runners.py
@@ -4,9 +4,11 @@
 
 from ..registry import UNLISTED_GRACE_S
 
-#: Largest total length of the ids of runners that the owner row names as missing. A row
-#: has at most 64 KiB, with the ends of leases.
-MAX_PUBLISHED_BYTES = 5_000
+#: Largest total length of what the owner row says of missing runners. A row has at most
+#: 64 KiB, with the ends of leases.
+MAX_PUBLISHED_BYTES = 9_000
+#: Largest length of what the owner row says of a runner besides its id.
+ENTRY_BYTES = 10
 
 
 class MissingRunners:
@@ -84,10 +86,10 @@
         if self._list_read_s == float("inf"):
             return self._former_s_by_runner
         missing_s_by_runner = {}
-        id_bytes = 0
+        published_bytes = 0
         for runner, since_s in self._since_s_by_runner.items():
-            id_bytes += len(runner.encode())
-            if id_bytes > MAX_PUBLISHED_BYTES:
+            published_bytes += len(runner.encode()) + ENTRY_BYTES
+            if published_bytes > MAX_PUBLISHED_BYTES:
                 break
             missing_s_by_runner[runner] = round(max(0.0, synced_s - since_s), 3)
         return missing_s_by_runner
--- a/tests/test_missing_runners.py
+++ b/tests/test_missing_runners.py
@@ -6,7 +6,8 @@
 import anyio
 import pytest
 
-from flamingoweir.dispatch._missing_runners import MAX_PUBLISHED_BYTES, MissingRunners
+from flamingoweir.dispatch._committer import MAX_SHORT_LEASE_BYTES
+from flamingoweir.dispatch._missing_runners import ENTRY_BYTES, MissingRunners
 from flamingoweir.jobs import JobState
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.ownership import (
@@ -24,6 +25,11 @@
 from tests.utils.losses import kill, stop_in_order
 from tests.utils.virtual_time import VirtualClock, run_virtual
 
+#: Largest value of a row that the store accepts, in bytes, and what is left of it for
+#: all but the runners.
+MAX_ROW_BYTES = 65_536
+MAX_BACKLOG_BYTES = 5_000
+
 
 def test_grace_begins_anew_with_the_next_owner():
     """Guards against a wait that is counted from each owner's first read."""
@@ -50,12 +56,19 @@
     assert runners.list_missing_s(112.5) == {"a": 0.5}
 
 
-def test_row_that_names_all_missing_runners_is_too_large():
+@pytest.mark.parametrize("id_bytes", [4, 12, 200])
+def test_row_that_names_all_missing_runners_is_too_large(id_bytes):
     """Guards against an owner row that the store refuses."""
     runners = MissingRunners()
-    runners.update([f"{number:0200d}" for number in range(1000)], [], 1.0)
-    published = runners.list_missing_s(2.0)
-    assert 0 < 200 * len(published) <= MAX_PUBLISHED_BYTES
+    runners.update([f"{number:0{id_bytes}d}" for number in range(9000)], [], 1.0)
+    missing = runners.list_missing_s(10_000.999)
+    short_count = MAX_SHORT_LEASE_BYTES // (id_bytes + ENTRY_BYTES)
+    leases = {f"{number:0{id_bytes}d}": 7.346 for number in range(short_count)}
+    record = OwnerRecord(
+        "a", "a/1", 1, leases_end_in_s_by_runner=leases, missing_s_by_runner=missing
+    )
+    assert 0 < len(encode_owner_record(record)) < MAX_ROW_BYTES - MAX_BACKLOG_BYTES
+    assert missing
 
 
 @pytest.mark.parametrize(("age_s", "passed_on"), [(0.5, {"a": 2.0}), (8.0, {})])
