--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -526,6 +526,40 @@
     run_virtual(scenario)
 
 
+def test_absent_tasks_keep_each_other_out_of_room_that_both_have():
+    """Guards against two tasks for which room was made on one runner, and neither runs.
+
+    Seen on tomen-dail: both are away for ten seconds.
+    """
+
+    async def scenario():
+        absent = batch_spec(1, 4, lasting=True)
+        planner, _, owner_state = make_owner(
+            1, absent, absent, batch_spec(4, 2), processors=8
+        )
+        (runner,) = owner_state.runner_by_id.values()
+        steps = [job.run_by_step[0, 0] for job in owner_state.job_by_id.values()]
+        for step in steps[:2]:
+            owner_state.record_start(owner_state.add_attempt(step, 0, runner))
+            lapsed = step.task_id(0), 1, Outcome.LAPSED
+            owner_state.end_attempt(runner, *lapsed, "")
+        for index in range(4):
+            owner_state.record_start(owner_state.add_attempt(steps[2], index, runner))
+        await anyio.sleep(1.0)
+        await planner.plan()
+        await anyio.sleep(EVICT_AFTER_S + 0.1)
+        await planner.plan()
+        assert len(owner_state.pending_stops) == 4
+        for attempt in owner_state.pending_stops:
+            stopped = attempt.task, attempt.run, Outcome.STOPPED
+            owner_state.end_attempt(runner, *stopped, "")
+        await planner.plan()
+        assert not steps[0].open_indexes
+        assert not steps[1].open_indexes
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize("batch", [False, True], ids=["absent", "batch"])
 def test_room_made_for_an_absent_task_is_not_taken_by_another_one(batch):
     """Guards against a large absent task whose room a smaller one or batch takes.
