Absent tasks share a runner that has room for both

Two tasks with promises on one runner shut each other out; the promises, of 2 s, were made again by turns, with nothing to evict.

Change: what is promised to others is withheld from what is free on the runner, so that a task fits there if there is room for it besides. A promise ends as its task is placed. Gangs leave such runners out, as before.

--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -1,6 +1,6 @@
 """Evicts batch work for long-running tasks that are away and find no room."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from ..fleet import Runner
@@ -57,26 +57,24 @@
                 continue
             del self._promise_by_task[task]
 
-    def leave_promised(
-        self, step: StepRun, candidates: Sequence[Runner]
-    ) -> Sequence[Runner]:
-        """Return the candidates without those on which others are promised room.
+    def promised_to_others(self, step: StepRun) -> dict[str, Resources]:
+        """Return the resources that are promised to tasks of other steps, by runner.
 
         Parameters
         ----------
         step : StepRun
             Step of which tasks are to be placed.
-        candidates : sequence of Runner
-            Runners that suit the step.
         """
         own = (step.job.spec.id, step.occurrence, step.step)
-        promised_ids = set()
+        promises = []
         for task, promise in self._promise_by_task.items():
-            if promise.runner and (task.job, task.occurrence, task.step) != own:
-                promised_ids.add(promise.runner)
-        if not promised_ids:
-            return candidates
-        return [runner for runner in candidates if runner.id not in promised_ids]
+            if (task.job, task.occurrence, task.step) != own:
+                promises.append(promise)
+        return _sum_by_runner(promises)
+
+    def record_placed(self, task: TaskId) -> None:
+        """Record that a task was placed: nothing is promised to it any more."""
+        self._promise_by_task.pop(task, None)
 
     def make_room(
         self, step: StepRun, candidates: Sequence[Runner], now_s: float
@@ -109,7 +107,8 @@
     def _evict_for(
         self, step: StepRun, index: int, candidates: Sequence[Runner], now_s: float
     ) -> None:
-        found = choose_evictions(step, candidates, self._sum_promises(), now_s)
+        promised_by_runner = _sum_by_runner(self._promise_by_task.values())
+        found = choose_evictions(step, candidates, promised_by_runner, now_s)
         task = step.task_id(index)
         if found is None:
             log.info("no_room_by_eviction", task=str(task), runners=len(candidates))
@@ -130,9 +129,12 @@
         for allocation in allocations:
             self._owner_state.stop_attempt(allocation.attempt, "evicted")
 
-    def _sum_promises(self) -> dict[str, Resources]:
-        promised_by_runner: dict[str, Resources] = {}
-        for promise in self._promise_by_task.values():
-            promised = promised_by_runner.get(promise.runner, Resources())
-            promised_by_runner[promise.runner] = promised + promise.resources
-        return promised_by_runner
+
+def _sum_by_runner(promises: Iterable[_Promise]) -> dict[str, Resources]:
+    promised_by_runner: dict[str, Resources] = {}
+    for promise in promises:
+        if not promise.runner:
+            continue
+        promised = promised_by_runner.get(promise.runner, Resources())
+        promised_by_runner[promise.runner] = promised + promise.resources
+    return promised_by_runner
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -1,7 +1,5 @@
 """Decides which ready tasks start, and on which runners."""
 
-from collections.abc import Sequence
-
 import anyio
 
 from ..fleet import Runner
@@ -371,9 +369,12 @@
             if self._caps.holds(step):
                 break
             if placement is None:
-                candidates = self._find_candidates(step)
                 placement = StepPlacement(
-                    self._placement, step, candidates, self._now_s
+                    self._placement,
+                    step,
+                    self._candidates.find(step),
+                    self._now_s,
+                    self._find_withheld(step),
                 )
                 evaluated_s = self._context.clock.now()
             leaves_room = self._must_leave_room(step, index)
@@ -395,12 +396,11 @@
         self._candidates.recheck(step, placed_on.values())
         return True
 
-    def _find_candidates(self, step: StepRun) -> Sequence[Runner]:
-        """Return the runners that suit a step and are not kept free for others."""
-        candidates = self._candidates.find(step)
+    def _find_withheld(self, step: StepRun) -> dict[str, Resources]:
+        """Return what a step must leave to absent tasks of others, by runner."""
         if step.spec.uses_spare:
-            return candidates
-        return self._evictions.leave_promised(step, candidates)
+            return {}
+        return self._evictions.promised_to_others(step)
 
     def _choose(
         self, placement: StepPlacement, step: StepRun, index: int
@@ -429,7 +429,9 @@
     def _place_gang(self, step: StepRun) -> bool:
         if len(step.open_indexes) < step.spec.count:
             return False
-        runners = place_gang(step, self._find_candidates(step))
+        withheld = self._find_withheld(step)
+        candidates = [r for r in self._candidates.find(step) if r.id not in withheld]
+        runners = place_gang(step, candidates)
         if runners is None:
             return False
         self._owner_state.add_gang_attempts(step, runners)
@@ -438,6 +440,7 @@
 
     def _start(self, step: StepRun, index: int, runner: Runner) -> None:
         attempt = self._owner_state.add_attempt(step, index, runner)
+        self._evictions.record_placed(attempt.task)
         log.info(
             "attempt_placed",
             task=str(attempt.task),
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -8,15 +8,17 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from ..fleet import Runner
 from ..jobs import StepRun, StepSpec
+from ..resources import Resources
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
 from ._health import RunnerHealth
 
 #: Seconds that a task waits for a runner on its data rack before it runs elsewhere.
 DATA_RACK_WAIT_S = 1.0
+_NOTHING = Resources()
 
 
 class PlacementPolicy:
@@ -108,7 +110,14 @@
                 best = runner
         return best
 
-    def fits(self, step: StepRun, runner: Runner, waited_s: float, count: int) -> bool:
+    def fits(
+        self,
+        step: StepRun,
+        runner: Runner,
+        waited_s: float,
+        count: int,
+        withheld: Resources = _NOTHING,
+    ) -> bool:
         """Return whether one more task of a step fits on a runner.
 
         Parameters
@@ -122,9 +131,11 @@
         count : int
             Number of tasks of the step that use resources of the runner; only needed
             if there is a limit.
+        withheld : Resources
+            Resources of the runner that the task must leave free.
         """
         spec = step.spec
-        if not spec.reserved.fits_in(runner.free_resources):
+        if not spec.reserved.fits_in(runner.free_resources - withheld):
             return False
         limit = spec.max_per_runner
         if limit and count >= limit:
@@ -181,6 +192,8 @@
         one is chosen.
     now_s : float
         Time on the owner's clock, in seconds.
+    withheld_by_runner : mapping of str to Resources, optional
+        Resources that the tasks must leave free, by runner id; left out: none.
     """
 
     def __init__(
@@ -189,7 +202,9 @@
         step: StepRun,
         candidates: Sequence[Runner],
         now_s: float,
+        withheld_by_runner: Mapping[str, Resources] | None = None,
     ):
+        self._withheld_by_runner = withheld_by_runner or {}
         self._policy = policy
         self._step = step
         self._candidates = candidates
@@ -270,7 +285,8 @@
         runner = self._candidates[position]
         self._evaluations[position] += 1
         count = self._count_by_runner[runner.id]
-        if not self._policy.fits(self._step, runner, self._waited_s, count):
+        withheld = self._withheld_by_runner.get(runner.id, _NOTHING)
+        if not self._policy.fits(self._step, runner, self._waited_s, count, withheld):
             return
         score = self._policy._score(self._step.spec, runner)
         entry = (score, position, self._evaluations[position])
