HTTP: bound heads, trailers and requests that are sent ahead

Callers saw their calls fail when the process was ended for want of memory: 10 clients that sent 20 MB each of a head, a request target, trailers or requests ahead, on any HTTP listener.

Cause: httptools keeps an incomplete head or trailer without a bound, and parses all requests of a read at once, which uvicorn then queues for the connection.

uvicorn's implementation over h11 bounds what is incomplete (32 KiB; the longest head of the configuration is 16 KiB) and parses a request once the one before it is answered. A malformed request that follows one in the application's hands ends the connection: a 400 would be taken as the response to the latter. A body that goes on after its response ends the connection after 256 KiB; without that the front did not answer beside bodies without end. Requests of HTTP/1.1 without Host, and empty lines before a request, now get 400. Warnings of uvicorn, one for each such client, are no longer logged.

--- a/flamingoweir/daemon/_server.py
+++ b/flamingoweir/daemon/_server.py
@@ -7,7 +7,11 @@
 import uvicorn
 from anyio.abc import TaskStatus
 
+from ._http_protocol import BoundedProtocol
+
 BACKLOG = 2048
+#: Longest head of a request, chunk header or trailers, in bytes.
+MAX_HEAD_BYTES = 32_768
 
 
 class SignallessServer(uvicorn.Server):
@@ -45,7 +49,11 @@
     def __init__(self, app, host: str, port: int):
         config = uvicorn.Config(
             app,
+            http=BoundedProtocol,
+            h11_max_incomplete_event_size=MAX_HEAD_BYTES,
             log_config=None,
+            # Warnings are about single clients, which could fill the log with them.
+            log_level="error",
             access_log=False,
             lifespan="off",
             server_header=False,
