HTTP: bound connections, their bytes and slow clients by listener

Callers saw no answer, or the end of the process, beside many clients that each held a small part of a request, or nothing: 800 heads of 8,000 bytes took 178 to 185 MB of 160, 800 bodies 237 to 251 MB, and 400 idle connections all of the descriptors, also those of readiness and metrics.

Cause: connections were neither counted nor timed before their first response, and nothing bounded what all of them held.

Each listener now has its own connections and bytes, derived from the memory and descriptors of the machine. policy/_connection_budget.py decides whom to close: idle connections first, then what has waited longest for its client, never a request that the application has in full. What is closed is counted by reason and logged in one line a second.

--- a/flamingoweir/daemon/_daemon.py
+++ b/flamingoweir/daemon/_daemon.py
@@ -13,16 +13,19 @@
 from ..exit_status import ExitStatus
 from ..faults import FaultLog
 from ..membership import TcpPeerTransport, serve_peers
-from ..metrics import create_metrics
+from ..metrics import Metrics, create_metrics
+from ..policy import ConnectionLimits
 from ..routing import HttpRunnerLink
-from ..settings import Settings, SettingsError
+from ..settings import LimitSettings, Settings, SettingsError
 from ..storage import HttpInstanceList, HttpObjectStore, HttpTable, Instance
 from ..transport import HttpClient
 from ..upstreams import HttpWorkerLink
 from ._node import Node, NodeLinks
-from ._server import HttpServer
+from ._server import HttpServer, share_limits
 from ._settings import load_daemon_settings
 
+#: Shares of the listeners in the process's connections and the bytes that these hold.
+SHARE_BY_LISTENER = {"http": 0.75, "peer": 0.25}
 #: Seconds that a call to a worker may take.
 WORKER_TIMEOUT_S = 1.0
 
@@ -84,14 +87,23 @@
         own_settings = self._requested.instance
         app = DeferredApp()
         async with anyio.create_task_group() as tasks:
-            self.http = HttpServer(app, own_settings.host, own_settings.http_port)
+            limits = create_limits(self._requested.limits)
+            metrics = create_metrics(own_settings.statsd)
+            self.http = HttpServer(
+                app,
+                own_settings.host,
+                own_settings.http_port,
+                "http",
+                limits["http"],
+                metrics,
+            )
             peer_port = await tasks.start(
                 serve_peers,
                 own_settings.host,
                 own_settings.peer_port,
                 self._answer_peer,
             )
-            self.node = self._create_node(self.http.port, peer_port)
+            self.node = self._create_node(self.http.port, peer_port, metrics)
             app.target = self._create_app(self.node)
             tasks.start_soon(self.node.run)
             await tasks.start(self.http.run)
@@ -124,13 +136,12 @@
     async def _answer_peer(self, request):
         return await self.node.peers.answer(request)
 
-    def _create_node(self, http_port: int, peer_port: int) -> Node:
+    def _create_node(self, http_port: int, peer_port: int, metrics: Metrics) -> Node:
         own_settings = dataclasses.replace(
             self._requested.instance, http_port=http_port, peer_port=peer_port
         )
         settings = dataclasses.replace(self._requested, instance=own_settings)
         clock = BootClock()
-        metrics = create_metrics(own_settings.statsd)
         links = create_links(settings, clock, FaultLog(metrics, clock))
         return Node(settings, links, clock, random.Random(), metrics)
 
@@ -161,6 +172,20 @@
         await self.target(scope, receive, send)
 
 
+def create_limits(settings: LimitSettings) -> dict[str, ConnectionLimits]:
+    """Return the limits of the listeners ``http`` and ``peer``."""
+    limits = ConnectionLimits(
+        head_bytes=settings.head_bytes,
+        idle_s=settings.idle_s,
+        head_s=settings.head_s,
+        body_s=settings.body_s,
+        response_s=settings.response_s,
+    )
+    return share_limits(
+        settings.memory_mb, settings.descriptors, SHARE_BY_LISTENER, limits
+    )
+
+
 def create_links(
     settings: Settings, clock: BootClock, fault_log: FaultLog
 ) -> NodeLinks:
--- a/flamingoweir/daemon/_http_protocol.py
+++ b/flamingoweir/daemon/_http_protocol.py
@@ -1,8 +1,16 @@
-"""uvicorn's HTTP protocol over h11, for clients that keep to no limits."""
+"""uvicorn's HTTP protocol over h11, counted and timed by its listener."""
+
+import asyncio
+import time
 
 import h11
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from ..listeners import ListenerConnections
+from ..policy import Phase
+
+#: Bytes of a body that have to arrive within the time limit of a body.
+PROGRESS_BYTES = 65_536
 #: Bytes of a body that are discarded after the response, before the connection is
 #: closed: a client that still sends would lose the response if it were closed at once.
 MAX_DISCARDED_BYTES = 262_144
@@ -12,27 +20,56 @@
     """A connection of a listener.
 
     Heads, chunk headers and trailers are bounded by h11, and a request that is sent
-    ahead is parsed once the one before it is answered.
+    ahead is parsed once the one before it is answered. This class reports to
+    `ListenerConnections` what the connection waits for and what it holds.
+
+    Parameters
+    ----------
+    listener : ListenerConnections
+        Connections of the listener.
+    **options
+        Arguments of `H11Protocol`.
     """
 
-    def __init__(self, **options):
+    def __init__(self, listener: ListenerConnections, **options):
         super().__init__(**options)
+        self._listener = listener
         self._received_bytes = 0
+        self._progress_bytes = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """See `asyncio.BaseProtocol.connection_made`."""
+        super().connection_made(transport)
+        if not self._listener.open(self, time.monotonic()):
+            transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """See `asyncio.BaseProtocol.connection_lost`."""
+        self._listener.budget.remove(self)
+        super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """See `asyncio.Protocol.data_received`."""
         if self.transport.is_closing():
             return
         self._received_bytes += len(data)
+        self._progress_bytes += len(data)
+        if self._progress_bytes >= PROGRESS_BYTES:
+            self._progress_bytes = 0
+            if self._listener.budget.phase_of(self) is Phase.BODY:
+                self._listener.budget.renew(self, time.monotonic())
         super().data_received(data)
         if self._is_answered_early() and self._received_bytes > MAX_DISCARDED_BYTES:
-            self.transport.abort()
+            self._listener.close(self, "body_after_response")
+            return
+        self._report()
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a malformed head; close the connection at any other malformed bytes.
 
         A response would be taken as the one to the request before.
         """
+        self._listener.count("malformed")
         if self.conn.our_state is not h11.IDLE:
             self.transport.abort()
             return
@@ -42,6 +79,51 @@
         """Continue with the next request."""
         self._received_bytes = 0
         super().on_response_complete()
+        self._report()
+
+    def pause_writing(self) -> None:
+        """See `asyncio.BaseProtocol.pause_writing`."""
+        super().pause_writing()
+        self._report()
+
+    def resume_writing(self) -> None:
+        """See `asyncio.BaseProtocol.resume_writing`."""
+        super().resume_writing()
+        self._report()
+
+    def abort(self) -> None:
+        """See `Connection.abort`."""
+        self.transport.abort()
+
+    def waits_for_client(self) -> bool:
+        """See `Connection.waits_for_client`."""
+        phase = self._listener.budget.phase_of(self)
+        if phase is Phase.BODY:
+            return not self.flow.read_paused
+        if phase is Phase.RESPONSE and not self._has_unsent():
+            self._report()
+            return False
+        return True
+
+    def _report(self) -> None:
+        held_bytes = self._received_bytes + self.transport.get_write_buffer_size()
+        self._listener.budget.move(self, self._find_phase(), time.monotonic())
+        self._listener.hold(self, held_bytes)
+
+    def _find_phase(self) -> Phase:
+        if self._has_unsent():
+            return Phase.RESPONSE
+        if self.cycle is not None and not self.cycle.response_complete:
+            is_receiving = self.conn.their_state is h11.SEND_BODY
+            return Phase.BODY if is_receiving else Phase.APPLICATION
+        if self._is_answered_early():
+            return Phase.BODY
+        if self.conn.their_state is h11.IDLE and not self.conn.trailing_data[0]:
+            return Phase.IDLE
+        return Phase.HEAD
+
+    def _has_unsent(self) -> bool:
+        return self.transport.get_write_buffer_size() > 0
 
     def _is_answered_early(self) -> bool:
         """Return whether a body still arrives whose request is answered."""
--- a/flamingoweir/daemon/_platform_main.py
+++ b/flamingoweir/daemon/_platform_main.py
@@ -20,10 +20,11 @@
     connect_platform,
     load_platform_settings,
 )
+from ..policy import ConnectionLimits
 from ..settings import FleetSettings, SettingsError
 from ..transport import split_address
 from ._instance import Instance, wall_ms
-from ._server import HttpServer
+from ._server import HttpServer, share_limits
 
 log = logs.get_logger()
 
@@ -35,6 +36,8 @@
 #: Thresholds of the three generations of the garbage collector: new objects, and
 #: collections of the younger generation.
 COLLECTION_THRESHOLDS = (50_000, 20, 100)
+#: Shares of the listeners in the process's connections and the bytes that these hold.
+SHARE_BY_LISTENER = {"front": 0.9, "ready": 0.05, "metrics": 0.05}
 #: Seconds between checks for requests in flight during a shutdown.
 DRAIN_POLL_INTERVAL_S = 0.05
 
@@ -83,12 +86,21 @@
         metrics,
     )
     app = IngressApp(instance.handler, wall_ms)
-    front_server = HttpServer(app, *split_address(settings.front_address))
-    readiness_server = HttpServer(
-        ReadinessApp(lambda: instance.ready), *split_address(settings.ready_address)
+    limits = share_limits(
+        settings.memory_mb, settings.descriptors, SHARE_BY_LISTENER, ConnectionLimits()
     )
-    metrics_server = HttpServer(
-        MetricsApp(metrics), settings.host, settings.metrics_port
+
+    def create_server(name: str, app, host: str, port: int) -> HttpServer:
+        return HttpServer(app, host, port, name, limits[name], metrics)
+
+    front_server = create_server("front", app, *split_address(settings.front_address))
+    readiness_server = create_server(
+        "ready",
+        ReadinessApp(lambda: instance.ready),
+        *split_address(settings.ready_address),
+    )
+    metrics_server = create_server(
+        "metrics", MetricsApp(metrics), settings.host, settings.metrics_port
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(instance.run)
--- a/flamingoweir/platform/_settings.py
+++ b/flamingoweir/platform/_settings.py
@@ -49,6 +49,8 @@
     cores: float = 1.0
     #: Memory of a process that exceeds it and is killed.
     memory_mb: float = 300.0
+    #: Largest number of file descriptors of a process.
+    max_fds: int = 1_024
 
 
 class StoreMessage(WireModel):
@@ -123,6 +125,7 @@
         grace_s=bounds.grace_s,
         processors=message.limits.cpu_share * message.limits.cores,
         memory_mb=message.limits.memory_mb,
+        descriptors=message.limits.max_fds,
         customers=CUSTOMERS_POLICY in message.policies,
         revoke_s=revoke_s,
         config_apply_s=bounds.config_apply_ms / 1000,
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -9,6 +9,12 @@
     is_within,
 )
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
+from ._connection_budget import (
+    ConnectionBudget,
+    ConnectionLimits,
+    Phase,
+    share_machine,
+)
 from ._crashes import (
     RETURN_WINDOW_S,
     SURVIVAL_S,
@@ -71,6 +77,8 @@
     "SUSPECT_WAIT_S",
     "BatchHeadroom",
     "ColocationPolicy",
+    "ConnectionBudget",
+    "ConnectionLimits",
     "Crash",
     "CrashDetector",
     "DrainRate",
@@ -81,6 +89,7 @@
     "MeanWork",
     "OpenWork",
     "PaceChange",
+    "Phase",
     "PlacementPolicy",
     "RateMeter",
     "RunRatio",
@@ -117,6 +126,7 @@
     "place_gang",
     "remaining_work",
     "retry_after_s",
+    "share_machine",
     "sort_key",
     "total_work",
     "unplaced_s",
--- a/flamingoweir/settings/__init__.py
+++ b/flamingoweir/settings/__init__.py
@@ -4,6 +4,7 @@
 from ._ini import SettingsError, load_settings, parse_settings
 from ._model import (
     InstanceSettings,
+    LimitSettings,
     PlatformSettings,
     RequestSettings,
     SchedulingSettings,
@@ -14,6 +15,7 @@
 __all__ = [
     "FleetSettings",
     "InstanceSettings",
+    "LimitSettings",
     "PlatformSettings",
     "RequestSettings",
     "SchedulingSettings",
--- a/flamingoweir/settings/_fleet.py
+++ b/flamingoweir/settings/_fleet.py
@@ -34,6 +34,8 @@
         Processors that the instance may use; a share of one counts as a fraction.
     memory_mb : float
         Memory that the instance may use, in megabytes.
+    descriptors : int
+        Largest number of file descriptors that the instance may have open.
     customers : bool
         Whether requests for queues that are not public need a customer's key.
     revoke_s : float or None
@@ -56,6 +58,7 @@
     grace_s: float = 6.0
     processors: float = 1.0
     memory_mb: float = 300.0
+    descriptors: int = 1_024
     customers: bool = False
     revoke_s: float | None = None
     config_apply_s: float = 3.0
--- a/flamingoweir/settings/_ini.py
+++ b/flamingoweir/settings/_ini.py
@@ -58,6 +58,8 @@
     ("scheduling", "interference"): Annotated[
         str, Field(pattern="^(ladder|evict|off)$")
     ],
+    ("limits", "memory_mb"): Annotated[float, Field(gt=0)],
+    ("limits", "descriptors"): Annotated[int, Field(ge=0)],
     ("requests", "retry_budget"): Fraction,
     ("requests", "hedge_after_s"): Annotated[float, Field(ge=0)],
     ("requests", "choice"): Annotated[
--- a/flamingoweir/settings/_model.py
+++ b/flamingoweir/settings/_model.py
@@ -195,6 +195,38 @@
     choice: str = "two_choices"
 
 
+@dataclass(frozen=True, slots=True)
+class LimitSettings:
+    """Section ``[limits]``: what the connections of all clients may take.
+
+    Attributes
+    ----------
+    memory_mb : float
+        Memory of the machine for this process, in megabytes. Open connections and what
+        they hold may take a tenth of it each.
+    descriptors : int
+        Largest number of open file descriptors; 0: the limit of the process.
+    head_bytes : int
+        Largest head of a request, chunk header or trailers, in bytes.
+    idle_s : float
+        Seconds after which a connection without a request is closed.
+    head_s : float
+        Seconds that a head may take.
+    body_s : float
+        Seconds that each 64 KiB of a body may take.
+    response_s : float
+        Seconds that a client may take for the buffered part of a response.
+    """
+
+    memory_mb: float = 160.0
+    descriptors: int = 0
+    head_bytes: int = 32_768
+    idle_s: float = 75.0
+    head_s: float = 10.0
+    body_s: float = 30.0
+    response_s: float = 30.0
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of a process, one attribute for each section."""
@@ -204,3 +236,4 @@
     timings: TimingSettings = field(default_factory=TimingSettings)
     scheduling: SchedulingSettings = field(default_factory=SchedulingSettings)
     requests: RequestSettings = field(default_factory=RequestSettings)
+    limits: LimitSettings = field(default_factory=LimitSettings)
