Peers: bound connections, frames and lengths inside of them

Callers lost their answers when a daemon ended: peers' frames took 282 to 357 MB of 160, pings sent ahead 318 MB, and 400 idle connections the descriptors.

Causes: a request's frame could have 64 MB; anyio's streams go on reading what arrives before their first receive; thriftpy2 allocates what a string declares, so that a frame of a few bytes took 2,092 MB, another one did not end within 20 s. Names in pings were kept without a bound.

--- a/flamingoweir/daemon/_daemon.py
+++ b/flamingoweir/daemon/_daemon.py
@@ -12,6 +12,7 @@
 from ..environment import Environment
 from ..exit_status import ExitStatus
 from ..faults import FaultLog
+from ..listeners import ListenerConnections
 from ..membership import TcpPeerTransport, serve_peers
 from ..metrics import Metrics, create_metrics
 from ..policy import ConnectionLimits
@@ -102,6 +103,7 @@
                 own_settings.host,
                 own_settings.peer_port,
                 self._answer_peer,
+                ListenerConnections("peer", limits["peer"], metrics),
             )
             self.node = self._create_node(self.http.port, peer_port, metrics)
             app.target = self._create_app(self.node)
--- a/flamingoweir/membership/_peers.py
+++ b/flamingoweir/membership/_peers.py
@@ -38,6 +38,10 @@
 
 #: Number of peers in each other zone that get pings.
 REMOTE_PEERS_PER_ZONE = 3
+#: Number of instances that are remembered although the platform doesn't list them, and
+#: longest name of an instance.
+MAX_UNLISTED = 256
+MAX_NAME_LENGTH = 63
 #: Ratio of the periods of pings to other zones and within the zone, while the store is
 #: reachable.
 REMOTE_PING_FACTOR = 4
@@ -258,7 +262,9 @@
         self._unlisted_names = {
             other for other in self._unlisted_names if other not in listed
         }
-        if name not in listed:
+        if name in listed or len(name) > MAX_NAME_LENGTH:
+            return
+        if len(self._unlisted_names) < MAX_UNLISTED:
             self._unlisted_names.add(name)
 
     def _changes_after(self, version: int) -> Changes:
--- a/flamingoweir/membership/_transport.py
+++ b/flamingoweir/membership/_transport.py
@@ -99,7 +99,7 @@
         if self._stream is None:
             await self._connect()
         await self._stream.send(encode_frame(request))
-        return decode_message(Reply(), await read_frame(self._reader))
+        return decode_message(Reply(), await read_frame(self._reader.receive_exactly))
 
     async def _connect(self) -> None:
         host, port = split_address(self.address)
