Logs: bound the queue by characters and cut submitters' texts

A client chooses the length of its path, up to the longest head. The queue of 10,000 lines could hold a hundred megabytes of them while the reader of the log is slow. It now holds 4 million characters, and a refused request is logged with 400 characters of its path, host and detail. By reading of the code; a test fills the queue with long lines.

--- a/flamingoweir/logs.py
+++ b/flamingoweir/logs.py
@@ -10,6 +10,8 @@
 
 #: Maximum queued lines; a busy owner writes as many in about ten seconds.
 MAX_QUEUED_LINES = 10_000
+#: Maximum characters of all queued lines. A line with a submitter's path is long.
+MAX_QUEUED_CHARACTERS = 4_000_000
 #: Seconds before a write to a full pipe is repeated.
 FULL_PIPE_PAUSE_S = 0.01
 #: Maximum lines per write.
@@ -56,20 +58,30 @@
     ----------
     dropped : int
         Number of lines that were dropped because the reader was too slow.
+    queued_characters : int
+        Approximate length of the queued lines.
     """
 
     def __init__(self, stream: TextIO):
         self.dropped = 0
+        self.queued_characters = 0
         self._stream = stream
         self._lines: queue.Queue[str] = queue.Queue(MAX_QUEUED_LINES)
+        self._count_lock = threading.Lock()
         threading.Thread(target=self._write_all, daemon=True, name="logs").start()
 
     def write(self, text: str) -> int:
         """Queue text, or drop it if the queue is full."""
+        if self.queued_characters + len(text) > MAX_QUEUED_CHARACTERS:
+            self.dropped += 1
+            return len(text)
         try:
             self._lines.put_nowait(text)
         except queue.Full:
             self.dropped += 1
+            return len(text)
+        with self._count_lock:
+            self.queued_characters += len(text)
         return len(text)
 
     def flush(self) -> None:
@@ -91,12 +103,16 @@
             items = [self._lines.get()]
             while len(items) < MAX_LINES_PER_WRITE and not self._lines.empty():
                 items.append(self._lines.get_nowait())
+            written = sum(len(item) for item in items if isinstance(item, str))
             if self.dropped > reported:
                 items.append(
                     f"level=warning event=log_lines_dropped n={self.dropped}\n"
                 )
                 reported = self.dropped
-            self._write_text("".join(i for i in items if isinstance(i, str)))
+            text = "".join(item for item in items if isinstance(item, str))
+            self._write_text(text)
+            with self._count_lock:
+                self.queued_characters -= written
             for item in items:
                 if not isinstance(item, str):
                     item.set()
--- a/flamingoweir/platform/_ingress.py
+++ b/flamingoweir/platform/_ingress.py
@@ -36,6 +36,8 @@
 #: also if the submitter has left.
 MAX_TIMEOUT_S = 30.0
 MAX_TASKS_PER_STEP = 100_000
+#: Longest text of a submitter in a log line, in characters.
+MAX_LOGGED_LENGTH = 400
 #: HTTP statuses that replace `FlamingoweirError.http_status`, so that submitters
 #: recognise the error as a refusal.
 STATUS_BY_CODE = {ErrorCode.NEVER_FITS: 429}
@@ -177,11 +179,11 @@
             log.info(
                 "request_refused",
                 method=head.method,
-                host=head.host,
-                path=head.path,
+                host=head.host[:MAX_LOGGED_LENGTH],
+                path=head.path[:MAX_LOGGED_LENGTH],
                 code=error.code.value,
                 verdict=error.verdict.value,
-                detail=error.message,
+                detail=error.message[:MAX_LOGGED_LENGTH],
             )
             status = STATUS_BY_CODE.get(error.code, error.http_status)
             headers = [*error_headers(error), *self._closing_header()]
@@ -295,7 +297,7 @@
     except ValueError:
         deadline_ms = math.nan
     if math.isnan(deadline_ms):
-        log.info("deadline_unreadable", value=value.decode("latin-1"))
+        log.info("deadline_unreadable", value=value[:40].decode("latin-1"))
         return DEFAULT_TIMEOUT_S
     return min(MAX_TIMEOUT_S, DEADLINE_FRACTION * deadline_ms / 1000)
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -85,3 +85,19 @@
     taken_s = time.monotonic() - started_s
     blocked.set()
     assert taken_s < 5.0
+
+
+def test_long_lines_fill_the_queue_by_their_length(monkeypatch):
+    """A submitter chooses the length of a logged path, and thus of a queued line."""
+    monkeypatch.setattr(logs, "MAX_QUEUED_CHARACTERS", 50_000)
+    slow = SlowStream()
+    stream = logs.BoundedStream(slow)
+    for _ in range(40):
+        stream.write("x" * 9_999 + "\n")
+    assert stream.queued_characters <= 50_000
+    assert stream.dropped >= 30
+    slow.released.set()
+    stream.drain(5.0)
+    stream.write("event=later\n")
+    stream.drain(5.0)
+    assert "event=later" in slow.getvalue()
