One request with the largest body fits what a listener may hold

A daemon with its default settings closed a single caller that sent a body of max_body_bytes (16 MB): all connections of the listener together may hold 12 MB on a machine of 160 MB, and a request counts with all of its body.

The listener for callers may now hold at least one such request, with the framing of chunks.

--- a/flamingoweir/daemon/_daemon.py
+++ b/flamingoweir/daemon/_daemon.py
@@ -27,6 +27,8 @@
 
 #: Shares of the listeners in the process's connections and the bytes that these hold.
 SHARE_BY_LISTENER = {"http": 0.75, "peer": 0.25}
+#: Bytes of the framing of a body in chunks, as a fraction of the body.
+FRAMING_SHARE = 0.25
 #: Seconds that a call to a worker may take.
 WORKER_TIMEOUT_S = 1.0
 
@@ -88,7 +90,9 @@
         own_settings = self._requested.instance
         app = DeferredApp()
         async with anyio.create_task_group() as tasks:
-            limits = create_limits(self._requested.limits)
+            limits = create_limits(
+                self._requested.limits, self._requested.requests.max_body_bytes
+            )
             metrics = create_metrics(own_settings.statsd)
             self.http = HttpServer(
                 app,
@@ -174,8 +178,18 @@
         await self.target(scope, receive, send)
 
 
-def create_limits(settings: LimitSettings) -> dict[str, ConnectionLimits]:
-    """Return the limits of the listeners ``http`` and ``peer``."""
+def create_limits(
+    settings: LimitSettings, max_body_bytes: int
+) -> dict[str, ConnectionLimits]:
+    """Return the limits of the listeners ``http`` and ``peer``.
+
+    Parameters
+    ----------
+    settings : LimitSettings
+        What all connections may take.
+    max_body_bytes : int
+        Largest body of a request; a single one fits, however small the machine.
+    """
     limits = ConnectionLimits(
         head_bytes=settings.head_bytes,
         idle_s=settings.idle_s,
@@ -183,9 +197,15 @@
         body_s=settings.body_s,
         response_s=settings.response_s,
     )
-    return share_limits(
+    limits_by_listener = share_limits(
         settings.memory_mb, settings.descriptors, SHARE_BY_LISTENER, limits
     )
+    http = limits_by_listener["http"]
+    request_bytes = (1 + FRAMING_SHARE) * max_body_bytes + http.head_bytes
+    limits_by_listener["http"] = dataclasses.replace(
+        http, held_bytes=max(http.held_bytes, round(request_bytes))
+    )
+    return limits_by_listener
 
 
 def create_links(
