HTTP: requests sent ahead stay bounded while responses are read

Cause: uvicorn resumes reading with each request that the application receives and after each response, so that 32 KB come in for every request that is answered; and the count of what a connection holds began at 0 with each response, whatever had been sent ahead.

Reading resumes only while less than 32 KiB of requests that were sent ahead are left, and these count from one response to the next. A connection without any is read as before, so that its end is noticed.

--- a/flamingoweir/daemon/_http_protocol.py
+++ b/flamingoweir/daemon/_http_protocol.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 import h11
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from ..listeners import ListenerConnections
@@ -14,6 +16,23 @@
 #: Bytes of a body that are discarded after the response, before the connection is
 #: closed: a client that still sends would lose the response if it were closed at once.
 MAX_DISCARDED_BYTES = 262_144
+#: Bytes of requests sent ahead from which no more is read until they are answered.
+MAX_AHEAD_BYTES = 32_768
+
+
+class _GatedFlow(FlowControl):
+    """Flow control that resumes reading only while it may.
+
+    uvicorn resumes it with each request, which would let in more than is answered.
+    """
+
+    def __init__(self, transport: asyncio.Transport, may_read: Callable[[], bool]):
+        super().__init__(transport)
+        self._may_read = may_read
+
+    def resume_reading(self) -> None:
+        if self._may_read():
+            super().resume_reading()
 
 
 class BoundedProtocol(H11Protocol):
@@ -40,6 +59,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """See `asyncio.BaseProtocol.connection_made`."""
         super().connection_made(transport)
+        self.flow = _GatedFlow(transport, self._may_read)
         if not self._listener.open(self, time.monotonic()):
             transport.abort()
 
@@ -77,8 +97,10 @@
 
     def on_response_complete(self) -> None:
         """Continue with the next request."""
-        self._received_bytes = 0
+        self._received_bytes = len(self.conn.trailing_data[0])
         super().on_response_complete()
+        if not self.transport.is_closing():
+            self.flow.resume_reading()
         self._report()
 
     def pause_writing(self) -> None:
@@ -105,6 +127,15 @@
             return False
         return True
 
+    def _may_read(self) -> bool:
+        """Return whether requests sent ahead leave room for more.
+
+        A connection without any is read meanwhile, to notice that it is closed.
+        """
+        if self.conn.their_state is not h11.DONE:
+            return True
+        return len(self.conn.trailing_data[0]) < MAX_AHEAD_BYTES
+
     def _report(self) -> None:
         held_bytes = self._received_bytes + self.transport.get_write_buffer_size()
         self._listener.budget.move(self, self._find_phase(), time.monotonic())
