--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -135,7 +135,10 @@
             Resources of the runner that the task must leave free.
         """
         spec = step.spec
-        if not spec.reserved.fits_in(runner.free_resources - withheld):
+        free = runner.free_resources
+        if withheld is not _NOTHING:
+            free = free - withheld
+        if not spec.reserved.fits_in(free):
             return False
         limit = spec.max_per_runner
         if limit and count >= limit:
