--- /dev/null
+++ b/tests/test_absent_tasks_and_room.py
@@ -0,0 +1,193 @@
+"""Absent long-running tasks beside room that is promised or reserved for others.
+
+See incidents 0016 and 0019. Stops that a planner requests are reported after a time
+that the test gives; all else takes no time.
+"""
+
+import anyio
+import pytest
+
+from flamingoweir.jobs import JobSpec, Outcome, QueuePolicy, StepSpec
+from flamingoweir.resources import Resources
+from tests.test_planner import batch_spec, make_owner
+from tests.utils.virtual_time import run_virtual
+
+#: Longest time in seconds for which a task may be away with room for it (rule LOST).
+MAX_AWAY_S = 9.0
+PASS_S = 0.1
+
+
+class Fleet:
+    """Runners of 8 processors and a planner that passes every tenth of a second."""
+
+    def __init__(self, runners: int, *steps: StepSpec, stop_s: dict | None = None):
+        owner = make_owner(runners, *steps, processors=8)
+        self.planner, self.permission, self.state = owner
+        self.runners = list(self.state.runner_by_id.values())
+        self.steps = [job.run_by_step[0, 0] for job in self.state.job_by_id.values()]
+        self.stop_s = stop_s or {}
+        #: Seconds that each stop takes longer than the one before it.
+        self.stagger_s = 0.0
+        self._end_by_stop = {}
+
+    @property
+    def evicted(self) -> int:
+        """Number of evictions that were requested."""
+        return len(self._end_by_stop)
+
+    def run(self, number: int, runner: int, count: int = 1) -> None:
+        for index in range(count):
+            attempt = self.state.add_attempt(
+                self.steps[number], index, self.runners[runner]
+            )
+            self.state.record_start(attempt)
+
+    def lapse(self, number: int, runner: int) -> None:
+        task = self.steps[number].task_id(0)
+        self.state.end_attempt(self.runners[runner], task, 1, Outcome.LAPSED, "")
+
+    def add_batch(self, name: str, step: StepSpec) -> None:
+        self.state.add_job(JobSpec(name, "q", "", (step,), QueuePolicy("s")))
+
+    def is_placed(self, number: int) -> bool:
+        return not self.steps[number].open_indexes
+
+    async def pass_for(self, duration_s: float, *, until=()) -> None:
+        """Pass until the time is over or one of the steps `until` is placed."""
+        end_s = anyio.current_time() + duration_s
+        while anyio.current_time() < end_s and not any(map(self.is_placed, until)):
+            now_s = anyio.current_time()
+            for attempt in list(self.state.pending_starts):
+                self.state.record_start(attempt)
+            for attempt in list(self.state.pending_stops):
+                key = attempt.task, attempt.run
+                stop_s = self.stop_s.get(attempt.runner, 1.0)
+                stop_s += self.stagger_s * (self.evicted % 3)
+                if now_s >= self._end_by_stop.setdefault(key, now_s + stop_s):
+                    runner = self.state.runner_by_id[attempt.runner]
+                    self.state.end_attempt(runner, *key, Outcome.STOPPED, "")
+            await self.planner.plan()
+            await anyio.sleep(PASS_S)
+
+
+def test_runner_reserved_for_an_absent_task_is_kept_from_those_with_room_there():
+    """Guards against a reservation and promises that shut each other out for good.
+
+    The large task finds no room for the promises to the small ones, and reserves the
+    runner, so that these find none, either.
+    """
+
+    async def scenario():
+        small = batch_spec(1, 1, lasting=True)
+        fleet = Fleet(
+            2,
+            batch_spec(1, 5, lasting=True),
+            small,
+            small,
+            batch_spec(1, 5),
+            batch_spec(1, 3, lasting=True),
+        )
+        fleet.run(4, 0)
+        for number in range(3):
+            fleet.run(number, 1)
+        fleet.run(3, 0)
+        fleet.permission.forbidden_ids.add("r1")
+        fleet.lapse(1, 1)
+        await fleet.pass_for(0.7)
+        fleet.lapse(2, 1)
+        fleet.state.cancel_job("job-3")
+        await fleet.pass_for(0.7)
+        fleet.lapse(0, 1)
+        await fleet.pass_for(MAX_AWAY_S, until=range(3))
+        assert any(map(fleet.is_placed, range(3)))
+
+    run_virtual(scenario)
+
+
+def test_runner_reserved_for_a_task_that_does_not_fit_takes_an_absent_one_that_does():
+    """Guards against a free part of a runner that is of use to none.
+
+    A gang, which can't be evicted, is in the way of the older job's task.
+    """
+
+    async def scenario():
+        fleet = Fleet(
+            2,
+            batch_spec(1, 6, lasting=True, image="large"),
+            batch_spec(1, 2, lasting=True, image="small"),
+            batch_spec(1, 4, gang=True),
+            batch_spec(1, 4, lasting=True),
+            batch_spec(2, 2),
+        )
+        fleet.run(0, 0)
+        fleet.lapse(0, 0)
+        fleet.run(1, 0)
+        fleet.run(2, 0)
+        fleet.run(3, 1)
+        fleet.run(4, 1, 2)
+        await fleet.pass_for(1.0)
+        fleet.lapse(1, 0)
+        # It has room on the first runner and could evict batch on the second one.
+        await fleet.pass_for(MAX_AWAY_S, until=[1])
+        assert fleet.is_placed(1)
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("image", ["", "other"])
+def test_room_made_for_a_large_task_outlasts_a_slow_stop_on_another_runner(image):
+    """Guards against a large task that finds its own room ruled out or reserved.
+
+    The smaller one, tried first, waits for a stop elsewhere; then it takes the room.
+    """
+
+    async def scenario():
+        fleet = Fleet(
+            2,
+            batch_spec(1, 4, lasting=True),
+            batch_spec(1, 8, lasting=True, image=image),
+            batch_spec(4, 2),
+            batch_spec(1, 4, lasting=True),
+            batch_spec(1, 4),
+            stop_s={"r1": 2.5},
+        )
+        for number in range(2):
+            fleet.run(number, 0)
+            fleet.lapse(number, 0)
+        fleet.run(2, 0, 4)
+        fleet.run(3, 1)
+        await anyio.sleep(1.0)
+        # The youngest is evicted first.
+        fleet.run(4, 1)
+        await fleet.pass_for(MAX_AWAY_S, until=[1])
+        assert fleet.is_placed(1)
+
+    run_virtual(scenario)
+
+
+def test_memory_of_evicted_tasks_is_not_taken_by_batch_on_spare_processors():
+    """Guards against evictions in vain: the memory goes to batch that keeps coming.
+
+    The runner that is reserved for the absent task is another one.
+    """
+
+    async def scenario():
+        fleet = Fleet(
+            2,
+            StepSpec(1, Resources(2000, 60_000, 0), lasting=True),
+            StepSpec(5, Resources(1000, 20_000, 0)),
+            StepSpec(1, Resources(1000, 50_000, 0), gang=True),
+        )
+        fleet.run(0, 0)
+        fleet.lapse(0, 0)
+        fleet.run(2, 1)
+        fleet.run(1, 0, 5)
+        spare = StepSpec(1, Resources(1000, 20_000, 0), uses_spare=True)
+        for number in range(60):
+            fleet.add_batch(f"spare-{number}", spare)
+        fleet.stagger_s = 0.3
+        await fleet.pass_for(MAX_AWAY_S, until=[0])
+        assert fleet.is_placed(0)
+        assert fleet.evicted == 3
+
+    run_virtual(scenario)
