Logs: no write is longer than a collector keeps

Callers saw nothing of it; who reads the logs of a mass event missed most of its lines. Up to 200 lines are written at once. No log_lines_dropped said so, as the write was taken whole.

Writes are now of 16,000 bytes at most. The test failed before.

--- a/flamingoweir/logs.py
+++ b/flamingoweir/logs.py
@@ -14,6 +14,8 @@
 MAX_QUEUED_CHARACTERS = 4_000_000
 #: Seconds before a write to a full pipe is repeated.
 FULL_PIPE_PAUSE_S = 0.01
+#: Maximum bytes per write. Collectors may keep only the first 16 KiB of a longer one.
+MAX_BYTES_PER_WRITE = 16_000
 #: Maximum lines per write.
 MAX_LINES_PER_WRITE = 200
 
@@ -130,7 +132,7 @@
             return
         data = memoryview(text.encode())
         while data:
-            taken = binary.write(data)
+            taken = binary.write(data[:MAX_BYTES_PER_WRITE])
             if not taken:
                 # A full pipe that doesn't block.
                 time.sleep(FULL_PIPE_PAUSE_S)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -68,6 +68,32 @@
     assert file.content.decode() == "".join(lines)
 
 
+class CuttingFile(io.RawIOBase):
+    """A file that takes each write whole and keeps its first 16 KiB only."""
+
+    def __init__(self):
+        self.content = b""
+
+    def writable(self):
+        return True
+
+    def write(self, data):
+        self.content += bytes(data[:16_384])
+        return len(data)
+
+
+def test_lines_of_a_mass_event_outlast_a_collector_that_cuts_long_writes():
+    """Guards against the decisions that are missing just when most are made."""
+    file = CuttingFile()
+    text_stream = io.TextIOWrapper(file, encoding="utf-8", write_through=True)
+    stream = logs.BoundedStream(text_stream)
+    lines = [f"event=attempt_placed task={'0' * 150}{n}\n" for n in range(1_000)]
+    for line in lines:
+        stream.write(line)
+    stream.drain(10.0)
+    assert file.content.decode() == "".join(lines)
+
+
 def test_drain_ends_in_time_if_nobody_reads():
     """Guards against a process that never exits because its log queue is full."""
     blocked = threading.Event()
