--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -104,6 +104,8 @@
         Number of starts that were rejected because they would exceed the capacity.
     stop_s : float
         Seconds that a stop takes; until then the run holds its resources.
+    faulty : bool
+        Whether it rejects all starts as unhealthy, though it is listed as ready.
     """
 
     def __init__(
@@ -126,6 +128,7 @@
         self.starts_over_capacity: list[RunRecord] = []
         self.rejected_for_room = 0
         self.stop_s = 0.0
+        self.faulty = False
         self._rate = rate
         self._contention = contention
         self._find_spec = find_spec
@@ -185,17 +188,19 @@
         self._last_reopened_end = 0
         self._started_s = self._advanced_s = anyio.current_time()
 
-    def start(self, order: StartOrder) -> tuple[StartResult, float]:
+    def start(self, order: StartOrder) -> tuple[StartResult, float | None]:
         """Carry out an order to start a run.
 
         Returns
         -------
         StartResult
             ``STARTED`` also for a run that is running already.
-        float
-            Time on the runner's clock in milliseconds.
+        float or None
+            Time on the runner's clock in milliseconds; None from a faulty runner.
         """
         self.advance()
+        if self.faulty:
+            return StartResult.UNHEALTHY, None
         if order.fence < self._fence:
             return StartResult.FENCED, self.clock_ms
         self._fence = order.fence
--- a/tests/test_probation.py
+++ b/tests/test_probation.py
@@ -17,6 +17,8 @@
 
 #: Longest time in seconds that a long-running task may be away in calm times.
 MAX_AWAY_S = 6.0
+#: Longest time in seconds that a long-running task may be away after a disruption.
+MAX_AWAY_AFTER_FAULT_S = 7.0
 
 
 async def start_lasting(cluster, count: int):
@@ -71,3 +73,33 @@
             assert not cluster.find_overlaps()
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("sound", [0, 2], ids=["all", "some"])
+@pytest.mark.parametrize("fault_s", [3.0, 6.5, 9.5, 12.0, 22.0])
+def test_task_is_not_absent_for_the_quarantines_of_runners_that_are_sound(
+    fault_s, sound
+):
+    """Guards against a quarantine that outlasts the fault of the only runners with room.
+
+    The others hold nothing but long-running tasks.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=5, processors=2) as cluster:
+            jobs = await start_lasting(cluster, 5)
+            faulty = list(cluster.runner_by_id.values())[sound:]
+            for runner in faulty:
+                runner.faulty = True
+            for job in jobs:
+                fail_task(cluster, job)
+            await anyio.sleep(fault_s)
+            for runner in faulty:
+                runner.faulty = False
+            await anyio.sleep(MAX_AWAY_AFTER_FAULT_S)
+            runners = cluster.runner_by_id.values()
+            idle = [r.id for r in runners if not r.reserved.processors_milli]
+            assert not idle
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
