Absent tasks probe quarantined runners that may be sound again

Callers saw long-running tasks absent although there was room for them, on runners that had been sound for longer than the 7 s that they are promised after a disruption.

Cause: a quarantine grows to 12 s while its runner stays faulty, and the last one begins just before the fault ends. It is meant to spare batch futile starts, but an absent task without any other room waited it out as well, also where the whole fleet was quarantined for a common reason.

Such a task now probes a quarantined runner 3 s after the latest fault seen there, one task at a time. If it survives for 2 s, the quarantine is over. Batch waits as before. Nothing changes for runners that are not quarantined, or while there is room elsewhere.

--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -72,6 +72,11 @@
                 promises.append(promise)
         return _sum_by_runner(promises)
 
+    def has_promised(self, task: TaskId) -> bool:
+        """Return whether room is being made for a task."""
+        promise = self._promise_by_task.get(task)
+        return promise is not None and bool(promise.runner)
+
     def record_placed(self, task: TaskId) -> None:
         """Record that a task was placed: nothing is promised to it any more."""
         self._promise_by_task.pop(task, None)
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -18,6 +18,7 @@
 from ._context import Permit, PermitWithdrawn, TermContext
 from ._customer_caps import CustomerCaps
 from ._deferrals import Deferrals
+from ._early_probes import EarlyProbes
 from ._evictions import Evictions
 from ._fleet_load import FleetLoadLog, measure_load
 from ._job_pauses import JobPauses
@@ -128,6 +129,7 @@
         self._time_slice = TimeSlice(context.clock)
         self._candidates = CandidateLists(self._placement, [], {}, 0.0)
         self._evictions = Evictions(context.owner_state)
+        self._early_probes = EarlyProbes(self._placement, self._evictions)
         self._headroom = BatchHeadroom()
         self._pauses = JobPauses(context.owner_state)
         self._caps = CustomerCaps(context)
@@ -260,8 +262,28 @@
             self._caps.end_wait(step)
             if self._candidates.has_large_enough(step):
                 self._make_room(step)
+            return self._probe_early(step)
         return False
 
+    def _probe_early(self, step: StepRun) -> bool:
+        """Place absent tasks without other room on quarantined runners.
+
+        Return whether no task of the step is left.
+        """
+        probes = self._early_probes.choose(
+            step, self._candidates.runners, self._find_withheld(step), self._now_s
+        )
+        for index, runner in probes:
+            log.info(
+                "runner_probed_early", runner=runner.id, task=str(step.task_id(index))
+            )
+            self._start(step, index, runner)
+        if step.open_indexes:
+            return False
+        step.unplaced_since_s = None
+        self._candidates.release(step)
+        return True
+
     async def _give_way(self) -> None:
         """Let other coroutines run, then check again what may have changed.
 
--- a/flamingoweir/policy/_health.py
+++ b/flamingoweir/policy/_health.py
@@ -27,6 +27,8 @@
     failed_jobs: list[str] = field(default_factory=list)
     quarantine_s: float = 0.0
     quarantined_until_s: float = float("-inf")
+    #: When the latest fault was seen.
+    faulted_s: float = float("-inf")
     probing: bool = False
     #: Since when the runner gets tasks again after a long-running task has probed it.
     opened_s: float = float("inf")
@@ -43,6 +45,10 @@
 
     A runner is faulty if tasks of several jobs fail on it in a row, if a task on it
     makes no progress, or if it rejects an order as unhealthy.
+
+    Quarantines spare batch the tries on a runner that stays faulty, and may go on for
+    seconds after the fault. An absent long-running task that finds no other room probes
+    the runner earlier, and opens it if it survives.
     """
 
     def __init__(self) -> None:
@@ -57,6 +63,7 @@
         if not failed:
             record.record_success()
             return
+        record.faulted_s = now_s
         if job not in record.failed_jobs:
             record.failed_jobs.append(job)
         if record.probing or len(record.failed_jobs) >= QUARANTINE_FAILED_JOBS:
@@ -90,7 +97,11 @@
         if record is None or not record.quarantine_s:
             return True
         if now_s < record.quarantined_until_s:
-            return False
+            if not _has_survivor(runner, record.faulted_s):
+                return False
+            # A task that may not wait has probed it earlier.
+            record.quarantined_until_s = now_s
+            record.opened_s = now_s
         if now_s - record.opened_s >= PROBATION_S:
             record.record_success()
             return True
@@ -108,6 +119,29 @@
             record.opened_s = now_s
         return True
 
+    def may_probe_early(self, runner: Runner, now_s: float) -> bool:
+        """Return whether an absent long-running task may probe a quarantined runner.
+
+        It may do so `QUARANTINE_S` after the latest fault, unless a task was placed
+        there since.
+
+        Parameters
+        ----------
+        runner : Runner
+            The runner.
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        record = self._record_by_runner.get(runner.id)
+        if record is None or now_s >= record.quarantined_until_s:
+            return False
+        if now_s - record.faulted_s < QUARANTINE_S:
+            return False
+        for allocation in runner.allocation_by_run.values():
+            if allocation.attempt.created_s >= record.faulted_s:
+                return False
+        return True
+
     def failed_job_count(self, runner: str) -> int:
         """Return the number of distinct jobs with tasks that failed there in a row."""
         record = self._record_by_runner.get(runner)
@@ -119,6 +153,7 @@
 
     @staticmethod
     def _quarantine(record: _HealthRecord, now_s: float) -> None:
+        record.faulted_s = now_s
         if now_s < record.quarantined_until_s:
             return
         record.quarantine_s = min(
@@ -127,3 +162,13 @@
         record.quarantined_until_s = now_s + record.quarantine_s
         record.probing = False
         record.opened_s = float("inf")
+
+
+def _has_survivor(runner: Runner, since_s: float) -> bool:
+    """Return whether a long-running task has survived that was placed since a time."""
+    for allocation in runner.allocation_by_run.values():
+        if allocation.attempt.created_s < since_s or not allocation.spec.lasting:
+            continue
+        if allocation.has_survived(LASTING_PROBE_S):
+            return True
+    return False
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -42,22 +42,40 @@
         """Return runners that suit a step, without regard to free resources."""
         found = []
         for runner in runners:
-            if (
-                runner.incarnation is None
-                or runner.entry.service != step.job.spec.policy.service
-            ):
-                continue
-            if step.spec.label and step.spec.label not in runner.entry.labels:
-                continue
-            if runner.unresponsive_since_s is not None:
-                continue
-            if now_s < runner.no_room_until_s:
+            if not self._suits(step, runner, now_s):
                 continue
             if not self._health.is_usable(runner, now_s):
                 continue
             found.append(runner)
         return found
 
+    def early_probes(
+        self, step: StepRun, runners: Iterable[Runner], now_s: float
+    ) -> list[Runner]:
+        """Return quarantined runners that an absent task of a step may probe.
+
+        See `RunnerHealth.may_probe_early`.
+        """
+        found = []
+        for runner in runners:
+            if not self._health.may_probe_early(runner, now_s):
+                continue
+            if self._suits(step, runner, now_s):
+                found.append(runner)
+        return found
+
+    @staticmethod
+    def _suits(step: StepRun, runner: Runner, now_s: float) -> bool:
+        """Return whether a runner suits a step, without regard to its health."""
+        if (
+            runner.incarnation is None
+            or runner.entry.service != step.job.spec.policy.service
+        ):
+            return False
+        if step.spec.label and step.spec.label not in runner.entry.labels:
+            return False
+        return runner.unresponsive_since_s is None and now_s >= runner.no_room_until_s
+
     def choose(
         self,
         step: StepRun,
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -156,6 +156,11 @@
             total = total + run.spec.reserved
         return total
 
+    @property
+    def tasks(self) -> list[TaskId]:
+        """Tasks with a run."""
+        return list(self._run_by_task)
+
     def crash(self, closes: bool = False) -> None:
         """Lose all runs and ends, and stop responding until `restart`.
 
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -16,7 +16,7 @@
 from hypothesis import strategies as st
 
 from flamingoweir.errors import FlamingoweirError
-from flamingoweir.jobs import JobState, Outcome
+from flamingoweir.jobs import JobState, Outcome, TaskId
 from tests.utils.cluster import SILENT_RUNNER_LAPSE_S, make_job, make_step, run_cluster
 from tests.utils.loss_histories import (
     MAX_AWAY_S,
@@ -353,3 +353,61 @@
     run's lease. Incident 0018.
     """
     run_virtual(play_losses, seed, MEMBERS, draw_restarts, RestartHistory)
+
+
+#: Seconds after a disruption within which an absent long-running task must run again.
+MAX_AWAY_AFTER_FAULT_S = 7.0
+
+
+async def play_rejections(seed: int) -> None:
+    """Let runners reject all starts by turns while tasks fail; then check for absence.
+
+    The runners have room for one long-running task more than there are.
+    """
+    generator = random.Random(seed)
+    runners = generator.randint(2, 6)
+    async with run_cluster(runners=runners, processors=4, seed=seed) as cluster:
+        await cluster.owner()
+        await anyio.sleep(1)
+        jobs = []
+        for number in range(1, 2 * runners):
+            job = make_job(number, make_step(1, 2, lasting=True))
+            jobs.append(await cluster.submit(job))
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+
+        async def reject(runner):
+            for _ in range(generator.randint(1, 3)):
+                await anyio.sleep(generator.uniform(0, 6))
+                runner.faulty = True
+                await anyio.sleep(generator.uniform(0.5, 16))
+                runner.faulty = False
+
+        async with anyio.create_task_group() as tasks:
+            for runner in cluster.runner_by_id.values():
+                if generator.random() < 0.8:
+                    tasks.start_soon(reject, runner)
+            for job in jobs:
+                await anyio.sleep(generator.uniform(0, 2))
+                task = TaskId(job.id, 0, 0, 0)
+                for runner in cluster.runner_by_id.values():
+                    if task in runner.tasks:
+                        runner.fail(task)
+        await anyio.sleep(MAX_AWAY_AFTER_FAULT_S)
+        running = sum(len(runner.tasks) for runner in cluster.runner_by_id.values())
+        assert running == len(jobs)
+        check_runs(cluster)
+
+
+@settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    # As above.
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+@given(st.integers(0, 2**32))
+def test_no_task_is_absent_for_long_after_runners_have_rejected_starts(seed):
+    """Guards against quarantines that outlast a fault, and against tasks run twice."""
+    run_virtual(play_rejections, seed)
--- a/tests/test_probation.py
+++ b/tests/test_probation.py
@@ -80,10 +80,7 @@
 def test_task_is_not_absent_for_the_quarantines_of_runners_that_are_sound(
     fault_s, sound
 ):
-    """Guards against a quarantine that outlasts the fault of the only runners with room.
-
-    The others hold nothing but long-running tasks.
-    """
+    """Guards against a quarantine that outlasts the fault of all runners with room."""
 
     async def scenario():
         async with run_cluster(runners=5, processors=2) as cluster:
