Refuse requests for which the application has no bytes left

What callers saw: beside 40 requests of 30 kB that the application had, on a listener of 1 MB, a caller whose body came a little after its head was closed without a response. It could not tell whether its request had run.

Cause: what the application has in full can't be freed, but counted against the listener's bytes. Once it held all of them, whatever else held a byte (a head, a body, a response) was closed, and further requests that came in one piece were admitted without a bound.

Now the application may hold three quarters of a listener's bytes. A request that would exceed that is refused before the application has it in full: 503 with a Retry-After of 1 s, in place of the application if its head is parsed then, otherwise at the application's next read of the body. There the application answers, as only it knows what it has done with the parts before; a body that is streamed to a runner gives may_have_run. The last quarter is left to heads, bodies and responses, so that they are parsed and refused, not closed.

Evidence: three of the new cases in test_connection_limits.py (the caller's head or its body finds the application full; 40 bodies that end after their heads were admitted) failed before: the connections were closed without a response. Now 24 of 40 requests are served, 16 get 503 and never reach the application, and the late caller gets 503 and is served on the same connection later. The case of a streamed body in test_verdicts.py failed, too (not_run for a body that was sent in part).

A daemon's listener still has room for one request with the largest body; for that its bytes grow from 21 to 28 MB. Bytes of a body that is discarded after its response no longer count as held.

--- a/flamingoweir/daemon/_daemon.py
+++ b/flamingoweir/daemon/_daemon.py
@@ -15,7 +15,7 @@
 from ..listeners import ListenerConnections
 from ..membership import TcpPeerTransport, serve_peers
 from ..metrics import Metrics, create_metrics
-from ..policy import ConnectionLimits
+from ..policy import APPLICATION_SHARE, ConnectionLimits
 from ..routing import HttpRunnerLink
 from ..settings import LimitSettings, Settings, SettingsError
 from ..storage import HttpInstanceList, HttpObjectStore, HttpTable, Instance
@@ -203,7 +203,8 @@
     http = limits_by_listener["http"]
     request_bytes = (1 + FRAMING_SHARE) * max_body_bytes + http.head_bytes
     limits_by_listener["http"] = dataclasses.replace(
-        http, held_bytes=max(http.held_bytes, round(request_bytes))
+        http,
+        held_bytes=max(http.held_bytes, round(request_bytes / APPLICATION_SHARE)),
     )
     return limits_by_listener
 
--- a/flamingoweir/daemon/_http_protocol.py
+++ b/flamingoweir/daemon/_http_protocol.py
@@ -1,13 +1,16 @@
 """uvicorn's HTTP protocol over h11, counted and timed by its listener."""
 
 import asyncio
+import functools
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import h11
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from ..asgi import error_body, error_headers, send_response
+from ..errors import ErrorCode, FlamingoweirError
 from ..listeners import ListenerConnections
 from ..policy import Phase
 
@@ -16,6 +19,9 @@
 #: Bytes of a body that are discarded after the response, before the connection is
 #: closed: a client that still sends would lose the response if it were closed at once.
 MAX_DISCARDED_BYTES = 262_144
+#: Seconds after which a refused client may repeat its request; most requests of the
+#: application are answered by then.
+RETRY_AFTER_S = 1.0
 #: Bytes of requests sent ahead from which no more is read until they are answered.
 MAX_AHEAD_BYTES = 32_768
 
@@ -40,7 +46,8 @@
 
     Heads, chunk headers and trailers are bounded by h11, and a request that is sent
     ahead is parsed once the one before it is answered. This class reports to
-    `ListenerConnections` what the connection waits for and what it holds.
+    `ListenerConnections` what the connection waits for and what it holds, and refuses
+    a request for which the application has no room while it lacks a part of it.
 
     Parameters
     ----------
@@ -53,7 +60,11 @@
     def __init__(self, listener: ListenerConnections, **options):
         super().__init__(**options)
         self._listener = listener
+        self._application = self.app
+        self.app = self._serve
+        self._is_refusing = False
         self._received_bytes = 0
+        self._discarded_bytes = 0
         self._progress_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -72,16 +83,24 @@
         """See `asyncio.Protocol.data_received`."""
         if self.transport.is_closing():
             return
+        if self._is_answered_early():
+            self._discarded_bytes += len(data)
+            self._received_bytes = 0
+        else:
+            self._discarded_bytes = 0
         self._received_bytes += len(data)
         self._progress_bytes += len(data)
         if self._progress_bytes >= PROGRESS_BYTES:
             self._progress_bytes = 0
             if self._listener.budget.phase_of(self) is Phase.BODY:
                 self._listener.budget.renew(self, time.monotonic())
+        self._admit()
         super().data_received(data)
-        if self._is_answered_early() and self._received_bytes > MAX_DISCARDED_BYTES:
-            self._listener.close(self, "body_after_response")
-            return
+        if self._is_answered_early():
+            self._received_bytes = len(self.conn.trailing_data[0])
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                self._listener.close(self, "body_after_response")
+                return
         self._report()
 
     def send_400_response(self, msg: str) -> None:
@@ -98,6 +117,8 @@
     def on_response_complete(self) -> None:
         """Continue with the next request."""
         self._received_bytes = len(self.conn.trailing_data[0])
+        if self._received_bytes:
+            self._admit()
         super().on_response_complete()
         if not self.transport.is_closing():
             self.flow.resume_reading()
@@ -127,6 +148,46 @@
             return False
         return True
 
+    def _admit(self) -> None:
+        """Decide whether the application may have what has arrived of a request.
+
+        A request that the application has in full, or that is refused, stays so.
+        """
+        cycle = self.cycle
+        is_begun = cycle is not None and not cycle.response_complete
+        if is_begun and (self._is_refusing or not cycle.more_body):
+            return
+        self._is_refusing = not self._listener.budget.admits(self, self._received_bytes)
+
+    def _serve(self, scope, receive, send) -> Awaitable[None]:
+        """Pass a request on to the application, or refuse it."""
+        if self._is_refusing:
+            error = self._refuse()
+            headers = error_headers(error)
+            return send_response(send, error.http_status, headers, error_body(error))
+        if self.cycle.more_body:
+            receive = functools.partial(self._receive, receive)
+        return self._application(scope, receive, send)
+
+    async def _receive(self, receive):
+        """Return the next part of a body; raise the refusal to the application.
+
+        Only the application knows what it has done with the parts before.
+        """
+        message = await receive()
+        if self._is_refusing and message["type"] == "http.request":
+            raise self._refuse()
+        return message
+
+    def _refuse(self) -> FlamingoweirError:
+        self._listener.count_refused()
+        return FlamingoweirError(
+            ErrorCode.OVERLOADED,
+            "requests that are being handled leave no memory for this one; try again "
+            f"in {RETRY_AFTER_S:.0f} s",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
     def _may_read(self) -> bool:
         """Return whether requests sent ahead leave room for more.
 
@@ -138,7 +199,11 @@
 
     def _report(self) -> None:
         held_bytes = self._received_bytes + self.transport.get_write_buffer_size()
-        self._listener.budget.move(self, self._find_phase(), time.monotonic())
+        phase = self._find_phase()
+        if phase is Phase.APPLICATION and self._is_refusing:
+            # It is dropped at once, so that further requests need not be refused.
+            held_bytes = 0
+        self._listener.budget.move(self, phase, time.monotonic())
         self._listener.hold(self, held_bytes)
 
     def _find_phase(self) -> Phase:
--- a/flamingoweir/listeners.py
+++ b/flamingoweir/listeners.py
@@ -45,6 +45,7 @@
         self.budget = ConnectionBudget(limits)
         self._metrics = metrics
         self._closed_by_reason = Counter[str]()
+        self._refused_requests = 0
 
     def open(self, connection: Connection, now_s: float) -> bool:
         """Add a connection; return False if it has to be closed instead."""
@@ -73,6 +74,10 @@
         """Count a connection that is closed."""
         self._closed_by_reason[reason] += 1
 
+    def count_refused(self) -> None:
+        """Count a request that is refused, as the application has too many bytes."""
+        self._refused_requests += 1
+
     def check(self, now_s: float) -> None:
         """Close connections that wait too long for clients; report what was closed."""
         for connection in self.budget.list_overdue(now_s):
@@ -83,6 +88,7 @@
                 self.budget.renew(connection, now_s)
         self._metrics.gauge(f"{self.name}_connections", len(self.budget))
         self._metrics.gauge(f"{self.name}_held_bytes", self.budget.held_bytes)
+        self._report_refused()
         if not self._closed_by_reason:
             return
         for reason, count in self._closed_by_reason.items():
@@ -95,3 +101,16 @@
             **self._closed_by_reason,
         )
         self._closed_by_reason.clear()
+
+    def _report_refused(self) -> None:
+        if not self._refused_requests:
+            return
+        self._metrics.incr(f"{self.name}_requests_refused", self._refused_requests)
+        log.warning(
+            "requests_refused",
+            listener=self.name,
+            requests=self._refused_requests,
+            application_bytes=self.budget.application_bytes,
+            max_bytes=self.budget.limits.application_bytes,
+        )
+        self._refused_requests = 0
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -10,6 +10,7 @@
 )
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
 from ._connection_budget import (
+    APPLICATION_SHARE,
     ConnectionBudget,
     ConnectionLimits,
     Phase,
@@ -65,6 +66,7 @@
 
 __all__ = [
     "ABOVE_SHARE",
+    "APPLICATION_SHARE",
     "AWAY_PRIORITY",
     "BELOW_SHARE",
     "EVICT_AFTER_S",
--- a/flamingoweir/policy/_connection_budget.py
+++ b/flamingoweir/policy/_connection_budget.py
@@ -7,7 +7,10 @@
 What is closed is what has waited longest for its client: ordinary callers send a
 request, and take its response, within milliseconds, so that they are closed last. A
 connection whose request the application has in full is never closed, as the client
-could not tell whether the request has run.
+could not tell whether the request has run. What the application may have is
+bounded by refusing further requests before it has them, and part of the bytes is kept
+for the others: an ordinary caller whose body comes a little after its head gets a
+response also beside a full application.
 """
 
 from collections.abc import Hashable
@@ -23,6 +26,9 @@
 #: they have received or have not sent yet. The jobs of an owner take a third.
 CONNECTION_MEMORY_SHARE = 0.1
 HELD_MEMORY_SHARE = 0.1
+#: Share of a listener's bytes that requests of the application may hold. The rest is
+#: for heads, bodies and responses, however much the application has.
+APPLICATION_SHARE = 0.75
 #: Memory that an open connection takes while nothing is received, in bytes.
 CONNECTION_BYTES = 20_000
 #: Least number of connections and bytes of a listener, however small the machine.
@@ -78,6 +84,11 @@
     body_s: float = 30.0
     response_s: float = 30.0
 
+    @property
+    def application_bytes(self) -> int:
+        """Largest number of bytes of requests that the application has in full."""
+        return int(APPLICATION_SHARE * self.held_bytes)
+
     def limit_s(self, phase: Phase) -> float:
         """Return the seconds that a connection may spend in a phase."""
         return {
@@ -132,11 +143,16 @@
     ----------
     held_bytes : int
         Bytes that all connections hold.
+    application_bytes : int
+        Bytes of these that closing connections can't free, as the application has the
+        requests in full.
     """
 
     def __init__(self, limits: ConnectionLimits):
         self.limits = limits
         self.held_bytes = 0
+        self.application_bytes = 0
+        self._max_application_bytes = limits.application_bytes
         self._phase_by_connection: dict[Hashable, Phase] = {}
         self._held_by_connection: dict[Hashable, int] = {}
         # Each in the order of the times at which the phase began.
@@ -161,7 +177,10 @@
         if phase is None:
             return
         del self._since_by_connection[phase][connection]
-        self.held_bytes -= self._held_by_connection.pop(connection, 0)
+        held_bytes = self._held_by_connection.pop(connection, 0)
+        self.held_bytes -= held_bytes
+        if phase is Phase.APPLICATION:
+            self.application_bytes -= held_bytes
 
     def phase_of(self, connection: Hashable) -> Phase | None:
         """Return the phase of a connection; None if it is not there."""
@@ -170,10 +189,15 @@
     def move(self, connection: Hashable, phase: Phase, now_s: float) -> None:
         """Note that a phase of a connection begins now, if it is another one."""
         former = self._phase_by_connection.get(connection)
-        if former is not None and former is not phase:
-            del self._since_by_connection[former][connection]
-            self._phase_by_connection[connection] = phase
-            self._since_by_connection[phase][connection] = now_s
+        if former is None or former is phase:
+            return
+        del self._since_by_connection[former][connection]
+        self._phase_by_connection[connection] = phase
+        self._since_by_connection[phase][connection] = now_s
+        if phase is Phase.APPLICATION:
+            self.application_bytes += self._held_by_connection.get(connection, 0)
+        elif former is Phase.APPLICATION:
+            self.application_bytes -= self._held_by_connection.get(connection, 0)
 
     def renew(self, connection: Hashable, now_s: float) -> None:
         """Let the phase of a connection begin anew, as there was progress."""
@@ -184,10 +208,29 @@
 
     def hold(self, connection: Hashable, held_bytes: int) -> None:
         """Note the bytes that a connection holds now."""
-        if connection in self._phase_by_connection:
-            former = self._held_by_connection.get(connection, 0)
-            self._held_by_connection[connection] = held_bytes
-            self.held_bytes += held_bytes - former
+        phase = self._phase_by_connection.get(connection)
+        if phase is None:
+            return
+        added_bytes = held_bytes - self._held_by_connection.get(connection, 0)
+        self._held_by_connection[connection] = held_bytes
+        self.held_bytes += added_bytes
+        if phase is Phase.APPLICATION:
+            self.application_bytes += added_bytes
+
+    def admits(self, connection: Hashable, request_bytes: int) -> bool:
+        """Return whether the application may have a request of a connection.
+
+        Parameters
+        ----------
+        connection : Hashable
+            The connection; what it holds of an earlier request does not count.
+        request_bytes : int
+            Bytes that are received of the request.
+        """
+        others_bytes = self.application_bytes
+        if self._phase_by_connection.get(connection) is Phase.APPLICATION:
+            others_bytes -= self._held_by_connection.get(connection, 0)
+        return others_bytes + request_bytes <= self._max_application_bytes
 
     def choose_to_make_room(self) -> Hashable | None:
         """Return the connection to close for a new one; None to refuse the new one."""
@@ -197,8 +240,14 @@
         return None
 
     def choose_to_free_bytes(self) -> Hashable | None:
-        """Return the connection to close if too many bytes are held; None if not."""
-        if self.held_bytes <= self.limits.held_bytes:
+        """Return the connection to close if too many bytes are held; None if not.
+
+        Only bytes that closing can free are weighed, against what the application
+        leaves of all bytes or its reserved part, whichever is more.
+        """
+        taken_bytes = min(self.application_bytes, self._max_application_bytes)
+        free_bytes = self.limits.held_bytes - taken_bytes
+        if self.held_bytes - self.application_bytes <= free_bytes:
             return None
         first = None
         first_s = float("inf")
--- a/flamingoweir/routing/_request.py
+++ b/flamingoweir/routing/_request.py
@@ -72,7 +72,12 @@
             yield await self._receive_part()
 
     async def _receive_part(self) -> bytes:
-        part, self._has_more = await self._receive()
+        try:
+            part, self._has_more = await self._receive()
+        except FlamingoweirError as error:
+            if self.streamed:
+                error.verdict = Verdict.MAY_HAVE_RUN
+            raise
         self._size += len(part)
         if self._size > self._limit_bytes:
             raise FlamingoweirError(
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -80,6 +80,23 @@
     assert budget.choose_to_free_bytes() is None
 
 
+def test_others_keep_their_part_beside_a_full_application():
+    budget = make_budget(Phase.APPLICATION, Phase.BODY, Phase.HEAD)
+    budget.hold(0, 700)
+    assert budget.admits(1, 50) and not budget.admits(1, 51)
+    assert budget.admits(0, 750), "its earlier request counts beside the next one"
+    budget.hold(0, 2_000)
+    budget.hold(1, 250)
+    assert budget.choose_to_free_bytes() is None
+    budget.hold(2, 1)
+    assert budget.choose_to_free_bytes() == 1
+    budget.move(1, Phase.APPLICATION, 3.0)
+    assert budget.application_bytes == 2_250
+    budget.remove(0)
+    budget.move(1, Phase.IDLE, 4.0)
+    assert budget.application_bytes == 0 and budget.held_bytes == 251
+
+
 def test_progress_renews_the_time_of_a_body_and_ends_that_of_a_response():
     budget = make_budget(Phase.BODY, Phase.BODY, Phase.RESPONSE)
     budget.renew(0, 25.0)
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -5,9 +5,10 @@
 import anyio
 import pytest
 
-from flamingoweir.asgi import read_body, send_response
+from flamingoweir.asgi import error_body, error_headers, read_body, send_response
 from flamingoweir.daemon import _server
 from flamingoweir.daemon._server import HttpServer
+from flamingoweir.errors import FlamingoweirError
 from flamingoweir.metrics import PrometheusMetrics
 from flamingoweir.policy import ConnectionLimits
 
@@ -16,6 +17,12 @@
 LARGE_BODY = bytes(8_000_000)
 
 
+def make_post(path: str, size: int) -> tuple[bytes, bytes]:
+    """Return the head and the body of a POST request."""
+    head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n"
+    return head.encode(), bytes(size)
+
+
 class App:
     """Responds after the body or before, with a small body or a large one."""
 
@@ -25,8 +32,13 @@
         self.seen = 0
 
     async def __call__(self, scope, receive, send) -> None:
-        if scope["path"] != "/early":
-            await read_body(receive, 10_000_000)
+        try:
+            if scope["path"] != "/early":
+                await read_body(receive, 10_000_000)
+        except FlamingoweirError as error:
+            headers = error_headers(error)
+            await send_response(send, error.http_status, headers, error_body(error))
+            return
         self.seen += 1
         self.started.set()
         if scope["path"] == "/held":
@@ -177,3 +189,59 @@
             assert app.seen == 1
 
     anyio.run(scenario, backend_options={"use_uvloop": True})
+
+
+@pytest.mark.parametrize("application_is_full_at", ["head", "body"])
+def test_caller_whose_body_comes_later_gets_a_true_response(
+    monkeypatch, application_is_full_at
+):
+    """Closed without one, it could not tell whether its request has run."""
+    head, body = make_post("/", 30_000)
+    held_head, held_body = make_post("/held", 30_000)
+
+    async def scenario():
+        async with serve(monkeypatch, held_bytes=1_000_000) as (app, connect, metrics):
+            late = await connect(head[:20])
+            if application_is_full_at == "body":
+                await late.send(head[20:])
+            held = [await connect(held_head + held_body) for _ in range(40)]
+            while app.seen < 24:
+                await anyio.sleep(0.01)
+            if application_is_full_at == "head":
+                await late.send(head[20:])
+                await anyio.sleep(0.1)
+            await late.send(body)
+            refusal = await late.receive()
+            assert refusal.startswith(b"HTTP/1.1 503") and b"retry-after: 1" in refusal
+            app.release.set()
+            responses = [await stream.receive() for stream in held]
+            served = sum(response.endswith(b"ok") for response in responses)
+            assert app.seen == served == 24
+            assert sum(response[9:12] == b"503" for response in responses) == 16
+            await late.send(head + body)
+            assert (await late.receive()).endswith(b"ok")
+            name = "flamingoweir_front_requests_refused_total 17.0"
+            while name.encode() not in metrics.render():
+                await anyio.sleep(0.01)
+
+    anyio.run(scenario, backend_options={"use_uvloop": True})
+
+
+def test_body_is_refused_once_the_application_has_no_room_for_it(monkeypatch):
+    """Fails if what was admitted by its head may fill the memory by its body."""
+    head, body = make_post("/held", 30_000)
+
+    async def scenario():
+        async with serve(monkeypatch, held_bytes=1_000_000) as (app, connect, _):
+            streams = [await connect(head + body[:1]) for _ in range(40)]
+            await anyio.sleep(0.1)
+            for stream in streams:
+                await stream.send(body[1:])
+            while app.seen < 24:
+                await anyio.sleep(0.01)
+            app.release.set()
+            responses = [await stream.receive() for stream in streams]
+            assert sum(response[9:12] == b"503" for response in responses) == 16
+            assert app.seen == 24
+
+    anyio.run(scenario, backend_options={"use_uvloop": True})
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -12,10 +12,10 @@
 import pytest
 from hypothesis import strategies as st
 
-from flamingoweir.errors import FlamingoweirError, Verdict
+from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
 from flamingoweir.membership import Directory
 from flamingoweir.metrics import NoMetrics
-from flamingoweir.routing import IdempotencyKeys, Router, RunnerTable
+from flamingoweir.routing import IdempotencyKeys, RequestBody, Router, RunnerTable
 from flamingoweir.settings import RequestSettings
 from flamingoweir.standins import (
     MemoryInstanceList,
@@ -319,3 +319,28 @@
 def test_sweep_deletes_expired_keys():
     """The rows of keys must not accumulate; a key within the retention remains."""
     assert run_virtual(sweep_keys, 50.0) == [False, True]
+
+
+@pytest.mark.parametrize(
+    ("received_bytes", "verdict"),
+    [(10_000, Verdict.NOT_RUN), (70_000, Verdict.MAY_HAVE_RUN)],
+)
+def test_body_that_is_refused_in_parts_has_run_only_if_parts_were_sent(
+    received_bytes, verdict
+):
+    parts = [(bytes(received_bytes), True)]
+
+    async def receive():
+        if not parts:
+            raise FlamingoweirError(ErrorCode.OVERLOADED, "no memory")
+        return parts.pop()
+
+    async def scenario():
+        body = RequestBody(receive, 1_000_000)
+        with pytest.raises(FlamingoweirError) as caught:
+            await body.prefetch()
+            async for _ in body.parts():
+                pass
+        assert caught.value.verdict is verdict
+
+    anyio.run(scenario)
