Bound the memory of submissions that the store has not confirmed

What callers saw: nothing, until the process ended for want of memory.

Cause: the listener bounds the bytes received. Decoded, encoded for the store and as a request to it, a submission takes 6 times its stored form and some 25 kB (resident memory per submission at a silent store: 49 kB for a payload of 4,000 bytes, 283 kB for 100 steps, 10.5 MB for 5,000 small steps, 1.5 MB for a payload of 250 kB), up to 180 times what was received.

Now an instance counts that memory, and decodes no further submission while the unconfirmed ones take a tenth of its memory or more. A single one is always decoded. What is refused is refused truly: its row is read for up to 0.45 s, for which the id suffices; a stored job gets 200, an absent one 503 with a Retry-After of 1 to 3 s. If this instance doesn't know the outcome of an earlier call for the id, it is 504 at once; without an answer of the store it is the 503 of design 0017 (nothing of this call was sent).

Evidence: test_submissions_that_a_silent_store_does_not_confirm_are_bounded failed before (all 40 submissions were sent and held, 9 fit), and so did test_refusal_for_memory_is_true (200, 200, 200 instead of 200, 503, 504).

Limits: with 300 MB some 560 submissions with payloads of 4,000 bytes can be unconfirmed at once, with 160 MB some 300. The decoding of a single body is not bounded by the memory: 21,000 steps in 252 kB take 22 MB until they are refused for their number.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -115,6 +115,7 @@
                 settings.revoke_s,
                 settings.config_apply_s,
             ),
+            settings.memory_mb,
         )
         self._follower = TableFollower(
             links.store,
--- a/flamingoweir/platform/_ingress.py
+++ b/flamingoweir/platform/_ingress.py
@@ -210,8 +210,9 @@
                 f"{job_id!r} is not a job id; use 16 hexadecimal digits",
             )
         if head.method == "POST":
-            spec = await self._read_job_spec(head, queue, job_id, customer, receive)
-            await self._handler.submit(spec, head.timeout_s)
+            spec = await self._receive_job_spec(head, queue, job_id, customer, receive)
+            if spec is not None:
+                await self._handler.submit(spec, head.timeout_s)
             return 200, {}
         if head.method == "GET":
             state = await self._handler.find_state(
@@ -228,16 +229,23 @@
             f"method {head.method} is not supported; use GET, POST or DELETE",
         )
 
-    async def _read_job_spec(
+    async def _receive_job_spec(
         self,
         head: RequestHead,
         queue: Queue,
         job_id: str,
         customer: str | None,
         receive,
-    ) -> JobSpec:
-        """Return the job in a request body; raise FlamingoweirError if invalid."""
+    ) -> JobSpec | None:
+        """Return the job in a request body; None if it need not be submitted again.
+
+        Raises FlamingoweirError if it is invalid, or there is no room for it.
+        """
         body = await read_body(receive, self._handler.max_body_bytes)
+        if not await self._handler.has_room_for(
+            job_id, queue, customer, head.timeout_s
+        ):
+            return None
         try:
             message = SubmissionMessage.model_validate_json(body)
         except pydantic.ValidationError as error:
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -53,6 +53,7 @@
 from ._size_classes import SizeClasses
 from ._store_availability import RESPONSE_LIMIT_S, StoreAvailability
 from ._stragglers import find_stalled
+from ._submission_budget import SubmissionBudget
 from ._valuation import (
     MeanWork,
     OpenWork,
@@ -101,6 +102,7 @@
     "StepPlacement",
     "StepWork",
     "StoreAvailability",
+    "SubmissionBudget",
     "Suspect",
     "Suspect",
     "TokenBucket",
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -6,9 +6,11 @@
 from collections.abc import Callable
 
 from ..clock import Clock
+from ..customers import CustomerLimit
 from ..errors import (
     ErrorCode,
     FlamingoweirError,
+    outcome_unknown_error,
 )
 from ..jobs import (
     JobSpec,
@@ -32,6 +34,7 @@
 from ._cap_check import find_cap_error
 from ._customer_gate import CustomerGate
 from ._job_states import JobStates, may_access_row
+from ._pending_submissions import PendingSubmissions
 from ._store_calls import StoreCalls
 from ._store_monitor import StoreMonitor
 from ._unknown_outcomes import UnknownOutcomes
@@ -46,6 +49,9 @@
 #: Seconds after which a client may repeat a request that was refused because the owner
 #: can hold no such job.
 FULL_RETRY_AFTER_S = 5.0
+#: Longest read of the store before a submission is refused for memory, in seconds. A
+#: slow store answers within 0.4 s.
+REFUSAL_READ_S = 0.45
 #: Largest number of tasks of an occurrence of a job.
 MAX_TASKS = 100_000
 #: Largest number of steps of a job. An owner creates the state of all in one go.
@@ -79,6 +85,8 @@
         hold; None for any.
     authentication : Authentication, optional
         Checks the keys of requests. By default, no request is served that needs a key.
+    memory_mb : float, optional
+        Memory of this instance in megabytes.
 
     Attributes
     ----------
@@ -96,6 +104,7 @@
         metrics: Metrics,
         max_job_bytes: Callable[[], int | None] = lambda: None,
         authentication: Authentication | None = None,
+        memory_mb: float = 300.0,
     ):
         self.authentication = authentication or Authentication(
             operators, lambda: float("-inf"), clock, metrics
@@ -112,6 +121,7 @@
         self._clock = clock
         self._metrics = metrics
         self._unknown_outcomes = UnknownOutcomes()
+        self._pending = PendingSubmissions(memory_mb, generator, metrics)
 
     @property
     def max_body_bytes(self) -> int:
@@ -151,6 +161,47 @@
             )
         return queue
 
+    async def has_room_for(
+        self, job_id: str, queue: Queue, customer: str | None, timeout_s: float
+    ) -> bool:
+        """Return whether a received job is to be decoded and submitted.
+
+        Parameters
+        ----------
+        job_id : str
+            Id of the job.
+        queue : Queue
+            The queue that was addressed.
+        customer : str or None
+            Who asks; see `Authentication.find_customer`.
+        timeout_s : float
+            Seconds that the submitter waits.
+
+        Returns
+        -------
+        bool
+            False if there is no room, and the job was accepted before.
+
+        Raises
+        ------
+        FlamingoweirError
+            If there is no room. The verdict is NOT_RUN only if nothing of an earlier
+            request for the job was sent by this instance.
+        """
+        if self._pending.has_room:
+            return True
+        self._pending.record_not_decoded(job_id, queue.name)
+        if job_id in self._unknown_outcomes:
+            raise outcome_unknown_error()
+        self.store_monitor.check_available(queue.policy)
+        spec = JobSpec(
+            job_id, queue.name, "", (), queue.policy, customer=customer or ""
+        )
+        until_s = self._clock.now() + min(timeout_s, REFUSAL_READ_S)
+        row = job_row(shard_name(0), job_id)
+        await self._refuse_unless_stored(spec, row, until_s, self._pending.refuse)
+        return False
+
     async def submit(self, spec: JobSpec, timeout_s: float) -> None:
         """Store a job durably; the job is accepted once this returns.
 
@@ -184,6 +235,12 @@
         until_s = self._clock.now() + timeout_s
         spec, limit = self._customer_gate.check(spec)
         value = _encode_exactly(spec)
+        with self._pending.hold(value):
+            await self._store_encoded(spec, value, limit, until_s)
+
+    async def _store_encoded(
+        self, spec: JobSpec, value: bytes, limit: CustomerLimit | None, until_s: float
+    ) -> None:
         row = job_row(shard_name(0), spec.id)
         max_bytes = self._max_job_bytes()
         if max_bytes is not None and spec.memory_bytes > max_bytes:
@@ -200,6 +257,7 @@
             return
         transaction = Transaction([(row, 0)], [(row, value)], ())
         try:
+            timeout_s = until_s - self._clock.now()
             version = await self._calls.transact(transaction, timeout_s)
         except RowVersionConflict as conflict:
             stored = conflict.row_by_id.get(row)
--- a/tests/test_store_availability.py
+++ b/tests/test_store_availability.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 
 import anyio
+import orjson
 import pytest
 
 from flamingoweir.errors import (
@@ -18,7 +19,7 @@
 )
 from flamingoweir.jobs import JobState
 from flamingoweir.ownership import job_row
-from flamingoweir.policy import StoreAvailability
+from flamingoweir.policy import StoreAvailability, SubmissionBudget
 from flamingoweir.policy._store_availability import (
     MIN_FAILED_CALLS,
     MIN_SILENT_S,
@@ -37,11 +38,13 @@
     StoreRefused,
 )
 from tests.utils.cluster import make_job, run_cluster
-from tests.utils.ingress import delete_job, get_state
+from tests.utils.ingress import delete_job, get_state, post_job
 from tests.utils.virtual_time import VirtualClock, run_virtual
 
 MEMBERS = 10
 CALLS_PER_S = 30
+#: A submission that takes 245 kB until the store has confirmed it.
+LARGE_BODY = orjson.dumps({"Phases": 100 * [{"Count": 1}]})
 #: Timeout of a call whose caller waits 3 s.
 TIMEOUT_S = 1.26
 #: Longest time in seconds for which instances may refuse calls once the store is back
@@ -258,6 +261,84 @@
     run_virtual(scenario)
 
 
+@asynccontextmanager
+async def run_small_cluster():
+    """Run instances that can hold nine submissions of `LARGE_BODY`.
+
+    Yields the cluster, its owner, another member, and a function that submits a job
+    there; it keeps status and duration by the job's number in the dict that is given.
+    """
+    async with run_cluster(members=2, runners=0, memory_mb=20.0) as cluster:
+        owner = await cluster.owner()
+        member = next(m for m in cluster.member_by_name.values() if m != owner)
+
+        async def submit(number: int, answers: dict) -> None:
+            started_s = anyio.current_time()
+            status = await post_job(cluster, member, number, LARGE_BODY)
+            answers[number] = (status, anyio.current_time() - started_s)
+
+        yield cluster, owner, member, submit
+
+
+def test_submissions_that_a_silent_store_does_not_confirm_are_bounded():
+    """Guards against memory that grows with each submission of an outage."""
+
+    async def scenario():
+        async with run_small_cluster() as (cluster, _, member, submit):
+            lose_responses(member.store)
+            answers = {}
+            async with anyio.create_task_group() as tasks:
+                for number in range(40):
+                    tasks.start_soon(submit, number, answers)
+            statuses = [status for status, _ in answers.values()]
+            assert (statuses.count(504), statuses.count(503)) == (9, 31)
+            for number, (status, elapsed_s) in answers.items():
+                # Whatever is sent takes effect here.
+                was_sent = job_row("s0", f"{number:016x}") in cluster.rows.row_by_id
+                assert was_sent == (status == 504)
+                assert was_sent or elapsed_s < 0.5
+            restore_responses(member.store)
+            await anyio.sleep(MAX_REFUSING_S)
+            for number in range(40):
+                await submit(number, answers)
+                assert answers[number][0] == 200
+
+    run_virtual(scenario)
+
+
+def test_refusal_for_memory_is_true():
+    """Guards against "not run" for a job that is stored, or may be."""
+
+    async def scenario():
+        async with run_small_cluster() as (cluster, owner, member, submit):
+            assert await post_job(cluster, owner, 20, LARGE_BODY) == 200
+            member.store.lose_answers = 9
+            first, beside = {}, {}
+            async with anyio.create_task_group() as tasks:
+                for number in range(9):
+                    tasks.start_soon(submit, number, first)
+                await anyio.sleep(0.1)
+                for number in (20, 21, 0):
+                    await submit(number, beside)
+                assert [status for status, _ in beside.values()] == [200, 503, 504]
+                assert job_row("s0", f"{21:016x}") not in cluster.rows.row_by_id
+            assert [status for status, _ in first.values()] == 9 * [200]
+            await submit(21, beside)
+            assert beside[21][0] == 200
+
+    run_virtual(scenario)
+
+
+def test_single_submission_has_room_however_large_it_is():
+    """Guards against a small instance that never takes a large job."""
+    budget = SubmissionBudget(memory_mb=1.0)
+    assert budget.has_room
+    size = budget.add(2_000_000)
+    assert not budget.has_room
+    budget.remove(size)
+    assert budget.has_room
+
+
 def test_ids_of_unknown_outcome_are_bounded(monkeypatch):
     """Guards against memory that grows with each call of a long outage."""
     monkeypatch.setattr(_unknown_outcomes, "MAX_REMEMBERED", 2)
