--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -10,6 +10,7 @@
 )
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
 from ._connection_budget import (
+    APPLICATION_SHARE,
     ConnectionBudget,
     ConnectionLimits,
     Phase,
@@ -52,6 +53,7 @@
 from ._size_classes import SizeClasses
 from ._store_availability import RESPONSE_LIMIT_S, StoreAvailability
 from ._stragglers import find_stalled
+from ._submission_budget import SubmissionBudget
 from ._valuation import (
     MeanWork,
     OpenWork,
@@ -65,6 +67,7 @@
 
 __all__ = [
     "ABOVE_SHARE",
+    "APPLICATION_SHARE",
     "AWAY_PRIORITY",
     "BELOW_SHARE",
     "EVICT_AFTER_S",
@@ -99,6 +102,7 @@
     "StepPlacement",
     "StepWork",
     "StoreAvailability",
+    "SubmissionBudget",
     "Suspect",
     "Suspect",
     "TokenBucket",
