Tests: a large absent task beside small ones that keep coming

The test has a small absent or new task take each gap as it appears, while batch fills three runners and its stops come one after another; there is room for two large tasks beside the small ones all the while.

It passes here, too: the room that is made for a task is promised to it. Seen to fail, with promised_to_others returning nothing: two of eight cases, those of a task that needs a whole runner beside absent ones.

--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -28,6 +28,8 @@
         self.stop_s = stop_s or {}
         #: Seconds that each stop takes longer than the one before it.
         self.stagger_s = 0.0
+        #: Seconds from the start to the end of tasks, and how they end, by image.
+        self.end_by_image = {}
         self._end_by_stop = {}
 
     @property
@@ -66,9 +68,19 @@
                 if now_s >= self._end_by_stop.setdefault(key, now_s + stop_s):
                     runner = self.state.runner_by_id[attempt.runner]
                     self.state.end_attempt(runner, *key, Outcome.STOPPED, "")
+            self._end_attempts(now_s)
             await self.planner.plan()
             await anyio.sleep(PASS_S)
 
+    def _end_attempts(self, now_s: float) -> None:
+        for runner in self.runners:
+            for key, allocation in list(runner.allocation_by_run.items()):
+                ends = self.end_by_image.get(allocation.spec.image)
+                if ends is None or runner.id in self.permission.forbidden_ids:
+                    continue
+                if now_s >= allocation.attempt.created_s + ends[0]:
+                    self.state.end_attempt(runner, *key, ends[1], "")
+
 
 def test_runner_reserved_for_an_absent_task_is_kept_from_those_with_room_there():
     """Guards against a reservation and promises that shut each other out for good.
@@ -191,3 +203,44 @@
         assert fleet.evicted == 3
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("stop_s", [1.0, 2.5])
+@pytest.mark.parametrize("processors", [6, 8])
+@pytest.mark.parametrize("are_absent", [True, False])
+def test_large_absent_task_is_placed_beside_small_ones_that_keep_coming(
+    are_absent, processors, stop_s
+):
+    """Guards against small tasks that take each part of the room for a large one.
+
+    Those of older jobs lapse 0.4 s after each start, and batch fills all runners. There
+    is room for three large tasks, and for two beside the small ones.
+    """
+
+    async def scenario():
+        small = batch_spec(1, 1, lasting=True, image="small")
+        fleet = Fleet(
+            4,
+            *8 * [small],
+            batch_spec(1, processors, lasting=True),
+            *3 * [batch_spec(4, 2)],
+            stop_s=dict.fromkeys(["r0", "r1", "r2"], stop_s),
+        )
+        fleet.permission.forbidden_ids.add("r3")
+        fleet.stagger_s = 0.4
+        fleet.end_by_image["small"] = 0.4, Outcome.LAPSED
+        fleet.end_by_image["new"] = 0.4, Outcome.DONE
+        for number in range(9):
+            fleet.run(number, 3)
+        for runner in range(3):
+            fleet.run(9 + runner, runner, 4)
+        fleet.lapse(8, 3)
+        for number in range(45):
+            if are_absent and number < 8:
+                fleet.lapse(number, 3)
+            if not are_absent:
+                fleet.add_batch(f"new-{number}", batch_spec(1, 1, image="new"))
+            await fleet.pass_for(0.2, until=[8])
+        assert fleet.is_placed(8)
+
+    run_virtual(scenario)
