--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -20,9 +20,9 @@
     MAX_UNPLACED_STEPS,
     RESERVE_AFTER_S,
     Planner,
-    UnplacedSteps,
 )
 from flamingoweir.dispatch._protocols import StartResult
+from flamingoweir.dispatch._unplaced_steps import UnplacedSteps
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
 from flamingoweir.jobs import (
     AttemptState,
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -13,7 +13,8 @@
 
 from flamingoweir.dispatch._committer import RENEW_INTERVAL_S
 from flamingoweir.dispatch._owner_state import OwnerState
-from flamingoweir.dispatch._planner import Planner, UnplacedSteps
+from flamingoweir.dispatch._planner import Planner
+from flamingoweir.dispatch._unplaced_steps import UnplacedSteps
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Job, JobSpec, Outcome, QueuePolicy, StepSpec
 from flamingoweir.metrics import NoMetrics
