Absent tasks use runners that are reserved for other steps

Cause: a runner that is reserved for a step was left out for all others as a whole, anew in each pass. Where that step's task did not fit, as others had promises there or as a gang was in its way, nobody used the room; a runner on which room had been made for a large task was reserved for a smaller one, too.

An absent task, one that has run before, now passes over the reservations of others. What is made free for a task is promised to it and stays withheld, so that a large one keeps its room beside small ones; new tasks, of the same step too, and batch leave reserved runners alone as before. Gangs that are absent are treated alike.

The gang's case fails without the change of _place_gang, that of a step with a new task if the candidates are not found anew for it.

--- a/flamingoweir/dispatch/_candidates.py
+++ b/flamingoweir/dispatch/_candidates.py
@@ -62,9 +62,19 @@
             self._all_by_kind[kind] = found
         return found
 
-    def find(self, step: StepRun) -> list[Runner]:
-        """Return the runners that suit a step and are not reserved for another one."""
-        if not self._runner_by_step:
+    def find(self, step: StepRun, is_absent: bool = False) -> list[Runner]:
+        """Return the runners that suit a step and are kept free for no other one.
+
+        Parameters
+        ----------
+        step : StepRun
+            Step of which tasks are to be placed.
+        is_absent : bool
+            Whether they are long-running tasks that have run before. They may use
+            runners that are reserved for another step, as what is to become free for
+            its absent tasks is promised to these.
+        """
+        if is_absent or not self._runner_by_step:
             return self.find_all(step)
         kind = (step.job.spec.policy.service, step.spec.label)
         found = self._unreserved_by_kind.get(kind)
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -305,6 +305,7 @@
         if step.spec.gang:
             return self._place_gang(step)
         placement = None
+        places_absent = False
         evaluated_s = 0.0
         placed_on: dict[str, Runner] = {}
         for index in step.placing_order():
@@ -318,11 +319,13 @@
                 continue
             if self._caps.holds(step):
                 break
-            if placement is None:
+            is_absent = step.is_absent(index)
+            if placement is None or is_absent != places_absent:
+                places_absent = is_absent
                 placement = StepPlacement(
                     self._placement,
                     step,
-                    self._candidates.find(step),
+                    self._candidates.find(step, is_absent),
                     self._now_s,
                     self._find_withheld(step),
                 )
@@ -380,7 +383,8 @@
         if len(step.open_indexes) < step.spec.count:
             return False
         withheld = self._find_withheld(step)
-        candidates = [r for r in self._candidates.find(step) if r.id not in withheld]
+        suitable = self._candidates.find(step, step.is_away)
+        candidates = [r for r in suitable if r.id not in withheld]
         runners = place_gang(step, candidates)
         if runners is None:
             return False
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -148,6 +148,10 @@
                 return True
         return False
 
+    def is_absent(self, index: int) -> bool:
+        """Return whether an open task is a long-running one that has run before."""
+        return self.spec.lasting and self.tasks.view(index).last_run > 0
+
     @property
     def next_run(self) -> int:
         """Number of the next run of a gang."""
--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -116,17 +116,21 @@
     run_virtual(scenario)
 
 
-def test_runner_reserved_for_a_task_that_does_not_fit_takes_an_absent_one_that_does():
+@pytest.mark.parametrize("count, is_gang", [(1, False), (2, False), (1, True)])
+def test_runner_reserved_for_a_task_that_does_not_fit_takes_an_absent_one_that_does(
+    count, is_gang
+):
     """Guards against a free part of a runner that is of use to none.
 
-    A gang, which can't be evicted, is in the way of the older job's task.
+    A gang, which can't be evicted, is in the way of the older job's task. Of the step
+    that fits, one task has run before; a new one leaves the runner alone.
     """
 
     async def scenario():
         fleet = Fleet(
             2,
             batch_spec(1, 6, lasting=True, image="large"),
-            batch_spec(1, 2, lasting=True, image="small"),
+            batch_spec(count, 2, lasting=True, image="small", gang=is_gang),
             batch_spec(1, 4, gang=True),
             batch_spec(1, 4, lasting=True),
             batch_spec(2, 2),
@@ -137,11 +141,16 @@
         fleet.run(2, 0)
         fleet.run(3, 1)
         fleet.run(4, 1, 2)
+        fleet.permission.forbidden_ids.add("r0")
+        await fleet.pass_for(0.2)
+        fleet.permission.forbidden_ids.clear()
         await fleet.pass_for(1.0)
         fleet.lapse(1, 0)
         # It has room on the first runner and could evict batch on the second one.
         await fleet.pass_for(MAX_AWAY_S, until=[1])
-        assert fleet.is_placed(1)
+        open_indexes = fleet.steps[1].open_indexes
+        assert 0 not in open_indexes
+        assert len(open_indexes) == count - 1
 
     run_virtual(scenario)
 
