A step with promised room is tried though smaller ones found none

Cause: a step of the same kind with a smaller demand that finds no runner rules larger ones out for the rest of the pass. The smaller one has no part in what is promised to the large one, so that its failure says nothing about it. Since reservations are passed over for absent tasks, a failure of a step with new tasks only says nothing about absent ones, either.

A step to which room is promised is tried in any case; one with an absent task is ruled out by such steps only. All others are skipped as before, so that a pass costs what it did where nothing is promised.

--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -72,6 +72,16 @@
                 promises.append(promise)
         return _sum_by_runner(promises)
 
+    def has_promise(self, step: StepRun) -> bool:
+        """Return whether resources are promised to a task of a step."""
+        if not step.spec.lasting:
+            return False
+        own = (step.job.spec.id, step.occurrence, step.step)
+        for task, promise in self._promise_by_task.items():
+            if promise.runner and (task.job, task.occurrence, task.step) == own:
+                return True
+        return False
+
     def record_placed(self, task: TaskId) -> None:
         """Record that a task was placed: nothing is promised to it any more."""
         self._promise_by_task.pop(task, None)
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -201,7 +201,9 @@
         if self._caps.holds(step):
             self._candidates.release(step)
             return True
-        if not unplaced.rules_out(step) and await self._place(step):
+        # A smaller one had no part in what is promised to this step.
+        is_tried = not unplaced.rules_out(step) or self._evictions.has_promise(step)
+        if is_tried and await self._place(step):
             self._candidates.release(step)
             return True
         first = next(step.placing_order(), None)
--- a/flamingoweir/dispatch/_unplaced_steps.py
+++ b/flamingoweir/dispatch/_unplaced_steps.py
@@ -9,7 +9,9 @@
     """Steps that found no runner in the current pass.
 
     A step of the same kind with the same or a larger demand need not be tried.
-    Resources that become free while the pass gives way count in the next one.
+    Resources that become free while the pass gives way count in the next one. A step
+    with an absent task may use runners that are kept from others, so that only another
+    such step rules it out.
 
     Parameters
     ----------
@@ -19,14 +21,19 @@
 
     def __init__(self, now_s: float) -> None:
         self._now_s = now_s
-        self._demands_by_kind: dict[tuple, list[Resources]] = {}
+        #: Demands, and whether a task of the step was absent.
+        self._unplaced_by_kind: dict[tuple, list[tuple[Resources, bool]]] = {}
 
     def rules_out(self, step: StepRun) -> bool:
         """Return whether a step can't be placed in this pass."""
         spec = step.spec
         if spec.gang or step.unplaced_since_s is None:
             return False
-        for demand in self._demands_by_kind.get(self._demand_kind(step), ()):
+        unplaced = self._unplaced_by_kind.get(self._demand_kind(step), ())
+        is_away = bool(unplaced) and step.is_away
+        for demand, was_away in unplaced:
+            if is_away and not was_away:
+                continue
             if demand.fits_in(spec.demand):
                 return True
         return False
@@ -42,9 +49,8 @@
             return
         if any(task.failed_runners for _, task in step.tasks.kept()):
             return
-        self._demands_by_kind.setdefault(self._demand_kind(step), []).append(
-            spec.demand
-        )
+        unplaced = self._unplaced_by_kind.setdefault(self._demand_kind(step), [])
+        unplaced.append((spec.demand, step.is_away))
 
     def _demand_kind(self, step: StepRun) -> tuple:
         spec = step.spec
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -96,6 +96,17 @@
     assert not unplaced.rules_out(make_step(4))
 
 
+def test_absent_step_is_skipped_for_absent_ones_only():
+    """Try a step with an absent task on the runners that new ones leave alone."""
+    unplaced = UnplacedSteps(NOW_S)
+    absent = make_step(4, lasting=True)
+    absent.tasks[0].last_run = 1
+    unplaced.add(make_step(4, lasting=True))
+    assert not unplaced.rules_out(absent)
+    unplaced.add(absent)
+    assert unplaced.rules_out(absent)
+
+
 def test_untried_step_is_tried():
     """Try a step once before it is skipped: its waiting time starts with the try."""
     unplaced = UnplacedSteps(NOW_S)
