Gangs leave what is promised to others instead of its runner

What callers saw: a gang waited while an absent task was to get room on a runner, though it needed none of what was short there, as a task that waits for memory or accelerators beside free processors.

place_gang subtracts what is withheld, where anything is. Of a resource that is short nothing is left, the others may be used; what is promised stays withheld in full. The test failed before and passes. Which sites' gangs it concerns was not measured.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -384,10 +384,8 @@
     def _place_gang(self, step: StepRun) -> bool:
         if len(step.open_indexes) < step.spec.count:
             return False
-        withheld = self._find_withheld(step)
-        suitable = self._candidates.find(step, step.is_away)
-        candidates = [r for r in suitable if r.id not in withheld]
-        runners = place_gang(step, candidates)
+        candidates = self._candidates.find(step, step.is_away)
+        runners = place_gang(step, candidates, self._find_withheld(step))
         if runners is None:
             return False
         self._owner_state.add_gang_attempts(step, runners)
--- a/flamingoweir/resources.py
+++ b/flamingoweir/resources.py
@@ -43,6 +43,21 @@
             and self.accelerators <= available.accelerators
         )
 
+    def leaving(self, withheld: "Resources") -> "Resources":
+        """Return what is left beside ``withheld``: of each resource at least nothing.
+
+        Where more is withheld of a resource than there is, what needs none of it may
+        still use the others. An amount that is below 0 already stays as it is.
+        """
+        return Resources(
+            min(
+                self.processors_milli,
+                max(0, self.processors_milli - withheld.processors_milli),
+            ),
+            min(self.memory_mb, max(0, self.memory_mb - withheld.memory_mb)),
+            min(self.accelerators, max(0, self.accelerators - withheld.accelerators)),
+        )
+
     def as_text(self) -> str:
         """Return processors / 1000, megabytes and accelerators, for a line of text."""
         return f"{self.processors_milli}/{self.memory_mb}/{self.accelerators}"
--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -253,3 +253,33 @@
         assert fleet.is_placed(8)
 
     run_virtual(scenario)
+
+
+def test_gang_uses_what_is_left_beside_promised_room():
+    """Guards against runners that gangs leave out for a part that is promised.
+
+    The absent task waits for memory, of which the gang needs none. The runner that is
+    reserved for it is another one.
+    """
+
+    async def scenario():
+        fleet = Fleet(
+            2,
+            StepSpec(1, Resources(2000, 60_000, 0), lasting=True),
+            StepSpec(5, Resources(1000, 20_000, 0)),
+            StepSpec(1, Resources(1000, 50_000, 0), gang=True),
+            stop_s={"r0": 2.0},
+        )
+        fleet.run(0, 0)
+        fleet.lapse(0, 0)
+        fleet.run(1, 0, 5)
+        fleet.run(2, 1)
+        await fleet.pass_for(1.5)
+        assert fleet.evicted
+        fleet.add_batch("gang", StepSpec(1, Resources(1000, 0, 0), gang=True))
+        await fleet.pass_for(0.5)
+        gang = fleet.state.job_by_id["gang"].run_by_step[0, 0]
+        assert not gang.open_indexes
+        assert not fleet.is_placed(0)
+
+    run_virtual(scenario)
