Batch on spare processors leaves promised memory free

Cause: tasks on spare processors reserve none and passed over all that is promised, also the memory, which they do reserve. Batch of that kind that keeps coming took it as it became free.

What is promised is withheld from all tasks of others. As processors of which more is promised than are free would keep out what needs none of them, nothing is left of such a resource and the others may be used; that holds for all tasks.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -11,7 +11,6 @@
     StepPlacement,
     place_gang,
 )
-from ..resources import Resources
 from ._candidates import CandidateLists
 from ._context import Permit, PermitWithdrawn, TermContext
 from ._customer_caps import CustomerCaps
@@ -329,7 +328,7 @@
                     step,
                     self._candidates.find(step, is_absent),
                     self._now_s,
-                    self._find_withheld(step),
+                    self._evictions.promised_to_others(step),
                 )
                 evaluated_s = self._context.clock.now()
             leaves_room = self._must_leave_room(step, index)
@@ -351,12 +350,6 @@
         self._candidates.recheck(step, placed_on.values())
         return True
 
-    def _find_withheld(self, step: StepRun) -> dict[str, Resources]:
-        """Return what a step must leave to absent tasks of others, by runner."""
-        if step.spec.uses_spare:
-            return {}
-        return self._evictions.promised_to_others(step)
-
     def _choose(
         self, placement: StepPlacement, step: StepRun, index: int
     ) -> Runner | None:
@@ -385,7 +378,7 @@
         if len(step.open_indexes) < step.spec.count:
             return False
         candidates = self._candidates.find(step, step.is_away)
-        runners = place_gang(step, candidates, self._find_withheld(step))
+        runners = place_gang(step, candidates, self._evictions.promised_to_others(step))
         if runners is None:
             return False
         self._owner_state.add_gang_attempts(step, runners)
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -137,7 +137,7 @@
         spec = step.spec
         free = runner.free_resources
         if withheld is not _NOTHING:
-            free = free - withheld
+            free = free.leaving(withheld)
         if not spec.reserved.fits_in(free):
             return False
         limit = spec.max_per_runner
--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -255,19 +255,23 @@
     run_virtual(scenario)
 
 
-def test_gang_uses_what_is_left_beside_promised_room():
-    """Guards against runners that gangs leave out for a part that is promised.
-
-    The absent task waits for memory, of which the gang needs none. The runner that is
-    reserved for it is another one.
+@pytest.mark.parametrize(
+    "kind, processors, memory_mb",
+    [("", 2, 60_000), ("gang", 2, 60_000), ("uses_spare", 6, 1000)],
+)
+def test_what_is_left_beside_promised_room_is_used(kind, processors, memory_mb):
+    """Guards against runners that are left out for a part that is promised.
+
+    The absent task waits for memory or processors, of which the other one needs none.
+    The runner that is reserved for it is another one.
     """
 
     async def scenario():
         fleet = Fleet(
             2,
-            StepSpec(1, Resources(2000, 60_000, 0), lasting=True),
+            StepSpec(1, Resources(1000 * processors, memory_mb, 0), lasting=True),
             StepSpec(5, Resources(1000, 20_000, 0)),
-            StepSpec(1, Resources(1000, 50_000, 0), gang=True),
+            StepSpec(1, Resources(4000, 50_000, 0), gang=True),
             stop_s={"r0": 2.0},
         )
         fleet.run(0, 0)
@@ -276,10 +280,11 @@
         fleet.run(2, 1)
         await fleet.pass_for(1.5)
         assert fleet.evicted
-        fleet.add_batch("gang", StepSpec(1, Resources(1000, 0, 0), gang=True))
+        fields = {kind: True} if kind else {}
+        fleet.add_batch("other", StepSpec(1, Resources(1000, 0, 0), **fields))
         await fleet.pass_for(0.5)
-        gang = fleet.state.job_by_id["gang"].run_by_step[0, 0]
-        assert not gang.open_indexes
+        other = fleet.state.job_by_id["other"].run_by_step[0, 0]
+        assert not other.open_indexes
         assert not fleet.is_placed(0)
 
     run_virtual(scenario)
