Promised room lasts until its task's next turn

What callers would see: with stops that take over 2 s, a large absent task stays away behind small ones of older jobs that keep coming, each of which may split one of the last large gaps.

Cause: a promise ended at the begin of the pass after its 2 s, and was made again in the task's turn only. Steps with earlier turns took what had become free meanwhile, so that the large task had to begin on another runner.

A promise whose time has passed now lasts until its task's turn, in which a runner is chosen anew, without regard to the task's own promise; at most 2 s more, for a task that has no turn. The test, with stops of 1.9 to 2.7 s, failed before (not placed in 8.4 s, with room for three) and passes.

--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -15,6 +15,9 @@
 #: Seconds for which resources are promised to a task: a stop takes about one second,
 #: and the report of it and the next pass some tenths more.
 PROMISE_S = 2.0
+#: Longest time in seconds for which a promise lasts beyond that, until the planner
+#: comes to its task again and chooses anew.
+MAX_PROMISE_EXCESS_S = 2.0
 #: Largest number of tasks in a pass for which room is made. A choice looks at all
 #: runners and what runs there.
 MAX_CHOICES_PER_PASS = 2
@@ -44,13 +47,18 @@
         self._choices_left = 0
 
     def begin_pass(self, now_s: float) -> None:
-        """Discard the promises whose time has passed or whose task was placed."""
+        """Discard the promises whose task was placed or is not considered any more.
+
+        A promise whose time has passed lasts until its task's turn, as otherwise the
+        tasks before it would take what has become free for it so far.
+        """
         self._choices_left = MAX_CHOICES_PER_PASS
         for task, promise in list(self._promise_by_task.items()):
             job = self._owner_state.job_by_id.get(task.job)
             step = job and job.run_by_step.get((task.occurrence, task.step))
+            excess_s = MAX_PROMISE_EXCESS_S if promise.runner else 0.0
             if (
-                now_s < promise.until_s
+                now_s < promise.until_s + excess_s
                 and step is not None
                 and task.index in step.open_indexes
             ):
@@ -108,8 +116,8 @@
             # Those that have run before come first.
             if not self._choices_left or not step.tasks.view(index).last_run:
                 return
-            task = step.task_id(index)
-            if task in self._promise_by_task:
+            promise = self._promise_by_task.get(step.task_id(index))
+            if promise is not None and now_s < promise.until_s:
                 continue
             self._choices_left -= 1
             self._evict_for(step, index, candidates, now_s)
@@ -117,9 +125,10 @@
     def _evict_for(
         self, step: StepRun, index: int, candidates: Sequence[Runner], now_s: float
     ) -> None:
+        task = step.task_id(index)
+        self._promise_by_task.pop(task, None)
         promised_by_runner = _sum_by_runner(self._promise_by_task.values())
         found = choose_evictions(step, candidates, promised_by_runner, now_s)
-        task = step.task_id(index)
         if found is None:
             log.info("no_room_by_eviction", task=str(task), runners=len(candidates))
             # Tried again after the time of a promise.
--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -288,3 +288,34 @@
         assert not fleet.is_placed(0)
 
     run_virtual(scenario)
+
+
+def test_room_that_is_made_slowly_is_not_taken_before_it_suffices():
+    """Guards against a promise that is over while the stops for it still take time.
+
+    A small task of an older job comes each 0.7 s. Those that came would fit on two
+    runners; one on each would leave none of the five for the large task.
+    """
+
+    async def scenario():
+        fleet = Fleet(
+            6,
+            *12 * [batch_spec(1, 1, lasting=True)],
+            batch_spec(1, 8, lasting=True),
+            *5 * [batch_spec(4, 2)],
+            stop_s={f"r{number}": 1.9 for number in range(5)},
+        )
+        fleet.permission.forbidden_ids.add("r5")
+        fleet.stagger_s = 0.4
+        for number in range(13):
+            fleet.run(number, 5)
+        for runner in range(5):
+            fleet.run(13 + runner, runner, 4)
+        fleet.lapse(12, 5)
+        for number in range(12):
+            await fleet.pass_for(0.7, until=[12])
+            if not fleet.is_placed(12):
+                fleet.lapse(number, 5)
+        assert fleet.is_placed(12)
+
+    run_virtual(scenario)
