Absent tasks without prospect leave evictions to those with room

What callers would see: after the loss of many runners an absent task that could have room by an eviction is away for as long as some forty others wait that fit on no runner.

Cause: a pass chooses runners to evict on for two tasks at most, in the order of their jobs, and a task without room is tried again after 2 s. With passes a tenth of a second apart, forty such tasks take all choices, and the tasks after them never have one.

A demand for which no eviction made room counts for all tasks with as large a one, of the same service and label, for the 2 s for which it counted for its own task. A task to which room was promised already chooses anew all the same, as that room is none for others. The log has no_room_by_eviction once for such a demand, not for each task.

The test, with 60 large tasks before a small one, failed before (not placed in 9 s) and passes.

--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -8,6 +8,7 @@
 from ..logs import get_logger
 from ..policy import EVICT_AFTER_S, choose_evictions
 from ..resources import Resources
+from ._lack_of_room import LackOfRoom
 from ._owner_state import OwnerState
 
 log = get_logger()
@@ -44,6 +45,7 @@
     def __init__(self, owner_state: OwnerState):
         self._owner_state = owner_state
         self._promise_by_task: dict[TaskId, _Promise] = {}
+        self._lack_of_room = LackOfRoom()
         self._choices_left = 0
 
     def begin_pass(self, now_s: float) -> None:
@@ -53,6 +55,7 @@
         tasks before it would take what has become free for it so far.
         """
         self._choices_left = MAX_CHOICES_PER_PASS
+        self._lack_of_room.begin_pass(now_s)
         for task, promise in list(self._promise_by_task.items()):
             job = self._owner_state.job_by_id.get(task.job)
             step = job and job.run_by_step.get((task.occurrence, task.step))
@@ -119,6 +122,9 @@
             promise = self._promise_by_task.get(step.task_id(index))
             if promise is not None and now_s < promise.until_s:
                 continue
+            # What is promised to a task already is no room for others.
+            if promise is None and self._lack_of_room.covers(step):
+                continue
             self._choices_left -= 1
             self._evict_for(step, index, candidates, now_s)
 
@@ -131,6 +137,7 @@
         found = choose_evictions(step, candidates, promised_by_runner, now_s)
         if found is None:
             log.info("no_room_by_eviction", task=str(task), runners=len(candidates))
+            self._lack_of_room.add(step, now_s)
             # Tried again after the time of a promise.
             self._promise_by_task[task] = _Promise("", Resources(), now_s + PROMISE_S)
             return
--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -319,3 +319,29 @@
         assert fleet.is_placed(12)
 
     run_virtual(scenario)
+
+
+def test_tasks_without_prospect_leave_evictions_to_those_with_room():
+    """Guards against a small task that is never considered behind many large ones.
+
+    These belong to older jobs and find no room by an eviction.
+    """
+
+    async def scenario():
+        fleet = Fleet(
+            2,
+            *60 * [batch_spec(1, 6, lasting=True)],
+            batch_spec(1, 4, lasting=True),
+            batch_spec(1, 4, lasting=True),
+            batch_spec(2, 2),
+        )
+        fleet.permission.forbidden_ids.add("r1")
+        fleet.run(61, 0)
+        fleet.run(62, 0, 2)
+        for number in range(61):
+            fleet.run(number, 1)
+            fleet.lapse(number, 1)
+        await fleet.pass_for(MAX_AWAY_S, until=[60])
+        assert fleet.is_placed(60)
+
+    run_virtual(scenario)
