--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -6,14 +6,11 @@
 from ..jobs import StepRun
 from ..logs import get_logger
 from ..policy import (
-    MAX_PLACEMENT_WAIT_S,
     BatchHeadroom,
     PlacementPolicy,
     StepPlacement,
     place_gang,
-    unplaced_s,
 )
-from ..resources import Resources
 from ._candidates import CandidateLists
 from ._context import Permit, PermitWithdrawn, TermContext
 from ._customer_caps import CustomerCaps
@@ -24,6 +21,7 @@
 from ._job_pauses import JobPauses
 from ._ready_steps import ReadySteps
 from ._time_slice import TimeSlice
+from ._unplaced_steps import UnplacedSteps
 
 log = get_logger()
 
@@ -56,55 +54,6 @@
 MAX_PASS_S = 0.5
 
 
-class UnplacedSteps:
-    """Steps that found no runner in the current pass.
-
-    A step of the same kind with the same or a larger demand need not be tried.
-    Resources that become free while the pass gives way count in the next one.
-
-    Parameters
-    ----------
-    now_s : float
-        Start of the pass on the owner's clock, in seconds.
-    """
-
-    def __init__(self, now_s: float) -> None:
-        self._now_s = now_s
-        self._demands_by_kind: dict[tuple, list[Resources]] = {}
-
-    def rules_out(self, step: StepRun) -> bool:
-        """Return whether a step can't be placed in this pass."""
-        spec = step.spec
-        if spec.gang or step.unplaced_since_s is None:
-            return False
-        for demand in self._demands_by_kind.get(self._demand_kind(step), ()):
-            if demand.fits_in(spec.demand):
-                return True
-        return False
-
-    def add(self, step: StepRun) -> None:
-        """Record a step that was not placed.
-
-        A gang, or a step with a limit per runner, a data rack or runners on which its
-        tasks failed, is left out: a step without that constraint may still fit.
-        """
-        spec = step.spec
-        if spec.gang or spec.max_per_runner or spec.data_rack:
-            return
-        if any(task.failed_runners for _, task in step.tasks.kept()):
-            return
-        self._demands_by_kind.setdefault(self._demand_kind(step), []).append(
-            spec.demand
-        )
-
-    def _demand_kind(self, step: StepRun) -> tuple:
-        spec = step.spec
-        # Past the maximum wait, a task may run where it disturbs serving tasks.
-        past_max_wait = unplaced_s(step, self._now_s) > MAX_PLACEMENT_WAIT_S
-        service = step.job.spec.policy.service
-        return service, spec.label, spec.image, spec.uses_spare, past_max_wait
-
-
 class Planner:
     """Places the tasks of ready steps on runners.
 
@@ -253,7 +202,9 @@
         if self._caps.holds(step):
             self._candidates.release(step)
             return True
-        if not unplaced.rules_out(step) and await self._place(step):
+        # A smaller one had no part in what is promised to this step.
+        is_tried = not unplaced.rules_out(step) or self._evictions.has_promise(step)
+        if is_tried and await self._place(step):
             self._candidates.release(step)
             return True
         first = next(step.placing_order(), None)
@@ -271,7 +222,10 @@
         Return whether no task of the step is left.
         """
         probes = self._early_probes.choose(
-            step, self._candidates.runners, self._find_withheld(step), self._now_s
+            step,
+            self._candidates.runners,
+            self._evictions.promised_to_others(step),
+            self._now_s,
         )
         for index, runner in probes:
             log.info(
@@ -377,6 +331,7 @@
         if step.spec.gang:
             return self._place_gang(step)
         placement = None
+        places_absent = False
         evaluated_s = 0.0
         placed_on: dict[str, Runner] = {}
         for index in step.placing_order():
@@ -390,13 +345,15 @@
                 continue
             if self._caps.holds(step):
                 break
-            if placement is None:
+            is_absent = step.is_absent(index)
+            if placement is None or is_absent != places_absent:
+                places_absent = is_absent
                 placement = StepPlacement(
                     self._placement,
                     step,
-                    self._candidates.find(step),
+                    self._candidates.find(step, is_absent),
                     self._now_s,
-                    self._find_withheld(step),
+                    self._evictions.promised_to_others(step),
                 )
                 evaluated_s = self._context.clock.now()
             leaves_room = self._must_leave_room(step, index)
@@ -418,12 +375,6 @@
         self._candidates.recheck(step, placed_on.values())
         return True
 
-    def _find_withheld(self, step: StepRun) -> dict[str, Resources]:
-        """Return what a step must leave to absent tasks of others, by runner."""
-        if step.spec.uses_spare:
-            return {}
-        return self._evictions.promised_to_others(step)
-
     def _choose(
         self, placement: StepPlacement, step: StepRun, index: int
     ) -> Runner | None:
@@ -451,9 +402,8 @@
     def _place_gang(self, step: StepRun) -> bool:
         if len(step.open_indexes) < step.spec.count:
             return False
-        withheld = self._find_withheld(step)
-        candidates = [r for r in self._candidates.find(step) if r.id not in withheld]
-        runners = place_gang(step, candidates)
+        candidates = self._candidates.find(step, step.is_away)
+        runners = place_gang(step, candidates, self._evictions.promised_to_others(step))
         if runners is None:
             return False
         self._owner_state.add_gang_attempts(step, runners)
