Of the absent tasks the largest go first

What callers would see: a large long-running task that is lost together with small ones of older jobs finds no room until one of them ends, though there was room for all.

Cause: absent tasks were placed, and batch was evicted for them, in the order of their jobs. Evicting what has run for the shortest time, the small ones each took a part of a runner, until none had a gap that was large enough; long-running tasks don't move.

Absent tasks go in the order of accelerators, then of reserved processors. They still go before all others, and the order of new tasks is as before. The test, nine small tasks and a large one on three runners, failed before (not placed in 9 s) and passes, the small ones placed as well. Small absent tasks beside large ones that keep coming are new cases of a test; they passed before, too.

--- a/flamingoweir/policy/_order.py
+++ b/flamingoweir/policy/_order.py
@@ -61,8 +61,11 @@
     """
     job = step.job
     priority = job.spec.policy.priority
+    if step.is_away:
+        size = step.spec.reserved
+        return AWAY_PRIORITY, -size.accelerators, -size.processors_milli
     if step.spec.lasting:
-        return (AWAY_PRIORITY if step.is_away else priority), -1, 0.0
+        return priority, -1, 0.0
     age_s = now_s - job.accepted_s
     if job.spec.scheduled:
         age_s = (wall_ms - job.spec.due_ms(step.occurrence)) / 1000
--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -215,29 +215,30 @@
 
 
 @pytest.mark.parametrize("stop_s", [1.0, 2.5])
-@pytest.mark.parametrize("processors", [6, 8])
+@pytest.mark.parametrize("processors, of_others", [(6, 1), (8, 1), (2, 6)])
 @pytest.mark.parametrize("are_absent", [True, False])
-def test_large_absent_task_is_placed_beside_small_ones_that_keep_coming(
-    are_absent, processors, stop_s
+def test_absent_task_is_placed_beside_others_that_keep_coming(
+    are_absent, processors, of_others, stop_s
 ):
     """Guards against small tasks that take each part of the room for a large one.
 
     Those of older jobs lapse 0.4 s after each start, and batch fills all runners. There
-    is room for three large tasks, and for two beside the small ones.
+    is room for three large tasks, and for two beside the small ones. Large tasks must
+    not keep a small one away, either.
     """
 
     async def scenario():
-        small = batch_spec(1, 1, lasting=True, image="small")
+        other = batch_spec(1, of_others, lasting=True, image="other")
         fleet = Fleet(
             4,
-            *8 * [small],
+            *8 * [other],
             batch_spec(1, processors, lasting=True),
             *3 * [batch_spec(4, 2)],
             stop_s=dict.fromkeys(["r0", "r1", "r2"], stop_s),
         )
         fleet.permission.forbidden_ids.add("r3")
         fleet.stagger_s = 0.4
-        fleet.end_by_image["small"] = 0.4, Outcome.LAPSED
+        fleet.end_by_image["other"] = 0.4, Outcome.LAPSED
         fleet.end_by_image["new"] = 0.4, Outcome.DONE
         for number in range(9):
             fleet.run(number, 3)
@@ -245,7 +246,7 @@
             fleet.run(9 + runner, runner, 4)
         fleet.lapse(8, 3)
         for number in range(45):
-            if are_absent and number < 8:
+            if are_absent and number < (8 if of_others == 1 else 3):
                 fleet.lapse(number, 3)
             if not are_absent:
                 fleet.add_batch(f"new-{number}", batch_spec(1, 1, image="new"))
@@ -345,3 +346,31 @@
         assert fleet.is_placed(60)
 
     run_virtual(scenario)
+
+
+def test_large_task_finds_room_that_small_ones_lost_with_it_need_not_split():
+    """Guards against small tasks that each take a part of the last large gaps.
+
+    They belong to older jobs. Evicting what has run for the shortest time for each of
+    them would leave 5 of 8 processors for the large one on each runner.
+    """
+
+    async def scenario():
+        small = batch_spec(1, 1, lasting=True)
+        fleet = Fleet(
+            4, *9 * [small], batch_spec(1, 6, lasting=True), *24 * [batch_spec(1, 1)]
+        )
+        fleet.permission.forbidden_ids.add("r3")
+        for number in range(10):
+            fleet.run(number, 3)
+        for number in range(24):
+            fleet.run(10 + number, number % 3)
+            await anyio.sleep(0.1)
+        for number in range(10):
+            fleet.lapse(number, 3)
+        await fleet.pass_for(MAX_AWAY_S, until=[9])
+        assert fleet.is_placed(9)
+        await fleet.pass_for(MAX_AWAY_S)
+        assert all(map(fleet.is_placed, range(9)))
+
+    run_virtual(scenario)
