Tests of room for large absent tasks in one table, large by their memory

Two tests of small tasks that split the last gaps are cases of one. The large task needs most memory and least processors where the order of absent tasks must not be what helps it, so that promises have to. Nothing is asked less strictly: the small tasks have to be placed, too, in both cases.

--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -17,6 +17,12 @@
 PASS_S = 0.1
 
 
+def memory_spec(count: int, eighths: int, processors_milli: int = 1000, **fields):
+    """Return a step of tasks that need eighths of a runner's memory."""
+    demand = Resources(processors_milli, 12_500 * eighths, 0)
+    return StepSpec(count, demand, **fields)
+
+
 class Fleet:
     """Runners of 8 processors and a planner that passes every tenth of a second."""
 
@@ -44,6 +50,12 @@
             )
             self.state.record_start(attempt)
 
+    def lose(self, runner: int, steps: int) -> None:
+        """Lose a runner on which the first steps run; their tasks lapse later."""
+        self.permission.forbidden_ids.add(f"r{runner}")
+        for number in range(steps):
+            self.run(number, runner)
+
     def lapse(self, number: int, runner: int) -> None:
         task = self.steps[number].task_id(0)
         self.state.end_attempt(self.runners[runner], task, 1, Outcome.LAPSED, "")
@@ -215,33 +227,32 @@
 
 
 @pytest.mark.parametrize("stop_s", [1.0, 2.5])
-@pytest.mark.parametrize("processors, of_others", [(6, 1), (8, 1), (2, 6)])
+@pytest.mark.parametrize("eighths, of_others", [(6, 1), (8, 1), (2, 6)])
 @pytest.mark.parametrize("are_absent", [True, False])
 def test_absent_task_is_placed_beside_others_that_keep_coming(
-    are_absent, processors, of_others, stop_s
+    are_absent, eighths, of_others, stop_s
 ):
     """Guards against small tasks that take each part of the room for a large one.
 
-    Those of older jobs lapse 0.4 s after each start, and batch fills all runners. There
-    is room for three large tasks, and for two beside the small ones. Large tasks must
-    not keep a small one away, either.
+    Those of older jobs, which need more processors and less memory, lapse 0.4 s after
+    each start, and batch fills the memory of all runners. There is room for three large
+    tasks, and for two beside the small ones. Large tasks must not keep a small one
+    away, either.
     """
 
     async def scenario():
-        other = batch_spec(1, of_others, lasting=True, image="other")
+        other = memory_spec(1, of_others, 1000, lasting=True, image="other")
         fleet = Fleet(
             4,
             *8 * [other],
-            batch_spec(1, processors, lasting=True),
-            *3 * [batch_spec(4, 2)],
+            memory_spec(1, eighths, 500, lasting=True),
+            *3 * [memory_spec(4, 2)],
             stop_s=dict.fromkeys(["r0", "r1", "r2"], stop_s),
         )
-        fleet.permission.forbidden_ids.add("r3")
+        fleet.lose(3, 9)
         fleet.stagger_s = 0.4
         fleet.end_by_image["other"] = 0.4, Outcome.LAPSED
         fleet.end_by_image["new"] = 0.4, Outcome.DONE
-        for number in range(9):
-            fleet.run(number, 3)
         for runner in range(3):
             fleet.run(9 + runner, runner, 4)
         fleet.lapse(8, 3)
@@ -249,7 +260,7 @@
             if are_absent and number < (8 if of_others == 1 else 3):
                 fleet.lapse(number, 3)
             if not are_absent:
-                fleet.add_batch(f"new-{number}", batch_spec(1, 1, image="new"))
+                fleet.add_batch(f"new-{number}", memory_spec(1, 1, image="new"))
             await fleet.pass_for(0.2, until=[8])
         assert fleet.is_placed(8)
 
@@ -291,33 +302,44 @@
     run_virtual(scenario)
 
 
-def test_room_that_is_made_slowly_is_not_taken_before_it_suffices():
-    """Guards against a promise that is over while the stops for it still take time.
+@pytest.mark.parametrize(
+    "usable, small, large, stop_s, interval_s",
+    [
+        pytest.param(3, 9, batch_spec(1, 6, lasting=True), 1.0, 0.0, id="together"),
+        pytest.param(5, 12, memory_spec(1, 8, 500, lasting=True), 1.9, 0.7, id="slow"),
+    ],
+)
+def test_large_task_finds_room_that_small_ones_need_not_split(
+    usable, small, large, stop_s, interval_s
+):
+    """Guards against small tasks that each take a part of the last large gaps.
 
-    A small task of an older job comes each 0.7 s. Those that came would fit on two
-    runners; one on each would leave none of the five for the large task.
+    They belong to older jobs, and would fit on two runners. Evicting what has run for
+    the shortest time for each of them, or room of which a part is free before the rest,
+    would leave too little for the large one on each runner.
     """
 
     async def scenario():
         fleet = Fleet(
-            6,
-            *12 * [batch_spec(1, 1, lasting=True)],
-            batch_spec(1, 8, lasting=True),
-            *5 * [batch_spec(4, 2)],
-            stop_s={f"r{number}": 1.9 for number in range(5)},
+            usable + 1,
+            *small * [memory_spec(1, 1, lasting=True)],
+            large,
+            *8 * usable * [memory_spec(1, 1)],
+            stop_s={f"r{number}": stop_s for number in range(usable)},
         )
-        fleet.permission.forbidden_ids.add("r5")
-        fleet.stagger_s = 0.4
-        for number in range(13):
-            fleet.run(number, 5)
-        for runner in range(5):
-            fleet.run(13 + runner, runner, 4)
-        fleet.lapse(12, 5)
-        for number in range(12):
-            await fleet.pass_for(0.7, until=[12])
-            if not fleet.is_placed(12):
-                fleet.lapse(number, 5)
-        assert fleet.is_placed(12)
+        fleet.lose(usable, small + 1)
+        for number in range(8 * usable):
+            fleet.run(small + 1 + number, number % usable)
+            await anyio.sleep(0.1)
+        fleet.stagger_s = 0.4 if interval_s else 0.0
+        fleet.lapse(small, usable)
+        for number in range(small):
+            await fleet.pass_for(interval_s)
+            fleet.lapse(number, usable)
+        await fleet.pass_for(MAX_AWAY_S - small * interval_s)
+        assert fleet.is_placed(small)
+        await fleet.pass_for(MAX_AWAY_S)
+        assert all(map(fleet.is_placed, range(small)))
 
     run_virtual(scenario)
 
@@ -336,41 +358,12 @@
             batch_spec(1, 4, lasting=True),
             batch_spec(2, 2),
         )
-        fleet.permission.forbidden_ids.add("r1")
+        fleet.lose(1, 61)
         fleet.run(61, 0)
         fleet.run(62, 0, 2)
         for number in range(61):
-            fleet.run(number, 1)
             fleet.lapse(number, 1)
         await fleet.pass_for(MAX_AWAY_S, until=[60])
         assert fleet.is_placed(60)
 
     run_virtual(scenario)
-
-
-def test_large_task_finds_room_that_small_ones_lost_with_it_need_not_split():
-    """Guards against small tasks that each take a part of the last large gaps.
-
-    They belong to older jobs. Evicting what has run for the shortest time for each of
-    them would leave 5 of 8 processors for the large one on each runner.
-    """
-
-    async def scenario():
-        small = batch_spec(1, 1, lasting=True)
-        fleet = Fleet(
-            4, *9 * [small], batch_spec(1, 6, lasting=True), *24 * [batch_spec(1, 1)]
-        )
-        fleet.permission.forbidden_ids.add("r3")
-        for number in range(10):
-            fleet.run(number, 3)
-        for number in range(24):
-            fleet.run(10 + number, number % 3)
-            await anyio.sleep(0.1)
-        for number in range(10):
-            fleet.lapse(number, 3)
-        await fleet.pass_for(MAX_AWAY_S, until=[9])
-        assert fleet.is_placed(9)
-        await fleet.pass_for(MAX_AWAY_S)
-        assert all(map(fleet.is_placed, range(9)))
-
-    run_virtual(scenario)
