--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -6,9 +6,8 @@
 from ..fleet import Runner
 from ..jobs import StepRun, TaskId
 from ..logs import get_logger
-from ..policy import EVICT_AFTER_S, choose_evictions
+from ..policy import EVICT_AFTER_S, LackOfRoom, choose_evictions
 from ..resources import Resources
-from ._lack_of_room import LackOfRoom
 from ._owner_state import OwnerState
 
 log = get_logger()
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -39,6 +39,7 @@
 from ._headroom import BatchHeadroom, ServiceLoad
 from ._health import RunnerHealth
 from ._key_validity import KeyDecision, decide_key
+from ._lack_of_room import LackOfRoom
 from ._order import AWAY_PRIORITY, MAX_VALUABLE_OBJECTIVES, objective_s, sort_key
 from ._paces import PaceChange
 from ._placement import PlacementPolicy, StepPlacement, unplaced_s
@@ -85,6 +86,7 @@
     "Effect",
     "FairShares",
     "KeyDecision",
+    "LackOfRoom",
     "LostRunner",
     "MeanWork",
     "OpenWork",
