Jobs are restored in the order in which they were accepted

Cause, one of two: a new owner read the jobs part by part, and a job's part is a hash of its id. Equally urgent steps go in the order in which their jobs were added, so that with each owner other jobs went before the large one, and took the room that the former owner had kept for it.

Change: the rows are applied in the order of their versions, in which an owner that lasts adds jobs, too.

--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -304,7 +304,9 @@
         for row in jobs.rows:
             self.owner_state.customer_load.add_restored(row, self._context.wall_ms())
             await time_slice.give_way_if_over()
-        for row in jobs.rows:
+        # The order of acceptance, in which this owner adds later jobs as well: equally
+        # urgent ones wait in it.
+        for row in sorted(jobs.rows, key=lambda row: row.version):
             self._loader.apply_rows([row], True)
             await time_slice.give_way_if_over()
         self._job_follower.resume_from(jobs.version, jobs_read_s)
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -51,3 +51,20 @@
             assert longest_s < TAKEOVER_S - RENEW_INTERVAL_S
 
     run_virtual(scenario)
+
+
+def test_jobs_are_restored_in_the_order_in_which_they_were_accepted():
+    """Guards against an order among equally urgent jobs that changes with the owner."""
+
+    async def scenario():
+        async with run_cluster(members=0, runners=0) as cluster:
+            specs = [make_job(number) for number in range(40)]
+            for spec in specs:
+                cluster.rows.put(job_row("s0", spec.id), encode_spec(spec))
+            cluster.add_member("front-0")
+            owner = await cluster.owner()
+            await anyio.sleep(1.0)
+            job_ids = list(owner.instance.term.owner_state.job_by_id)
+            assert job_ids == [spec.id for spec in specs]
+
+    run_virtual(scenario)
