The owner row says how long steps have waited for a runner

Cause: what a step has waited for is counted from the start of a term: a second before batch is evicted, 1.5 s before a job may run where it disturbs serving tasks, half a second before a runner is kept free for it. With the change of the owner and the reading of the shard, an owner that lives for 2 s hardly ever gets there, and the next one begins anew.

Change: the owner row names the waits of some 50 steps, those of long-running tasks first. The next owner goes on from there, if the shard was without an owner for less than 3 s. The time without a permit to start tasks doesn't count, nor does that between two owners.

The former build reads the row and ignores the field; its rows count as ones without waits.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -34,6 +34,7 @@
 )
 from ..registry import RunnerEntry
 from ..wakeup import Wakeup
+from ._carried_waits import CarriedWaits
 from ._customer_load import CustomerLoad
 from ._customer_usage import CustomerUsage
 from ._late_orders import LateOrders
@@ -90,6 +91,8 @@
         Records to be written of jobs that were set aside.
     missing_runners : MissingRunners
         For how long runners with attempts have been missing from the list.
+    waits : CarriedWaits
+        Waits that go on from one owner to the next.
     customer_load : CustomerLoad
         Submissions of each customer beyond its rate.
     customer_usage : CustomerUsage
@@ -132,6 +135,7 @@
         self.customer_usage = CustomerUsage()
         self.late_orders = LateOrders()
         self.task_ends = TaskEnds()
+        self.waits = CarriedWaits(clock)
         self.job_by_id: dict[str, Job] = {}
         self.runner_by_id: dict[str, Runner] = {}
         self.changed_job_ids: set[str] = set()
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -128,6 +128,7 @@
         self._time_slice = TimeSlice(context.clock)
         self._candidates = CandidateLists(self._placement, [], {}, 0.0)
         self._evictions = Evictions(context.owner_state)
+        self._waits = context.owner_state.waits.steps
         self._headroom = BatchHeadroom()
         self._pauses = JobPauses(context.owner_state)
         self._caps = CustomerCaps(context)
@@ -168,6 +169,7 @@
         self._runner_by_step = {}
         self._collect_runners()
         self._evictions.begin_pass(self._now_s)
+        self._waits.begin_pass()
         try:
             await self._place_ready_steps()
         except PermitWithdrawn:
@@ -202,6 +204,7 @@
                 was_placed = await self._place_or_make_room(step, unplaced)
                 if not was_placed:
                     tried.add(step)
+                    self._waits.record_unplaced(step, self._now_s)
                     unplaced_count += self._shows_lack_of_room(step)
             except PermitWithdrawn:
                 raise
@@ -329,6 +332,9 @@
 
     async def _find_ready_steps(self) -> list[StepRun]:
         """Return the ready steps, the most urgent first."""
+        self._waits.take_over(
+            self._owner_state.job_by_id, self._owner_state.runner_by_id, self._now_s
+        )
         steps = await self._ready_steps.find(
             lambda: self._now_s,
             self._give_way_if_over,
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -42,6 +42,7 @@
     VersionedRow,
     read_all,
 )
+from ._carried_waits import CarriedWaits
 from ._committer import RENEW_INTERVAL_S, Committer
 from ._context import Permit, TermContext, TermEnd
 from ._customer_report import CustomerReporter
@@ -135,7 +136,9 @@
             memory_mb,
             MissingRunners(writer.former_missing_s_by_runner),
         )
+        self.owner_state.waits = CarriedWaits(clock, writer.former_waits)
         writer.list_missing_runners = self._list_missing_runners
+        writer.list_waits = self.owner_state.waits.list_waits
         self.owner_state.customer_load.find_configuration = lambda: (
             operators.configuration
         )
--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -25,6 +25,7 @@
 )
 from ._standby import OwnerObservation, Standby
 from ._store_clock import StoreClock
+from ._waits import StepWait, Waits, encoded_bytes
 from ._writer import (
     LEASE_VALID_S,
     SHORT_LEASE_VALID_S,
@@ -49,11 +50,14 @@
     "OwnerRecord",
     "OwnershipLost",
     "Standby",
+    "StepWait",
     "StoreClock",
+    "Waits",
     "cancel_row",
     "decode_owner_record",
     "effect_row",
     "encode_owner_record",
+    "encoded_bytes",
     "job_parts",
     "job_row",
     "longest_lease_s",
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -9,6 +9,7 @@
 
 from ..customers import CustomerLimit
 from ..storage import VersionedRow
+from ._waits import Waits
 
 #: Seconds after an owner's write by which its leases have lapsed, if the row does not
 #: say so: owners of former builds renewed leases of 4 s (with a margin of a tenth) for
@@ -70,6 +71,8 @@
         attempts missing from the list of runners, by its id.
     max_job_bytes : int or None
         Largest `JobSpec.memory_bytes` of a job that the owner can hold; None for any.
+    waits : Waits
+        Waits with which the next owner goes on.
     """
 
     holder: str
@@ -83,6 +86,7 @@
     leases_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
     missing_s_by_runner: dict[str, float] = field(default_factory=dict)
     max_job_bytes: int | None = None
+    waits: Waits = field(default_factory=Waits)
 
 
 _RECORD = pydantic.TypeAdapter(OwnerRecord)
@@ -92,11 +96,14 @@
     """Encode the content of an owner row as JSON.
 
     The field `max_job_bytes` is left out while it is None: former builds can't read it.
-    Missing runners and the limits of customers are left out where there are none.
+    Missing runners, waits and the limits of customers are left out where there are
+    none.
     """
     fields = _to_fields(record)
     if not record.missing_s_by_runner:
         del fields["missing_s_by_runner"]
+    if not record.waits:
+        del fields["waits"]
     if record.max_job_bytes is None:
         del fields["max_job_bytes"]
     if record.backlog is not None and not record.backlog.limit_by_customer:
@@ -130,6 +137,8 @@
     for time_s in times_s:
         if not 0 <= time_s < math.inf:
             return None
+    if not record.waits.is_valid:
+        return None
     limits = record.backlog.limit_by_customer.values() if record.backlog else ()
     for limit in limits:
         if not (0 <= limit.admitted <= 1 and 0 <= limit.retry_after_s < math.inf):
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -26,6 +26,7 @@
 )
 from ._rows import owner_row
 from ._store_clock import StoreClock
+from ._waits import Waits
 
 log = get_logger()
 
@@ -120,6 +121,8 @@
         Returns `OwnerRecord.leases_end_in_s_by_runner` to publish, called once a write.
     list_missing_runners : callable
         Returns `OwnerRecord.missing_s_by_runner`, called for each transaction.
+    list_waits : callable
+        Returns `OwnerRecord.waits` to publish, called for each transaction.
     grants_leases : bool
         Whether writes from now on allow leases. An owner that has not read the shard
         yet grants none, and its row says so.
@@ -130,6 +133,8 @@
     former_missing_s_by_runner : dict of str to float
         `OwnerRecord.missing_s_by_runner` of the former owner; empty if its row is not
         recent.
+    former_waits : Waits
+        `OwnerRecord.waits` of the former owner; empty if its row is not recent.
     earlier_leases : EarlierLeases
         When the leases have lapsed that earlier owners may have granted.
     """
@@ -149,11 +154,13 @@
         self.count_backlog: Callable[[], Backlog | None] = _unknown_backlog
         self.list_short_leases = self._list_earlier_leases
         self.list_missing_runners = lambda: self.former_missing_s_by_runner
+        self.list_waits = lambda: self.former_waits
         self.find_max_job_bytes: Callable[[], int | None] = lambda: None
         self.grants_leases = False
         self.former: OwnerRecord | None = None
         self.earlier_leases = EarlierLeases.none()
         self.former_missing_s_by_runner: dict[str, float] = {}
+        self.former_waits = Waits()
         self._store = store
         self._owner_row = owner_row(shard)
         self._record = OwnerRecord(holder, process, 0)
@@ -199,6 +206,7 @@
             )
         if self.former is not None and self._is_recent(self.former):
             self.former_missing_s_by_runner = self.former.missing_s_by_runner
+            self.former_waits = self.former.waits
         await self._write((), ())
         self.fence = self._version
 
@@ -311,6 +319,7 @@
                 leases_end_in_s_by_runner=short_leases,
                 missing_s_by_runner=self.list_missing_runners(),
                 max_job_bytes=self.find_max_job_bytes(),
+                waits=self.list_waits(),
             )
             own = (self._owner_row, encode_owner_record(record))
             transaction = Transaction(
--- a/tests/test_missing_runners.py
+++ b/tests/test_missing_runners.py
@@ -6,6 +6,8 @@
 import anyio
 import pytest
 
+from flamingoweir.clock import BootClock
+from flamingoweir.dispatch._carried_waits import CarriedWaits
 from flamingoweir.dispatch._committer import MAX_SHORT_LEASE_BYTES
 from flamingoweir.dispatch._missing_runners import ENTRY_BYTES, MissingRunners
 from flamingoweir.jobs import JobState
@@ -13,7 +15,9 @@
 from flamingoweir.ownership import (
     FencedWriter,
     OwnerRecord,
+    StepWait,
     StoreClock,
+    Waits,
     decode_owner_record,
     encode_owner_record,
     owner_row,
@@ -29,6 +33,7 @@
 #: all but the runners.
 MAX_ROW_BYTES = 65_536
 MAX_BACKLOG_BYTES = 5_000
+WAITS = Waits({"a.0.0": StepWait(2.0, 1.0)})
 
 
 def test_grace_begins_anew_with_the_next_owner():
@@ -64,9 +69,18 @@
     missing = runners.list_missing_s(10_000.999)
     short_count = MAX_SHORT_LEASE_BYTES // (id_bytes + ENTRY_BYTES)
     leases = {f"{number:0{id_bytes}d}": 7.346 for number in range(short_count)}
+    names = [f"{number:0{id_bytes}d}.0.0" for number in range(9000)]
+    former = Waits(dict.fromkeys(names, StepWait(10_000.999, 10_000.999)))
+    waits = CarriedWaits(BootClock(), former).list_waits()
     record = OwnerRecord(
-        "a", "a/1", 1, leases_end_in_s_by_runner=leases, missing_s_by_runner=missing
+        "a",
+        "a/1",
+        1,
+        leases_end_in_s_by_runner=leases,
+        missing_s_by_runner=missing,
+        waits=waits,
     )
+    assert 0 < len(waits.by_step) < 100
     assert 0 < len(encode_owner_record(record)) < MAX_ROW_BYTES - MAX_BACKLOG_BYTES
     assert missing
 
@@ -82,7 +96,13 @@
         store_clock = StoreClock()
         store_clock.record(store_s, now_s, now_s)
         record = OwnerRecord(
-            "a", "a/1", 1, 1, written_s=store_s - age_s, missing_s_by_runner={"a": 2.0}
+            "a",
+            "a/1",
+            1,
+            1,
+            written_s=store_s - age_s,
+            missing_s_by_runner={"a": 2.0},
+            waits=WAITS,
         )
         rows.put(owner_row("s0"), encode_owner_record(record))
         writer = FencedWriter(
@@ -92,13 +112,21 @@
         assert writer.former_missing_s_by_runner == passed_on
         taken = decode_owner_record(rows.row_by_id[owner_row("s0")])
         assert taken.missing_s_by_runner == passed_on
+        assert writer.former_waits == taken.waits == (WAITS if passed_on else Waits())
 
     run_virtual(scenario)
 
 
-def test_owner_record_with_a_negative_time_is_read():
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"missing_s_by_runner": {"a": -1.0}},
+        {"waits": Waits({"a.0.0": StepWait(1.0, -1.0)})},
+    ],
+)
+def test_owner_record_with_a_negative_time_is_read(fields):
     """Guards against a malformed row that counts as one that says something."""
-    record = OwnerRecord("a", "a/1", 1, 1, missing_s_by_runner={"a": -1.0})
+    record = OwnerRecord("a", "a/1", 1, 1, **fields)
     row = VersionedRow(RowId("owners", "s0", "owner"), encode_owner_record(record), 5)
     assert decode_owner_record(row) is None
 
