The owner row says for how long runs have made no progress

Cause: the time without progress, 2.5 s and more, is counted from each owner's first look, and an owner that lives for 2 s gets two reports of a runner.

Change: the owner row names runs from a third of their limit on, the closest to it first, in 2,000 bytes: their progress, the time without more, and what the limit depends on. The next owner goes on with the first report that it gets. A run that has got on since shows it there; the time since the runner's latest response, between two owners, or after more than 3 s without an owner, doesn't count.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -308,6 +308,7 @@
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
             allocation.started_s = float("-inf")
+            self.waits.runs.restore(runner, allocation)
         self._crash_detector.restore(job.suspicion_by_run)
         self._stop_surplus(job)
 
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -231,6 +231,7 @@
         runner = self._runner
         for allocation in find_stalled(runner, sent_s):
             self._owner_state.stop_stalled(runner, allocation)
+        self._owner_state.waits.runs.record_report(runner, self._clock.now())
 
     def _adjust_paces(self) -> None:
         """Adjust the paces of tasks on spare processors, to protect serving tasks.
@@ -318,9 +319,11 @@
         now_s = self._clock.now()
         self._owner_state.record_listed(allocation, now_s)
         allocation.expect_listed_after_s = min(allocation.expect_listed_after_s, now_s)
+        job = self._owner_state.job_by_id.get(attempt.task.job)
+        if job is not None:
+            self._owner_state.waits.runs.take_over(allocation, job, now_s)
         if task.progress_percent >= attempt.progress_percent + MIN_PROGRESS_PERCENT:
             attempt.record_progress(task.progress_percent, now_s)
-        job = self._owner_state.job_by_id.get(attempt.task.job)
         if job is not None:
             job.record_checkpoint(attempt, task.checkpoint)
 
--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -25,7 +25,7 @@
 )
 from ._standby import OwnerObservation, Standby
 from ._store_clock import StoreClock
-from ._waits import StepWait, Waits, encoded_bytes
+from ._waits import RunWait, StepWait, Waits, encoded_bytes
 from ._writer import (
     LEASE_VALID_S,
     SHORT_LEASE_VALID_S,
@@ -49,6 +49,7 @@
     "OwnerObservation",
     "OwnerRecord",
     "OwnershipLost",
+    "RunWait",
     "Standby",
     "StepWait",
     "StoreClock",
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -51,7 +51,7 @@
 )
 from ._size_classes import SizeClasses
 from ._store_availability import RESPONSE_LIMIT_S, StoreAvailability
-from ._stragglers import find_stalled
+from ._stragglers import find_stalled, progress_expected_since_s, stall_s
 from ._valuation import (
     MeanWork,
     OpenWork,
@@ -114,7 +114,6 @@
     "find_open_work",
     "find_oversized_gang",
     "find_stalled",
-    "find_stalled",
     "gang_demand",
     "is_below_half",
     "is_within",
@@ -124,10 +123,12 @@
     "objective_s",
     "place_gang",
     "place_gang",
+    "progress_expected_since_s",
     "remaining_work",
     "retry_after_s",
     "share_machine",
     "sort_key",
+    "stall_s",
     "total_work",
     "unplaced_s",
     "weighted_share",
--- a/flamingoweir/policy/_stragglers.py
+++ b/flamingoweir/policy/_stragglers.py
@@ -29,9 +29,27 @@
     return first_s * 2 ** min(allocation.earlier_stalls, MAX_DOUBLINGS)
 
 
-def find_stalled(runner: Runner, now_s: float) -> list[Allocation]:
-    """Return allocations of attempts that make no progress at full pace."""
+def progress_expected_since_s(allocation: Allocation) -> float:
+    """Return since when an attempt should have made progress, on the owner's clock."""
+    return max(allocation.attempt.last_progress_s, allocation.unthrottled_since_s)
+
+
+def find_stalled(
+    runner: Runner, now_s: float, fraction: float = 1.0
+) -> list[Allocation]:
+    """Return allocations of attempts that make no progress at full pace.
+
+    Parameters
+    ----------
+    runner : Runner
+        The runner.
+    now_s : float
+        Time on the owner's clock, in seconds.
+    fraction : float
+        Fraction of the time after which an attempt counts as hung.
+    """
     found = []
+    least_s = fraction * STALL_S
     for allocation in runner.allocation_by_run.values():
         attempt = allocation.attempt
         if (
@@ -41,8 +59,8 @@
             continue
         if allocation.spec.lasting or allocation.spec.gang:
             continue
-        since_s = max(attempt.last_progress_s, allocation.unthrottled_since_s)
+        still_s = now_s - progress_expected_since_s(allocation)
         # Most attempts have made progress lately; this is the cheapest check.
-        if now_s - since_s > STALL_S and now_s - since_s > stall_s(allocation):
+        if still_s > least_s and still_s > fraction * stall_s(allocation):
             found.append(allocation)
     return found
--- a/tests/test_missing_runners.py
+++ b/tests/test_missing_runners.py
@@ -15,6 +15,7 @@
 from flamingoweir.ownership import (
     FencedWriter,
     OwnerRecord,
+    RunWait,
     StepWait,
     StoreClock,
     Waits,
@@ -33,7 +34,7 @@
 #: all but the runners.
 MAX_ROW_BYTES = 65_536
 MAX_BACKLOG_BYTES = 5_000
-WAITS = Waits({"a.0.0": StepWait(2.0, 1.0)})
+WAITS = Waits({"a.0.0": StepWait(2.0, 1.0)}, {"a.0.0.0#1": RunWait(9.0, 1.0, 0.1, 0)})
 
 
 def test_grace_begins_anew_with_the_next_owner():
@@ -70,7 +71,8 @@
     short_count = MAX_SHORT_LEASE_BYTES // (id_bytes + ENTRY_BYTES)
     leases = {f"{number:0{id_bytes}d}": 7.346 for number in range(short_count)}
     names = [f"{number:0{id_bytes}d}.0.0" for number in range(9000)]
-    former = Waits(dict.fromkeys(names, StepWait(10_000.999, 10_000.999)))
+    step_wait, run_wait = StepWait(10_000.999, 10_000.999), RunWait(9.9, 10.0, 6.0, 1)
+    former = Waits(dict.fromkeys(names, step_wait), dict.fromkeys(names, run_wait))
     waits = CarriedWaits(BootClock(), former).list_waits()
     record = OwnerRecord(
         "a",
@@ -81,6 +83,7 @@
         waits=waits,
     )
     assert 0 < len(waits.by_step) < 100
+    assert 0 < len(waits.by_run) < 100
     assert 0 < len(encode_owner_record(record)) < MAX_ROW_BYTES - MAX_BACKLOG_BYTES
     assert missing
 
@@ -122,6 +125,7 @@
     [
         {"missing_s_by_runner": {"a": -1.0}},
         {"waits": Waits({"a.0.0": StepWait(1.0, -1.0)})},
+        {"waits": Waits(by_run={"a.0.0.0#1": RunWait(1.0, -1.0, 0.0, 0)})},
     ],
 )
 def test_owner_record_with_a_negative_time_is_read(fields):
