A new owner reads all that it needs at once

Cause: a new owner read states, tasks, jobs and the list of runners one after the other, 1 s in all. Its first write was sent before any runner had responded, so that it allowed no lease beyond those of the former owner, and a second one had to follow. Stopped after 2 s, it had placed nothing and renewed no lease in full.

Change: all four are read at the same time, in a module of its own; runners are polled as soon as their attempts are restored, and the first write waits for the responses of those with attempts, for 0.1 s at most. A list that can't be read is read by its follower, as before. No bound of a lease or of a missing runner changes: what the list lacks counts from when it is applied.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -3,6 +3,8 @@
 import dataclasses
 from dataclasses import dataclass, field
 
+import anyio
+
 from ..fleet import RUNNER_LEASE_S, Runner
 from ..jobs import (
     FINAL_STATES,
@@ -46,6 +48,10 @@
 #: Largest total length of what the owner row says of the ends of leases. A row has at
 #: most 64 KiB.
 MAX_SHORT_LEASE_BYTES = 45_000
+#: Longest time in seconds for which the first write waits for runners to respond.
+FIRST_RESPONSES_S = 0.1
+#: Seconds between checks whether they have.
+FIRST_RESPONSES_POLL_S = 0.005
 
 
 @dataclass(slots=True)
@@ -104,6 +110,7 @@
         self._writer.count_backlog = self._count_backlog
         self._writer.list_short_leases = self._list_short_leases
         self._writer.find_max_job_bytes = self._owner_state.parking.find_max_job_bytes
+        await self._wait_for_responses()
         self._writer.grants_leases = True
         # The first write allows the leases that the first polls renew.
         self._owner_state.write_wakeup.set()
@@ -118,6 +125,18 @@
                 self._orders.renew_leases()
             self._apply_committed(batch)
 
+    async def _wait_for_responses(self) -> None:
+        """Wait a moment until runners with attempts have responded to this owner.
+
+        The next write then allows full leases on them; it would allow none beyond those
+        of earlier owners, and another write would have to follow.
+        """
+        until_s = self._context.clock.now() + FIRST_RESPONSES_S
+        while self._context.clock.now() < until_s:
+            if not any(map(_awaits_response, self._owner_state.runner_by_id.values())):
+                return
+            await anyio.sleep(FIRST_RESPONSES_POLL_S)
+
     def _count_backlog(self) -> Backlog | None:
         """Return the jobs that wait; None if this owner may not know all of them."""
         age_s = self._context.clock.now() - self._job_follower.last_synced_s
@@ -282,3 +301,10 @@
                 runner.poll_wakeup.set()
         for job_id in batch.ended_jobs:
             self._owner_state.record_ended_job(job_id, round(self._context.wall_ms()))
+
+
+def _awaits_response(runner: Runner) -> bool:
+    """Return whether the first poll of a runner with attempts is under way."""
+    if not runner.has_attempts or not runner.entry.address:
+        return False
+    return runner.incarnation is None and runner.unresponsive_since_s is None
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -1,7 +1,7 @@
 """One term of an owner, from taking a shard until losing or releasing it."""
 
 import dataclasses
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import anyio
 
@@ -20,8 +20,6 @@
 from ..metrics import Metrics
 from ..ownership import (
     JOB_TABLE,
-    STATE_TABLE,
-    TASK_TABLE,
     FencedWriter,
     OwnershipLost,
     job_parts,
@@ -34,14 +32,7 @@
     RunnerView,
     TableFollower,
 )
-from ..storage import (
-    RowPage,
-    RowStore,
-    StoreOutcomeUnknown,
-    StoreRefused,
-    VersionedRow,
-    read_all,
-)
+from ..storage import RowStore, VersionedRow
 from ._carried_waits import CarriedWaits
 from ._committer import RENEW_INTERVAL_S, Committer
 from ._context import Permit, TermContext, TermEnd
@@ -57,6 +48,7 @@
 from ._planner import Planner
 from ._protocols import RunnerLink
 from ._retention import RetentionSweeper
+from ._shard_reader import ShardReader, ShardTables
 from ._time_slice import TimeSlice
 from ._watch import RunnerWatch
 
@@ -64,8 +56,6 @@
 
 #: Seconds that a call of the owner's feeds waits for a change.
 FEED_WAIT_S = 0.7
-#: Seconds before a failed read of the shard's tables is repeated.
-READ_RETRY_PAUSE_S = 0.1
 #: Seconds between checks whether a write was confirmed.
 CONFIRMATION_POLL_S = 0.02
 #: Longest time in seconds for which an owner renews the ownership of a shard whose
@@ -145,6 +135,7 @@
         self.failed = False
         self._writer = writer
         self._store = store
+        self._runner_table = runner_table
         self._clock = clock
         self._term_end = TermEnd()
         runners = RunnerView(
@@ -295,13 +286,18 @@
 
     async def _restore(self, committer: Committer) -> None:
         """Read the shard's tables; other instances no longer write task rows."""
-        shard = self._writer.shard
-        states = (await self._read(STATE_TABLE, (shard,))).rows
-        tasks = (await self._read(TASK_TABLE, (shard,))).rows
-        jobs_read_s = self._clock.now()
-        jobs = await self._read(JOB_TABLE, job_parts(shard))
+        reader = ShardReader(
+            self._store,
+            self._writer.shard,
+            self._runner_table,
+            self._clock,
+            self._writer.may_renew_leases,
+            self._record_failed_read,
+        )
+        tables = await reader.read()
+        tasks, jobs = tables.tasks, tables.jobs
         unfinished = {row.id.key.rsplit(".", 3)[0] for row in tasks}
-        record_by_job = self._restore_ended_jobs(states, unfinished)
+        record_by_job = self._restore_ended_jobs(tables.states, unfinished)
         time_slice = TimeSlice(self._clock)
         self._loader.begun_ids = unfinished | record_by_job.keys()
         for row in jobs.rows:
@@ -312,7 +308,7 @@
         for row in sorted(jobs.rows, key=lambda row: row.version):
             self._loader.apply_rows([row], True)
             await time_slice.give_way_if_over()
-        self._job_follower.resume_from(jobs.version, jobs_read_s)
+        self._job_follower.resume_from(jobs.version, tables.read_s)
         for job_id, record in record_by_job.items():
             job = self.owner_state.job_by_id.get(job_id)
             if job is not None:
@@ -334,6 +330,7 @@
                 self.owner_state.exclude_job(job.spec.id)
             await time_slice.give_way_if_over()
         restore_excluded_attempts(self.owner_state, tasks, jobs.rows, self._clock.now())
+        self._apply_runners(tables)
         former = self._writer.former
         log.info(
             "shard_restored",
@@ -344,6 +341,15 @@
             released=former.released if former is not None else None,
         )
 
+    def _apply_runners(self, tables: ShardTables) -> None:
+        """Begin to poll the runners; without a list, the follower reads it."""
+        if tables.runners is None:
+            return
+        with self._contain("feed_failed", table=self._runner_table) as block:
+            self._context.runners.apply_rows(tables.runners.rows, True)
+        if not block.failed:
+            self._runner_follower.resume_from(tables.runners.version, tables.read_s)
+
     def _restore_ended_jobs(
         self, states: list[VersionedRow], unfinished: set[str]
     ) -> dict[str, StateRecord]:
@@ -406,17 +412,8 @@
     def _contain(self, event: str, **subject: str) -> Containment:
         return self.owner_state.fault_log.contain(event, **subject)
 
-    async def _read(self, table: str, parts: Sequence[str]) -> RowPage:
-        while True:
-            try:
-                return await read_all(self._store, table, parts)
-            except (StoreRefused, StoreOutcomeUnknown) as error:
-                self.owner_state.missing_runners.restart(self._clock.now())
-                if not self._writer.may_renew_leases():
-                    raise OwnershipLost(
-                        f"can't read the shard's tables: {error}"
-                    ) from error
-                await anyio.sleep(READ_RETRY_PAUSE_S)
+    def _record_failed_read(self) -> None:
+        self.owner_state.missing_runners.restart(self._clock.now())
 
     def _update_runners(self) -> None:
         entries = {}
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -1,13 +1,15 @@
 """A new owner must give way while it applies what it has read."""
 
 import anyio
+import pytest
 
 from flamingoweir.dispatch._committer import RENEW_INTERVAL_S
 from flamingoweir.dispatch._loader import JobLoader
 from flamingoweir.dispatch._term import Term
-from flamingoweir.jobs import Job, encode_spec, encode_tasks
-from flamingoweir.ownership import job_row, tasks_row
+from flamingoweir.jobs import Job, JobState, encode_spec, encode_tasks
+from flamingoweir.ownership import JOB_TABLE, STATE_TABLE, job_row, tasks_row
 from flamingoweir.ownership._standby import TAKEOVER_S
+from flamingoweir.storage import StoreRefused
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import charge_calls, run_virtual
 
@@ -68,3 +70,29 @@
             assert job_ids == [spec.id for spec in specs]
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("table", [STATE_TABLE, JOB_TABLE, "servers"])
+def test_refused_read_of_one_table_is_repeated(table):
+    """Guards against an owner that ends, or lacks rows, as one of its reads failed."""
+
+    async def scenario():
+        async with run_cluster(members=0) as cluster:
+            spec = make_job(1)
+            cluster.spec_by_id[spec.id] = spec
+            cluster.rows.put(job_row("s0", spec.id), encode_spec(spec))
+            member = cluster.add_member("front-0")
+            read, refused = member.store.read, []
+
+            async def refuse_first(name, *args, **fields):
+                if name == table and not refused:
+                    refused.append(name)
+                    raise StoreRefused("try again")
+                return await read(name, *args, **fields)
+
+            member.store.read = refuse_first
+            await cluster.wait_for(spec, JobState.DONE, 4.0)
+            assert refused
+            assert member.instance.standby._acquire_count == 1
+
+    run_virtual(scenario)
