The time between two owners counts for steps that wait

Cause: an owner of 2 s has some 0.4 s for placing, and only these were passed on, so that it took three owners until batch was evicted.

Change: a step that finds no runner in a new owner's first look at the fleet has waited since the former owner's write, too, as nobody has placed anything meanwhile. Not if the shard was without an owner for 3 s, a standby saw that write more than 1 s late, or a read of the new owner failed: after an outage of the store entries of runners may be missing, and with them room. Nothing changes for runs without progress and for missing runners.

The new cases of test_step_waits.py and test_missing_runners.py fail without the change.

--- a/flamingoweir/dispatch/_carried_waits.py
+++ b/flamingoweir/dispatch/_carried_waits.py
@@ -24,6 +24,8 @@
         The owner's clock.
     former : Waits, optional
         What the former owner has published; left out: nothing.
+    written_s : float or None
+        By when that was written, on the owner's clock, in seconds; None if unknown.
 
     Attributes
     ----------
@@ -33,9 +35,14 @@
         Times without progress of runs.
     """
 
-    def __init__(self, clock: Clock, former: Waits | None = None):
+    def __init__(
+        self,
+        clock: Clock,
+        former: Waits | None = None,
+        written_s: float | None = None,
+    ):
         former = former or Waits()
-        self.steps = StepWaits(former.by_step)
+        self.steps = StepWaits(former.by_step, written_s)
         self.runs = RunWaits(former.by_run)
         self._clock = clock
         self._listed = former
--- a/flamingoweir/dispatch/_step_waits.py
+++ b/flamingoweir/dispatch/_step_waits.py
@@ -31,9 +31,18 @@
     ----------
     former_by_step : mapping of str to StepWait, optional
         Waits that the former owner has published; left out: none.
+    written_s : float or None
+        By when they were written, on the owner's clock, in seconds. The time since then
+        counts for steps that still find no runner: nobody has placed any. None: it does
+        not count.
     """
 
-    def __init__(self, former_by_step: Mapping[str, StepWait] | None = None):
+    def __init__(
+        self,
+        former_by_step: Mapping[str, StepWait] | None = None,
+        written_s: float | None = None,
+    ):
+        self._written_s = float("inf") if written_s is None else written_s
         #: Waits of which the time without a runner does not count yet.
         self._former_by_step = dict(former_by_step or {})
         #: Those of them of which the time since they were ready counts.
@@ -45,6 +54,13 @@
         self._unplaced: dict[StepRun, None] = {}
         self._unplaced_before: dict[StepRun, None] = {}
 
+    def record_outage(self) -> None:
+        """Record that the store did not respond before the first pass.
+
+        The time since the former owner's write doesn't count then.
+        """
+        self._written_s = float("inf")
+
     def begin_pass(self) -> None:
         """Begin to collect the unplaced steps of a pass."""
         self._unplaced_before, self._unplaced = self._unplaced, {}
@@ -88,9 +104,10 @@
             if name not in self._ready_names:
                 self._ready_names.add(name)
                 since_s = now_s if step.ready_since_s is None else step.ready_since_s
-                step.ready_since_s = since_s - wait.ready_s
+                step.ready_since_s = min(since_s, self._written_s) - wait.ready_s
             if is_safe and step.unplaced_since_s is not None:
-                step.unplaced_since_s -= wait.unplaced_s
+                since_s = min(step.unplaced_since_s, self._written_s)
+                step.unplaced_since_s = since_s - wait.unplaced_s
                 del self._former_by_step[name]
 
     def record_unplaced(self, step: StepRun, now_s: float) -> None:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -126,7 +126,9 @@
             memory_mb,
             MissingRunners(writer.former_missing_s_by_runner),
         )
-        self.owner_state.waits = CarriedWaits(clock, writer.former_waits)
+        self.owner_state.waits = CarriedWaits(
+            clock, writer.former_waits, writer.former_written_s
+        )
         writer.list_missing_runners = self._list_missing_runners
         writer.list_waits = self.owner_state.waits.list_waits
         self.owner_state.customer_load.find_configuration = lambda: (
@@ -414,6 +416,7 @@
 
     def _record_failed_read(self) -> None:
         self.owner_state.missing_runners.restart(self._clock.now())
+        self.owner_state.waits.steps.record_outage()
 
     def _update_runners(self) -> None:
         entries = {}
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -48,6 +48,9 @@
 #: one for which the store counts as reachable throughout. It exceeds the time after
 #: which a lone weak standby takes the shard.
 MAX_HANDOVER_S = 3.0
+#: Longest time in seconds from an owner's write until a standby sees it, if the store
+#: responds. It exceeds the time between two reads and that of a slow one.
+MAX_UNSEEN_S = 1.0
 #: Seconds before a write that was refused or got no response is repeated.
 RETRY_PAUSE_S = 0.03
 #: Maximum entries of a transaction, including the owner row and its precondition.
@@ -135,6 +138,9 @@
         recent.
     former_waits : Waits
         `OwnerRecord.waits` of the former owner; empty if its row is not recent.
+    former_written_s : float or None
+        Time on the owner's clock, in seconds, by which that row was surely written;
+        None if it is not recent, or was seen so late that the store may have been away.
     earlier_leases : EarlierLeases
         When the leases have lapsed that earlier owners may have granted.
     """
@@ -161,6 +167,7 @@
         self.earlier_leases = EarlierLeases.none()
         self.former_missing_s_by_runner: dict[str, float] = {}
         self.former_waits = Waits()
+        self.former_written_s: float | None = None
         self._store = store
         self._owner_row = owner_row(shard)
         self._record = OwnerRecord(holder, process, 0)
@@ -207,6 +214,10 @@
         if self.former is not None and self._is_recent(self.former):
             self.former_missing_s_by_runner = self.former.missing_s_by_runner
             self.former_waits = self.former.waits
+            now_s = self._clock.now()
+            written_s = self._store_clock.reached_by(self.former.written_s)
+            if (now_s if seen_s is None else seen_s) - written_s < MAX_UNSEEN_S:
+                self.former_written_s = min(written_s, now_s)
         await self._write((), ())
         self.fence = self._version
 
--- a/tests/test_missing_runners.py
+++ b/tests/test_missing_runners.py
@@ -88,8 +88,13 @@
     assert missing
 
 
-@pytest.mark.parametrize(("age_s", "passed_on"), [(0.5, {"a": 2.0}), (8.0, {})])
-def test_row_of_an_owner_that_is_long_gone_says_what_is_missing(age_s, passed_on):
+@pytest.mark.parametrize(
+    ("age_s", "passed_on", "counts_since"),
+    [(0.5, {"a": 2.0}, True), (2.0, {"a": 2.0}, False), (8.0, {}, False)],
+)
+def test_row_of_an_owner_that_is_long_gone_says_what_is_missing(
+    age_s, passed_on, counts_since
+):
     """Guards against an outage of the store between two owners that counts."""
 
     async def scenario():
@@ -115,6 +120,8 @@
         assert writer.former_missing_s_by_runner == passed_on
         taken = decode_owner_record(rows.row_by_id[owner_row("s0")])
         assert taken.missing_s_by_runner == passed_on
+        assert (writer.former_written_s is not None) == counts_since
+        assert writer.former_written_s in (None, pytest.approx(now_s - age_s))
         assert writer.former_waits == taken.waits == (WAITS if passed_on else Waits())
 
     run_virtual(scenario)
--- a/tests/test_step_waits.py
+++ b/tests/test_step_waits.py
@@ -48,6 +48,18 @@
     assert listed == {f"{job.spec.id}.0.0": StepWait(3.0 + passed_s, 2.0 + passed_s)}
 
 
+@pytest.mark.parametrize(("outage", "counted_s"), [(False, 1.5), (True, 0.0)])
+def test_time_between_owners_counts_if_the_store_responded(outage, counted_s):
+    """Guards against waits that grow as the store is away, or lose the handover."""
+    waits = StepWaits(FORMER, NOW_S - 1.5)
+    if outage:
+        waits.record_outage()
+    job, step = take_over(waits, True, NOW_S)
+    take_over(waits, True, NOW_S + 0.1, job)
+    assert step.ready_since_s == NOW_S - 3.0 - counted_s
+    assert step.unplaced_since_s == NOW_S - 2.0 - counted_s
+
+
 def test_wait_of_a_step_that_was_placed_is_forgotten():
     """Guards against a task that counts as absent for longer than it is."""
     waits = StepWaits(FORMER)
