--- a/flamingoweir/dispatch/_shard_reader.py
+++ b/flamingoweir/dispatch/_shard_reader.py
@@ -46,9 +46,9 @@
 class ShardReader:
     """Reads the tables of a shard and the list of runners at the same time.
 
-    Only the owner writes states and tasks, and only the owner deletes job rows, so that
-    the tables need not be read in any order. The list of runners, which is followed
-    anyway, is read once.
+    The tables need not be read in any order: only the owner writes states and tasks,
+    and a state is deleted after the job row is gone, so that no job without a state is
+    one that has ended. The list of runners, which is followed anyway, is read once.
 
     Parameters
     ----------
