--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -25,6 +25,7 @@
 )
 from ._standby import OwnerObservation, Standby
 from ._store_clock import StoreClock
+from ._waits import RunWait, StepWait, Waits, encoded_bytes
 from ._writer import (
     LEASE_VALID_S,
     SHORT_LEASE_VALID_S,
@@ -48,12 +49,16 @@
     "OwnerObservation",
     "OwnerRecord",
     "OwnershipLost",
+    "RunWait",
     "Standby",
+    "StepWait",
     "StoreClock",
+    "Waits",
     "cancel_row",
     "decode_owner_record",
     "effect_row",
     "encode_owner_record",
+    "encoded_bytes",
     "job_parts",
     "job_row",
     "longest_lease_s",
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -26,6 +26,7 @@
 )
 from ._rows import owner_row
 from ._store_clock import StoreClock
+from ._waits import Waits
 
 log = get_logger()
 
@@ -47,6 +48,9 @@
 #: one for which the store counts as reachable throughout. It exceeds the time after
 #: which a lone weak standby takes the shard.
 MAX_HANDOVER_S = 3.0
+#: Longest time in seconds from an owner's write until a standby sees it, if the store
+#: responds. It exceeds the time between two reads and that of a slow one.
+MAX_UNSEEN_S = 1.0
 #: Seconds before a write that was refused or got no response is repeated.
 RETRY_PAUSE_S = 0.03
 #: Maximum entries of a transaction, including the owner row and its precondition.
@@ -120,6 +124,8 @@
         Returns `OwnerRecord.leases_end_in_s_by_runner` to publish, called once a write.
     list_missing_runners : callable
         Returns `OwnerRecord.missing_s_by_runner`, called for each transaction.
+    list_waits : callable
+        Returns `OwnerRecord.waits` to publish, called for each transaction.
     grants_leases : bool
         Whether writes from now on allow leases. An owner that has not read the shard
         yet grants none, and its row says so.
@@ -130,6 +136,11 @@
     former_missing_s_by_runner : dict of str to float
         `OwnerRecord.missing_s_by_runner` of the former owner; empty if its row is not
         recent.
+    former_waits : Waits
+        `OwnerRecord.waits` of the former owner; empty if its row is not recent.
+    former_written_s : float or None
+        Time on the owner's clock, in seconds, by which that row was surely written;
+        None if it is not recent, or was seen so late that the store may have been away.
     earlier_leases : EarlierLeases
         When the leases have lapsed that earlier owners may have granted.
     """
@@ -149,11 +160,14 @@
         self.count_backlog: Callable[[], Backlog | None] = _unknown_backlog
         self.list_short_leases = self._list_earlier_leases
         self.list_missing_runners = lambda: self.former_missing_s_by_runner
+        self.list_waits = lambda: self.former_waits
         self.find_max_job_bytes: Callable[[], int | None] = lambda: None
         self.grants_leases = False
         self.former: OwnerRecord | None = None
         self.earlier_leases = EarlierLeases.none()
         self.former_missing_s_by_runner: dict[str, float] = {}
+        self.former_waits = Waits()
+        self.former_written_s: float | None = None
         self._store = store
         self._owner_row = owner_row(shard)
         self._record = OwnerRecord(holder, process, 0)
@@ -199,6 +213,11 @@
             )
         if self.former is not None and self._is_recent(self.former):
             self.former_missing_s_by_runner = self.former.missing_s_by_runner
+            self.former_waits = self.former.waits
+            now_s = self._clock.now()
+            written_s = self._store_clock.reached_by(self.former.written_s)
+            if (now_s if seen_s is None else seen_s) - written_s < MAX_UNSEEN_S:
+                self.former_written_s = min(written_s, now_s)
         await self._write((), ())
         self.fence = self._version
 
@@ -311,6 +330,7 @@
                 leases_end_in_s_by_runner=short_leases,
                 missing_s_by_runner=self.list_missing_runners(),
                 max_job_bytes=self.find_max_job_bytes(),
+                waits=self.list_waits(),
             )
             own = (self._owner_row, encode_owner_record(record))
             transaction = Transaction(
