Early probes stay within the cap of their customer

Operators saw a customer over its cap: several absent tasks of a step that probe quarantined runners in one pass were each started without a look at the cap, which is checked once for the step. With a cap of 4 processors, 3 tasks of 3 each ran.

The cap is now checked before each of them, as for other tasks of a step.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -274,6 +274,8 @@
             step, self._candidates.runners, self._find_withheld(step), self._now_s
         )
         for index, runner in probes:
+            if self._caps.holds(step):
+                return False
             log.info(
                 "runner_probed_early", runner=runner.id, task=str(step.task_id(index))
             )
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -500,6 +500,38 @@
     run_virtual(scenario)
 
 
+def test_absent_tasks_that_probe_quarantined_runners_stay_within_the_cap():
+    """Guards against early probes of one pass that exceed the cap together."""
+
+    async def scenario():
+        async with run_cluster(runners=6) as cluster:
+            cluster.configure(2, {"kaje80": Resources(12_000, 0, 0)})
+            await cluster.owner()
+            await anyio.sleep(1)
+            step = make_step(3, 3.0, lasting=True)
+            job = await cluster.submit(make_capped(1, step))
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+            await anyio.sleep(1)
+            cluster.configure(3, {"kaje80": Resources(4000, 0, 0)})
+            former = [r for r in cluster.runner_by_id.values() if r.tasks]
+            others = [r for r in cluster.runner_by_id.values() if not r.tasks]
+            for runner in others:
+                runner.faulty = True
+            await cluster.submit(make_job(2, make_step(10, 3.5)))
+            # They are quarantined for the third time.
+            await anyio.sleep(10)
+            for runner in others:
+                runner.faulty = False
+            for runner in former:
+                runner.crash()
+                cluster.unlist_runner(runner.id)
+            await anyio.sleep(10)
+            running = [t for r in others for t in r.tasks if t.job == job.id]
+            assert len(running) == 1
+
+    run_virtual(scenario)
+
+
 def test_gang_larger_than_the_cap_is_refused_unless_it_was_accepted():
     """Guards against a gang that waits forever, and against an untrue refusal."""
 
