An early probe counts after the quarantine too

Callers saw long-running tasks absent for up to 8.8 s after a fault, with room for them on its sound runner. An early probe that is not yet 2 s old when the quarantine ends was no probe any more: the next task had to probe the runner anew, and the others waited for that one as well.

Whatever was placed since the latest fault is a probe now, before and after the end of the quarantine.

--- a/flamingoweir/policy/_health.py
+++ b/flamingoweir/policy/_health.py
@@ -82,7 +82,7 @@
         """Return whether a runner may get a task now.
 
         After its quarantine a runner is probed: it gets one task, and others once a
-        task succeeds. Tasks from before the quarantine, which may run for long, are no
+        task succeeds. Tasks from before the fault, which may run for long, are no
         probes. A call after the quarantine starts the probing, and others end it after
         a long-running probe.
 
@@ -96,12 +96,12 @@
         record = self._record_by_runner.get(runner.id)
         if record is None or not record.quarantine_s:
             return True
-        if now_s < record.quarantined_until_s:
-            if not _has_survivor(runner, record.faulted_s):
-                return False
-            # A task that may not wait has probed it earlier.
-            record.quarantined_until_s = now_s
+        if record.opened_s == float("inf") and _has_survivor(runner, record.faulted_s):
+            # A long-running task never ends as done, and may have probed it early.
+            record.quarantined_until_s = min(record.quarantined_until_s, now_s)
             record.opened_s = now_s
+        if now_s < record.quarantined_until_s:
+            return False
         if now_s - record.opened_s >= PROBATION_S:
             record.record_success()
             return True
@@ -109,14 +109,8 @@
         if record.opened_s < float("inf"):
             return True
         for allocation in runner.allocation_by_run.values():
-            if allocation.attempt.created_s < record.quarantined_until_s:
-                continue
-            if not allocation.spec.lasting or not allocation.has_survived(
-                LASTING_PROBE_S
-            ):
+            if allocation.attempt.created_s >= record.faulted_s:
                 return False
-            # A long-running task never ends as done.
-            record.opened_s = now_s
         return True
 
     def may_probe_early(self, runner: Runner, now_s: float) -> bool:
--- a/tests/test_probation.py
+++ b/tests/test_probation.py
@@ -100,3 +100,26 @@
             assert not cluster.find_overlaps()
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize(("fault_s", "stagger_s"), [(15.5, 0.0), (15.5, 0.5)])
+def test_tasks_are_not_absent_for_the_probes_of_their_runner_one_after_another(
+    fault_s, stagger_s
+):
+    """Guards against an early probe that counts no more once the quarantine is over."""
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=16) as cluster:
+            jobs = await start_lasting(cluster, 4)
+            (runner,) = cluster.runner_by_id.values()
+            runner.faulty = True
+            for job in jobs[1:]:
+                fail_task(cluster, job)
+                await anyio.sleep(stagger_s)
+            await anyio.sleep(fault_s - stagger_s * len(jobs[1:]))
+            runner.faulty = False
+            await anyio.sleep(MAX_AWAY_AFTER_FAULT_S)
+            assert len(runner.tasks) == len(jobs)
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
