Batch that probes a runner doesn't keep absent tasks away

Callers saw a long-running task absent for 28 to 30 s, with room on two sound runners: a quarantine was over, and one batch task on each probed it. Until that has ended the runner got nothing else, for as long as the batch task ran.

An absent long-running task without other room now probes such a runner beside it, as it does during the quarantine.

--- a/flamingoweir/policy/_health.py
+++ b/flamingoweir/policy/_health.py
@@ -114,10 +114,10 @@
         return True
 
     def may_probe_early(self, runner: Runner, now_s: float) -> bool:
-        """Return whether an absent long-running task may probe a quarantined runner.
+        """Return whether an absent long-running task may probe an unusable runner.
 
-        It may do so `QUARANTINE_S` after the latest fault, unless a task was placed
-        there since.
+        It may do so `QUARANTINE_S` after the latest fault, unless another one was
+        placed there since. Batch that probes the runner may run for long.
 
         Parameters
         ----------
@@ -127,11 +127,13 @@
             Time on the owner's clock, in seconds.
         """
         record = self._record_by_runner.get(runner.id)
-        if record is None or now_s >= record.quarantined_until_s:
+        if record is None or now_s - record.faulted_s < QUARANTINE_S:
             return False
-        if now_s - record.faulted_s < QUARANTINE_S:
+        if self.is_usable(runner, now_s):
             return False
         for allocation in runner.allocation_by_run.values():
+            if not allocation.spec.lasting:
+                continue
             if allocation.attempt.created_s >= record.faulted_s:
                 return False
         return True
--- a/tests/test_probation.py
+++ b/tests/test_probation.py
@@ -10,7 +10,7 @@
 import anyio
 import pytest
 
-from flamingoweir.jobs import JobState, TaskId
+from flamingoweir.jobs import JobState, Outcome, TaskId
 from flamingoweir.policy._health import QUARANTINE_S
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
@@ -102,6 +102,14 @@
     run_virtual(scenario)
 
 
+def find_lasting(cluster) -> list[TaskId]:
+    """Return the long-running tasks that run."""
+    found = []
+    for runner in cluster.runner_by_id.values():
+        found += [task for task in runner.tasks if cluster.find_spec(task).lasting]
+    return found
+
+
 @pytest.mark.parametrize(("fault_s", "stagger_s"), [(15.5, 0.0), (15.5, 0.5)])
 def test_tasks_are_not_absent_for_the_probes_of_their_runner_one_after_another(
     fault_s, stagger_s
@@ -123,3 +131,31 @@
             assert not cluster.find_overlaps()
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("batch_s", [1.0, 30.0])
+def test_task_is_not_absent_for_batch_that_probes_all_runners_with_room(batch_s):
+    """Guards against a probe that keeps a runner closed for as long as it runs."""
+
+    async def scenario():
+        async with run_cluster(runners=3, processors=4) as cluster:
+            (job,) = await start_lasting(cluster, 1)
+            (former,) = (r for r in cluster.runner_by_id.values() if r.tasks)
+            others = [r for r in cluster.runner_by_id.values() if r is not former]
+            for runner in others:
+                runner.faulty = True
+            for number in range(2, 22):
+                batch = make_job(number, make_step())
+                cluster.plan_by_task[f"{batch.id}.0.0.0"] = (batch_s, Outcome.DONE)
+                await cluster.submit(batch)
+            await anyio.sleep(0.3)
+            for runner in others:
+                runner.faulty = False
+            await anyio.sleep(QUARANTINE_S)
+            former.crash()
+            cluster.unlist_runner(former.id)
+            await anyio.sleep(MAX_AWAY_AFTER_FAULT_S)
+            assert [task.job for task in find_lasting(cluster)] == [job.id]
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
