Early probes look only at runners with room

Each absent step without room looked through all that runs on all quarantined runners, in every pass: 0.17 s for 100 steps on 246 full runners with 20 tasks each.

The case without room of the test is stricter, and fails without the change.

--- a/flamingoweir/dispatch/_early_probes.py
+++ b/flamingoweir/dispatch/_early_probes.py
@@ -53,7 +53,12 @@
             return
         if now_s - step.unplaced_since_s < EVICT_AFTER_S:
             return
-        candidates = self._placement.early_probes(step, runners, now_s)
+        # Most runners of a busy fleet have no room; this is the cheapest check.
+        with_room = []
+        for runner in runners:
+            if step.spec.reserved.fits_in(runner.free_resources):
+                with_room.append(runner)
+        candidates = self._placement.early_probes(step, with_room, now_s)
         if not candidates:
             return
         choice = StepPlacement(
--- a/tests/test_probation.py
+++ b/tests/test_probation.py
@@ -214,6 +214,7 @@
         probed = [runner for runner in runners if runner.has_attempts]
         assert len(probed) == placed
         assert len(step.open_indexes) == 60 - placed
-        assert len(looks) == len(runners)
+        # Those without room are not looked at.
+        assert len(looks) == placed
 
     run_virtual(scenario)
