Failing test: no room is made on quarantined runners that are sound

Callers see a long-running task absent for over 9 s where batch fills all runners with room: batch is evicted only on runners that are usable, so that the task waits for the end of quarantines of up to 12 s. The case of a fault of 10.5 s fails, the one of 3 s passes.

--- a/tests/test_probation.py
+++ b/tests/test_probation.py
@@ -168,6 +168,36 @@
     run_virtual(scenario)
 
 
+@pytest.mark.parametrize("fault_s", [3.0, 10.5])
+def test_room_is_made_for_absent_tasks_on_quarantined_runners_that_are_sound(fault_s):
+    """Guards against batch that stays on all runners that a task may probe."""
+
+    async def scenario():
+        async with run_cluster(runners=3, processors=4) as cluster:
+            (job,) = await start_lasting(cluster, 1)
+            (former,) = (r for r in cluster.runner_by_id.values() if r.tasks)
+            others = [r for r in cluster.runner_by_id.values() if r is not former]
+            batch = make_job(2, make_step(8, 1.3))
+            cluster.plan_by_task.update(
+                {f"{batch.id}.0.0.{index}": (80.0, Outcome.DONE) for index in range(8)}
+            )
+            await cluster.submit(batch)
+            await anyio.sleep(0.5)
+            for runner in others:
+                runner.faulty = True
+            await cluster.submit(make_job(3, make_step(400, 0.05)))
+            await anyio.sleep(fault_s)
+            for runner in others:
+                runner.faulty = False
+            former.crash()
+            cluster.unlist_runner(former.id)
+            await anyio.sleep(MAX_AWAY_AFTER_FAULT_S)
+            assert [task.job for task in find_lasting(cluster)] == [job.id]
+            assert not cluster.find_overlaps()
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize(("memory_mb", "placed"), [(50, 20), (500, 0)])
 def test_absent_tasks_of_a_step_look_at_each_quarantined_runner_once(
     memory_mb, placed, monkeypatch
