--- a/flamingoweir/policy/_health.py
+++ b/flamingoweir/policy/_health.py
@@ -85,7 +85,7 @@
         """Return whether a runner may get a task now.
 
         After its quarantine a runner is probed: it gets one task, and others once a
-        task succeeds. Tasks from before the quarantine, which may run for long, are no
+        task succeeds. Tasks from before the fault, which may run for long, are no
         probes. A call after the quarantine starts the probing, and others end it after
         a long-running probe.
 
@@ -99,12 +99,12 @@
         record = self._record_by_runner.get(runner.id)
         if record is None or not record.quarantine_s:
             return True
-        if now_s < record.quarantined_until_s:
-            if not _has_survivor(runner, record.faulted_s):
-                return False
-            # A task that may not wait has probed it earlier.
-            record.quarantined_until_s = now_s
+        if record.opened_s == float("inf") and _has_survivor(runner, record.faulted_s):
+            # A long-running task never ends as done, and may have probed it early.
+            record.quarantined_until_s = min(record.quarantined_until_s, now_s)
             record.opened_s = now_s
+        if now_s < record.quarantined_until_s:
+            return False
         if now_s - record.opened_s >= PROBATION_S:
             record.record_success()
             return True
@@ -112,21 +112,16 @@
         if record.opened_s < float("inf"):
             return True
         for allocation in runner.allocation_by_run.values():
-            if allocation.attempt.created_s < record.quarantined_until_s:
-                continue
-            if not allocation.spec.lasting or not allocation.has_survived(
-                LASTING_PROBE_S
-            ):
+            if allocation.attempt.created_s >= record.faulted_s:
                 return False
-            # A long-running task never ends as done.
-            record.opened_s = now_s
         return True
 
     def may_probe_early(self, runner: Runner, now_s: float) -> bool:
-        """Return whether an absent long-running task may probe a quarantined runner.
+        """Return whether an absent long-running task may probe an unusable runner.
 
-        It may do so `EARLY_PROBE_S` after the latest fault, unless a start has been
-        ordered there since that is not confirmed.
+        It may do so `EARLY_PROBE_S` after the latest fault, unless the start of another
+        one that was placed there since isn't confirmed. Batch that probes the runner
+        may run for long.
 
         Parameters
         ----------
@@ -136,13 +131,14 @@
             Time on the owner's clock, in seconds.
         """
         record = self._record_by_runner.get(runner.id)
-        if record is None or now_s >= record.quarantined_until_s:
+        if record is None or now_s - record.faulted_s < EARLY_PROBE_S:
             return False
-        if now_s - record.faulted_s < EARLY_PROBE_S:
+        if self.is_usable(runner, now_s):
             return False
         for allocation in runner.allocation_by_run.values():
-            is_later = allocation.attempt.created_s >= record.faulted_s
-            if is_later and allocation.started_s is None:
+            if not allocation.spec.lasting or allocation.started_s is not None:
+                continue
+            if allocation.attempt.created_s >= record.faulted_s:
                 return False
         return True
 
