Room is made for absent tasks on quarantined runners too

Callers saw a long-running task absent for 10.8 s after a fault of 10.5 s, as batch filled all runners with room: none of it was evicted, since evictions chose among usable runners.

Where no eviction on those makes room, the quarantined runners that the task may probe are taken; it probes the one that is promised to it. Sound runners come first, so that nothing changes while one of them can take the task.

--- a/flamingoweir/dispatch/_early_probes.py
+++ b/flamingoweir/dispatch/_early_probes.py
@@ -64,11 +64,13 @@
         choice = StepPlacement(
             self._placement, step, candidates, now_s, withheld_by_runner
         )
+        candidate_ids = {runner.id for runner in candidates}
         probed: frozenset[str] = frozenset()
         for index in step.placing_order():
             if not step.tasks.view(index).last_run:
                 return
-            if self._evictions.has_promised(step.task_id(index)):
+            promised = self._evictions.promised_runner(step.task_id(index))
+            if promised and promised not in candidate_ids:
                 continue
             runner = choice.choose(index, probed)
             if runner is None:
--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -1,6 +1,6 @@
 """Evicts batch work for long-running tasks that are away and find no room."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from ..fleet import Runner
@@ -72,17 +72,21 @@
                 promises.append(promise)
         return _sum_by_runner(promises)
 
-    def has_promised(self, task: TaskId) -> bool:
-        """Return whether room is being made for a task."""
+    def promised_runner(self, task: TaskId) -> str:
+        """Return the id of the runner on which room is made for a task, or ""."""
         promise = self._promise_by_task.get(task)
-        return promise is not None and bool(promise.runner)
+        return promise.runner if promise is not None else ""
 
     def record_placed(self, task: TaskId) -> None:
         """Record that a task was placed: nothing is promised to it any more."""
         self._promise_by_task.pop(task, None)
 
     def make_room(
-        self, step: StepRun, candidates: Sequence[Runner], now_s: float
+        self,
+        step: StepRun,
+        candidates: Sequence[Runner],
+        find_others: Callable[[], Sequence[Runner]],
+        now_s: float,
     ) -> None:
         """Evict batch for the tasks of an unplaced step that have run before.
 
@@ -92,6 +96,8 @@
             Step with tasks that found no runner in this pass.
         candidates : sequence of Runner
             Runners that suit the step, without regard to free resources.
+        find_others : callable
+            Returns the runners to take if no eviction on the candidates makes room.
         now_s : float
             Time on the owner's clock, in seconds.
         """
@@ -107,13 +113,20 @@
             if task in self._promise_by_task:
                 continue
             self._choices_left -= 1
-            self._evict_for(step, index, candidates, now_s)
+            self._evict_for(step, index, candidates, find_others, now_s)
 
     def _evict_for(
-        self, step: StepRun, index: int, candidates: Sequence[Runner], now_s: float
+        self,
+        step: StepRun,
+        index: int,
+        candidates: Sequence[Runner],
+        find_others: Callable[[], Sequence[Runner]],
+        now_s: float,
     ) -> None:
         promised_by_runner = _sum_by_runner(self._promise_by_task.values())
         found = choose_evictions(step, candidates, promised_by_runner, now_s)
+        if found is None:
+            found = choose_evictions(step, find_others(), promised_by_runner, now_s)
         task = step.task_id(index)
         if found is None:
             log.info("no_room_by_eviction", task=str(task), runners=len(candidates))
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -260,8 +260,7 @@
         if first is not None and not self._must_leave_room(step, first):
             unplaced.add(step)
             self._caps.end_wait(step)
-            if self._candidates.has_large_enough(step):
-                self._make_room(step)
+            self._make_room(step)
             return self._probe_early(step)
         return False
 
@@ -329,8 +328,15 @@
 
     def _make_room(self, step: StepRun) -> None:
         """Free resources for a step that found too few, and keep them free."""
-        self._evictions.make_room(step, self._candidates.find_all(step), self._now_s)
-        self._reserve_runner(step)
+        candidates = self._candidates.find_all(step)
+
+        def find_others() -> list[Runner]:
+            runners = self._candidates.runners
+            return self._placement.early_probes(step, runners, self._now_s)
+
+        self._evictions.make_room(step, candidates, find_others, self._now_s)
+        if self._candidates.has_large_enough(step):
+            self._reserve_runner(step)
 
     def _reserve_runner(self, step: StepRun) -> None:
         """Reserve a runner for a step that has waited long for enough resources."""
