--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -1,6 +1,6 @@
 """Evicts batch work for long-running tasks that are away and find no room."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from ..fleet import Runner
@@ -82,10 +82,10 @@
                 promises.append(promise)
         return _sum_by_runner(promises)
 
-    def has_promised(self, task: TaskId) -> bool:
-        """Return whether room is being made for a task."""
+    def promised_runner(self, task: TaskId) -> str:
+        """Return the id of the runner on which room is made for a task, or ""."""
         promise = self._promise_by_task.get(task)
-        return promise is not None and bool(promise.runner)
+        return promise.runner if promise is not None else ""
 
     def has_promise(self, step: StepRun) -> bool:
         """Return whether resources are promised to a task of a step."""
@@ -102,7 +102,11 @@
         self._promise_by_task.pop(task, None)
 
     def make_room(
-        self, step: StepRun, candidates: Sequence[Runner], now_s: float
+        self,
+        step: StepRun,
+        candidates: Sequence[Runner],
+        find_others: Callable[[], Sequence[Runner]],
+        now_s: float,
     ) -> None:
         """Evict batch for the tasks of an unplaced step that have run before.
 
@@ -112,6 +116,8 @@
             Step with tasks that found no runner in this pass.
         candidates : sequence of Runner
             Runners that suit the step, without regard to free resources.
+        find_others : callable
+            Returns the runners to take if no eviction on the candidates makes room.
         now_s : float
             Time on the owner's clock, in seconds.
         """
@@ -130,15 +136,22 @@
             if promise is None and self._lack_of_room.covers(step):
                 continue
             self._choices_left -= 1
-            self._evict_for(step, index, candidates, now_s)
+            self._evict_for(step, index, candidates, find_others, now_s)
 
     def _evict_for(
-        self, step: StepRun, index: int, candidates: Sequence[Runner], now_s: float
+        self,
+        step: StepRun,
+        index: int,
+        candidates: Sequence[Runner],
+        find_others: Callable[[], Sequence[Runner]],
+        now_s: float,
     ) -> None:
         task = step.task_id(index)
         self._promise_by_task.pop(task, None)
         promised_by_runner = _sum_by_runner(self._promise_by_task.values())
         found = choose_evictions(step, candidates, promised_by_runner, now_s)
+        if found is None:
+            found = choose_evictions(step, find_others(), promised_by_runner, now_s)
         if found is None:
             log.info("no_room_by_eviction", task=str(task), runners=len(candidates))
             self._lack_of_room.add(step, now_s)
