Batch that is suspected of a crash waits for a runner without suspects

Callers saw a job fail without an end `failed`: its task had twice been started beside one that crashes its runners, and was given up with it.

Cause, from the log of the test: after the first crash eight tasks are suspects, and five runners are left. Three find no runner without suspects, and all go to the best one, where the guilty one is too; its second crash is the second for the innocent ones as well.

Suspects that survive for 2 s are suspects no more. Batch now waits for that, for 3.5 s at most, and such a step rules out no other one in a pass. Long-running tasks don't wait.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -6,6 +6,7 @@
 from ..jobs import StepRun
 from ..logs import get_logger
 from ..policy import (
+    SUSPECT_WAIT_S,
     BatchHeadroom,
     PlacementPolicy,
     StepPlacement,
@@ -395,12 +396,16 @@
         """Choose a runner for a task.
 
         Tasks that are suspected of the same crash are kept apart, if there is room, so
-        that the next crash shows which one has caused it.
+        that the next crash shows which one has caused it. Batch waits for a runner
+        without suspects, as those that survive are suspects no more.
         """
         if step.task_id(index) in step.job.blame_by_task:
             runner = placement.choose(index, self._owner_state.find_suspect_runners())
             if runner is not None:
                 return runner
+            waited_s = self._now_s - (step.unplaced_since_s or self._now_s)
+            if not step.spec.lasting and waited_s < SUSPECT_WAIT_S:
+                return None
         return placement.choose(index)
 
     def _must_leave_room(self, step: StepRun, index: int) -> bool:
--- a/flamingoweir/dispatch/_unplaced_steps.py
+++ b/flamingoweir/dispatch/_unplaced_steps.py
@@ -41,12 +41,15 @@
     def add(self, step: StepRun) -> None:
         """Record a step that was not placed.
 
-        A gang, or a step with a limit per runner, a data rack or runners on which its
-        tasks failed, is left out: a step without that constraint may still fit.
+        A gang, or a step with a limit per runner, a data rack, runners on which its
+        tasks failed or tasks suspected of a crash, is left out: a step without that
+        constraint may still fit.
         """
         spec = step.spec
         if spec.gang or spec.max_per_runner or spec.data_rack:
             return
+        if step.job.blame_by_task:
+            return
         if any(task.failed_runners for _, task in step.tasks.kept()):
             return
         unplaced = self._unplaced_by_kind.setdefault(self._demand_kind(step), [])
