--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -289,6 +289,7 @@
             runner=runner.id,
             incarnation=report.incarnation,
             former=former,
+            clock_ms=round(report.clock_ms),
             running=len(report.running),
             lost=len(lost),
         )
