Failing test: a late call extends the leases of a runner's next incarnation

The stand-in runner was kinder than the platform: it kept a deadline whole where the platform cuts it to the longest lease, a poll that waited over a restart dropped its deadline, and late starts arrived only when the same link was called again. It now caps leases, and carries out calls under way as of their arrival, whoever calls next; renewals can be late as well as starts.

--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -65,6 +65,8 @@
 RunPlan = Callable[[TaskId, int], tuple[float, Outcome]]
 #: Returns the step that a task belongs to.
 FindSpec = Callable[[TaskId], StepSpec]
+#: A call that a runner carries out.
+Call = Callable[[], object]
 
 
 class MemoryRunner:
@@ -85,6 +87,8 @@
         Rate of the runner's clock; 1 is the rate of the event loop's clock.
     contention : ContentionModel or None
         How colocated tasks slow each other down; None if they do not.
+    max_lease_s : float
+        Longest lease that the runner grants, in seconds from a call, on its clock.
 
     Attributes
     ----------
@@ -116,6 +120,7 @@
         plan: RunPlan,
         rate: float = 1.0,
         contention: ContentionModel | None = None,
+        max_lease_s: float = 10.0,
     ):
         self.id = runner_id
         self.capacity = capacity
@@ -133,10 +138,15 @@
         self._contention = contention
         self._find_spec = find_spec
         self._plan = plan
+        self._max_lease_s = max_lease_s
         self._fence = 0
         self._lease_end_ms = 0.0
         self._started_s = anyio.current_time()
         self._advanced_s = anyio.current_time()
+        #: Calls that are under way, by the time at which they arrive.
+        self._calls_under_way: list[tuple[float, Call]] = []
+        #: When the call arrived that is carried out; None: now.
+        self._arrived_s: float | None = None
         self._run_by_task: dict[TaskId, _Run] = {}
         self._highest_run_by_task: dict[TaskId, int] = {}
         self._ended_tasks: list[EndedTask] = []
@@ -146,7 +156,7 @@
     @property
     def clock_ms(self) -> float:
         """Time on the runner's clock in milliseconds."""
-        return 1000 * (anyio.current_time() - self._started_s) * self._rate
+        return 1000 * (self._now() - self._started_s) * self._rate
 
     @property
     def reserved(self) -> Resources:
@@ -175,7 +185,7 @@
         for task, run in list(self._run_by_task.items()):
             self._record_event("crashed", task, run.order.run)
         # Ends that were not acknowledged are lost with the runner.
-        self._reopen_ends(anyio.current_time())
+        self._reopen_ends(self._now())
         self._run_by_task.clear()
         self._highest_run_by_task.clear()
         self._ended_tasks.clear()
@@ -193,6 +203,20 @@
         self._last_reopened_end = 0
         self._started_s = self._advanced_s = anyio.current_time()
 
+    def deliver(self, arrives_s: float, call: Call) -> None:
+        """Carry out a call that nobody waits for when it arrives.
+
+        It is lost if the runner is not up then, and reaches any incarnation.
+
+        Parameters
+        ----------
+        arrives_s : float
+            Time of the arrival, in seconds on the event loop's clock.
+        call : callable
+            Calls a method of this runner.
+        """
+        self._calls_under_way.append((arrives_s, call))
+
     def start(self, order: StartOrder) -> tuple[StartResult, float | None]:
         """Carry out an order to start a run.
 
@@ -213,11 +237,11 @@
         if active is not None and active.order.run == order.run:
             return StartResult.STARTED, self.clock_ms
         if order.run <= self._highest_run_by_task.get(order.task, 0):
-            self._lease_end_ms = max(self._lease_end_ms, order.deadline_ms)
+            self._extend_lease(order.deadline_ms)
             return StartResult.STALE, self.clock_ms
         if order.deadline_ms <= self.clock_ms:
             return StartResult.LATE, self.clock_ms
-        self._lease_end_ms = max(self._lease_end_ms, order.deadline_ms)
+        self._extend_lease(order.deadline_ms)
         spec = self._find_spec(order.task)
         has_room = spec.reserved.fits_in(self.capacity - self.reserved)
         if active is not None or (self.guards_capacity and not has_room):
@@ -243,7 +267,7 @@
         if not self.stop_s:
             self._end(task, Outcome.STOPPED)
         elif active.stopped_s is None:
-            active.stopped_s = anyio.current_time() + self.stop_s
+            active.stopped_s = self._now() + self.stop_s
 
     def fail(self, task: TaskId) -> None:
         """End the run of a task as failed."""
@@ -268,7 +292,7 @@
         self.advance()
         self._accept_fence(fence)
         if deadline_ms is not None:
-            self._lease_end_ms = max(self._lease_end_ms, deadline_ms)
+            self._extend_lease(deadline_ms)
         unacknowledged = []
         for end in self._ended_tasks:
             if end.number > acknowledged:
@@ -294,8 +318,10 @@
         return len(self._ended_tasks)
 
     def advance(self) -> None:
-        """Advance all runs to the present; end those finished or without a lease."""
-        now_s = anyio.current_time()
+        """Carry out what has arrived; end runs that are finished or without a lease."""
+        if self._arrived_s is None:
+            self._carry_out_arrived()
+        now_s = self._now()
         lease_end_s = self._started_s + self._lease_end_ms / 1000 / self._rate
         until_s = min(now_s, max(self._advanced_s, lease_end_s))
         spare_speed = self._spare_speed()
@@ -330,6 +356,33 @@
                 found.append((tail_latency_ms, run.spec.latency_target_ms))
         return found
 
+    def _carry_out_arrived(self) -> None:
+        """Carry out the calls under way that have arrived, each as of its arrival."""
+        now_s = anyio.current_time()
+        arrived = [item for item in self._calls_under_way if item[0] <= now_s]
+        for item in sorted(arrived, key=lambda item: item[0]):
+            self._calls_under_way.remove(item)
+            if not self.up or item[0] < self._started_s:
+                continue
+            self._arrived_s = max(item[0], self._advanced_s)
+            try:
+                item[1]()
+            except Fenced:
+                continue
+            finally:
+                self._arrived_s = None
+
+    def _now(self) -> float:
+        """Return the present, or the arrival of the call that is carried out."""
+        if self._arrived_s is not None:
+            return self._arrived_s
+        return anyio.current_time()
+
+    def _extend_lease(self, deadline_ms: float) -> None:
+        """Extend the lease to a deadline, by the longest lease at most."""
+        longest_ms = self.clock_ms + 1000 * self._max_lease_s
+        self._lease_end_ms = max(self._lease_end_ms, min(deadline_ms, longest_ms))
+
     def _list_runs(self) -> list[tuple[str, StepSpec, int]]:
         found = []
         for task, run in self._run_by_task.items():
@@ -341,7 +394,7 @@
             return 1.0
         total = self.capacity.processors_milli
         runs = self._list_runs()
-        return self._contention.spare_speed(total, runs, anyio.current_time())
+        return self._contention.spare_speed(total, runs, self._now())
 
     def _measure_load(self, task: TaskId, run: _Run) -> float | None:
         """Return the value of `RunningTask.load` for a run."""
@@ -351,7 +404,7 @@
             total = self.capacity.processors_milli
             runs = self._list_runs()
             return self._contention.tail_latency_ms(
-                task.job, run.spec, total, runs, anyio.current_time()
+                task.job, run.spec, total, runs, self._now()
             )
         return run.spec.demand.processors_milli * run.pace / 100 * self._spare_speed()
 
@@ -389,7 +442,7 @@
         self, kind: str, task: TaskId, run: int, at_s: float | None = None
     ) -> None:
         if at_s is None:
-            at_s = anyio.current_time()
+            at_s = self._now()
         self.records.append(RunRecord(at_s, self.id, kind, task, run))
 
 
@@ -409,17 +462,19 @@
         Whether calls are lost: they do not reach the runner and get no response.
     lose_starts : int
         How many of the next starts reach the runner without a response.
+    lose_renewals : int
+        The same for polls and renewals that extend a lease.
     delivery_delay_s : float
-        Seconds after which these starts reach the runner; 0 delivers them at once.
+        Seconds after which these calls reach the runner; 0 delivers them at once.
     """
 
     def __init__(self, runner: MemoryRunner, delay_s: float = 0.001):
         self.runner = runner
         self.disconnected = False
         self.lose_starts = 0
+        self.lose_renewals = 0
         self.delivery_delay_s = 0.0
         self._delay_s = delay_s
-        self._delayed_starts: list[tuple[float, StartOrder]] = []
 
     async def start(self, order: StartOrder) -> tuple[StartResult, float | None]:
         """See `RunnerLink.start`."""
@@ -427,13 +482,7 @@
             return StartResult.UNKNOWN, None
         if self.lose_starts:
             self.lose_starts -= 1
-            if self.delivery_delay_s:
-                self._delayed_starts.append(
-                    (anyio.current_time() + self.delivery_delay_s, order)
-                )
-            else:
-                self.runner.start(order)
-            await anyio.sleep(0.5)
+            await self._lose(lambda: self.runner.start(order))
             return StartResult.UNKNOWN, None
         result = self.runner.start(order)
         await anyio.sleep(self._delay_s)
@@ -454,6 +503,7 @@
     ) -> RunnerReport:
         """See `RunnerLink.poll`."""
         await self._reach_or_fail()
+        await self._lose_renewal(fence, acknowledged, deadline_ms)
         until_s = anyio.current_time() + wait_s
         report = self.runner.poll(fence, acknowledged, deadline_ms)
         while not report.ended and anyio.current_time() < until_s:
@@ -471,17 +521,31 @@
     async def renew(self, fence: int, acknowledged: int, deadline_ms: int) -> None:
         """See `RunnerLink.renew`."""
         await self._reach_or_fail()
+        await self._lose_renewal(fence, acknowledged, deadline_ms)
         self.runner.poll(fence, acknowledged, deadline_ms)
 
     async def aclose(self) -> None:
         """See `RunnerLink.aclose`."""
 
+    async def _lose(self, call: Call) -> None:
+        """Deliver a call late, or at once, and wait in vain for its response."""
+        if self.delivery_delay_s:
+            self.runner.deliver(anyio.current_time() + self.delivery_delay_s, call)
+        else:
+            call()
+        await anyio.sleep(0.5)
+
+    async def _lose_renewal(
+        self, fence: int, acknowledged: int, deadline_ms: int | None
+    ) -> None:
+        """Lose the response of a renewal, if that is asked for."""
+        if deadline_ms is None or not self.lose_renewals:
+            return
+        self.lose_renewals -= 1
+        await self._lose(lambda: self.runner.poll(fence, acknowledged, deadline_ms))
+        raise RunnerUnreachable(self.runner.id)
+
     async def _reach(self) -> bool:
-        now_s = anyio.current_time()
-        for item in [item for item in self._delayed_starts if item[0] <= now_s]:
-            self._delayed_starts.remove(item)
-            if self.runner.up:
-                self.runner.start(item[1])
         await anyio.sleep(self._delay_s)
         if self.disconnected or not self.runner.up:
             if self.disconnected or not self.runner.closes_connections:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -5,7 +5,14 @@
 
 from flamingoweir.jobs import JobState
 from tests.utils.cluster import make_job, run_cluster
-from tests.utils.losses import check_runs, cut_runner, kill, start_lasting
+from tests.utils.losses import (
+    check_runs,
+    cut_runner,
+    freeze,
+    kill,
+    start_lasting,
+    stop_in_order,
+)
 from tests.utils.virtual_time import run_virtual
 
 #: Age in seconds of a runner when it restarts; all late orders come before the clock of
@@ -70,3 +77,70 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+#: Seconds for which a runner is dark before its next incarnation is up.
+DARK_S = 0.6
+#: When a call to the former incarnation arrives, in seconds after the crash: before the
+#: next one has responded, before it is cut off, and while it is.
+ARRIVALS_S = (0.61, 1.2, 3.0, 9.0)
+
+
+async def lose_call(cluster, link, kind: str, delay_s: float) -> None:
+    """Let one call that extends leases arrive late; return once it is under way."""
+    link.delivery_delay_s = delay_s
+    if kind == "start":
+        link.lose_starts = 1
+        await cluster.submit(make_job(2))
+    else:
+        link.lose_renewals = 1
+    while link.lose_starts or link.lose_renewals:
+        await anyio.sleep(0.01)
+
+
+async def do_nothing(cluster, owner) -> None:
+    return
+
+
+async def wait_for_starts(cluster, job, count: int) -> None:
+    with anyio.fail_after(12.0):
+        while len(cluster.starts(f"{job.id}.0.0.0")) < count:
+            await anyio.sleep(0.05)
+
+
+@pytest.mark.parametrize("lose_owner", [do_nothing, kill, freeze, stop_in_order])
+@pytest.mark.parametrize("lost_when", ["before_cut", "after_cut"])
+@pytest.mark.parametrize("kind", ["start", "renewal"])
+def test_late_call_extends_leases_of_the_next_incarnation(kind, lost_when, lose_owner):
+    """Guards against leases that outlast the owner's account of them (issue 48).
+
+    A call that was meant for the former incarnation has a deadline by its clock. The
+    next incarnation extends the leases of all its runs to that, by the longest lease at
+    most, and is cut off.
+    """
+
+    async def scenario(arrival_s):
+        async with run_cluster(members=3, runners=1) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(FORMER_LIFE_S)
+            owner = await cluster.owner()
+            link = owner.link_by_runner[runner.id]
+            await lose_call(cluster, link, kind, arrival_s)
+            runner.crash(closes=True)
+            await anyio.sleep(DARK_S)
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await wait_for_starts(cluster, job, 2)
+            await anyio.sleep(0.5)
+            if lost_when == "before_cut":
+                await lose_owner(cluster, owner)
+            cut_runner(cluster, runner)
+            cluster.add_runner("runner-1")
+            if lost_when == "after_cut":
+                await lose_owner(cluster, owner)
+            await anyio.sleep(25)
+            assert cluster.starts(f"{job.id}.0.0.0")[-1] == "runner-1"
+            check_runs(cluster)
+
+    for arrival_s in ARRIVALS_S:
+        run_virtual(scenario, arrival_s)
