Fence and account for calls to a runner's former incarnation

Cause: a renewal or start that was meant for the former incarnation reaches the next one, and its deadline, by the former clock, may be far ahead. The runner extends all leases to that, by the longest lease at most. begin_incarnation set the end of the leases to now, and knew of no deadline but its own.

The clocks of incarnations begin at any value (runner_seen), so that a late deadline is ahead in some of the restarts.

Why this works: after a restart the owner's calls carry a fencing token above all before, the version of its latest write, and no task is placed there until the runner has responded to one. What arrived before may have extended leases by the longest lease from that response on, which counts now, in this owner, in the owner row, and for the next one, which tells from the age of an incarnation that this may be so.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -153,14 +153,19 @@
         These are leases on runners with attempts that leave, are unresponsive, or have
         not responded to this owner yet. A runner that does not respond is granted
         nothing, whoever owns the shard; if it responds again, the next row says so
-        before a lease is granted there.
+        before a lease is granted there. Leases that calls to a former incarnation may
+        have extended are named if they may end after all others.
         """
         now_s = self._context.clock.now()
-        left_s_by_runner = {}
+        left_s_by_runner = self._list_long_leases(now_s)
         published_bytes = 0
+        for runner_id in left_s_by_runner:
+            published_bytes += len(runner_id.encode()) + ENTRY_BYTES
         for runner in self._owner_state.runner_by_id.values():
             if not runner.has_attempts or not runner.has_short_leases(now_s):
                 continue
+            if runner.id in left_s_by_runner:
+                continue
             published_bytes += len(runner.id.encode()) + ENTRY_BYTES
             if published_bytes > MAX_SHORT_LEASE_BYTES:
                 break
@@ -169,6 +174,15 @@
             left_s_by_runner[runner.id] = round(left_s, 3)
         return left_s_by_runner
 
+    def _list_long_leases(self, now_s: float) -> dict[str, float]:
+        """Return when leases have lapsed that end after all that an owner may grant."""
+        left_s_by_runner = {}
+        for runner in self._owner_state.runner_by_id.values():
+            left_s = runner.lapses_in_s(now_s)
+            if runner.has_attempts and left_s > longest_lease_s(LEASE_VALID_S):
+                left_s_by_runner[runner.id] = round(left_s, 3)
+        return left_s_by_runner
+
     def _collect(self) -> _Batch:
         batch = _Batch()
         changed, self._owner_state.changed_job_ids = (
--- a/flamingoweir/dispatch/_context.py
+++ b/flamingoweir/dispatch/_context.py
@@ -106,9 +106,11 @@
         """Return whether a runner may be given tasks.
 
         It must be listed, not draining, in a zone that is not evacuated, and, once it
-        has responded, of the announced incarnation.
+        has responded, of the announced incarnation and reject calls to former ones.
         """
         context = self._context
+        if runner.incarnation is not None and not runner.call_fence.is_established:
+            return False
         entry = runner.entry
         if entry.draining or entry.zone in context.operators.evacuated_zones:
             return False
--- /dev/null
+++ b/flamingoweir/dispatch/_dropped_runners.py
@@ -0,0 +1,43 @@
+"""Runners that the owner has dropped, to which its calls may still be under way."""
+
+from ..fleet import MAX_LATENESS_S, Runner
+
+
+class DroppedRunners:
+    """Remembers the fencing tokens of calls to runners that are listed no more.
+
+    Such a runner may come back under its id, at another address as well.
+
+    Parameters
+    ----------
+    started_s : float
+        Start of the owner's term on its clock, in seconds.
+    """
+
+    def __init__(self, started_s: float):
+        self._earlier_until_s = started_s + MAX_LATENESS_S
+        self._token_by_id: dict[str, tuple[int, float]] = {}
+
+    def record(self, runner: Runner, now_s: float) -> None:
+        """Record that a runner is dropped."""
+        self._expire(now_s)
+        until_s = now_s + MAX_LATENESS_S
+        self._token_by_id[runner.id] = runner.call_fence.token, until_s
+
+    def find_token(self, runner: str, now_s: float) -> int:
+        """Return the highest token of calls to a runner that may be under way, or 0."""
+        self._expire(now_s)
+        token, _ = self._token_by_id.get(runner, (0, 0.0))
+        return token
+
+    def may_be_called(self, runner: str, now_s: float) -> bool:
+        """Return whether calls of this or an earlier owner may reach a new entry's id.
+
+        An earlier owner's calls have arrived some time after the start of the term.
+        """
+        return now_s < self._earlier_until_s or bool(self.find_token(runner, now_s))
+
+    def _expire(self, now_s: float) -> None:
+        for runner, (_, until_s) in list(self._token_by_id.items()):
+            if now_s > until_s:
+                del self._token_by_id[runner]
--- a/flamingoweir/dispatch/_late_orders.py
+++ b/flamingoweir/dispatch/_late_orders.py
@@ -2,12 +2,9 @@
 
 from dataclasses import dataclass, field
 
+from ..fleet import MAX_LATENESS_S
 from ..jobs import TaskId
 
-#: Longest time in seconds after which an order is carried out that got no response,
-#: with a margin for the clock of its runner.
-MAX_LATENESS_S = 15.0
-
 
 @dataclass(slots=True)
 class LateOrders:
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -132,7 +132,7 @@
             attempt.run,
             job.spec.payload,
             runner.grant_lease(deadline_s, now_s),
-            self._context.writer.fence,
+            runner.call_fence.token,
             task.checkpoint,
             allocation.ticket,
         )
@@ -148,6 +148,8 @@
                 return
             self._owner_state.customer_usage.record_sent(allocation)
             result, _ = await link.start(order)
+            if result is StartResult.FENCED:
+                result = self._classify_fenced(runner, order.fence)
             self._context.metrics.incr(f"starts_{result.value}")
             if result is StartResult.UNKNOWN:
                 allocation.start_unanswered = True
@@ -158,6 +160,19 @@
             self._handle_start_result(attempt, runner, allocation, result)
             return
 
+    def _classify_fenced(self, runner: Runner, fence: int) -> StartResult:
+        """End the term after a fenced start, unless it was a former incarnation's."""
+        if self._end_if_succeeded(runner, fence):
+            return StartResult.FENCED
+        return StartResult.REJECTED
+
+    def _end_if_succeeded(self, runner: Runner, fence: int) -> bool:
+        """End the term if a next owner has called a runner; return whether it has."""
+        if runner.call_fence.is_stale(fence):
+            return False
+        self._term_end.signal(f"runner {runner.id} has received a higher fencing token")
+        return True
+
     def _handle_start_result(
         self,
         attempt: Attempt,
@@ -173,9 +188,6 @@
             runner.poll_wakeup.set()
             return
         if result is StartResult.FENCED:
-            self._term_end.signal(
-                f"runner {runner.id} has received a higher fencing token"
-            )
             return
         if result is StartResult.STALE:
             # The run has ended or was stopped on the runner; the next report has it.
@@ -215,13 +227,11 @@
         if link is None:
             # A new owner has not read the table of runners yet.
             return False
+        fence = runner.call_fence.token
         try:
-            await link.stop(attempt.task, attempt.run, self._context.writer.fence)
+            await link.stop(attempt.task, attempt.run, fence)
         except Fenced:
-            self._term_end.signal(
-                f"runner {runner.id} has received a higher fencing token"
-            )
-            return True
+            return self._end_if_succeeded(runner, fence)
         except RunnerUnreachable:
             return False
         # The run can't start there any more; the next poll reports its end.
@@ -235,13 +245,12 @@
             link = self._link_by_runner.get(runner.id)
             if link is None or self._owner_state.runner_by_id.get(runner.id) != runner:
                 return
+            fence = runner.call_fence.token
             with self._contain("forbid", runner.id):
                 try:
-                    await link.stop(task, run, self._context.writer.fence)
+                    await link.stop(task, run, fence)
                 except Fenced:
-                    self._term_end.signal(
-                        f"runner {runner.id} has received a higher fencing token"
-                    )
+                    self._end_if_succeeded(runner, fence)
                 except RunnerUnreachable:
                     await anyio.sleep(RESEND_PAUSE_S)
                     continue
@@ -254,14 +263,14 @@
 
     async def _stop_run(self, runner_id: str, task: TaskId, run: int) -> None:
         link = self._link_by_runner.get(runner_id)
-        if link is None:
+        runner = self._owner_state.runner_by_id.get(runner_id)
+        if link is None or runner is None:
             return
+        fence = runner.call_fence.token
         try:
-            await link.stop(task, run, self._context.writer.fence)
+            await link.stop(task, run, fence)
         except Fenced:
-            self._term_end.signal(
-                f"runner {runner_id} has received a higher fencing token"
-            )
+            self._end_if_succeeded(runner, fence)
         except RunnerUnreachable as error:
             log.info("stop_unanswered", runner=runner_id, detail=str(error))
 
@@ -271,14 +280,12 @@
         deadline_ms = self._context.renew_lease(runner)
         if link is None or deadline_ms is None:
             return
+        fence = runner.call_fence.token
         with self._contain("renew", runner.id):
             try:
-                fence = self._context.writer.fence
                 await link.renew(fence, runner.last_durable_end, deadline_ms)
             except Fenced:
-                self._term_end.signal(
-                    f"runner {runner.id} has received a higher fencing token"
-                )
+                self._end_if_succeeded(runner, fence)
             except RunnerUnreachable as error:
                 log.info("renewal_unanswered", runner=runner.id, detail=str(error))
 
@@ -291,21 +298,20 @@
 
     async def _send_paces(self, attempt: Attempt) -> None:
         """Send the requested pace until it is confirmed or an order has failed."""
-        while self._find_allocation(attempt):
-            link = self._link_by_runner.get(attempt.runner)
+        while found := self._find_allocation(attempt):
+            runner, _ = found
+            link = self._link_by_runner.get(runner.id)
             percent = attempt.requested_pace_percent
             stopping = attempt.state is not AttemptState.RUNNING
             if link is None or stopping or attempt.pace_percent == percent:
                 return
+            fence = runner.call_fence.token
             try:
-                await link.set_pace(
-                    attempt.task, attempt.run, percent, self._context.writer.fence
-                )
+                await link.set_pace(attempt.task, attempt.run, percent, fence)
             except Fenced:
-                self._term_end.signal(
-                    f"runner {attempt.runner} has received a higher fencing token"
-                )
-                return
+                if self._end_if_succeeded(runner, fence):
+                    return
+                continue
             except RunnerUnreachable:
                 # The order may have been carried out all the same.
                 attempt.pace_percent = UNKNOWN_PACE_PERCENT
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -37,6 +37,7 @@
 from ._carried_waits import CarriedWaits
 from ._customer_load import CustomerLoad
 from ._customer_usage import CustomerUsage
+from ._dropped_runners import DroppedRunners
 from ._late_orders import LateOrders
 from ._missing_runners import MissingRunners
 from ._parking import JobParking
@@ -97,6 +98,8 @@
         Submissions of each customer beyond its rate.
     customer_usage : CustomerUsage
         Sums of the demands of all allocations, by customer.
+    fence : int
+        Fencing token of the term; 0 where no runner is called.
     late_orders : LateOrders
         Start orders that the next incarnation of a runner might carry out.
     task_ends : TaskEnds
@@ -133,6 +136,7 @@
         self.parking = JobParking(memory_mb)
         self.customer_load = CustomerLoad()
         self.customer_usage = CustomerUsage()
+        self.fence = 0
         self.late_orders = LateOrders()
         self.task_ends = TaskEnds()
         self.waits = CarriedWaits(clock)
@@ -153,6 +157,7 @@
         self.fault_log = FaultLog(metrics, clock)
         self._crash_detector = CrashDetector()
         self.missing_runners = missing_runners or MissingRunners()
+        self._dropped_runners = DroppedRunners(clock.now())
         self._entry_by_id: dict[str, RunnerEntry] = {}
         self._excluded_job_ids: set[str] = set()
         self._clock = clock
@@ -265,7 +270,7 @@
                     to_connect.append(runner)
         for runner_id, runner in list(self.runner_by_id.items()):
             if runner_id not in entry_by_id and not runner.has_attempts:
-                del self.runner_by_id[runner_id]
+                self._drop_runner(runner)
                 self.health.remove_runner(runner_id)
                 self.colocation.remove_runner(runner_id)
         self.colocation.runner_count = len(self.runner_by_id)
@@ -283,10 +288,16 @@
         if known is not None and known.has_attempts:
             # The attempts run at the former address; their leases must lapse first.
             return None
+        if known is not None:
+            self._drop_runner(known)
         runner = self._new_runner(entry)
         self.runner_by_id[entry.id] = runner
         return runner
 
+    def _drop_runner(self, runner: Runner) -> None:
+        del self.runner_by_id[runner.id]
+        self._dropped_runners.record(runner, self._clock.now())
+
     def record_no_address(self, runner: Runner) -> None:
         """Record that no connection to a runner is possible at its address.
 
@@ -328,7 +339,7 @@
             if runner.has_attempts:
                 self.end_lapsed_attempts(runner)
             if runner.id not in self._entry_by_id and not runner.has_attempts:
-                del self.runner_by_id[runner.id]
+                self._drop_runner(runner)
 
     def record_lost(self, runner: Runner, detail: str) -> None:
         """Record a call to a runner that got no response, and log the first of a row.
@@ -666,8 +677,15 @@
         return runner
 
     def _new_runner(self, entry: RunnerEntry) -> Runner:
-        end_s = self._earlier_leases.find_end_s(entry.id)
-        return Runner(entry, self._max_lease_s, end_s)
+        now_s = self._clock.now()
+        return Runner(
+            entry,
+            self._max_lease_s,
+            self._earlier_leases.find_end_s(entry.id),
+            self.fence,
+            self._dropped_runners.find_token(entry.id, now_s),
+            self._dropped_runners.may_be_called(entry.id, now_s),
+        )
 
     def _record_outcome(
         self, runner: Runner, allocation: Allocation, outcome: Outcome, now_s: float
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -126,6 +126,7 @@
             memory_mb,
             MissingRunners(writer.former_missing_s_by_runner),
         )
+        self.owner_state.fence = writer.fence
         self.owner_state.waits = CarriedWaits(
             clock, writer.former_waits, writer.former_written_s
         )
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -27,6 +27,10 @@
 UNRESPONSIVE_PAUSE_S = 0.15
 #: Longest delay of a poll, in seconds, until the latest ends are durable.
 DURABLE_WAIT_S = 0.25
+#: Longest delay of a poll, in seconds, until a write gives it a higher fencing token.
+FENCE_WAIT_S = 0.15
+#: Seconds between checks whether there is such a write.
+FENCE_CHECK_INTERVAL_S = 0.005
 #: Smallest gain in percentage points that counts as progress.
 MIN_PROGRESS_PERCENT = 1.0
 #: Number of ends in a full report; more ends, not listed yet, may follow it.
@@ -81,6 +85,7 @@
                 self._term_end.signal("the store has not confirmed the ownership")
                 return
             await self._wait_until_durable()
+            await self._raise_fence()
             try:
                 await self._poll()
             except Exception as error:
@@ -95,6 +100,7 @@
         if (
             runner.has_attempts
             or runner.incarnation is None
+            or not runner.call_fence.is_established
             or runner.last_durable_end < runner.last_received_end
         ):
             return False
@@ -123,8 +129,22 @@
                 return
             await runner.poll_wakeup.wait(left_s)
 
+    async def _raise_fence(self) -> None:
+        """Wait until the next poll can fence calls to a former incarnation.
+
+        Without the store there is none, and the poll goes on without.
+        """
+        fence = self._runner.call_fence
+        until_s = self._clock.now() + FENCE_WAIT_S
+        while not fence.raise_to(self._context.writer.latest_fence):
+            if self._clock.now() >= until_s:
+                return
+            self._owner_state.write_wakeup.set()
+            await anyio.sleep(FENCE_CHECK_INTERVAL_S)
+
     async def _poll(self) -> None:
         runner = self._runner
+        fence = runner.call_fence.token
         sent_s = self._clock.now()
         # Repeated renewals without a response would keep the lease from ever lapsing.
         deadline_ms = None
@@ -132,7 +152,7 @@
             deadline_ms = self._context.renew_lease(runner)
         try:
             report = await self._link.poll(
-                self._context.writer.fence,
+                fence,
                 runner.last_durable_end,
                 deadline_ms,
                 self._wait_s(),
@@ -154,12 +174,28 @@
             for allocation in runner.allocation_by_run.values():
                 allocation.unthrottled_since_s = self._clock.now()
         runner.record_response(report.clock_ms, self._clock.now())
+        if report.incarnation != runner.incarnation:
+            self._begin_incarnation(report, fence)
+        elif runner.record_fenced(fence, self._clock.now()):
+            self._log_fenced(fence)
         self._apply_report(report, sent_s)
 
+    def _log_fenced(self, fence: int) -> None:
+        now_s = self._clock.now()
+        log.info(
+            "former_calls_fenced",
+            runner=self._runner.id,
+            incarnation=self._runner.incarnation,
+            fence=fence,
+            inherited_s=round(self._runner.inherited_s(now_s), 2),
+        )
+        self._owner_state.placement_wakeup.set()
+
     def _wait_s(self) -> float:
         runner = self._runner
         if (
             runner.incarnation is None
+            or not runner.call_fence.is_established
             # It may have restarted.
             or runner.unresponsive_since_s is not None
             or runner.last_durable_end < runner.last_received_end
@@ -195,8 +231,6 @@
     def _apply_report(self, report: RunnerReport, sent_s: float) -> None:
         runner = self._runner
         running = {(task.task, task.run): task for task in report.running}
-        if report.incarnation != runner.incarnation:
-            self._begin_incarnation(report, running)
         for end in report.ended:
             if end.number <= runner.last_received_end:
                 continue
@@ -273,17 +307,18 @@
             paces=" ".join(paces),
         )
 
-    def _begin_incarnation(
-        self, report: RunnerReport, running: dict[tuple, RunningTask]
-    ) -> None:
+    def _begin_incarnation(self, report: RunnerReport, fence: int) -> None:
         """Record a new incarnation, and end the attempts that it has lost.
 
         Attempts on a former incarnation are lost, except those that the report lists
         and those whose start order may still arrive.
         """
         runner = self._runner
+        running = {(task.task, task.run) for task in report.running}
         former = runner.incarnation
-        lost = runner.begin_incarnation(report.incarnation, self._clock.now())
+        now_s = self._clock.now()
+        age_s = (self._context.wall_ms() - report.incarnation) / 1000
+        lost = runner.begin_incarnation(report.incarnation, now_s, fence, age_s)
         log.info(
             "runner_seen",
             runner=runner.id,
@@ -292,10 +327,9 @@
             clock_ms=round(report.clock_ms),
             running=len(report.running),
             lost=len(lost),
+            inherited_s=round(runner.inherited_s(now_s), 2),
         )
-        for task, run in self._owner_state.late_orders.find(
-            runner.id, self._clock.now()
-        ):
+        for task, run in self._owner_state.late_orders.find(runner.id, now_s):
             self._orders.forbid_run(runner, task, run)
         for allocation in lost:
             attempt = allocation.attempt
--- a/flamingoweir/fleet/__init__.py
+++ b/flamingoweir/fleet/__init__.py
@@ -1,5 +1,6 @@
 """The shard owner's view of its runners."""
 
+from ._call_fence import MAX_LATENESS_S
 from ._runner import (
     LEAVING_LEASE_S,
     LOST_AFTER_S,
@@ -12,6 +13,7 @@
 __all__ = [
     "LEAVING_LEASE_S",
     "LOST_AFTER_S",
+    "MAX_LATENESS_S",
     "RUNNER_LEASE_S",
     "START_WINDOW_S",
     "Allocation",
--- /dev/null
+++ b/flamingoweir/fleet/_call_fence.py
@@ -0,0 +1,58 @@
+"""Fencing tokens by which a runner rejects calls that a former incarnation should get.
+
+A restarted runner has seen no token, and its id and address may be those of before. A
+call to the former incarnation may reach the next one seconds later.
+"""
+
+#: Longest time in seconds after which a call without a response is carried out, with a
+#: margin for the clock of its runner.
+MAX_LATENESS_S = 15.0
+
+
+class CallFence:
+    """The token of an owner's calls to one runner.
+
+    Parameters
+    ----------
+    token : int
+        The owner's token.
+    stale_token : int
+        Highest token of this owner's calls to former incarnations; 0: there are none.
+
+    Attributes
+    ----------
+    token : int
+        Token of calls to the runner.
+    is_established : bool
+        Whether the incarnation has responded to a call with a higher token than calls
+        to former ones, which it rejects since.
+    """
+
+    def __init__(self, token: int = 0, stale_token: int = 0):
+        self.token = max(token, stale_token)
+        self.is_established = not stale_token
+        self._stale_token = stale_token
+
+    def begin_incarnation(self) -> None:
+        """Record a new incarnation, which calls to the former one may still reach."""
+        self._stale_token = self.token
+        self.is_established = False
+
+    def raise_to(self, token: int) -> bool:
+        """Raise the token if need be; return whether it is high enough."""
+        if self.is_established:
+            return True
+        self.token = max(self.token, token)
+        return self.token > self._stale_token
+
+    def is_stale(self, token: int) -> bool:
+        """Return whether a call was sent before the token was raised.
+
+        That its runner rejects it doesn't show that there is a next owner.
+        """
+        return token < self.token
+
+    def record_response(self, token: int) -> None:
+        """Record that the incarnation has responded to a call with a token."""
+        if token > self._stale_token:
+            self.is_established = True
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -5,6 +5,7 @@
 from ..registry import RunnerEntry
 from ..resources import Resources
 from ..wakeup import Wakeup
+from ._call_fence import MAX_LATENESS_S, CallFence
 
 #: Seconds from a poll to the end of the lease that it renews for the runner's tasks. A
 #: new owner takes over in about 2 s, before the runner would kill the tasks.
@@ -26,6 +27,8 @@
 #: Seconds for which a runner that rejected a start for want of room gets no other one.
 #: It holds less than its entry shows, and announces that about once a second.
 NO_ROOM_PAUSE_S = 1.0
+#: Seconds by which the wall clocks of runners and instances may differ.
+WALL_CLOCK_MARGIN_S = 5.0
 _NOTHING = Resources()
 
 
@@ -108,6 +111,14 @@
     earlier_leases_end_s : float
         Time on the owner's clock, in seconds, by which leases from earlier owners have
         certainly lapsed; used until the runner first responds to this owner.
+    token : int
+        The owner's fencing token.
+    stale_token : int
+        Highest fencing token of this owner's calls to the runner before it was dropped;
+        0: there were none.
+    may_be_called : bool
+        Whether calls of an earlier owner, or to an earlier incarnation, may reach the
+        runner.
 
     Attributes
     ----------
@@ -149,6 +160,8 @@
     no_room_until_s : float
         Until when the runner gets no task because it rejected one for want of room, on
         the owner's clock, in seconds.
+    call_fence : CallFence
+        Fencing token of calls to the runner.
     poll_wakeup : Wakeup
         Set when there may be a reason to poll the runner.
     revision : int
@@ -156,7 +169,13 @@
     """
 
     def __init__(
-        self, entry: RunnerEntry, max_lease_s: float, earlier_leases_end_s: float = 0.0
+        self,
+        entry: RunnerEntry,
+        max_lease_s: float,
+        earlier_leases_end_s: float = 0.0,
+        token: int = 0,
+        stale_token: int = 0,
+        may_be_called: bool = True,
     ):
         self._entry = entry
         self.incarnation: int | None = None
@@ -177,12 +196,16 @@
         self.crashed_incarnation = 0
         self.leaving = False
         self.no_room_until_s = float("-inf")
+        self.call_fence = CallFence(token, stale_token)
         self.poll_wakeup = Wakeup()
         self._max_lease_s = max_lease_s
         self._earlier_leases_end_s = earlier_leases_end_s
         self._clock_ms = 0.0
         self._clock_read_s = 0.0
         self._leases_end_ms = 0
+        #: End of leases that calls to former incarnations may have extended.
+        self._inherited_end_ms = 0
+        self._may_be_called = may_be_called
 
     @property
     def entry(self) -> RunnerEntry:
@@ -287,10 +310,28 @@
             self._count_serving(spec.image, -1)
         return allocation
 
-    def begin_incarnation(self, incarnation: int, now_s: float) -> list[Allocation]:
+    def begin_incarnation(
+        self,
+        incarnation: int,
+        now_s: float,
+        token: int = 0,
+        age_s: float = float("inf"),
+    ) -> list[Allocation]:
         """Record a new incarnation; return the allocations of former ones.
 
         The leases of an earlier owner go on for those of this incarnation.
+
+        Parameters
+        ----------
+        incarnation : int
+            The incarnation.
+        now_s : float
+            Time on the owner's clock, in seconds.
+        token : int
+            Fencing token of the call that it has responded to.
+        age_s : float
+            Age of the incarnation by the wall clock, in seconds; only used for the
+            first one that responds to this owner.
         """
         lost = []
         for allocation in self.allocation_by_run.values():
@@ -300,11 +341,54 @@
         if self.incarnation is None and len(lost) < len(self.allocation_by_run):
             lease_s = max(0.0, self._earlier_leases_end_s - now_s)
         self._leases_end_ms = round(self._estimate_clock_ms(now_s) + 1000 * lease_s)
+        inherited_s = MAX_LATENESS_S + self._max_lease_s
+        if self.incarnation is not None:
+            self.call_fence.begin_incarnation()
+        else:
+            self.call_fence.record_response(token)
+            if self.call_fence.is_established:
+                inherited_s += WALL_CLOCK_MARGIN_S - age_s
+                inherited_s = min(inherited_s, self._max_lease_s)
+            if not self._may_be_called:
+                inherited_s = 0.0
+        self._record_inherited(inherited_s, now_s)
         self.incarnation = incarnation
         self.last_received_end = 0
         self.last_durable_end = 0
         return lost
 
+    def record_fenced(self, token: int, now_s: float) -> bool:
+        """Record a response to a call with a token; return whether it ends the wait.
+
+        Calls to former incarnations are rejected from then on, so that leases which
+        they have extended end within the longest lease.
+        """
+        if self.call_fence.is_established:
+            return False
+        self.call_fence.record_response(token)
+        if not self.call_fence.is_established:
+            return False
+        self._record_inherited(self._max_lease_s, now_s)
+        return True
+
+    def _record_inherited(self, lease_s: float, now_s: float) -> None:
+        """Record for how long leases may last that stale calls have extended."""
+        end_ms = self._estimate_clock_ms(now_s) + 1000 * max(0.0, lease_s)
+        self._inherited_end_ms = round(end_ms)
+
+    def inherited_s(self, now_s: float) -> float:
+        """Return for how long calls to former incarnations may have extended leases.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        if self.incarnation is None:
+            return 0.0
+        left_ms = self._inherited_end_ms - self._estimate_clock_ms(now_s)
+        return max(0.0, left_ms / 1000)
+
     @property
     def responds(self) -> bool:
         """Whether the latest call of this owner got a response."""
@@ -368,7 +452,8 @@
         """
         if self.incarnation is None:
             return self._earlier_leases_end_s - now_s
-        left_ms = self._leases_end_ms + LAPSE_MARGIN_MS - self._clock_ms
+        end_ms = max(self._leases_end_ms, self._inherited_end_ms)
+        left_ms = end_ms + LAPSE_MARGIN_MS - self._clock_ms
         return left_ms / (1000 * (1 - CLOCK_DRIFT)) - (now_s - self._clock_read_s)
 
     def unheard_s(self, now_s: float) -> float | None:
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -80,6 +80,8 @@
     end_in_s : float
         Seconds after the write by which the lease has lapsed, as the owner row says.
     """
+    if end_in_s >= longest_lease_s(LEASE_VALID_S):
+        return LEASE_VALID_S
     longest_s = (end_in_s - LEASE_MARGIN_S) * (1 - CLOCK_DRIFT)
     return min(SHORT_LEASE_VALID_S, longest_s)
 
@@ -231,6 +233,14 @@
             return False
         return abs(store_s - record.written_s) < MAX_HANDOVER_S
 
+    @property
+    def latest_fence(self) -> int:
+        """Fencing token of the latest confirmed write.
+
+        It is higher than those of writes before, and lower than the next owner's.
+        """
+        return self._version
+
     @property
     def confirmed_s(self) -> float:
         """When the latest confirmed write was sent, on the owner's clock."""
