Attempts that an unseen incarnation may run don't count as lapsed

Cause: the leases of the former incarnation have lapsed, and the owner held its attempts for ended. A start order without a response is no lease: the next incarnation carries it out, by a clock of its own.

Other attempts there lapse as before. A new owner, which doesn't know which orders got a response, counts from the start of its term.

The new test fails in all 12 cases before.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -107,7 +107,7 @@
         found = self._find_allocation(attempt)
         if found is not None:
             # It is not known whether the order was sent.
-            found[1].start_unanswered = True
+            found[1].record_unanswered_start(now_s)
             self._owner_state.stop_attempt(attempt, "order_failed")
 
     def _contain(self, order: str, runner_id: str) -> Containment:
@@ -152,7 +152,7 @@
                 result = self._classify_fenced(runner, order.fence)
             self._context.metrics.incr(f"starts_{result.value}")
             if result is StartResult.UNKNOWN:
-                allocation.start_unanswered = True
+                allocation.record_unanswered_start(self._context.clock.now())
                 # Only a poll shows whether the runner is lost.
                 runner.poll_wakeup.set()
                 await anyio.sleep(RESEND_PAUSE_S)
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -5,7 +5,7 @@
 
 from ..clock import Clock
 from ..faults import FaultLog
-from ..fleet import LOST_AFTER_S, Allocation, Runner
+from ..fleet import LOST_AFTER_S, MAX_LATENESS_S, Allocation, Runner
 from ..jobs import (
     FINAL_STATES,
     Attempt,
@@ -319,6 +319,8 @@
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
             allocation.started_s = float("-inf")
+            # Its start order may have got no response.
+            allocation.late_start_until_s = self._clock.now() + MAX_LATENESS_S
             self.waits.runs.restore(runner, allocation)
         self._crash_detector.restore(job.suspicion_by_run)
         self._stop_surplus(job)
@@ -397,12 +399,16 @@
     def end_lapsed_attempts(self, runner: Runner) -> None:
         """End attempts on a runner whose leases have certainly lapsed.
 
-        Those that may be given up for the loss of the runner wait a little longer.
+        Those that may be given up for the loss of the runner wait a little longer, and
+        those whose start order may reach its next incarnation until that has responded.
         """
         now_s = self._clock.now()
         self._suspect_tasks(runner)
         attempts = []
+        announced = self._entry_by_id.get(runner.id, runner.entry).incarnation
         for allocation in runner.allocation_by_run.values():
+            if runner.may_run_unseen(allocation, announced, now_s):
+                continue
             if not self._waits_for_crash(allocation.attempt, now_s):
                 attempts.append(allocation.attempt)
         if not attempts:
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -46,6 +46,7 @@
         "service",
         "spec",
         "start_sent",
+        "late_start_until_s",
         "start_unanswered",
         "started_s",
         "throttled_since_s",
@@ -78,6 +79,9 @@
         self.start_sent = False
         #: Whether a start order got no response, so that it may still be carried out.
         self.start_unanswered = False
+        #: Until when a start order that got no response may be carried out, on the
+        #: owner's clock, in seconds.
+        self.late_start_until_s = float("-inf")
         #: Ticket of the placement advice service; empty: none needed.
         self.ticket = ""
         #: When the start was first confirmed, on the owner's clock, in seconds; None
@@ -92,6 +96,11 @@
         if self.started_s is None:
             self.started_s = now_s
 
+    def record_unanswered_start(self, now_s: float) -> None:
+        """Record that a start order got no response, so that it may come late."""
+        self.start_unanswered = True
+        self.late_start_until_s = now_s + MAX_LATENESS_S
+
     def has_survived(self, duration_s: float) -> bool:
         """Return whether the runner was up ``duration_s`` after the start."""
         if self.started_s is None or self.listed_s == float("-inf"):
@@ -310,6 +319,27 @@
             self._count_serving(spec.image, -1)
         return allocation
 
+    def may_run_unseen(
+        self, allocation: Allocation, incarnation: int, now_s: float
+    ) -> bool:
+        """Return whether an incarnation that has not responded may have a run.
+
+        It has those whose start order reaches it late, until their lease has lapsed.
+
+        Parameters
+        ----------
+        allocation : Allocation
+            Allocation of the attempt.
+        incarnation : int
+            The incarnation that the runner announces; 0: none.
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        if incarnation in (0, allocation.attempt.incarnation):
+            return False
+        lease_s = self._max_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_MS / 1000
+        return now_s < allocation.late_start_until_s + lease_s
+
     def begin_incarnation(
         self,
         incarnation: int,
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -4,7 +4,7 @@
 import pytest
 
 from flamingoweir.jobs import JobState
-from tests.utils.cluster import make_job, run_cluster
+from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.losses import (
     check_runs,
     cut_runner,
@@ -144,3 +144,37 @@
 
     for arrival_s in ARRIVALS_S:
         run_virtual(scenario, arrival_s)
+
+
+@pytest.mark.parametrize("lose_owner", [do_nothing, kill, freeze, stop_in_order])
+@pytest.mark.parametrize("arrival_s", [2.5, 6.0, 11.5])
+def test_late_order_starts_a_task_on_an_incarnation_that_nobody_has_seen(
+    arrival_s, lose_owner
+):
+    """Guards against a task that runs twice beside a runner that is cut off (issue 48).
+
+    The runner restarts behind the cut; only its entry shows that.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            link = owner.link_by_runner["runner-0"]
+            link.lose_starts, link.delivery_delay_s = 1, arrival_s
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            while link.lose_starts:
+                await anyio.sleep(0.01)
+            runner = cluster.runner_by_id["runner-0"]
+            runner.crash()
+            cut_runner(cluster, runner)
+            await anyio.sleep(DARK_S)
+            runner.restart()
+            cluster.list_runner(runner.id)
+            cluster.add_runner("runner-1")
+            await lose_owner(cluster, owner)
+            await anyio.sleep(40)
+            check_runs(cluster)
+            assert cluster.starts(f"{job.id}.0.0.0") == ["runner-0", "runner-1"]
+
+    run_virtual(scenario)
