Long-running tasks avoid runners that have just restarted

What users would see: a long-running task that is placed on a runner right after its restart is away for 10.3 s if the runner is lost then, as its lease may have been extended by calls to the former incarnation (design 0021). More than 9 s break LOST.

Such tasks go to other runners now, if there is room, as long as such leases may outlast ordinary ones: 6 s after the restart where the longest lease is 10 s. Other tasks are placed as before.

The new test fails before (10.28 s), and passes.

--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 
-from ..fleet import Runner
+from ..fleet import RUNNER_LEASE_S, Runner
 from ..jobs import StepRun, StepSpec
 from ..resources import Resources
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
@@ -310,9 +310,20 @@
         if not self._policy.fits(self._step, runner, self._waited_s, count, withheld):
             return
         score = self._policy._score(self._step.spec, runner)
+        if self._step.spec.lasting:
+            score = (self._inherits_leases(runner), *score)
         entry = (score, position, self._evaluations[position])
         heapq.heappush(self._heap, entry)
 
+    def _inherits_leases(self, runner: Runner) -> bool:
+        """Return whether a task would be away for long if the runner were lost now.
+
+        Until the leases have ended that calls to a former incarnation may have extended
+        there, no other run may start. The load: a zone of runners that restart and are
+        lost again within seconds.
+        """
+        return runner.inherited_s(self._now_s) > RUNNER_LEASE_S
+
     def _should_wait(self, best: Runner) -> bool:
         """Return whether a task should wait for a runner on its data rack."""
         rack = self._step.spec.data_rack
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -5,11 +5,13 @@
 
 from flamingoweir.jobs import JobState
 from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.loss_histories import MAX_AWAY_S
 from tests.utils.losses import (
     check_runs,
     cut_runner,
     freeze,
     kill,
+    last_start_s,
     start_lasting,
     stop_in_order,
 )
@@ -178,3 +180,32 @@
             assert cluster.starts(f"{job.id}.0.0.0") == ["runner-0", "runner-1"]
 
     run_virtual(scenario)
+
+
+def test_long_running_task_is_placed_on_a_runner_that_has_just_restarted():
+    """Guards against a task that is away for long after a second loss (issue 48).
+
+    Placed on the runner that has restarted, it would wait for the longest lease.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=0) as cluster:
+            runner = cluster.add_runner("runner-0")
+            job, _ = await start_lasting(cluster)
+            await anyio.sleep(FORMER_LIFE_S)
+            # By room alone, the larger one is the second choice.
+            cluster.add_runner("runner-1", processors=8)
+            await anyio.sleep(1)
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await wait_for_starts(cluster, job, 2)
+            job = await cluster.submit(make_job(2, make_step(1, lasting=True)))
+            await wait_for_starts(cluster, job, 1)
+            runner.crash()
+            lost_s = anyio.current_time()
+            await anyio.sleep(25)
+            assert cluster.starts(f"{job.id}.0.0.0")[-1] == "runner-1"
+            assert last_start_s(cluster, job) - lost_s < MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
