The owner row says which runners start orders may still reach

What users would see: after a change of the owner, long-running tasks of a runner that had restarted and was lost again stayed away for up to 25 s, as the new owner took each of their start orders for one without a response.

The row names runners with start orders that are under way or got no response, and the time after which none can arrive; a row without the field, or with too many of them, counts as 16.4 s for all. An owner that has not read the shard passes on what it has read. A runner that is listed no more holds nothing open.

The names of leases that outlast all others are bounded in bytes as well; those without room in the row raise the bound for all runners. The row's bound for leases is 41,000 bytes in place of 45,000, which the new names use; a row with all limits reached is written by a test.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -29,6 +29,7 @@
 from ..storage import RowId
 from ._context import TermContext
 from ._effect_store import EffectStore
+from ._late_starts import list_late_starts
 from ._missing_runners import ENTRY_BYTES
 from ._orders import OrderSender
 from ._stored_rows import StoredRows
@@ -47,7 +48,7 @@
 FULL_LEASES_S = LEASE_VALID_S - RUNNER_LEASE_S
 #: Largest total length of what the owner row says of the ends of leases. A row has at
 #: most 64 KiB.
-MAX_SHORT_LEASE_BYTES = 45_000
+MAX_SHORT_LEASE_BYTES = 41_000
 #: Longest time in seconds for which the first write waits for runners to respond.
 FIRST_RESPONSES_S = 0.1
 #: Seconds between checks whether they have.
@@ -109,6 +110,9 @@
         """
         self._writer.count_backlog = self._count_backlog
         self._writer.list_short_leases = self._list_short_leases
+        self._writer.list_late_starts = lambda: list_late_starts(
+            self._owner_state.runner_by_id.values(), self._context.clock.now()
+        )
         self._writer.find_max_job_bytes = self._owner_state.parking.find_max_job_bytes
         await self._wait_for_responses()
         self._writer.grants_leases = True
@@ -177,10 +181,20 @@
     def _list_long_leases(self, now_s: float) -> dict[str, float]:
         """Return when leases have lapsed that end after all that an owner may grant."""
         left_s_by_runner = {}
+        published_bytes = 0
+        unnamed_s = 0.0
         for runner in self._owner_state.runner_by_id.values():
-            left_s = runner.lapses_in_s(now_s)
-            if runner.has_attempts and left_s > longest_lease_s(LEASE_VALID_S):
-                left_s_by_runner[runner.id] = round(left_s, 3)
+            if not runner.has_attempts:
+                continue
+            left_s = round(runner.lapses_in_s(now_s), 3)
+            if left_s <= longest_lease_s(LEASE_VALID_S):
+                continue
+            published_bytes += len(runner.id.encode()) + ENTRY_BYTES
+            if published_bytes > MAX_SHORT_LEASE_BYTES:
+                unnamed_s = max(unnamed_s, left_s)
+                continue
+            left_s_by_runner[runner.id] = left_s
+        self._writer.unnamed_leases_end_in_s = unnamed_s
         return left_s_by_runner
 
     def _collect(self) -> _Batch:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -5,7 +5,7 @@
 
 from ..clock import Clock
 from ..faults import FaultLog
-from ..fleet import LOST_AFTER_S, MAX_LATENESS_S, Allocation, Runner
+from ..fleet import LOST_AFTER_S, Allocation, Runner
 from ..jobs import (
     FINAL_STATES,
     Attempt,
@@ -319,8 +319,9 @@
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
             allocation.started_s = float("-inf")
-            # Its start order may have got no response.
-            allocation.late_start_until_s = self._clock.now() + MAX_LATENESS_S
+            allocation.late_start_until_s = self._earlier_leases.find_starts_end_s(
+                attempt.runner
+            )
             self.waits.runs.restore(runner, allocation)
         self._crash_detector.restore(job.suspicion_by_run)
         self._stop_surplus(job)
@@ -405,9 +406,11 @@
         now_s = self._clock.now()
         self._suspect_tasks(runner)
         attempts = []
-        announced = self._entry_by_id.get(runner.id, runner.entry).incarnation
+        entry = self._entry_by_id.get(runner.id)
         for allocation in runner.allocation_by_run.values():
-            if runner.may_run_unseen(allocation, announced, now_s):
+            if entry is not None and runner.may_run_unseen(
+                allocation, entry.incarnation, now_s
+            ):
                 continue
             if not self._waits_for_crash(allocation.attempt, now_s):
                 attempts.append(allocation.attempt)
--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -29,6 +29,7 @@
 from ._writer import (
     LEASE_VALID_S,
     SHORT_LEASE_VALID_S,
+    START_VALID_S,
     FencedWriter,
     OwnershipLost,
     longest_lease_s,
@@ -40,6 +41,7 @@
     "LEASE_VALID_S",
     "OWNER_TABLE",
     "SHORT_LEASE_VALID_S",
+    "START_VALID_S",
     "STATE_TABLE",
     "TASK_TABLE",
     "UNBOUNDED_LEASES_END_IN_S",
--- a/flamingoweir/ownership/_earlier_leases.py
+++ b/flamingoweir/ownership/_earlier_leases.py
@@ -1,10 +1,15 @@
-"""When the leases have lapsed that earlier owners of a shard may have granted."""
+"""When calls of a shard's earlier owners have no effect any more."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
 
 from ._owner_record import UNBOUNDED_LEASES_END_IN_S, OwnerRecord
 from ._store_clock import StoreClock
 
+#: Seconds after an owner's last write until no start order of it can reach a runner, if
+#: the row does not say so: it sends them for 1.4 s, and they come up to 15 s late.
+UNBOUNDED_STARTS_END_IN_S = 16.4
+
 
 class EarlierLeases:
     """When the leases of earlier owners have lapsed, on a new owner's clock.
@@ -15,11 +20,23 @@
         When all of them have lapsed, in seconds.
     end_s_by_runner : mapping of str to float
         When those on a runner have lapsed, in seconds, for runners with another end.
+    starts_end_s : float
+        When no start order of earlier owners can reach a runner, in seconds.
+    starts_end_s_by_runner : mapping of str to float
+        The same for runners with another end.
     """
 
-    def __init__(self, end_s: float, end_s_by_runner: Mapping[str, float]):
+    def __init__(
+        self,
+        end_s: float,
+        end_s_by_runner: Mapping[str, float],
+        starts_end_s: float = float("-inf"),
+        starts_end_s_by_runner: Mapping[str, float] = MappingProxyType({}),
+    ):
         self.end_s = end_s
         self._end_s_by_runner = end_s_by_runner
+        self._starts_end_s = starts_end_s
+        self._starts_end_s_by_runner = starts_end_s_by_runner
 
     @classmethod
     def none(cls) -> "EarlierLeases":
@@ -42,7 +59,11 @@
             The store's clock; it tells how long ago the row was written.
         """
         if record is None:
-            return cls(seen_s + UNBOUNDED_LEASES_END_IN_S, {})
+            return cls(
+                seen_s + UNBOUNDED_LEASES_END_IN_S,
+                {},
+                seen_s + UNBOUNDED_STARTS_END_IN_S,
+            )
 
         def find_end_s(end_in_s: float) -> float:
             end_s = seen_s + end_in_s
@@ -54,12 +75,35 @@
         end_s_by_runner = {}
         for runner, end_in_s in record.leases_end_in_s_by_runner.items():
             end_s_by_runner[runner] = find_end_s(end_in_s)
-        return cls(find_end_s(record.leases_end_in_s), end_s_by_runner)
+        end_s = find_end_s(record.leases_end_in_s)
+        if record.late_starts_end_in_s_by_runner is None:
+            starts_end_s = find_end_s(UNBOUNDED_STARTS_END_IN_S)
+            return cls(end_s, end_s_by_runner, starts_end_s)
+        starts_end_s_by_runner = {}
+        for runner, end_in_s in record.late_starts_end_in_s_by_runner.items():
+            starts_end_s_by_runner[runner] = find_end_s(end_in_s)
+        return cls(
+            end_s, end_s_by_runner, starts_end_s_by_runner=starts_end_s_by_runner
+        )
 
     def find_end_s(self, runner: str) -> float:
         """Return when the leases on a runner have lapsed, in seconds."""
         return self._end_s_by_runner.get(runner, self.end_s)
 
+    def find_starts_end_s(self, runner: str) -> float:
+        """Return when no start order can reach a runner any more, in seconds."""
+        return self._starts_end_s_by_runner.get(runner, self._starts_end_s)
+
+    def list_starts_left_s(self, now_s: float) -> dict[str, float] | None:
+        """Return the seconds left until then by runner; None if it is one for all."""
+        if self._starts_end_s > now_s:
+            return None
+        left_s_by_runner = {}
+        for runner, end_s in self._starts_end_s_by_runner.items():
+            if end_s > now_s:
+                left_s_by_runner[runner] = end_s - now_s
+        return left_s_by_runner
+
     @property
     def latest_end_s(self) -> float:
         """When the last of the leases has lapsed, in seconds."""
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -66,6 +66,10 @@
     leases_end_in_s_by_runner : dict of str to float
         The same by id of a runner that leaves, is unresponsive, or has not responded to
         this owner yet. Leases mostly end earlier there.
+    late_starts_end_in_s_by_runner : dict of str to float or None
+        Seconds after the write until no start order of this owner or an earlier one can
+        reach a runner any more, by runner id; 0 for others. Counts orders without a
+        response and those that this write allows. None: not known.
     missing_s_by_runner : dict of str to float
         Seconds for which owners that followed one another have found a runner with
         attempts missing from the list of runners, by its id.
@@ -84,6 +88,7 @@
     written_s: float | None = None
     leases_end_in_s: float = UNBOUNDED_LEASES_END_IN_S
     leases_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
+    late_starts_end_in_s_by_runner: dict[str, float] | None = None
     missing_s_by_runner: dict[str, float] = field(default_factory=dict)
     max_job_bytes: int | None = None
     waits: Waits = field(default_factory=Waits)
@@ -95,9 +100,9 @@
 def encode_owner_record(record: OwnerRecord) -> bytes:
     """Encode the content of an owner row as JSON.
 
-    The field `max_job_bytes` is left out while it is None: former builds can't read it.
-    Missing runners, waits and the limits of customers are left out where there are
-    none.
+    Late starts and the field `max_job_bytes` are left out while they are None: former
+    builds can't read the latter. Missing runners, waits and the limits of customers are
+    left out where there are none.
     """
     fields = _to_fields(record)
     if not record.missing_s_by_runner:
@@ -106,6 +111,8 @@
         del fields["waits"]
     if record.max_job_bytes is None:
         del fields["max_job_bytes"]
+    if record.late_starts_end_in_s_by_runner is None:
+        del fields["late_starts_end_in_s_by_runner"]
     if record.backlog is not None and not record.backlog.limit_by_customer:
         fields["backlog"] = _to_fields(record.backlog)
         del fields["backlog"]["limit_by_customer"]
@@ -130,6 +137,7 @@
     times_s = [
         record.leases_end_in_s,
         *record.leases_end_in_s_by_runner.values(),
+        *(record.late_starts_end_in_s_by_runner or {}).values(),
         *record.missing_s_by_runner.values(),
     ]
     if record.written_s is not None:
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -122,8 +122,13 @@
     count_backlog : callable
         Returns the `Backlog` to publish, or None while it is not known. Called for each
         transaction that is sent, also for one that is repeated.
+    unnamed_leases_end_in_s : float
+        Seconds in which the leases have lapsed that end after all others and that the
+        row has no room to name; `list_short_leases` sets it.
     list_short_leases : callable
         Returns `OwnerRecord.leases_end_in_s_by_runner` to publish, called once a write.
+    list_late_starts : callable
+        Returns `OwnerRecord.late_starts_end_in_s_by_runner`, called once a write.
     list_missing_runners : callable
         Returns `OwnerRecord.missing_s_by_runner`, called for each transaction.
     list_waits : callable
@@ -160,7 +165,11 @@
         self.shard = shard
         self.fence = 0
         self.count_backlog: Callable[[], Backlog | None] = _unknown_backlog
+        self.unnamed_leases_end_in_s = 0.0
         self.list_short_leases = self._list_earlier_leases
+        self.list_late_starts = lambda: self.earlier_leases.list_starts_left_s(
+            self._clock.now()
+        )
         self.list_missing_runners = lambda: self.former_missing_s_by_runner
         self.list_waits = lambda: self.former_waits
         self.find_max_job_bytes: Callable[[], int | None] = lambda: None
@@ -326,6 +335,7 @@
         # Runners that are lost while the write is repeated, as the store is away, keep
         # their full leases.
         short_leases = self.list_short_leases()
+        late_starts = self.list_late_starts()
         for runner, end_in_s in short_leases.items():
             valid_s = _short_valid_s(end_in_s)
             known_s = self._short_in_flight.get(runner, valid_s)
@@ -338,6 +348,7 @@
                 written_s=self._store_clock.upper_bound_at(sent_s),
                 leases_end_in_s=self._leases_end_in_s(sent_s, grants_leases),
                 leases_end_in_s_by_runner=short_leases,
+                late_starts_end_in_s_by_runner=late_starts,
                 missing_s_by_runner=self.list_missing_runners(),
                 max_job_bytes=self.find_max_job_bytes(),
                 waits=self.list_waits(),
@@ -381,7 +392,7 @@
         if not grants_leases:
             lease_s = max(0.0, self._granted_until_s - now_s)
         earlier_s = self.earlier_leases.latest_end_s - now_s
-        return max(longest_lease_s(lease_s), earlier_s)
+        return max(longest_lease_s(lease_s), earlier_s, self.unnamed_leases_end_in_s)
 
     def _list_earlier_leases(self) -> dict[str, float]:
         """Return what an earlier owner published, until this owner knows more."""
--- a/tests/test_missing_runners.py
+++ b/tests/test_missing_runners.py
@@ -9,6 +9,9 @@
 from flamingoweir.clock import BootClock
 from flamingoweir.dispatch._carried_waits import CarriedWaits
 from flamingoweir.dispatch._committer import MAX_SHORT_LEASE_BYTES
+from flamingoweir.dispatch._late_starts import (
+    MAX_PUBLISHED_BYTES as MAX_LATE_START_BYTES,
+)
 from flamingoweir.dispatch._missing_runners import ENTRY_BYTES, MissingRunners
 from flamingoweir.jobs import JobState
 from flamingoweir.metrics import NoMetrics
@@ -74,11 +77,14 @@
     step_wait, run_wait = StepWait(10_000.999, 10_000.999), RunWait(9.9, 10.0, 6.0, 1)
     former = Waits(dict.fromkeys(names, step_wait), dict.fromkeys(names, run_wait))
     waits = CarriedWaits(BootClock(), former).list_waits()
+    late_count = MAX_LATE_START_BYTES // (id_bytes + ENTRY_BYTES)
+    late_starts = {f"{number:0{id_bytes}d}": 16.401 for number in range(late_count)}
     record = OwnerRecord(
         "a",
         "a/1",
         1,
         leases_end_in_s_by_runner=leases,
+        late_starts_end_in_s_by_runner=late_starts,
         missing_s_by_runner=missing,
         waits=waits,
     )
