Histories: calls that cross a restart, and cuts soon after it

Late orders are no reason any more to leave a restart out (KNOWN-RED 5). A runner may restart with a late renewal under way and be cut off; until such a cut ends nobody can know whether it carries out an earlier order, so that the time counts from its end.

A runner is not restarted within 2.5 s of a start in these: a crash then is blamed on the task (KNOWN-RED 11), and the job fails.

--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -26,6 +26,7 @@
     draw_losses,
     find_absent,
     find_late_restarts,
+    has_young_run,
 )
 from tests.utils.losses import check_runs
 from tests.utils.restart_histories import MEMBERS, RestartHistory, draw_restarts
@@ -44,6 +45,8 @@
     "crash_runner",
     "restart_runner",
     "delay_lost_starts",
+    "delay_lost_renewals",
+    "restart_and_cut_runner",
     "discard_history",
     "drain",
     "submit",
@@ -118,7 +121,9 @@
         member.store.lose_answers = 2
 
     async def disconnect_runner(self, duration_s):
-        runner = self.any_runner()
+        await self._disconnect(self.any_runner(), duration_s)
+
+    async def _disconnect(self, runner, duration_s):
         links = []
         for member in self.cluster.member_by_name.values():
             if runner.id in member.link_by_runner:
@@ -153,6 +158,25 @@
             runner.restart()
             self.cluster.list_runner(runner.id)
 
+    async def restart_and_cut_runner(self, duration_s):
+        """Restart a runner while calls to it are late, and cut it off soon after."""
+        runner = self.any_runner()
+        if not runner.up or has_young_run(runner):
+            return
+        await self.delay_lost_renewals(duration_s)
+        await anyio.sleep(self.generator.uniform(0, 1.2))
+        runner.crash(closes=self.generator.random() < 0.5)
+        await anyio.sleep(self.generator.uniform(0.1, 1.0))
+        runner.restart()
+        self.cluster.list_runner(runner.id)
+        await anyio.sleep(self.generator.uniform(0, 2.0))
+        await self._disconnect(runner, 2.0 + duration_s)
+
+    async def delay_lost_renewals(self, duration_s):
+        for link in (await self.pick_owner()).link_by_runner.values():
+            link.delivery_delay_s = 2.0 + duration_s
+            link.lose_renewals = 1
+
     async def delay_lost_starts(self, duration_s):
         for link in (await self.pick_owner()).link_by_runner.values():
             link.delivery_delay_s = 2.0 + duration_s
--- a/tests/utils/loss_histories.py
+++ b/tests/utils/loss_histories.py
@@ -77,6 +77,7 @@
     "crash",
     "crash_unlisted",
     "restart",
+    "restart_and_cut",
     "return_with_new_id",
     "cut",
     "cut_but_owner",
@@ -134,6 +135,13 @@
     return RunnerLoss(generator.uniform(-1.5, 1.5), kind, duration_s)
 
 
+def has_young_run(runner) -> bool:
+    """Return whether a crash of a runner would be blamed on a task."""
+    young_from_s = anyio.current_time() - BLAME_S
+    starts = [r.at_s for r in runner.records if r.kind == "start"]
+    return bool(starts) and starts[-1] > young_from_s
+
+
 class AttemptLog:
     """Records when the attempts at long-running tasks became durable.
 
@@ -198,8 +206,6 @@
         self._lost_runners: set[str] = set()
         #: Instances that reach no other runners than those that nobody else reaches.
         self._isolated: set[Member] = set()
-        #: Runners that may still carry out an order of another incarnation.
-        self._late_runners: set[str] = set()
 
     async def play(self, owner_losses) -> None:
         """Inject losses; return when all of them have ended."""
@@ -280,20 +286,12 @@
         runner_id = self._generator.choice(sorted(chosen_from or healthy))
         runner = self._cluster.runner_by_id[runner_id]
         kind = loss.kind
-        if kind == "restart" and runner_id in self._late_runners:
-            # KNOWN-RED 5 is of orders that the next incarnation carries out.
-            kind = "return_with_new_id"
-        if not kind.startswith("cut") and self._has_young_run(runner):
+        if not kind.startswith("cut") and has_young_run(runner):
             kind = "cut"
         self._lost_runners.add(runner_id)
         self.losses.append((anyio.current_time(), runner_id))
         await getattr(self, f"_{kind}")(runner, loss.duration_s)
 
-    def _has_young_run(self, runner) -> bool:
-        young_from_s = anyio.current_time() - BLAME_S
-        starts = [r.at_s for r in runner.records if r.kind == "start"]
-        return bool(starts) and starts[-1] > young_from_s
-
     async def _crash(self, runner, duration_s: float) -> None:
         runner.crash(closes=self._generator.random() < 0.3)
 
@@ -309,6 +307,28 @@
         self._cluster.list_runner(runner.id)
         self._lost_runners.discard(runner.id)
 
+    async def _restart_and_cut(self, runner, duration_s: float) -> None:
+        """Restart a runner that a late renewal may reach, and cut it off soon after.
+
+        Until the cut has ended, nobody can know whether it runs what it was ordered to
+        start before, so that the time counts from then on.
+        """
+        owner = self.find_owner()
+        link = owner and owner.link_by_runner.get(runner.id)
+        if link is not None:
+            link.delivery_delay_s = self._generator.uniform(1, 12)
+            link.lose_renewals = 1
+            await anyio.sleep(self._generator.uniform(0, 1.2))
+            link.lose_renewals = 0
+        await self._crash(runner, duration_s)
+        await anyio.sleep(self._generator.uniform(0.1, 1.0))
+        runner.restart()
+        self._cluster.list_runner(runner.id)
+        await anyio.sleep(self._generator.uniform(0, 3))
+        self.losses.append((anyio.current_time(), runner.id))
+        await self._cut(runner, duration_s)
+        self.losses.append((anyio.current_time(), runner.id))
+
     async def _return_with_new_id(self, runner, duration_s: float) -> None:
         await self._crash_unlisted(runner, duration_s)
         await anyio.sleep(duration_s / 2)
@@ -370,7 +390,6 @@
     async def _delay_lost_start(self, member: Member, duration_s: float) -> None:
         candidates = sorted(set(member.link_by_runner) - self._lost_runners)
         for runner_id in candidates[:2]:
-            self._late_runners.add(runner_id)
             link = member.link_by_runner[runner_id]
             link.delivery_delay_s = 2.0 + duration_s
             link.lose_starts = 1
