A runner that is listed again does not end the owner's term

What users would see: nothing is started for the length of a takeover, because of a runner that was missing from the list for more than 17 s and had restarted earlier in the term.

Cause: its fencing token had been raised. The owner forgot that 15 s after it had dropped the runner, called it with the token of the term, and took the rejection for a next owner's.

Why this works: a runner that is listed anew is called with the highest token of any runner that was dropped. Tokens of calls are those of confirmed writes, so that a next owner's is higher.

The new test failed at 25 s before (5 and 16 s passed), and passes.

--- a/flamingoweir/dispatch/_dropped_runners.py
+++ b/flamingoweir/dispatch/_dropped_runners.py
@@ -12,16 +12,23 @@
     ----------
     started_s : float
         Start of the owner's term on its clock, in seconds.
+
+    Attributes
+    ----------
+    highest_token : int
+        Highest token of calls to any of them, however long ago; 0: there are none.
     """
 
     def __init__(self, started_s: float):
         self._earlier_until_s = started_s + MAX_LATENESS_S
+        self.highest_token = 0
         self._token_by_id: dict[str, tuple[int, float]] = {}
 
     def record(self, runner: Runner, now_s: float) -> None:
         """Record that a runner is dropped."""
         self._expire(now_s)
         until_s = now_s + MAX_LATENESS_S
+        self.highest_token = max(self.highest_token, runner.call_fence.token)
         self._token_by_id[runner.id] = runner.call_fence.token, until_s
 
     def find_token(self, runner: str, now_s: float) -> int:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -691,7 +691,8 @@
             entry,
             self._max_lease_s,
             self._earlier_leases.find_end_s(entry.id),
-            self.fence,
+            # The runner may not have restarted, and rejects lower tokens.
+            max(self.fence, self._dropped_runners.highest_token),
             self._dropped_runners.find_token(entry.id, now_s),
             self._dropped_runners.may_be_called(entry.id, now_s),
         )
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -209,3 +209,35 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+async def announce_often(cluster, runner_id: str) -> None:
+    """Write the row of a runner again and again, as runners do."""
+    while True:
+        cluster.list_runner(runner_id)
+        await anyio.sleep(0.25)
+
+
+@pytest.mark.parametrize("unlisted_s", [5.0, 16.0, 25.0])
+def test_term_goes_on_when_a_runner_is_listed_again(unlisted_s):
+    """Guards against a term that ends as the owner's own token has been raised.
+
+    The runner has restarted before, and rejects the token with which the term began.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=2) as cluster:
+            owner = await cluster.owner()
+            cluster.tasks.start_soon(announce_often, cluster, "runner-1")
+            runner = cluster.runner_by_id["runner-0"]
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await anyio.sleep(3)
+            term = owner.instance.term
+            cluster.unlist_runner(runner.id)
+            await anyio.sleep(unlisted_s)
+            cluster.list_runner(runner.id)
+            await anyio.sleep(3)
+            assert owner.instance.term is term
+
+    run_virtual(scenario)
