A long bound for one runner does not become that of all

What users would see: a long-running task is away for 18 to 22 s (LOST) where two owners are lost in turn, the second one together with the task's runner, if another runner had restarted before.

Cause: the row names a runner with the end of leases that late calls may have extended, up to 25.6 s ahead. The next owner's rows gave the latest end that it had read as the end of all leases.

Why this works: a runner whose leases may outlast the longest one is named by each row, so that what earlier rows said of it adds no more than the longest lease to the end of all others.

--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -387,12 +387,16 @@
 
         Without further leases, those end that were granted. A runner that an earlier
         row named may be named no more, as it responds; what was granted there goes on.
+        It is named as long as that may outlast the longest lease.
         """
         lease_s = LEASE_VALID_S
         if not grants_leases:
             lease_s = max(0.0, self._granted_until_s - now_s)
-        earlier_s = self.earlier_leases.latest_end_s - now_s
-        return max(longest_lease_s(lease_s), earlier_s, self.unnamed_leases_end_in_s)
+        earlier_s = self.earlier_leases.end_s - now_s
+        named_s = self.earlier_leases.latest_end_s - now_s
+        named_s = min(named_s, longest_lease_s(LEASE_VALID_S))
+        unnamed_s = self.unnamed_leases_end_in_s
+        return max(longest_lease_s(lease_s), earlier_s, named_s, unnamed_s)
 
     def _list_earlier_leases(self) -> dict[str, float]:
         """Return what an earlier owner published, until this owner knows more."""
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -241,3 +241,65 @@
             assert owner.instance.term is term
 
     run_virtual(scenario)
+
+
+def cut_once_seen(cluster, runner) -> None:
+    """Cut a runner from everybody once its next incarnation has responded."""
+    former = runner.incarnation
+    respond = runner.poll
+
+    def respond_and_cut(*args):
+        report = respond(*args)
+        if report.incarnation != former:
+            cut_runner(cluster, runner)
+        return report
+
+    runner.poll = respond_and_cut
+
+
+@pytest.mark.parametrize("second_term_s", [0.5, 2.0, 4.0])
+def test_task_does_not_wait_for_long_leases_of_another_runner(second_term_s):
+    """Guards against a bound for one runner that the row of a second owner gives all.
+
+    A runner restarts, is seen once and cut off while a start order is under way. Then
+    two owners are lost in turn, the second one together with another runner.
+    """
+
+    async def scenario():
+        async with run_cluster(members=4, runners=2) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            job_by_runner = {}
+            for number in (1, 2):
+                step = make_step(1, processors=3, lasting=True)
+                job = await cluster.submit(make_job(number, step))
+                await wait_for_starts(cluster, job, 1)
+                job_by_runner[cluster.starts(f"{job.id}.0.0.0")[0]] = job
+            await anyio.sleep(FORMER_LIFE_S)
+            restarted = cluster.runner_by_id["runner-0"]
+            other = cluster.runner_by_id["runner-1"]
+            link = owner.link_by_runner[restarted.id]
+            link.lose_starts, link.delivery_delay_s = 1, 6.0
+            await cluster.submit(make_job(3, make_step(1, lasting=True)))
+            while link.lose_starts:
+                await anyio.sleep(0.001)
+            restarted.crash(closes=True)
+            cut_once_seen(cluster, restarted)
+            await anyio.sleep(0.2)
+            restarted.restart()
+            cluster.list_runner(restarted.id)
+            cluster.add_runner("runner-2")
+            cluster.add_runner("runner-3")
+            await anyio.sleep(1.5)
+            await kill(cluster, owner)
+            owner = await cluster.owner()
+            await anyio.sleep(second_term_s)
+            other.crash()
+            lost_s = anyio.current_time()
+            await kill(cluster, owner)
+            await anyio.sleep(30)
+            away_s = last_start_s(cluster, job_by_runner[other.id]) - lost_s
+            assert 0 < away_s < MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
