A next owner does not begin the wait for late calls anew

What users would see: a long-running task is away for 10.3 s (LOST allows 9) if its runner is lost within 20 s of its restart, and the shard has changed its owner in between.

Cause: to a new owner, an incarnation of up to 20 s may have leases of the longest length, as calls to the former one may have come just before its own first call. It ignored that the owner before had fenced these calls already.

Why this works: where attempts of this very incarnation are in the store, the owner that wrote them has seen it. Either it had fenced calls to the former incarnation, or its row names the runner with what they may extend. So the end in the row holds for them, too.

--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -349,7 +349,8 @@
     ) -> list[Allocation]:
         """Record a new incarnation; return the allocations of former ones.
 
-        The leases of an earlier owner go on for those of this incarnation.
+        The leases of an earlier owner go on for those of this incarnation. That owner
+        has fenced calls to former ones, or its bound includes what they may extend.
 
         Parameters
         ----------
@@ -368,7 +369,8 @@
             if allocation.attempt.incarnation != incarnation:
                 lost.append(allocation)
         lease_s = 0.0
-        if self.incarnation is None and len(lost) < len(self.allocation_by_run):
+        was_known = self.incarnation is None and len(lost) < len(self.allocation_by_run)
+        if was_known:
             lease_s = max(0.0, self._earlier_leases_end_s - now_s)
         self._leases_end_ms = round(self._estimate_clock_ms(now_s) + 1000 * lease_s)
         inherited_s = MAX_LATENESS_S + self._max_lease_s
@@ -379,6 +381,8 @@
             if self.call_fence.is_established:
                 inherited_s += WALL_CLOCK_MARGIN_S - age_s
                 inherited_s = min(inherited_s, self._max_lease_s)
+            if was_known:
+                inherited_s = min(inherited_s, lease_s)
             if not self._may_be_called:
                 inherited_s = 0.0
         self._record_inherited(inherited_s, now_s)
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -303,3 +303,34 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("owner_lost_s", [4.0, 8.0, 12.0, 16.0])
+def test_runner_that_restarted_is_lost_soon_after_its_owner(owner_lost_s):
+    """Guards against a wait for the longest lease that begins anew with each owner.
+
+    The former owner has fenced calls to the former incarnation for long.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, runners=1) as cluster:
+            await cluster.owner()
+            runner = cluster.runner_by_id["runner-0"]
+            runner.restart()
+            # As on the platform, which tells the age of an incarnation.
+            runner.incarnation = round(cluster.wall_ms())
+            cluster.list_runner(runner.id)
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            await wait_for_starts(cluster, job, 1)
+            cluster.add_runner("runner-1")
+            await anyio.sleep(owner_lost_s)
+            await kill(cluster, await cluster.owner())
+            await cluster.owner()
+            await anyio.sleep(0.5)
+            runner.crash()
+            lost_s = anyio.current_time()
+            await anyio.sleep(20)
+            assert 0 < last_start_s(cluster, job) - lost_s < MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
