--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -334,3 +334,70 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("lose_owner", [do_nothing, kill])
+@pytest.mark.parametrize(
+    "dark_s, announced, arrival_s",
+    [(5.0, True, 6.0), (8.0, True, 11.5), (0.6, False, 6.0), (0.6, False, 11.5)],
+)
+def test_late_order_starts_a_task_on_an_incarnation_that_nobody_knows_of(
+    dark_s, announced, arrival_s, lose_owner
+):
+    """Guards against a task that runs twice beside a runner that is cut off (issue 48).
+
+    When its former leases lapse, the runner is still dark, or it reaches the store as
+    little as anybody reaches it.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            link = owner.link_by_runner["runner-0"]
+            link.lose_starts, link.delivery_delay_s = 1, arrival_s
+            await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            while link.lose_starts:
+                await anyio.sleep(0.01)
+            runner = cluster.runner_by_id["runner-0"]
+            runner.crash()
+            cut_runner(cluster, runner)
+            cluster.add_runner("runner-1")
+            await lose_owner(cluster, owner)
+            await anyio.sleep(dark_s)
+            runner.restart()
+            if announced:
+                cluster.list_runner(runner.id)
+            await anyio.sleep(40)
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("owners", [1, 2, 4])
+def test_task_that_has_run_for_long_waits_for_late_orders(owners):
+    """Guards against a long wait for a start order that was answered long ago.
+
+    The runner restarts and can't be reached; owners are lost in turn. Each next one
+    takes the orders of the owner before for unanswered, from the start of its term.
+    """
+
+    async def scenario():
+        async with run_cluster(members=owners + 2, runners=1) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(FORMER_LIFE_S)
+            runner.crash()
+            lost_s = anyio.current_time()
+            cut_runner(cluster, runner)
+            await anyio.sleep(DARK_S)
+            runner.restart()
+            cluster.list_runner(runner.id)
+            cluster.add_runner("runner-1")
+            for _ in range(owners):
+                await kill(cluster, await cluster.owner())
+                await anyio.sleep(8)
+            await anyio.sleep(40)
+            assert 0 < last_start_s(cluster, job) - lost_s < MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
