A runner that restarts at another address is used again

What users would see: a runner that is up gets no tasks, and those of its former incarnation whose start order got no response are away, for as long as the order is sent in vain to the address before (for good in virtual time, where such a call always counts as unanswered).

Cause: its attempts stay open while an announced incarnation may carry out such an order, and the owner calls the new address only once they have ended. Each repeated order began the wait anew.

Why this works: no order has been sent to the new address, so that nothing of it can be carried out there. If the order comes there all the same, the runs are forbidden once the runner has responded (late_orders).

The new test failed before (the task was not started again within 20 s), and passes.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -407,6 +407,9 @@
         self._suspect_tasks(runner)
         attempts = []
         entry = self._entry_by_id.get(runner.id)
+        if entry is not None and runner.entry.address not in ("", entry.address):
+            # No order has been sent there, and none is until the attempts have ended.
+            entry = None
         for allocation in runner.allocation_by_run.values():
             if entry is not None and runner.may_run_unseen(
                 allocation, entry.incarnation, now_s
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -336,6 +336,34 @@
     run_virtual(scenario)
 
 
+def test_runner_that_restarts_at_another_address_is_used_soon():
+    """Guards against a runner that stays unused for an order to its former address.
+
+    A start order without a response is sent there again and again.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            owner.link_by_runner["runner-0"].lose_starts = 1
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            await wait_for_starts(cluster, job, 1)
+            runner = cluster.runner_by_id["runner-0"]
+            runner.crash(closes=True)
+            crashed_s = anyio.current_time()
+            cluster.address_by_runner[runner.id] = "10.1.0.1:1"
+            owner.link_by_runner.pop(runner.id).disconnected = True
+            await anyio.sleep(DARK_S)
+            runner.restart()
+            cluster.tasks.start_soon(announce_often, cluster, runner.id)
+            await anyio.sleep(20)
+            assert 0 < last_start_s(cluster, job) - crashed_s < MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize("lose_owner", [do_nothing, kill])
 @pytest.mark.parametrize(
     "dark_s, announced, arrival_s",
