--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -4,6 +4,7 @@
 import pytest
 
 from flamingoweir.jobs import JobState
+from flamingoweir.ownership import decode_owner_record, owner_row
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.loss_histories import MAX_AWAY_S
 from tests.utils.losses import (
@@ -81,6 +82,8 @@
     run_virtual(scenario)
 
 
+#: Most bytes of a row's value that the store accepts.
+MAX_ROW_BYTES = 65_536
 #: Seconds for which a runner is dark before its next incarnation is up.
 DARK_S = 0.6
 #: When a call to the former incarnation arrives, in seconds after the crash: before the
@@ -364,6 +367,39 @@
     run_virtual(scenario)
 
 
+def test_row_of_an_owner_whose_runners_have_restarted_is_too_large_for_the_store():
+    """Guards against an owner that loses the shard as its row is refused.
+
+    All leases end late, as calls to former incarnations may have extended them.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1, runners=0) as cluster:
+            for number in range(400):
+                cluster.add_runner(f"runner-{number:0193d}", 1)
+            await cluster.owner()
+            await anyio.sleep(1)
+            await cluster.submit(make_job(1, make_step(400, lasting=True)))
+            await anyio.sleep(3)
+            for runner in cluster.runner_by_id.values():
+                runner.restart()
+                cluster.list_runner(runner.id)
+            full_count = 0
+            for _ in range(40):
+                await anyio.sleep(0.1)
+                row = cluster.rows.row_by_id[owner_row("s0")]
+                assert len(row.value) < MAX_ROW_BYTES
+                record = decode_owner_record(row)
+                end_in_s_by_runner = record.leases_end_in_s_by_runner
+                if len(end_in_s_by_runner) > 150:
+                    # No others fit in, and they end as late.
+                    full_count += 1
+                    assert record.leases_end_in_s >= min(end_in_s_by_runner.values())
+            assert full_count
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize("lose_owner", [do_nothing, kill])
 @pytest.mark.parametrize(
     "dark_s, announced, arrival_s",
