--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -367,3 +367,34 @@
         assert fleet.is_placed(60)
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("count", [100, 300])
+def test_loss_of_a_rack_in_a_fleet_full_of_batch_is_made_good_in_time(count):
+    """Guards against room that is made for so few tasks a pass that others wait.
+
+    With two a pass, 140 tasks are placed in time: one second of the nine passes until
+    room is made, another one until the first stops.
+    """
+
+    async def scenario():
+        usable = 60
+        fleet = Fleet(
+            usable + 1,
+            *count * [batch_spec(1, 1, lasting=True)],
+            batch_spec(8 * usable),
+        )
+        fleet.lose(usable, count)
+        batch = fleet.steps[count]
+        for index in range(8 * usable):
+            attempt = fleet.state.add_attempt(
+                batch, index, fleet.runners[index % usable]
+            )
+            fleet.state.record_start(attempt)
+        for number in range(count):
+            fleet.lapse(number, usable)
+        await fleet.pass_for(MAX_AWAY_S)
+        assert all(map(fleet.is_placed, range(count)))
+        assert fleet.evicted == count
+
+    run_virtual(scenario)
