What is promised is summed up as it changes, not for each step

Cause: each step that was tried summed up all promises anew, so that a pass took as long as the square of the number of absent tasks; with room made for sixteen tasks a pass there are many more promises.

Change: the promises are a class of their own, which keeps the sums by runner and the tasks with a promise by step.

--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -1,7 +1,6 @@
 """Evicts batch work for long-running tasks that are away and find no room."""
 
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
 
 from ..fleet import Runner
 from ..jobs import StepRun, TaskId
@@ -9,6 +8,7 @@
 from ..policy import ENOUGH_RUNNERS, EVICT_AFTER_S, LackOfRoom, choose_evictions
 from ..resources import Resources
 from ._owner_state import OwnerState
+from ._promises import Promise, Promises
 
 log = get_logger()
 
@@ -27,15 +27,6 @@
 MAX_FUTILE_CHOICES_PER_PASS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class _Promise:
-    """Resources of a runner that become free for one task."""
-
-    runner: str
-    resources: Resources
-    until_s: float
-
-
 class Evictions:
     """Requests the evictions that a planner needs, and keeps track of them.
 
@@ -47,7 +38,7 @@
 
     def __init__(self, owner_state: OwnerState):
         self._owner_state = owner_state
-        self._promise_by_task: dict[TaskId, _Promise] = {}
+        self._promises = Promises()
         self._lack_of_room = LackOfRoom()
         self._choices_left = 0
         self._futile_choices_left = 0
@@ -62,7 +53,7 @@
         self._choices_left = MAX_CHOICES_PER_PASS
         self._futile_choices_left = MAX_FUTILE_CHOICES_PER_PASS
         self._lack_of_room.begin_pass(now_s)
-        for task, promise in list(self._promise_by_task.items()):
+        for task, promise in self._promises.items():
             job = self._owner_state.job_by_id.get(task.job)
             step = job and job.run_by_step.get((task.occurrence, task.step))
             excess_s = MAX_PROMISE_EXCESS_S if promise.runner else 0.0
@@ -72,7 +63,7 @@
                 and task.index in step.open_indexes
             ):
                 continue
-            del self._promise_by_task[task]
+            self._promises.discard(task)
 
     def promised_to_others(self, step: StepRun) -> dict[str, Resources]:
         """Return the resources that are promised to tasks of other steps, by runner.
@@ -82,31 +73,20 @@
         step : StepRun
             Step of which tasks are to be placed.
         """
-        own = (step.job.spec.id, step.occurrence, step.step)
-        promises = []
-        for task, promise in self._promise_by_task.items():
-            if (task.job, task.occurrence, task.step) != own:
-                promises.append(promise)
-        return _sum_by_runner(promises)
+        return self._promises.sum_of_others(step)
 
     def promised_runner(self, task: TaskId) -> str:
         """Return the id of the runner on which room is made for a task, or ""."""
-        promise = self._promise_by_task.get(task)
+        promise = self._promises.find(task)
         return promise.runner if promise is not None else ""
 
     def has_promise(self, step: StepRun) -> bool:
         """Return whether resources are promised to a task of a step."""
-        if not step.spec.lasting:
-            return False
-        own = (step.job.spec.id, step.occurrence, step.step)
-        for task, promise in self._promise_by_task.items():
-            if promise.runner and (task.job, task.occurrence, task.step) == own:
-                return True
-        return False
+        return self._promises.has_step(step)
 
     def record_placed(self, task: TaskId) -> None:
         """Record that a task was placed: nothing is promised to it any more."""
-        self._promise_by_task.pop(task, None)
+        self._promises.discard(task)
 
     def make_room(
         self,
@@ -138,7 +118,7 @@
                 return
             if not step.tasks.view(index).last_run:
                 return
-            promise = self._promise_by_task.get(step.task_id(index))
+            promise = self._promises.find(step.task_id(index))
             if promise is not None and now_s < promise.until_s:
                 continue
             # What is promised to a task already is no room for others.
@@ -156,8 +136,8 @@
         now_s: float,
     ) -> None:
         task = step.task_id(index)
-        self._promise_by_task.pop(task, None)
-        promised_by_runner = _sum_by_runner(self._promise_by_task.values())
+        self._promises.discard(task)
+        promised_by_runner = self._promises.sum_by_runner()
         first = self._first_candidate
         self._first_candidate += ENOUGH_RUNNERS
         found = choose_evictions(step, candidates, promised_by_runner, now_s, first)
@@ -168,12 +148,11 @@
             log.info("no_room_by_eviction", task=str(task), runners=len(candidates))
             self._lack_of_room.add(step, now_s)
             # Tried again after the time of a promise.
-            self._promise_by_task[task] = _Promise("", Resources(), now_s + PROMISE_S)
+            self._promises.add(task, Promise("", Resources(), now_s + PROMISE_S))
             return
         runner, allocations = found
-        self._promise_by_task[task] = _Promise(
-            runner.id, step.spec.reserved, now_s + PROMISE_S
-        )
+        promise = Promise(runner.id, step.spec.reserved, now_s + PROMISE_S)
+        self._promises.add(task, promise)
         log.info(
             "room_made",
             task=str(task),
@@ -183,13 +162,3 @@
         )
         for allocation in allocations:
             self._owner_state.stop_attempt(allocation.attempt, "evicted")
-
-
-def _sum_by_runner(promises: Iterable[_Promise]) -> dict[str, Resources]:
-    promised_by_runner: dict[str, Resources] = {}
-    for promise in promises:
-        if not promise.runner:
-            continue
-        promised = promised_by_runner.get(promise.runner, Resources())
-        promised_by_runner[promise.runner] = promised + promise.resources
-    return promised_by_runner
--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -369,6 +369,23 @@
     run_virtual(scenario)
 
 
+def lose_rack(count: int, usable: int) -> Fleet:
+    """Return a fleet full of batch in which as many absent tasks have just lapsed."""
+    fleet = Fleet(
+        usable + 1,
+        *count * [batch_spec(1, 1, lasting=True)],
+        batch_spec(8 * usable),
+    )
+    fleet.lose(usable, count)
+    batch = fleet.steps[count]
+    for index in range(8 * usable):
+        runner = fleet.runners[index % usable]
+        fleet.state.record_start(fleet.state.add_attempt(batch, index, runner))
+    for number in range(count):
+        fleet.lapse(number, usable)
+    return fleet
+
+
 @pytest.mark.parametrize("count", [100, 300])
 def test_loss_of_a_rack_in_a_fleet_full_of_batch_is_made_good_in_time(count):
     """Guards against room that is made for so few tasks a pass that others wait.
@@ -378,23 +395,39 @@
     """
 
     async def scenario():
-        usable = 60
-        fleet = Fleet(
-            usable + 1,
-            *count * [batch_spec(1, 1, lasting=True)],
-            batch_spec(8 * usable),
-        )
-        fleet.lose(usable, count)
-        batch = fleet.steps[count]
-        for index in range(8 * usable):
-            attempt = fleet.state.add_attempt(
-                batch, index, fleet.runners[index % usable]
-            )
-            fleet.state.record_start(attempt)
-        for number in range(count):
-            fleet.lapse(number, usable)
+        fleet = lose_rack(count, 60)
         await fleet.pass_for(MAX_AWAY_S)
         assert all(map(fleet.is_placed, range(count)))
         assert fleet.evicted == count
 
     run_virtual(scenario)
+
+
+def test_pass_does_not_sum_up_all_promises_for_each_step(monkeypatch):
+    """Guards against passes that take as long as the square of the absent tasks.
+
+    Additions and subtractions are counted in a pass in which 300 have a promise.
+    """
+    counts = {"__add__": 0, "__sub__": 0}
+
+    def count_calls(name: str):
+        original = getattr(Resources, name)
+
+        def counted(*args):
+            counts[name] += 1
+            return original(*args)
+
+        monkeypatch.setattr(Resources, name, counted)
+
+    async def scenario():
+        tasks, runners = 300, 60
+        fleet = lose_rack(tasks, runners)
+        fleet.stop_s = dict.fromkeys((r.id for r in fleet.runners), 5.0)
+        await fleet.pass_for(3.2)
+        assert fleet.evicted == tasks
+        for name in counts:
+            count_calls(name)
+        await fleet.planner.plan()
+        assert sum(counts.values()) < 10 * (tasks + runners)
+
+    run_virtual(scenario)
