A test of the age by which a next owner knows of late calls

No logic changes. Incarnations of the stand-in runners count from 1, so that all were taken for old, and no test of tests/test_late_orders.py failed without the rule on the age of an incarnation. The new one fails without it in both cases, and passes.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -400,6 +400,39 @@
     run_virtual(scenario)
 
 
+@pytest.mark.parametrize("kind", ["start", "renewal"])
+def test_next_owner_is_the_first_to_see_an_incarnation(kind):
+    """Guards against leases that were extended before an owner's first call.
+
+    The owner before is lost together with the former incarnation, so that no row names
+    the runner. Its next incarnation is young when it responds, and is cut off soon.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, runners=1) as cluster:
+            job, runner = await start_lasting(cluster)
+            await anyio.sleep(FORMER_LIFE_S)
+            owner = await cluster.owner()
+            link = owner.link_by_runner[runner.id]
+            await lose_call(cluster, link, kind, 1.2)
+            runner.crash(closes=True)
+            await kill(cluster, owner)
+            await anyio.sleep(DARK_S)
+            runner.restart()
+            # As on the platform, which tells the age of an incarnation.
+            runner.incarnation = round(cluster.wall_ms())
+            cluster.list_runner(runner.id)
+            await wait_for_starts(cluster, job, 2)
+            await anyio.sleep(0.5)
+            cut_runner(cluster, runner)
+            cluster.add_runner("runner-1")
+            await anyio.sleep(25)
+            assert cluster.starts(f"{job.id}.0.0.0")[-1] == "runner-1"
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize("lose_owner", [do_nothing, kill])
 @pytest.mark.parametrize(
     "dark_s, announced, arrival_s",
