--- a/flamingoweir/dispatch/_dropped_runners.py
+++ b/flamingoweir/dispatch/_dropped_runners.py
@@ -37,7 +37,7 @@
         token, _ = self._token_by_id.get(runner, (0, 0.0))
         return token
 
-    def may_be_called(self, runner: str, now_s: float) -> bool:
+    def may_get_late_calls(self, runner: str, now_s: float) -> bool:
         """Return whether calls of this or an earlier owner may reach a new entry's id.
 
         An earlier owner's calls have arrived some time after the start of the term.
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -162,11 +162,11 @@
 
     def _classify_fenced(self, runner: Runner, fence: int) -> StartResult:
         """End the term after a fenced start, unless it was a former incarnation's."""
-        if self._end_if_succeeded(runner, fence):
+        if self._end_if_replaced(runner, fence):
             return StartResult.FENCED
         return StartResult.REJECTED
 
-    def _end_if_succeeded(self, runner: Runner, fence: int) -> bool:
+    def _end_if_replaced(self, runner: Runner, fence: int) -> bool:
         """End the term if a next owner has called a runner; return whether it has."""
         if runner.call_fence.is_stale(fence):
             return False
@@ -231,7 +231,7 @@
         try:
             await link.stop(attempt.task, attempt.run, fence)
         except Fenced:
-            return self._end_if_succeeded(runner, fence)
+            return self._end_if_replaced(runner, fence)
         except RunnerUnreachable:
             return False
         # The run can't start there any more; the next poll reports its end.
@@ -250,7 +250,7 @@
                 try:
                     await link.stop(task, run, fence)
                 except Fenced:
-                    self._end_if_succeeded(runner, fence)
+                    self._end_if_replaced(runner, fence)
                 except RunnerUnreachable:
                     await anyio.sleep(RESEND_PAUSE_S)
                     continue
@@ -270,7 +270,7 @@
         try:
             await link.stop(task, run, fence)
         except Fenced:
-            self._end_if_succeeded(runner, fence)
+            self._end_if_replaced(runner, fence)
         except RunnerUnreachable as error:
             log.info("stop_unanswered", runner=runner_id, detail=str(error))
 
@@ -285,7 +285,7 @@
             try:
                 await link.renew(fence, runner.last_durable_end, deadline_ms)
             except Fenced:
-                self._end_if_succeeded(runner, fence)
+                self._end_if_replaced(runner, fence)
             except RunnerUnreachable as error:
                 log.info("renewal_unanswered", runner=runner.id, detail=str(error))
 
@@ -309,7 +309,7 @@
             try:
                 await link.set_pace(attempt.task, attempt.run, percent, fence)
             except Fenced:
-                if self._end_if_succeeded(runner, fence):
+                if self._end_if_replaced(runner, fence):
                     return
                 continue
             except RunnerUnreachable:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -697,7 +697,7 @@
             # The runner may not have restarted, and rejects lower tokens.
             max(self.fence, self._dropped_runners.highest_token),
             self._dropped_runners.find_token(entry.id, now_s),
-            self._dropped_runners.may_be_called(entry.id, now_s),
+            self._dropped_runners.may_get_late_calls(entry.id, now_s),
         )
 
     def _record_outcome(
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -40,13 +40,13 @@
         "customer",
         "earlier_stalls",
         "expect_listed_after_s",
+        "late_start_until_s",
         "load",
         "headroom_deviation",
         "listed_s",
         "service",
         "spec",
         "start_sent",
-        "late_start_until_s",
         "start_unanswered",
         "started_s",
         "throttled_since_s",
@@ -125,7 +125,7 @@
     stale_token : int
         Highest fencing token of this owner's calls to the runner before it was dropped;
         0: there were none.
-    may_be_called : bool
+    may_get_late_calls : bool
         Whether calls of an earlier owner, or to an earlier incarnation, may reach the
         runner.
 
@@ -184,7 +184,7 @@
         earlier_leases_end_s: float = 0.0,
         token: int = 0,
         stale_token: int = 0,
-        may_be_called: bool = True,
+        may_get_late_calls: bool = True,
     ):
         self._entry = entry
         self.incarnation: int | None = None
@@ -214,7 +214,7 @@
         self._leases_end_ms = 0
         #: End of leases that calls to former incarnations may have extended.
         self._inherited_end_ms = 0
-        self._may_be_called = may_be_called
+        self._may_get_late_calls = may_get_late_calls
 
     @property
     def entry(self) -> RunnerEntry:
@@ -383,7 +383,7 @@
                 inherited_s = min(inherited_s, self._max_lease_s)
             if was_known:
                 inherited_s = min(inherited_s, lease_s)
-            if not self._may_be_called:
+            if not self._may_get_late_calls:
                 inherited_s = 0.0
         self._record_inherited(inherited_s, now_s)
         self.incarnation = incarnation
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -65,7 +65,8 @@
         earlier one has granted or will grant without another write.
     leases_end_in_s_by_runner : dict of str to float
         The same by id of a runner that leaves, is unresponsive, or has not responded to
-        this owner yet. Leases mostly end earlier there.
+        this owner yet, where leases mostly end earlier, or that has restarted, where
+        they may end later.
     late_starts_end_in_s_by_runner : dict of str to float or None
         Seconds after the write until no start order of this owner or an earlier one can
         reach a runner any more, by runner id; 0 for others. Counts orders without a
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -318,9 +318,9 @@
     def _inherits_leases(self, runner: Runner) -> bool:
         """Return whether a task would be away for long if the runner were lost now.
 
-        Until the leases have ended that calls to a former incarnation may have extended
-        there, no other run may start. The load: a zone of runners that restart and are
-        lost again within seconds.
+        Calls to a former incarnation may have extended its leases, and the task can't
+        run elsewhere until these have ended. Answers the load at which all runners of a
+        zone restart and are lost again seconds later, while other zones have room.
         """
         return runner.inherited_s(self._now_s) > RUNNER_LEASE_S
 
