Steps that no runner can hold are not searched a runner each

Cause: in each pass, an absent long-running task without room asks for a runner to be kept free, and each such step looked at all runners.

The largest of what unreserved runners have beside long-running tasks are collected once for each kind of step and slice of a pass; what fits in none of them is not searched for. `Runner.beside_lasting` keeps the difference that each look computed. Placements only reduce it, and a released runner discards the list, so that no reservation is left out: a test compares with the search.

--- a/flamingoweir/dispatch/_candidates.py
+++ b/flamingoweir/dispatch/_candidates.py
@@ -4,7 +4,7 @@
 
 from ..fleet import Runner
 from ..jobs import StepRun
-from ..policy import PlacementPolicy
+from ..policy import PlacementPolicy, largest_beside_lasting
 from ..resources import Resources
 
 
@@ -38,6 +38,7 @@
         self._now_s = now_s
         self._all_by_kind: dict[tuple[str, str], list[Runner]] = {}
         self._unreserved_by_kind: dict[tuple[str, str], list[Runner]] = {}
+        self._largest_by_kind: dict[tuple[str, str], list[Resources]] = {}
         self._is_large_enough: dict[tuple[str, str, Resources], bool] = {}
 
     def has_large_enough(self, step: StepRun) -> bool:
@@ -87,6 +88,20 @@
             return [*found, own]
         return found
 
+    def may_reserve(self, step: StepRun) -> bool:
+        """Return whether a runner may be found to be kept free for a step.
+
+        False is certain: no unreserved runner has as much beside its long-running
+        tasks. Runners that are reserved later may count as unreserved. Answers many
+        absent tasks that no runner can hold.
+        """
+        kind = (step.job.spec.policy.service, step.spec.label)
+        largest = self._largest_by_kind.get(kind)
+        if largest is None:
+            largest = largest_beside_lasting(self.find(step))
+            self._largest_by_kind[kind] = largest
+        return any(step.spec.reserved.fits_in(beside) for beside in largest)
+
     @property
     def reserved_ids(self) -> frozenset[str]:
         """Ids of the runners that are kept free for a step."""
@@ -100,7 +115,7 @@
     def release(self, step: StepRun) -> None:
         """Keep no runner free for a step any more."""
         if self._runner_by_step.pop(step, None) is not None:
-            self._unreserved_by_kind.clear()
+            self._clear_unreserved()
 
     def recheck(self, step: StepRun, runners: Iterable[Runner]) -> None:
         """Collect anew if a runner that got tasks of a step may get no more.
@@ -112,4 +127,8 @@
         if len(suitable) < len(runners):
             self._is_large_enough.clear()
             self._all_by_kind.clear()
-            self._unreserved_by_kind.clear()
+            self._clear_unreserved()
+
+    def _clear_unreserved(self) -> None:
+        self._unreserved_by_kind.clear()
+        self._largest_by_kind.clear()
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -310,6 +310,8 @@
         reserved_ids = self._candidates.reserved_ids
         if len(reserved_ids) >= MAX_RESERVED_RUNNERS:
             return
+        if not self._candidates.may_reserve(step):
+            return
         candidates = self._candidates.find_all(step)
         runner = self._placement.reserve(step, candidates, reserved_ids)
         if runner is not None:
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -143,6 +143,8 @@
         Sum of the resources reserved by all allocations.
     lasting_reserved : Resources
         Sum of the resources reserved by long-running tasks.
+    beside_lasting : Resources
+        Capacity that long-running tasks leave to others.
     free_resources : Resources
         Capacity that is not reserved.
     spare_demand_milli : int
@@ -193,6 +195,7 @@
         self.allocation_by_run: dict[tuple[TaskId, int], Allocation] = {}
         self.reserved = Resources()
         self.lasting_reserved = Resources()
+        self.beside_lasting = entry.capacity
         self.free_resources = entry.capacity
         self.revision = 0
         self.spare_demand_milli = 0
@@ -227,6 +230,7 @@
             self.revision += 1
             self.no_room_until_s = float("-inf")
         self._entry = entry
+        self.beside_lasting = entry.capacity - self.lasting_reserved
         self.free_resources = entry.capacity - self.reserved
 
     @property
@@ -264,6 +268,7 @@
         self.free_resources = self._entry.capacity - self.reserved
         if spec.lasting:
             self.lasting_reserved = self.lasting_reserved + spec.reserved
+            self.beside_lasting = self._entry.capacity - self.lasting_reserved
         if spec.uses_spare:
             self.spare_demand_milli += spec.demand.processors_milli
         if spec.latency_target_ms:
@@ -311,6 +316,7 @@
         self.free_resources = self._entry.capacity - self.reserved
         if spec.lasting:
             self.lasting_reserved = self.lasting_reserved - spec.reserved
+            self.beside_lasting = self._entry.capacity - self.lasting_reserved
         if spec.uses_spare:
             self.spare_demand_milli -= spec.demand.processors_milli
         if spec.latency_target_ms:
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -43,7 +43,12 @@
 from ._lack_of_room import LackOfRoom
 from ._order import AWAY_PRIORITY, MAX_VALUABLE_OBJECTIVES, objective_s, sort_key
 from ._paces import PaceChange
-from ._placement import PlacementPolicy, StepPlacement, unplaced_s
+from ._placement import (
+    PlacementPolicy,
+    StepPlacement,
+    largest_beside_lasting,
+    unplaced_s,
+)
 from ._shares import (
     ABOVE_SHARE,
     BELOW_SHARE,
@@ -125,6 +130,7 @@
     "is_below_half",
     "is_within",
     "job_value",
+    "largest_beside_lasting",
     "list_steps",
     "objective_s",
     "objective_s",
--- a/flamingoweir/policy/_eviction.py
+++ b/flamingoweir/policy/_eviction.py
@@ -66,9 +66,7 @@
     for runner in candidates:
         if limit and count_by_runner[runner.id] >= limit:
             continue
-        if not step.spec.reserved.fits_in(
-            runner.entry.capacity - runner.lasting_reserved
-        ):
+        if not step.spec.reserved.fits_in(runner.beside_lasting):
             continue
         promised = promised_by_runner.get(runner.id, Resources())
         found = _choose_on_runner(step.spec.reserved, runner, promised, now_s)
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -117,8 +117,7 @@
                 continue
             if limit and count_by_runner[runner.id] >= limit:
                 continue
-            beside_lasting = runner.entry.capacity - runner.lasting_reserved
-            if not step.spec.reserved.fits_in(beside_lasting):
+            if not step.spec.reserved.fits_in(runner.beside_lasting):
                 continue
             if (
                 best is None
@@ -339,6 +338,24 @@
         return self._now_s - since_s < DATA_RACK_WAIT_S
 
 
+def largest_beside_lasting(runners: Iterable[Runner]) -> list[Resources]:
+    """Return the largest of what runners have beside their long-running tasks.
+
+    What fits on a runner beside these fits in one of the results, of which none fits in
+    another one.
+    """
+    largest: list[Resources] = []
+    for runner in runners:
+        beside = runner.beside_lasting
+        for other in largest:
+            if beside.fits_in(other):
+                break
+        else:
+            largest = [other for other in largest if not other.fits_in(beside)]
+            largest.append(beside)
+    return largest
+
+
 def unplaced_s(step: StepRun, now_s: float) -> float:
     """Return the seconds for which a step has found no runner.
 
--- a/tests/test_step_placement.py
+++ b/tests/test_step_placement.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from flamingoweir.dispatch._candidates import CandidateLists
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Attempt, Job, JobSpec, QueuePolicy, StepSpec, TaskId
 from flamingoweir.policy import (
@@ -185,3 +186,35 @@
         attempt = step.job.start(step, index, expected.id, 1, NOW_S)
         expected.add(attempt, spec)
         placement.record_placed()
+
+
+def test_no_reservation_is_left_out_that_a_search_would_make():
+    """Guards against steps for which no runner is kept free, as none seems to suit."""
+    ruled_out = 0
+    for seed in range(300):
+        generator = random.Random(seed)
+        health, colocation = RunnerHealth(), ColocationPolicy()
+        runners = random_fleet(generator, colocation)
+        policy = PlacementPolicy(health, colocation)
+        lists = CandidateLists(policy, runners, {}, NOW_S)
+        for number in range(12):
+            processors = generator.choice((1, 3, 5, 9, 13))
+            memory_mb = generator.choice((0, 2500, 3500, 4000))
+            demand = Resources(processors * 1000, memory_mb, 0)
+            spec = StepSpec(1, demand, max_per_runner=generator.choice((0, 1)))
+            job = Job(JobSpec(f"{number}", "q", "", (spec,), QueuePolicy("s")))
+            step = job.run_by_step[0, 0]
+            found = policy.reserve(step, lists.find_all(step), lists.reserved_ids)
+            if not lists.may_reserve(step):
+                assert found is None
+                ruled_out += 1
+                continue
+            if found is not None:
+                lists.reserve(step, found)
+            if generator.random() < 0.3:
+                lists.release(step)
+            runner = generator.choice(runners)
+            if demand.fits_in(runner.free_resources):
+                lasting = StepSpec(1, demand, lasting=True)
+                runner.add(Attempt(step.task_id(0), 1, runner.id, 1), lasting)
+    assert ruled_out
