Early probes look at the runners with a quarantine

Cause: tries absent tasks without room on quarantined runners. To find these, each unplaced long-running step looked at all runners in each pass, also where none has ever been quarantined; so did each choice of evictions without result.

The runners with a quarantine are collected once in a slice of a pass. No placement begins a quarantine, and health is asked about the same runners as before; a test compares both with a look at all.

--- a/flamingoweir/dispatch/_candidates.py
+++ b/flamingoweir/dispatch/_candidates.py
@@ -38,9 +38,20 @@
         self._now_s = now_s
         self._all_by_kind: dict[tuple[str, str], list[Runner]] = {}
         self._unreserved_by_kind: dict[tuple[str, str], list[Runner]] = {}
+        self._quarantined: list[Runner] | None = None
         self._largest_by_kind: dict[tuple[str, str], list[Resources]] = {}
         self._is_large_enough: dict[tuple[str, str, Resources], bool] = {}
 
+    @property
+    def quarantined(self) -> list[Runner]:
+        """Runners that were quarantined and have not proved sound since.
+
+        No placement begins a quarantine.
+        """
+        if self._quarantined is None:
+            self._quarantined = self._placement.quarantined(self.runners)
+        return self._quarantined
+
     def has_large_enough(self, step: StepRun) -> bool:
         """Return whether a runner suits a step and could hold one of its tasks."""
         policy, spec = step.job.spec.policy, step.spec
--- a/flamingoweir/dispatch/_early_probes.py
+++ b/flamingoweir/dispatch/_early_probes.py
@@ -43,7 +43,8 @@
         step : StepRun
             Step of the tasks.
         runners : iterable of Runner
-            Runners that may be given tasks.
+            Runners that may be given tasks; those that have had no quarantine, or have
+            proved sound since, may be left out.
         withheld_by_runner : mapping of str to Resources
             Resources that the tasks must leave free, by runner id.
         now_s : float
@@ -53,7 +54,7 @@
             return
         if now_s - step.unplaced_since_s < EVICT_AFTER_S:
             return
-        # Most runners of a busy fleet have no room; this is the cheapest check.
+        # Most runners of a busy fleet have no room.
         with_room = []
         for runner in runners:
             if step.spec.reserved.fits_in(runner.free_resources):
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -224,9 +224,12 @@
 
         Return whether no task of the step is left.
         """
+        quarantined = self._candidates.quarantined
+        if not quarantined:
+            return False
         probes = self._early_probes.choose(
             step,
-            self._candidates.runners,
+            quarantined,
             self._evictions.promised_to_others(step),
             self._now_s,
         )
@@ -289,8 +292,8 @@
         candidates = self._candidates.find_all(step)
 
         def find_others() -> list[Runner]:
-            runners = self._candidates.runners
-            return self._placement.early_probes(step, runners, self._now_s)
+            quarantined = self._candidates.quarantined
+            return self._placement.early_probes(step, quarantined, self._now_s)
 
         self._evictions.make_room(step, candidates, find_others, self._now_s)
         if self._candidates.has_large_enough(step):
--- a/flamingoweir/policy/_health.py
+++ b/flamingoweir/policy/_health.py
@@ -116,6 +116,14 @@
                 return False
         return True
 
+    def has_quarantine(self, runner: str) -> bool:
+        """Return whether a runner was quarantined and has not proved sound since.
+
+        Others are usable. Only the end of an attempt, or a fault, begins a quarantine.
+        """
+        record = self._record_by_runner.get(runner)
+        return record is not None and record.quarantine_s > 0
+
     def may_probe_early(self, runner: Runner, now_s: float) -> bool:
         """Return whether an absent long-running task may probe an unusable runner.
 
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -49,6 +49,10 @@
             found.append(runner)
         return found
 
+    def quarantined(self, runners: Iterable[Runner]) -> list[Runner]:
+        """Return the runners that were quarantined and have not proved sound since."""
+        return [runner for runner in runners if self._health.has_quarantine(runner.id)]
+
     def early_probes(
         self, step: StepRun, runners: Iterable[Runner], now_s: float
     ) -> list[Runner]:
--- a/tests/test_step_placement.py
+++ b/tests/test_step_placement.py
@@ -218,3 +218,44 @@
                 lasting = StepSpec(1, demand, lasting=True)
                 runner.add(Attempt(step.task_id(0), 1, runner.id, 1), lasting)
     assert ruled_out
+
+
+def make_faulty_fleet(seed: int) -> tuple[PlacementPolicy, list[Runner]]:
+    """Return runners of which some had faults, and the policy that knows of these."""
+    generator = random.Random(seed)
+    health, colocation = RunnerHealth(), ColocationPolicy()
+    runners = random_fleet(generator, colocation)
+    for runner in runners:
+        for allocation in runner.allocation_by_run.values():
+            allocation.attempt.created_s = NOW_S - generator.uniform(0, 15)
+            if generator.random() < 0.5:
+                allocation.started_s = allocation.attempt.created_s + 0.1
+                allocation.listed_s = NOW_S
+        if generator.random() < 0.2:
+            runner.record_no_response(NOW_S)
+        for at_s in sorted(NOW_S - generator.uniform(0, 15) for _ in range(4)):
+            kind = generator.choice(("fault", "failed", "done", "nothing"))
+            if kind == "fault":
+                health.record_fault(runner.id, at_s)
+            elif kind != "nothing":
+                job = f"job-{generator.randrange(2)}"
+                health.record_end(runner.id, job, kind == "failed", at_s)
+    return PlacementPolicy(health, colocation), runners
+
+
+def test_early_probes_are_found_among_the_runners_with_a_quarantine():
+    """Guards against a quarantined runner that absent tasks don't try."""
+    spec = StepSpec(1, Resources(1000, 0, 0), lasting=True)
+    step = Job(JobSpec("job", "q", "", (spec,), QueuePolicy("s"))).run_by_step[0, 0]
+    found_count = 0
+    for seed in range(300):
+        policy, runners = make_faulty_fleet(seed)
+        expected = policy.early_probes(step, runners, NOW_S)
+        other_policy, runners = make_faulty_fleet(seed)
+        lists = CandidateLists(other_policy, runners, {}, NOW_S)
+        found = other_policy.early_probes(step, lists.quarantined, NOW_S)
+        assert [r.id for r in found] == [r.id for r in expected]
+        records = other_policy._health._record_by_runner
+        assert records == policy._health._record_by_runner
+        found_count += len(found)
+    assert found_count
