Late starts are looked at where there are some, not in all allocations

Each write went over every allocation of the fleet, to name the runners that start orders may reach: some ten thousand at 490 runners, 2.5 to 20 times a second. The allocations whose order is under way or got no response are kept apart now, and dropped with the first write after it can't come any more. The row says the same; tests/test_late_orders.py passes as before.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -30,7 +30,6 @@
 from ..storage import RowId
 from ._context import TermContext
 from ._effect_store import EffectStore
-from ._late_starts import list_late_starts
 from ._missing_runners import ENTRY_BYTES
 from ._orders import OrderSender
 from ._stored_rows import StoredRows
@@ -116,8 +115,10 @@
         """
         self._writer.count_backlog = self._count_backlog
         self._writer.list_short_leases = self._list_short_leases
-        self._writer.list_late_starts = lambda: list_late_starts(
-            self._owner_state.runner_by_id.values(), self._context.clock.now()
+        self._writer.list_late_starts = lambda: (
+            self._owner_state.late_starts.list_left_s(
+                self._owner_state.runner_by_id, self._context.clock.now()
+            )
         )
         self._writer.find_max_job_bytes = self._owner_state.parking.find_max_job_bytes
         await self._wait_for_responses()
--- a/flamingoweir/dispatch/_late_starts.py
+++ b/flamingoweir/dispatch/_late_starts.py
@@ -1,8 +1,8 @@
-"""What the owner row says of start orders that may be carried out late."""
+"""Start orders that may still be carried out, for the owner row."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 
-from ..fleet import MAX_LATENESS_S, Runner
+from ..fleet import MAX_LATENESS_S, Allocation, Runner
 from ..ownership import START_VALID_S
 from ._missing_runners import ENTRY_BYTES
 
@@ -10,42 +10,61 @@
 MAX_PUBLISHED_BYTES = 4_000
 
 
-def list_late_starts(
-    runners: Iterable[Runner], now_s: float
-) -> dict[str, float] | None:
-    """Return in how many seconds no start order can reach a runner any more.
+class LateStarts:
+    """Allocations whose start order is under way or got no response.
 
-    Counts orders that the next write allows to be sent, and those without a response.
+    Only these are looked at with each write, as a fleet has tens of thousands.
+    """
 
-    Parameters
-    ----------
-    runners : iterable of Runner
-        All runners.
-    now_s : float
-        Time on the owner's clock, in seconds.
+    def __init__(self) -> None:
+        self._allocations: dict[Allocation, None] = {}
 
-    Returns
-    -------
-    dict of str to float, or None
-        Seconds by the id of a runner with such orders; None if there are too many.
-    """
-    left_s_by_runner = {}
-    published_bytes = 0
-    for runner in runners:
-        left_s = _find_left_s(runner, now_s)
-        if left_s <= 0:
-            continue
-        published_bytes += len(runner.id.encode()) + ENTRY_BYTES
-        if published_bytes > MAX_PUBLISHED_BYTES:
-            return None
-        left_s_by_runner[runner.id] = round(left_s, 3)
-    return left_s_by_runner
-
-
-def _find_left_s(runner: Runner, now_s: float) -> float:
-    longest_s = 0.0
-    for allocation in runner.allocation_by_run.values():
-        if allocation.started_s is None:
-            return START_VALID_S + MAX_LATENESS_S
-        longest_s = max(longest_s, allocation.late_start_until_s - now_s)
-    return longest_s
+    def add(self, allocation: Allocation) -> None:
+        """Add an allocation whose order is to be sent, or got no response."""
+        self._allocations[allocation] = None
+
+    def list_left_s(
+        self, runner_by_id: Mapping[str, Runner], now_s: float
+    ) -> dict[str, float] | None:
+        """Return in how many seconds no start order can reach a runner any more.
+
+        Counts orders that the next write allows to be sent, and those without a
+        response. Allocations that have ended, or whose order can't come any more, are
+        dropped.
+
+        Parameters
+        ----------
+        runner_by_id : mapping of str to Runner
+            All runners.
+        now_s : float
+            Time on the owner's clock, in seconds.
+
+        Returns
+        -------
+        dict of str to float, or None
+            Seconds by the id of a runner with such orders; None if there are too many.
+        """
+        left_s_by_runner: dict[str, float] = {}
+        for allocation in list(self._allocations):
+            attempt = allocation.attempt
+            left_s = _find_left_s(allocation, now_s)
+            runner = runner_by_id.get(attempt.runner)
+            if (
+                left_s <= 0
+                or runner is None
+                or runner.find(attempt.task, attempt.run) is not allocation
+            ):
+                del self._allocations[allocation]
+                continue
+            longest_s = max(left_s_by_runner.get(runner.id, 0.0), left_s)
+            left_s_by_runner[runner.id] = round(longest_s, 3)
+        published_bytes = 0
+        for runner_id in left_s_by_runner:
+            published_bytes += len(runner_id.encode()) + ENTRY_BYTES
+        return left_s_by_runner if published_bytes <= MAX_PUBLISHED_BYTES else None
+
+
+def _find_left_s(allocation: Allocation, now_s: float) -> float:
+    if allocation.started_s is None:
+        return START_VALID_S + MAX_LATENESS_S
+    return allocation.late_start_until_s - now_s
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -107,9 +107,13 @@
         found = self._find_allocation(attempt)
         if found is not None:
             # It is not known whether the order was sent.
-            found[1].record_unanswered_start(now_s)
+            self._record_unanswered(found[1])
             self._owner_state.stop_attempt(attempt, "order_failed")
 
+    def _record_unanswered(self, allocation: Allocation) -> None:
+        allocation.record_unanswered_start(self._context.clock.now())
+        self._owner_state.late_starts.add(allocation)
+
     def _contain(self, order: str, runner_id: str) -> Containment:
         return self._owner_state.fault_log.contain(
             "order_failed", order=order, runner=runner_id
@@ -152,7 +156,7 @@
                 result = self._classify_fenced(runner, order.fence)
             self._context.metrics.incr(f"starts_{result.value}")
             if result is StartResult.UNKNOWN:
-                allocation.record_unanswered_start(self._context.clock.now())
+                self._record_unanswered(allocation)
                 # Only a poll shows whether the runner is lost.
                 runner.poll_wakeup.set()
                 await anyio.sleep(RESEND_PAUSE_S)
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -39,6 +39,7 @@
 from ._customer_usage import CustomerUsage
 from ._dropped_runners import DroppedRunners
 from ._late_orders import LateOrders
+from ._late_starts import LateStarts
 from ._missing_runners import MissingRunners
 from ._parking import JobParking
 from ._task_ends import TaskEnds
@@ -102,6 +103,8 @@
         Fencing token of the term; 0 where no runner is called.
     late_orders : LateOrders
         Start orders that the next incarnation of a runner might carry out.
+    late_starts : LateStarts
+        Attempts whose start order may still be carried out.
     task_ends : TaskEnds
         Ends of batch tasks that the planner has not collected.
     parking : JobParking
@@ -138,6 +141,7 @@
         self.customer_usage = CustomerUsage()
         self.fence = 0
         self.late_orders = LateOrders()
+        self.late_starts = LateStarts()
         self.task_ends = TaskEnds()
         self.waits = CarriedWaits(clock)
         self.job_by_id: dict[str, Job] = {}
@@ -322,6 +326,7 @@
             allocation.late_start_until_s = self._earlier_leases.find_starts_end_s(
                 attempt.runner
             )
+            self.late_starts.add(allocation)
             self.waits.runs.restore(runner, allocation)
         self._crash_detector.restore(job.suspicion_by_run)
         self._stop_surplus(job)
@@ -676,6 +681,7 @@
 
     def _allocate(self, step: StepRun, attempt: Attempt, runner: Runner) -> None:
         allocation = self.customer_usage.allocate(runner, attempt, step)
+        self.late_starts.add(allocation)
         allocation.earlier_stalls = step.tasks.view(attempt.task.index).stalls
         self.pending_starts.append(attempt)
         self._mark_changed(step.job)
