Names: the leases that the owner row names are short or long

list_short_leases, MAX_SHORT_LEASE_BYTES and what keeps them hold ends after all others, too, since the row names runners that have restarted. They say named now.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -48,7 +48,7 @@
 FULL_LEASES_S = LEASE_VALID_S - RUNNER_LEASE_S
 #: Largest total length of what the owner row says of the ends of leases. A row has at
 #: most 64 KiB.
-MAX_SHORT_LEASE_BYTES = 41_000
+MAX_NAMED_LEASE_BYTES = 41_000
 #: Seconds after which the leases that an owner may grant have lapsed.
 LONGEST_LEASE_S = longest_lease_s(LEASE_VALID_S)
 #: Largest `Runner.leases_left_ms` of leases that surely end by then, with a millisecond
@@ -114,7 +114,7 @@
             If another instance may own the shard.
         """
         self._writer.count_backlog = self._count_backlog
-        self._writer.list_short_leases = self._list_short_leases
+        self._writer.list_named_leases = self._list_named_leases
         self._writer.list_late_starts = lambda: (
             self._owner_state.late_starts.list_left_s(
                 self._owner_state.runner_by_id, self._context.clock.now()
@@ -158,8 +158,8 @@
             limit_by_customer=self._owner_state.customer_load.limit_by_customer,
         )
 
-    def _list_short_leases(self) -> dict[str, float]:
-        """Return in how many seconds leases have lapsed that end before all others.
+    def _list_named_leases(self) -> dict[str, float]:
+        """Return in how many seconds leases have lapsed, by runner, for the owner row.
 
         These are leases on runners with attempts that leave, are unresponsive, or have
         not responded to this owner yet. A runner that does not respond is granted
@@ -179,7 +179,7 @@
             if runner.id in left_s_by_runner:
                 continue
             published_bytes += len(runner.id.encode()) + ENTRY_BYTES
-            if published_bytes > MAX_SHORT_LEASE_BYTES:
+            if published_bytes > MAX_NAMED_LEASE_BYTES:
                 break
             least_s = longest_lease_s(SHORT_LEASE_VALID_S) if runner.responds else 0.0
             left_s = max(runner.lapses_in_s(now_s), least_s)
@@ -201,7 +201,7 @@
             if left_s <= LONGEST_LEASE_S:
                 continue
             published_bytes += len(runner.id.encode()) + ENTRY_BYTES
-            if published_bytes > MAX_SHORT_LEASE_BYTES:
+            if published_bytes > MAX_NAMED_LEASE_BYTES:
                 unnamed_s = max(unnamed_s, left_s)
                 continue
             left_s_by_runner[runner.id] = left_s
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -72,8 +72,8 @@
     return granted_s / (1 - CLOCK_DRIFT) + LEASE_MARGIN_S
 
 
-def _short_valid_s(end_in_s: float) -> float:
-    """Return for how long after a write a short lease may last by the owner's clock.
+def _named_valid_s(end_in_s: float) -> float:
+    """Return for how long after a write a named lease may last by the owner's clock.
 
     Parameters
     ----------
@@ -124,8 +124,8 @@
         transaction that is sent, also for one that is repeated.
     unnamed_leases_end_in_s : float
         Seconds in which the leases have lapsed that end after all others and that the
-        row has no room to name; `list_short_leases` sets it.
-    list_short_leases : callable
+        row has no room to name; `list_named_leases` sets it.
+    list_named_leases : callable
         Returns `OwnerRecord.leases_end_in_s_by_runner` to publish, called once a write.
     list_late_starts : callable
         Returns `OwnerRecord.late_starts_end_in_s_by_runner`, called once a write.
@@ -166,7 +166,7 @@
         self.fence = 0
         self.count_backlog: Callable[[], Backlog | None] = _unknown_backlog
         self.unnamed_leases_end_in_s = 0.0
-        self.list_short_leases = self._list_earlier_leases
+        self.list_named_leases = self._list_earlier_leases
         self.list_late_starts = lambda: self.earlier_leases.list_starts_left_s(
             self._clock.now()
         )
@@ -193,9 +193,9 @@
         self._granted_until_s = float("-inf")
         #: For how long leases are valid by `leases_end_in_s_by_runner` of the latest
         #: confirmed write.
-        self._short_in_store: dict[str, float] = {}
+        self._named_in_store: dict[str, float] = {}
         #: The same of writes that are not confirmed; the least of them.
-        self._short_in_flight: dict[str, float] = {}
+        self._named_in_flight: dict[str, float] = {}
 
     async def acquire(
         self, row: VersionedRow | None, seen_s: float | None = None
@@ -278,8 +278,8 @@
         """
         valid_s = min(
             LEASE_VALID_S if self._grants_in_store else 0.0,
-            self._short_in_store.get(runner, LEASE_VALID_S),
-            self._short_in_flight.get(runner, LEASE_VALID_S),
+            self._named_in_store.get(runner, LEASE_VALID_S),
+            self._named_in_flight.get(runner, LEASE_VALID_S),
         )
         end_s = min(end_s, self._confirmed_s + valid_s)
         self._granted_until_s = max(self._granted_until_s, end_s)
@@ -334,12 +334,12 @@
         grants_leases = self.grants_leases and not self._record.released
         # Runners that are lost while the write is repeated, as the store is away, keep
         # their full leases.
-        short_leases = self.list_short_leases()
+        named_leases = self.list_named_leases()
         late_starts = self.list_late_starts()
-        for runner, end_in_s in short_leases.items():
-            valid_s = _short_valid_s(end_in_s)
-            known_s = self._short_in_flight.get(runner, valid_s)
-            self._short_in_flight[runner] = min(known_s, valid_s)
+        for runner, end_in_s in named_leases.items():
+            valid_s = _named_valid_s(end_in_s)
+            known_s = self._named_in_flight.get(runner, valid_s)
+            self._named_in_flight[runner] = min(known_s, valid_s)
         while True:
             sent_s = self._clock.now()
             record = dataclasses.replace(
@@ -347,7 +347,7 @@
                 backlog=self.count_backlog(),
                 written_s=self._store_clock.upper_bound_at(sent_s),
                 leases_end_in_s=self._leases_end_in_s(sent_s, grants_leases),
-                leases_end_in_s_by_runner=short_leases,
+                leases_end_in_s_by_runner=named_leases,
                 late_starts_end_in_s_by_runner=late_starts,
                 missing_s_by_runner=self.list_missing_runners(),
                 max_job_bytes=self.find_max_job_bytes(),
@@ -376,7 +376,7 @@
             self._confirmed_s = sent_s
             self._grants_in_store = grants_leases
             # Of a repeated write, it is unknown which transaction was applied.
-            self._short_in_store, self._short_in_flight = self._short_in_flight, {}
+            self._named_in_store, self._named_in_flight = self._named_in_flight, {}
             self._metrics.timing(
                 "journal_write_ms", 1000 * (self._clock.now() - first_sent_s)
             )
--- a/tests/test_earlier_leases.py
+++ b/tests/test_earlier_leases.py
@@ -142,7 +142,7 @@
         rows = MemoryRows()
         writer = make_writer(rows)
         await acquire_and_grant(writer)
-        writer.list_short_leases = lambda: {"runner-0": 5.0}
+        writer.list_named_leases = lambda: {"runner-0": 5.0}
         await writer.commit((), ())
         await anyio.sleep(2.0)
         row = rows.row_by_id[owner_row("s0")]
@@ -172,12 +172,12 @@
         rows = MemoryRows()
         first = make_writer(rows)
         await first.acquire(None)
-        first.list_short_leases = lambda: {"runner-0": 5.0}
+        first.list_named_leases = lambda: {"runner-0": 5.0}
         await first.release()
         released_s = anyio.current_time()
         second = make_writer(rows)
         await second.acquire(rows.row_by_id[owner_row("s0")], released_s)
-        second.list_short_leases = dict
+        second.list_named_leases = dict
         await second.release()
         record = read_record(rows)
         ends_s = record.written_s - rows.CLOCK_OFFSET_S + record.leases_end_in_s
@@ -270,7 +270,7 @@
         context = SimpleNamespace(
             owner_state=state, clock=clock, writer=SimpleNamespace()
         )
-        named = Committer(context, None, None, None)._list_short_leases()
+        named = Committer(context, None, None, None)._list_named_leases()
         expected = list_leases(runners, now_s)
         assert list(named.items()) == list(expected.items())
         named_count += len(named)
--- a/tests/test_missing_runners.py
+++ b/tests/test_missing_runners.py
@@ -8,7 +8,7 @@
 
 from flamingoweir.clock import BootClock
 from flamingoweir.dispatch._carried_waits import CarriedWaits
-from flamingoweir.dispatch._committer import MAX_SHORT_LEASE_BYTES
+from flamingoweir.dispatch._committer import MAX_NAMED_LEASE_BYTES
 from flamingoweir.dispatch._late_starts import (
     MAX_PUBLISHED_BYTES as MAX_LATE_START_BYTES,
 )
@@ -71,7 +71,7 @@
     runners = MissingRunners()
     runners.update([f"{number:0{id_bytes}d}" for number in range(9000)], [], 1.0)
     missing = runners.list_missing_s(10_000.999)
-    short_count = MAX_SHORT_LEASE_BYTES // (id_bytes + ENTRY_BYTES)
+    short_count = MAX_NAMED_LEASE_BYTES // (id_bytes + ENTRY_BYTES)
     leases = {f"{number:0{id_bytes}d}": 7.346 for number in range(short_count)}
     names = [f"{number:0{id_bytes}d}.0.0" for number in range(9000)]
     step_wait, run_wait = StepWait(10_000.999, 10_000.999), RunWait(9.9, 10.0, 6.0, 1)
