Log the results of start orders, and a new incarnation's first end

Whether a start order was answered by the next incarnation of its runner, or an end was forgotten there, can't be told from the logs. A line is written for each order that isn't carried out at once, with the runner's clock in the response against that of the incarnation that was heard last.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -140,6 +140,7 @@
             task.checkpoint,
             allocation.ticket,
         )
+        sent_count = 0
         while attempt.state is AttemptState.ORDERED and self._find_allocation(attempt):
             if not self._permit.is_valid() or not self._permit.allows_runner(runner):
                 self._discard_or_stop(attempt, allocation, "no_permit")
@@ -151,7 +152,11 @@
                 self._discard_or_stop(attempt, allocation, "cap_lowered")
                 return
             self._owner_state.customer_usage.record_sent(allocation)
-            result, _ = await link.start(order)
+            sent_count += 1
+            sent_s = self._context.clock.now()
+            result, clock_ms = await link.start(order)
+            if result is not StartResult.STARTED or sent_count > 1:
+                self._log_result(runner, attempt, result, clock_ms, sent_s)
             if result is StartResult.FENCED:
                 result = self._classify_fenced(runner, order.fence)
             self._context.metrics.incr(f"starts_{result.value}")
@@ -164,6 +169,31 @@
             self._handle_start_result(attempt, runner, allocation, result)
             return
 
+    def _log_result(
+        self,
+        runner: Runner,
+        attempt: Attempt,
+        result: StartResult,
+        clock_ms: float | None,
+        sent_s: float,
+    ) -> None:
+        """Log the result of a start order, unless the first one was carried out."""
+        now_s = self._context.clock.now()
+        ahead_ms = None
+        if clock_ms is not None:
+            ahead_ms = round(clock_ms - runner.estimate_clock_ms(now_s))
+        unheard_s = runner.unheard_s(now_s)
+        log.info(
+            "start_result",
+            task=str(attempt.task),
+            run=attempt.run,
+            runner=runner.id,
+            result=result.value,
+            took_s=round(now_s - sent_s, 3),
+            unheard_s=None if unheard_s is None else round(unheard_s, 2),
+            clock_ahead_ms=ahead_ms,
+        )
+
     def _classify_fenced(self, runner: Runner, fence: int) -> StartResult:
         """End the term after a fenced start, unless it was a former incarnation's."""
         if self._end_if_replaced(runner, fence):
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -326,6 +326,8 @@
             former=former,
             clock_ms=round(report.clock_ms),
             running=len(report.running),
+            ended=len(report.ended),
+            first_end=report.ended[0].number if report.ended else None,
             lost=len(lost),
             inherited_s=round(runner.inherited_s(now_s), 2),
         )
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -382,7 +382,7 @@
         was_known = self.incarnation is None and len(lost) < len(self.allocation_by_run)
         if was_known:
             lease_s = max(0.0, self._earlier_leases_end_s - now_s)
-        self._leases_end_ms = round(self._estimate_clock_ms(now_s) + 1000 * lease_s)
+        self._leases_end_ms = round(self.estimate_clock_ms(now_s) + 1000 * lease_s)
         inherited_s = MAX_LATENESS_S + self._max_lease_s
         if self.incarnation is not None:
             self.call_fence.begin_incarnation()
@@ -417,7 +417,7 @@
 
     def _record_inherited(self, lease_s: float, now_s: float) -> None:
         """Record for how long leases may last that stale calls have extended."""
-        end_ms = self._estimate_clock_ms(now_s) + 1000 * max(0.0, lease_s)
+        end_ms = self.estimate_clock_ms(now_s) + 1000 * max(0.0, lease_s)
         self._inherited_end_ms = round(end_ms)
         self._update_leases_left()
 
@@ -431,7 +431,7 @@
         """
         if self.incarnation is None:
             return 0.0
-        left_ms = self._inherited_end_ms - self._estimate_clock_ms(now_s)
+        left_ms = self._inherited_end_ms - self.estimate_clock_ms(now_s)
         return max(0.0, left_ms / 1000)
 
     @property
@@ -470,7 +470,7 @@
         end_s, now_s : float
             End of the lease and current time on the owner's clock, in seconds.
         """
-        end_ms = round(self._estimate_clock_ms(now_s) + 1000 * (end_s - now_s))
+        end_ms = round(self.estimate_clock_ms(now_s) + 1000 * (end_s - now_s))
         self._leases_end_ms = max(self._leases_end_ms, end_ms)
         self._update_leases_left()
         return end_ms
@@ -525,5 +525,12 @@
         end_ms = max(self._leases_end_ms, self._inherited_end_ms)
         self.leases_left_ms = end_ms + LAPSE_MARGIN_MS - self._clock_ms
 
-    def _estimate_clock_ms(self, now_s: float) -> float:
+    def estimate_clock_ms(self, now_s: float) -> float:
+        """Return the clock of the incarnation that responded last, in milliseconds.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
         return self._clock_ms + 1000 * (now_s - self._clock_read_s)
