Failing tests: answers and cursors that the next incarnation takes

The stand-in runner can now answer orders while polls get no response, and carry out calls without a response.

--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -21,6 +21,8 @@
 
 #: Seconds between checks for new ends in a poll that waits.
 POLL_CHECK_INTERVAL_S = 0.01
+#: Seconds for which a call waits in vain for a response.
+LOST_RESPONSE_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -460,6 +462,10 @@
     ----------
     disconnected : bool
         Whether calls are lost: they do not reach the runner and get no response.
+    loses_polls : bool
+        Whether polls reach the runner without a response, unlike orders.
+    loses_responses : bool
+        Whether calls reach the runner without a response.
     lose_starts : int
         How many of the next starts reach the runner without a response.
     lose_renewals : int
@@ -471,6 +477,8 @@
     def __init__(self, runner: MemoryRunner, delay_s: float = 0.001):
         self.runner = runner
         self.disconnected = False
+        self.loses_polls = False
+        self.loses_responses = False
         self.lose_starts = 0
         self.lose_renewals = 0
         self.delivery_delay_s = 0.0
@@ -485,6 +493,9 @@
             await self._lose(lambda: self.runner.start(order))
             return StartResult.UNKNOWN, None
         result = self.runner.start(order)
+        if self.loses_responses:
+            await anyio.sleep(LOST_RESPONSE_S)
+            return StartResult.UNKNOWN, None
         await anyio.sleep(self._delay_s)
         return result
 
@@ -492,22 +503,27 @@
         """See `RunnerLink.stop`."""
         await self._reach_or_fail()
         self.runner.stop(task, run, fence)
+        await self._return_or_fail()
 
     async def set_pace(self, task: TaskId, run: int, percent: int, fence: int) -> None:
         """See `RunnerLink.set_pace`."""
         await self._reach_or_fail()
         self.runner.set_pace(task, run, percent, fence)
+        await self._return_or_fail()
 
     async def poll(
         self, fence: int, acknowledged: int, deadline_ms: int | None, wait_s: float
     ) -> RunnerReport:
         """See `RunnerLink.poll`."""
+        until_s = anyio.current_time() + wait_s
         await self._reach_or_fail()
         await self._lose_renewal(fence, acknowledged, deadline_ms)
-        until_s = anyio.current_time() + wait_s
         report = self.runner.poll(fence, acknowledged, deadline_ms)
+        await self._return_or_fail()
         while not report.ended and anyio.current_time() < until_s:
             await anyio.sleep(POLL_CHECK_INTERVAL_S)
+            if self.loses_polls:
+                break
             if self.runner.incarnation != report.incarnation:
                 # The deadline is on the clock of the incarnation that was called.
                 deadline_ms = None
@@ -516,6 +532,9 @@
             self.runner.advance()
             if self.runner.unacknowledged_ends or anyio.current_time() >= until_s:
                 report = self.runner.poll(fence, acknowledged, deadline_ms)
+        if self.loses_polls:
+            await anyio.sleep(until_s + LOST_RESPONSE_S - anyio.current_time())
+            raise RunnerUnreachable(self.runner.id)
         return report
 
     async def renew(self, fence: int, acknowledged: int, deadline_ms: int) -> None:
@@ -523,6 +542,7 @@
         await self._reach_or_fail()
         await self._lose_renewal(fence, acknowledged, deadline_ms)
         self.runner.poll(fence, acknowledged, deadline_ms)
+        await self._return_or_fail()
 
     async def aclose(self) -> None:
         """See `RunnerLink.aclose`."""
@@ -533,7 +553,7 @@
             self.runner.deliver(anyio.current_time() + self.delivery_delay_s, call)
         else:
             call()
-        await anyio.sleep(0.5)
+        await anyio.sleep(LOST_RESPONSE_S)
 
     async def _lose_renewal(
         self, fence: int, acknowledged: int, deadline_ms: int | None
@@ -549,10 +569,15 @@
         await anyio.sleep(self._delay_s)
         if self.disconnected or not self.runner.up:
             if self.disconnected or not self.runner.closes_connections:
-                await anyio.sleep(0.5)
+                await anyio.sleep(LOST_RESPONSE_S)
             return False
         return True
 
     async def _reach_or_fail(self) -> None:
         if not await self._reach():
             raise RunnerUnreachable(self.runner.id)
+
+    async def _return_or_fail(self) -> None:
+        if self.loses_responses:
+            await anyio.sleep(LOST_RESPONSE_S)
+            raise RunnerUnreachable(self.runner.id)
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from flamingoweir.jobs import JobState
+from flamingoweir.jobs import JobState, Outcome
 from flamingoweir.ownership import decode_owner_record, owner_row
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.loss_histories import MAX_AWAY_S
@@ -498,3 +498,108 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("lose_owner", [do_nothing, kill, freeze, stop_in_order])
+def test_start_order_is_answered_by_the_next_incarnation(lose_owner):
+    """Guards against an answer that counts as the former incarnation's (issue 51).
+
+    Polls get no response from the restart on, and the runner is soon cut off.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            owner.link_by_runner[runner.id].loses_polls = True
+            runner.restart()
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            await wait_for_starts(cluster, job, 1)
+            cluster.list_runner(runner.id)
+            await anyio.sleep(0.1)
+            cut_runner(cluster, runner)
+            cluster.add_runner("runner-1")
+            await lose_owner(cluster, owner)
+            await anyio.sleep(40)
+            check_runs(cluster)
+            assert cluster.starts(f"{job.id}.0.0.0") == ["runner-0", "runner-1"]
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize("call", ["poll", "late_poll"])
+@pytest.mark.parametrize("lose_owner", [do_nothing, kill, freeze, stop_in_order])
+def test_next_incarnation_forgets_an_end_that_nobody_has_read(call, lose_owner):
+    """Guards against a task that is done and runs again (issue 51).
+
+    A poll that is meant for the former incarnation acknowledges ends there. The next
+    one takes it, has carried out a late start order, and forgets how that ended.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, runners=1) as cluster:
+            owner = await cluster.owner()
+            first = await cluster.submit(make_job(1, make_step(3)))
+            await cluster.wait_for(first, JobState.DONE, 6.0)
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            if call == "late_poll":
+                # Acknowledges the ends of this job.
+                last = await cluster.submit(make_job(2))
+                link.lose_renewals, link.delivery_delay_s = 2, 3.5
+                await cluster.wait_for(last, JobState.DONE, 6.0)
+                while link.lose_renewals:
+                    await anyio.sleep(0.01)
+            link.lose_starts, link.delivery_delay_s = 1, DARK_S + 0.1
+            cluster.plan_by_task[f"{make_job(3).id}.0.0.0"] = 0.2, Outcome.DONE
+            job = await cluster.submit(make_job(3))
+            while link.lose_starts:
+                await anyio.sleep(0.01)
+            runner.crash()
+            await anyio.sleep(DARK_S)
+            runner.restart()
+            cluster.list_runner(runner.id)
+            if call == "poll":
+                link.loses_responses = True
+            else:
+                link.disconnected = True
+            await lose_owner(cluster, owner)
+            await anyio.sleep(9.0)
+            link.loses_responses = link.disconnected = False
+            await cluster.wait_for(job, JobState.DONE, 60.0)
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+def test_late_order_starts_a_task_that_is_done_before_any_call():
+    """Guards against a task that is done and runs again (issue 9).
+
+    The first start order gets no response, the second one is carried out. The late one
+    arrives at the next incarnation, which nobody has reached yet.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            link = owner.link_by_runner["runner-0"]
+            link.lose_starts, link.delivery_delay_s = 1, 4.0
+            job = await cluster.submit(make_job(1))
+            await cluster.wait_for(job, JobState.DONE, 3.0)
+            await anyio.sleep(1.0)
+            runner = cluster.runner_by_id["runner-0"]
+            runner.crash()
+            link.disconnected = True
+            await anyio.sleep(DARK_S)
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await anyio.sleep(3.0)
+            link.disconnected = False
+            await anyio.sleep(3.0)
+            assert cluster.starts(f"{job.id}.0.0.0") == ["runner-0", "runner-0"]
+            check_runs(cluster)
+
+    run_virtual(scenario)
