A start that another incarnation has confirmed isn't the former one's

Cause: the owner repeats a start order until there is a response. The next incarnation of the runner carries it out and answers; the owner took the answer for one of the incarnation that its polls had reached, so that the attempt lapsed with the former leases while it ran.

Any response has the runner's clock, which begins anew with each incarnation.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -114,6 +114,18 @@
         allocation.record_unanswered_start(self._context.clock.now())
         self._owner_state.late_starts.add(allocation)
 
+    def _record_unseen_start(self, runner: Runner, allocation: Allocation) -> None:
+        """Record a start that an incarnation has confirmed that no report came from.
+
+        Its next report shows whether the attempt runs there.
+        """
+        now_s = self._context.clock.now()
+        allocation.unseen_start_s = now_s
+        allocation.expect_listed_after_s = now_s
+        detail = "another incarnation has confirmed a start"
+        self._owner_state.record_lost(runner, detail)
+        runner.poll_wakeup.set()
+
     def _contain(self, order: str, runner_id: str) -> Containment:
         return self._owner_state.fault_log.contain(
             "order_failed", order=order, runner=runner_id
@@ -155,7 +167,13 @@
             sent_count += 1
             sent_s = self._context.clock.now()
             result, clock_ms = await link.start(order)
-            if result is not StartResult.STARTED or sent_count > 1:
+            is_unseen = result is StartResult.STARTED and (
+                clock_ms is None
+                or not runner.incarnation_clock.may_show(
+                    clock_ms, sent_s, self._context.clock.now()
+                )
+            )
+            if result is not StartResult.STARTED or sent_count > 1 or is_unseen:
                 self._log_result(runner, attempt, result, clock_ms, sent_s)
             if result is StartResult.FENCED:
                 result = self._classify_fenced(runner, order.fence)
@@ -166,6 +184,9 @@
                 runner.poll_wakeup.set()
                 await anyio.sleep(RESEND_PAUSE_S)
                 continue
+            if is_unseen:
+                self._record_unseen_start(runner, allocation)
+                return
             self._handle_start_result(attempt, runner, allocation, result)
             return
 
@@ -181,7 +202,7 @@
         now_s = self._context.clock.now()
         ahead_ms = None
         if clock_ms is not None:
-            ahead_ms = round(clock_ms - runner.estimate_clock_ms(now_s))
+            ahead_ms = round(clock_ms - runner.incarnation_clock.estimate_ms(now_s))
         unheard_s = runner.unheard_s(now_s)
         log.info(
             "start_result",
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -415,10 +415,9 @@
         if entry is not None and runner.entry.address not in ("", entry.address):
             # No order has been sent there, and none is until the attempts have ended.
             entry = None
+        incarnation = 0 if entry is None else entry.incarnation
         for allocation in runner.allocation_by_run.values():
-            if entry is not None and runner.may_run_unseen(
-                allocation, entry.incarnation, now_s
-            ):
+            if runner.may_run_unseen(allocation, incarnation, now_s):
                 continue
             if not self._waits_for_crash(allocation.attempt, now_s):
                 attempts.append(allocation.attempt)
@@ -531,6 +530,7 @@
         """Record that a poll lists an attempt as running."""
         allocation.record_start(now_s)
         allocation.listed_s = now_s
+        allocation.unseen_start_s = float("-inf")
         attempt = allocation.attempt
         self.record_start(attempt)
         job = self.job_by_id.get(attempt.task.job)
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -6,6 +6,7 @@
 from ..resources import Resources
 from ..wakeup import Wakeup
 from ._call_fence import MAX_LATENESS_S, CallFence
+from ._incarnation_clock import IncarnationClock
 
 #: Seconds from a poll to the end of the lease that it renews for the runner's tasks. A
 #: new owner takes over in about 2 s, before the runner would kill the tasks.
@@ -51,6 +52,7 @@
         "started_s",
         "throttled_since_s",
         "ticket",
+        "unseen_start_s",
         "unthrottled_since_s",
     )
 
@@ -82,6 +84,9 @@
         #: Until when a start order that got no response may be carried out, on the
         #: owner's clock, in seconds.
         self.late_start_until_s = float("-inf")
+        #: When an incarnation that no report has come from has confirmed the start, on
+        #: the owner's clock, in seconds; minus infinity: none has.
+        self.unseen_start_s = float("-inf")
         #: Ticket of the placement advice service; empty: none needed.
         self.ticket = ""
         #: When the start was first confirmed, on the owner's clock, in seconds; None
@@ -176,6 +181,8 @@
         the owner's clock, in seconds.
     call_fence : CallFence
         Fencing token of calls to the runner.
+    incarnation_clock : IncarnationClock
+        The runner's clock, as of the latest report.
     poll_wakeup : Wakeup
         Set when there may be a reason to poll the runner.
     revision : int
@@ -215,8 +222,7 @@
         self.poll_wakeup = Wakeup()
         self._max_lease_s = max_lease_s
         self._earlier_leases_end_s = earlier_leases_end_s
-        self._clock_ms = 0.0
-        self._clock_read_s = 0.0
+        self.incarnation_clock = IncarnationClock()
         self._leases_end_ms = 0
         #: End of leases that calls to former incarnations may have extended.
         self._inherited_end_ms = 0
@@ -334,7 +340,8 @@
     ) -> bool:
         """Return whether an incarnation that has not responded may have a run.
 
-        It has those whose start order reaches it late, until their lease has lapsed.
+        It has those whose start it has confirmed, or whose start order reaches it late,
+        until leases have lapsed that late calls may have extended.
 
         Parameters
         ----------
@@ -345,9 +352,11 @@
         now_s : float
             Time on the owner's clock, in seconds.
         """
+        lease_s = self._max_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_MS / 1000
+        if now_s < allocation.unseen_start_s + MAX_LATENESS_S + lease_s:
+            return True
         if incarnation in (0, allocation.attempt.incarnation):
             return False
-        lease_s = self._max_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_MS / 1000
         return now_s < allocation.late_start_until_s + lease_s
 
     def begin_incarnation(
@@ -382,7 +391,9 @@
         was_known = self.incarnation is None and len(lost) < len(self.allocation_by_run)
         if was_known:
             lease_s = max(0.0, self._earlier_leases_end_s - now_s)
-        self._leases_end_ms = round(self.estimate_clock_ms(now_s) + 1000 * lease_s)
+        self._leases_end_ms = round(
+            self.incarnation_clock.estimate_ms(now_s) + 1000 * lease_s
+        )
         inherited_s = MAX_LATENESS_S + self._max_lease_s
         if self.incarnation is not None:
             self.call_fence.begin_incarnation()
@@ -417,7 +428,7 @@
 
     def _record_inherited(self, lease_s: float, now_s: float) -> None:
         """Record for how long leases may last that stale calls have extended."""
-        end_ms = self.estimate_clock_ms(now_s) + 1000 * max(0.0, lease_s)
+        end_ms = self.incarnation_clock.estimate_ms(now_s) + 1000 * max(0.0, lease_s)
         self._inherited_end_ms = round(end_ms)
         self._update_leases_left()
 
@@ -431,7 +442,7 @@
         """
         if self.incarnation is None:
             return 0.0
-        left_ms = self._inherited_end_ms - self.estimate_clock_ms(now_s)
+        left_ms = self._inherited_end_ms - self.incarnation_clock.estimate_ms(now_s)
         return max(0.0, left_ms / 1000)
 
     @property
@@ -441,8 +452,7 @@
 
     def record_response(self, clock_ms: float, now_s: float) -> None:
         """Record a response that has just arrived, with the runner's clock."""
-        self._clock_ms = clock_ms
-        self._clock_read_s = now_s
+        self.incarnation_clock.record(clock_ms, now_s)
         self._update_leases_left()
         self.last_response_s = now_s
         self.unresponsive_since_s = None
@@ -470,7 +480,9 @@
         end_s, now_s : float
             End of the lease and current time on the owner's clock, in seconds.
         """
-        end_ms = round(self.estimate_clock_ms(now_s) + 1000 * (end_s - now_s))
+        end_ms = round(
+            self.incarnation_clock.estimate_ms(now_s) + 1000 * (end_s - now_s)
+        )
         self._leases_end_ms = max(self._leases_end_ms, end_ms)
         self._update_leases_left()
         return end_ms
@@ -500,7 +512,7 @@
         if self.incarnation is None:
             return self._earlier_leases_end_s - now_s
         left_s = self.leases_left_ms / (1000 * (1 - CLOCK_DRIFT))
-        return left_s - (now_s - self._clock_read_s)
+        return left_s - (now_s - self.incarnation_clock.read_s)
 
     def unheard_s(self, now_s: float) -> float | None:
         """Return the seconds since the last response to this owner; None: no response.
@@ -523,14 +535,4 @@
 
     def _update_leases_left(self) -> None:
         end_ms = max(self._leases_end_ms, self._inherited_end_ms)
-        self.leases_left_ms = end_ms + LAPSE_MARGIN_MS - self._clock_ms
-
-    def estimate_clock_ms(self, now_s: float) -> float:
-        """Return the clock of the incarnation that responded last, in milliseconds.
-
-        Parameters
-        ----------
-        now_s : float
-            Time on the owner's clock, in seconds.
-        """
-        return self._clock_ms + 1000 * (now_s - self._clock_read_s)
+        self.leases_left_ms = end_ms + LAPSE_MARGIN_MS - self.incarnation_clock.read_ms
