Ends are acknowledged only to a runner that responds, and once

Cause: each poll and renewal carried the cursor of the incarnation that it was meant for. Polls sent in vain to a runner that had restarted made the next incarnation forget ends that nobody had read, and a run that isn't listed counts as one that never ran.

Now a cursor is sent with polls only, while the runner responds, and until a response has confirmed it. The stand-in loses polls that acknowledge as well.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -248,9 +248,9 @@
         for job_id in expired:
             batch.deletes.append(state_row(self._writer.shard, job_id))
         for runner in self._owner_state.runner_by_id.values():
-            if runner.last_received_end > runner.last_durable_end:
+            if runner.ends.received > runner.ends.durable:
                 batch.received_ends.append(
-                    (runner, runner.incarnation, runner.last_received_end)
+                    (runner, runner.incarnation, runner.ends.received)
                 )
         return batch
 
@@ -349,7 +349,7 @@
             self._orders.start(attempt)
         for runner, incarnation, number in batch.received_ends:
             if runner.incarnation == incarnation:
-                runner.last_durable_end = max(runner.last_durable_end, number)
+                runner.ends.record_durable(number)
                 runner.poll_wakeup.set()
         for job_id in batch.ended_jobs:
             self._owner_state.record_ended_job(job_id, round(self._context.wall_ms()))
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -338,7 +338,7 @@
         fence = runner.call_fence.token
         with self._contain("renew", runner.id):
             try:
-                await link.renew(fence, runner.last_durable_end, deadline_ms)
+                await link.renew(fence, deadline_ms)
             except Fenced:
                 self._end_if_replaced(runner, fence)
             except RunnerUnreachable as error:
--- a/flamingoweir/dispatch/_protocols.py
+++ b/flamingoweir/dispatch/_protocols.py
@@ -199,7 +199,8 @@
         fence : int
             The owner's fencing token.
         acknowledged : int
-            Ends up to this number are durable; the runner stops reporting them.
+            Ends up to this number are durable; the runner stops reporting them. 0
+            acknowledges none.
         deadline_ms : int or None
             New end of the lease, in milliseconds on the runner's clock; None: keep the
             former one.
@@ -216,8 +217,10 @@
         """
         ...
 
-    async def renew(self, fence: int, acknowledged: int, deadline_ms: int) -> None:
-        """Renew the lease beside a poll that waits; see `poll` for the parameters.
+    async def renew(self, fence: int, deadline_ms: int) -> None:
+        """Renew the lease beside a poll that waits, and acknowledge nothing.
+
+        See `poll` for the parameters.
 
         Raises
         ------
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -101,7 +101,7 @@
             runner.has_attempts
             or runner.incarnation is None
             or not runner.call_fence.is_established
-            or runner.last_durable_end < runner.last_received_end
+            or not runner.ends.is_acknowledged
         ):
             return False
         if runner.entry.incarnation not in (0, runner.incarnation):
@@ -123,7 +123,7 @@
         """
         runner = self._runner
         until_s = self._clock.now() + DURABLE_WAIT_S
-        while runner.last_durable_end < runner.last_received_end:
+        while runner.ends.durable < runner.ends.received:
             left_s = until_s - self._clock.now()
             if left_s <= 0:
                 return
@@ -150,12 +150,11 @@
         deadline_ms = None
         if runner.responds and runner.has_attempts:
             deadline_ms = self._context.renew_lease(runner)
+        # The next incarnation would forget ends that nobody has read.
+        acknowledged = runner.ends.choose() if runner.responds else 0
         try:
             report = await self._link.poll(
-                fence,
-                runner.last_durable_end,
-                deadline_ms,
-                self._wait_s(),
+                fence, acknowledged, deadline_ms, self._wait_s()
             )
         except Fenced:
             self._term_end.signal(
@@ -176,8 +175,10 @@
         runner.record_response(report.clock_ms, self._clock.now())
         if report.incarnation != runner.incarnation:
             self._begin_incarnation(report, fence)
-        elif runner.record_fenced(fence, self._clock.now()):
-            self._log_fenced(fence)
+        else:
+            runner.ends.record_acknowledged(acknowledged)
+            if runner.record_fenced(fence, self._clock.now()):
+                self._log_fenced(fence)
         self._apply_report(report, sent_s)
 
     def _log_fenced(self, fence: int) -> None:
@@ -198,7 +199,7 @@
             or not runner.call_fence.is_established
             # It may have restarted.
             or runner.unresponsive_since_s is not None
-            or runner.last_durable_end < runner.last_received_end
+            or runner.ends.durable < runner.ends.received
             or self._awaits_void_attempt()
         ):
             return 0.0
@@ -232,9 +233,9 @@
         runner = self._runner
         running = {(task.task, task.run): task for task in report.running}
         for end in report.ended:
-            if end.number <= runner.last_received_end:
+            if end.number <= runner.ends.received:
                 continue
-            runner.last_received_end = end.number
+            runner.ends.received = end.number
             self._owner_state.end_attempt(
                 runner, end.task, end.run, end.outcome, end.checkpoint
             )
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -6,6 +6,7 @@
 from ..resources import Resources
 from ..wakeup import Wakeup
 from ._call_fence import MAX_LATENESS_S, CallFence
+from ._end_cursor import EndCursor
 from ._incarnation_clock import IncarnationClock
 
 #: Seconds from a poll to the end of the lease that it renews for the runner's tasks. A
@@ -138,10 +139,8 @@
     ----------
     incarnation : int or None
         Incarnation of the runner; None before the first response to this owner.
-    last_received_end : int
-        Number of the last attempt end that was received.
-    last_durable_end : int
-        Number of the last attempt end that is durable in the store.
+    ends : EndCursor
+        Numbers of the ends of attempts that the incarnation lists.
     allocation_by_run : dict of (TaskId, int) to Allocation
         Allocations by task and run, including attempts that are being stopped.
     reserved : Resources
@@ -200,8 +199,7 @@
     ):
         self._entry = entry
         self.incarnation: int | None = None
-        self.last_received_end = 0
-        self.last_durable_end = 0
+        self.ends = EndCursor()
         self.allocation_by_run: dict[tuple[TaskId, int], Allocation] = {}
         self.reserved = Resources()
         self.lasting_reserved = Resources()
@@ -408,8 +406,7 @@
                 inherited_s = 0.0
         self._record_inherited(inherited_s, now_s)
         self.incarnation = incarnation
-        self.last_received_end = 0
-        self.last_durable_end = 0
+        self.ends = EndCursor()
         return lost
 
     def record_fenced(self, token: int, now_s: float) -> bool:
--- a/flamingoweir/platform/_runners.py
+++ b/flamingoweir/platform/_runners.py
@@ -164,15 +164,15 @@
         message = {"Task": str(task), "Run": run, "Percent": percent}
         await self._send_checked_order("/-/pace", {**message, "FenceToken": fence})
 
-    async def renew(self, fence: int, acknowledged: int, deadline_ms: int) -> None:
+    async def renew(self, fence: int, deadline_ms: int) -> None:
         """Renew the runner's lease on another connection than that of polls.
 
+        It acknowledges no ends.
+
         Parameters
         ----------
         fence : int
             The owner's fencing token.
-        acknowledged : int
-            Highest number of an end that is stored durably.
         deadline_ms : int
             New end of the lease, in milliseconds on the runner's clock.
 
@@ -183,7 +183,7 @@
         Fenced
             If the runner has received a higher fencing token.
         """
-        message = {"AckCursor": acknowledged, "DueMs": deadline_ms}
+        message = {"AckCursor": 0, "DueMs": deadline_ms}
         await self._send_checked_order("/-/hold", {**message, "FenceToken": fence})
 
     async def poll(
@@ -196,7 +196,7 @@
         fence : int
             The owner's fencing token.
         acknowledged : int
-            Highest number of an end that is stored durably.
+            Highest number of an end that the runner may forget; 0: none.
         deadline_ms : int or None
             New end of the lease, in milliseconds on the runner's clock; None leaves the
             lease unchanged.
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -470,6 +470,8 @@
         How many of the next starts reach the runner without a response.
     lose_renewals : int
         The same for polls and renewals that extend a lease.
+    lose_acknowledgements : int
+        The same for polls that acknowledge ends.
     delivery_delay_s : float
         Seconds after which these calls reach the runner; 0 delivers them at once.
     """
@@ -481,6 +483,7 @@
         self.loses_responses = False
         self.lose_starts = 0
         self.lose_renewals = 0
+        self.lose_acknowledgements = 0
         self.delivery_delay_s = 0.0
         self._delay_s = delay_s
 
@@ -537,11 +540,11 @@
             raise RunnerUnreachable(self.runner.id)
         return report
 
-    async def renew(self, fence: int, acknowledged: int, deadline_ms: int) -> None:
+    async def renew(self, fence: int, deadline_ms: int) -> None:
         """See `RunnerLink.renew`."""
         await self._reach_or_fail()
-        await self._lose_renewal(fence, acknowledged, deadline_ms)
-        self.runner.poll(fence, acknowledged, deadline_ms)
+        await self._lose_renewal(fence, 0, deadline_ms)
+        self.runner.poll(fence, 0, deadline_ms)
         await self._return_or_fail()
 
     async def aclose(self) -> None:
@@ -558,10 +561,13 @@
     async def _lose_renewal(
         self, fence: int, acknowledged: int, deadline_ms: int | None
     ) -> None:
-        """Lose the response of a renewal, if that is asked for."""
-        if deadline_ms is None or not self.lose_renewals:
+        """Lose a renewal or an acknowledgement, if that is asked for."""
+        if acknowledged and self.lose_acknowledgements:
+            self.lose_acknowledgements -= 1
+        elif deadline_ms is not None and self.lose_renewals:
+            self.lose_renewals -= 1
+        else:
             return
-        self.lose_renewals -= 1
         await self._lose(lambda: self.runner.poll(fence, acknowledged, deadline_ms))
         raise RunnerUnreachable(self.runner.id)
 
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -546,12 +546,11 @@
             runner = cluster.runner_by_id["runner-0"]
             link = owner.link_by_runner[runner.id]
             if call == "late_poll":
-                # Acknowledges the ends of this job.
+                link.lose_acknowledgements, link.delivery_delay_s = 1, 3.5
                 last = await cluster.submit(make_job(2))
-                link.lose_renewals, link.delivery_delay_s = 2, 3.5
                 await cluster.wait_for(last, JobState.DONE, 6.0)
-                while link.lose_renewals:
-                    await anyio.sleep(0.01)
+                await anyio.sleep(1.0)
+                assert not link.lose_acknowledgements
             link.lose_starts, link.delivery_delay_s = 1, DARK_S + 0.1
             cluster.plan_by_task[f"{make_job(3).id}.0.0.0"] = 0.2, Outcome.DONE
             job = await cluster.submit(make_job(3))
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -101,7 +101,7 @@
     async def poll(self, fence, acknowledged, deadline_ms, wait_s):
         raise RunnerUnreachable("nothing listens")
 
-    async def renew(self, fence, acknowledged, deadline_ms) -> None:
+    async def renew(self, fence, deadline_ms) -> None:
         raise RunnerUnreachable("nothing listens")
 
     async def aclose(self) -> None:
