An order that waits for a connection isn't sent once its attempt has ended

Cause: three connections carry all orders to a runner. Each order to a dark one takes 0.5 s, the others wait, and nothing was checked after that: leases lapsed meanwhile, the tasks were placed elsewhere, and the orders that were left went to the next incarnation.

What is checked before an order is sent is checked again once it has a connection. The stand-in has as few connections as the real link. test_order_is_sent_after_its_attempt_has_ended failed before.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -152,21 +152,25 @@
             task.checkpoint,
             allocation.ticket,
         )
+
+        def may_send() -> bool:
+            if attempt.state is not AttemptState.ORDERED:
+                return False
+            is_open = runner.find(attempt.task, attempt.run) is allocation
+            return is_open and not self._find_obstacle(runner, allocation)
+
         sent_count = 0
         while attempt.state is AttemptState.ORDERED and self._find_allocation(attempt):
-            if not self._permit.is_valid() or not self._permit.allows_runner(runner):
-                self._discard_or_stop(attempt, allocation, "no_permit")
-                return
-            if not runner.has_room_for(allocation):
-                self._discard_or_stop(attempt, allocation, "capacity_shrunk")
-                return
-            if not may_send_start(self._context, allocation):
-                self._discard_or_stop(attempt, allocation, "cap_lowered")
+            obstacle = self._find_obstacle(runner, allocation)
+            if obstacle:
+                self._discard_or_stop(attempt, allocation, obstacle)
                 return
             self._owner_state.customer_usage.record_sent(allocation)
             sent_count += 1
             sent_s = self._context.clock.now()
-            result, clock_ms = await link.start(order)
+            result, clock_ms = await link.start(order, may_send)
+            if result is StartResult.UNSENT and not may_send():
+                continue
             is_unseen = result is StartResult.STARTED and (
                 clock_ms is None
                 or not runner.incarnation_clock.may_show(
@@ -190,6 +194,16 @@
             self._handle_start_result(attempt, runner, allocation, result)
             return
 
+    def _find_obstacle(self, runner: Runner, allocation: Allocation) -> str:
+        """Return why a start order may not be sent now; empty if it may."""
+        if not self._permit.is_valid() or not self._permit.allows_runner(runner):
+            return "no_permit"
+        if not runner.has_room_for(allocation):
+            return "capacity_shrunk"
+        if not may_send_start(self._context, allocation):
+            return "cap_lowered"
+        return ""
+
     def _log_result(
         self,
         runner: Runner,
--- a/flamingoweir/dispatch/_protocols.py
+++ b/flamingoweir/dispatch/_protocols.py
@@ -1,6 +1,7 @@
 """Interface between a shard's owner and runners, independent of the wire format."""
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -151,9 +152,19 @@
 class RunnerLink(Protocol):
     """A connection to one runner."""
 
-    async def start(self, order: StartOrder) -> tuple[StartResult, float | None]:
+    async def start(
+        self, order: StartOrder, may_send: Callable[[], bool] | None = None
+    ) -> tuple[StartResult, float | None]:
         """Send a start order.
 
+        Parameters
+        ----------
+        order : StartOrder
+            The run and its conditions.
+        may_send : callable, optional
+            Asked right before the order is sent, which may have waited for a
+            connection; if it returns False, the result is ``UNSENT``.
+
         Returns
         -------
         result : StartResult
--- a/flamingoweir/platform/_runners.py
+++ b/flamingoweir/platform/_runners.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's runners."""
 
 import math
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -84,13 +85,17 @@
         # Each report repeats most tasks of the one before.
         self._task_by_text: dict[str, TaskId] = {}
 
-    async def start(self, order: StartOrder) -> tuple[StartResult, float | None]:
+    async def start(
+        self, order: StartOrder, may_send: Callable[[], bool] | None = None
+    ) -> tuple[StartResult, float | None]:
         """Order the runner to start a run.
 
         Parameters
         ----------
         order : StartOrder
             The run and its conditions.
+        may_send : callable, optional
+            Asked right before the order is sent; if it returns False, it is not.
 
         Returns
         -------
@@ -111,7 +116,7 @@
         if order.ticket:
             message["Ticket"] = order.ticket
         try:
-            response = await self._send_order("/-/run-start", message)
+            response = await self._send_order("/-/run-start", message, may_send)
         except RequestNotSent:
             return StartResult.UNSENT, None
         except ResponseLost:
@@ -233,9 +238,14 @@
         await self._order_client.aclose()
         await self._poll_client.aclose()
 
-    async def _send_order(self, path: str, message: dict[str, object]) -> Response:
+    async def _send_order(
+        self,
+        path: str,
+        message: dict[str, object],
+        may_send: Callable[[], bool] | None = None,
+    ) -> Response:
         return await self._order_client.call(
-            "POST", path, orjson.dumps(message), self._headers
+            "POST", path, orjson.dumps(message), self._headers, may_send=may_send
         )
 
     async def _send_checked_order(self, path: str, message: dict[str, object]) -> None:
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -21,6 +21,8 @@
 
 #: Seconds between checks for new ends in a poll that waits.
 POLL_CHECK_INTERVAL_S = 0.01
+#: Largest number of orders that an instance sends to one runner at once.
+ORDER_CONNECTIONS = 3
 #: Seconds for which a call waits in vain for a response.
 LOST_RESPONSE_S = 0.5
 
@@ -486,9 +488,18 @@
         self.lose_acknowledgements = 0
         self.delivery_delay_s = 0.0
         self._delay_s = delay_s
+        self._order_limit = anyio.Semaphore(ORDER_CONNECTIONS)
 
-    async def start(self, order: StartOrder) -> tuple[StartResult, float | None]:
+    async def start(
+        self, order: StartOrder, may_send: Callable[[], bool] | None = None
+    ) -> tuple[StartResult, float | None]:
         """See `RunnerLink.start`."""
+        async with self._order_limit:
+            if may_send is not None and not may_send():
+                return StartResult.UNSENT, None
+            return await self._start(order)
+
+    async def _start(self, order: StartOrder) -> tuple[StartResult, float | None]:
         if not await self._reach():
             return StartResult.UNKNOWN, None
         if self.lose_starts:
@@ -504,15 +515,17 @@
 
     async def stop(self, task: TaskId, run: int, fence: int) -> None:
         """See `RunnerLink.stop`."""
-        await self._reach_or_fail()
-        self.runner.stop(task, run, fence)
-        await self._return_or_fail()
+        async with self._order_limit:
+            await self._reach_or_fail()
+            self.runner.stop(task, run, fence)
+            await self._return_or_fail()
 
     async def set_pace(self, task: TaskId, run: int, percent: int, fence: int) -> None:
         """See `RunnerLink.set_pace`."""
-        await self._reach_or_fail()
-        self.runner.set_pace(task, run, percent, fence)
-        await self._return_or_fail()
+        async with self._order_limit:
+            await self._reach_or_fail()
+            self.runner.set_pace(task, run, percent, fence)
+            await self._return_or_fail()
 
     async def poll(
         self, fence: int, acknowledged: int, deadline_ms: int | None, wait_s: float
@@ -542,10 +555,11 @@
 
     async def renew(self, fence: int, deadline_ms: int) -> None:
         """See `RunnerLink.renew`."""
-        await self._reach_or_fail()
-        await self._lose_renewal(fence, 0, deadline_ms)
-        self.runner.poll(fence, 0, deadline_ms)
-        await self._return_or_fail()
+        async with self._order_limit:
+            await self._reach_or_fail()
+            await self._lose_renewal(fence, 0, deadline_ms)
+            self.runner.poll(fence, 0, deadline_ms)
+            await self._return_or_fail()
 
     async def aclose(self) -> None:
         """See `RunnerLink.aclose`."""
--- a/flamingoweir/transport.py
+++ b/flamingoweir/transport.py
@@ -121,6 +121,7 @@
         headers: Sequence[tuple[bytes, bytes]] = (),
         timeout_s: float | None = None,
         transfer_s: float = 0.0,
+        may_send: Callable[[], bool] | None = None,
     ) -> Response:
         """Send a request and return the response.
 
@@ -137,6 +138,9 @@
         transfer_s : float
             Seconds that a call may take, if longer than its timeout, while parts of
             the response's body arrive within the client's timeout of each other.
+        may_send : callable, optional
+            Asked once there is a connection, for which the call may have waited;
+            nothing is sent if it returns False.
 
         Raises
         ------
@@ -152,6 +156,9 @@
                 with anyio.fail_after(timeout_s or self._timeout_s) as scope:
                     on_part = self._extender(scope, transfer_s) if transfer_s else None
                     connection = await self._acquire_connection()
+                    if may_send is not None and not may_send():
+                        self._idle_connections.append(connection)
+                        raise RequestNotSent("the request is not wanted any more")
                     status, content = await connection.exchange(
                         request, method == "HEAD", on_part
                     )
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -478,10 +478,10 @@
     start = MemoryRunnerLink.start
     silent = [True]
 
-    async def lose_response(link, order):
+    async def lose_response(link, order, may_send=None):
         if silent:
             return StartResult.UNKNOWN, None
-        return await start(link, order)
+        return await start(link, order, may_send)
 
     async def scenario():
         async with run_cluster(members=1, runners=2) as cluster:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -602,3 +602,30 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+def test_order_is_sent_after_its_attempt_has_ended():
+    """Guards against an order that waits for a connection while leases lapse.
+
+    Too many orders for the connections to a runner are under way when it crashes. Its
+    next incarnation is up when the last of them are sent.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=32) as cluster:
+            await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            runner.crash()
+            step = make_step(60, processors=0.5, lasting=True)
+            job = await cluster.submit(make_job(1, step))
+            await anyio.sleep(1.0)
+            cluster.add_runner("runner-1", processors=32)
+            await anyio.sleep(5.0)
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await anyio.sleep(30)
+            await cluster.wait_for(job, JobState.RUNNING, 1.0)
+            check_runs(cluster)
+
+    run_virtual(scenario)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -89,7 +89,7 @@
     def __init__(self, entry: RunnerEntry):
         split_address(entry.address)
 
-    async def start(self, order) -> tuple[StartResult, float | None]:
+    async def start(self, order, may_send=None) -> tuple[StartResult, float | None]:
         return StartResult.UNSENT, None
 
     async def stop(self, task, run, fence) -> None:
