A start order carries a higher token than calls that acknowledge ends

Cause: a poll that acknowledges ends may be under way for seconds, as a start order may. If the next incarnation carries out the order first, the run ends there, and the poll makes it forget how. Neither was answered, so that the owner takes the run for one that never started.

Each write gives the owner a higher token, and the write that makes an attempt durable comes before its order. The order carries that token if a call with the present one has acknowledged ends, so that the incarnation that carries it out rejects the poll.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -1,5 +1,7 @@
 """Sends orders to runners: to start a run, to stop it, to set its pace."""
 
+import dataclasses
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -22,6 +24,8 @@
 
 #: Seconds before an order without a response is sent again.
 RESEND_PAUSE_S = 0.08
+#: Seconds between checks whether a write has given the owner a higher token.
+TOKEN_CHECK_INTERVAL_S = 0.005
 
 
 class OrderSender:
@@ -165,6 +169,11 @@
             if obstacle:
                 self._discard_or_stop(attempt, allocation, obstacle)
                 return
+            if not runner.call_fence.raise_for_start(self._context.writer.latest_fence):
+                self._owner_state.write_wakeup.set()
+                await anyio.sleep(TOKEN_CHECK_INTERVAL_S)
+                continue
+            order = dataclasses.replace(order, fence=runner.call_fence.token)
             self._owner_state.customer_usage.record_sent(allocation)
             sent_count += 1
             sent_s = self._context.clock.now()
@@ -179,8 +188,10 @@
             )
             if result is not StartResult.STARTED or sent_count > 1 or is_unseen:
                 self._log_result(runner, attempt, result, clock_ms, sent_s)
-            if result is StartResult.FENCED:
-                result = self._classify_fenced(runner, order.fence)
+            if result is StartResult.FENCED and not self._end_if_replaced(
+                runner, order.fence
+            ):
+                continue
             self._context.metrics.incr(f"starts_{result.value}")
             if result is StartResult.UNKNOWN:
                 self._record_unanswered(allocation)
@@ -229,12 +240,6 @@
             clock_ahead_ms=ahead_ms,
         )
 
-    def _classify_fenced(self, runner: Runner, fence: int) -> StartResult:
-        """End the term after a fenced start, unless it was a former incarnation's."""
-        if self._end_if_replaced(runner, fence):
-            return StartResult.FENCED
-        return StartResult.REJECTED
-
     def _end_if_replaced(self, runner: Runner, fence: int) -> bool:
         """End the term if a next owner has called a runner; return whether it has."""
         if runner.call_fence.is_stale(fence):
@@ -319,7 +324,8 @@
                 try:
                     await link.stop(task, run, fence)
                 except Fenced:
-                    self._end_if_replaced(runner, fence)
+                    if not self._end_if_replaced(runner, fence):
+                        continue
                 except RunnerUnreachable:
                     await anyio.sleep(RESEND_PAUSE_S)
                     continue
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -152,14 +152,17 @@
             deadline_ms = self._context.renew_lease(runner)
         # The next incarnation would forget ends that nobody has read.
         acknowledged = runner.ends.choose() if runner.responds else 0
+        if acknowledged:
+            runner.call_fence.record_acknowledging()
         try:
             report = await self._link.poll(
                 fence, acknowledged, deadline_ms, self._wait_s()
             )
         except Fenced:
-            self._term_end.signal(
-                f"runner {runner.id} has received a higher fencing token"
-            )
+            if not runner.call_fence.is_stale(fence):
+                self._term_end.signal(
+                    f"runner {runner.id} has received a higher fencing token"
+                )
             return
         except RunnerUnreachable as error:
             self._record_no_response(error)
--- a/flamingoweir/fleet/_call_fence.py
+++ b/flamingoweir/fleet/_call_fence.py
@@ -32,6 +32,8 @@
         self.token = max(token, stale_token)
         self.is_established = not stale_token
         self._stale_token = stale_token
+        #: Highest token of calls that acknowledged ends.
+        self._acknowledging_token = 0
 
     def begin_incarnation(self) -> None:
         """Record a new incarnation, which calls to the former one may still reach."""
@@ -45,6 +47,30 @@
         self.token = max(self.token, token)
         return self.token > self._stale_token
 
+    def record_acknowledging(self) -> None:
+        """Record that a call with the present token acknowledges ends."""
+        self._acknowledging_token = self.token
+
+    def raise_for_start(self, token: int) -> bool:
+        """Raise the token above that of calls that acknowledge ends, if need be.
+
+        An incarnation that carries out a start order rejects those that come later, so
+        that none of them makes it forget how the run ended.
+
+        Parameters
+        ----------
+        token : int
+            A token of the owner's.
+
+        Returns
+        -------
+        bool
+            Whether the token is high enough.
+        """
+        if self.token <= self._acknowledging_token:
+            self.token = max(self.token, token)
+        return self.token > self._acknowledging_token
+
     def is_stale(self, token: int) -> bool:
         """Return whether a call was sent before the token was raised.
 
