Ends aren't acknowledged while a start order may arrive late

Cause: one start order of a run gets no response, another one is carried out, the run is done and its end acknowledged. The runner restarts, and the first order arrives before the next incarnation has had a call. Nothing there tells that the run has ended.

The end is durable in the store, but the runner isn't told so until no order without a response can arrive any more (15 s): if it restarts before, its former incarnation has acknowledged nothing, and what runs again is stopped as unknown. Polls of such a runner wait 0.25 s, as they would list the same ends at once; with more than 250 ends they are acknowledged. The owner row names the runners and times, so that the next owner waits as well. test_late_order_starts_a_task_that_is_done_before_any_call failed before in its first case; the others are new.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -120,6 +120,11 @@
                 self._owner_state.runner_by_id, self._context.clock.now()
             )
         )
+        self._writer.list_unanswered_starts = lambda: (
+            self._owner_state.late_starts.list_unanswered_left_s(
+                self._context.clock.now()
+            )
+        )
         self._writer.find_max_job_bytes = self._owner_state.parking.find_max_job_bytes
         await self._wait_for_responses()
         self._writer.grants_leases = True
--- a/flamingoweir/dispatch/_late_starts.py
+++ b/flamingoweir/dispatch/_late_starts.py
@@ -18,11 +18,42 @@
 
     def __init__(self) -> None:
         self._allocations: dict[Allocation, None] = {}
+        self._runners: dict[Runner, None] = {}
 
     def add(self, allocation: Allocation) -> None:
         """Add an allocation whose order is to be sent, or got no response."""
         self._allocations[allocation] = None
 
+    def add_runner(self, runner: Runner) -> None:
+        """Add a runner that has not responded to a start order."""
+        self._runners[runner] = None
+
+    def list_unanswered_left_s(self, now_s: float) -> dict[str, float]:
+        """Return for how many seconds orders without a response may arrive, by runner.
+
+        Attempts that have ended count as well, as their task may run again. An empty id
+        stands for the runners that are not named.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        left_s_by_runner: dict[str, float] = {}
+        published_bytes = 0
+        for runner in list(self._runners):
+            left_s = round(runner.unanswered_starts.until_s - now_s, 3)
+            if left_s <= 0:
+                del self._runners[runner]
+                continue
+            runner_id = runner.id
+            published_bytes += len(runner_id.encode()) + ENTRY_BYTES
+            if published_bytes > MAX_PUBLISHED_BYTES:
+                runner_id = ""
+                left_s = max(left_s, left_s_by_runner.get("", 0.0))
+            left_s_by_runner[runner_id] = left_s
+        return left_s_by_runner
+
     def list_left_s(
         self, runner_by_id: Mapping[str, Runner], now_s: float
     ) -> dict[str, float] | None:
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -1,6 +1,7 @@
 """Sends orders to runners: to start a run, to stop it, to set its pace."""
 
 import dataclasses
+from collections.abc import Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -177,7 +178,7 @@
             self._owner_state.customer_usage.record_sent(allocation)
             sent_count += 1
             sent_s = self._context.clock.now()
-            result, clock_ms = await link.start(order, may_send)
+            result, clock_ms = await self._send_start(runner, link, order, may_send)
             if result is StartResult.UNSENT and not may_send():
                 continue
             is_unseen = result is StartResult.STARTED and (
@@ -205,6 +206,29 @@
             self._handle_start_result(attempt, runner, allocation, result)
             return
 
+    async def _send_start(
+        self,
+        runner: Runner,
+        link: RunnerLink,
+        order: StartOrder,
+        may_send: Callable[[], bool],
+    ) -> tuple[StartResult, float | None]:
+        """Send a start order once; see `RunnerLink.start`."""
+        result = StartResult.UNKNOWN
+        runner.unanswered_starts.record_sent()
+        try:
+            result, clock_ms = await link.start(order, may_send)
+        finally:
+            is_answered = result is not StartResult.UNKNOWN
+            now_s = self._context.clock.now()
+            runner.unanswered_starts.record_result(is_answered, now_s)
+            if is_answered:
+                # The next poll may have waited for it.
+                runner.poll_wakeup.set()
+            else:
+                self._owner_state.late_starts.add_runner(runner)
+        return result, clock_ms
+
     def _find_obstacle(self, runner: Runner, allocation: Allocation) -> str:
         """Return why a start order may not be sent now; empty if it may."""
         if not self._permit.is_valid() or not self._permit.allows_runner(runner):
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -696,7 +696,7 @@
 
     def _new_runner(self, entry: RunnerEntry) -> Runner:
         now_s = self._clock.now()
-        return Runner(
+        runner = Runner(
             entry,
             self._max_lease_s,
             self._earlier_leases.find_end_s(entry.id),
@@ -704,7 +704,11 @@
             max(self.fence, self._dropped_runners.highest_token),
             self._dropped_runners.find_token(entry.id, now_s),
             self._dropped_runners.may_get_late_calls(entry.id, now_s),
+            self._earlier_leases.find_unanswered_end_s(entry.id),
         )
+        if runner.unanswered_starts.may_arrive(now_s):
+            self.late_starts.add_runner(runner)
+        return runner
 
     def _record_outcome(
         self, runner: Runner, allocation: Allocation, outcome: Outcome, now_s: float
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -25,8 +25,8 @@
 IDLE_POLL_INTERVAL_S = 5.0
 #: Seconds between polls of an unresponsive runner.
 UNRESPONSIVE_PAUSE_S = 0.15
-#: Longest delay of a poll, in seconds, until the latest ends are durable.
-DURABLE_WAIT_S = 0.25
+#: Longest delay of a poll, in seconds, until it can acknowledge the latest ends.
+ACKNOWLEDGE_WAIT_S = 0.25
 #: Longest delay of a poll, in seconds, until a write gives it a higher fencing token.
 FENCE_WAIT_S = 0.15
 #: Seconds between checks whether there is such a write.
@@ -84,7 +84,7 @@
             if not self._context.writer.may_renew_leases():
                 self._term_end.signal("the store has not confirmed the ownership")
                 return
-            await self._wait_until_durable()
+            await self._wait_until_acknowledged()
             await self._raise_fence()
             try:
                 await self._poll()
@@ -115,19 +115,27 @@
         await runner.poll_wakeup.wait(idle_s)
         return True
 
-    async def _wait_until_durable(self) -> None:
+    async def _wait_until_acknowledged(self) -> None:
         """Wait until the next poll can acknowledge the latest ends.
 
         Until then a poll would return the same ends at once, whatever else has
         happened.
         """
-        runner = self._runner
-        until_s = self._clock.now() + DURABLE_WAIT_S
-        while runner.ends.durable < runner.ends.received:
+        until_s = self._clock.now() + ACKNOWLEDGE_WAIT_S
+        while self._withholds_ends():
             left_s = until_s - self._clock.now()
             if left_s <= 0:
                 return
-            await runner.poll_wakeup.wait(left_s)
+            await self._runner.poll_wakeup.wait(left_s)
+
+    def _withholds_ends(self) -> bool:
+        """Return whether the next poll can't acknowledge all ends yet."""
+        runner = self._runner
+        if runner.ends.durable < runner.ends.received:
+            return True
+        if runner.ends.is_acknowledged or not runner.responds:
+            return False
+        return not runner.may_acknowledge(self._clock.now())
 
     async def _raise_fence(self) -> None:
         """Wait until the next poll can fence calls to a former incarnation.
@@ -151,7 +159,7 @@
         if runner.responds and runner.has_attempts:
             deadline_ms = self._context.renew_lease(runner)
         # The next incarnation would forget ends that nobody has read.
-        acknowledged = runner.ends.choose() if runner.responds else 0
+        acknowledged = runner.ends.choose() if runner.may_acknowledge(sent_s) else 0
         if acknowledged:
             runner.call_fence.record_acknowledging()
         try:
@@ -202,7 +210,7 @@
             or not runner.call_fence.is_established
             # It may have restarted.
             or runner.unresponsive_since_s is not None
-            or runner.ends.durable < runner.ends.received
+            or self._withholds_ends()
             or self._awaits_void_attempt()
         ):
             return 0.0
--- a/flamingoweir/fleet/_end_cursor.py
+++ b/flamingoweir/fleet/_end_cursor.py
@@ -1,5 +1,8 @@
 """Which ends of attempts a runner may forget."""
 
+#: Largest number of ends that are kept from being acknowledged. A report lists 500.
+MAX_WITHHELD_ENDS = 250
+
 
 class EndCursor:
     """Numbers of the ends that an incarnation of a runner lists.
@@ -28,6 +31,11 @@
         """Whether the runner has forgotten all ends that were received."""
         return self.acknowledged >= self.received
 
+    @property
+    def may_be_withheld(self) -> bool:
+        """Whether a report has room for ends that are not acknowledged yet."""
+        return self.received - self.acknowledged <= MAX_WITHHELD_ENDS
+
     def record_durable(self, number: int) -> None:
         """Record that the ends up to a number are durable."""
         self.durable = max(self.durable, number)
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -8,6 +8,7 @@
 from ._call_fence import MAX_LATENESS_S, CallFence
 from ._end_cursor import EndCursor
 from ._incarnation_clock import IncarnationClock
+from ._unanswered_starts import UnansweredStarts
 
 #: Seconds from a poll to the end of the lease that it renews for the runner's tasks. A
 #: new owner takes over in about 2 s, before the runner would kill the tasks.
@@ -134,6 +135,9 @@
     may_get_late_calls : bool
         Whether calls of an earlier owner, or to an earlier incarnation, may reach the
         runner.
+    late_starts_until_s : float
+        Until when start orders of earlier owners may arrive, on the owner's clock, in
+        seconds.
 
     Attributes
     ----------
@@ -180,6 +184,8 @@
         the owner's clock, in seconds.
     call_fence : CallFence
         Fencing token of calls to the runner.
+    unanswered_starts : UnansweredStarts
+        Start orders that may arrive late.
     incarnation_clock : IncarnationClock
         The runner's clock, as of the latest report.
     poll_wakeup : Wakeup
@@ -196,6 +202,7 @@
         token: int = 0,
         stale_token: int = 0,
         may_get_late_calls: bool = True,
+        late_starts_until_s: float = float("-inf"),
     ):
         self._entry = entry
         self.incarnation: int | None = None
@@ -217,6 +224,7 @@
         self.leaving = False
         self.no_room_until_s = float("-inf")
         self.call_fence = CallFence(token, stale_token)
+        self.unanswered_starts = UnansweredStarts(late_starts_until_s)
         self.poll_wakeup = Wakeup()
         self._max_lease_s = max_lease_s
         self._earlier_leases_end_s = earlier_leases_end_s
@@ -447,6 +455,23 @@
         """Whether the latest call of this owner got a response."""
         return self.incarnation is not None and self.unresponsive_since_s is None
 
+    def may_acknowledge(self, now_s: float) -> bool:
+        """Return whether a call may acknowledge ends.
+
+        A task whose start order arrives late runs again on the next incarnation. That
+        is no second run if the former one was lost before its end was acknowledged.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        if not self.responds:
+            return False
+        if not self.ends.may_be_withheld:
+            return True
+        return not self.unanswered_starts.may_arrive(now_s)
+
     def record_response(self, clock_ms: float, now_s: float) -> None:
         """Record a response that has just arrived, with the runner's clock."""
         self.incarnation_clock.record(clock_ms, now_s)
--- a/flamingoweir/ownership/_earlier_leases.py
+++ b/flamingoweir/ownership/_earlier_leases.py
@@ -24,6 +24,9 @@
         When no start order of earlier owners can reach a runner, in seconds.
     starts_end_s_by_runner : mapping of str to float
         The same for runners with another end.
+    unanswered_end_s_by_runner : mapping of str to float
+        When no start order without a response can reach a runner, in seconds; an empty
+        id stands for all others.
     """
 
     def __init__(
@@ -32,11 +35,13 @@
         end_s_by_runner: Mapping[str, float],
         starts_end_s: float = float("-inf"),
         starts_end_s_by_runner: Mapping[str, float] = MappingProxyType({}),
+        unanswered_end_s_by_runner: Mapping[str, float] = MappingProxyType({}),
     ):
         self.end_s = end_s
         self._end_s_by_runner = end_s_by_runner
         self._starts_end_s = starts_end_s
         self._starts_end_s_by_runner = starts_end_s_by_runner
+        self._unanswered_end_s_by_runner = unanswered_end_s_by_runner
 
     @classmethod
     def none(cls) -> "EarlierLeases":
@@ -76,14 +81,25 @@
         for runner, end_in_s in record.leases_end_in_s_by_runner.items():
             end_s_by_runner[runner] = find_end_s(end_in_s)
         end_s = find_end_s(record.leases_end_in_s)
+        unanswered_end_s_by_runner = {}
+        for runner, end_in_s in record.unanswered_starts_end_in_s_by_runner.items():
+            unanswered_end_s_by_runner[runner] = find_end_s(end_in_s)
         if record.late_starts_end_in_s_by_runner is None:
             starts_end_s = find_end_s(UNBOUNDED_STARTS_END_IN_S)
-            return cls(end_s, end_s_by_runner, starts_end_s)
+            return cls(
+                end_s,
+                end_s_by_runner,
+                starts_end_s,
+                unanswered_end_s_by_runner=unanswered_end_s_by_runner,
+            )
         starts_end_s_by_runner = {}
         for runner, end_in_s in record.late_starts_end_in_s_by_runner.items():
             starts_end_s_by_runner[runner] = find_end_s(end_in_s)
         return cls(
-            end_s, end_s_by_runner, starts_end_s_by_runner=starts_end_s_by_runner
+            end_s,
+            end_s_by_runner,
+            starts_end_s_by_runner=starts_end_s_by_runner,
+            unanswered_end_s_by_runner=unanswered_end_s_by_runner,
         )
 
     def find_end_s(self, runner: str) -> float:
@@ -94,6 +110,23 @@
         """Return when no start order can reach a runner any more, in seconds."""
         return self._starts_end_s_by_runner.get(runner, self._starts_end_s)
 
+    def find_unanswered_end_s(self, runner: str) -> float:
+        """Return when no order without a response can reach a runner, in seconds.
+
+        Orders that were sent after the row was written count as without a response.
+        """
+        others_s = self._unanswered_end_s_by_runner.get("", float("-inf"))
+        end_s = self._unanswered_end_s_by_runner.get(runner, others_s)
+        return max(end_s, self.find_starts_end_s(runner))
+
+    def list_unanswered_left_s(self, now_s: float) -> dict[str, float]:
+        """Return the seconds left until then, by runner, as the row names them."""
+        left_s_by_runner = {}
+        for runner, end_s in self._unanswered_end_s_by_runner.items():
+            if end_s > now_s:
+                left_s_by_runner[runner] = end_s - now_s
+        return left_s_by_runner
+
     def list_starts_left_s(self, now_s: float) -> dict[str, float] | None:
         """Return the seconds left until then by runner; None if it is one for all."""
         if self._starts_end_s > now_s:
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -71,6 +71,10 @@
         Seconds after the write until no start order of this owner or an earlier one can
         reach a runner any more, by runner id; 0 for others. Counts orders without a
         response and those that this write allows. None: not known.
+    unanswered_starts_end_in_s_by_runner : dict of str to float
+        Seconds after the write until no start order without a response can reach a
+        runner any more, by runner id, whether or not its attempt has ended. An empty id
+        stands for all others; without one, 0 for others.
     missing_s_by_runner : dict of str to float
         Seconds for which owners that followed one another have found a runner with
         attempts missing from the list of runners, by its id.
@@ -90,6 +94,7 @@
     leases_end_in_s: float = UNBOUNDED_LEASES_END_IN_S
     leases_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
     late_starts_end_in_s_by_runner: dict[str, float] | None = None
+    unanswered_starts_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
     missing_s_by_runner: dict[str, float] = field(default_factory=dict)
     max_job_bytes: int | None = None
     waits: Waits = field(default_factory=Waits)
@@ -102,10 +107,12 @@
     """Encode the content of an owner row as JSON.
 
     Late starts and the field `max_job_bytes` are left out while they are None: former
-    builds can't read the latter. Missing runners, waits and the limits of customers are
-    left out where there are none.
+    builds can't read the latter. Unanswered starts, missing runners, waits and the
+    limits of customers are left out where there are none.
     """
     fields = _to_fields(record)
+    if not record.unanswered_starts_end_in_s_by_runner:
+        del fields["unanswered_starts_end_in_s_by_runner"]
     if not record.missing_s_by_runner:
         del fields["missing_s_by_runner"]
     if not record.waits:
@@ -139,6 +146,7 @@
         record.leases_end_in_s,
         *record.leases_end_in_s_by_runner.values(),
         *(record.late_starts_end_in_s_by_runner or {}).values(),
+        *record.unanswered_starts_end_in_s_by_runner.values(),
         *record.missing_s_by_runner.values(),
     ]
     if record.written_s is not None:
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -129,6 +129,8 @@
         Returns `OwnerRecord.leases_end_in_s_by_runner` to publish, called once a write.
     list_late_starts : callable
         Returns `OwnerRecord.late_starts_end_in_s_by_runner`, called once a write.
+    list_unanswered_starts : callable
+        Returns `OwnerRecord.unanswered_starts_end_in_s_by_runner`, called once a write.
     list_missing_runners : callable
         Returns `OwnerRecord.missing_s_by_runner`, called for each transaction.
     list_waits : callable
@@ -170,6 +172,9 @@
         self.list_late_starts = lambda: self.earlier_leases.list_starts_left_s(
             self._clock.now()
         )
+        self.list_unanswered_starts = lambda: (
+            self.earlier_leases.list_unanswered_left_s(self._clock.now())
+        )
         self.list_missing_runners = lambda: self.former_missing_s_by_runner
         self.list_waits = lambda: self.former_waits
         self.find_max_job_bytes: Callable[[], int | None] = lambda: None
@@ -336,6 +341,7 @@
         # their full leases.
         named_leases = self.list_named_leases()
         late_starts = self.list_late_starts()
+        unanswered_starts = self.list_unanswered_starts()
         for runner, end_in_s in named_leases.items():
             valid_s = _named_valid_s(end_in_s)
             known_s = self._named_in_flight.get(runner, valid_s)
@@ -349,6 +355,7 @@
                 leases_end_in_s=self._leases_end_in_s(sent_s, grants_leases),
                 leases_end_in_s_by_runner=named_leases,
                 late_starts_end_in_s_by_runner=late_starts,
+                unanswered_starts_end_in_s_by_runner=unanswered_starts,
                 missing_s_by_runner=self.list_missing_runners(),
                 max_job_bytes=self.find_max_job_bytes(),
                 waits=self.list_waits(),
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -573,7 +573,8 @@
     run_virtual(scenario)
 
 
-def test_late_order_starts_a_task_that_is_done_before_any_call():
+@pytest.mark.parametrize("lose_owner", [do_nothing, kill, stop_in_order])
+def test_late_order_starts_a_task_that_is_done_before_any_call(lose_owner):
     """Guards against a task that is done and runs again (issue 9).
 
     The first start order gets no response, the second one is carried out. The late one
@@ -581,21 +582,24 @@
     """
 
     async def scenario():
-        async with run_cluster(runners=1) as cluster:
+        async with run_cluster(members=3, runners=1) as cluster:
             owner = await cluster.owner()
             await anyio.sleep(FORMER_LIFE_S)
             link = owner.link_by_runner["runner-0"]
-            link.lose_starts, link.delivery_delay_s = 1, 4.0
+            link.lose_starts, link.delivery_delay_s = 1, 9.0
             job = await cluster.submit(make_job(1))
             await cluster.wait_for(job, JobState.DONE, 3.0)
-            await anyio.sleep(1.0)
+            await lose_owner(cluster, owner)
+            owner = await cluster.owner()
+            await anyio.sleep(3.0)
             runner = cluster.runner_by_id["runner-0"]
             runner.crash()
+            link = owner.link_by_runner["runner-0"]
             link.disconnected = True
             await anyio.sleep(DARK_S)
             runner.restart()
             cluster.list_runner(runner.id)
-            await anyio.sleep(3.0)
+            await anyio.sleep(5.0)
             link.disconnected = False
             await anyio.sleep(3.0)
             assert cluster.starts(f"{job.id}.0.0.0") == ["runner-0", "runner-0"]
