Attempts stay open for late orders without an entry that tells of a restart

Cause: an attempt whose start order got no response lapsed with the former leases, unless the runner's entry told of a new incarnation by then. A runner that is dark for longer, or cut off from the store as well, carries the order out all the same.

Such an attempt now stays open in any case, for the longest delay of a call and the longest lease. So that hardly an order is without a response when a runner is lost, orders go only to a runner that has responded within 50 ms, or to a probe, and are sent again only after a response. The owner row names the runs whose orders may come late, not only their runners, so that other tasks there don't wait with a next owner.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -48,7 +48,7 @@
 FULL_LEASES_S = LEASE_VALID_S - RUNNER_LEASE_S
 #: Largest total length of what the owner row says of the ends of leases. A row has at
 #: most 64 KiB.
-MAX_NAMED_LEASE_BYTES = 41_000
+MAX_NAMED_LEASE_BYTES = 35_000
 #: Seconds after which the leases that an owner may grant have lapsed.
 LONGEST_LEASE_S = longest_lease_s(LEASE_VALID_S)
 #: Largest `Runner.leases_left_ms` of leases that surely end by then, with a millisecond
@@ -120,6 +120,7 @@
                 self._owner_state.runner_by_id, self._context.clock.now()
             )
         )
+        self._writer.list_late_runs = self._owner_state.late_starts.list_runs
         self._writer.list_unanswered_starts = lambda: (
             self._owner_state.late_starts.list_unanswered_left_s(
                 self._context.clock.now()
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -20,6 +20,7 @@
     StartOrder,
     StartResult,
 )
+from ._start_gate import StartGate
 
 log = get_logger()
 
@@ -60,6 +61,7 @@
         self._term_end = term_end
         self._task_group = task_group
         self._link_by_runner = link_by_runner
+        self._gate = StartGate(context)
         #: Attempts with a pace order in flight.
         self._pacing_attempts: set[Attempt] = set()
 
@@ -161,8 +163,11 @@
         def may_send() -> bool:
             if attempt.state is not AttemptState.ORDERED:
                 return False
-            is_open = runner.find(attempt.task, attempt.run) is allocation
-            return is_open and not self._find_obstacle(runner, allocation)
+            if runner.find(attempt.task, attempt.run) is not allocation:
+                return False
+            if self._find_obstacle(runner, allocation):
+                return False
+            return self._gate.is_open(runner)
 
         sent_count = 0
         while attempt.state is AttemptState.ORDERED and self._find_allocation(attempt):
@@ -170,6 +175,12 @@
             if obstacle:
                 self._discard_or_stop(attempt, allocation, obstacle)
                 return
+            if not await self._gate.reach(runner, link):
+                if not allocation.start_unanswered:
+                    self._owner_state.discard_attempt(attempt, "runner_silent")
+                    return
+                await anyio.sleep(RESEND_PAUSE_S)
+                continue
             if not runner.call_fence.raise_for_start(self._context.writer.latest_fence):
                 self._owner_state.write_wakeup.set()
                 await anyio.sleep(TOKEN_CHECK_INTERVAL_S)
@@ -280,6 +291,7 @@
     ) -> None:
         now_s = self._context.clock.now()
         if result is StartResult.STARTED:
+            runner.record_heard(now_s)
             allocation.record_start(now_s)
             self._owner_state.record_start(attempt)
             allocation.expect_listed_after_s = now_s
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -324,7 +324,7 @@
             # It may have run for long.
             allocation.started_s = float("-inf")
             allocation.late_start_until_s = self._earlier_leases.find_starts_end_s(
-                attempt.runner
+                attempt.runner, f"{attempt.task}#{attempt.run}"
             )
             self.late_starts.add(allocation)
             self.waits.runs.restore(runner, allocation)
@@ -412,12 +412,13 @@
         self._suspect_tasks(runner)
         attempts = []
         entry = self._entry_by_id.get(runner.id)
-        if entry is not None and runner.entry.address not in ("", entry.address):
-            # No order has been sent there, and none is until the attempts have ended.
-            entry = None
-        incarnation = 0 if entry is None else entry.incarnation
+        # No order has been sent to another address, and none is meanwhile.
+        has_moved = entry is not None and runner.entry.address not in (
+            "",
+            entry.address,
+        )
         for allocation in runner.allocation_by_run.values():
-            if runner.may_run_unseen(allocation, incarnation, now_s):
+            if not has_moved and runner.may_run_unseen(allocation, now_s):
                 continue
             if not self._waits_for_crash(allocation.attempt, now_s):
                 attempts.append(allocation.attempt)
--- a/flamingoweir/dispatch/_protocols.py
+++ b/flamingoweir/dispatch/_protocols.py
@@ -242,6 +242,23 @@
         """
         ...
 
+    async def probe(self, fence: int) -> float | None:
+        """Call the runner without any effect but that of the fencing token.
+
+        Returns
+        -------
+        float or None
+            The runner's clock in milliseconds, if the response contains it.
+
+        Raises
+        ------
+        RunnerUnreachable
+            If no usable response arrives.
+        Fenced
+            If the runner has received a higher fencing token.
+        """
+        ...
+
     async def aclose(self) -> None:
         """Close all connections."""
         ...
--- /dev/null
+++ b/flamingoweir/dispatch/_start_gate.py
@@ -0,0 +1,85 @@
+"""Lets start orders go only to runners that have just responded."""
+
+import anyio
+
+from ..fleet import Runner
+from ..logs import get_logger
+from ._context import TermContext
+from ._protocols import Fenced, RunnerLink, RunnerUnreachable
+
+log = get_logger()
+
+#: Seconds after a response within which a runner is not probed.
+HEARD_S = 0.05
+#: The same at the time at which an order is sent, which may wait for a connection.
+HEARD_AT_SENDING_S = 0.3
+
+
+class StartGate:
+    """Probes runners before start orders are sent to them.
+
+    A runner that has restarted may carry out an order that was sent to it in vain, so
+    that its task stays open for long. Orders that were never sent cost nothing.
+
+    Parameters
+    ----------
+    context : TermContext
+        Shared objects of the term.
+    """
+
+    def __init__(self, context: TermContext):
+        self._clock = context.clock
+        self._owner_state = context.owner_state
+        #: Set when the probe of a runner has ended.
+        self._probe_end_by_runner: dict[str, anyio.Event] = {}
+
+    def is_open(self, runner: Runner) -> bool:
+        """Return whether a runner has responded so recently that an order may go."""
+        return self._clock.now() - runner.heard_s <= HEARD_AT_SENDING_S
+
+    async def reach(self, runner: Runner, link: RunnerLink) -> bool:
+        """Return whether a runner responds; probe it if it hasn't just done so.
+
+        Orders to one runner share a probe.
+
+        Parameters
+        ----------
+        runner : Runner
+            The runner.
+        link : RunnerLink
+            Connection to it.
+        """
+        if self._clock.now() - runner.heard_s <= HEARD_S:
+            return True
+        probe_end = self._probe_end_by_runner.get(runner.id)
+        if probe_end is not None:
+            await probe_end.wait()
+            return self.is_open(runner)
+        probe_end = self._probe_end_by_runner[runner.id] = anyio.Event()
+        try:
+            await self._probe(runner, link)
+        finally:
+            del self._probe_end_by_runner[runner.id]
+            probe_end.set()
+        return self.is_open(runner)
+
+    async def _probe(self, runner: Runner, link: RunnerLink) -> None:
+        sent_s = self._clock.now()
+        try:
+            clock_ms = await link.probe(runner.call_fence.token)
+        except Fenced:
+            # The order finds out whether there is a next owner.
+            runner.record_heard(self._clock.now())
+            return
+        except RunnerUnreachable as error:
+            self._owner_state.record_lost(runner, str(error))
+            runner.poll_wakeup.set()
+            return
+        now_s = self._clock.now()
+        if clock_ms is None or not runner.incarnation_clock.may_show(
+            clock_ms, sent_s, now_s
+        ):
+            self._owner_state.record_lost(runner, "another incarnation has responded")
+            runner.poll_wakeup.set()
+            return
+        runner.record_heard(now_s)
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -166,6 +166,9 @@
     last_response_s : float
         When the runner last responded, on the owner's clock, in seconds; minus
         infinity: never.
+    heard_s : float
+        When any call last got a response of the known incarnation, on the owner's
+        clock, in seconds; minus infinity: never.
     unresponsive_since_s : float or None
         When calls began to get no response, on the owner's clock, in seconds; None
         while the runner responds.
@@ -218,6 +221,7 @@
         self.serving_count_by_image: dict[str, int] = {}
         self.serving_demand_milli = 0
         self.last_response_s = float("-inf")
+        self.heard_s = float("-inf")
         self.unresponsive_since_s: float | None = None
         self.lost_s = float("-inf")
         self.crashed_incarnation = 0
@@ -341,9 +345,7 @@
             self._count_serving(spec.image, -1)
         return allocation
 
-    def may_run_unseen(
-        self, allocation: Allocation, incarnation: int, now_s: float
-    ) -> bool:
+    def may_run_unseen(self, allocation: Allocation, now_s: float) -> bool:
         """Return whether an incarnation that has not responded may have a run.
 
         It has those whose start it has confirmed, or whose start order reaches it late,
@@ -353,17 +355,15 @@
         ----------
         allocation : Allocation
             Allocation of the attempt.
-        incarnation : int
-            The incarnation that the runner announces; 0: none.
         now_s : float
             Time on the owner's clock, in seconds.
         """
+        late_until_s = max(
+            allocation.late_start_until_s,
+            allocation.unseen_start_s + MAX_LATENESS_S,
+        )
         lease_s = self._max_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_MS / 1000
-        if now_s < allocation.unseen_start_s + MAX_LATENESS_S + lease_s:
-            return True
-        if incarnation in (0, allocation.attempt.incarnation):
-            return False
-        return now_s < allocation.late_start_until_s + lease_s
+        return now_s < late_until_s + lease_s
 
     def begin_incarnation(
         self,
@@ -476,11 +476,16 @@
         """Record a response that has just arrived, with the runner's clock."""
         self.incarnation_clock.record(clock_ms, now_s)
         self._update_leases_left()
-        self.last_response_s = now_s
+        self.last_response_s = self.heard_s = now_s
         self.unresponsive_since_s = None
 
+    def record_heard(self, now_s: float) -> None:
+        """Record a response to another call than a poll, of the known incarnation."""
+        self.heard_s = max(self.heard_s, now_s)
+
     def record_no_response(self, now_s: float) -> None:
         """Record that a call got no response."""
+        self.heard_s = float("-inf")
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = self.lost_s = now_s
 
--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -1,6 +1,6 @@
 """Ownership of shards, and the rows that owners write to the store."""
 
-from ._earlier_leases import EarlierLeases
+from ._earlier_leases import UNBOUNDED_STARTS_END_IN_S, EarlierLeases
 from ._owner_record import (
     UNBOUNDED_LEASES_END_IN_S,
     Backlog,
@@ -45,6 +45,7 @@
     "STATE_TABLE",
     "TASK_TABLE",
     "UNBOUNDED_LEASES_END_IN_S",
+    "UNBOUNDED_STARTS_END_IN_S",
     "Backlog",
     "EarlierLeases",
     "FencedWriter",
--- a/flamingoweir/ownership/_earlier_leases.py
+++ b/flamingoweir/ownership/_earlier_leases.py
@@ -27,6 +27,8 @@
     unanswered_end_s_by_runner : mapping of str to float
         When no start order without a response can reach a runner, in seconds; an empty
         id stands for all others.
+    late_runs : frozenset of str or None
+        The runs, as ``TASK#RUN``, whose start orders may reach their runner; None: any.
     """
 
     def __init__(
@@ -36,12 +38,14 @@
         starts_end_s: float = float("-inf"),
         starts_end_s_by_runner: Mapping[str, float] = MappingProxyType({}),
         unanswered_end_s_by_runner: Mapping[str, float] = MappingProxyType({}),
+        late_runs: frozenset[str] | None = None,
     ):
         self.end_s = end_s
         self._end_s_by_runner = end_s_by_runner
         self._starts_end_s = starts_end_s
         self._starts_end_s_by_runner = starts_end_s_by_runner
         self._unanswered_end_s_by_runner = unanswered_end_s_by_runner
+        self.late_runs = late_runs
 
     @classmethod
     def none(cls) -> "EarlierLeases":
@@ -100,14 +104,28 @@
             end_s_by_runner,
             starts_end_s_by_runner=starts_end_s_by_runner,
             unanswered_end_s_by_runner=unanswered_end_s_by_runner,
+            late_runs=None if record.late_runs is None else frozenset(record.late_runs),
         )
 
     def find_end_s(self, runner: str) -> float:
         """Return when the leases on a runner have lapsed, in seconds."""
         return self._end_s_by_runner.get(runner, self.end_s)
 
-    def find_starts_end_s(self, runner: str) -> float:
-        """Return when no start order can reach a runner any more, in seconds."""
+    def find_starts_end_s(self, runner: str, run: str) -> float:
+        """Return when no start order of a run can reach a runner any more, in seconds.
+
+        Parameters
+        ----------
+        runner : str
+            Id of the runner.
+        run : str
+            The run, as ``TASK#RUN``.
+        """
+        if self.late_runs is not None and run not in self.late_runs:
+            return float("-inf")
+        return self._find_starts_end_s(runner)
+
+    def _find_starts_end_s(self, runner: str) -> float:
         return self._starts_end_s_by_runner.get(runner, self._starts_end_s)
 
     def find_unanswered_end_s(self, runner: str) -> float:
@@ -117,7 +135,7 @@
         """
         others_s = self._unanswered_end_s_by_runner.get("", float("-inf"))
         end_s = self._unanswered_end_s_by_runner.get(runner, others_s)
-        return max(end_s, self.find_starts_end_s(runner))
+        return max(end_s, self._find_starts_end_s(runner))
 
     def list_unanswered_left_s(self, now_s: float) -> dict[str, float]:
         """Return the seconds left until then, by runner, as the row names them."""
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -71,6 +71,8 @@
         Seconds after the write until no start order of this owner or an earlier one can
         reach a runner any more, by runner id; 0 for others. Counts orders without a
         response and those that this write allows. None: not known.
+    late_runs : list of str or None
+        The runs, as ``TASK#RUN``, that these orders start. None: any run there.
     unanswered_starts_end_in_s_by_runner : dict of str to float
         Seconds after the write until no start order without a response can reach a
         runner any more, by runner id, whether or not its attempt has ended. An empty id
@@ -94,6 +96,7 @@
     leases_end_in_s: float = UNBOUNDED_LEASES_END_IN_S
     leases_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
     late_starts_end_in_s_by_runner: dict[str, float] | None = None
+    late_runs: list[str] | None = None
     unanswered_starts_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
     missing_s_by_runner: dict[str, float] = field(default_factory=dict)
     max_job_bytes: int | None = None
@@ -106,11 +109,13 @@
 def encode_owner_record(record: OwnerRecord) -> bytes:
     """Encode the content of an owner row as JSON.
 
-    Late starts and the field `max_job_bytes` are left out while they are None: former
-    builds can't read the latter. Unanswered starts, missing runners, waits and the
-    limits of customers are left out where there are none.
+    Late starts, late runs and the field `max_job_bytes` are left out while they are
+    None: former builds can't read the latter. Unanswered starts, missing runners, waits
+    and the limits of customers are left out where there are none.
     """
     fields = _to_fields(record)
+    if record.late_runs is None:
+        del fields["late_runs"]
     if not record.unanswered_starts_end_in_s_by_runner:
         del fields["unanswered_starts_end_in_s_by_runner"]
     if not record.missing_s_by_runner:
--- a/flamingoweir/platform/_runners.py
+++ b/flamingoweir/platform/_runners.py
@@ -191,6 +191,33 @@
         message = {"AckCursor": 0, "DueMs": deadline_ms}
         await self._send_checked_order("/-/hold", {**message, "FenceToken": fence})
 
+    async def probe(self, fence: int) -> float | None:
+        """Call the runner without any effect but that of the fencing token.
+
+        Parameters
+        ----------
+        fence : int
+            The owner's fencing token.
+
+        Returns
+        -------
+        float or None
+            The runner's clock in milliseconds, or None if the response lacks it.
+
+        Raises
+        ------
+        RunnerUnreachable
+            If there is no valid response.
+        Fenced
+            If the runner has received a higher fencing token.
+        """
+        message = {"AckCursor": 0, "FenceToken": fence}
+        response = await self._send_checked_order("/-/hold", message)
+        try:
+            return OrderResponse.model_validate_json(response.body).clock_ms
+        except pydantic.ValidationError:
+            return None
+
     async def poll(
         self, fence: int, acknowledged: int, deadline_ms: int | None, wait_s: float
     ) -> RunnerReport:
@@ -248,12 +275,15 @@
             "POST", path, orjson.dumps(message), self._headers, may_send=may_send
         )
 
-    async def _send_checked_order(self, path: str, message: dict[str, object]) -> None:
+    async def _send_checked_order(
+        self, path: str, message: dict[str, object]
+    ) -> Response:
         try:
             response = await self._send_order(path, message)
         except (RequestNotSent, ResponseLost) as error:
             raise RunnerUnreachable(f"runner {self._runner_id}: {error}") from error
         self._raise_for_status(response)
+        return response
 
     def _classify(self, response: Response) -> tuple[StartResult, float | None]:
         """Return the result of a start and the runner's clock, if it is known."""
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -561,6 +561,14 @@
             self.runner.poll(fence, 0, deadline_ms)
             await self._return_or_fail()
 
+    async def probe(self, fence: int) -> float | None:
+        """See `RunnerLink.probe`."""
+        async with self._order_limit:
+            await self._reach_or_fail()
+            clock_ms = self.runner.poll(fence, 0, None).clock_ms
+            await self._return_or_fail()
+            return clock_ms
+
     async def aclose(self) -> None:
         """See `RunnerLink.aclose`."""
 
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -104,6 +104,9 @@
     async def renew(self, fence, deadline_ms) -> None:
         raise RunnerUnreachable("nothing listens")
 
+    async def probe(self, fence) -> float | None:
+        raise RunnerUnreachable("nothing listens")
+
     async def aclose(self) -> None:
         return
 
