A wait for a late start counts from the latest call that grants a lease

Cause: an attempt stayed open for the longest delay of its start order and the longest lease. An incarnation that nobody has seen may carry the order out, and take a renewal that was sent much later, shortly before the lease lapses: it runs on for the longest lease from then.

The wait counts from the latest call that grants a lease there.

--- a/flamingoweir/dispatch/_late_starts.py
+++ b/flamingoweir/dispatch/_late_starts.py
@@ -96,15 +96,17 @@
         left_s_by_runner: dict[str, float] = {}
         for allocation in list(self._allocations):
             attempt = allocation.attempt
-            left_s = _find_left_s(allocation, now_s)
             runner = runner_by_id.get(attempt.runner)
             if (
-                left_s <= 0
-                or runner is None
+                runner is None
                 or runner.find(attempt.task, attempt.run) is not allocation
             ):
                 del self._allocations[allocation]
                 continue
+            left_s = _find_left_s(allocation, runner, now_s)
+            if left_s <= 0:
+                del self._allocations[allocation]
+                continue
             longest_s = max(left_s_by_runner.get(runner.id, 0.0), left_s)
             left_s_by_runner[runner.id] = round(longest_s, 3)
         published_bytes = 0
@@ -113,7 +115,7 @@
         return left_s_by_runner if published_bytes <= MAX_PUBLISHED_BYTES else None
 
 
-def _find_left_s(allocation: Allocation, now_s: float) -> float:
+def _find_left_s(allocation: Allocation, runner: Runner, now_s: float) -> float:
     if allocation.started_s is None:
         return START_VALID_S + MAX_LATENESS_S
-    return allocation.late_start_until_s - now_s
+    return runner.find_late_until_s(allocation) - now_s
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -182,6 +182,9 @@
     leases_left_ms : float
         Milliseconds by the runner's clock from its latest response until all leases
         granted so far have lapsed; infinite before the first response.
+    granted_s : float
+        When the latest call was made that grants a lease, on the owner's clock, in
+        seconds; minus infinity: there was none.
     no_room_until_s : float
         Until when the runner gets no task because it rejected one for want of room, on
         the owner's clock, in seconds.
@@ -236,6 +239,7 @@
         self._leases_end_ms = 0
         #: End of leases that calls to former incarnations may have extended.
         self._inherited_end_ms = 0
+        self.granted_s = float("-inf")
         self._may_get_late_calls = may_get_late_calls
         self.leases_left_ms = float("inf")
 
@@ -358,13 +362,21 @@
         now_s : float
             Time on the owner's clock, in seconds.
         """
-        late_until_s = max(
-            allocation.late_start_until_s,
-            allocation.unseen_start_s + MAX_LATENESS_S,
-        )
+        late_until_s = self.find_late_until_s(allocation)
         lease_s = self._max_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_MS / 1000
         return now_s < late_until_s + lease_s
 
+    def find_late_until_s(self, allocation: Allocation) -> float:
+        """Return until when calls may start a run unseen, or extend its lease.
+
+        On the owner's clock, in seconds; minus infinity if there is no such run: its
+        orders have arrived at an incarnation that has responded since.
+        """
+        begun_s = max(allocation.late_start_until_s, allocation.unseen_start_s)
+        if begun_s == float("-inf") or begun_s < self.last_response_s:
+            return float("-inf")
+        return max(begun_s, self.granted_s + MAX_LATENESS_S)
+
     def begin_incarnation(
         self,
         incarnation: int,
@@ -512,6 +524,7 @@
         )
         self._leases_end_ms = max(self._leases_end_ms, end_ms)
         self._update_leases_left()
+        self.granted_s = now_s
         return end_ms
 
     def has_short_leases(self, now_s: float) -> bool:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -667,4 +667,36 @@
             await wait_for_starts(cluster, job, 1)
             assert last_start_s(cluster, job) - submitted_s < MAX_AWAY_S
 
+
+@pytest.mark.parametrize("lose_owner", [do_nothing, kill, freeze, stop_in_order])
+def test_late_renewal_extends_the_lease_of_a_late_start(lose_owner):
+    """Guards against a wait that counts from the start order alone (issue 51).
+
+    The first start order arrives at an incarnation that nobody has seen, and a renewal
+    that was sent much later arrives there shortly before the lease lapses.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            link = owner.link_by_runner["runner-0"]
+            link.lose_starts, link.delivery_delay_s = 1, 11.9
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 3.0)
+            await anyio.sleep(10.0)
+            link.lose_renewals, link.delivery_delay_s = 1, 10.2
+            while link.lose_renewals:
+                await anyio.sleep(0.01)
+            runner = cluster.runner_by_id["runner-0"]
+            runner.crash()
+            cut_runner(cluster, runner)
+            cluster.add_runner("runner-1")
+            cluster.tasks.start_soon(lose_owner, cluster, owner)
+            await anyio.sleep(DARK_S / 2)
+            runner.restart()
+            await anyio.sleep(50)
+            check_runs(cluster)
+            assert cluster.starts(f"{job.id}.0.0.0")[1:] == ["runner-0", "runner-1"]
+
     run_virtual(scenario)
