Polls don't wait for start orders that are answered in time

An order counts as one that may arrive late once it is overdue by 50 ms, and from when it is sent, not from when it waits for a connection.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -225,19 +225,26 @@
         may_send: Callable[[], bool],
     ) -> tuple[StartResult, float | None]:
         """Send a start order once; see `RunnerLink.start`."""
+        unanswered = runner.unanswered_starts
+        number = None
+
+        def record_sent() -> bool:
+            nonlocal number
+            if not may_send():
+                return False
+            number = unanswered.record_sent(self._context.clock.now())
+            return True
+
         result = StartResult.UNKNOWN
-        runner.unanswered_starts.record_sent()
         try:
-            result, clock_ms = await link.start(order, may_send)
+            result, clock_ms = await link.start(order, record_sent)
         finally:
-            is_answered = result is not StartResult.UNKNOWN
-            now_s = self._context.clock.now()
-            runner.unanswered_starts.record_result(is_answered, now_s)
-            if is_answered:
-                # The next poll may have waited for it.
-                runner.poll_wakeup.set()
-            else:
-                self._owner_state.late_starts.add_runner(runner)
+            if number is not None:
+                is_answered = result is not StartResult.UNKNOWN
+                now_s = self._context.clock.now()
+                unanswered.record_result(number, is_answered, now_s)
+                if not is_answered:
+                    self._owner_state.late_starts.add_runner(runner)
         return result, clock_ms
 
     def _find_obstacle(self, runner: Runner, allocation: Allocation) -> str:
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -26,7 +26,7 @@
 #: Seconds between polls of an unresponsive runner.
 UNRESPONSIVE_PAUSE_S = 0.15
 #: Longest delay of a poll, in seconds, until it can acknowledge the latest ends.
-ACKNOWLEDGE_WAIT_S = 0.25
+DURABLE_WAIT_S = 0.25
 #: Longest delay of a poll, in seconds, until a write gives it a higher fencing token.
 FENCE_WAIT_S = 0.15
 #: Seconds between checks whether there is such a write.
@@ -121,7 +121,7 @@
         Until then a poll would return the same ends at once, whatever else has
         happened.
         """
-        until_s = self._clock.now() + ACKNOWLEDGE_WAIT_S
+        until_s = self._clock.now() + DURABLE_WAIT_S
         while self._withholds_ends():
             left_s = until_s - self._clock.now()
             if left_s <= 0:
--- a/flamingoweir/fleet/_unanswered_starts.py
+++ b/flamingoweir/fleet/_unanswered_starts.py
@@ -2,6 +2,9 @@
 
 from ._call_fence import MAX_LATENESS_S
 
+#: Seconds after its sending within which an order is expected to get a response.
+USUAL_RESPONSE_S = 0.05
+
 
 class UnansweredStarts:
     """Tells until when a start order may arrive late at an incarnation of a runner.
@@ -24,24 +27,33 @@
 
     def __init__(self, until_s: float = float("-inf")):
         self.until_s = until_s
-        self._pending_count = 0
+        #: When the orders were sent that have no result yet, by a number of their own.
+        self._sent_s_by_number: dict[int, float] = {}
+        self._last_number = 0
 
-    def record_sent(self) -> None:
-        """Record that an order is sent, or waits for a connection."""
-        self._pending_count += 1
+    def record_sent(self, now_s: float) -> int:
+        """Record that an order is sent; return its number."""
+        self._last_number += 1
+        self._sent_s_by_number[self._last_number] = now_s
+        return self._last_number
 
-    def record_result(self, is_answered: bool, now_s: float) -> None:
+    def record_result(self, number: int, is_answered: bool, now_s: float) -> None:
         """Record that an order has got a response, or will get none."""
-        self._pending_count -= 1
+        del self._sent_s_by_number[number]
         if not is_answered:
             self.until_s = max(self.until_s, now_s + MAX_LATENESS_S)
 
     def may_arrive(self, now_s: float) -> bool:
-        """Return whether an order may arrive now or later.
+        """Return whether an order may arrive later that should have been answered.
 
         Parameters
         ----------
         now_s : float
             Time on the owner's clock, in seconds.
         """
-        return self._pending_count > 0 or now_s < self.until_s
+        if now_s < self.until_s:
+            return True
+        # They are in the order of their sending.
+        for sent_s in self._sent_s_by_number.values():
+            return now_s - sent_s > USUAL_RESPONSE_S
+        return False
