Start orders and probes outlast the loss of single calls

Cause: one probe without a response counted as a lost runner, and an order was given up once its first deadline had passed, so that its task was placed anew.

Three probes in a row must fail, 0.2 s each. An order gets a deadline of its own each time it is sent, so that a late copy is still rejected by the incarnation that it was meant for, and is sent again for up to 3 s while the runner responds.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -1,6 +1,5 @@
 """Sends orders to runners: to start a run, to stop it, to set its pace."""
 
-import dataclasses
 from collections.abc import Callable
 
 import anyio
@@ -8,7 +7,7 @@
 
 from ..faults import Containment
 from ..fleet import START_WINDOW_S, Allocation, Runner
-from ..jobs import Attempt, AttemptState, TaskId
+from ..jobs import Attempt, AttemptState, Job, TaskId
 from ..logs import get_logger
 from ._cap_withdrawals import may_send_start
 from ._context import Permit, TermContext, TermEnd
@@ -26,6 +25,8 @@
 
 #: Seconds before an order without a response is sent again.
 RESEND_PAUSE_S = 0.08
+#: Seconds for which an order is sent again while its runner responds to other calls.
+SENDING_S = 3.0
 #: Seconds between checks whether a write has given the owner a higher token.
 TOKEN_CHECK_INTERVAL_S = 0.005
 
@@ -146,19 +147,6 @@
             self._owner_state.discard_attempt(attempt, "runner_gone")
             return
         runner, allocation = found
-        task = job.find(attempt.task)
-        now_s = self._context.clock.now()
-        # The order also grants a lease until its deadline.
-        deadline_s = self._context.writer.limit_lease(runner.id, now_s + START_WINDOW_S)
-        order = StartOrder(
-            attempt.task,
-            attempt.run,
-            job.spec.payload,
-            runner.grant_lease(deadline_s, now_s),
-            runner.call_fence.token,
-            task.checkpoint,
-            allocation.ticket,
-        )
 
         def may_send() -> bool:
             if attempt.state is not AttemptState.ORDERED:
@@ -169,9 +157,12 @@
                 return False
             return self._gate.is_open(runner)
 
+        until_s = self._context.clock.now() + SENDING_S
         sent_count = 0
         while attempt.state is AttemptState.ORDERED and self._find_allocation(attempt):
             obstacle = self._find_obstacle(runner, allocation)
+            if not obstacle and self._context.clock.now() > until_s:
+                obstacle = "unanswered"
             if obstacle:
                 self._discard_or_stop(attempt, allocation, obstacle)
                 return
@@ -185,7 +176,7 @@
                 self._owner_state.write_wakeup.set()
                 await anyio.sleep(TOKEN_CHECK_INTERVAL_S)
                 continue
-            order = dataclasses.replace(order, fence=runner.call_fence.token)
+            order = self._make_order(job, runner, allocation)
             self._owner_state.customer_usage.record_sent(allocation)
             sent_count += 1
             sent_s = self._context.clock.now()
@@ -217,6 +208,24 @@
             self._handle_start_result(attempt, runner, allocation, result)
             return
 
+    def _make_order(
+        self, job: Job, runner: Runner, allocation: Allocation
+    ) -> StartOrder:
+        """Return a start order to be sent now, with a deadline of its own."""
+        attempt = allocation.attempt
+        now_s = self._context.clock.now()
+        # The order also grants a lease until its deadline.
+        deadline_s = self._context.writer.limit_lease(runner.id, now_s + START_WINDOW_S)
+        return StartOrder(
+            attempt.task,
+            attempt.run,
+            job.spec.payload,
+            runner.grant_lease(deadline_s, now_s),
+            runner.call_fence.token,
+            job.find(attempt.task).checkpoint,
+            allocation.ticket,
+        )
+
     async def _send_start(
         self,
         runner: Runner,
--- a/flamingoweir/dispatch/_start_gate.py
+++ b/flamingoweir/dispatch/_start_gate.py
@@ -13,6 +13,11 @@
 HEARD_S = 0.05
 #: The same at the time at which an order is sent, which may wait for a connection.
 HEARD_AT_SENDING_S = 0.3
+#: Number of probes without a response after which a runner counts as silent. Calls are
+#: lost one at a time, too.
+MAX_PROBES = 3
+#: Seconds after which a probe is followed by another one.
+PROBE_TIMEOUT_S = 0.2
 
 
 class StartGate:
@@ -64,6 +69,14 @@
         return self.is_open(runner)
 
     async def _probe(self, runner: Runner, link: RunnerLink) -> None:
+        for _ in range(MAX_PROBES):
+            with anyio.move_on_after(PROBE_TIMEOUT_S):
+                await self._probe_once(runner, link)
+                return
+        self._owner_state.record_lost(runner, f"{MAX_PROBES} probes got no response")
+        runner.poll_wakeup.set()
+
+    async def _probe_once(self, runner: Runner, link: RunnerLink) -> None:
         sent_s = self._clock.now()
         try:
             clock_ms = await link.probe(runner.call_fence.token)
