Histories: start orders without a response may keep their own tasks away

Only such a task, with an order of its own without a response to a runner that was lost after it, may be away for longer, and as long as the order may come late and its run may live: 27.7 s from its sending. The stand-in says which orders got no response, also those of instances that were killed; all other tasks have 9 s as before, and no task may be absent at the end.

--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -476,6 +476,9 @@
         The same for polls that acknowledge ends.
     delivery_delay_s : float
         Seconds after which these calls reach the runner; 0 delivers them at once.
+    unanswered_starts : list of (float, TaskId, int)
+        Time of sending, task and run of each start order without a response, also if
+        its caller ended before that.
     """
 
     def __init__(self, runner: MemoryRunner, delay_s: float = 0.001):
@@ -487,6 +490,7 @@
         self.lose_renewals = 0
         self.lose_acknowledgements = 0
         self.delivery_delay_s = 0.0
+        self.unanswered_starts: list[tuple[float, TaskId, int]] = []
         self._delay_s = delay_s
         self._order_limit = anyio.Semaphore(ORDER_CONNECTIONS)
 
@@ -497,7 +501,12 @@
         async with self._order_limit:
             if may_send is not None and not may_send():
                 return StartResult.UNSENT, None
-            return await self._start(order)
+            sent = anyio.current_time(), order.task, order.run
+            self.unanswered_starts.append(sent)
+            result, clock_ms = await self._start(order)
+            if result is not StartResult.UNKNOWN:
+                self.unanswered_starts.remove(sent)
+            return result, clock_ms
 
     async def _start(self, order: StartOrder) -> tuple[StartResult, float | None]:
         if not await self._reach():
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -16,9 +16,11 @@
 from hypothesis import strategies as st
 
 from flamingoweir.errors import FlamingoweirError
+from flamingoweir.fleet import MAX_LATENESS_S
 from flamingoweir.jobs import JobState, Outcome, TaskId
 from tests.utils.cluster import SILENT_RUNNER_LAPSE_S, make_job, make_step, run_cluster
 from tests.utils.loss_histories import (
+    MAX_AWAY_AFTER_ORDER_S,
     MAX_AWAY_S,
     PROCESSORS,
     AttemptLog,
@@ -26,6 +28,7 @@
     draw_losses,
     find_absent,
     find_late_restarts,
+    find_unanswered,
     has_young_run,
 )
 from tests.utils.losses import check_runs
@@ -270,6 +273,8 @@
         await anyio.sleep(3)
         assert not cluster.find_overlaps()
         assert not find_early_starts(cluster)
+        # Ends aren't acknowledged while a start order may arrive late.
+        await anyio.sleep(MAX_LATENESS_S + 1)
         for runner in cluster.runner_by_id.values():
             assert not runner.unacknowledged_ends, f"{runner.id} repeats ends"
 
@@ -328,6 +333,8 @@
         await history.play(draw(generator))
         last_lost_s = max(lost_s for lost_s, _ in history.losses)
         calm_from_s = max(anyio.current_time() + CALM_S, last_lost_s + MAX_AWAY_S)
+        for sent_s, _, _ in find_unanswered(cluster, history):
+            calm_from_s = max(calm_from_s, sent_s + MAX_AWAY_AFTER_ORDER_S)
         await anyio.sleep(calm_from_s - anyio.current_time())
         check_runs(cluster)
         assert not find_absent(cluster, attempt_log)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -161,6 +161,7 @@
             sole_member = self._cluster.sole_member_by_runner.get(entry.id, self.name)
             link.disconnected = sole_member != self.name
             self.link_by_runner[entry.id] = link
+            self._cluster.links.append(link)
         return link
 
 
@@ -179,6 +180,8 @@
         Names of the instances that alone reach a runner over links made later.
     member_by_name : dict of str to Member
         The instances that run.
+    links : list of MemoryRunnerLink
+        The links of all instances, also of those that have ended.
     spec_by_id : dict of str to JobSpec
         The jobs submitted, by job id.
     settings : dict
@@ -199,6 +202,7 @@
         self.address_by_runner: dict[str, str] = {}
         self.sole_member_by_runner: dict[str, str] = {}
         self.member_by_name: dict[str, Member] = {}
+        self.links: list[MemoryRunnerLink] = []
         self.spec_by_id: dict[str, JobSpec] = {}
         self.settings: dict = {}
         self.clock_rate_by_member: dict[str, float] = {}
