Failing tests: pace and progress of a run that a late order starts

A start order that arrives late starts its run on the next incarnation. If the owner still has the attempt, the watch goes on with it, but keeps what it knew of the former life: the pace counts as confirmed, so that it isn't sent again, and the run works at 100% beside serving tasks; the progress of the former life isn't reached for long, so that the run is stopped as stalled, which counts against its runner.

Both tests fail: the pace order isn't sent ([40] in place of [40, 40]), and a task of 12 s that began anew after 7.8 s isn't done 16 s later.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -700,3 +700,30 @@
             assert cluster.starts(f"{job.id}.0.0.0")[1:] == ["runner-0", "runner-1"]
 
     run_virtual(scenario)
+
+
+def test_late_start_goes_on_from_the_progress_of_the_former_incarnation():
+    """Guards against a run that is stopped as stalled where a late order started it."""
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            link = owner.link_by_runner["runner-0"]
+            link.lose_starts, link.delivery_delay_s = 1, 8.0
+            job = make_job(1)
+            cluster.plan_by_task[f"{job.id}.0.0.0"] = 12.0, Outcome.DONE
+            await cluster.submit(job)
+            sent_s = anyio.current_time()
+            await wait_for_starts(cluster, job, 1)
+            await anyio.sleep(sent_s + 7.8 - anyio.current_time())
+            runner = cluster.runner_by_id["runner-0"]
+            runner.crash()
+            await anyio.sleep(0.1)
+            runner.restart()
+            cluster.list_runner("runner-0")
+            await cluster.wait_for(job, JobState.DONE, 16.0)
+            assert len(cluster.starts(f"{job.id}.0.0.0")) == 2
+            check_runs(cluster)
+
+    run_virtual(scenario)
--- a/tests/test_pace_orders.py
+++ b/tests/test_pace_orders.py
@@ -90,11 +90,17 @@
             clock=clock,
             writer=SimpleNamespace(fence=7),
             metrics=NoMetrics(),
+            wall_ms=lambda: 0.0,
         )
         link_by_runner = {"r": self.link}
         orders = OrderSender(context, None, self.term_end, task_group, link_by_runner)
         self._watch = RunnerWatch(context, orders, self.term_end, runner, self.link)
 
+    def restart(self) -> None:
+        """Let the next incarnation report the runs, which late orders have started."""
+        running = [RunningTask(TaskId("web", 0, 0, 0), 1), RunningTask(TASK, 1)]
+        self._watch._begin_incarnation(RunnerReport(2, 0.0, running, []), 7)
+
     async def poll(self, percent: int | None = None, ended: bool = False) -> None:
         """Apply a report after the requested pace has become ``percent``."""
         if percent is not None:
@@ -186,6 +192,19 @@
     run_paced(scenario)
 
 
+def test_pace_is_sent_again_to_the_next_incarnation():
+    """Guards against a late start that works at full pace beside serving tasks."""
+
+    async def scenario(paced: PacedRunner):
+        await paced.poll(40)
+        await paced.link.answer(0)
+        paced.restart()
+        await paced.poll(40)
+        assert paced.link.sent == [40, 40]
+
+    run_paced(scenario)
+
+
 def test_newest_pace_is_sent_at_once_after_a_lost_order():
     """Guards against a lowering that waits for a poll after a lost order."""
 
