A run that the next incarnation has begun anew has no pace or progress of before

Callers saw tasks that fill at full pace beside serving tasks, and runs stopped as stalled though they worked, where a late start order had begun them on the next incarnation.

Cause: the watch only gave the attempt the new incarnation. Its pace is now unknown, so that it is sent again; progress, stall clock and the time at which it started begin anew, also what a former owner passed on of them; and the next write has the incarnation, for the next owner.

--- a/flamingoweir/dispatch/_run_waits.py
+++ b/flamingoweir/dispatch/_run_waits.py
@@ -39,6 +39,10 @@
         if wait is not None:
             self._restored[allocation] = runner, wait
 
+    def forget(self, allocation: Allocation) -> None:
+        """Forget what is known of a restored run, which has begun anew."""
+        self._restored.pop(allocation, None)
+
     def take_over(self, allocation: Allocation, job: Job, now_s: float) -> None:
         """Go on from the former owner's time without progress, in the first report.
 
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -8,6 +8,7 @@
 from ..policy import PaceChange, find_stalled
 from ._context import TermContext, TermEnd
 from ._orders import OrderSender
+from ._owner_state import UNKNOWN_PACE_PERCENT
 from ._protocols import (
     Fenced,
     RunnerLink,
@@ -348,7 +349,7 @@
         for allocation in lost:
             attempt = allocation.attempt
             if (attempt.task, attempt.run) in running:
-                attempt.incarnation = report.incarnation
+                self._take_over(allocation, report.incarnation)
                 continue
             if allocation.start_unanswered or attempt.state is AttemptState.ORDERED:
                 # The new incarnation would carry out a start order that arrives late.
@@ -362,6 +363,19 @@
         gone = [a for a in lost if (a.attempt.task, a.attempt.run) not in running]
         self._owner_state.record_restart(runner, former, gone)
 
+    def _take_over(self, allocation: Allocation, incarnation: int) -> None:
+        """Go on with a run that a late start order has begun anew."""
+        attempt = allocation.attempt
+        attempt.restart(incarnation, self._clock.now())
+        attempt.pace_percent = UNKNOWN_PACE_PERCENT
+        self._owner_state.waits.runs.forget(allocation)
+        # The next owner knows by the incarnation that the run has begun anew.
+        if attempt.task.job in self._owner_state.job_by_id:
+            self._owner_state.changed_job_ids.add(attempt.task.job)
+        allocation.started_s = None
+        allocation.listed_s = float("-inf")
+        allocation.unthrottled_since_s = self._clock.now()
+
     def _update_running(self, allocation: Allocation, task: RunningTask) -> None:
         attempt = allocation.attempt
         allocation.load = task.load
--- a/flamingoweir/jobs/_attempt.py
+++ b/flamingoweir/jobs/_attempt.py
@@ -118,6 +118,20 @@
     pace_percent: int = 100
     requested_pace_percent: int = 100
 
+    def restart(self, incarnation: int, now_s: float) -> None:
+        """Record that another incarnation of the runner has begun the run anew.
+
+        Parameters
+        ----------
+        incarnation : int
+            That incarnation.
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        self.incarnation = incarnation
+        self.progress_percent = 0.0
+        self.last_progress_s = now_s
+
     def record_progress(self, percent: float, now_s: float) -> None:
         """Record progress that a runner reported.
 
