Failing test: owner and runner are lost right after a start

The last row names the run as one whose start order is under way, and since such a run stays open without an entry that tells of a restart.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -13,6 +13,7 @@
     freeze,
     kill,
     last_start_s,
+    lose_runner,
     start_lasting,
     stop_in_order,
 )
@@ -727,3 +728,27 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("listed", [True, False])
+@pytest.mark.parametrize("lose_owner", [kill, freeze])
+def test_owner_and_runner_are_lost_right_after_a_start(lose_owner, listed):
+    """Guards against a wait for a late order that had got its response."""
+
+    async def scenario(delay_s):
+        async with run_cluster(members=3, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            await wait_for_starts(cluster, job, 1)
+            await anyio.sleep(delay_s)
+            lost_s = anyio.current_time()
+            lose_runner(cluster, cluster.runner_by_id["runner-0"], listed)
+            cluster.add_runner("runner-1")
+            cluster.tasks.start_soon(lose_owner, cluster, owner)
+            await anyio.sleep(MAX_AWAY_S)
+            assert cluster.starts(f"{job.id}.0.0.0") == ["runner-0", "runner-1"]
+            assert last_start_s(cluster, job) - lost_s < MAX_AWAY_S
+
+    for delay_s in (0.05, 0.2):
+        run_virtual(scenario, delay_s)
