--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -752,3 +752,49 @@
 
     for delay_s in (0.05, 0.2):
         run_virtual(scenario, delay_s)
+
+
+@pytest.mark.parametrize("lose_owner", [do_nothing, kill, freeze, stop_in_order])
+def test_former_report_arrives_after_the_next_incarnation_has_answered(lose_owner):
+    """Guards against a report that is taken for one of the incarnation that answered."""
+
+    async def scenario():
+        async with run_cluster(members=3, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            poll, held = link.poll, anyio.Event()
+
+            async def hold_report(*args):
+                report = await poll(*args[:3], 0.0)
+                held.set()
+                await anyio.sleep(0.3)
+                # No call of the next incarnation's first.
+                link.loses_polls = True
+                link.poll = poll
+                return report
+
+            link.poll = hold_report
+            await held.wait()
+            probe = link.probe
+
+            async def probe_and_restart(fence):
+                clock_ms = await probe(fence)
+                link.probe = probe
+                runner.restart()
+                return clock_ms
+
+            link.probe = probe_and_restart
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            await wait_for_starts(cluster, job, 1)
+            cluster.list_runner(runner.id)
+            await anyio.sleep(0.8)
+            cut_runner(cluster, runner)
+            cluster.add_runner("runner-1")
+            await lose_owner(cluster, owner)
+            await anyio.sleep(45)
+            check_runs(cluster)
+            assert cluster.starts(f"{job.id}.0.0.0") == ["runner-0", "runner-1"]
+
+    run_virtual(scenario)
