Only a report that was asked for later shows whether an unseen run is there

Cause: a report counted from when it arrived, and the former incarnation's may arrive after the answer of the next one. It now counts from when its poll was sent.

--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -184,7 +184,7 @@
                 self._owner_state.record_response(runner)
             for allocation in runner.allocation_by_run.values():
                 allocation.unthrottled_since_s = self._clock.now()
-        runner.record_response(report.clock_ms, self._clock.now())
+        runner.record_response(report.clock_ms, self._clock.now(), sent_s)
         if report.incarnation != runner.incarnation:
             self._begin_incarnation(report, fence)
         else:
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -166,6 +166,9 @@
     last_response_s : float
         When the runner last responded, on the owner's clock, in seconds; minus
         infinity: never.
+    last_answered_s : float
+        When the latest poll with a response was sent, on the owner's clock, in seconds;
+        minus infinity: there was none.
     heard_s : float
         When any call last got a response of the known incarnation, on the owner's
         clock, in seconds; minus infinity: never.
@@ -224,6 +227,7 @@
         self.serving_count_by_image: dict[str, int] = {}
         self.serving_demand_milli = 0
         self.last_response_s = float("-inf")
+        self.last_answered_s = float("-inf")
         self.heard_s = float("-inf")
         self.unresponsive_since_s: float | None = None
         self.lost_s = float("-inf")
@@ -370,10 +374,10 @@
         """Return until when calls may start a run unseen, or extend its lease.
 
         On the owner's clock, in seconds; minus infinity if there is no such run: its
-        orders have arrived at an incarnation that has responded since.
+        orders have arrived at an incarnation that has responded to a later poll.
         """
         begun_s = max(allocation.late_start_until_s, allocation.unseen_start_s)
-        if begun_s == float("-inf") or begun_s < self.last_response_s:
+        if begun_s == float("-inf") or begun_s < self.last_answered_s:
             return float("-inf")
         return max(begun_s, self.granted_s + MAX_LATENESS_S)
 
@@ -484,9 +488,23 @@
             return True
         return not self.unanswered_starts.may_arrive(now_s)
 
-    def record_response(self, clock_ms: float, now_s: float) -> None:
-        """Record a response that has just arrived, with the runner's clock."""
+    def record_response(
+        self, clock_ms: float, now_s: float, sent_s: float | None = None
+    ) -> None:
+        """Record a response that has just arrived, with the runner's clock.
+
+        Parameters
+        ----------
+        clock_ms : float
+            The runner's clock in milliseconds.
+        now_s : float
+            Time on the owner's clock, in seconds.
+        sent_s : float or None
+            When the call was sent, on that clock; None: now.
+        """
         self.incarnation_clock.record(clock_ms, now_s)
+        # The response may be older than those to other calls that have arrived before.
+        self.last_answered_s = now_s if sent_s is None else sent_s
         self._update_leases_left()
         self.last_response_s = self.heard_s = now_s
         self.unresponsive_since_s = None
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -756,7 +756,7 @@
 
 @pytest.mark.parametrize("lose_owner", [do_nothing, kill, freeze, stop_in_order])
 def test_former_report_arrives_after_the_next_incarnation_has_answered(lose_owner):
-    """Guards against a report that is taken for one of the incarnation that answered."""
+    """Guards against a former report taken for one that shows what runs now."""
 
     async def scenario():
         async with run_cluster(members=3, runners=1) as cluster:
