Failing test: a poll acknowledges ends while a start order is under way

Since polls acknowledge ends for 50 ms after a start order was sent, with the token of that order. If neither gets a response, the next incarnation may carry out both: the order's run is done, the poll makes it forget the end, and the task runs again (TWICE). In virtual time it shows if the poll is sent 8 to 48 ms after the order; of the 24 pauses that the test goes through, some hit that.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -798,3 +798,41 @@
             assert cluster.starts(f"{job.id}.0.0.0") == ["runner-0", "runner-1"]
 
     run_virtual(scenario)
+
+
+def test_poll_that_follows_an_order_makes_the_next_incarnation_forget_its_end():
+    """Guards against a task that is done and runs again after two late calls.
+
+    The poll acknowledges ends right after the order was sent, with the same token.
+    """
+
+    async def scenario(pause_s):
+        async with run_cluster(members=1, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            first = await cluster.submit(make_job(1))
+            await wait_for_starts(cluster, first, 1)
+            await anyio.sleep(0.9 + pause_s)
+            start = link.start
+
+            async def lose_with_next_acknowledgement(*args):
+                link.start, link.delivery_delay_s = start, 3.0
+                link.lose_starts = link.lose_acknowledgements = 1
+                return await start(*args)
+
+            link.start = lose_with_next_acknowledgement
+            cluster.plan_by_task[f"{make_job(2).id}.0.0.0"] = 0.001, Outcome.DONE
+            job = await cluster.submit(make_job(2))
+            await anyio.sleep(0.4)
+            link.disconnected = True
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await anyio.sleep(9.0)
+            link.disconnected = False
+            await cluster.wait_for(job, JobState.DONE, 40.0)
+            check_runs(cluster)
+
+    for number in range(24):
+        run_virtual(scenario, number / 100)
