Failing test: runs that have long begun are taken for late starts

A long-running task whose runner is lost together with its owner is away for 27 s with room, if over 130 start orders are under way then: the owner row has no space to name them, and the next owner waits for all attempts on runners that don't respond.

--- a/tests/test_owner_lost_with_runner.py
+++ b/tests/test_owner_lost_with_runner.py
@@ -8,6 +8,7 @@
 import pytest
 
 from flamingoweir.jobs import JobState
+from flamingoweir.ownership import decode_owner_record, owner_row, shard_name
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.losses import (
     check_runs,
@@ -232,3 +233,49 @@
             assert len(cluster.starts(f"{job.id}.0.0.0")) == 1
 
     run_virtual(scenario)
+
+
+#: Tasks that are started at once on as many runners: the owner row names neither all of
+#: these runners nor all of these runs in full.
+MASS_TASKS = 250
+
+
+@pytest.mark.parametrize("offset_s", [0.0, 0.05])
+def test_next_owner_waits_for_start_orders_of_runs_that_have_long_begun(offset_s):
+    """Guards against an owner row without space for the starts of a whole fleet."""
+
+    async def scenario():
+        async with run_cluster(members=3, runners=0) as cluster:
+            await cluster.owner()
+            cluster.add_runner("runner-lost", processors=0.28)
+            await anyio.sleep(1.5)
+            job = await cluster.submit(make_job(1, make_step(2, 0.1, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 2.0)
+            cluster.add_runner("runner-full", processors=0.12 * MASS_TASKS)
+            await anyio.sleep(1.5)
+            for number in range(MASS_TASKS // 50):
+                step = make_step(50, 0.1, lasting=True)
+                other = await cluster.submit(make_job(number + 2, step))
+                await cluster.wait_for(other, JobState.RUNNING, 2.0)
+            for number in range(MASS_TASKS + 40):
+                cluster.add_runner(f"i-{number:010x}", processors=0.13)
+            await anyio.sleep(10)
+            cluster.runner_by_id["runner-full"].crash()
+            with anyio.fail_after(6.0):
+                while not find_late_starts(cluster):
+                    await anyio.sleep(0.002)
+            await anyio.sleep(offset_s)
+            lost_s = anyio.current_time()
+            cluster.runner_by_id["runner-lost"].crash()
+            await kill(cluster, await cluster.owner())
+            await anyio.sleep(HISTORY_S + 5)
+            assert lost_s < last_start_s(cluster, job) < lost_s + MAX_AWAY_S
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+def find_late_starts(cluster) -> bool:
+    """Return whether the owner row tells of start orders, by runner or for all."""
+    row = cluster.rows.row_by_id[owner_row(shard_name(0))]
+    return decode_owner_record(row).late_starts_end_in_s_by_runner != {}
