The owner row tells of hundreds of late starts by hashes of runs

Callers saw long-running tasks absent for 27 s with room for them, where a runner was lost together with the owner while over 130 start orders were under way: right after a fleet or a zone has come back.

Cause: since the owner row names the runs whose orders may arrive late, as texts, in 4,000 bytes. With more runs it said nothing, so that the next owner held every attempt on each runner that did not respond to it for 16.4 s and the longest lease, also runs that had begun long before. Where too many runners were to be named as well, it ignored a list of runs.

A run that shares its hash with another is waited for in vain; none is started earlier than before, so that no task runs twice for it. Rows without the field hold all runs, as before.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -120,7 +120,9 @@
                 self._owner_state.runner_by_id, self._context.clock.now()
             )
         )
-        self._writer.list_late_runs = self._owner_state.late_starts.list_runs
+        self._writer.list_late_run_hashes = (
+            self._owner_state.late_starts.list_run_hashes
+        )
         self._writer.list_unanswered_starts = lambda: (
             self._owner_state.late_starts.list_unanswered_left_s(
                 self._context.clock.now()
--- a/flamingoweir/dispatch/_late_starts.py
+++ b/flamingoweir/dispatch/_late_starts.py
@@ -3,13 +3,11 @@
 from collections.abc import Mapping
 
 from ..fleet import MAX_LATENESS_S, Allocation, Runner
-from ..ownership import START_VALID_S
+from ..ownership import HASH_LENGTH, START_VALID_S, encode_run_hashes, hash_run
 from ._missing_runners import ENTRY_BYTES
 
 #: Largest total length of each thing that the owner row says of them.
 MAX_PUBLISHED_BYTES = 4_000
-#: Length of what separates two texts in the owner row.
-SEPARATOR_BYTES = 3
 
 
 class LateStarts:
@@ -26,21 +24,18 @@
         """Add an allocation whose order is to be sent, or got no response."""
         self._allocations[allocation] = None
 
-    def list_runs(self) -> list[str] | None:
-        """Return the runs, as ``TASK#RUN``, of the latest `list_left_s`.
+    def list_run_hashes(self) -> str | None:
+        """Return hashes of the runs of the latest `list_left_s`.
 
         None if there are too many for the owner row.
         """
-        runs = []
-        published_bytes = 0
+        if HASH_LENGTH * len(self._allocations) > MAX_PUBLISHED_BYTES:
+            return None
+        hashes = []
         for allocation in self._allocations:
             attempt = allocation.attempt
-            run = f"{attempt.task}#{attempt.run}"
-            published_bytes += len(run.encode()) + SEPARATOR_BYTES
-            if published_bytes > MAX_PUBLISHED_BYTES:
-                return None
-            runs.append(run)
-        return runs
+            hashes.append(hash_run(f"{attempt.task}#{attempt.run}"))
+        return encode_run_hashes(hashes)
 
     def add_runner(self, runner: Runner) -> None:
         """Add a runner that has not responded to a start order."""
--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -1,6 +1,7 @@
 """Ownership of shards, and the rows that owners write to the store."""
 
 from ._earlier_leases import UNBOUNDED_STARTS_END_IN_S, EarlierLeases
+from ._late_runs import HASH_LENGTH, encode_run_hashes, hash_run
 from ._owner_record import (
     UNBOUNDED_LEASES_END_IN_S,
     Backlog,
@@ -37,6 +38,7 @@
 
 __all__ = [
     "CANCEL_SUFFIX",
+    "HASH_LENGTH",
     "JOB_TABLE",
     "LEASE_VALID_S",
     "OWNER_TABLE",
@@ -61,7 +63,9 @@
     "decode_owner_record",
     "effect_row",
     "encode_owner_record",
+    "encode_run_hashes",
     "encoded_bytes",
+    "hash_run",
     "job_parts",
     "job_row",
     "longest_lease_s",
--- a/flamingoweir/ownership/_earlier_leases.py
+++ b/flamingoweir/ownership/_earlier_leases.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
+from ._late_runs import decode_run_hashes, hash_run
 from ._owner_record import UNBOUNDED_LEASES_END_IN_S, OwnerRecord
 from ._store_clock import StoreClock
 
@@ -27,8 +28,8 @@
     unanswered_end_s_by_runner : mapping of str to float
         When no start order without a response can reach a runner, in seconds; an empty
         id stands for all others.
-    late_runs : frozenset of str or None
-        The runs, as ``TASK#RUN``, whose start orders may reach their runner; None: any.
+    late_run_hashes : frozenset of str or None
+        Hashes of the runs whose start orders may reach their runner; None: any run.
     """
 
     def __init__(
@@ -38,14 +39,14 @@
         starts_end_s: float = float("-inf"),
         starts_end_s_by_runner: Mapping[str, float] = MappingProxyType({}),
         unanswered_end_s_by_runner: Mapping[str, float] = MappingProxyType({}),
-        late_runs: frozenset[str] | None = None,
+        late_run_hashes: frozenset[str] | None = None,
     ):
         self.end_s = end_s
         self._end_s_by_runner = end_s_by_runner
         self._starts_end_s = starts_end_s
         self._starts_end_s_by_runner = starts_end_s_by_runner
         self._unanswered_end_s_by_runner = unanswered_end_s_by_runner
-        self.late_runs = late_runs
+        self.late_run_hashes = late_run_hashes
 
     @classmethod
     def none(cls) -> "EarlierLeases":
@@ -88,6 +89,9 @@
         unanswered_end_s_by_runner = {}
         for runner, end_in_s in record.unanswered_starts_end_in_s_by_runner.items():
             unanswered_end_s_by_runner[runner] = find_end_s(end_in_s)
+        late_run_hashes = None
+        if record.late_run_hashes is not None:
+            late_run_hashes = decode_run_hashes(record.late_run_hashes)
         if record.late_starts_end_in_s_by_runner is None:
             starts_end_s = find_end_s(UNBOUNDED_STARTS_END_IN_S)
             return cls(
@@ -95,6 +99,7 @@
                 end_s_by_runner,
                 starts_end_s,
                 unanswered_end_s_by_runner=unanswered_end_s_by_runner,
+                late_run_hashes=late_run_hashes,
             )
         starts_end_s_by_runner = {}
         for runner, end_in_s in record.late_starts_end_in_s_by_runner.items():
@@ -104,7 +109,7 @@
             end_s_by_runner,
             starts_end_s_by_runner=starts_end_s_by_runner,
             unanswered_end_s_by_runner=unanswered_end_s_by_runner,
-            late_runs=None if record.late_runs is None else frozenset(record.late_runs),
+            late_run_hashes=late_run_hashes,
         )
 
     def find_end_s(self, runner: str) -> float:
@@ -121,7 +126,8 @@
         run : str
             The run, as ``TASK#RUN``.
         """
-        if self.late_runs is not None and run not in self.late_runs:
+        hashes = self.late_run_hashes
+        if hashes is not None and hash_run(run) not in hashes:
             return float("-inf")
         return self._find_starts_end_s(runner)
 
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -9,6 +9,7 @@
 
 from ..customers import CustomerLimit
 from ..storage import VersionedRow
+from ._late_runs import HASH_LENGTH
 from ._waits import Waits
 
 #: Seconds after an owner's write by which its leases have lapsed, if the row does not
@@ -71,8 +72,9 @@
         Seconds after the write until no start order of this owner or an earlier one can
         reach a runner any more, by runner id; 0 for others. Counts orders without a
         response and those that this write allows. None: not known.
-    late_runs : list of str or None
-        The runs, as ``TASK#RUN``, that these orders start. None: any run there.
+    late_run_hashes : str or None
+        Hashes of the runs that these orders start. None: any run there. A run that
+        shares its hash with another one is waited for in vain.
     unanswered_starts_end_in_s_by_runner : dict of str to float
         Seconds after the write until no start order without a response can reach a
         runner any more, by runner id, whether or not its attempt has ended. An empty id
@@ -96,7 +98,7 @@
     leases_end_in_s: float = UNBOUNDED_LEASES_END_IN_S
     leases_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
     late_starts_end_in_s_by_runner: dict[str, float] | None = None
-    late_runs: list[str] | None = None
+    late_run_hashes: str | None = None
     unanswered_starts_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
     missing_s_by_runner: dict[str, float] = field(default_factory=dict)
     max_job_bytes: int | None = None
@@ -114,8 +116,8 @@
     and the limits of customers are left out where there are none.
     """
     fields = _to_fields(record)
-    if record.late_runs is None:
-        del fields["late_runs"]
+    if record.late_run_hashes is None:
+        del fields["late_run_hashes"]
     if not record.unanswered_starts_end_in_s_by_runner:
         del fields["unanswered_starts_end_in_s_by_runner"]
     if not record.missing_s_by_runner:
@@ -161,6 +163,8 @@
             return None
     if not record.waits.is_valid:
         return None
+    if record.late_run_hashes and len(record.late_run_hashes) % HASH_LENGTH:
+        return None
     limits = record.backlog.limit_by_customer.values() if record.backlog else ()
     for limit in limits:
         if not (0 <= limit.admitted <= 1 and 0 <= limit.retry_after_s < math.inf):
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -18,6 +18,7 @@
     VersionedRow,
 )
 from ._earlier_leases import EarlierLeases
+from ._late_runs import encode_run_hashes
 from ._owner_record import (
     Backlog,
     OwnerRecord,
@@ -129,8 +130,8 @@
         Returns `OwnerRecord.leases_end_in_s_by_runner` to publish, called once a write.
     list_late_starts : callable
         Returns `OwnerRecord.late_starts_end_in_s_by_runner`, called once a write.
-    list_late_runs : callable
-        Returns `OwnerRecord.late_runs` to publish, called once a write.
+    list_late_run_hashes : callable
+        Returns `OwnerRecord.late_run_hashes` to publish, called once a write.
     list_unanswered_starts : callable
         Returns `OwnerRecord.unanswered_starts_end_in_s_by_runner`, called once a write.
     list_missing_runners : callable
@@ -174,7 +175,7 @@
         self.list_late_starts = lambda: self.earlier_leases.list_starts_left_s(
             self._clock.now()
         )
-        self.list_late_runs = self._list_earlier_late_runs
+        self.list_late_run_hashes = self._list_earlier_late_run_hashes
         self.list_unanswered_starts = lambda: (
             self.earlier_leases.list_unanswered_left_s(self._clock.now())
         )
@@ -344,7 +345,7 @@
         # their full leases.
         named_leases = self.list_named_leases()
         late_starts = self.list_late_starts()
-        late_runs = self.list_late_runs()
+        late_run_hashes = self.list_late_run_hashes()
         unanswered_starts = self.list_unanswered_starts()
         for runner, end_in_s in named_leases.items():
             valid_s = _named_valid_s(end_in_s)
@@ -359,7 +360,7 @@
                 leases_end_in_s=self._leases_end_in_s(sent_s, grants_leases),
                 leases_end_in_s_by_runner=named_leases,
                 late_starts_end_in_s_by_runner=late_starts,
-                late_runs=late_runs,
+                late_run_hashes=late_run_hashes,
                 unanswered_starts_end_in_s_by_runner=unanswered_starts,
                 missing_s_by_runner=self.list_missing_runners(),
                 max_job_bytes=self.find_max_job_bytes(),
@@ -414,10 +415,10 @@
         """Return what an earlier owner published, until this owner knows more."""
         return self.earlier_leases.left_s_by_runner(self._clock.now())
 
-    def _list_earlier_late_runs(self) -> list[str] | None:
+    def _list_earlier_late_run_hashes(self) -> str | None:
         """Return what an earlier owner published, until this owner knows more."""
-        late_runs = self.earlier_leases.late_runs
-        return None if late_runs is None else sorted(late_runs)
+        hashes = self.earlier_leases.late_run_hashes
+        return None if hashes is None else encode_run_hashes(sorted(hashes))
 
     def _find_own_write(self, error: RowVersionConflict) -> tuple[int, int]:
         """Return version and number of the write by this writer that the row holds.
--- a/tests/test_earlier_leases.py
+++ b/tests/test_earlier_leases.py
@@ -19,6 +19,9 @@
     OwnerRecord,
     StoreClock,
     decode_owner_record,
+    encode_owner_record,
+    encode_run_hashes,
+    hash_run,
     longest_lease_s,
     owner_row,
 )
@@ -75,6 +78,34 @@
     assert leases.find_end_s("runner-0") == pytest.approx(93.1)
 
 
+@pytest.mark.parametrize("seconds_by_runner", [None, {"runner-0": 16.4}])
+def test_runs_that_have_long_begun_are_waited_for(seconds_by_runner):
+    """Guards against a wait for all runs, as too many runners are to be named."""
+    rows = MemoryRows()
+    store_clock = make_clock(rows, 100.0, 100.0)
+    run_hashes = encode_run_hashes([hash_run("a.0.0.0#2"), hash_run("b.0.0.0#1")])
+    record = OwnerRecord(
+        "a",
+        "a/1",
+        1,
+        1,
+        late_starts_end_in_s_by_runner=seconds_by_runner,
+        late_run_hashes=run_hashes,
+    )
+    rows.put(owner_row("s0"), encode_owner_record(record))
+    leases = EarlierLeases.of(read_record(rows), 100.0, store_clock)
+    assert leases.find_starts_end_s("runner-0", "b.0.0.0#1") == pytest.approx(116.4)
+    assert leases.find_starts_end_s("runner-0", "a.0.0.0#1") == float("-inf")
+
+
+def test_row_with_a_part_of_a_hash_is_malformed():
+    """Guards against a run that is started again, as its hash isn't found."""
+    rows = MemoryRows()
+    record = OwnerRecord("a", "a/1", 1, late_run_hashes=hash_run("a.0.0.0#2")[1:])
+    rows.put(owner_row("s0"), encode_owner_record(record))
+    assert read_record(rows) is None
+
+
 @pytest.mark.parametrize("store_s", [None, 1e9], ids=["no-clock", "clock-reset"])
 def test_wait_lasts_for_ever_after_the_clock_of_the_store_was_reset(store_s):
     """Guards against a row from the future, or without a time."""
