The owner row stays below the store's limit with late starts

Since the owner row has two more lists of up to 4,000 bytes each, the runs and the runners of late start orders, which the test of the row's size did not have. With all lists at their limits it has 60,807 bytes (ids of 12 bytes): with 5,000 for the backlog 271 more than the 64 KiB that the store accepts. An owner whose row is refused loses its shard.

The list of leases gives up 2,000 of its 35,000 bytes, some 90 runners of 1,600: 58,917 bytes.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -48,7 +48,7 @@
 FULL_LEASES_S = LEASE_VALID_S - RUNNER_LEASE_S
 #: Largest total length of what the owner row says of the ends of leases. A row has at
 #: most 64 KiB.
-MAX_NAMED_LEASE_BYTES = 35_000
+MAX_NAMED_LEASE_BYTES = 33_000
 #: Seconds after which the leases that an owner may grant have lapsed.
 LONGEST_LEASE_S = longest_lease_s(LEASE_VALID_S)
 #: Largest `Runner.leases_left_ms` of leases that surely end by then, with a millisecond
--- a/tests/test_missing_runners.py
+++ b/tests/test_missing_runners.py
@@ -16,6 +16,7 @@
 from flamingoweir.jobs import JobState
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.ownership import (
+    HASH_LENGTH,
     FencedWriter,
     OwnerRecord,
     RunWait,
@@ -79,12 +80,15 @@
     waits = CarriedWaits(BootClock(), former).list_waits()
     late_count = MAX_LATE_START_BYTES // (id_bytes + ENTRY_BYTES)
     late_starts = {f"{number:0{id_bytes}d}": 16.401 for number in range(late_count)}
+    late_run_hashes = "a" * (MAX_LATE_START_BYTES // HASH_LENGTH * HASH_LENGTH)
     record = OwnerRecord(
         "a",
         "a/1",
         1,
         leases_end_in_s_by_runner=leases,
         late_starts_end_in_s_by_runner=late_starts,
+        late_run_hashes=late_run_hashes,
+        unanswered_starts_end_in_s_by_runner=late_starts,
         missing_s_by_runner=missing,
         waits=waits,
     )
