Steps look at the runners with room, not at all of them

Cause: each step that is tried looked at what is free on every runner, although most of a busy fleet have no room.

Change: an index of the candidates by free and by spare processors, made once for each kind of step in a time slice. While it is in use, runners only get fuller; one that has become too full is moved as it is met. Memory and how images disturb each other are judged as before, on the runners that are found.

Why no decision changes: the index leaves out only runners that were refused by their processors alone, with a margin for rounding for spare ones, and returns the others in the former order.

--- a/flamingoweir/dispatch/_candidates.py
+++ b/flamingoweir/dispatch/_candidates.py
@@ -4,7 +4,12 @@
 
 from ..fleet import Runner
 from ..jobs import StepRun
-from ..policy import PlacementPolicy, largest_beside_lasting
+from ..policy import (
+    PartialRoomIndex,
+    PlacementPolicy,
+    RoomIndex,
+    largest_beside_lasting,
+)
 from ..resources import Resources
 
 
@@ -36,7 +41,7 @@
         self._placement = placement
         self._runner_by_step = runner_by_step
         self._now_s = now_s
-        self._all_by_kind: dict[tuple[str, str], list[Runner]] = {}
+        self._all_by_kind: dict[tuple[str, str], RoomIndex] = {}
         self._unreserved_by_kind: dict[tuple[str, str], list[Runner]] = {}
         self._quarantined: list[Runner] | None = None
         self._largest_by_kind: dict[tuple[str, str], list[Resources]] = {}
@@ -67,12 +72,7 @@
 
     def find_all(self, step: StepRun) -> list[Runner]:
         """Return the runners that suit a step, also reserved ones."""
-        kind = (step.job.spec.policy.service, step.spec.label)
-        found = self._all_by_kind.get(kind)
-        if found is None:
-            found = self._placement.candidates(step, self.runners, self._now_s)
-            self._all_by_kind[kind] = found
-        return found
+        return self._index_all(step).runners
 
     def find(self, step: StepRun, is_absent: bool = False) -> list[Runner]:
         """Return the runners that suit a step and are kept free for no other one.
@@ -94,10 +94,28 @@
             reserved_ids = self.reserved_ids
             found = [r for r in self.find_all(step) if r.id not in reserved_ids]
             self._unreserved_by_kind[kind] = found
-        own = self._runner_by_step.get(step)
-        if own is not None and own in self.find_all(step):
-            return [*found, own]
-        return found
+        own = self._find_own(step)
+        return found if own is None else [*found, own]
+
+    def find_index(
+        self, step: StepRun, is_absent: bool = False
+    ) -> RoomIndex | PartialRoomIndex | None:
+        """Return an index of the runners that `find` returns, or None.
+
+        There is none of the few lists that end with a runner that is kept free.
+
+        Parameters
+        ----------
+        step : StepRun
+            Step of which tasks are to be placed.
+        is_absent : bool
+            Whether they are long-running tasks that have run before.
+        """
+        if is_absent or not self._runner_by_step:
+            return self._index_all(step)
+        if self._find_own(step) is not None:
+            return None
+        return PartialRoomIndex(self._index_all(step), self.reserved_ids)
 
     def may_reserve(self, step: StepRun) -> bool:
         """Return whether a runner may be found to be kept free for a step.
@@ -140,6 +158,19 @@
             self._all_by_kind.clear()
             self._clear_unreserved()
 
+    def _index_all(self, step: StepRun) -> RoomIndex:
+        kind = (step.job.spec.policy.service, step.spec.label)
+        index = self._all_by_kind.get(kind)
+        if index is None:
+            found = self._placement.candidates(step, self.runners, self._now_s)
+            index = self._all_by_kind[kind] = RoomIndex(found)
+        return index
+
+    def _find_own(self, step: StepRun) -> Runner | None:
+        """Return the runner that is kept free for a step, if it still suits it."""
+        own = self._runner_by_step.get(step)
+        return own if own is not None and own in self.find_all(step) else None
+
     def _clear_unreserved(self) -> None:
         self._unreserved_by_kind.clear()
         self._largest_by_kind.clear()
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -374,6 +374,7 @@
                     self._candidates.find(step, is_absent),
                     self._now_s,
                     self._evictions.promised_to_others(step),
+                    self._candidates.find_index(step, is_absent),
                 )
                 evaluated_s = self._context.clock.now()
             leaves_room = self._must_leave_room(step, index)
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -49,6 +49,7 @@
     largest_beside_lasting,
     unplaced_s,
 )
+from ._room_index import PartialRoomIndex, RoomIndex
 from ._shares import (
     ABOVE_SHARE,
     BELOW_SHARE,
@@ -100,9 +101,11 @@
     "MeanWork",
     "OpenWork",
     "PaceChange",
+    "PartialRoomIndex",
     "Phase",
     "PlacementPolicy",
     "RateMeter",
+    "RoomIndex",
     "RunRatio",
     "RunnerHealth",
     "ServiceLoad",
--- a/flamingoweir/policy/_colocation.py
+++ b/flamingoweir/policy/_colocation.py
@@ -479,6 +479,12 @@
                 del self._baseline_by_step[step]
 
 
+def spare_room_milli(runner: Runner) -> float:
+    """Return the thousandths of spare processors that `ColocationPolicy` may allow."""
+    available_milli = max(1, runner.spare_available_milli)
+    return (1 + MAX_OVERSUBSCRIPTION) * available_milli - runner.spare_demand_milli
+
+
 def _step_key(allocation: Allocation) -> tuple:
     task = allocation.attempt.task
     return task.job, task.occurrence, task.step
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -15,6 +15,7 @@
 from ..resources import Resources
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
 from ._health import RunnerHealth
+from ._room_index import PartialRoomIndex, RoomIndex
 
 #: Seconds that a task waits for a runner on its data rack before it runs elsewhere.
 DATA_RACK_WAIT_S = 1.0
@@ -218,6 +219,9 @@
         Time on the owner's clock, in seconds.
     withheld_by_runner : mapping of str to Resources, optional
         Resources that the tasks must leave free, by runner id; left out: none.
+    index : RoomIndex or PartialRoomIndex, optional
+        Finds those of the candidates that have room, in the same order; left out: all
+        are looked at.
     """
 
     def __init__(
@@ -227,7 +231,11 @@
         candidates: Sequence[Runner],
         now_s: float,
         withheld_by_runner: Mapping[str, Resources] | None = None,
+        index: RoomIndex | PartialRoomIndex | None = None,
     ):
+        self._index = index
+        #: The runners to which positions refer.
+        self._runners = candidates if index is None else index.runners
         self._withheld_by_runner = withheld_by_runner or {}
         self._policy = policy
         self._step = step
@@ -237,7 +245,7 @@
         self._count_by_runner = count_tasks_by_runner(step)
         self._heap: list[tuple[tuple, int, int]] = []
         # A heap entry with an older number of evaluations is out of date.
-        self._evaluations = [0] * len(candidates)
+        self._evaluations = [0] * len(self._runners)
         self._chosen: int | None = None
         self._on_data_rack: bool | None = None
         self._evaluate_all()
@@ -264,7 +272,7 @@
             self._chosen = self._find_best(avoid)
         if self._chosen is None:
             return None
-        best = self._candidates[self._chosen]
+        best = self._runners[self._chosen]
         return None if self._should_wait(best) else best
 
     def record_placed(self) -> None:
@@ -272,7 +280,7 @@
         position = self._chosen
         self._chosen = None
         if self._step.spec.max_per_runner:
-            self._count_by_runner[self._candidates[position].id] += 1
+            self._count_by_runner[self._runners[position].id] += 1
         if self._waited_s > MAX_PLACEMENT_WAIT_S:
             # The job has an attempt now; its other tasks must disturb no serving task.
             self._waited_s = 0.0
@@ -288,7 +296,7 @@
         while self._heap:
             _, position, evaluation = self._heap[0]
             if evaluation == self._evaluations[position]:
-                if self._candidates[position].id not in avoid:
+                if self._runners[position].id not in avoid:
                     best = position
                     break
                 passed_over.append(self._heap[0])
@@ -298,6 +306,10 @@
         return best
 
     def _evaluate_all(self) -> None:
+        if self._index is not None:
+            for position in self._index.find(self._step.spec):
+                self._evaluate(position)
+            return
         demand = self._step.spec.reserved
         for position, runner in enumerate(self._candidates):
             # Most runners of a busy fleet have no room; this is the cheapest check.
@@ -306,7 +318,7 @@
             self._evaluate(position)
 
     def _evaluate(self, position: int) -> None:
-        runner = self._candidates[position]
+        runner = self._runners[position]
         self._evaluations[position] += 1
         count = self._count_by_runner[runner.id]
         withheld = self._withheld_by_runner.get(runner.id, _NOTHING)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -232,6 +232,46 @@
     run_virtual(scenario)
 
 
+def test_steps_look_at_runners_with_room_only(monkeypatch):
+    """Guards against a cost of runners times steps after the loss of a zone.
+
+    Looks are readings of what is free on a runner.
+    """
+    looks = 0
+
+    class CountedRunner(Runner):
+        @property
+        def free_resources(self):
+            nonlocal looks
+            looks += 1
+            return self._free
+
+        @free_resources.setter
+        def free_resources(self, free):
+            self._free = free
+
+    monkeypatch.setattr("flamingoweir.dispatch._owner_state.Runner", CountedRunner)
+
+    async def scenario():
+        runners, steps = 300, 150
+        specs = [StepSpec(1, Resources(1000, 1000 - n, 0)) for n in range(steps)]
+        planner, _, owner_state = make_owner(
+            runners, batch_spec(4 * (runners - 1)), *specs, processors=4
+        )
+        batch = owner_state.job_by_id["job-0"].run_by_step[0, 0]
+        for index in range(4 * (runners - 1)):
+            runner = owner_state.runner_by_id[f"r{index % (runners - 1)}"]
+            owner_state.add_attempt(batch, index, runner)
+        nonlocal looks
+        looks = 0
+        await planner.plan()
+        last = owner_state.runner_by_id[f"r{runners - 1}"]
+        assert len(last.allocation_by_run) == 4
+        assert looks < 2 * runners
+
+    run_virtual(scenario)
+
+
 def run_with_changes(charge, change, *steps: StepSpec) -> OwnerState:
     """Run a planner for a second; apply a change once it has placed 30 tasks."""
     counts = charge(EVALUATION_S, PLACED_TASK_S)
--- a/tests/test_step_placement.py
+++ b/tests/test_step_placement.py
@@ -14,6 +14,7 @@
 from flamingoweir.policy import (
     ColocationPolicy,
     PlacementPolicy,
+    RoomIndex,
     RunnerHealth,
     StepPlacement,
 )
@@ -188,6 +189,81 @@
         placement.record_placed()
 
 
+def test_index_changes_no_choice_of_steps_in_turn():
+    """Guards against a runner with room that a kept index doesn't find.
+
+    One index serves the steps of a time slice, while their tasks fill the runners.
+    """
+    placed = unplaced = 0
+    for seed in range(300):
+        generator = random.Random(seed)
+        health, colocation = RunnerHealth(), ColocationPolicy()
+        runners = random_fleet(generator, colocation)
+        for runner in runners:
+            if generator.random() < 0.2:
+                health.record_end(runner.id, "broken", True, NOW_S)
+        reference = Reference(health, colocation)
+        policy = PlacementPolicy(health, colocation)
+        index = RoomIndex(runners)
+        for number in range(12):
+            spec = random_spec(generator, generator.randint(1, 6))
+            job = Job(JobSpec(f"job-{number}", "q", "", (spec,), QueuePolicy("s")))
+            step = job.run_by_step[0, 0]
+            step.ready_since_s = NOW_S - generator.choice((0.2, 3.0))
+            step.unplaced_since_s = generator.choice((None, NOW_S - 1.0, NOW_S - 2.0))
+            avoid = frozenset(r.id for r in runners if generator.random() < 0.1)
+            placement = StepPlacement(policy, step, runners, NOW_S, None, index)
+            for task in range(spec.count):
+                expected = reference.choose(step, task, runners, avoid)
+                assert placement.choose(task, avoid) is expected
+                if expected is None:
+                    unplaced += 1
+                    break
+                attempt = step.job.start(step, task, expected.id, 1, NOW_S)
+                expected.add(attempt, spec)
+                placement.record_placed()
+                placed += 1
+    assert placed > 1000
+    assert unplaced > 1000
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_index_finds_each_runner_on_which_a_task_fits(seed):
+    """Guards against runners that are left out by rounding, or in a list made anew."""
+    generator = random.Random(seed)
+    colocation = ColocationPolicy()
+    runners = random_fleet(generator, colocation)
+    policy = PlacementPolicy(RunnerHealth(), colocation)
+    lists = CandidateLists(policy, runners, {}, NOW_S)
+    for number in range(20):
+        demand = Resources(generator.randint(1, 16_000), generator.randint(0, 4000), 0)
+        uses_spare = generator.random() < 0.5
+        spec = StepSpec(
+            1, demand, image=generator.choice(IMAGES), uses_spare=uses_spare
+        )
+        job = Job(JobSpec(f"job-{number}", "q", "", (spec,), QueuePolicy("s")))
+        step = job.run_by_step[0, 0]
+        candidates = lists.find(step)
+        index = lists.find_index(step)
+        fitting = {r.id for r in candidates if policy.fits(step, r, 2.0, 0)}
+        if index is None:
+            assert lists.reserved_ids
+        else:
+            positions = index.find(spec)
+            found_ids = [index.runners[position].id for position in positions]
+            # In the order of the candidates, by which equal runners are told apart.
+            found = set(found_ids)
+            assert found_ids == [r.id for r in candidates if r.id in found]
+            assert fitting <= found
+        kept = generator.choice(runners)
+        if generator.random() < 0.3 and kept.id not in lists.reserved_ids:
+            lists.reserve(step, kept)
+            assert lists.find_index(step) is None
+        if fitting:
+            runner = generator.choice([r for r in runners if r.id in fitting])
+            runner.add(Attempt(step.task_id(0), 1, runner.id, 1), spec)
+
+
 def test_no_reservation_is_left_out_that_a_search_would_make():
     """Guards against steps for which no runner is kept free, as none seems to suit."""
     ruled_out = 0
