Steps without room are compared with the smallest ones only

Cause: a step is not tried if a smaller one of its kind found no room in this pass. It was compared with all of these, also with those that were not tried for the same reason, so that a pass took as long as the square of the absent tasks.

Change: of the steps without room only those are kept that no other one covers.

Evidence: test_unplaced_step_is_compared_with_the_smallest_ones_only failed before.

--- a/flamingoweir/dispatch/_unplaced_steps.py
+++ b/flamingoweir/dispatch/_unplaced_steps.py
@@ -21,7 +21,8 @@
 
     def __init__(self, now_s: float) -> None:
         self._now_s = now_s
-        #: Demands, and whether a task of the step was absent.
+        #: Demands, and whether a task of the step was absent. None of a kind rules out
+        #: more than another one, as after the loss of a zone there would be hundreds.
         self._unplaced_by_kind: dict[tuple, list[tuple[Resources, bool]]] = {}
 
     def rules_out(self, step: StepRun) -> bool:
@@ -52,8 +53,13 @@
             return
         if any(task.failed_runners for _, task in step.tasks.kept()):
             return
-        unplaced = self._unplaced_by_kind.setdefault(self._demand_kind(step), [])
-        unplaced.append((spec.demand, step.is_away))
+        kind, entry = self._demand_kind(step), (spec.demand, step.is_away)
+        unplaced = self._unplaced_by_kind.get(kind, [])
+        for other in unplaced:
+            if _covers(other, entry):
+                return
+        kept = [other for other in unplaced if not _covers(entry, other)]
+        self._unplaced_by_kind[kind] = [*kept, entry]
 
     def _demand_kind(self, step: StepRun) -> tuple:
         spec = step.spec
@@ -61,3 +67,10 @@
         past_max_wait = unplaced_s(step, self._now_s) > MAX_PLACEMENT_WAIT_S
         service = step.job.spec.policy.service
         return service, spec.label, spec.image, spec.uses_spare, past_max_wait
+
+
+def _covers(first: tuple[Resources, bool], second: tuple[Resources, bool]) -> bool:
+    """Return whether an unplaced step rules out all that another one does."""
+    demand, was_away = first
+    other_demand, other_was_away = second
+    return (was_away or not other_was_away) and demand.fits_in(other_demand)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import random
 from types import SimpleNamespace
 
 import anyio
@@ -116,6 +117,50 @@
     assert not unplaced.rules_out(untried)
 
 
+def draw_step(generator: random.Random):
+    """Return a step of one of few kinds that has waited, and may be absent."""
+    step = make_step(
+        generator.randint(1, 5), 100 * generator.randint(1, 5), lasting=True
+    )
+    step.tasks[0].last_run = generator.randrange(2)
+    return step
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_steps_are_ruled_out_by_each_one_that_found_no_room(seed):
+    """Guards against an unplaced step that counts no more beside another one."""
+    generator = random.Random(seed)
+    unplaced = UnplacedSteps(NOW_S)
+    alone = []
+    for _ in range(20):
+        step = draw_step(generator)
+        single = UnplacedSteps(NOW_S)
+        single.add(step)
+        alone.append(single)
+        unplaced.add(step)
+        other = draw_step(generator)
+        expected = any(single.rules_out(other) for single in alone)
+        assert unplaced.rules_out(other) is expected
+
+
+def test_unplaced_step_is_compared_with_the_smallest_ones_only(monkeypatch):
+    """Guards against passes that take as long as the square of the absent tasks."""
+    compared = 0
+    original = Resources.fits_in
+
+    def fits_in(*args):
+        nonlocal compared
+        compared += 1
+        return original(*args)
+
+    unplaced = UnplacedSteps(NOW_S)
+    for number in range(300):
+        unplaced.add(make_step(8 - number % 2, 500 - number))
+    monkeypatch.setattr(Resources, "fits_in", fits_in)
+    assert not unplaced.rules_out(make_step(6))
+    assert compared < 5
+
+
 class Permission:
     """Stands in for the owner's permit; a test may withdraw it."""
 
