A start order without a response counts against the cap from then, not from the end

An order gets no response, its task runs for 20 s and is done; the customer's next task starts 15 s after that.

Cause: an order without a response may be carried out for 15 s, by the runner's next incarnation. These 15 s were counted from the end of the attempt, however long ago its order had been sent.

Change: they count from when the order got no response. Where another order to the runner has no result yet as the attempt ends, it may be one of this attempt, and the 15 s count from the end as before. Attempts stop counting in the order of these times.

Two older tests set up an order without a response by the flag alone; they record it as owners do now, with the same bounds.

To stop counting once the runner responds, has confirmed a stop of the run or has fenced its former incarnation would exceed caps: its next incarnation knows nothing of these, and gets the order before it is called.

--- a/flamingoweir/dispatch/_customer_usage.py
+++ b/flamingoweir/dispatch/_customer_usage.py
@@ -1,6 +1,6 @@
 """What each customer has allocated on all runners of a shard."""
 
-from collections import deque
+import heapq
 from dataclasses import dataclass
 
 from ..fleet import Allocation, Runner
@@ -45,8 +45,10 @@
         #: of placement.
         self._unsent_by_customer: dict[str, dict[tuple[TaskId, int], Allocation]] = {}
         #: Allocations that ended before their orders can't be carried out any more, and
-        #: when that is, on the owner's clock, in seconds.
-        self._late: deque[tuple[float, Allocation]] = deque()
+        #: when that is, on the owner's clock, in seconds; a heap. The numbers tell
+        #: those of one time apart.
+        self._late: list[tuple[float, int, Allocation]] = []
+        self._late_count = 0
 
     def allocate(self, runner: Runner, attempt: Attempt, step: StepRun) -> Allocation:
         """Allocate resources of a runner for an attempt, and count them."""
@@ -102,21 +104,29 @@
         if not unsent:
             del self._unsent_by_customer[allocation.customer]
 
-    def keep_late(self, allocation: Allocation, now_s: float) -> None:
+    def keep_late(self, runner: Runner, allocation: Allocation, now_s: float) -> None:
         """Go on counting an attempt that ended, as its order may be carried out.
 
         An order without a response may reach the next incarnation of a runner, which
-        knows nothing of an end or a stop on the former one; see `LateOrders`.
+        knows nothing of an end or a stop on the former one; see `LateOrders`. That
+        counts from when it got none, however long the attempt has run since.
         """
         if not allocation.customer:
             return
+        until_s = allocation.late_start_until_s
+        if runner.unanswered_starts.has_pending:
+            # One of them may be of this attempt.
+            until_s = now_s + MAX_LATENESS_S
+        if until_s < now_s:
+            return
         self.add(allocation.customer, allocation.spec.demand)
-        self._late.append((now_s + MAX_LATENESS_S, allocation))
+        self._late_count += 1
+        heapq.heappush(self._late, (until_s, self._late_count, allocation))
 
     def remove_expired(self, now_s: float) -> None:
         """Stop counting attempts whose orders can't be carried out any more."""
         while self._late and self._late[0][0] < now_s:
-            _, allocation = self._late.popleft()
+            _, _, allocation = heapq.heappop(self._late)
             self.remove(allocation.customer, allocation.spec.demand)
 
     def add(self, customer: str, demand: Resources) -> None:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -724,7 +724,7 @@
         if allocation.start_unanswered:
             attempt, now_s = allocation.attempt, self._clock.now()
             self.late_orders.record(runner.id, attempt.task, attempt.run, now_s)
-            self.customer_usage.keep_late(allocation, now_s)
+            self.customer_usage.keep_late(runner, allocation, now_s)
 
     def _stop_surplus(self, job: Job) -> None:
         for attempt in job.find_surplus_attempts():
--- a/flamingoweir/fleet/_unanswered_starts.py
+++ b/flamingoweir/fleet/_unanswered_starts.py
@@ -43,6 +43,11 @@
         if not is_answered:
             self.until_s = max(self.until_s, now_s + MAX_LATENESS_S)
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether an order was sent that has no result yet."""
+        return bool(self._sent_s_by_number)
+
     def may_arrive(self, now_s: float) -> bool:
         """Return whether an order may arrive later that should have been answered.
 
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -626,7 +626,7 @@
         owner.add(1, StepSpec(10, ONE))
         await owner.planner.plan()
         for allocation in list(owner.runner.allocation_by_run.values()):
-            allocation.start_unanswered = True
+            allocation.record_unanswered_start(owner.clock.now())
             owner.end_one()
         waiting = owner.add(2, StepSpec(1, ONE))
         await owner.planner.plan()
@@ -638,6 +638,86 @@
     run_owner(scenario)
 
 
+@pytest.mark.parametrize("run_s", [3.0, 20.0])
+def test_order_that_got_no_response_counts_from_then_and_not_from_the_end(run_s):
+    """Guards against a customer held at its cap by orders that can't arrive now.
+
+    The order was carried out, and its response was lost.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1, runners=2) as cluster:
+            cluster.configure(2, {"kaje80": Resources(3000, 0, 0)})
+            member = await cluster.owner()
+            await anyio.sleep(1)
+            for link in member.link_by_runner.values():
+                link.lose_starts = 1
+            first, second = (make_capped(n, make_step(1, 2.0)) for n in (1, 2))
+            cluster.plan_by_task[f"{first.id}.0.0.0"] = (run_s, Outcome.DONE)
+            await cluster.submit(first)
+            await anyio.sleep(0.5)
+            unanswered_s = anyio.current_time()
+            for link in member.link_by_runner.values():
+                link.lose_starts = 0
+            await cluster.submit(second)
+            await cluster.wait_for(first, JobState.DONE, run_s + 1)
+            done_s = anyio.current_time()
+            await anyio.sleep(MAX_LATENESS_S + 1)
+            started_s = cluster.records("start")[-1].at_s
+            assert started_s > unanswered_s + MAX_LATENESS_S - 0.5
+            assert started_s < max(done_s, unanswered_s + MAX_LATENESS_S) + 0.5
+
+    run_virtual(scenario)
+
+
+def test_orders_of_a_cancelled_job_count_though_their_runner_has_refused_them():
+    """Guards against a cap that is exceeded where a runner that responds restarts.
+
+    It has confirmed the stops of runs whose orders got no response. Its next
+    incarnation knows nothing of these, and gets the orders before it is called.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1, runners=1, processors=32) as cluster:
+            cluster.configure(2, {"kaje80": Resources(4000, 0, 0)})
+            member = await cluster.owner()
+            # The clock of the next incarnation is behind the deadlines of the orders.
+            await anyio.sleep(20)
+            link = member.link_by_runner["runner-0"]
+            link.lose_starts = 4
+            link.delivery_delay_s = 6.0
+            first, second = (make_capped(n, make_step(4)) for n in (1, 2))
+            submitted_s = anyio.current_time()
+            await cluster.submit(first)
+            await anyio.sleep(0.3)
+            cluster.add_runner("runner-1", 8)
+            await member.instance.handler.cancel(first.id, 2.0)
+            await anyio.sleep(1.5)
+            assert not member.instance.term.owner_state.runner_by_id[
+                "runner-0"
+            ].has_attempts
+            for index in range(4):
+                planned = 20.0, Outcome.DONE
+                cluster.plan_by_task[f"{second.id}.0.0.{index}"] = planned
+            await cluster.submit(second)
+            await anyio.sleep(submitted_s + 5.95 - anyio.current_time())
+            runner = cluster.runner_by_id["runner-0"]
+            runner.crash()
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await anyio.sleep(2)
+            late = [r for r in cluster.records("start") if r.task.job == first.id]
+            assert len(late) == 3
+            running = most = 0
+            for record in cluster.records():
+                running += record.kind == "start"
+                running -= record.kind in ("stopped", "done", "failed", "crashed")
+                most = max(most, running)
+            assert most <= 4
+
+    run_virtual(scenario)
+
+
 def test_step_that_its_cap_holds_back_keeps_no_runner_free():
     """Guards against a runner that is kept free for a step that may not start."""
 
--- a/tests/test_customer_usage.py
+++ b/tests/test_customer_usage.py
@@ -126,7 +126,7 @@
         usage = owner_state.customer_usage
         for allocation in list(runner.allocation_by_run.values()):
             usage.record_sent(allocation)
-        runner.find(attempts[0].task, 1).start_unanswered = True
+        runner.find(attempts[0].task, 1).record_unanswered_start(clock.now())
         for attempt in attempts:
             if ending == "discard":
                 owner_state.discard_attempt(attempt, "not_listed")
@@ -147,6 +147,39 @@
     run_virtual(scenario)
 
 
+def test_late_orders_stop_counting_in_the_order_in_which_they_expire():
+    """Guards against an order that counts for longer, or shorter, beside another one.
+
+    The first attempt ends while another order to its runner, which may be one of its
+    own, has no result yet: such an order may arrive long after the first one.
+    """
+
+    async def scenario():
+        clock = VirtualClock()
+        owner_state = OwnerState(clock, NoMetrics(), 10.0)
+        _, attempts, runner = add_attempts(owner_state, make_spec())
+        usage = owner_state.customer_usage
+        for attempt in attempts:
+            allocation = runner.find(attempt.task, attempt.run)
+            allocation.record_unanswered_start(clock.now())
+        await anyio.sleep(5.0)
+        number = runner.unanswered_starts.record_sent(clock.now())
+        end(owner_state, runner, attempts[0])
+        runner.unanswered_starts.record_result(number, True, clock.now())
+        end(owner_state, runner, attempts[1])
+        for passed_s, used in (
+            (MAX_LATENESS_S - 5.0, DEMAND + DEMAND),
+            (0.1, DEMAND),
+            (4.9, DEMAND),
+            (0.1, NOTHING),
+        ):
+            await anyio.sleep(passed_s)
+            usage.remove_expired(clock.now())
+            assert usage.used_by("kaje80") == used
+
+    run_virtual(scenario)
+
+
 def test_customers_without_allocations_take_no_memory():
     """Guards against a table that grows with every customer that ever had a job."""
     usage = CustomerUsage()
