--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -8,13 +8,14 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from ..fleet import RUNNER_LEASE_S, Runner
 from ..jobs import StepRun, StepSpec
 from ..resources import Resources
 from ._colocation import MAX_PLACEMENT_WAIT_S, ColocationPolicy
 from ._health import RunnerHealth
+from ._room_index import PartialRoomIndex, RoomIndex
 
 #: Seconds that a task waits for a runner on its data rack before it runs elsewhere.
 DATA_RACK_WAIT_S = 1.0
@@ -41,17 +42,20 @@
     ) -> list[Runner]:
         """Return runners that suit a step, without regard to free resources."""
         found = []
-        for runner in runners:
-            if not self._suits(step, runner, now_s):
-                continue
-            if not self._health.is_usable(runner, now_s):
-                continue
-            found.append(runner)
+        quarantined_ids = self._health.quarantined_ids
+        for runner in _find_suitable(step, runners, now_s):
+            if runner.id not in quarantined_ids or self._health.is_usable(
+                runner, now_s
+            ):
+                found.append(runner)
         return found
 
     def quarantined(self, runners: Iterable[Runner]) -> list[Runner]:
         """Return the runners that were quarantined and have not proved sound since."""
-        return [runner for runner in runners if self._health.has_quarantine(runner.id)]
+        quarantined_ids = self._health.quarantined_ids
+        if not quarantined_ids:
+            return []
+        return [runner for runner in runners if runner.id in quarantined_ids]
 
     def early_probes(
         self, step: StepRun, runners: Iterable[Runner], now_s: float
@@ -62,23 +66,9 @@
         """
         found = []
         for runner in runners:
-            if not self._health.may_probe_early(runner, now_s):
-                continue
-            if self._suits(step, runner, now_s):
+            if self._health.may_probe_early(runner, now_s):
                 found.append(runner)
-        return found
-
-    @staticmethod
-    def _suits(step: StepRun, runner: Runner, now_s: float) -> bool:
-        """Return whether a runner suits a step, without regard to its health."""
-        if (
-            runner.incarnation is None
-            or runner.entry.service != step.job.spec.policy.service
-        ):
-            return False
-        if step.spec.label and step.spec.label not in runner.entry.labels:
-            return False
-        return runner.unresponsive_since_s is None and now_s >= runner.no_room_until_s
+        return list(_find_suitable(step, found, now_s))
 
     def choose(
         self,
@@ -218,6 +208,9 @@
         Time on the owner's clock, in seconds.
     withheld_by_runner : mapping of str to Resources, optional
         Resources that the tasks must leave free, by runner id; left out: none.
+    index : RoomIndex or PartialRoomIndex, optional
+        Finds those of the candidates that have room, in the same order; left out: all
+        are looked at.
     """
 
     def __init__(
@@ -227,7 +220,11 @@
         candidates: Sequence[Runner],
         now_s: float,
         withheld_by_runner: Mapping[str, Resources] | None = None,
+        index: RoomIndex | PartialRoomIndex | None = None,
     ):
+        self._index = index
+        #: The runners to which positions refer.
+        self._runners = candidates if index is None else index.runners
         self._withheld_by_runner = withheld_by_runner or {}
         self._policy = policy
         self._step = step
@@ -237,7 +234,7 @@
         self._count_by_runner = count_tasks_by_runner(step)
         self._heap: list[tuple[tuple, int, int]] = []
         # A heap entry with an older number of evaluations is out of date.
-        self._evaluations = [0] * len(candidates)
+        self._evaluations = [0] * len(self._runners)
         self._chosen: int | None = None
         self._on_data_rack: bool | None = None
         self._evaluate_all()
@@ -264,7 +261,7 @@
             self._chosen = self._find_best(avoid)
         if self._chosen is None:
             return None
-        best = self._candidates[self._chosen]
+        best = self._runners[self._chosen]
         return None if self._should_wait(best) else best
 
     def record_placed(self) -> None:
@@ -272,7 +269,7 @@
         position = self._chosen
         self._chosen = None
         if self._step.spec.max_per_runner:
-            self._count_by_runner[self._candidates[position].id] += 1
+            self._count_by_runner[self._runners[position].id] += 1
         if self._waited_s > MAX_PLACEMENT_WAIT_S:
             # The job has an attempt now; its other tasks must disturb no serving task.
             self._waited_s = 0.0
@@ -288,7 +285,7 @@
         while self._heap:
             _, position, evaluation = self._heap[0]
             if evaluation == self._evaluations[position]:
-                if self._candidates[position].id not in avoid:
+                if self._runners[position].id not in avoid:
                     best = position
                     break
                 passed_over.append(self._heap[0])
@@ -298,6 +295,10 @@
         return best
 
     def _evaluate_all(self) -> None:
+        if self._index is not None:
+            for position in self._index.find(self._step.spec):
+                self._evaluate(position)
+            return
         demand = self._step.spec.reserved
         for position, runner in enumerate(self._candidates):
             # Most runners of a busy fleet have no room; this is the cheapest check.
@@ -306,7 +307,7 @@
             self._evaluate(position)
 
     def _evaluate(self, position: int) -> None:
-        runner = self._candidates[position]
+        runner = self._runners[position]
         self._evaluations[position] += 1
         count = self._count_by_runner[runner.id]
         withheld = self._withheld_by_runner.get(runner.id, _NOTHING)
@@ -370,6 +371,23 @@
     return now_s - step.unplaced_since_s
 
 
+def _find_suitable(
+    step: StepRun, runners: Iterable[Runner], now_s: float
+) -> Iterator[Runner]:
+    """Yield the runners that suit a step, without regard to their health.
+
+    Each slice of a pass looks at all runners, so that nothing is called for each.
+    """
+    service, label = step.job.spec.policy.service, step.spec.label
+    for runner in runners:
+        if runner.incarnation is None or runner.entry.service != service:
+            continue
+        if label and label not in runner.entry.labels:
+            continue
+        if runner.unresponsive_since_s is None and now_s >= runner.no_room_until_s:
+            yield runner
+
+
 def _other_image_penalty(spec: StepSpec, runner: Runner) -> int:
     """Return a penalty for serving tasks of other images on a runner.
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import random
 from types import SimpleNamespace
 
 import anyio
@@ -18,7 +19,12 @@
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Job, JobSpec, Outcome, QueuePolicy, StepSpec
 from flamingoweir.metrics import NoMetrics
-from flamingoweir.policy import EVICT_AFTER_S, MAX_PLACEMENT_WAIT_S, PlacementPolicy
+from flamingoweir.policy import (
+    EVICT_AFTER_S,
+    MAX_PLACEMENT_WAIT_S,
+    PlacementPolicy,
+    RunnerHealth,
+)
 from flamingoweir.policy._health import QUARANTINE_S
 from flamingoweir.registry import UNLISTED_GRACE_S, RunnerEntry
 from flamingoweir.resources import Resources
@@ -116,6 +122,50 @@
     assert not unplaced.rules_out(untried)
 
 
+def draw_step(generator: random.Random):
+    """Return a step of one of few kinds that has waited, and may be absent."""
+    step = make_step(
+        generator.randint(1, 5), 100 * generator.randint(1, 5), lasting=True
+    )
+    step.tasks[0].last_run = generator.randrange(2)
+    return step
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_steps_are_ruled_out_by_each_one_that_found_no_room(seed):
+    """Guards against an unplaced step that counts no more beside another one."""
+    generator = random.Random(seed)
+    unplaced = UnplacedSteps(NOW_S)
+    alone = []
+    for _ in range(20):
+        step = draw_step(generator)
+        single = UnplacedSteps(NOW_S)
+        single.add(step)
+        alone.append(single)
+        unplaced.add(step)
+        other = draw_step(generator)
+        expected = any(single.rules_out(other) for single in alone)
+        assert unplaced.rules_out(other) is expected
+
+
+def test_unplaced_step_is_compared_with_the_smallest_ones_only(monkeypatch):
+    """Guards against passes that take as long as the square of the absent tasks."""
+    compared = 0
+    original = Resources.fits_in
+
+    def fits_in(*args):
+        nonlocal compared
+        compared += 1
+        return original(*args)
+
+    unplaced = UnplacedSteps(NOW_S)
+    for number in range(300):
+        unplaced.add(make_step(8 - number % 2, 500 - number))
+    monkeypatch.setattr(Resources, "fits_in", fits_in)
+    assert not unplaced.rules_out(make_step(6))
+    assert compared < 5
+
+
 class Permission:
     """Stands in for the owner's permit; a test may withdraw it."""
 
@@ -232,6 +282,67 @@
     run_virtual(scenario)
 
 
+def test_steps_look_at_runners_with_room_only(monkeypatch):
+    """Guards against a cost of runners times steps after the loss of a zone.
+
+    Looks are readings of what is free on a runner.
+    """
+    looks = 0
+
+    class CountedRunner(Runner):
+        @property
+        def free_resources(self):
+            nonlocal looks
+            looks += 1
+            return self._free
+
+        @free_resources.setter
+        def free_resources(self, free):
+            self._free = free
+
+    monkeypatch.setattr("flamingoweir.dispatch._owner_state.Runner", CountedRunner)
+
+    async def scenario():
+        runners, steps = 300, 150
+        specs = [StepSpec(1, Resources(1000, 1000 - n, 0)) for n in range(steps)]
+        planner, _, owner_state = make_owner(
+            runners, batch_spec(4 * (runners - 1)), *specs, processors=4
+        )
+        batch = owner_state.job_by_id["job-0"].run_by_step[0, 0]
+        for index in range(4 * (runners - 1)):
+            runner = owner_state.runner_by_id[f"r{index % (runners - 1)}"]
+            owner_state.add_attempt(batch, index, runner)
+        nonlocal looks
+        looks = 0
+        await planner.plan()
+        last = owner_state.runner_by_id[f"r{runners - 1}"]
+        assert len(last.allocation_by_run) == 4
+        assert looks < 2 * runners
+
+    run_virtual(scenario)
+
+
+def test_slice_asks_for_the_health_of_quarantined_runners_only(monkeypatch):
+    """Guards against slices that are spent on collecting a large fleet of runners."""
+    asked = set()
+    original = RunnerHealth.is_usable
+
+    def is_usable(self, runner, now_s):
+        asked.add(runner.id)
+        return original(self, runner, now_s)
+
+    monkeypatch.setattr(RunnerHealth, "is_usable", is_usable)
+
+    async def scenario():
+        planner, _, owner_state = make_owner(300, batch_spec(10))
+        owner_state.health.record_fault("r7", planner._context.clock.now())
+        await planner.plan()
+        assert len(owner_state.pending_starts) == 10
+        assert asked == {"r7"}
+
+    run_virtual(scenario)
+
+
 def run_with_changes(charge, change, *steps: StepSpec) -> OwnerState:
     """Run a planner for a second; apply a change once it has placed 30 tasks."""
     counts = charge(EVALUATION_S, PLACED_TASK_S)
