--- a/benchmarks/mixed_builds.py
+++ b/benchmarks/mixed_builds.py
@@ -81,6 +81,7 @@
     build: pathlib.Path
     folder: pathlib.Path
     store_port: int
+    max_hold_ms: int = 6000
     front_port: int = field(default_factory=find_free_port)
     process: subprocess.Popen = field(init=False)
 
@@ -92,7 +93,7 @@
             f"PortRange = [{find_free_port()},{find_free_port()}]\n"
             f'[Listen]\nFront = "{HOST}:{self.front_port}"\n'
             f'Ready = "{HOST}:{find_free_port()}"\n'
-            "[PolicyBounds]\nMaxHoldMs = 6000\nGraceS = 6\n"
+            f"[PolicyBounds]\nMaxHoldMs = {self.max_hold_ms}\nGraceS = 6\n"
             f'[platform]\nAddress = "{HOST}:{self.store_port}"\n'
         )
         log = (self.folder / f"{self.name}.log").open("ab")
