Smoke test of real runners that restart under their ids and are cut off

The rig waits for a task on a runner that has restarted, so that a run that shows nothing is told from one that is sound. Clocks of new processes don't depend on the number of calls.

--- a/benchmarks/recut.py
+++ b/benchmarks/recut.py
@@ -3,9 +3,9 @@
 Run ``python -m benchmarks.recut --seed N`` from the root of this build's sources. Three
 daemons run jobs on runners in processes of their own. Half of the runners restart in
 series, each time dark for `DARK_S`, at their address and under their id, and are cut
-off `CUT_AFTER_S` later for `CUT_S`. What was sent to a runner while it was dark reaches
-its next process (`benchmarks.recut_proxy`). By the runners' own records on the machine's
-steady clock, no task may run twice at once, or start after an end ``done`` that was
+off `CUT_AFTER_S` later. What was sent to a runner while it was dark reaches its next
+process (`benchmarks.recut_proxy`). By the runners' own records on the machine's steady
+clock, no task may run twice at once, or start after an end ``done`` that was
 acknowledged. Exits with status 1 if one does, and with 2 if the run shows nothing, as
 no task ran on a runner that had restarted.
 """
@@ -36,21 +36,18 @@
 from flamingoweir.standins._rows import FOLLOW_CHECK_INTERVAL_S
 from flamingoweir.storage import RowId, Transaction, VersionedRow
 
+#: Root of the sources that the stand-ins are of.
+ROOT = pathlib.Path(__file__).parent.parent
 SERVICE, QUEUE, QUEUE_HOST, PREFIX = "turning", "orders", "orders.example", "/orders/"
 DAEMONS = 3
-RUNNERS = 6
 RUNNER_PROCESSORS_MILLI = 8000
 TASK_PROCESSORS_MILLI = 500
 #: Longest lease that a runner grants; the daemons' bound.
 MAX_LEASE_S = 10.0
 #: Clocks of new processes begin at any value below this.
 MAX_CLOCK_S = 8000.0
-WARM_UP_S = 8.0
 DARK_S = 0.6
 CUT_AFTER_S = 2.0
-CUT_S = 9.0
-#: Time from the end of a cut to the next restart.
-CALM_S = 3.0
 #: A runner's entry is written this long after its start at most.
 ENTRY_S = 1.1
 #: When an owner is killed, after a restart, and how long it is down.
@@ -61,6 +58,8 @@
 #: Bounds of the run times of short and long tasks that are no long-running ones.
 TASK_S = ((1.0, 5.0), (8.0, 16.0))
 READY_LIMIT_S = 30.0
+#: The rig waits this long for a task on a runner that has restarted.
+RESTARTED_LIMIT_S = 20.0
 CALL_LIMIT_S = 5.0
 
 
@@ -151,7 +150,11 @@
         command += ["--processors-milli", str(RUNNER_PROCESSORS_MILLI)]
         command += ["--clock-s", f"{self._source.uniform(0, MAX_CLOCK_S):.3f}"]
         self._next_process = await anyio.open_process(
-            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=None
+            command,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=None,
+            cwd=ROOT,
         )
 
     async def start(self) -> int:
@@ -279,6 +282,10 @@
     handed_on : float
         Share of the calls without a response at the end of a process that its next one
         gets, too.
+    runners : int
+        Number of runners; every second one restarts.
+    warm_up_s, cut_s, calm_s : float
+        Time before the first restart, length of a cut, and time after it.
     """
 
     build: pathlib.Path
@@ -289,6 +296,10 @@
     late_starts: float = 0.0
     late_calls: float = 0.0
     handed_on: float = 0.0
+    runners: int = 6
+    warm_up_s: float = 8.0
+    cut_s: float = 9.0
+    calm_s: float = 3.0
 
 
 @dataclass
@@ -332,10 +343,13 @@
                 await self._start_all()
                 self._began_s = anyio.current_time()
                 tasks.start_soon(self._submit_all)
-                await anyio.sleep(WARM_UP_S)
+                await anyio.sleep(self._options.warm_up_s)
                 for _ in range(self._options.restarts):
                     await self._restart_and_cut()
-                    await anyio.sleep(CALM_S)
+                    await anyio.sleep(self._options.calm_s)
+                with anyio.move_on_after(RESTARTED_LIMIT_S):
+                    while not self._count_starts_after_restart():
+                        await anyio.sleep(0.05)
             finally:
                 with anyio.CancelScope(shield=True):
                     await self._end_all()
@@ -360,16 +374,22 @@
         }
         self._rows.put(RowId("op", "", "config"), orjson.dumps(configuration))
         late = {START_PATH: self._options.late_starts, b"": self._options.late_calls}
-        for number in range(RUNNERS):
-            source = random.Random(f"runner {number} {self._options.seed}")
-            proxy = RunnerProxy(source, late, self._options.handed_on)
+        for number in range(self._options.runners):
+            proxy = RunnerProxy(
+                random.Random(f"proxy {number} {self._options.seed}"),
+                late,
+                self._options.handed_on,
+            )
             await proxy.serve(self._tasks)
+            source = random.Random(f"runner {number} {self._options.seed}")
             runner = RunnerProcess(f"i-{number}", ZONES[number % 2], proxy, source)
             self._runners.append(runner)
             await runner.prepare()
+        for runner in self._runners:
             await self._start_runner(runner)
             self._write_entry(runner)
-            await runner.prepare()
+            if runner.zone == ZONES[0]:
+                await runner.prepare()
         for number in range(DAEMONS):
             daemon = PlatformDaemon(
                 f"entry-{number}",
@@ -423,7 +443,7 @@
         await anyio.sleep(max(0.0, up_s + CUT_AFTER_S - anyio.current_time()))
         for runner in restarting:
             runner.proxy.cut()
-        await anyio.sleep(CUT_S)
+        await anyio.sleep(self._options.cut_s)
         for runner in restarting:
             runner.proxy.heal()
 
@@ -516,6 +536,13 @@
                     return
             await anyio.sleep(0.1)
 
+    def _count_starts_after_restart(self) -> int:
+        count = 0
+        for runner in self._runners:
+            for line in runner.records:
+                count += line.kind == "start" and line.life > 1
+        return count
+
     def _sum_up(self) -> RecutResult:
         records: list[RigRecord] = []
         result = RecutResult()
@@ -527,8 +554,7 @@
         result.broken = find_broken(records, self._began_s)
         for line in records:
             result.counts[line.kind] += 1
-            if line.kind == "start" and line.life > 1:
-                result.counts["start after restart"] += 1
+        result.counts["start after restart"] = self._count_starts_after_restart()
         result.counts["jobs"] = self._jobs
         result.counts["owners killed"] = self._kills
         with (self._options.folder / "records.jsonl").open("wb") as stream:
