--- a/benchmarks/recut.py
+++ b/benchmarks/recut.py
@@ -42,10 +42,10 @@
 DAEMONS = 3
 RUNNER_PROCESSORS_MILLI = 8000
 TASK_PROCESSORS_MILLI = 500
-#: Longest lease that a runner grants; the daemons' bound.
-MAX_LEASE_S = 10.0
 #: Clocks of new processes begin at any value below this.
 MAX_CLOCK_S = 8000.0
+#: Bounds of the rates of the runners' clocks.
+RATES = (0.98, 1.0)
 DARK_S = 0.6
 CUT_AFTER_S = 2.0
 #: A runner's entry is written this long after its start at most.
@@ -126,12 +126,19 @@
         Id and zone of the runner.
     proxy : RunnerProxy
         Where daemons call the runner.
-    source : random.Random
-        Draws where clocks begin.
+    seed : int
+        Decides where clocks begin, and at which rate they go.
+    max_lease_s : float
+        Longest lease that it grants.
     """
 
     def __init__(
-        self, runner_id: str, zone: str, proxy: RunnerProxy, source: random.Random
+        self,
+        runner_id: str,
+        zone: str,
+        proxy: RunnerProxy,
+        seed: int,
+        max_lease_s: float,
     ):
         self.id = runner_id
         self.zone = zone
@@ -139,16 +146,19 @@
         self.life = 0
         self.born = 0
         self.records: list[RigRecord] = []
-        self._source = source
+        self._source = random.Random(f"clocks {runner_id} {seed}")
+        self._rate = random.Random(f"rate {runner_id} {seed}").uniform(*RATES)
+        self._max_lease_s = max_lease_s
         self._process: anyio.abc.Process | None = None
         self._next_process: anyio.abc.Process | None = None
 
     async def prepare(self) -> None:
         """Start the next process, which waits for its life to begin."""
         command = [sys.executable, "-m", "benchmarks.recut_runner"]
-        command += ["--id", self.id, "--max-lease-s", str(MAX_LEASE_S)]
+        command += ["--id", self.id, "--max-lease-s", str(self._max_lease_s)]
         command += ["--processors-milli", str(RUNNER_PROCESSORS_MILLI)]
         command += ["--clock-s", f"{self._source.uniform(0, MAX_CLOCK_S):.3f}"]
+        command += ["--rate", f"{self._rate:.5f}"]
         self._next_process = await anyio.open_process(
             command,
             stdin=subprocess.PIPE,
@@ -282,6 +292,8 @@
     handed_on : float
         Share of the calls without a response at the end of a process that its next one
         gets, too.
+    max_lease_s : float
+        Longest lease that runners grant; the daemons know it.
     runners : int
         Number of runners; every second one restarts.
     warm_up_s, cut_s, calm_s : float
@@ -296,6 +308,7 @@
     late_starts: float = 0.0
     late_calls: float = 0.0
     handed_on: float = 0.0
+    max_lease_s: float = 10.0
     runners: int = 6
     warm_up_s: float = 8.0
     cut_s: float = 9.0
@@ -381,8 +394,13 @@
                 self._options.handed_on,
             )
             await proxy.serve(self._tasks)
-            source = random.Random(f"runner {number} {self._options.seed}")
-            runner = RunnerProcess(f"i-{number}", ZONES[number % 2], proxy, source)
+            runner = RunnerProcess(
+                f"i-{number}",
+                ZONES[number % 2],
+                proxy,
+                self._options.seed,
+                self._options.max_lease_s,
+            )
             self._runners.append(runner)
             await runner.prepare()
         for runner in self._runners:
@@ -396,7 +414,7 @@
                 self._options.build,
                 self._options.folder,
                 store_port,
-                round(1000 * MAX_LEASE_S),
+                round(1000 * self._options.max_lease_s),
             )
             self._daemons.append(daemon)
             daemon.start()
@@ -575,6 +593,7 @@
     parser.add_argument("--late-starts", type=float, default=0.0, metavar="SHARE")
     parser.add_argument("--late-calls", type=float, default=0.0, metavar="SHARE")
     parser.add_argument("--handed-on", type=float, default=0.0, metavar="SHARE")
+    parser.add_argument("--max-lease-s", type=float, default=RecutOptions.max_lease_s)
     arguments = parser.parse_args()
     parent = arguments.folder or pathlib.Path(tempfile.mkdtemp())
     status = 0
@@ -590,10 +609,14 @@
             arguments.late_starts,
             arguments.late_calls,
             arguments.handed_on,
+            arguments.max_lease_s,
         )
         result = anyio.run(RecutRig(options).run)
         counts = ", ".join(f"{result.counts[key]} {key}" for key in result.counts)
-        print(f"seed {seed}: {len(result.broken)} broken; {counts}; logs in {folder}")
+        print(
+            f"seed {seed}: {len(result.broken)} broken; {counts}; logs in {folder}",
+            flush=True,
+        )
         for line in result.broken:
             print(f"  {line}", flush=True)
         if result.broken:
--- a/benchmarks/recut_runner.py
+++ b/benchmarks/recut_runner.py
@@ -66,13 +66,19 @@
         capacity: Resources,
         steps: PayloadSteps,
         clock_s: float,
+        rate: float,
         max_lease_s: float,
     ):
         super().__init__(
-            runner_id, capacity, steps.find_spec, steps.plan, max_lease_s=max_lease_s
+            runner_id,
+            capacity,
+            steps.find_spec,
+            steps.plan,
+            rate,
+            max_lease_s=max_lease_s,
         )
         self.incarnation = time.time_ns() // 1_000_000
-        self._started_s -= clock_s
+        self._started_s -= clock_s / rate
 
 
 class LifeApp(RunnerApp):
@@ -102,6 +108,7 @@
         Resources(arguments.processors_milli, 64_000, 0),
         steps,
         arguments.clock_s,
+        arguments.rate,
         arguments.max_lease_s,
     )
     async with anyio.create_task_group() as tasks:
@@ -127,6 +134,7 @@
     parser.add_argument("--id", required=True)
     parser.add_argument("--processors-milli", type=int, required=True)
     parser.add_argument("--clock-s", type=float, required=True)
+    parser.add_argument("--rate", type=float, default=1.0)
     parser.add_argument("--max-lease-s", type=float, required=True)
     arguments = parser.parse_args()
     if sys.stdin.buffer.readline():
--- a/tests/test_calls_to_former_processes.py
+++ b/tests/test_calls_to_former_processes.py
@@ -15,7 +15,7 @@
     options = RecutOptions(
         pathlib.Path.cwd(),
         tmp_path,
-        seed=21,
+        seed=26,
         restarts=1,
         handed_on=1.0,
         runners=4,
