An order that is under way may arrive late, too

Callers could have seen a task on two runners (rule TWICE), by a trace in virtual time of a job that is cancelled 25 ms after its order was sent: the attempt is void after 3 ms, as a report lacks it, and its order gets no response 0.5 s later. Nothing keeps the next incarnation from starting the run, and its task could have been placed elsewhere.

Cause: only an order whose 0.5 s had passed counted as one without a response. One that has been sent and has no result counts as well.

--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -180,7 +180,9 @@
             self._owner_state.customer_usage.record_sent(allocation)
             sent_count += 1
             sent_s = self._context.clock.now()
-            result, clock_ms = await self._send_start(runner, link, order, may_send)
+            result, clock_ms = await self._send_start(
+                runner, link, allocation, order, may_send
+            )
             if result is StartResult.UNSENT and not may_send():
                 continue
             is_unseen = result is StartResult.STARTED and (
@@ -230,6 +232,7 @@
         self,
         runner: Runner,
         link: RunnerLink,
+        allocation: Allocation,
         order: StartOrder,
         may_send: Callable[[], bool],
     ) -> tuple[StartResult, float | None]:
@@ -242,12 +245,14 @@
             if not may_send():
                 return False
             number = unanswered.record_sent(self._context.clock.now())
+            allocation.order_under_way = True
             return True
 
         result = StartResult.UNKNOWN
         try:
             result, clock_ms = await link.start(order, record_sent)
         finally:
+            allocation.order_under_way = False
             if number is not None:
                 is_answered = result is not StartResult.UNKNOWN
                 now_s = self._context.clock.now()
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -721,7 +721,7 @@
             )
 
     def _record_late_order(self, runner: Runner, allocation: Allocation) -> None:
-        if allocation.start_unanswered:
+        if allocation.start_unanswered or allocation.order_under_way:
             attempt, now_s = allocation.attempt, self._clock.now()
             self.late_orders.record(runner.id, attempt.task, attempt.run, now_s)
             self.customer_usage.keep_late(runner, allocation, now_s)
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -47,6 +47,7 @@
         "load",
         "headroom_deviation",
         "listed_s",
+        "order_under_way",
         "service",
         "spec",
         "start_sent",
@@ -81,6 +82,8 @@
         self.unthrottled_since_s = attempt.created_s
         #: Whether this owner has sent a start order.
         self.start_sent = False
+        #: Whether a start order was sent that has no result yet.
+        self.order_under_way = False
         #: Whether a start order got no response, so that it may still be carried out.
         self.start_unanswered = False
         #: Until when a start order that got no response may be carried out, on the
@@ -110,6 +113,8 @@
 
     def may_start_late(self, now_s: float) -> bool:
         """Return whether a start order without a response may arrive now or later."""
+        if self.order_under_way:
+            return True
         return self.start_unanswered and now_s < self.late_start_until_s
 
     def has_survived(self, duration_s: float) -> bool:
