A stop that a former incarnation has confirmed is sent again after a restart

Cause: an attempt that is being stopped is not stopped anew when its runner has restarted. The confirmed stop was the former incarnation's, and a late start order had begun the run on the next one. Its first report has the stop sent again. test_late_order_starts_a_run_whose_stop_the_former_incarnation_has_confirmed failed before.

--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -351,6 +351,9 @@
             self._orders.forbid_run(runner, task, run)
         for allocation in lost:
             attempt = allocation.attempt
+            if attempt.state is AttemptState.STOPPING:
+                # A former incarnation may have confirmed the stop.
+                self._orders.stop(attempt)
             if (attempt.task, attempt.run) in running:
                 self._take_over(allocation, report.incarnation)
                 continue
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -868,3 +868,30 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+def test_late_order_starts_a_run_whose_stop_the_former_incarnation_has_confirmed():
+    """Guards against a cancelled task that runs on after its runner has restarted."""
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            link = owner.link_by_runner["runner-0"]
+            link.lose_starts, link.delivery_delay_s = 1, 2.5
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            while link.lose_starts:
+                await anyio.sleep(0.01)
+            await owner.instance.handler.cancel(job.id, 2.0)
+            await anyio.sleep(1.0)
+            runner = cluster.runner_by_id["runner-0"]
+            runner.restart()
+            link.disconnected = True
+            cluster.list_runner(runner.id)
+            await anyio.sleep(3.0)
+            link.disconnected = False
+            await anyio.sleep(3.0)
+            assert cluster.starts(f"{job.id}.0.0.0") == ["runner-0"]
+            assert not runner.tasks
+
+    run_virtual(scenario)
