Tests: a scenario that was never run, and a double that asks before it sends

test_task_is_ordered_to_a_runner_that_has_just_crashed defined its scenario without running it, so that it passed whatever the code does. It runs now, passes, and fails without the probe before a start order. The double in test_caps.py lost orders without may_send, so that they didn't count as sent; it asks now, as links do.

--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -479,9 +479,11 @@
     silent = [True]
 
     async def lose_response(link, order, may_send=None):
-        if silent:
-            return StartResult.UNKNOWN, None
-        return await start(link, order, may_send)
+        if not silent:
+            return await start(link, order, may_send)
+        if may_send is not None and not may_send():
+            return StartResult.UNSENT, None
+        return StartResult.UNKNOWN, None
 
     async def scenario():
         async with run_cluster(members=1, runners=2) as cluster:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -668,6 +668,8 @@
             await wait_for_starts(cluster, job, 1)
             assert last_start_s(cluster, job) - submitted_s < MAX_AWAY_S
 
+    run_virtual(scenario)
+
 
 @pytest.mark.parametrize("lose_owner", [do_nothing, kill, freeze, stop_in_order])
 def test_late_renewal_extends_the_lease_of_a_late_start(lose_owner):
