An attempt ends after a restart only once a stop is confirmed there

Cause: the former incarnation's answer had the attempt expected in reports, so that the first report of the next one voided it before the stop was sent. It now waits for a stop that this incarnation confirms, and, as further incarnations know nothing of that, until the order can't arrive any more.

--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -231,7 +231,7 @@
                 continue
             if allocation.listed_s > float("-inf"):
                 continue
-            if allocation.may_start_late(now_s):
+            if allocation.has_restarted and allocation.may_start_late(now_s):
                 continue
             if allocation.expect_listed_after_s < float("inf"):
                 return True
@@ -361,6 +361,9 @@
                 # The new incarnation would carry out a start order that arrives late.
                 attempt.incarnation = report.incarnation
                 if former is not None:
+                    # Only a stop that this incarnation confirms ends the wait.
+                    allocation.expect_listed_after_s = float("inf")
+                    allocation.has_restarted = True
                     self._owner_state.stop_attempt(attempt, "runner_restarted")
                 continue
             self._owner_state.end_attempt(
@@ -412,8 +415,10 @@
         runner = self._runner
         now_s = self._clock.now()
         for key, allocation in list(runner.allocation_by_run.items()):
-            if allocation.may_start_late(now_s):
-                # The next incarnation may still start it.
+            if allocation.order_under_way:
+                continue
+            if allocation.has_restarted and allocation.may_start_late(now_s):
+                # A further incarnation may still start it.
                 continue
             if key not in running and allocation.expect_listed_after_s < sent_s:
                 self._owner_state.discard_attempt(allocation.attempt, "not_listed")
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -46,6 +46,7 @@
         "late_start_until_s",
         "load",
         "headroom_deviation",
+        "has_restarted",
         "listed_s",
         "order_under_way",
         "service",
@@ -82,6 +83,8 @@
         self.unthrottled_since_s = attempt.created_s
         #: Whether this owner has sent a start order.
         self.start_sent = False
+        #: Whether the runner has restarted since a start order without a response.
+        self.has_restarted = False
         #: Whether a start order was sent that has no result yet.
         self.order_under_way = False
         #: Whether a start order got no response, so that it may still be carried out.
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -897,3 +897,35 @@
             assert not runner.tasks
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("arrival_s", [0.1, 1.0, 4.0])
+def test_late_order_of_a_started_task_comes_after_the_first_report(arrival_s):
+    """Guards against a task that is started elsewhere before a stop is confirmed.
+
+    The first order gets no response, the second one is carried out. The next
+    incarnation reports once and is cut off; the first order reaches it then.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            link.lose_starts, link.delivery_delay_s = 1, 6.0
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            arrives_s = anyio.current_time() + 6.0
+            await cluster.wait_for(job, JobState.RUNNING, 3.0)
+            await anyio.sleep(arrives_s - arrival_s - DARK_S - anyio.current_time())
+            cut_once_seen(cluster, runner)
+            runner.crash()
+            await anyio.sleep(DARK_S)
+            runner.restart()
+            cluster.list_runner(runner.id)
+            cluster.add_runner("runner-1")
+            await anyio.sleep(45)
+            check_runs(cluster)
+            assert cluster.starts(f"{job.id}.0.0.0")[-1] == "runner-1"
+
+    run_virtual(scenario)
