Failing test: a late order starts a run that has ended without its task

A task whose run has failed, was stopped or has lapsed is started elsewhere at once, though an order of that run without a response may still come; a next incarnation carries it out if it comes before any call.

Waiting 15 s for each such order was tried: a task whose order is lost to a runner that drains waits as long (test_polls.py, 5 cases), also long-running ones.

--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -275,8 +275,12 @@
 
     def fail(self, task: TaskId) -> None:
         """End the run of a task as failed."""
+        self.end(task, Outcome.FAILED)
+
+    def end(self, task: TaskId, outcome: Outcome) -> None:
+        """End the run of a task."""
         self.advance()
-        self._end(task, Outcome.FAILED)
+        self._end(task, outcome)
 
     def set_pace(self, task: TaskId, run: int, percent: int, fence: int) -> None:
         """Set the speed of a run in percent; raise Fenced if the token is stale."""
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from flamingoweir.jobs import JobState, Outcome
+from flamingoweir.jobs import JobState, Outcome, TaskId
 from flamingoweir.ownership import decode_owner_record, owner_row
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.loss_histories import MAX_AWAY_S
@@ -929,3 +929,36 @@
             assert cluster.starts(f"{job.id}.0.0.0")[-1] == "runner-1"
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FAILED, Outcome.STOPPED, Outcome.LAPSED])
+def test_late_order_starts_a_run_that_has_ended_without_its_task(outcome):
+    """Guards against a task that runs elsewhere when a late order starts it (issue 51).
+
+    The second start order is carried out, and the run ends. The first one arrives at
+    the next incarnation, before that has had a call.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            link.lose_starts, link.delivery_delay_s = 1, 4.0
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            await wait_for_starts(cluster, job, 1)
+            await anyio.sleep(0.5)
+            cluster.add_runner("runner-1")
+            runner.end(TaskId(job.id, 0, 0, 0), outcome)
+            await anyio.sleep(1.5)
+            link.disconnected = True
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await anyio.sleep(3.0)
+            link.disconnected = False
+            await anyio.sleep(20.0)
+            await cluster.wait_for(job, JobState.RUNNING, 1.0)
+            check_runs(cluster)
+
+    run_virtual(scenario)
