Polls of a silent runner carry the latest token

A poll of a runner that doesn't respond now has the token of the owner's latest write. It is higher than those of orders sent before, so that the first such poll that arrives has them rejected, whether or not it is answered.

--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -153,6 +153,9 @@
 
     async def _poll(self) -> None:
         runner = self._runner
+        if not runner.responds:
+            # It may have restarted.
+            runner.call_fence.advance(self._context.writer.latest_fence)
         fence = runner.call_fence.token
         sent_s = self._clock.now()
         # Repeated renewals without a response would keep the lease from ever lapsing.
--- a/flamingoweir/fleet/_call_fence.py
+++ b/flamingoweir/fleet/_call_fence.py
@@ -47,6 +47,13 @@
         self.token = max(self.token, token)
         return self.token > self._stale_token
 
+    def advance(self, token: int) -> None:
+        """Raise the token, so that a next incarnation rejects calls made before.
+
+        It does so from the first such call on, also if that gets no response.
+        """
+        self.token = max(self.token, token)
+
     def record_acknowledging(self) -> None:
         """Record that a call with the present token acknowledges ends."""
         self._acknowledging_token = self.token
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -962,3 +962,35 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+def test_late_order_arrives_after_a_call_without_a_response():
+    """Guards against a next incarnation that takes late orders until it is heard.
+
+    A run has failed and its task runs elsewhere. Calls reach the runner, which has
+    restarted, but no response comes back.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            link.lose_starts, link.delivery_delay_s = 1, 5.0
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            await wait_for_starts(cluster, job, 1)
+            await anyio.sleep(0.5)
+            cluster.add_runner("runner-1")
+            runner.fail(TaskId(job.id, 0, 0, 0))
+            await anyio.sleep(1.5)
+            link.loses_responses = True
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await anyio.sleep(4.0)
+            link.loses_responses = False
+            await anyio.sleep(20.0)
+            await cluster.wait_for(job, JobState.RUNNING, 1.0)
+            check_runs(cluster)
+
+    run_virtual(scenario)
