An attempt that stays open after a restart isn't blamed for the next crash

Cause: since attempts stay open over a restart, the crash detector takes them for runs of the next incarnation. One that this hasn't listed isn't suspected any more. test_attempt_that_stays_open_is_blamed_for_another_crash failed before.

--- a/flamingoweir/dispatch/_late_starts.py
+++ b/flamingoweir/dispatch/_late_starts.py
@@ -111,6 +111,6 @@
 
 
 def _find_left_s(allocation: Allocation, runner: Runner, now_s: float) -> float:
-    if allocation.started_s is None:
+    if allocation.started_s is None and not allocation.has_restarted:
         return START_VALID_S + MAX_LATENESS_S
     return runner.find_late_until_s(allocation) - now_s
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -366,7 +366,7 @@
                 if former is not None:
                     # Only a stop that this incarnation confirms ends the wait.
                     allocation.expect_listed_after_s = float("inf")
-                    allocation.has_restarted = True
+                    allocation.record_restart()
                     self._owner_state.stop_attempt(attempt, "runner_restarted")
                 continue
             self._owner_state.end_attempt(
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -114,6 +114,12 @@
         self.start_unanswered = True
         self.late_start_until_s = now_s + MAX_LATENESS_S
 
+    def record_restart(self) -> None:
+        """Record that the runner has restarted and doesn't list the attempt."""
+        self.has_restarted = True
+        self.started_s = None
+        self.listed_s = float("-inf")
+
     def may_start_late(self, now_s: float) -> bool:
         """Return whether a start order without a response may arrive now or later."""
         if self.order_under_way:
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -288,6 +288,9 @@
     for allocation in allocations:
         if allocation.has_survived(SURVIVAL_S):
             continue
+        if allocation.has_restarted and allocation.listed_s == float("-inf"):
+            # Only a late order would start it on this incarnation.
+            continue
         attempt = allocation.attempt
         blame = STRONG_BLAME if _is_early(allocation, lost_s) else WEAK_BLAME
         suspects.append(Suspect(attempt.task, attempt.run, blame))
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -994,3 +994,31 @@
             check_runs(cluster)
 
     run_virtual(scenario)
+
+
+def test_attempt_that_stays_open_is_blamed_for_another_crash():
+    """Guards against a job that is given up for crashes without a run of it.
+
+    Its runner restarts twice; the attempt stays open as its order may come late.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            link.lose_starts, link.delivery_delay_s = 1, 30.0
+            cluster.plan_by_task[f"{make_job(1).id}.0.0.0"] = 5.0, Outcome.DONE
+            job = await cluster.submit(make_job(1))
+            await wait_for_starts(cluster, job, 1)
+            await anyio.sleep(0.1)
+            for _ in range(3):
+                runner.crash()
+                await anyio.sleep(DARK_S)
+                runner.restart()
+                cluster.list_runner(runner.id)
+                await anyio.sleep(3.0)
+            await cluster.wait_for(job, JobState.DONE, 30.0)
+
+    run_virtual(scenario)
