--- /dev/null
+++ b/flamingoweir/dispatch/_start_orders.py
@@ -0,0 +1,275 @@
+"""Sends start orders to runners."""
+
+from collections.abc import Callable
+
+import anyio
+
+from ..fleet import START_WINDOW_S, Allocation, Runner
+from ..jobs import Attempt, AttemptState, Job
+from ..logs import get_logger
+from ._cap_withdrawals import may_send_start
+from ._context import Permit, TermContext
+from ._protocols import RunnerLink, StartOrder, StartResult
+from ._runner_calls import RunnerCalls
+from ._start_gate import StartGate
+
+log = get_logger()
+
+#: Seconds before an order without a response is sent again.
+RESEND_PAUSE_S = 0.08
+#: Seconds for which an order is sent again while its runner responds to other calls.
+SENDING_S = 3.0
+#: Seconds between checks whether a write has given the owner a higher token.
+TOKEN_CHECK_INTERVAL_S = 0.005
+
+
+class StartOrders:
+    """Sends the start order of each attempt until its result is known.
+
+    Parameters
+    ----------
+    context : TermContext
+        Shared objects of the term.
+    permit : Permit
+        Checked right before each order is sent.
+    calls : RunnerCalls
+        Finds the attempts and their links.
+    """
+
+    def __init__(self, context: TermContext, permit: Permit, calls: RunnerCalls):
+        self._context = context
+        self._owner_state = context.owner_state
+        self._permit = permit
+        self._calls = calls
+        self._gate = StartGate(context)
+
+    async def send(self, attempt: Attempt) -> None:
+        """Send the start order; after an unexpected error, stop the attempt."""
+        with self._calls.contain("start", attempt.runner) as order:
+            await self._start(attempt)
+        if not order.failed:
+            return
+        now_s = self._context.clock.now()
+        self._owner_state.health.record_fault(attempt.runner, now_s)
+        found = self._calls.find_allocation(attempt)
+        if found is not None:
+            # It is not known whether the order was sent.
+            self._record_unanswered(found[1])
+            self._owner_state.stop_attempt(attempt, "order_failed")
+
+    def _record_unanswered(self, allocation: Allocation) -> None:
+        allocation.record_unanswered_start(self._context.clock.now())
+        self._owner_state.late_starts.add(allocation)
+
+    def _record_unseen_start(self, runner: Runner, allocation: Allocation) -> None:
+        """Record a start that an incarnation has confirmed that no report came from.
+
+        Its next report shows whether the attempt runs there.
+        """
+        now_s = self._context.clock.now()
+        allocation.unseen_start_s = now_s
+        allocation.expect_listed_after_s = now_s
+        detail = "another incarnation has confirmed a start"
+        self._owner_state.record_lost(runner, detail)
+        runner.poll_wakeup.set()
+
+    async def _start(self, attempt: Attempt) -> None:
+        found = self._calls.find_allocation(attempt)
+        job = self._owner_state.job_by_id.get(attempt.task.job)
+        link = self._calls.find_link(attempt.runner)
+        if found is None or job is None or link is None:
+            self._owner_state.discard_attempt(attempt, "runner_gone")
+            return
+        runner, allocation = found
+
+        def may_send() -> bool:
+            if attempt.state is not AttemptState.ORDERED:
+                return False
+            if runner.find(attempt.task, attempt.run) is not allocation:
+                return False
+            if self._find_obstacle(runner, allocation):
+                return False
+            return self._gate.is_open(runner)
+
+        until_s = self._context.clock.now() + SENDING_S
+        sent_count = 0
+        while attempt.state is AttemptState.ORDERED and self._calls.find_allocation(
+            attempt
+        ):
+            obstacle = self._find_obstacle(runner, allocation)
+            if not obstacle and self._context.clock.now() > until_s:
+                obstacle = "unanswered"
+            if obstacle:
+                self._discard_or_stop(attempt, allocation, obstacle)
+                return
+            if not await self._gate.reach(runner, link):
+                if not allocation.start_unanswered:
+                    self._owner_state.discard_attempt(attempt, "runner_silent")
+                    return
+                await anyio.sleep(RESEND_PAUSE_S)
+                continue
+            if not runner.call_fence.raise_for_start(self._context.writer.latest_fence):
+                self._owner_state.write_wakeup.set()
+                await anyio.sleep(TOKEN_CHECK_INTERVAL_S)
+                continue
+            order = self._make_order(job, runner, allocation)
+            self._owner_state.customer_usage.record_sent(allocation)
+            sent_count += 1
+            sent_s = self._context.clock.now()
+            result, clock_ms = await self._send_start(
+                runner, link, allocation, order, may_send
+            )
+            if result is StartResult.UNSENT and not may_send():
+                continue
+            is_unseen = result is StartResult.STARTED and (
+                clock_ms is None
+                or not runner.incarnation_clock.may_show(
+                    clock_ms, sent_s, self._context.clock.now()
+                )
+            )
+            if result is not StartResult.STARTED or sent_count > 1 or is_unseen:
+                self._log_result(runner, attempt, result, clock_ms, sent_s)
+            if result is StartResult.FENCED and not self._calls.end_if_replaced(
+                runner, order.fence
+            ):
+                continue
+            self._context.metrics.incr(f"starts_{result.value}")
+            if result is StartResult.UNKNOWN:
+                self._record_unanswered(allocation)
+                # Only a poll shows whether the runner is lost.
+                runner.poll_wakeup.set()
+                await anyio.sleep(RESEND_PAUSE_S)
+                continue
+            if is_unseen:
+                self._record_unseen_start(runner, allocation)
+                return
+            self._handle_start_result(attempt, runner, allocation, result)
+            return
+
+    def _make_order(
+        self, job: Job, runner: Runner, allocation: Allocation
+    ) -> StartOrder:
+        """Return a start order to be sent now, with a deadline of its own."""
+        attempt = allocation.attempt
+        now_s = self._context.clock.now()
+        # The order also grants a lease until its deadline.
+        deadline_s = self._context.writer.limit_lease(runner.id, now_s + START_WINDOW_S)
+        return StartOrder(
+            attempt.task,
+            attempt.run,
+            job.spec.payload,
+            runner.grant_lease(deadline_s, now_s),
+            runner.call_fence.token,
+            job.find(attempt.task).checkpoint,
+            allocation.ticket,
+        )
+
+    async def _send_start(
+        self,
+        runner: Runner,
+        link: RunnerLink,
+        allocation: Allocation,
+        order: StartOrder,
+        may_send: Callable[[], bool],
+    ) -> tuple[StartResult, float | None]:
+        """Send a start order once; see `RunnerLink.start`."""
+        unanswered = runner.unanswered_starts
+        number = None
+
+        def record_sent() -> bool:
+            nonlocal number
+            if not may_send():
+                return False
+            number = unanswered.record_sent(self._context.clock.now())
+            allocation.order_under_way = True
+            return True
+
+        result = StartResult.UNKNOWN
+        try:
+            result, clock_ms = await link.start(order, record_sent)
+        finally:
+            allocation.order_under_way = False
+            if number is not None:
+                is_answered = result is not StartResult.UNKNOWN
+                now_s = self._context.clock.now()
+                unanswered.record_result(number, is_answered, now_s)
+                if not is_answered:
+                    self._owner_state.late_starts.add_runner(runner)
+        return result, clock_ms
+
+    def _find_obstacle(self, runner: Runner, allocation: Allocation) -> str:
+        """Return why a start order may not be sent now; empty if it may."""
+        if not self._permit.is_valid() or not self._permit.allows_runner(runner):
+            return "no_permit"
+        if not runner.has_room_for(allocation):
+            return "capacity_shrunk"
+        if not may_send_start(self._context, allocation):
+            return "cap_lowered"
+        return ""
+
+    def _log_result(
+        self,
+        runner: Runner,
+        attempt: Attempt,
+        result: StartResult,
+        clock_ms: float | None,
+        sent_s: float,
+    ) -> None:
+        """Log the result of a start order, unless the first one was carried out."""
+        now_s = self._context.clock.now()
+        ahead_ms = None
+        if clock_ms is not None:
+            ahead_ms = round(clock_ms - runner.incarnation_clock.estimate_ms(now_s))
+        unheard_s = runner.unheard_s(now_s)
+        log.info(
+            "start_result",
+            task=str(attempt.task),
+            run=attempt.run,
+            runner=runner.id,
+            result=result.value,
+            took_s=round(now_s - sent_s, 3),
+            unheard_s=None if unheard_s is None else round(unheard_s, 2),
+            clock_ahead_ms=ahead_ms,
+        )
+
+    def _handle_start_result(
+        self,
+        attempt: Attempt,
+        runner: Runner,
+        allocation: Allocation,
+        result: StartResult,
+    ) -> None:
+        now_s = self._context.clock.now()
+        if result is StartResult.STARTED:
+            runner.record_heard(now_s)
+            allocation.record_start(now_s)
+            self._owner_state.record_start(attempt)
+            allocation.expect_listed_after_s = now_s
+            if allocation.spec.lasting:
+                # Until then, the next owner waits for a late start.
+                self._owner_state.write_wakeup.set()
+            runner.poll_wakeup.set()
+            return
+        if result is StartResult.FENCED:
+            return
+        if result is StartResult.STALE:
+            # The run has ended or was stopped on the runner; the next report has it.
+            allocation.expect_listed_after_s = now_s
+            runner.poll_wakeup.set()
+            return
+        if result is StartResult.UNSENT:
+            self._owner_state.record_lost(runner, "a start order was not sent")
+        if result is StartResult.NO_ROOM:
+            runner.record_no_room(now_s)
+        if result is StartResult.UNHEALTHY:
+            self._owner_state.health.record_fault(runner.id, now_s)
+        self._discard_or_stop(attempt, allocation, result.value)
+
+    def _discard_or_stop(
+        self, attempt: Attempt, allocation: Allocation, reason: str
+    ) -> None:
+        """Discard an attempt; stop it instead if its order may still be carried out."""
+        if allocation.start_unanswered:
+            self._owner_state.stop_attempt(attempt, reason)
+            return
+        self._owner_state.discard_attempt(attempt, reason)
