--- a/benchmarks/recut.py
+++ b/benchmarks/recut.py
@@ -292,6 +292,9 @@
     handed_on : float
         Share of the calls without a response at the end of a process that its next one
         gets, too.
+    lost_reports : float
+        Share of the restarts after which polls get no response until the cut, while
+        orders do.
     max_lease_s : float
         Longest lease that runners grant; the daemons know it.
     runners : int
@@ -308,6 +311,7 @@
     late_starts: float = 0.0
     late_calls: float = 0.0
     handed_on: float = 0.0
+    lost_reports: float = 0.0
     max_lease_s: float = 10.0
     runners: int = 6
     warm_up_s: float = 8.0
@@ -461,6 +465,7 @@
         await anyio.sleep(max(0.0, up_s + CUT_AFTER_S - anyio.current_time()))
         for runner in restarting:
             runner.proxy.cut()
+            runner.proxy.loses_reports = False
         await anyio.sleep(self._options.cut_s)
         for runner in restarting:
             runner.proxy.heal()
@@ -471,6 +476,8 @@
         killed_s = await runner.kill()
         await anyio.sleep(max(0.0, until_s - anyio.current_time()))
         runner.record_crash(killed_s, life)
+        draw = self._fault_source.random()
+        runner.proxy.loses_reports = draw < self._options.lost_reports
         await self._start_runner(runner)
         await runner.prepare()
         self._tasks.start_soon(self._write_entry_later, runner)
@@ -593,6 +600,7 @@
     parser.add_argument("--late-starts", type=float, default=0.0, metavar="SHARE")
     parser.add_argument("--late-calls", type=float, default=0.0, metavar="SHARE")
     parser.add_argument("--handed-on", type=float, default=0.0, metavar="SHARE")
+    parser.add_argument("--lost-reports", type=float, default=0.0, metavar="SHARE")
     parser.add_argument("--max-lease-s", type=float, default=RecutOptions.max_lease_s)
     arguments = parser.parse_args()
     parent = arguments.folder or pathlib.Path(tempfile.mkdtemp())
@@ -609,6 +617,7 @@
             arguments.late_starts,
             arguments.late_calls,
             arguments.handed_on,
+            arguments.lost_reports,
             arguments.max_lease_s,
         )
         result = anyio.run(RecutRig(options).run)
--- a/benchmarks/recut_proxy.py
+++ b/benchmarks/recut_proxy.py
@@ -12,6 +12,7 @@
 LATE_S = (2.0, 12.0)
 MAX_HEAD_BYTES = 65_536
 START_PATH = b"/-/run-start "
+HOLD_PATH = b"/-/hold "
 BROKEN = (OSError, anyio.EndOfStream, anyio.BrokenResourceError)
 
 
@@ -62,6 +63,8 @@
     ----------
     port : int
         Port that the proxy listens on.
+    loses_reports : bool
+        Whether polls, renewals and probes are carried out without a response.
     counts : Counter
         Number of calls by what became of them: ``passed``, ``kept``, ``late``,
         ``handed on``.
@@ -71,6 +74,7 @@
         self, source: random.Random, late: dict[bytes, float], handed_on: float = 0.0
     ):
         self.port = 0
+        self.loses_reports = False
         self.counts: Counter[str] = Counter()
         self._source = source
         self._late = late
@@ -115,7 +119,7 @@
                         self._tasks.start_soon(self._pass_late, request)
                         continue
                     response = await self._exchange(request)
-                    if response is None:
+                    if response is None or self._is_lost(request):
                         continue
                     await self._open.wait()
                     await client.send(response)
@@ -127,6 +131,10 @@
         share = self._late[START_PATH if is_start else b""]
         return self._source.random() < share
 
+    def _is_lost(self, request: bytes) -> bool:
+        is_hold = HOLD_PATH in request.partition(b"\r\n")[0]
+        return self.loses_reports and is_hold
+
     async def _pass_late(self, request: bytes) -> None:
         await anyio.sleep(self._source.uniform(*LATE_S))
         self.counts["late"] += 1
