A late order of a confirmed run starts it again before the next fence: a test that fails

Cause: Watch._begin_incarnation keeps the attempt open, but its expect_listed_after_s is that of the former incarnation, so that _discard_unlisted ends it with the same report. The test fails in all three cases.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -700,3 +700,35 @@
             assert cluster.starts(f"{job.id}.0.0.0")[1:] == ["runner-0", "runner-1"]
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("late_s", [2.2, 6.0, 11.9])
+def test_late_order_of_a_confirmed_run_arrives_before_the_next_fence(late_s):
+    """Guards against an attempt that ends with the first report of an incarnation.
+
+    The first start order gets no response, the second one is confirmed, and the runner
+    restarts. Its next incarnation responds once and is cut off before it has got a
+    higher token, so that it carries out the first order.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            link.lose_starts, link.delivery_delay_s = 1, late_s
+            job = await cluster.submit(make_job(1, make_step(1, lasting=True)))
+            await wait_for_starts(cluster, job, 1)
+            await anyio.sleep(0.3)
+            cluster.add_runner("runner-1")
+            runner.crash()
+            cut_once_seen(cluster, runner)
+            await anyio.sleep(DARK_S)
+            runner.restart()
+            cluster.list_runner(runner.id)
+            await anyio.sleep(50)
+            check_runs(cluster)
+            assert cluster.starts(f"{job.id}.0.0.0")[-1] == "runner-1"
+
+    run_virtual(scenario)
