--- a/benchmarks/recut.py
+++ b/benchmarks/recut.py
@@ -193,7 +193,8 @@
         """End all processes."""
         for process in (self._process, self._next_process):
             if process is not None:
-                process.kill()
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
                 await process.wait()
 
     def record_crash(self, at_s: float, life: int) -> None:
