Reservations look at the runners with the most room first

Cause: for each runner that a pass keeps free, what is free on every runner was compared, up to four times in each pass, and again in each slice.

Change: the index of free processors gives the runners with the most of them first, equal ones in the former order, and the first that can hold the task is taken.

Evidence: test_reservations_look_at_the_runners_with_most_room_only reads what is free on 300 runners 3,574 times in a pass before (fails), 310 times now.

--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -316,7 +316,8 @@
         if not self._candidates.may_reserve(step):
             return
         candidates = self._candidates.find_all(step)
-        runner = self._placement.reserve(step, candidates, reserved_ids)
+        index = self._candidates.find_index(step, is_absent=True)
+        runner = self._placement.reserve(step, candidates, reserved_ids, index)
         if runner is not None:
             self._candidates.reserve(step, runner)
 
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -96,30 +96,45 @@
         return StepPlacement(self, step, candidates, now_s).choose(index, avoid)
 
     def reserve(
-        self, step: StepRun, candidates: Sequence[Runner], excluded: frozenset[str]
+        self,
+        step: StepRun,
+        candidates: Iterable[Runner],
+        excluded: frozenset[str],
+        index: RoomIndex | None = None,
     ) -> Runner | None:
         """Return the runner to keep free until a task of a step fits there.
 
         Without a reservation, small tasks would fill every gap before it is large
-        enough.
+        enough. Of the runners that can hold the task beside their long-running ones, it
+        is that with the most free processors.
+
+        Parameters
+        ----------
+        step : StepRun
+            The step.
+        candidates : iterable of Runner
+            Runners that suit the step, without regard to free resources.
+        excluded : frozenset of str
+            Ids of runners that must not be chosen.
+        index : RoomIndex, optional
+            Index of the candidates; left out: all are looked at.
         """
-        best = None
         count_by_runner = count_tasks_by_runner(step)
         limit = step.spec.max_per_runner
+        if index is not None:
+            candidates = index.by_most_free()
+        else:
+            candidates = sorted(
+                candidates, key=lambda runner: -runner.free_resources.processors_milli
+            )
         for runner in candidates:
             if runner.id in excluded:
                 continue
             if limit and count_by_runner[runner.id] >= limit:
                 continue
-            if not step.spec.reserved.fits_in(runner.beside_lasting):
-                continue
-            if (
-                best is None
-                or runner.free_resources.processors_milli
-                > best.free_resources.processors_milli
-            ):
-                best = runner
-        return best
+            if step.spec.reserved.fits_in(runner.beside_lasting):
+                return runner
+        return None
 
     def fits(
         self,
--- a/flamingoweir/policy/_room_index.py
+++ b/flamingoweir/policy/_room_index.py
@@ -1,7 +1,7 @@
 """Runners by free processors, so that a step looks at those with room only."""
 
 from bisect import bisect_left, insort
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 
 from ..fleet import Runner
 from ..jobs import StepSpec
@@ -45,10 +45,38 @@
             # Rounding must leave out no runner.
             least = spec.demand.processors_milli - 1
             return self._find(self._by_spare, least, spare_room_milli)
+        least = spec.reserved.processors_milli
+        return self._find(self._index_free(), least, _free_milli)
+
+    def by_most_free(self) -> Iterator[Runner]:
+        """Yield all runners, those with the most free processors first.
+
+        Equal ones are in the order of the list.
+        """
+        entries = self._index_free()
+        left = len(entries)
+        while left:
+            milli = entries[left - 1][0]
+            first = bisect_left(entries, (milli, 0))
+            equal, shrunk = [], []
+            for entry in entries[first:left]:
+                runner = self.runners[entry[1]]
+                room_milli = _free_milli(runner)
+                if room_milli < milli:
+                    shrunk.append((room_milli, entry[1]))
+                    continue
+                equal.append(entry)
+                yield runner
+            if shrunk:
+                entries[first:left] = equal
+                for entry in shrunk:
+                    insort(entries, entry)
+            left -= len(equal)
+
+    def _index_free(self) -> _Entries:
         if self._by_free is None:
             self._by_free = self._make_entries(_free_milli)
-        least = spec.reserved.processors_milli
-        return self._find(self._by_free, least, _free_milli)
+        return self._by_free
 
     def _make_entries(self, measure: Callable[[Runner], float]) -> _Entries:
         entries = []
@@ -60,23 +88,19 @@
     def _find(
         self, entries: _Entries, least: float, measure: Callable[[Runner], float]
     ) -> list[int]:
-        found = []
-        large = []
-        shrunk = []
         first = bisect_left(entries, (least, 0))
+        large, shrunk = [], []
         for entry in entries[first:]:
             room = measure(self.runners[entry[1]])
             if room < least:
                 shrunk.append((room, entry[1]))
-                continue
-            large.append(entry)
-            found.append(entry[1])
+            else:
+                large.append(entry)
         if shrunk:
             entries[first:] = large
             for entry in shrunk:
                 insort(entries, entry)
-        found.sort()
-        return found
+        return sorted([position for _, position in large])
 
 
 class PartialRoomIndex:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -14,7 +14,7 @@
 
 from flamingoweir.dispatch._committer import RENEW_INTERVAL_S
 from flamingoweir.dispatch._owner_state import OwnerState
-from flamingoweir.dispatch._planner import Planner
+from flamingoweir.dispatch._planner import RESERVE_AFTER_S, Planner
 from flamingoweir.dispatch._unplaced_steps import UnplacedSteps
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Job, JobSpec, Outcome, QueuePolicy, StepSpec
@@ -282,18 +282,15 @@
     run_virtual(scenario)
 
 
-def test_steps_look_at_runners_with_room_only(monkeypatch):
-    """Guards against a cost of runners times steps after the loss of a zone.
-
-    Looks are readings of what is free on a runner.
-    """
-    looks = 0
+@pytest.fixture
+def looks(monkeypatch):
+    """Return a list of the runners on which was read what is free, in order."""
+    looks = []
 
     class CountedRunner(Runner):
         @property
         def free_resources(self):
-            nonlocal looks
-            looks += 1
+            looks.append(self)
             return self._free
 
         @free_resources.setter
@@ -301,6 +298,19 @@
             self._free = free
 
     monkeypatch.setattr("flamingoweir.dispatch._owner_state.Runner", CountedRunner)
+    return looks
+
+
+def fill_with_batch(owner_state: OwnerState, runners: int) -> None:
+    """Fill runners of 4 processors with tasks of the first job, of one each."""
+    batch = owner_state.job_by_id["job-0"].run_by_step[0, 0]
+    for index in range(4 * runners):
+        runner = owner_state.runner_by_id[f"r{index % runners}"]
+        owner_state.add_attempt(batch, index, runner)
+
+
+def test_steps_look_at_runners_with_room_only(looks):
+    """Guards against a cost of runners times steps after the loss of a zone."""
 
     async def scenario():
         runners, steps = 300, 150
@@ -308,16 +318,32 @@
         planner, _, owner_state = make_owner(
             runners, batch_spec(4 * (runners - 1)), *specs, processors=4
         )
-        batch = owner_state.job_by_id["job-0"].run_by_step[0, 0]
-        for index in range(4 * (runners - 1)):
-            runner = owner_state.runner_by_id[f"r{index % (runners - 1)}"]
-            owner_state.add_attempt(batch, index, runner)
-        nonlocal looks
-        looks = 0
+        fill_with_batch(owner_state, runners - 1)
+        looks.clear()
         await planner.plan()
         last = owner_state.runner_by_id[f"r{runners - 1}"]
         assert len(last.allocation_by_run) == 4
-        assert looks < 2 * runners
+        assert len(looks) < 2 * runners
+
+    run_virtual(scenario)
+
+
+def test_reservations_look_at_the_runners_with_most_room_only(looks):
+    """Guards against a look at all runners for each runner that is kept free."""
+
+    async def scenario():
+        runners = 300
+        specs = [batch_spec(1, 2, image=f"image-{n}") for n in range(4)]
+        planner, _, owner_state = make_owner(
+            runners, batch_spec(4 * runners), *specs, processors=4
+        )
+        fill_with_batch(owner_state, runners)
+        await planner.plan()
+        await anyio.sleep(RESERVE_AFTER_S + 0.1)
+        looks.clear()
+        await planner.plan()
+        assert len(planner._runner_by_step) == 4
+        assert len(looks) < 4 * runners
 
     run_virtual(scenario)
 
--- a/tests/test_step_placement.py
+++ b/tests/test_step_placement.py
@@ -296,6 +296,53 @@
     assert ruled_out
 
 
+def choose_reservation(step, runners, excluded):
+    """Return the runner to reserve, by a look at all of them."""
+    best = None
+    for runner in runners:
+        if runner.id in excluded:
+            continue
+        count = sum(1 for a in step.attempts() if a.runner == runner.id)
+        if step.spec.max_per_runner and count >= step.spec.max_per_runner:
+            continue
+        if not step.spec.reserved.fits_in(runner.beside_lasting):
+            continue
+        free_milli = runner.free_resources.processors_milli
+        if best is None or free_milli > best.free_resources.processors_milli:
+            best = runner
+    return best
+
+
+def test_index_changes_no_reservation():
+    """Guards against another runner that is kept free, as the runners fill up."""
+    found = missed = 0
+    for seed in range(300):
+        generator = random.Random(seed)
+        health, colocation = RunnerHealth(), ColocationPolicy()
+        runners = random_fleet(generator, colocation)
+        policy = PlacementPolicy(health, colocation)
+        index = RoomIndex(runners)
+        for number in range(15):
+            spec = random_spec(generator, 2)
+            job = Job(JobSpec(f"job-{number}", "q", "", (spec,), QueuePolicy("s")))
+            step = job.run_by_step[0, 0]
+            for task in range(generator.randrange(3)):
+                runner = generator.choice(runners)
+                if spec.reserved.fits_in(runner.free_resources):
+                    attempt = step.job.start(step, task, runner.id, 1, NOW_S)
+                    runner.add(attempt, spec)
+            excluded = frozenset(r.id for r in runners if generator.random() < 0.2)
+            expected = choose_reservation(step, runners, excluded)
+            assert policy.reserve(step, runners, excluded) is expected
+            assert policy.reserve(step, runners, excluded, index) is expected
+            found += expected is not None
+            missed += expected is None
+            if generator.random() < 0.5:
+                index.find(spec)
+    assert found > 1000
+    assert missed > 100
+
+
 def make_faulty_fleet(seed: int) -> tuple[PlacementPolicy, list[Runner]]:
     """Return runners of which some had faults, and the policy that knows of these."""
     generator = random.Random(seed)
