--- a/benchmarks/zone_loss.py
+++ b/benchmarks/zone_loss.py
@@ -1,18 +1,22 @@
-"""Placement passes after the loss of a zone in a fleet full of batch, in virtual time.
+"""Placement passes after the loss of a zone in a fleet full of batch.
 
-Run ``python -m benchmarks.zone_loss [--absent 745 --runners 2568 --seconds 9]``. Absent
-long-running tasks of different demands are placed as batch is evicted for them. Prints
-the processor time of the passes, how often they read what is free on a runner, and a
-digest of the starts, by which two builds can be compared.
+Run ``python -m benchmarks.zone_loss [--absent 745 --runners 2568 --seconds 9 --real]``.
+Absent long-running tasks of different demands are placed as batch is evicted for them.
+In virtual time, prints the processor time of the passes, how often they read what is
+free on a runner, and a digest of the starts, by which two builds can be compared. In
+real time, prints how many passes there were in a second.
 """
 
 import argparse
 import hashlib
 import io
+import itertools
 import random
 import statistics
 import time
 
+import anyio
+
 from flamingoweir import logs
 from flamingoweir.dispatch import _owner_state
 from flamingoweir.fleet import Runner
@@ -25,6 +29,8 @@
 PROCESSORS = 8
 #: Tasks of a batch job.
 BATCH_TASKS = 40
+#: Seconds that a stop takes in real time, and between looks at what has ended.
+STOP_S, CHECK_INTERVAL_S = 1.0, 0.02
 
 
 class CountedRunner(Runner):
@@ -88,15 +94,62 @@
     return pass_s, looks, placed, digest.hexdigest()[:16]
 
 
+async def play_real(absent: int, runners: int, seconds: float, seed: int):
+    """Run the planner in real time; return when each pass began, and tasks placed."""
+    fleet = make_fleet(absent, runners, random.Random(seed))
+    state, plan = fleet.state, fleet.planner.plan
+    begun_s = []
+
+    async def recorded() -> None:
+        begun_s.append(anyio.current_time())
+        await plan()
+
+    fleet.planner.plan = recorded
+    end_s = anyio.current_time() + seconds
+    end_by_stop = {}
+    recorded_starts = 0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fleet.planner.run)
+        while anyio.current_time() < end_s:
+            if all(map(fleet.is_placed, range(absent))):
+                break
+            now_s = anyio.current_time()
+            for attempt in state.pending_starts[recorded_starts:]:
+                state.record_start(attempt)
+            recorded_starts = len(state.pending_starts)
+            for attempt in list(state.pending_stops):
+                key = attempt.task, attempt.run
+                if now_s >= end_by_stop.setdefault(key, now_s + STOP_S):
+                    runner = state.runner_by_id[attempt.runner]
+                    state.end_attempt(runner, *key, Outcome.STOPPED, "")
+                    state.pending_stops.remove(attempt)
+            await anyio.sleep(CHECK_INTERVAL_S)
+        begun_s.append(anyio.current_time())
+        tasks.cancel_scope.cancel()
+    return begun_s, sum(map(fleet.is_placed, range(absent)))
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--absent", type=int, default=745)
     parser.add_argument("--runners", type=int, default=2568)
     parser.add_argument("--seconds", type=float, default=9.0)
     parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--real", action="store_true")
     args = parser.parse_args()
     logs.configure(io.StringIO(), "error")
     load = args.absent, args.runners, args.seconds, args.seed
+    if args.real:
+        begun_s, placed = anyio.run(play_real, *load)
+        took_s = begun_s[-1] - begun_s[0]
+        between_s = [later - begun for begun, later in itertools.pairwise(begun_s)]
+        print(
+            f"placed {placed}  s {took_s:.1f}  passes a second"
+            f" {len(between_s) / took_s:.1f}  ms between them: median"
+            f" {1000 * statistics.median(between_s):.0f}"
+            f" longest {1000 * max(between_s):.0f}"
+        )
+        return
     pass_s, _, placed, digest = run_virtual(play, *load)
     # Counting takes time, so that it has a play of its own.
     _owner_state.Runner = CountedRunner
