--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -49,6 +49,9 @@
     "restart_runner",
     "delay_lost_starts",
     "delay_lost_renewals",
+    "delay_lost_acknowledgements",
+    "leave_polls_unanswered",
+    "lose_responses",
     "restart_and_cut_runner",
     "discard_history",
     "drain",
@@ -126,11 +129,15 @@
     async def disconnect_runner(self, duration_s):
         await self._disconnect(self.any_runner(), duration_s)
 
-    async def _disconnect(self, runner, duration_s):
+    def _find_links(self, runner):
         links = []
         for member in self.cluster.member_by_name.values():
             if runner.id in member.link_by_runner:
                 links.append(member.link_by_runner[runner.id])
+        return links
+
+    async def _disconnect(self, runner, duration_s):
+        links = self._find_links(runner)
         for link in links:
             link.disconnected = True
         await anyio.sleep(duration_s)
@@ -185,6 +192,33 @@
             link.delivery_delay_s = 2.0 + duration_s
             link.lose_starts = 1
 
+    async def delay_lost_acknowledgements(self, duration_s):
+        for link in (await self.pick_owner()).link_by_runner.values():
+            link.delivery_delay_s = 2.0 + duration_s
+            link.lose_acknowledgements = 1
+
+    async def leave_polls_unanswered(self, duration_s):
+        """Let a runner restart while orders reach it and polls get no response."""
+        runner = self.any_runner()
+        links = self._find_links(runner)
+        for link in links:
+            link.loses_polls = True
+        await anyio.sleep(min(0.5, duration_s / 4))
+        if runner.up and not has_young_run(runner):
+            runner.restart()
+            self.cluster.list_runner(runner.id)
+        await anyio.sleep(duration_s)
+        for link in links:
+            link.loses_polls = False
+
+    async def lose_responses(self, duration_s):
+        links = self._find_links(self.any_runner())
+        for link in links:
+            link.loses_responses = True
+        await anyio.sleep(duration_s)
+        for link in links:
+            link.loses_responses = False
+
     async def discard_history(self, duration_s):
         self.cluster.rows.discard_history()
 
