--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -140,10 +140,12 @@
         port: int = 0,
         service: str = SERVICE,
         kind: str = "a",
+        announced: int = 0,
     ) -> None:
-        """Start a life of a runner."""
+        """Start a life of a runner; it may announce the port of a proxy."""
         words = [runner, machine, zone, rack, service, self.store, str(port)]
-        words += [str(self.record_path), str(cpu), str(mem), kind]
+        words += [str(self.record_path), str(cpu), str(mem)]
+        words += [kind, str(announced)]
         process = self.spawn(
             [sys.executable, str(LIB / "runner.py"), *words],
             stdout=subprocess.PIPE,
@@ -160,6 +162,7 @@
             "port": port,
             "service": service,
             "kind": kind,
+            "announced": announced,
         }
 
     def start_daemon(self, name: str, zone: str = "a") -> None:
--- a/review/lib-2/mini_http.py
+++ b/review/lib-2/mini_http.py
@@ -55,6 +55,9 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             pass
+        except asyncio.CancelledError:
+            # The play has ended, in which asyncio would log each open connection.
+            return
         finally:
             writer.close()
 
--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -1,11 +1,12 @@
 """Stand-in of one runner, as PROTOCOL.md describes it.
 
 Arguments: id, machine, zone, rack, service, store address, port or 0, file to which it
-appends what happens, capacity in thousandths of a core, MB, kind.
+appends what happens, capacity in thousandths of a core, MB, kind, and the port that it
+announces, or 0 for its own.
 
 The payload of a submission tells what its tasks do: "SECONDS CPU MB", with "fails" at
-the end for tasks that end ``failed``, and "lasts" for tasks that last. From SIGUSR1 to
-SIGUSR2 the runner fails all that it starts.
+the end for tasks that end ``failed``, "lasts" for tasks that last, and "once" for those
+whose first run fails. From SIGUSR1 to SIGUSR2 the runner fails all that it starts.
 """
 
 import asyncio
@@ -31,6 +32,7 @@
         self.id, self.machine, self.zone, self.rack = argv[1:5]
         self.service, self.store, port, self.record_path = argv[5:9]
         self.cpu, self.mem, self.kind = int(argv[9]), int(argv[10]), argv[11]
+        self.announced = int(argv[12])
         self.port = int(port)
         self.born = round(1000 * time.time())
         self.started_s = time.monotonic()
@@ -127,6 +129,8 @@
         seconds, how = float(words[0]) or None, "done"
         if "fails" in words:
             how = "failed"
+        if "once" in words:
+            seconds, how = (seconds, "failed") if number == 1 else (None, "done")
         if self.faulty:
             seconds, how = FAULTY_S, "failed"
         self.runs[task] = {
@@ -180,7 +184,7 @@
             sequence += 1
             entry = {
                 "Service": self.service,
-                "Address": f"127.0.0.1:{self.port}",
+                "Address": f"127.0.0.1:{self.announced or self.port}",
                 "Zone": self.zone,
                 "Version": "v1",
                 "Slots": 8,
