--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -3,6 +3,10 @@
 The argument is JSON: the store's port, the file of records, and the runners. What a
 task needs and how it ends stands in its `Spec`, which is JSON as well. Prints a line
 once all runners are listed, and ends with its standard input.
+
+A runner can leave a start order and the next call that acknowledges ends unanswered, to
+be carried out late by its next life (`/control/arm`, and `late` and `deaf_until_s` of
+the description of that life; times are those of `time.monotonic`).
 """
 
 import asyncio
@@ -19,6 +23,8 @@
 MAX_HOLD_MS = 10_000
 GANG_WAIT_S = 3.0
 REPORT_ENDS = 500
+#: Seconds after a start order within which the acknowledging call has to come.
+ARMED_S = 0.045
 ENDLESS_S = 1e9
 
 
@@ -60,6 +66,10 @@
         self.run_by_task: dict[str, Run] = {}
         self.grey_until_s = float("-inf")
         self.changed = asyncio.Event()
+        #: Calls that were left unanswered: path and fields.
+        self.kept: list[tuple[str, dict]] = []
+        self._is_armed = False
+        self._kept_start: dict | None = None
         self._store_port = store_port
         self._record = record
         self._origin_s = time.monotonic()
@@ -100,6 +110,13 @@
 
     async def handle(self, request: Request) -> tuple[int, dict]:
         """Answer a call."""
+        if request.path == "/control/arm":
+            self._is_armed = True
+            return 200, {}
+        if request.path == "/control/kept":
+            return 200, {"kept": self.kept}
+        if time.monotonic() < self.fields.get("deaf_until_s", 0.0) or self.kept:
+            await asyncio.sleep(ENDLESS_S)
         if request.path == "/control/grey":
             self.grey_until_s = time.monotonic() + float(request.query["for_s"])
             self._record(self.id, "grey", "", 0)
@@ -107,38 +124,62 @@
         if request.headers.get("x-expect-instance", self.id) != self.id:
             return 421, {}
         fields = request.json()
+        if request.path == "/-/run-start" and self._is_armed and not self._kept_start:
+            await self._wait_for_acknowledgement(fields)
+        if self._keeps_acknowledgement(request.path, fields):
+            self.kept = [("/-/run-start", self._kept_start), (request.path, fields)]
+            self._record(self.id, "kept", self._kept_start["Task"], 0)
+            await asyncio.sleep(ENDLESS_S)
+        return await self.carry_out(request.path, fields)
+
+    async def carry_out(self, path: str, fields: dict) -> tuple[int, dict]:
+        """Carry out a call of the system."""
         if fields["FenceToken"] < self._fence:
             return self._answer(409, Reason="fence")
         self._fence = fields["FenceToken"]
-        if request.path == "/-/run-start":
+        if path == "/-/run-start":
             return self._start(fields)
-        if request.path == "/-/run-stop":
+        if path == "/-/run-stop":
             return self._stop(fields)
-        if request.path == "/-/pace":
+        if path == "/-/pace":
             return self._answer(200)
-        if request.path == "/-/hold":
+        if path == "/-/hold":
             return await self._hold(fields)
         return 404, {}
 
+    async def _wait_for_acknowledgement(self, fields: dict) -> None:
+        """Hold a start order back; for good if ends are acknowledged meanwhile."""
+        self._kept_start = fields
+        await asyncio.sleep(ARMED_S)
+        while self.kept:
+            await asyncio.sleep(ENDLESS_S)
+        self._kept_start = None
+
+    def _keeps_acknowledgement(self, path: str, fields: dict) -> bool:
+        if path != "/-/hold" or self._kept_start is None or self.kept:
+            return False
+        is_same = fields["FenceToken"] == self._kept_start["FenceToken"]
+        return is_same and fields["AckCursor"] > 0
+
     def advance(self) -> None:
         """End the runs that are over, or whose lease has lapsed."""
         now_s = time.monotonic()
         if self.clock_ms() >= self._due_ms:
             for run in list(self.run_by_task.values()):
-                self._end(run, "lapsed")
+                self.end(run, "lapsed")
         for run in list(self.run_by_task.values()):
             if run.stopped_s is not None:
                 if now_s >= run.stopped_s:
-                    self._end(run, "stopped")
+                    self.end(run, "stopped")
                 continue
             if run.works_since_s is None:
                 if now_s - run.started_s > GANG_WAIT_S:
-                    self._end(run, "alone")
+                    self.end(run, "alone")
                 continue
             if run.fails and now_s - run.works_since_s >= 0.1:
-                self._end(run, "failed")
-            elif now_s - run.works_since_s >= run.length_s:
-                self._end(run, "done")
+                self.end(run, "failed")
+            elif not run.gang and now_s - run.works_since_s >= run.length_s:
+                self.end(run, "done")
 
     def _start(self, fields: dict) -> tuple[int, dict]:
         self.advance()
@@ -174,6 +215,9 @@
     async def _hold(self, fields: dict) -> tuple[int, dict]:
         if "DueMs" in fields:
             self._extend(fields["DueMs"])
+        for end in self._ended:
+            if end[0] <= fields["AckCursor"]:
+                self._record(self.id, "noted", end[1], end[2])
         self._ended = [end for end in self._ended if end[0] > fields["AckCursor"]]
         until_s = time.monotonic() + fields.get("WaitMs", 0) / 1000
         self.advance()
@@ -196,7 +240,8 @@
         longest_ms = self.clock_ms() + MAX_HOLD_MS
         self._due_ms = max(self._due_ms, min(due_ms, longest_ms))
 
-    def _end(self, run: Run, how: str) -> None:
+    def end(self, run: Run, how: str) -> None:
+        """End a run, and keep its end until it is acknowledged."""
         del self.run_by_task[run.task]
         highest = self._highest_run_by_task.get(run.task, 0)
         self._highest_run_by_task[run.task] = max(highest, run.run)
@@ -220,6 +265,16 @@
                 run.works_since_s = now_s
 
 
+def end_gangs(runners: list[Runner]) -> None:
+    """End the gangs whose work is done, all members of a run together."""
+    now_s = time.monotonic()
+    for runner in runners:
+        for run in list(runner.run_by_task.values()):
+            is_at_work = run.works_since_s is not None and run.stopped_s is None
+            if run.gang and is_at_work and now_s - run.works_since_s >= run.length_s:
+                runner.end(run, "done")
+
+
 async def main() -> None:
     """Serve the runners until standard input ends."""
     fields = json.loads(sys.argv[1])
@@ -247,13 +302,22 @@
     async def advance() -> None:
         while True:
             join_gangs(runners)
+            end_gangs(runners)
             for runner in runners:
                 runner.advance()
             await asyncio.sleep(0.02)
 
     for runner, address in zip(runners, addresses, strict=True):
         await asyncio.to_thread(runner.announce, address)
+
+    async def deliver(runner: Runner) -> None:
+        for at_s, path, call in runner.fields.get("late", ()):
+            await asyncio.sleep(max(0.0, at_s - time.monotonic()))
+            record(runner.id, f"late call {path}", call.get("Task", ""), 0)
+            await runner.carry_out(path, call)
+
     tasks = [asyncio.create_task(beat()), asyncio.create_task(advance())]
+    tasks += [asyncio.create_task(deliver(runner)) for runner in runners]
     print(json.dumps(addresses), flush=True)
     await asyncio.to_thread(sys.stdin.read)
     for task in tasks:
