--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -20,6 +20,8 @@
 LIBRARY = pathlib.Path(__file__).resolve().parent
 QUEUE_HOST = "nony24.example"
 READY_TIMEOUT_S = 30.0
+#: Seconds after which a case that has not ended counts as one that could not run.
+MAX_CASE_S = 110
 DEADLINE_MS = 3000
 #: Statuses that tell the client that its submission was not accepted.
 REJECTIONS = (429, 503)
@@ -354,6 +356,11 @@
     }
 
 
+def _raise_interrupted(number: int, _) -> None:
+    """End the case, so that the processes that it has started end, too."""
+    raise TimeoutError(f"the case was ended by signal {number}, or takes too long")
+
+
 def run_case(play, folder: pathlib.Path) -> int:
     """Play a case; return 1 if its rule was broken, 0 if it held, 2 without a result.
 
@@ -361,12 +368,17 @@
     the rule, or an empty text.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGALRM, _raise_interrupted)
+    signal.signal(signal.SIGTERM, _raise_interrupted)
+    signal.alarm(MAX_CASE_S)
     with Deployment(folder) as deployment:
         try:
             found = play(deployment, trouble)
         except Exception as error:
+            signal.alarm(0)
             deployment.write_record(f"could not run: {error!r}")
             return 2
+        signal.alarm(0)
         verdict = f"broken: {found}" if found else "held"
         deployment.write_record(f"{verdict} (trouble={int(trouble)})")
         print(verdict)
--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -65,6 +65,8 @@
         self.born = round(1000 * time.time())
         self.run_by_task: dict[str, Run] = {}
         self.grey_until_s = float("-inf")
+        #: Whether the runner is lost for good: it runs, answers and announces nothing.
+        self.is_gone = False
         self.changed = asyncio.Event()
         #: Calls that were left unanswered: path and fields.
         self.kept: list[tuple[str, dict]] = []
@@ -78,6 +80,7 @@
         self._highest_run_by_task: dict[str, int] = {}
         self._ended: list[list] = []
         self._end_count = 0
+        self._last_reopened = 0
         self._sequence = 0
 
     def clock_ms(self) -> int:
@@ -115,6 +118,13 @@
             return 200, {}
         if request.path == "/control/kept":
             return 200, {"kept": self.kept}
+        if request.path == "/control/gone":
+            self.is_gone = True
+            self.run_by_task.clear()
+            self._record(self.id, "gone", "", 0)
+            return 200, {}
+        if self.is_gone:
+            await asyncio.sleep(ENDLESS_S)
         if time.monotonic() < self.fields.get("deaf_until_s", 0.0) or self.kept:
             await asyncio.sleep(ENDLESS_S)
         if request.path == "/control/grey":
@@ -167,6 +177,11 @@
         if self.clock_ms() >= self._due_ms:
             for run in list(self.run_by_task.values()):
                 self.end(run, "lapsed")
+            for end in self._ended:
+                if end[0] > self._last_reopened:
+                    # Note that is taken of this end from now on doesn't count.
+                    self._last_reopened = end[0]
+                    self._record(self.id, "reopened", end[1], end[2])
         for run in list(self.run_by_task.values()):
             if run.stopped_s is not None:
                 if now_s >= run.stopped_s:
@@ -294,6 +309,8 @@
     async def beat() -> None:
         while True:
             for runner, address in zip(runners, addresses, strict=True):
+                if runner.is_gone:
+                    continue
                 # Without the store, the next ping announces the runner again.
                 with contextlib.suppress(OSError):
                     await asyncio.to_thread(runner.announce, address)
