--- a/review/13/case.py
+++ b/review/13/case.py
@@ -74,6 +74,9 @@
     for at_s, runner, what, task, run in runs:
         if what == "done":
             done_by_task[task] = (runner, run)
+        if what == "reopened" and done_by_task.get(task) == (runner, run):
+            # The lease lapsed before note was taken of the end.
+            del done_by_task[task]
         if what == "noted" and done_by_task.get(task) == (runner, run):
             noted.add(task)
         if what == "start" and task in noted:
