--- a/tests/utils/local.py
+++ b/tests/utils/local.py
@@ -11,6 +11,8 @@
 from flamingoweir.transport import HttpClient
 
 HOST = "127.0.0.1"
+#: Longest time in seconds for which requests go on after a check has failed.
+REQUESTS_TIMEOUT_S = 20.0
 
 
 class LocalSystem:
@@ -63,4 +65,17 @@
             yield local
         finally:
             await local.client.aclose()
+            await wait_for_requests(local)
             tasks.cancel_scope.cancel()
+
+
+async def wait_for_requests(local: LocalSystem) -> None:
+    """Wait until the daemon and the stand-in runners have ended all requests.
+
+    What is left of them when the event loop ends fails in whichever test runs as it is
+    collected.
+    """
+    runners = local.standins.runner_by_name.values()
+    with anyio.move_on_after(REQUESTS_TIMEOUT_S, shield=True):
+        while local.daemon.node.router.in_flight or any(r.in_flight for r in runners):
+            await anyio.sleep(0.01)
