--- a/flamingoweir/dispatch/_late_starts.py
+++ b/flamingoweir/dispatch/_late_starts.py
@@ -55,7 +55,7 @@
         left_s_by_runner: dict[str, float] = {}
         published_bytes = 0
         for runner in list(self._runners):
-            left_s = round(runner.unanswered_starts.until_s - now_s, 3)
+            left_s = round(runner.unanswered_starts.find_end_s(now_s) - now_s, 3)
             if left_s <= 0:
                 del self._runners[runner]
                 continue
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -705,7 +705,10 @@
             max(self.fence, self._dropped_runners.highest_token),
             self._dropped_runners.find_token(entry.id, now_s),
             self._dropped_runners.may_get_late_calls(entry.id, now_s),
-            self._earlier_leases.find_unanswered_end_s(entry.id),
+            max(
+                self._earlier_leases.find_unanswered_end_s(entry.id),
+                self._dropped_runners.find_starts_end_s(entry.id),
+            ),
         )
         if runner.unanswered_starts.may_arrive(now_s):
             self.late_starts.add_runner(runner)
@@ -724,6 +727,7 @@
         if allocation.start_unanswered or allocation.order_under_way:
             attempt, now_s = allocation.attempt, self._clock.now()
             self.late_orders.record(runner.id, attempt.task, attempt.run, now_s)
+            self.late_starts.add_runner(runner)
             self.customer_usage.keep_late(runner, allocation, now_s)
 
     def _stop_surplus(self, job: Job) -> None:
--- a/flamingoweir/dispatch/_start_orders.py
+++ b/flamingoweir/dispatch/_start_orders.py
@@ -21,6 +21,8 @@
 SENDING_S = 3.0
 #: Seconds between checks whether a write has given the owner a higher token.
 TOKEN_CHECK_INTERVAL_S = 0.005
+#: Seconds between checks whether ends have been acknowledged.
+DEFERRAL_CHECK_INTERVAL_S = 0.01
 
 
 class StartOrders:
@@ -82,13 +84,24 @@
             return
         runner, allocation = found
 
+        was_refused = False
+
         def may_send() -> bool:
+            nonlocal was_refused
+            was_refused = not is_wanted()
+            return not was_refused
+
+        def is_wanted() -> bool:
             if attempt.state is not AttemptState.ORDERED:
                 return False
             if runner.find(attempt.task, attempt.run) is not allocation:
                 return False
             if self._find_obstacle(runner, allocation):
                 return False
+            if not runner.call_fence.allows_start(order.fence):
+                return False
+            if runner.must_defer_start(self._context.clock.now()):
+                return False
             return self._gate.is_open(runner)
 
         until_s = self._context.clock.now() + SENDING_S
@@ -102,6 +115,9 @@
             if obstacle:
                 self._discard_or_stop(attempt, allocation, obstacle)
                 return
+            if runner.must_defer_start(self._context.clock.now()):
+                await anyio.sleep(DEFERRAL_CHECK_INTERVAL_S)
+                continue
             if not await self._gate.reach(runner, link):
                 if not allocation.start_unanswered:
                     self._owner_state.discard_attempt(attempt, "runner_silent")
@@ -116,10 +132,11 @@
             self._owner_state.customer_usage.record_sent(allocation)
             sent_count += 1
             sent_s = self._context.clock.now()
+            was_refused = False
             result, clock_ms = await self._send_start(
                 runner, link, allocation, order, may_send
             )
-            if result is StartResult.UNSENT and not may_send():
+            if result is StartResult.UNSENT and (was_refused or not is_wanted()):
                 continue
             is_unseen = result is StartResult.STARTED and (
                 clock_ms is None
@@ -174,13 +191,14 @@
     ) -> tuple[StartResult, float | None]:
         """Send a start order once; see `RunnerLink.start`."""
         unanswered = runner.unanswered_starts
-        number = None
+        is_sent = False
 
         def record_sent() -> bool:
-            nonlocal number
+            nonlocal is_sent
             if not may_send():
                 return False
-            number = unanswered.record_sent(self._context.clock.now())
+            is_sent = True
+            unanswered.record_sent()
             allocation.order_under_way = True
             return True
 
@@ -189,12 +207,14 @@
             result, clock_ms = await link.start(order, record_sent)
         finally:
             allocation.order_under_way = False
-            if number is not None:
+            if is_sent:
                 is_answered = result is not StartResult.UNKNOWN
-                now_s = self._context.clock.now()
-                unanswered.record_result(number, is_answered, now_s)
+                unanswered.record_result(is_answered, self._context.clock.now())
                 if not is_answered:
                     self._owner_state.late_starts.add_runner(runner)
+                if not unanswered.has_pending:
+                    # The next poll can acknowledge ends.
+                    runner.poll_wakeup.set()
         return result, clock_ms
 
     def _find_obstacle(self, runner: Runner, allocation: Allocation) -> str:
@@ -205,6 +225,8 @@
             return "capacity_shrunk"
         if not may_send_start(self._context, allocation):
             return "cap_lowered"
+        if runner.must_refuse_start(self._context.clock.now()):
+            return "ends_withheld"
         return ""
 
     def _log_result(
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -162,10 +162,7 @@
         deadline_ms = None
         if runner.responds and runner.has_attempts:
             deadline_ms = self._context.renew_lease(runner)
-        # The next incarnation would forget ends that nobody has read.
-        acknowledged = runner.ends.choose() if runner.may_acknowledge(sent_s) else 0
-        if acknowledged:
-            runner.call_fence.record_acknowledging()
+        acknowledged = self._choose_acknowledged(sent_s)
         try:
             report = await self._link.poll(
                 fence, acknowledged, deadline_ms, self._wait_s()
@@ -196,6 +193,22 @@
                 self._log_fenced(fence)
         self._apply_report(report, sent_s)
 
+    def _choose_acknowledged(self, now_s: float) -> int:
+        """Return the number up to which a poll acknowledges ends; 0: none.
+
+        The next incarnation might forget ends that nobody has read.
+        """
+        runner = self._runner
+        acknowledged = runner.ends.choose()
+        if not acknowledged or not runner.responds:
+            return 0
+        if not runner.may_acknowledge(now_s):
+            runner.record_withheld(now_s)
+            return 0
+        runner.ends.record_sent()
+        runner.call_fence.record_acknowledging()
+        return acknowledged
+
     def _log_fenced(self, fence: int) -> None:
         now_s = self._clock.now()
         log.info(
--- a/flamingoweir/fleet/_call_fence.py
+++ b/flamingoweir/fleet/_call_fence.py
@@ -76,7 +76,15 @@
         """
         if self.token <= self._acknowledging_token:
             self.token = max(self.token, token)
-        return self.token > self._acknowledging_token
+        return self.allows_start(self.token)
+
+    def allows_start(self, token: int) -> bool:
+        """Return whether a start order with a token may be sent now.
+
+        A call that acknowledges ends may have been sent since the order was made, while
+        the order waited for a connection.
+        """
+        return token > self._acknowledging_token
 
     def is_stale(self, token: int) -> bool:
         """Return whether a call was sent before the token was raised.
--- a/flamingoweir/fleet/_end_cursor.py
+++ b/flamingoweir/fleet/_end_cursor.py
@@ -2,6 +2,10 @@
 
 #: Largest number of ends that are kept from being acknowledged. A report lists 500.
 MAX_WITHHELD_ENDS = 250
+#: Seconds for which ends may be withheld before start orders wait for them.
+WITHHELD_S = 1.0
+#: Longest time in seconds for which start orders then wait.
+TURN_S = 0.25
 
 
 class EndCursor:
@@ -25,6 +29,8 @@
         self.received = 0
         self.durable = 0
         self.acknowledged = 0
+        #: Since when ends are withheld, or when their latest turn ended; None: none is.
+        self._withheld_since_s: float | None = None
 
     @property
     def is_acknowledged(self) -> bool:
@@ -32,9 +38,42 @@
         return self.acknowledged >= self.received
 
     @property
-    def may_be_withheld(self) -> bool:
-        """Whether a report has room for ends that are not acknowledged yet."""
-        return self.received - self.acknowledged <= MAX_WITHHELD_ENDS
+    def are_many_withheld(self) -> bool:
+        """Whether ends that are withheld may soon fill a report."""
+        withheld = self.received - self.acknowledged > MAX_WITHHELD_ENDS
+        return withheld and self._withheld_since_s is not None
+
+    def record_withheld(self, now_s: float) -> None:
+        """Record that a call could not acknowledge ends for the sake of start orders.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        since_s = self._withheld_since_s
+        if since_s is None or now_s >= since_s + WITHHELD_S + TURN_S:
+            self._withheld_since_s = now_s
+
+    def record_sent(self) -> None:
+        """Record that a call is sent that acknowledges all that it may."""
+        self._withheld_since_s = None
+
+    def have_turn(self, now_s: float) -> bool:
+        """Return whether start orders wait, so that ends can be acknowledged.
+
+        Ends and orders take turns, so that neither waits for a steady stream of the
+        others.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        if self._withheld_since_s is None:
+            return False
+        waited_s = now_s - self._withheld_since_s
+        return WITHHELD_S <= waited_s < WITHHELD_S + TURN_S
 
     def record_durable(self, number: int) -> None:
         """Record that the ends up to a number are durable."""
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -352,6 +352,7 @@
         self._record_inherited(inherited_s, now_s)
         self.incarnation = incarnation
         self.ends = EndCursor()
+        self.no_room_until_s = float("-inf")
         return lost
 
     def record_fenced(self, token: int, now_s: float) -> bool:
@@ -395,19 +396,36 @@
     def may_acknowledge(self, now_s: float) -> bool:
         """Return whether a call may acknowledge ends.
 
-        A task whose start order arrives late runs again on the next incarnation. That
-        is no second run if the former one was lost before its end was acknowledged.
+        The next incarnation may carry out a start order that arrives late, and forget
+        how the run ended if a call that was sent after the order arrives after that.
 
         Parameters
         ----------
         now_s : float
             Time on the owner's clock, in seconds.
         """
-        if not self.responds:
-            return False
-        if not self.ends.may_be_withheld:
-            return True
-        return not self.unanswered_starts.may_arrive(now_s)
+        return self.responds and not self.unanswered_starts.may_arrive(now_s)
+
+    def must_defer_start(self, now_s: float) -> bool:
+        """Return whether a start order waits until ends have been acknowledged.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        return self.ends.are_many_withheld or self.ends.have_turn(now_s)
+
+    def must_refuse_start(self, now_s: float) -> bool:
+        """Return whether a start order would wait for long until ends are acknowledged.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        is_lost = now_s < self.unanswered_starts.lost_until_s
+        return is_lost and self.ends.are_many_withheld
 
     def record_response(
         self, clock_ms: float, now_s: float, sent_s: float | None = None
@@ -440,6 +458,16 @@
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = self.lost_s = now_s
 
+    def record_withheld(self, now_s: float) -> None:
+        """Record that a call could not acknowledge ends for the sake of start orders.
+
+        Before they fill its reports, the runner gets no further tasks.
+        """
+        self.ends.record_withheld(now_s)
+        if self.ends.are_many_withheld:
+            lost_until_s = self.unanswered_starts.lost_until_s
+            self.no_room_until_s = max(self.no_room_until_s, lost_until_s)
+
     def record_no_room(self, now_s: float) -> None:
         """Record that a start was rejected for want of room."""
         self.no_room_until_s = now_s + NO_ROOM_PAUSE_S
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -480,6 +480,8 @@
         The same for polls that acknowledge ends.
     delivery_delay_s : float
         Seconds after which these calls reach the runner; 0 delivers them at once.
+    acknowledgement_delay_s : float or None
+        The same for polls that acknowledge ends; None: as for the others.
     unanswered_starts : list of (float, TaskId, int)
         Time of sending, task and run of each start order without a response, also if
         its caller ended before that.
@@ -494,6 +496,7 @@
         self.lose_renewals = 0
         self.lose_acknowledgements = 0
         self.delivery_delay_s = 0.0
+        self.acknowledgement_delay_s: float | None = None
         self.unanswered_starts: list[tuple[float, TaskId, int]] = []
         self._delay_s = delay_s
         self._order_limit = anyio.Semaphore(ORDER_CONNECTIONS)
@@ -585,10 +588,11 @@
     async def aclose(self) -> None:
         """See `RunnerLink.aclose`."""
 
-    async def _lose(self, call: Call) -> None:
+    async def _lose(self, call: Call, delay_s: float | None = None) -> None:
         """Deliver a call late, or at once, and wait in vain for its response."""
-        if self.delivery_delay_s:
-            self.runner.deliver(anyio.current_time() + self.delivery_delay_s, call)
+        delay_s = self.delivery_delay_s if delay_s is None else delay_s
+        if delay_s:
+            self.runner.deliver(anyio.current_time() + delay_s, call)
         else:
             call()
         await anyio.sleep(LOST_RESPONSE_S)
@@ -597,13 +601,17 @@
         self, fence: int, acknowledged: int, deadline_ms: int | None
     ) -> None:
         """Lose a renewal or an acknowledgement, if that is asked for."""
+        delay_s = None
         if acknowledged and self.lose_acknowledgements:
             self.lose_acknowledgements -= 1
+            delay_s = self.acknowledgement_delay_s
         elif deadline_ms is not None and self.lose_renewals:
             self.lose_renewals -= 1
         else:
             return
-        await self._lose(lambda: self.runner.poll(fence, acknowledged, deadline_ms))
+        await self._lose(
+            lambda: self.runner.poll(fence, acknowledged, deadline_ms), delay_s
+        )
         raise RunnerUnreachable(self.runner.id)
 
     async def _reach(self) -> bool:
--- a/tests/test_customer_usage.py
+++ b/tests/test_customer_usage.py
@@ -163,9 +163,9 @@
             allocation = runner.find(attempt.task, attempt.run)
             allocation.record_unanswered_start(clock.now())
         await anyio.sleep(5.0)
-        number = runner.unanswered_starts.record_sent(clock.now())
+        runner.unanswered_starts.record_sent()
         end(owner_state, runner, attempts[0])
-        runner.unanswered_starts.record_result(number, True, clock.now())
+        runner.unanswered_starts.record_result(True, clock.now())
         end(owner_state, runner, attempts[1])
         for passed_s, used in (
             (MAX_LATENESS_S - 5.0, DEMAND + DEMAND),
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -50,6 +50,7 @@
     "delay_lost_starts",
     "delay_lost_renewals",
     "delay_lost_acknowledgements",
+    "delay_lost_pair",
     "leave_polls_unanswered",
     "lose_responses",
     "restart_and_cut_runner",
@@ -197,6 +198,33 @@
             link.delivery_delay_s = 2.0 + duration_s
             link.lose_acknowledgements = 1
 
+    async def delay_lost_pair(self, duration_s):
+        """Lose a start and an acknowledgement, in either order, then restart a runner.
+
+        The calls reach its next incarnation in either order as well, behind a cut.
+        """
+        runner = self.any_runner()
+        link = (await self.pick_owner()).link_by_runner.get(runner.id)
+        if link is None or not runner.up or has_young_run(runner):
+            return
+        link.delivery_delay_s = self.generator.uniform(1.0, 2.0 + duration_s)
+        link.acknowledgement_delay_s = self.generator.uniform(1.0, 2.0 + duration_s)
+        kinds = ["lose_starts", "lose_acknowledgements"]
+        self.generator.shuffle(kinds)
+        await self.submit(duration_s)
+        for kind in kinds:
+            setattr(link, kind, 1)
+            with anyio.move_on_after(1.0):
+                while getattr(link, kind):
+                    await anyio.sleep(0.001)
+            setattr(link, kind, 0)
+            await anyio.sleep(self.generator.choice((0.0, 0.05)))
+        link.acknowledgement_delay_s = None
+        if runner.up:
+            runner.restart()
+            self.cluster.list_runner(runner.id)
+        await self._disconnect(runner, 2.0 + duration_s)
+
     async def leave_polls_unanswered(self, duration_s):
         """Let a runner restart while orders reach it and polls get no response."""
         runner = self.any_runner()
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from flamingoweir.fleet import MAX_LATENESS_S
 from flamingoweir.jobs import JobState, Outcome, TaskId
 from flamingoweir.ownership import decode_owner_record, owner_row
 from tests.utils.cluster import make_job, make_step, run_cluster
@@ -802,7 +803,27 @@
     run_virtual(scenario)
 
 
-def test_poll_that_follows_an_order_makes_the_next_incarnation_forget_its_end():
+async def submit_short(cluster, number: int):
+    """Submit a job whose task ends at once."""
+    job = make_job(number)
+    cluster.plan_by_task[f"{job.id}.0.0.0"] = 0.001, Outcome.DONE
+    return await cluster.submit(job)
+
+
+async def restart_behind_cut(cluster, runner, cut_s: float = 9.0) -> None:
+    """Restart a runner that its owner can't reach for a while."""
+    link = (await cluster.owner()).link_by_runner[runner.id]
+    link.disconnected = True
+    runner.restart()
+    cluster.list_runner(runner.id)
+    await anyio.sleep(cut_s)
+    link.disconnected = False
+
+
+@pytest.mark.parametrize("start_s, acknowledgement_s", [(3, 3), (2, 4), (4, 2)])
+def test_poll_that_follows_an_order_makes_the_next_incarnation_forget_its_end(
+    start_s, acknowledgement_s
+):
     """Guards against a task that is done and runs again after two late calls.
 
     The poll acknowledges ends right after the order was sent, with the same token.
@@ -820,19 +841,15 @@
             start = link.start
 
             async def lose_with_next_acknowledgement(*args):
-                link.start, link.delivery_delay_s = start, 3.0
+                link.start, link.delivery_delay_s = start, start_s
+                link.acknowledgement_delay_s = acknowledgement_s
                 link.lose_starts = link.lose_acknowledgements = 1
                 return await start(*args)
 
             link.start = lose_with_next_acknowledgement
-            cluster.plan_by_task[f"{make_job(2).id}.0.0.0"] = 0.001, Outcome.DONE
-            job = await cluster.submit(make_job(2))
+            job = await submit_short(cluster, 2)
             await anyio.sleep(0.4)
-            link.disconnected = True
-            runner.restart()
-            cluster.list_runner(runner.id)
-            await anyio.sleep(9.0)
-            link.disconnected = False
+            await restart_behind_cut(cluster, runner)
             await cluster.wait_for(job, JobState.DONE, 40.0)
             check_runs(cluster)
 
@@ -840,6 +857,133 @@
         run_virtual(scenario, number / 100)
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 0.02, 0.04])
+@pytest.mark.parametrize("start_s, acknowledgement_s", [(3, 3), (2, 4), (4, 2)])
+def test_order_that_follows_a_poll_ends_before_the_poll_arrives(
+    start_s, acknowledgement_s, pause_s
+):
+    """Guards against a task that is done and runs again: in the other order."""
+
+    async def scenario():
+        async with run_cluster(members=1, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            link.acknowledgement_delay_s = acknowledgement_s
+            link.lose_acknowledgements = 1
+            await submit_short(cluster, 1)
+            while link.lose_acknowledgements:
+                await anyio.sleep(0.001)
+            await anyio.sleep(pause_s)
+            link.lose_starts, link.delivery_delay_s = 1, start_s
+            job = await submit_short(cluster, 2)
+            while link.lose_starts:
+                await anyio.sleep(0.001)
+            await restart_behind_cut(cluster, runner)
+            await cluster.wait_for(job, JobState.DONE, 40.0)
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+def test_poll_acknowledges_ends_while_an_order_waits_for_a_connection():
+    """Guards against a task that is done and runs again after two late calls.
+
+    The order was made before the poll, and is sent after it with the same token.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1, runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            start, was_called = link.start, anyio.Event()
+
+            async def wait_for_connection(*args):
+                link.start = start
+                was_called.set()
+                while link.lose_acknowledgements:
+                    await anyio.sleep(0.001)
+                link.lose_starts, link.delivery_delay_s = 1, 2.0
+                return await start(*args)
+
+            first = await cluster.submit(make_job(1))
+            await wait_for_starts(cluster, first, 1)
+            await anyio.sleep(0.9)
+            link.start = wait_for_connection
+            job = await submit_short(cluster, 2)
+            link.lose_acknowledgements, link.acknowledgement_delay_s = 1, 4.0
+            await was_called.wait()
+            while link.lose_acknowledgements or link.lose_starts:
+                await anyio.sleep(0.001)
+            await restart_behind_cut(cluster, runner)
+            await cluster.wait_for(job, JobState.DONE, 40.0)
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
+def test_runner_is_listed_again_after_an_order_without_a_response():
+    """Guards against ends that are acknowledged although an order may arrive late.
+
+    With the runner, its owner forgets of the order.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            owner = await cluster.owner()
+            cluster.add_runner("small", 0)
+            cluster.tasks.start_soon(announce_often, cluster, "small")
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            link.lose_starts, link.delivery_delay_s = 1, 14.0
+            job = await submit_short(cluster, 1)
+            await cluster.wait_for(job, JobState.DONE, 3.0)
+            cluster.unlist_runner(runner.id)
+            await anyio.sleep(6.0)
+            cluster.list_runner(runner.id)
+            await anyio.sleep(0.5)
+            await submit_short(cluster, 2)
+            await anyio.sleep(2.0)
+            assert not cluster.records("noted")
+            await anyio.sleep(MAX_LATENESS_S)
+            assert not runner.unacknowledged_ends
+
+    run_virtual(scenario)
+
+
+def test_many_ends_are_acknowledged_after_an_order_without_a_response():
+    """Guards against a task that is done and runs again after two late calls.
+
+    The runner has many ends to report. They wait, and it gets no further tasks.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=400) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner[runner.id]
+            others = await cluster.submit(make_job(1, make_step(390)))
+            await cluster.wait_for(others, JobState.RUNNING, 1.0)
+            link.lose_starts, link.delivery_delay_s = 1, 8.0
+            job = await submit_short(cluster, 2)
+            while link.lose_starts:
+                await anyio.sleep(0.001)
+            link.lose_acknowledgements, link.acknowledgement_delay_s = 1, 6.5
+            await submit_short(cluster, 3)
+            await anyio.sleep(2.2)
+            await restart_behind_cut(cluster, runner)
+            await cluster.wait_for(job, JobState.DONE, 40.0)
+            await cluster.wait_for(others, JobState.DONE, 40.0)
+            check_runs(cluster)
+
+    run_virtual(scenario)
+
+
 def test_late_order_arrives_after_its_attempt_was_given_up():
     """Guards against a task that runs elsewhere when a late order starts it (issue 51).
 
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -110,3 +110,38 @@
             assert anyio.current_time() - drained_s < 0.5 + POLL_WAIT_S + 0.2
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("delay_s", [0.001, 0.03, 0.06])
+def test_neither_ends_nor_starts_wait_for_a_steady_stream_of_the_others(delay_s):
+    """Guards against ends that no poll acknowledges while start orders are under way.
+
+    There are always some, and each has to have its response first.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1, runners=1, processors=200) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            (link,) = owner.link_by_runner.values()
+            link._delay_s = delay_s
+            submitted_s = {}
+            for number in range(200):
+                job = make_job(number)
+                cluster.plan_by_task[f"{job.id}.0.0.0"] = (0.3, Outcome.DONE)
+                submitted_s[job.id] = anyio.current_time()
+                await cluster.submit(job)
+                await anyio.sleep(0.02 + 0.3 * delay_s)
+            await anyio.sleep(3.0)
+            waited_s = {"start": [], "noted": []}
+            for record in cluster.records():
+                job_id = record.task.job
+                if record.kind == "done":
+                    submitted_s[job_id] = record.at_s
+                if record.kind in waited_s:
+                    waited_s[record.kind].append(record.at_s - submitted_s[job_id])
+            assert len(waited_s["start"]) == len(waited_s["noted"]) == 200
+            assert max(waited_s["start"]) < 1.0
+            assert max(waited_s["noted"]) < 2.0
+
+    run_virtual(scenario)
