--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -16,6 +16,7 @@
     TaskId,
     encode_state,
     encode_tasks,
+    fit_state,
 )
 from ..logs import get_logger
 from ..ownership import (
@@ -267,6 +268,7 @@
         of_job = _Batch()
         try:
             self._collect_job(job, of_job)
+            self._check_sizes(of_job)
         except Exception as error:
             self._owner_state.set_aside_job(job, "job_commit_failed", error)
             return
@@ -274,6 +276,16 @@
         batch.deletes += of_job.deletes
         batch.ended_jobs += of_job.ended_jobs
 
+    def _check_sizes(self, batch: _Batch) -> None:
+        """Raise an error for a row that the store would refuse, with all others."""
+        max_bytes = self._writer.max_row_bytes
+        for row, value in batch.puts:
+            if len(value) > max_bytes:
+                raise ValueError(
+                    f"row {row.key!r} of table {row.table!r} has {len(value)} bytes, "
+                    f"and the store takes {max_bytes}"
+                )
+
     def _collect_set_aside(self, batch: _Batch) -> None:
         records = self._owner_state.set_aside_by_job
         self._owner_state.set_aside_by_job = {}
@@ -306,15 +318,29 @@
         record = StateRecord(
             job.state,
             ended_ms,
-            job.blame_by_task,
+            job.crash_blame.blame_by_task,
             closed_occurrences=job.closed_occurrences.ranges,
             suspicion_by_run=self._find_suspicions(job),
             customer=job.spec.customer,
         )
         row = state_row(self._writer.shard, job_id)
-        batch.puts.append((row, encode_state(record)))
+        batch.puts.append((row, self._encode_state(job_id, record)))
         log.info("job_state", job=job_id, queue=job.spec.queue, state=job.state)
 
+    def _encode_state(self, job_id: str, record: StateRecord) -> bytes:
+        fitted = fit_state(record, self._writer.max_row_bytes)
+        if fitted != record:
+            log.warning(
+                "job_state_shortened",
+                job=job_id,
+                blamed=len(record.blame_by_task),
+                blamed_kept=len(fitted.blame_by_task),
+                suspected=len(record.suspicion_by_run),
+                suspected_kept=len(fitted.suspicion_by_run),
+            )
+            self._context.metrics.incr("job_states_shortened")
+        return encode_state(fitted, self._writer.max_row_bytes)
+
     def _find_suspicions(self, job: Job) -> dict[tuple[TaskId, int], Suspicion]:
         """Return the suspicions of a job that still count, by the wall clock."""
         if job.is_final:
@@ -322,7 +348,7 @@
         now_s = self._context.clock.now()
         wall_s = self._context.wall_ms() / 1000
         suspicion_by_run = {}
-        for run, suspicion in job.suspicion_by_run.items():
+        for run, suspicion in job.crash_blame.suspicion_by_run.items():
             left_s = suspicion.until_s - now_s
             if left_s > 0:
                 suspicion_by_run[run] = dataclasses.replace(
@@ -340,13 +366,15 @@
         for row in job.changed_rows:
             self.record_row(job_id, row)
         stored = self._stored_rows_by_job.get(job_id)
+        closing = job.choose_closing()
+        max_bytes = self._writer.max_row_bytes
         for row in job.changed_rows:
-            if row[0] in job.finished_occurrences and not stored.is_latest(row[0]):
+            if row[0] in closing and not stored.is_latest(row[0]):
                 continue
-            value = encode_tasks(job, row)
+            value = encode_tasks(job, row, max_bytes)
             batch.puts.append((tasks_row(shard, job_id, row), value))
         job.changed_rows.clear()
-        job.close_finished()
+        job.close(closing)
         if not job.closed_occurrences or stored is None:
             return
         for row in stored.take_closed(job.closed_occurrences):
--- a/flamingoweir/dispatch/_effect_store.py
+++ b/flamingoweir/dispatch/_effect_store.py
@@ -49,7 +49,9 @@
     effects: list[tuple[str, str, pydantic.FiniteFloat, pydantic.FiniteFloat]]
 
 
-def encode_effects(effects: list[Effect], written_ms: float) -> bytes:
+def encode_effects(
+    effects: list[Effect], written_ms: float, max_bytes: int = MAX_ROW_BYTES
+) -> bytes:
     """Return the content of the row.
 
     Parameters
@@ -58,6 +60,8 @@
         The effects, the most certain first.
     written_ms : float
         Time of the write in milliseconds since 1970.
+    max_bytes : int
+        Largest size of the row.
     """
     rows = []
     size = FRAME_BYTES
@@ -69,7 +73,7 @@
         if row_size > MAX_EFFECT_BYTES:
             continue
         size += row_size
-        if size > MAX_ROW_BYTES:
+        if size > max_bytes:
             break
         rows.append(row)
     return orjson.dumps({"written_ms": written_ms, "effects": rows})
@@ -124,7 +128,8 @@
         effects = self._colocation.list_effects(now_s)
         if not effects:
             return None
-        return self._row, encode_effects(effects, self._context.wall_ms())
+        max_bytes = min(MAX_ROW_BYTES, self._context.writer.max_row_bytes)
+        return self._row, encode_effects(effects, self._context.wall_ms(), max_bytes)
 
     async def _read(self) -> bytes | None:
         row = self._row
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -328,7 +328,7 @@
             )
             self.late_starts.add(allocation)
             self.waits.runs.restore(runner, allocation)
-        self._crash_detector.restore(job.suspicion_by_run)
+        self._crash_detector.restore(job.crash_blame.suspicion_by_run)
         self._stop_surplus(job)
 
     def remove_lapsed_unlisted(self) -> None:
@@ -445,7 +445,7 @@
         job = self.job_by_id.get(attempt.task.job)
         if job is None:
             return False
-        suspicion = job.suspicion_by_run.get((attempt.task, attempt.run))
+        suspicion = job.crash_blame.suspicion_by_run.get((attempt.task, attempt.run))
         if suspicion is None or not job.may_be_given_up(attempt.task):
             return False
         return suspicion.until_s - now_s > RETURN_WINDOW_S - SUSPECT_WAIT_S
@@ -535,7 +535,7 @@
         attempt = allocation.attempt
         self.record_start(attempt)
         job = self.job_by_id.get(attempt.task.job)
-        if job is None or not (job.blame_by_task or job.suspicion_by_run):
+        if job is None or not job.crash_blame:
             return
         if allocation.has_survived(SURVIVAL_S):
             job.clear_blame(attempt.task)
@@ -611,7 +611,7 @@
         """Return the ids of runners with attempts of tasks suspected of a crash."""
         found = set()
         for job in self.job_by_id.values():
-            for task_id in job.blame_by_task:
+            for task_id in job.crash_blame.blame_by_task:
                 task = job.find(task_id)
                 if task is None:
                     continue
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -406,7 +406,7 @@
         that the next crash shows which one has caused it. Batch waits for a runner
         without suspects, as those that survive are suspects no more.
         """
-        if step.task_id(index) in step.job.blame_by_task:
+        if step.task_id(index) in step.job.crash_blame.blame_by_task:
             runner = placement.choose(index, self._owner_state.find_suspect_runners())
             if runner is not None:
                 return runner
--- a/flamingoweir/dispatch/_unplaced_steps.py
+++ b/flamingoweir/dispatch/_unplaced_steps.py
@@ -49,7 +49,7 @@
         spec = step.spec
         if spec.gang or spec.max_per_runner or spec.data_rack:
             return
-        if step.job.blame_by_task:
+        if step.job.crash_blame.blame_by_task:
             return
         if any(task.failed_runners for _, task in step.tasks.kept()):
             return
--- a/flamingoweir/jobs/_index_set.py
+++ b/flamingoweir/jobs/_index_set.py
@@ -63,6 +63,13 @@
             return self._ends[position]
         return number
 
+    def count_ranges_with(self, number: int) -> int:
+        """Return the number of ranges once a number is added."""
+        count = len(self._starts)
+        if number in self:
+            return count
+        return count + 1 - (number - 1 in self) - (number + 1 in self)
+
     def add(self, number: int) -> None:
         """Add a number."""
         if number in self:
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -1,10 +1,11 @@
 """State of a job, its steps and its tasks, and the transitions between states."""
 
 import enum
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from ._attempt import Attempt, AttemptState, Outcome, TaskId
+from ._blame import MAX_BLAME, CrashBlame, Suspicion
 from ._index_set import IndexSet
 from ._spec import JobSpec, StepSpec
 from ._task_table import Task, TaskTable
@@ -13,6 +14,8 @@
 #: occurrence has more. An idle one is not done and has no attempt. Others are opened as
 #: these start.
 MAX_IDLE_STEPS = 200
+#: Largest number of ranges of closed occurrences of a job. A range has two numbers.
+MAX_CLOSED_RANGES = 600
 #: Tasks of a step whose durable state shares a row. A task takes about 100 bytes, and
 #: the smallest limit of a row is 64 KB.
 TASKS_PER_ROW = 200
@@ -29,37 +32,6 @@
     CANCELLED = "cancelled"
 
 
-#: Blame for crashed runners from which a task is given up. A crash adds at most half of
-#: it, so that two runners at least have crashed.
-MAX_BLAME = 4
-
-
-@dataclass(frozen=True, slots=True)
-class Suspicion:
-    """A lost runner that a task may have crashed, while nothing shows a crash yet.
-
-    Attributes
-    ----------
-    runner : str
-        Id of the runner.
-    machine : str
-        Its machine, or its address if the machine is not known.
-    incarnation : int
-        Its incarnation. A later one of the machine shows that the runner has crashed.
-    blame : int
-        Blame of the task for the crash.
-    until_s : float
-        Until when a crash counts, in seconds: on the owner's clock in a `Job`, since
-        1970 in a `StateRecord`.
-    """
-
-    runner: str
-    machine: str
-    incarnation: int
-    blame: int
-    until_s: float
-
-
 FINAL_STATES = frozenset({JobState.DONE, JobState.FAILED, JobState.CANCELLED})
 
 
@@ -217,12 +189,9 @@
         Time of acceptance on the owner's clock, in seconds.
     critical_paths_s : list of float
         Estimated seconds of the longest chain that starts at each step.
-    blame_by_task : dict of TaskId to int
-        How much tasks are suspected of crashing the runners that start them; tasks that
-        are not suspected are missing.
-    suspicion_by_run : dict of (TaskId, int) to Suspicion
-        What the next owner has to know of lost runners to blame tasks for their
-        crashes, by task and run.
+    crash_blame : CrashBlame
+        Which tasks may have crashed the runners that started them, and what the next
+        owner has to know of lost runners to blame tasks for their crashes.
     """
 
     def __init__(self, spec: JobSpec):
@@ -240,8 +209,7 @@
         self.attempt_count = 0
         self.accepted_s = 0.0
         self.critical_paths_s = spec.critical_paths_s()
-        self.blame_by_task: dict[TaskId, int] = {}
-        self.suspicion_by_run: dict[tuple[TaskId, int], Suspicion] = {}
+        self.crash_blame = CrashBlame()
         if not spec.scheduled:
             self.open_occurrence(0)
 
@@ -291,22 +259,32 @@
             self.open_occurrence(occurrence)
             allowed -= 1
 
-    def close_finished(self) -> None:
+    def choose_closing(self) -> set[int]:
+        """Return the finished occurrences that can be closed now.
+
+        The others stay open until those between are done, so that the ranges of closed
+        ones have room in a row.
+        """
+        closing = set()
+        closed = None
+        for occurrence in sorted(self.finished_occurrences):
+            closed = closed or IndexSet(self.closed_occurrences.ranges)
+            if closed.count_ranges_with(occurrence) <= MAX_CLOSED_RANGES:
+                closed.add(occurrence)
+                closing.add(occurrence)
+        return closing
+
+    def close(self, occurrences: Collection[int]) -> None:
         """Drop the state of finished occurrences."""
-        if not self.finished_occurrences:
+        if not occurrences:
             return
-        for occurrence in self.finished_occurrences:
+        for occurrence in occurrences:
             self.closed_occurrences.add(occurrence)
             del self._open_by_occurrence[occurrence]
             for step in range(len(self.spec.steps)):
                 del self.run_by_step[occurrence, step]
-        for task_id in list(self.blame_by_task):
-            if task_id.occurrence in self.finished_occurrences:
-                del self.blame_by_task[task_id]
-        for task_id, run in list(self.suspicion_by_run):
-            if task_id.occurrence in self.finished_occurrences:
-                del self.suspicion_by_run[task_id, run]
-        self.finished_occurrences.clear()
+        self.crash_blame.clear_occurrences(occurrences)
+        self.finished_occurrences.difference_update(occurrences)
         self.state_changed = True
 
     def _find_unopened(self) -> int | None:
@@ -486,9 +464,8 @@
         task = self.find(task_id)
         if task is None or task.done or self.is_final:
             return False
-        self.blame_by_task[task_id] = self.blame_by_task.get(task_id, 0) + blame
         self.state_changed = True
-        if self.blame_by_task[task_id] < MAX_BLAME:
+        if self.crash_blame.add(task_id, blame) < MAX_BLAME:
             return False
         self._set_state(JobState.FAILED)
         return True
@@ -498,20 +475,16 @@
         task = self.find(task_id)
         if task is None or task.done or self.is_final:
             return
-        self.suspicion_by_run[task_id, run] = suspicion
+        self.crash_blame.suspect(task_id, run, suspicion)
         self.state_changed = True
 
     def may_be_given_up(self, task_id: TaskId) -> bool:
         """Return whether a task is given up if all its suspicions prove true."""
-        blame = self.blame_by_task.get(task_id, 0)
-        for (suspected, _), suspicion in self.suspicion_by_run.items():
-            if suspected == task_id:
-                blame += suspicion.blame
-        return blame >= MAX_BLAME
+        return self.crash_blame.find_total(task_id) >= MAX_BLAME
 
     def end_suspicion(self, task_id: TaskId, run: int) -> bool:
         """End the suspicion of a run, by a crash or none; return whether it had one."""
-        if self.suspicion_by_run.pop((task_id, run), None) is None:
+        if not self.crash_blame.end_suspicion(task_id, run):
             return False
         self.state_changed = True
         return True
@@ -521,11 +494,8 @@
 
         That also speaks against suspicions of other runs of it.
         """
-        if self.blame_by_task.pop(task_id, None) is not None:
+        if self.crash_blame.clear(task_id):
             self.state_changed = True
-        for suspected, run in list(self.suspicion_by_run):
-            if suspected == task_id:
-                self.end_suspicion(suspected, run)
 
     def discard_attempt(self, attempt: Attempt) -> None:
         """Discard an attempt that did not start and cannot start any more."""
@@ -550,11 +520,11 @@
             self.state = state
         for task_id, blame in blame_by_task.items():
             if self.find(task_id) is not None:
-                self.blame_by_task[task_id] = blame
+                self.crash_blame.set(task_id, blame)
         for (task_id, run), suspicion in suspicion_by_run.items():
             task = self.find(task_id)
             if task is not None and not task.done:
-                self.suspicion_by_run[task_id, run] = suspicion
+                self.crash_blame.suspect(task_id, run, suspicion)
 
     def cancel(self) -> bool:
         """Cancel the job; return whether its state changed."""
--- a/flamingoweir/jobs/_record.py
+++ b/flamingoweir/jobs/_record.py
@@ -1,34 +1,43 @@
 """Encoding of jobs for the store."""
 
+import dataclasses
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import orjson
 import pydantic
 
-from ._attempt import Attempt, TaskId
-from ._job import TASKS_PER_ROW, Job, JobState, StepRun, Suspicion
+from ..storage import DEFAULT_MAX_ROW_BYTES
+from ._attempt import TaskId
+from ._blame import Suspicion
+from ._compression import compress, decompress
+from ._job import JobState
 from ._spec import JobSpec, find_invalid_dependency
-from ._task_table import Task
 
-#: Latest run, whether done, failures, checkpoint and attempts of a task; an attempt has
-#: its run, runner and incarnation.
-_TaskRecord = tuple[int, bool, int, str, list[tuple[int, str, int]]]
 #: Occurrence, step, index, run and blame of a task that may have crashed a runner.
 _SuspectRecord = tuple[int, int, int, int, int]
 #: Id, machine and incarnation of a lost runner, until when its crash counts in
 #: milliseconds since 1970, and the tasks that may have crashed it.
 _LostRecord = tuple[str, str, int, int, list[_SuspectRecord]]
-#: Largest numbers of lost runners and of suspected runs in a state row, the latest
-#: first. The texts of a runner have at most 200 bytes each, so that this is 30 KB.
-MAX_LOST_RUNNERS = 50
-MAX_SUSPECTED_RUNS = 200
+#: Fractions of a row for suspicions, the latest first, and for blame. What is left is
+#: for the rest, above all closed occurrences, which can't be left out.
+SUSPICIONS_SHARE = 0.25
+BLAME_SHARE = 0.25
 _SPEC = pydantic.TypeAdapter(JobSpec)
-_TASKS = pydantic.TypeAdapter(list[_TaskRecord])
 
 
-def encode_spec(spec: JobSpec) -> bytes:
-    """Return the stored form of an accepted job."""
-    return orjson.dumps(spec)
+def encode_spec(spec: JobSpec, max_bytes: int = DEFAULT_MAX_ROW_BYTES) -> bytes:
+    """Return the stored form of an accepted job.
+
+    Parameters
+    ----------
+    spec : JobSpec
+        The job.
+    max_bytes : int
+        Largest size of the row. A longer one is compressed, and may still be longer.
+    """
+    data = orjson.dumps(spec)
+    return data if len(data) <= max_bytes else compress(data)
 
 
 def decode_spec(data: bytes) -> JobSpec:
@@ -39,7 +48,7 @@
     ValueError
         If the data is malformed or no job that can run.
     """
-    spec = _SPEC.validate_json(data, strict=True)
+    spec = _SPEC.validate_json(decompress(data), strict=True)
     if spec.occurrences < 1 or spec.interval_ms < 0:
         raise ValueError("the occurrences of the job have no due times")
     for number, step in enumerate(spec.steps):
@@ -59,7 +68,7 @@
     ValueError
         If the data is malformed.
     """
-    return _CUSTOMER.validate_json(data, strict=True).customer
+    return _CUSTOMER.validate_json(decompress(data), strict=True).customer
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,8 +128,34 @@
 _STATE = pydantic.TypeAdapter(_StoredState)
 
 
-def encode_state(record: StateRecord) -> bytes:
-    """Return the stored form of the state of a job."""
+def fit_state(
+    record: StateRecord, max_bytes: int = DEFAULT_MAX_ROW_BYTES
+) -> StateRecord:
+    """Return a record without what has no room in its row.
+
+    Suspicions and blame have a share of the row each. The earliest suspicions are left
+    out, and the least blame: a task that crashes runners is given up later for that,
+    while a job that is given up without cause is lost.
+
+    Parameters
+    ----------
+    record : StateRecord
+        The state.
+    max_bytes : int
+        Largest size of the row.
+    """
+    return dataclasses.replace(
+        record,
+        blame_by_task=_fit_blame(record.blame_by_task, BLAME_SHARE * max_bytes),
+        suspicion_by_run=_fit_suspicions(
+            record.suspicion_by_run, SUSPICIONS_SHARE * max_bytes
+        ),
+    )
+
+
+def encode_state(record: StateRecord, max_bytes: int = DEFAULT_MAX_ROW_BYTES) -> bytes:
+    """Return the stored form of the state of a job; see `fit_state`."""
+    record = fit_state(record, max_bytes)
     # Builds that don't know a field ignore it.
     fields = {"state": record.state, "ended_ms": record.ended_ms}
     if record.set_aside:
@@ -163,110 +198,60 @@
     )
 
 
-def _encode_suspicions(
-    suspicion_by_run: dict[tuple[TaskId, int], Suspicion],
-) -> list[_LostRecord]:
-    """Return the stored form of suspicions, by runner; the latest if there are many."""
+def _fit_blame(
+    blame_by_task: Mapping[TaskId, int], max_bytes: float
+) -> dict[TaskId, int]:
+    """Return the most blame that has room."""
+    kept = {}
+    left_bytes = max_bytes
+    for task in sorted(blame_by_task, key=blame_by_task.get, reverse=True):
+        left_bytes -= len(orjson.dumps({str(task): blame_by_task[task]}))
+        if left_bytes < 0:
+            break
+        kept[task] = blame_by_task[task]
+    return kept
+
+
+def _fit_suspicions(
+    suspicion_by_run: Mapping[tuple[TaskId, int], Suspicion], max_bytes: float
+) -> dict[tuple[TaskId, int], Suspicion]:
+    """Return the latest suspicions that have room."""
     latest = sorted(
         suspicion_by_run.items(), key=lambda item: item[1].until_s, reverse=True
     )
+    kept = {}
+    runners = set()
+    left_bytes = max_bytes
+    for (task, run), suspicion in latest:
+        runner = _list_runner_fields(suspicion)
+        left_bytes -= len(orjson.dumps(_list_suspect_fields(task, run, suspicion))) + 1
+        if runner not in runners:
+            runners.add(runner)
+            left_bytes -= len(orjson.dumps((*runner, ()))) + 1
+        if left_bytes < 0:
+            break
+        kept[task, run] = suspicion
+    return kept
+
+
+def _encode_suspicions(
+    suspicion_by_run: Mapping[tuple[TaskId, int], Suspicion],
+) -> list[_LostRecord]:
+    """Return the stored form of suspicions, by runner."""
     suspects_by_runner: dict[tuple, list[_SuspectRecord]] = {}
-    for (task, run), suspicion in latest[:MAX_SUSPECTED_RUNS]:
-        until_ms = round(1000 * suspicion.until_s)
-        runner = suspicion.runner, suspicion.machine, suspicion.incarnation, until_ms
+    for (task, run), suspicion in suspicion_by_run.items():
+        runner = _list_runner_fields(suspicion)
         suspects = suspects_by_runner.setdefault(runner, [])
-        suspects.append((task.occurrence, task.step, task.index, run, suspicion.blame))
-    records = []
-    for runner, suspects in list(suspects_by_runner.items())[:MAX_LOST_RUNNERS]:
-        records.append((*runner, suspects))
-    return records
+        suspects.append(_list_suspect_fields(task, run, suspicion))
+    return [(*runner, suspects) for runner, suspects in suspects_by_runner.items()]
 
 
-def row_key(job: str, row: tuple[int, int, int]) -> str:
-    """Return the key of a row of tasks.
+def _list_runner_fields(suspicion: Suspicion) -> tuple[str, str, int, int]:
+    until_ms = round(1000 * suspicion.until_s)
+    return suspicion.runner, suspicion.machine, suspicion.incarnation, until_ms
 
-    Parameters
-    ----------
-    job : str
-        Id of the job.
-    row : tuple of (int, int, int)
-        Numbers of the occurrence, the step and the row, from 0.
-    """
-    occurrence, step, row_number = row
-    return f"{job}.{occurrence}.{step}.{row_number}"
-
-
-def encode_tasks(job: Job, row: tuple[int, int, int]) -> bytes:
-    """Return the stored form of the tasks in a row."""
-    occurrence, step, row_number = row
-    step_run = job.run_by_step[occurrence, step]
-    first = row_number * TASKS_PER_ROW
-    records = []
-    for index in range(first, min(first + TASKS_PER_ROW, len(step_run.tasks))):
-        task = step_run.tasks.view(index)
-        attempts = [
-            [a.run, a.runner, a.incarnation] for a in task.attempt_by_run.values()
-        ]
-        records.append(
-            [task.last_run, task.done, task.failures, task.checkpoint, attempts]
-        )
-    return orjson.dumps(records)
-
-
-def restore_tasks(job: Job, row: tuple[int, int, int], data: bytes) -> None:
-    """Restore the tasks that `encode_tasks` encoded.
 
-    Raises
-    ------
-    ValueError
-        If the data is malformed or the job has no such tasks.
-    """
-    occurrence, step, row_number = row
-    records = _TASKS.validate_json(data, strict=True)
-    first = row_number * TASKS_PER_ROW
-    spec = job.spec
-    if not 0 <= occurrence < spec.occurrences or not 0 <= step < len(spec.steps):
-        raise ValueError(f"the job has no step {step} in occurrence {occurrence}")
-    if first < 0 or first + len(records) > spec.steps[step].count:
-        raise ValueError(f"the step has no {len(records)} tasks from index {first}")
-    job.open_occurrence(occurrence)
-    step_run = job.run_by_step[occurrence, step]
-    for offset, record in enumerate(records):
-        _restore_task(job, step_run, first + offset, record)
-    job.restore_step(step_run)
-
-
-def decode_attempts(
-    job_id: str, row: tuple[int, int, int], data: bytes
-) -> list[Attempt]:
-    """Return the attempts in a row of tasks, without restoring the tasks.
-
-    Raises
-    ------
-    ValueError
-        If the data is malformed.
-    """
-    occurrence, step, row_number = row
-    attempts = []
-    for offset, record in enumerate(_TASKS.validate_json(data, strict=True)):
-        task = TaskId(job_id, occurrence, step, row_number * TASKS_PER_ROW + offset)
-        for run_number, runner, incarnation in record[-1]:
-            attempts.append(Attempt(task, run_number, runner, incarnation))
-    return attempts
-
-
-def _restore_task(job: Job, step_run: StepRun, index: int, record: _TaskRecord) -> None:
-    last_run, done, failures, checkpoint, attempts = record
-    if done:
-        step_run.open_indexes.discard(index)
-    task = Task(last_run, failures, checkpoint, done)
-    step_run.tasks.restore(index, task)
-    for run_number, runner, incarnation in attempts:
-        job.restore_attempt(step_run, index, run_number, runner, incarnation)
-        step_run.open_indexes.discard(index)
-    if (done or failures or checkpoint) and job.state is JobState.PENDING:
-        job.state = JobState.RUNNING
-    exhausted = failures >= job.spec.policy.max_attempts and not step_run.spec.lasting
-    if exhausted and not done and not job.is_final:
-        job.state = JobState.FAILED
-        job.state_changed = True
+def _list_suspect_fields(
+    task: TaskId, run: int, suspicion: Suspicion
+) -> _SuspectRecord:
+    return task.occurrence, task.step, task.index, run, suspicion.blame
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -134,6 +134,61 @@
     return orjson.dumps(fields)
 
 
+def fit_owner_record(
+    record: OwnerRecord, max_bytes: int
+) -> tuple[bytes, tuple[str, ...]]:
+    """Return an encoded record that has room in a row, and the fields left out.
+
+    Without a field, the next owner errs to the safe side: it waits longer, or answers
+    no counts until it has read the shard.
+
+    Parameters
+    ----------
+    record : OwnerRecord
+        The record.
+    max_bytes : int
+        Largest size of the row.
+    """
+    value = encode_owner_record(record)
+    left_out = []
+    for name, shorten in SHORTENED_FIELDS:
+        if len(value) <= max_bytes:
+            break
+        record = dataclasses.replace(record, **shorten(record))
+        left_out.append(name)
+        value = encode_owner_record(record)
+    return value, tuple(left_out)
+
+
+def _shorten_leases(record: OwnerRecord) -> dict:
+    """Return fields by which all leases end as late as the latest."""
+    ends = record.leases_end_in_s_by_runner.values()
+    end_in_s = max([record.leases_end_in_s, *ends])
+    return {"leases_end_in_s": end_in_s, "leases_end_in_s_by_runner": {}}
+
+
+def _shorten_unanswered(record: OwnerRecord) -> dict:
+    """Return a field by which orders may arrive at any runner until the latest end."""
+    ends = record.unanswered_starts_end_in_s_by_runner.values()
+    return {"unanswered_starts_end_in_s_by_runner": {"": max(ends, default=0.0)}}
+
+
+#: Fields that have no room in a full row, in the order in which they are left out, and
+#: what stands in their place.
+SHORTENED_FIELDS = (
+    ("waits", lambda record: {"waits": Waits()}),
+    ("late_run_hashes", lambda record: {"late_run_hashes": None}),
+    ("missing_s_by_runner", lambda record: {"missing_s_by_runner": {}}),
+    ("unanswered_starts_end_in_s_by_runner", _shorten_unanswered),
+    (
+        "late_starts_end_in_s_by_runner",
+        lambda record: {"late_starts_end_in_s_by_runner": None},
+    ),
+    ("leases_end_in_s_by_runner", _shorten_leases),
+    ("backlog", lambda record: {"backlog": None}),
+)
+
+
 def _to_fields(record: OwnerRecord | Backlog) -> dict:
     return {f.name: getattr(record, f.name) for f in dataclasses.fields(record)}
 
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -23,7 +23,7 @@
     Backlog,
     OwnerRecord,
     decode_owner_record,
-    encode_owner_record,
+    fit_owner_record,
 )
 from ._rows import owner_row
 from ._store_clock import StoreClock
@@ -200,6 +200,8 @@
         self._grants_in_store = False
         #: When the last lease ends that was granted, on the owner's clock.
         self._granted_until_s = float("-inf")
+        #: Fields that the latest owner row has no room for.
+        self._left_out: tuple[str, ...] = ()
         #: For how long leases are valid by `leases_end_in_s_by_runner` of the latest
         #: confirmed write.
         self._named_in_store: dict[str, float] = {}
@@ -251,6 +253,11 @@
             return False
         return abs(store_s - record.written_s) < MAX_HANDOVER_S
 
+    @property
+    def max_row_bytes(self) -> int:
+        """Largest size of a row's value, in bytes."""
+        return self._store.max_row_bytes
+
     @property
     def latest_fence(self) -> int:
         """Fencing token of the latest confirmed write.
@@ -366,7 +373,7 @@
                 max_job_bytes=self.find_max_job_bytes(),
                 waits=self.list_waits(),
             )
-            own = (self._owner_row, encode_owner_record(record))
+            own = (self._owner_row, self._encode_own(record))
             transaction = Transaction(
                 [(self._owner_row, self._version)], [own, *puts], deletes
             )
@@ -395,6 +402,17 @@
             )
             return
 
+    def _encode_own(self, record: OwnerRecord) -> bytes:
+        """Return the value of the owner row; log when it begins to lack something."""
+        value, left_out = fit_owner_record(record, self.max_row_bytes)
+        if left_out != self._left_out:
+            self._left_out = left_out
+            log.warning(
+                "owner_row_shortened", shard=self.shard, left_out=",".join(left_out)
+            )
+            self._metrics.incr("owner_rows_shortened")
+        return value
+
     def _leases_end_in_s(self, now_s: float, grants_leases: bool) -> float:
         """Return `OwnerRecord.leases_end_in_s` of a write that is sent now.
 
--- a/flamingoweir/platform/_links.py
+++ b/flamingoweir/platform/_links.py
@@ -21,8 +21,8 @@
         Objects that open their connections on first use.
     """
     return PlatformLinks(
-        PlatformStore(settings.store_address),
-        PlatformStore(settings.store_address),
+        PlatformStore(settings.store_address, settings.max_row_bytes),
+        PlatformStore(settings.store_address, settings.max_row_bytes),
         PlatformRowDecoder(),
         OPERATOR_TABLE,
         RUNNER_TABLE,
--- a/flamingoweir/platform/_settings.py
+++ b/flamingoweir/platform/_settings.py
@@ -6,6 +6,7 @@
 from pydantic import Field
 
 from ..settings import FleetSettings, SettingsError
+from ..storage import DEFAULT_MAX_ROW_BYTES
 from ._model import WireModel
 
 #: Environment variable that holds the path of the settings file.
@@ -54,9 +55,12 @@
 
 
 class StoreMessage(WireModel):
-    """Address of the platform's store, as ``host:port``."""
+    """The platform's store."""
 
+    #: Address, as ``host:port``.
     address: str
+    #: Largest size of a row's value.
+    row_bytes: int = DEFAULT_MAX_ROW_BYTES
 
 
 class SettingsMessage(WireModel):
@@ -129,4 +133,5 @@
         customers=CUSTOMERS_POLICY in message.policies,
         revoke_s=revoke_s,
         config_apply_s=bounds.config_apply_ms / 1000,
+        max_row_bytes=message.platform.row_bytes,
     )
--- a/flamingoweir/platform/_store.py
+++ b/flamingoweir/platform/_store.py
@@ -12,6 +12,7 @@
 
 from ..logs import get_logger
 from ..storage import (
+    DEFAULT_MAX_ROW_BYTES,
     HistoryTruncated,
     RowId,
     RowPage,
@@ -83,9 +84,12 @@
     ----------
     address : str
         IP address and port of the store, as ``host:port``.
+    max_row_bytes : int
+        Largest size of a row's value, in bytes.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, max_row_bytes: int = DEFAULT_MAX_ROW_BYTES):
+        self.max_row_bytes = max_row_bytes
         self._client = HttpClient(address, MAX_CONNECTIONS, CALL_TIMEOUT_S)
         self._address = address
         self._feed_client_by_table: dict[str, HttpClient] = {}
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -110,6 +110,7 @@
             operators, lambda: float("-inf"), clock, metrics
         )
         self._max_job_bytes = max_job_bytes
+        self._max_row_bytes = store.max_row_bytes
         self.store_monitor = StoreMonitor(
             store, job_row(shard_name(0), PROBE_JOB_ID), clock, generator, metrics
         )
@@ -234,7 +235,14 @@
         """Store a valid job, or refuse it; see `submit`."""
         until_s = self._clock.now() + timeout_s
         spec, limit = self._customer_gate.check(spec)
-        value = _encode_exactly(spec)
+        value = _encode_exactly(spec, self._max_row_bytes)
+        if len(value) > self._max_row_bytes:
+            self._metrics.incr("jobs_refused_size")
+            raise FlamingoweirError(
+                ErrorCode.BODY_TOO_LARGE,
+                f"job {spec.id} takes {len(value)} bytes in the store when compressed; "
+                f"at most {self._max_row_bytes} fit; shorten it, or submit it in parts",
+            )
         with self._pending.hold(value):
             await self._store_encoded(spec, value, limit, until_s)
 
@@ -450,7 +458,7 @@
             )
 
 
-def _encode_exactly(spec: JobSpec) -> bytes:
+def _encode_exactly(spec: JobSpec, max_bytes: int) -> bytes:
     """Return the stored form of a job, from which an owner reads the same job.
 
     Raises
@@ -461,7 +469,7 @@
     """
     value, stored = b"", None
     with contextlib.suppress(TypeError, ValueError):
-        value = encode_spec(spec)
+        value = encode_spec(spec, max_bytes)
         stored = decode_spec(value)
     if stored != spec:
         raise FlamingoweirError(
--- a/flamingoweir/settings/_fleet.py
+++ b/flamingoweir/settings/_fleet.py
@@ -44,6 +44,8 @@
     config_apply_s : float
         Seconds after the confirmation of a configuration within which an instance that
         can reach the store must apply it.
+    max_row_bytes : int
+        Largest size of a row in the platform's store, in bytes.
     """
 
     name: str
@@ -62,3 +64,4 @@
     customers: bool = False
     revoke_s: float | None = None
     config_apply_s: float = 3.0
+    max_row_bytes: int = 65_536
--- a/flamingoweir/standins/_rows.py
+++ b/flamingoweir/standins/_rows.py
@@ -3,6 +3,7 @@
 import anyio
 
 from ..storage import (
+    DEFAULT_MAX_ROW_BYTES,
     HistoryTruncated,
     RowId,
     RowPage,
@@ -25,6 +26,8 @@
     ----------
     row_by_id : dict of RowId to VersionedRow
         All rows that exist.
+    max_row_bytes : int
+        Largest size of a row's value, in bytes.
     version : int
         Version of the latest transaction; 0 before the first.
     feeds_withheld : bool
@@ -36,6 +39,7 @@
 
     def __init__(self) -> None:
         self.row_by_id: dict[RowId, VersionedRow] = {}
+        self.max_row_bytes = DEFAULT_MAX_ROW_BYTES
         self.version = 0
         self.feeds_withheld = False
         self._history: list[VersionedRow] = []
@@ -168,9 +172,17 @@
         self.longest_wait_s = float("inf")
         self._delayed_transactions: list[tuple[float, Transaction]] = []
 
+    @property
+    def max_row_bytes(self) -> int:
+        """See `RowStore.max_row_bytes`."""
+        return self.rows.max_row_bytes
+
     async def transact(self, transaction: Transaction) -> int:
         """See `RowStore.transact`."""
         await self._simulate_call()
+        for row, value in transaction.puts:
+            if len(value) > self.max_row_bytes:
+                raise StoreRefused(f"row {row} has {len(value)} bytes")
         if self.lose_answers:
             self.lose_answers -= 1
             if self.delivery_delay_s:
--- a/flamingoweir/storage/__init__.py
+++ b/flamingoweir/storage/__init__.py
@@ -16,6 +16,7 @@
     Write,
 )
 from ._rows import (
+    DEFAULT_MAX_ROW_BYTES,
     HistoryTruncated,
     RowId,
     RowPage,
@@ -30,6 +31,7 @@
 
 __all__ = [
     "ABSENT_VERSION",
+    "DEFAULT_MAX_ROW_BYTES",
     "HistoryTruncated",
     "HttpInstanceList",
     "HttpObjectStore",
--- a/flamingoweir/storage/_rows.py
+++ b/flamingoweir/storage/_rows.py
@@ -6,6 +6,9 @@
 
 import anyio
 
+#: Largest size of a row's value, in bytes, unless the store's settings say otherwise.
+DEFAULT_MAX_ROW_BYTES = 65_536
+
 
 class StoreRefused(Exception):
     """The store did not execute a call; the call may be repeated.
@@ -133,7 +136,16 @@
 
 
 class RowStore(Protocol):
-    """A store of rows; every method may raise StoreRefused or StoreOutcomeUnknown."""
+    """A store of rows; every method may raise StoreRefused or StoreOutcomeUnknown.
+
+    Attributes
+    ----------
+    max_row_bytes : int
+        Largest size of a row's value, in bytes. The store refuses a transaction with a
+        larger one.
+    """
+
+    max_row_bytes: int
 
     async def transact(self, transaction: Transaction) -> int:
         """Apply a transaction and return its version; raises RowVersionConflict."""
