--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -20,15 +20,17 @@
 )
 from ..logs import get_logger
 from ..ownership import (
+    EFFECT_TABLE,
     LEASE_VALID_S,
     SHORT_LEASE_VALID_S,
     Backlog,
+    find_job_of_row,
     longest_lease_s,
     state_row,
     tasks_row,
 )
 from ..registry import TableFollower
-from ..storage import RowId
+from ..storage import RowId, StoreRejected
 from ._context import TermContext
 from ._effect_store import EffectStore
 from ._missing_runners import ENTRY_BYTES
@@ -138,13 +140,38 @@
             await self._owner_state.write_wakeup.wait(RENEW_INTERVAL_S)
             batch = self._collect()
             confirmed_s = self._writer.confirmed_s
-            await self._writer.commit(batch.puts, batch.deletes)
+            rejected = await self._writer.commit(batch.puts, batch.deletes)
             was_away = self._writer.confirmed_s - confirmed_s > FULL_LEASES_S
             if was_away or self._owner_state.renewal_awaits_write:
                 self._owner_state.renewal_awaits_write = False
                 self._orders.renew_leases()
+            self._set_aside_rejected(batch, rejected)
             self._apply_committed(batch)
 
+    def _set_aside_rejected(self, batch: _Batch, rejected: list[RowId]) -> None:
+        """Set aside the jobs whose rows the store rejects; others go on.
+
+        Ends of their tasks aren't durable. None is acknowledged before the next write,
+        which has the record that nothing of these jobs may run any more.
+        """
+        if not rejected:
+            return
+        batch.received_ends.clear()
+        rejected_ids = set()
+        for row in rejected:
+            log.error("row_rejected", table=row.table, part=row.part, key=row.key)
+            self._context.metrics.incr("rows_rejected")
+            if row.table == EFFECT_TABLE:
+                self._effect_store.record_rejected()
+            rejected_ids.add(find_job_of_row(row))
+        batch.ended_jobs = [job for job in batch.ended_jobs if job not in rejected_ids]
+        for job_id in rejected_ids:
+            job = self._owner_state.job_by_id.get(job_id)
+            if job is not None:
+                error = StoreRejected("the store takes no row of the job")
+                self._owner_state.set_aside_job(job, "job_row_rejected", error)
+        self._owner_state.write_wakeup.set()
+
     async def _wait_for_responses(self) -> None:
         """Wait a moment until runners with attempts have responded to this owner.
 
--- a/flamingoweir/dispatch/_effect_store.py
+++ b/flamingoweir/dispatch/_effect_store.py
@@ -131,6 +131,10 @@
         max_bytes = min(MAX_ROW_BYTES, self._context.writer.max_row_bytes)
         return self._row, encode_effects(effects, self._context.wall_ms(), max_bytes)
 
+    def record_rejected(self) -> None:
+        """Record that the store rejects the row; this owner writes it no more."""
+        self._may_write = False
+
     async def _read(self) -> bytes | None:
         row = self._row
         while True:
--- a/flamingoweir/errors.py
+++ b/flamingoweir/errors.py
@@ -97,6 +97,15 @@
         return HTTP_STATUS_BY_CODE[self.code]
 
 
+def store_rejected_error() -> FlamingoweirError:
+    """Return the error for a call that the store refuses for what it contains."""
+    return FlamingoweirError(
+        ErrorCode.BAD_REQUEST,
+        "the store does not take this; nothing was stored, and the same will not be "
+        "taken later either",
+    )
+
+
 def store_unavailable_error() -> FlamingoweirError:
     """Return the error for a change that did not reach the store."""
     return FlamingoweirError(
--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -11,12 +11,14 @@
 )
 from ._rows import (
     CANCEL_SUFFIX,
+    EFFECT_TABLE,
     JOB_TABLE,
     OWNER_TABLE,
     STATE_TABLE,
     TASK_TABLE,
     cancel_row,
     effect_row,
+    find_job_of_row,
     job_parts,
     job_row,
     owner_row,
@@ -38,6 +40,7 @@
 
 __all__ = [
     "CANCEL_SUFFIX",
+    "EFFECT_TABLE",
     "HASH_LENGTH",
     "JOB_TABLE",
     "LEASE_VALID_S",
@@ -65,6 +68,7 @@
     "encode_owner_record",
     "encode_run_hashes",
     "encoded_bytes",
+    "find_job_of_row",
     "hash_run",
     "job_parts",
     "job_row",
--- a/flamingoweir/ownership/_rows.py
+++ b/flamingoweir/ownership/_rows.py
@@ -63,6 +63,15 @@
     return RowId(TASK_TABLE, shard, row_key(job, row))
 
 
+def find_job_of_row(row: RowId) -> str | None:
+    """Return the id of the job that a row of the owner's describes, or None."""
+    if row.table == STATE_TABLE:
+        return row.key
+    if row.table == TASK_TABLE:
+        return row.key.rsplit(".", 3)[0]
+    return None
+
+
 def owner_row(shard: str) -> RowId:
     """Return the id of the row that names the owner of a shard."""
     return RowId(OWNER_TABLE, shard, OWNER_KEY)
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -14,6 +14,7 @@
     RowVersionConflict,
     StoreOutcomeUnknown,
     StoreRefused,
+    StoreRejected,
     Transaction,
     VersionedRow,
 )
@@ -95,6 +96,12 @@
     """Return no backlog, as long as the owner has not read the shard."""
 
 
+def _halve(rows: list) -> list[list]:
+    """Return the halves of a list that are not empty."""
+    middle = len(rows) // 2
+    return [half for half in (rows[:middle], rows[middle:]) if half]
+
+
 class FencedWriter:
     """Writes rows of a shard as its owner.
 
@@ -303,9 +310,12 @@
 
     async def commit(
         self, puts: Sequence[tuple[RowId, bytes]], deletes: Sequence[RowId]
-    ) -> None:
+    ) -> list[RowId]:
         """Write and delete rows, in as many transactions as needed.
 
+        A row that the store refuses for good keeps none of the others from being
+        written.
+
         Parameters
         ----------
         puts : sequence of (RowId, bytes)
@@ -313,27 +323,73 @@
         deletes : sequence of RowId
             Rows to delete, in the transaction of the last put or after it.
 
+        Returns
+        -------
+        list of RowId
+            Rows that were not written or deleted, as the store refuses that for good.
+
         Raises
         ------
         OwnershipLost
             If the ownership is lost or can't be confirmed.
         """
+        rejected: list[RowId] = []
         batch: list[tuple[RowId, bytes]] = []
         size = 0
         for row, value in puts:
             if len(batch) + 2 >= MAX_ENTRIES or size + len(value) > MAX_BYTES:
-                await self._write(batch, ())
+                rejected += await self._write_or_isolate(batch, [])
                 batch, size = [], 0
             batch.append((row, value))
             size += len(value)
         remaining_deletes = list(deletes)
         while True:
             max_deletes = MAX_ENTRIES - 2 - len(batch)
-            await self._write(batch, remaining_deletes[:max_deletes])
+            rejected += await self._write_or_isolate(
+                batch, remaining_deletes[:max_deletes]
+            )
             remaining_deletes = remaining_deletes[max_deletes:]
             batch = []
             if not remaining_deletes:
-                return
+                return rejected
+
+    async def _write_or_isolate(
+        self, puts: list[tuple[RowId, bytes]], deletes: list[RowId]
+    ) -> list[RowId]:
+        """Write a transaction; if the store rejects it, write what it accepts of it.
+
+        Returns
+        -------
+        list of RowId
+            The rows for which the store rejects a transaction of their own, though it
+            accepts one of the owner row alone.
+        """
+        try:
+            await self._write(puts, deletes)
+            return []
+        except StoreRejected as error:
+            log.warning(
+                "transaction_rejected",
+                shard=self.shard,
+                puts=len(puts),
+                deletes=len(deletes),
+                detail=str(error),
+            )
+        if len(puts) + len(deletes) > 1:
+            rejected = []
+            # Rows are deleted after the others are written.
+            for half in _halve(puts):
+                rejected += await self._write_or_isolate(half, [])
+            for half in _halve(deletes):
+                rejected += await self._write_or_isolate([], half)
+            return rejected
+        # A store that rejects all calls says nothing about this row.
+        await self._write((), ())
+        try:
+            await self._write(puts, deletes)
+            return []
+        except StoreRejected:
+            return [*(row for row, _ in puts), *deletes]
 
     async def release(self) -> None:
         """Release the shard, so that another instance takes it at once."""
@@ -388,6 +444,9 @@
                 # It is unknown which of the calls was applied; count from the first.
                 sent_s = first_sent_s
             except (StoreRefused, StoreOutcomeUnknown) as error:
+                if isinstance(error, StoreRejected) and (puts or deletes):
+                    self._metrics.incr("journal_rejections")
+                    raise
                 self._metrics.incr("journal_retries")
                 self._check_timeout(first_sent_s, error)
                 await anyio.sleep(RETRY_PAUSE_S)
--- a/flamingoweir/platform/_store.py
+++ b/flamingoweir/platform/_store.py
@@ -19,6 +19,7 @@
     RowVersionConflict,
     StoreOutcomeUnknown,
     StoreRefused,
+    StoreRejected,
     Transaction,
     VersionedRow,
 )
@@ -46,6 +47,8 @@
 MAX_RATE_LIMIT_PAUSE_S = 0.1
 
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
+#: Status of a call that the store could not read in time.
+REQUEST_TIMEOUT = 408
 
 
 class RowMessage(WireModel):
@@ -77,8 +80,9 @@
 class PlatformStore:
     """Client of the platform's row store; implements `RowStore`.
 
-    Every call raises `StoreRefused` if the store did not carry out the call, and
-    `StoreOutcomeUnknown` if the store may have carried it out.
+    Every call raises `StoreRefused` if the store did not carry out the call,
+    `StoreRejected` if it never will, and `StoreOutcomeUnknown` if it may have carried
+    it out.
 
     Parameters
     ----------
@@ -217,7 +221,10 @@
     if response.status in (200, 410, 412):
         return response
     # The body may contain rows, and a row of the operators' table contains keys.
-    raise StoreRefused(
+    error_type = StoreRefused
+    if 400 <= response.status < 500 and response.status != REQUEST_TIMEOUT:
+        error_type = StoreRejected
+    raise error_type(
         f"the store responded with unexpected status {response.status} and "
         f"{len(response.body)} bytes"
     )
--- a/flamingoweir/queues/_store_calls.py
+++ b/flamingoweir/queues/_store_calls.py
@@ -5,7 +5,11 @@
 import anyio
 
 from ..clock import Clock
-from ..errors import outcome_unknown_error, store_unavailable_error
+from ..errors import (
+    outcome_unknown_error,
+    store_rejected_error,
+    store_unavailable_error,
+)
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..storage import (
@@ -13,6 +17,7 @@
     RowStore,
     StoreOutcomeUnknown,
     StoreRefused,
+    StoreRejected,
     Transaction,
     VersionedRow,
 )
@@ -84,6 +89,12 @@
                 outcome_unknown = True
                 self._metrics.incr("store_silent")
                 detail = str(error)
+            except StoreRejected as error:
+                self._metrics.incr("store_rejected")
+                log.error("store_rejected_call", detail=str(error))
+                if outcome_unknown:
+                    raise outcome_unknown_error() from error
+                raise store_rejected_error() from error
             except StoreRefused as error:
                 self._metrics.incr("store_refused")
                 detail = str(error)
--- a/flamingoweir/queues/_store_monitor.py
+++ b/flamingoweir/queues/_store_monitor.py
@@ -20,6 +20,7 @@
     RowVersionConflict,
     StoreOutcomeUnknown,
     StoreRefused,
+    StoreRejected,
 )
 from ..wakeup import Wakeup
 
@@ -143,8 +144,8 @@
             self._record_response(call)
             raise
         except StoreRefused as error:
-            # A refusal by the rate limit is a response of a store in service.
-            if error.overloaded:
+            # So says a store in service: beyond the rate limit, or not acceptable.
+            if error.overloaded or isinstance(error, StoreRejected):
                 self._record_response(call)
             else:
                 self._availability.record_failure(call)
--- a/flamingoweir/standins/_rows.py
+++ b/flamingoweir/standins/_rows.py
@@ -11,6 +11,7 @@
     RowVersionConflict,
     StoreOutcomeUnknown,
     StoreRefused,
+    StoreRejected,
     Transaction,
     VersionedRow,
 )
@@ -28,6 +29,8 @@
         All rows that exist.
     max_row_bytes : int
         Largest size of a row's value, in bytes.
+    rejected_rows : set of RowId
+        Rows that can't be written, whatever their value.
     version : int
         Version of the latest transaction; 0 before the first.
     feeds_withheld : bool
@@ -40,6 +43,7 @@
     def __init__(self) -> None:
         self.row_by_id: dict[RowId, VersionedRow] = {}
         self.max_row_bytes = DEFAULT_MAX_ROW_BYTES
+        self.rejected_rows: set[RowId] = set()
         self.version = 0
         self.feeds_withheld = False
         self._history: list[VersionedRow] = []
@@ -182,7 +186,9 @@
         await self._simulate_call()
         for row, value in transaction.puts:
             if len(value) > self.max_row_bytes:
-                raise StoreRefused(f"row {row} has {len(value)} bytes")
+                raise StoreRejected(f"row {row} has {len(value)} bytes")
+            if row in self.rows.rejected_rows:
+                raise StoreRejected(f"row {row} is rejected")
         if self.lose_answers:
             self.lose_answers -= 1
             if self.delivery_delay_s:
--- a/flamingoweir/storage/_rows.py
+++ b/flamingoweir/storage/_rows.py
@@ -26,6 +26,10 @@
         self.overloaded = overloaded
 
 
+class StoreRejected(StoreRefused):
+    """The store refuses a call for what it contains; repeating it changes nothing."""
+
+
 class StoreOutcomeUnknown(Exception):
     """A call was sent, but got no response; it may take effect, even seconds later."""
 
@@ -138,6 +142,8 @@
 class RowStore(Protocol):
     """A store of rows; every method may raise StoreRefused or StoreOutcomeUnknown.
 
+    `StoreRejected` is a kind of StoreRefused.
+
     Attributes
     ----------
     max_row_bytes : int
