--- a/flamingoweir/dispatch/_start_orders.py
+++ b/flamingoweir/dispatch/_start_orders.py
@@ -22,7 +22,7 @@
 #: Seconds between checks whether a write has given the owner a higher token.
 TOKEN_CHECK_INTERVAL_S = 0.005
 #: Seconds between checks whether ends have been acknowledged.
-DEFERRAL_CHECK_INTERVAL_S = 0.01
+DEFERRAL_CHECK_INTERVAL_S = 0.005
 
 
 class StartOrders:
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -132,11 +132,13 @@
     def _withholds_ends(self) -> bool:
         """Return whether the next poll can't acknowledge all ends yet."""
         runner = self._runner
+        now_s = self._clock.now()
+        must_withhold = runner.responds and not runner.may_acknowledge(now_s)
+        if must_withhold and runner.ends.choose():
+            runner.record_withheld(now_s)
         if runner.ends.durable < runner.ends.received:
             return True
-        if runner.ends.is_acknowledged or not runner.responds:
-            return False
-        return not runner.may_acknowledge(self._clock.now())
+        return must_withhold and not runner.ends.is_acknowledged
 
     async def _raise_fence(self) -> None:
         """Wait until the next poll can fence calls to a former incarnation.
@@ -203,7 +205,6 @@
         if not acknowledged or not runner.responds:
             return 0
         if not runner.may_acknowledge(now_s):
-            runner.record_withheld(now_s)
             return 0
         runner.ends.record_sent()
         runner.call_fence.record_acknowledging()
--- a/flamingoweir/fleet/_end_cursor.py
+++ b/flamingoweir/fleet/_end_cursor.py
@@ -2,10 +2,13 @@
 
 #: Largest number of ends that are kept from being acknowledged. A report lists 500.
 MAX_WITHHELD_ENDS = 250
-#: Seconds for which ends may be withheld before start orders wait for them.
+#: Longest time in seconds for which start orders wait as soon as ends are withheld. The
+#: orders under way usually get their responses within it.
+TURN_S = 0.05
+#: Seconds after which they wait once more, for slow responses.
 WITHHELD_S = 1.0
-#: Longest time in seconds for which start orders then wait.
-TURN_S = 0.25
+#: Longest time in seconds for which they then wait.
+LONG_TURN_S = 0.25
 
 
 class EndCursor:
@@ -29,7 +32,8 @@
         self.received = 0
         self.durable = 0
         self.acknowledged = 0
-        #: Since when ends are withheld, or when their latest turn ended; None: none is.
+        #: Since when ends are withheld, or when their latest long turn ended; None:
+        #: none is.
         self._withheld_since_s: float | None = None
 
     @property
@@ -52,7 +56,7 @@
             Time on the owner's clock, in seconds.
         """
         since_s = self._withheld_since_s
-        if since_s is None or now_s >= since_s + WITHHELD_S + TURN_S:
+        if since_s is None or now_s >= since_s + WITHHELD_S + LONG_TURN_S:
             self._withheld_since_s = now_s
 
     def record_sent(self) -> None:
@@ -73,7 +77,8 @@
         if self._withheld_since_s is None:
             return False
         waited_s = now_s - self._withheld_since_s
-        return WITHHELD_S <= waited_s < WITHHELD_S + TURN_S
+        has_long_turn = WITHHELD_S <= waited_s < WITHHELD_S + LONG_TURN_S
+        return waited_s < TURN_S or has_long_turn
 
     def record_durable(self, number: int) -> None:
         """Record that the ends up to a number are durable."""
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -414,7 +414,10 @@
         now_s : float
             Time on the owner's clock, in seconds.
         """
-        return self.ends.are_many_withheld or self.ends.have_turn(now_s)
+        if self.ends.are_many_withheld:
+            return True
+        is_lost = now_s < self.unanswered_starts.lost_until_s
+        return not is_lost and self.ends.have_turn(now_s)
 
     def must_refuse_start(self, now_s: float) -> bool:
         """Return whether a start order would wait for long until ends are acknowledged.
