--- a/benchmarks/polls.py
+++ b/benchmarks/polls.py
@@ -34,6 +34,15 @@
 END_SHARE = 0.4
 
 
+def run_at_once(coroutine) -> None:
+    """Run a coroutine that has nothing to wait for: on this clock no slice is over."""
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+    raise RuntimeError("the coroutine waits")
+
+
 class _SteppedClock(Clock):
     def __init__(self) -> None:
         self.now_s = 1000.0
@@ -168,7 +177,7 @@
                 runner = watch._runner
                 report = self._report(runner)
                 started_s = time.process_time()
-                watch._apply_report(report, self._clock.now_s)
+                run_at_once(watch._apply_report(report, self._clock.now_s))
                 used_s += time.process_time() - started_s
                 count += 1
                 self._update_digest(digest, runner)
--- a/benchmarks/zone_loss.py
+++ b/benchmarks/zone_loss.py
@@ -117,12 +117,12 @@
             for attempt in state.pending_starts[recorded_starts:]:
                 state.record_start(attempt)
             recorded_starts = len(state.pending_starts)
-            for attempt in list(state.pending_stops):
+            for attempt in list(state.stops.pending):
                 key = attempt.task, attempt.run
                 if now_s >= end_by_stop.setdefault(key, now_s + STOP_S):
                     runner = state.runner_by_id[attempt.runner]
                     state.end_attempt(runner, *key, Outcome.STOPPED, "")
-                    state.pending_stops.remove(attempt)
+                    state.stops.pending.remove(attempt)
             await anyio.sleep(CHECK_INTERVAL_S)
         begun_s.append(anyio.current_time())
         tasks.cancel_scope.cancel()
--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -390,6 +390,11 @@
         more. It is written before or with the deletion of rows.
         """
         shard, job_id = self._writer.shard, job.spec.id
+        if job.is_final and not job.state_changed:
+            # The state is durable, so that all runs are stopped. The next owner takes
+            # those that have ended for runs to be stopped, and finds none.
+            job.changed_rows.clear()
+            return
         for row in job.changed_rows:
             self.record_row(job_id, row)
         stored = self._stored_rows_by_job.get(job_id)
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -3,7 +3,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from ..fleet import Allocation, Runner
+from ..fleet import Runner
 from ..jobs import Attempt, AttemptState, TaskId
 from ..logs import get_logger
 from ._context import Permit, TermContext, TermEnd
@@ -11,6 +11,7 @@
 from ._protocols import Fenced, RunnerLink, RunnerUnreachable
 from ._runner_calls import RunnerCalls
 from ._start_orders import RESEND_PAUSE_S, StartOrders
+from ._stop_orders import StopOrders
 
 log = get_logger()
 
@@ -45,6 +46,7 @@
         self._task_group = task_group
         self._calls = RunnerCalls(context, term_end, link_by_runner)
         self._start_orders = StartOrders(context, permit, self._calls)
+        self._stop_orders = StopOrders(context, self._calls, task_group)
         #: Attempts with a pace order in flight.
         self._pacing_attempts: set[Attempt] = set()
 
@@ -54,7 +56,7 @@
 
     def stop(self, attempt: Attempt) -> None:
         """Send stop orders for an attempt until its runner responds."""
-        self._task_group.start_soon(self._stop, attempt)
+        self._stop_orders.add(attempt)
 
     def set_pace(self, attempt: Attempt) -> None:
         """Bring an attempt to its requested pace.
@@ -81,34 +83,6 @@
             if runner.responds and runner.has_attempts:
                 self._task_group.start_soon(self._renew_lease, runner)
 
-    async def _stop(self, attempt: Attempt) -> None:
-        while found := self._calls.find_allocation(attempt):
-            runner, allocation = found
-            with self._calls.contain("stop", runner.id):
-                if await self._send_stop(attempt, runner, allocation):
-                    return
-            await anyio.sleep(RESEND_PAUSE_S)
-
-    async def _send_stop(
-        self, attempt: Attempt, runner: Runner, allocation: Allocation
-    ) -> bool:
-        """Send one stop order; return whether no other one is needed."""
-        link = self._calls.find_link(runner.id)
-        if link is None:
-            # A new owner has not read the table of runners yet.
-            return False
-        fence = runner.call_fence.token
-        try:
-            await link.stop(attempt.task, attempt.run, fence)
-        except Fenced:
-            return self._calls.end_if_replaced(runner, fence)
-        except RunnerUnreachable:
-            return False
-        # The run can't start there any more; the next poll reports its end.
-        allocation.expect_listed_after_s = self._context.clock.now()
-        runner.poll_wakeup.set()
-        return True
-
     async def _forbid_run(self, runner: Runner, task: TaskId, run: int) -> None:
         incarnation = runner.incarnation
         while runner.incarnation == incarnation:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -7,9 +7,7 @@
 from ..faults import FaultLog
 from ..fleet import LOST_AFTER_S, Allocation, Runner
 from ..jobs import (
-    FINAL_STATES,
     Attempt,
-    AttemptState,
     Job,
     JobSpec,
     JobState,
@@ -34,6 +32,7 @@
 )
 from ..registry import RunnerEntry
 from ..wakeup import Wakeup
+from ._attempt_stops import AttemptStops
 from ._carried_waits import CarriedWaits
 from ._customer_load import CustomerLoad
 from ._customer_usage import CustomerUsage
@@ -48,6 +47,8 @@
 
 #: Seconds before a step is tried again after an attempt did not start.
 RETRY_PAUSE_S = 0.05
+#: Number of lapsed attempts of a runner that are ended at once.
+LAPSED_AT_ONCE = 500
 #: Largest number of tasks that a line of the log names.
 MAX_LOGGED_TASKS = 20
 #: Placeholder for the pace of an attempt that an earlier owner may have throttled, or
@@ -84,7 +85,7 @@
         Ids of jobs with changes that are not yet written to the store.
     pending_starts : list of Attempt
         Attempts whose start orders are sent once they are durable.
-    pending_stops : list of Attempt
+    stops : AttemptStops
         Attempts to stop.
     ended_ms_by_job : dict of str to int
         When each job ended, in milliseconds since 1970, for jobs whose end is durable
@@ -115,8 +116,6 @@
         Set when there may be tasks to place.
     write_wakeup : Wakeup
         Set when there are changes to write.
-    stop_wakeup : Wakeup
-        Set when there are attempts to stop.
     renewal_awaits_write : bool
         Whether a lease was renewed for less, as the owner row doesn't allow more.
     health : RunnerHealth
@@ -148,13 +147,12 @@
         self.runner_by_id: dict[str, Runner] = {}
         self.changed_job_ids: set[str] = set()
         self.pending_starts: list[Attempt] = []
-        self.pending_stops: list[Attempt] = []
+        self.stops = AttemptStops()
         self.ended_ms_by_job: dict[str, int] = {}
         self.set_aside_by_job: dict[str, StateRecord] = {}
         self.expired_job_ids: list[str] = []
         self.placement_wakeup = Wakeup()
         self.write_wakeup = Wakeup()
-        self.stop_wakeup = Wakeup()
         self.renewal_awaits_write = False
         self.health = RunnerHealth()
         self.colocation = ColocationPolicy()
@@ -200,7 +198,7 @@
         self.parking.record_cancelled(job_id)
         if job is None or not job.cancel():
             return
-        log.info("job_cancelled", job=job_id, attempts=len(list(job.attempts())))
+        log.info("job_cancelled", job=job_id, attempts=job.attempt_count)
         self._mark_changed(job)
         self._stop_surplus(job)
 
@@ -311,7 +309,12 @@
 
     def restore_allocations(self, job: Job) -> None:
         """Allocate resources for the attempts of a job read from the store."""
-        for attempt in job.attempts():
+        self.restore_attempts(job, job.attempts())
+        self.finish_restore(job)
+
+    def restore_attempts(self, job: Job, attempts: Iterable[Attempt]) -> None:
+        """Allocate resources for some of these attempts; see `restore_allocations`."""
+        for attempt in attempts:
             runner = self.find_or_add_runner(attempt.runner)
             step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
             attempt.pace_percent = UNKNOWN_PACE_PERCENT
@@ -328,6 +331,9 @@
             )
             self.late_starts.add(allocation)
             self.waits.runs.restore(runner, allocation)
+
+    def finish_restore(self, job: Job) -> None:
+        """Go on with a job whose attempts are restored."""
         self._crash_detector.restore(job.crash_blame.suspicion_by_run)
         self._stop_surplus(job)
 
@@ -405,7 +411,8 @@
     def end_lapsed_attempts(self, runner: Runner) -> None:
         """End attempts on a runner whose leases have certainly lapsed.
 
-        Those that may be given up for the loss of the runner wait a little longer, and
+        If there are many, each call ends some of them. Those that may be given up for
+        the loss of the runner wait a little longer, and
         those whose start order may reach its next incarnation until that has responded.
         """
         now_s = self._clock.now()
@@ -422,6 +429,9 @@
                 continue
             if not self._waits_for_crash(allocation.attempt, now_s):
                 attempts.append(allocation.attempt)
+            if len(attempts) == LAPSED_AT_ONCE:
+                # The others follow with the next call.
+                break
         if not attempts:
             return
         unheard_s = runner.unheard_s(now_s)
@@ -498,6 +508,7 @@
         if allocation is not None:
             self._record_outcome(runner, allocation, outcome, self._clock.now())
         try:
+            was_final = job.is_final
             if outcome is not Outcome.LAPSED or (
                 allocation is not None and allocation.has_survived(SURVIVAL_S)
             ):
@@ -514,18 +525,18 @@
         state = step.tasks.view(task.index)
         if outcome is Outcome.FAILED and not state.done:
             state.failed_runners.add(runner.id)
-        log.info(
-            "attempt_ended",
-            task=str(task),
-            run=run,
-            runner=runner.id,
-            outcome=outcome.value,
-            job_state=job.state.value,
-        )
+        if not was_final:
+            log.info(
+                "attempt_ended",
+                task=str(task),
+                run=run,
+                runner=runner.id,
+                outcome=outcome.value,
+                job_state=job.state.value,
+            )
         self._metrics.incr(f"attempts_{outcome.value}")
         self._mark_changed(job)
-        if job.is_final or step.spec.gang or state.attempt_by_run:
-            self._stop_surplus(job)
+        self._stop_surplus_after(job, task, run, was_final)
 
     def record_listed(self, allocation: Allocation, now_s: float) -> None:
         """Record that a poll lists an attempt as running."""
@@ -575,23 +586,11 @@
         step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
         step.retry_at_s = self._clock.now() + RETRY_PAUSE_S
         self._mark_changed(job)
-        if job.is_final or step.spec.gang:
-            self._stop_surplus(job)
+        self._stop_surplus_after(job, attempt.task, attempt.run, job.is_final)
 
     def stop_attempt(self, attempt: Attempt, reason: str) -> None:
         """Request the stop of an attempt; it keeps its resources until it has ended."""
-        if attempt.state is AttemptState.STOPPING:
-            return
-        attempt.state = AttemptState.STOPPING
-        self.pending_stops.append(attempt)
-        log.info(
-            "attempt_stopping",
-            task=str(attempt.task),
-            run=attempt.run,
-            runner=attempt.runner,
-            reason=reason,
-        )
-        self.stop_wakeup.set()
+        self.stops.stop(attempt, reason)
 
     def stop_stalled(self, runner: Runner, allocation: Allocation) -> None:
         """Stop an attempt without progress.
@@ -658,8 +657,13 @@
 
     def _blame(self, crash: Crash) -> None:
         """Blame the suspects of a crash; jobs with tasks that are given up fail."""
-        suspects = [f"{s.task}#{s.run}:{s.blame}" for s in crash.suspects]
-        log.warning("runner_crashed", runner=crash.runner, suspects=" ".join(suspects))
+        named = crash.suspects[:MAX_LOGGED_TASKS]
+        log.warning(
+            "runner_crashed",
+            runner=crash.runner,
+            suspected=len(crash.suspects),
+            suspects=" ".join(f"{s.task}#{s.run}:{s.blame}" for s in named),
+        )
         for suspect in crash.suspects:
             job = self.job_by_id.get(suspect.task.job)
             if job is None:
@@ -686,6 +690,8 @@
         allocation.earlier_stalls = step.tasks.view(attempt.task.index).stalls
         self.pending_starts.append(attempt)
         self._mark_changed(step.job)
+        if step.job.is_final:
+            self.stop_attempt(attempt, "job_ended")
 
     def find_or_add_runner(self, runner_id: str) -> Runner:
         """Return a runner of a restored attempt; it need not be listed."""
@@ -731,10 +737,31 @@
             self.customer_usage.keep_late(runner, allocation, now_s)
 
     def _stop_surplus(self, job: Job) -> None:
-        for attempt in job.find_surplus_attempts():
-            self.stop_attempt(
-                attempt, "job_ended" if job.state in FINAL_STATES else "surplus"
-            )
+        reason = "job_ended" if job.is_final else "surplus"
+        self.stops.stop_all(job, job.find_surplus_attempts(), reason)
+
+    def _stop_surplus_after(
+        self, job: Job, task: TaskId, run: int, was_final: bool
+    ) -> None:
+        """Stop what need not run any more after the end of an attempt.
+
+        Parameters
+        ----------
+        job : Job
+            The job.
+        task : TaskId
+            Task of the attempt.
+        run : int
+            Its run number.
+        was_final : bool
+            Whether the job had ended before; all its attempts are being stopped then.
+        """
+        if was_final:
+            return
+        if job.is_final:
+            self._stop_surplus(job)
+            return
+        self.stops.stop_all(job, job.find_surplus_after(task, run), "surplus")
 
     def _mark_changed(self, job: Job) -> None:
         self.changed_job_ids.add(job.spec.id)
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -72,6 +72,9 @@
         self._permit = permit
         self._next_pass_s = float("-inf")
         self._now_s = 0.0
+        #: Runners with attempts of suspected tasks; None: not looked for since the pass
+        #: has begun or given way.
+        self._suspect_runners: set[str] | None = None
         self._runner_by_step: dict[StepRun, Runner] = {}
         self._placement = PlacementPolicy(
             context.owner_state.health, context.owner_state.colocation
@@ -269,6 +272,7 @@
     def _collect_runners(self) -> None:
         """Collect the runners that may be given tasks now."""
         self._now_s = self._context.clock.now()
+        self._suspect_runners = None
         usable = [
             r
             for r in self._owner_state.runner_by_id.values()
@@ -406,14 +410,19 @@
         that the next crash shows which one has caused it. Batch waits for a runner
         without suspects, as those that survive are suspects no more.
         """
-        if step.task_id(index) in step.job.crash_blame.blame_by_task:
-            runner = placement.choose(index, self._owner_state.find_suspect_runners())
-            if runner is not None:
-                return runner
+        if step.task_id(index) not in step.job.crash_blame.blame_by_task:
+            return placement.choose(index)
+        if self._suspect_runners is None:
+            self._suspect_runners = set(self._owner_state.find_suspect_runners())
+        runner = placement.choose(index, self._suspect_runners)
+        if runner is None:
             waited_s = self._now_s - (step.unplaced_since_s or self._now_s)
             if not step.spec.lasting and waited_s < SUSPECT_WAIT_S:
                 return None
-        return placement.choose(index)
+            runner = placement.choose(index)
+        if runner is not None:
+            self._suspect_runners.add(runner.id)
+        return runner
 
     def _must_leave_room(self, step: StepRun, index: int) -> bool:
         """Return whether a task must leave its resources to batch work for now."""
--- a/flamingoweir/dispatch/_start_orders.py
+++ b/flamingoweir/dispatch/_start_orders.py
@@ -92,7 +92,7 @@
             return not was_refused
 
         def is_wanted() -> bool:
-            if attempt.state is not AttemptState.ORDERED:
+            if attempt.state is not AttemptState.ORDERED or job.is_final:
                 return False
             if runner.find(attempt.task, attempt.run) is not allocation:
                 return False
@@ -106,8 +106,10 @@
 
         until_s = self._context.clock.now() + SENDING_S
         sent_count = 0
-        while attempt.state is AttemptState.ORDERED and self._calls.find_allocation(
-            attempt
+        while (
+            attempt.state is AttemptState.ORDERED
+            and not job.is_final
+            and self._calls.find_allocation(attempt)
         ):
             obstacle = self._find_obstacle(runner, allocation)
             if not obstacle and self._context.clock.now() > until_s:
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -49,7 +49,7 @@
 from ._protocols import RunnerLink
 from ._retention import RetentionSweeper
 from ._shard_reader import ShardReader, ShardTables
-from ._time_slice import TimeSlice
+from ._time_slice import GIVE_WAY_S, TimeSlice
 from ._watch import RunnerWatch
 
 log = get_logger()
@@ -62,6 +62,8 @@
 #: tables it has not read yet. After that, a standby takes the shard, which may read
 #: them faster.
 MAX_RESTORE_S = 8.0
+#: Number of attempts of a job that are restored before the restoring gives way.
+RESTORED_AT_ONCE = 500
 
 
 class Term:
@@ -328,7 +330,12 @@
         for job in list(self.owner_state.job_by_id.values()):
             with self._contain("job_restore_failed", job=job.spec.id) as block:
                 job.update_state()
-                self.owner_state.restore_allocations(job)
+                attempts = list(job.attempts())
+                for first in range(0, len(attempts), RESTORED_AT_ONCE):
+                    some = attempts[first : first + RESTORED_AT_ONCE]
+                    self.owner_state.restore_attempts(job, some)
+                    await time_slice.give_way_if_over()
+                self.owner_state.finish_restore(job)
             if block.failed:
                 self.owner_state.exclude_job(job.spec.id)
             await time_slice.give_way_if_over()
@@ -461,7 +468,10 @@
 
     async def _send_stops(self) -> None:
         while True:
-            stops, self.owner_state.pending_stops = self.owner_state.pending_stops, []
-            for attempt in stops:
+            stops = self.owner_state.stops
+            for attempt in stops.take():
                 self._orders.stop(attempt)
-            await self.owner_state.stop_wakeup.wait(60.0)
+            if stops.mark_more():
+                await anyio.sleep(GIVE_WAY_S)
+                continue
+            await stops.wakeup.wait(60.0)
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -16,6 +16,7 @@
     RunnerUnreachable,
     RunningTask,
 )
+from ._time_slice import TimeSlice
 
 log = get_logger()
 
@@ -36,6 +37,22 @@
 MIN_PROGRESS_PERCENT = 1.0
 #: Number of ends in a full report; more ends, not listed yet, may follow it.
 FULL_REPORT_ENDS = 500
+#: Number of tasks and ends in a report up to which the next poll follows at once, and
+#: seconds of pause for each one beyond it. An entry takes about 10 us.
+SHORT_REPORT = 200
+PAUSE_S_BY_ENTRY = 0.0005
+#: Longest pause between two polls of a runner, in seconds.
+MAX_POLL_PAUSE_S = 0.25
+
+
+def find_poll_pause_s(report: RunnerReport) -> float:
+    """Return for how many seconds a runner is not polled after a report.
+
+    A runner with ends to report answers at once. If it has many tasks, its reports
+    would take all of the owner's time while they end one after another.
+    """
+    entries = len(report.running) + len(report.ended)
+    return min(MAX_POLL_PAUSE_S, max(0, entries - SHORT_REPORT) * PAUSE_S_BY_ENTRY)
 
 
 class RunnerWatch:
@@ -71,6 +88,8 @@
         self._term_end = term_end
         self._runner = runner
         self._link = link
+        #: Earliest time of the next poll, on the owner's clock, in seconds.
+        self._next_poll_s = float("-inf")
 
     async def run(self) -> None:
         """Poll until the owner's state no longer has this runner.
@@ -85,6 +104,9 @@
             if not self._context.writer.may_renew_leases():
                 self._term_end.signal("the store has not confirmed the ownership")
                 return
+            pause_s = self._next_poll_s - self._clock.now()
+            if pause_s > 0:
+                await anyio.sleep(pause_s)
             await self._wait_until_acknowledged()
             await self._raise_fence()
             try:
@@ -188,12 +210,12 @@
                 allocation.unthrottled_since_s = self._clock.now()
         runner.record_response(report.clock_ms, self._clock.now(), sent_s)
         if report.incarnation != runner.incarnation:
-            self._begin_incarnation(report, fence)
+            await self._begin_incarnation(report, fence)
         else:
             runner.ends.record_acknowledged(acknowledged)
             if runner.record_fenced(fence, self._clock.now()):
                 self._log_fenced(fence)
-        self._apply_report(report, sent_s)
+        await self._apply_report(report, sent_s)
 
     def _choose_acknowledged(self, now_s: float) -> int:
         """Return the number up to which a poll acknowledges ends; 0: none.
@@ -261,8 +283,11 @@
             return
         self._owner_state.end_lapsed_attempts(runner)
 
-    def _apply_report(self, report: RunnerReport, sent_s: float) -> None:
+    async def _apply_report(self, report: RunnerReport, sent_s: float) -> None:
+        """Apply a report; that of a runner with many tasks gives way meanwhile."""
         runner = self._runner
+        time_slice = TimeSlice(self._clock)
+        self._next_poll_s = self._clock.now() + find_poll_pause_s(report)
         running = {(task.task, task.run): task for task in report.running}
         for end in report.ended:
             if end.number <= runner.ends.received:
@@ -272,6 +297,7 @@
                 runner, end.task, end.run, end.outcome, end.checkpoint
             )
             self._owner_state.write_wakeup.set()
+            await time_slice.give_way_if_over()
         listed_count = 0
         for key, task in running.items():
             allocation = runner.allocation_by_run.get(key)
@@ -280,9 +306,10 @@
                 continue
             listed_count += 1
             self._update_running(allocation, task)
+            await time_slice.give_way_if_over()
         has_unlisted = listed_count < len(runner.allocation_by_run)
         if has_unlisted and len(report.ended) < FULL_REPORT_ENDS:
-            self._discard_unlisted(running, sent_s)
+            await self._discard_unlisted(running, sent_s, time_slice)
         runner_id = runner.id
         with self._fault_log.contain("runner_paces_failed", runner=runner_id):
             self._adjust_paces()
@@ -340,7 +367,7 @@
             paces=" ".join(paces),
         )
 
-    def _begin_incarnation(self, report: RunnerReport, fence: int) -> None:
+    async def _begin_incarnation(self, report: RunnerReport, fence: int) -> None:
         """Record a new incarnation, and end the attempts that it has lost.
 
         Attempts on a former incarnation are lost, except those that the report lists
@@ -366,8 +393,12 @@
         )
         for task, run in self._owner_state.late_orders.find(runner.id, now_s):
             self._orders.forbid_run(runner, task, run)
+        time_slice = TimeSlice(self._clock)
         for allocation in lost:
+            await time_slice.give_way_if_over()
             attempt = allocation.attempt
+            if runner.find(attempt.task, attempt.run) is not allocation:
+                continue
             if attempt.state is AttemptState.STOPPING:
                 # A former incarnation may have confirmed the stop.
                 self._orders.stop(attempt)
@@ -426,12 +457,16 @@
         )
         self._orders.stop_run(self._runner.id, task.task, task.run)
 
-    def _discard_unlisted(
-        self, running: dict[tuple, RunningTask], sent_s: float
+    async def _discard_unlisted(
+        self,
+        running: dict[tuple, RunningTask],
+        sent_s: float,
+        time_slice: TimeSlice,
     ) -> None:
         runner = self._runner
         now_s = self._clock.now()
         for key, allocation in list(runner.allocation_by_run.items()):
+            await time_slice.give_way_if_over()
             if allocation.order_under_way:
                 continue
             if allocation.has_restarted and allocation.may_start_late(now_s):
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -67,9 +67,13 @@
         Since when an open task has found no runner, on the owner's clock, in seconds.
     counts_as_done : bool
         Whether the occurrence counts the step as done.
+    broken_run : int
+        Run of a gang of which a member has ended last, so that the others are stopped;
+        0: none.
     """
 
     __slots__ = (
+        "broken_run",
         "cap_waited_s",
         "counts_as_done",
         "failed_runs",
@@ -97,6 +101,7 @@
         self.retry_at_s = 0.0
         self.unplaced_since_s: float | None = None
         self.counts_as_done = False
+        self.broken_run = 0
 
     @property
     def first_ready_s(self) -> float | None:
@@ -547,7 +552,9 @@
         """Record a checkpoint that a runner reported for a running attempt."""
         step = self.run_by_step[attempt.task.occurrence, attempt.task.step]
         task = step.tasks.view(attempt.task.index)
-        if checkpoint and not task.done and task.attempt_by_run:
+        if not checkpoint or checkpoint == task.checkpoint:
+            return
+        if not task.done and task.attempt_by_run:
             self._set_checkpoint(step, task, checkpoint)
 
     def record_stall(self, task_id: TaskId) -> None:
@@ -556,22 +563,46 @@
         if step is not None and not step.tasks.view(task_id.index).done:
             step.tasks[task_id.index].stalls += 1
 
-    def find_surplus_attempts(self) -> list[Attempt]:
-        """Return attempts that should be stopped and are not stopping yet.
+    def find_surplus_attempts(self) -> Iterator[Attempt]:
+        """Yield attempts that should be stopped and are not stopping yet.
 
         These are attempts of ended jobs and done tasks, and members of gangs of which
-        another member has no attempt.
+        another member has no attempt. Attempts may end meanwhile.
         """
-        found = []
-        for step in self.run_by_step.values():
+        for step in list(self.run_by_step.values()):
             surplus_step = self.is_final or self._is_gang_incomplete(step)
-            for _, task in step.tasks.kept():
+            for _, task in list(step.tasks.kept()):
                 if not surplus_step and not task.done:
                     continue
-                for attempt in task.attempt_by_run.values():
+                for attempt in list(task.attempt_by_run.values()):
                     if attempt.state is not AttemptState.STOPPING:
-                        found.append(attempt)
-        return found
+                        yield attempt
+
+    def find_surplus_after(self, task_id: TaskId, run: int) -> list[Attempt]:
+        """Return the attempts to be stopped after the end of one in a job that goes on.
+
+        These are other attempts at a task that is done, and the other members of a
+        gang, whose run has ended for all.
+
+        Parameters
+        ----------
+        task_id : TaskId
+            Task of the attempt that has ended.
+        run : int
+            Its run number.
+        """
+        step = self.run_by_step.get((task_id.occurrence, task_id.step))
+        if step is None:
+            return []
+        if step.spec.gang:
+            if step.broken_run == run:
+                return []
+            step.broken_run = run
+            attempts = step.attempts()
+        else:
+            task = step.tasks.view(task_id.index)
+            attempts = task.attempt_by_run.values() if task.done else ()
+        return [a for a in attempts if a.state is not AttemptState.STOPPING]
 
     def _is_gang_incomplete(self, step: StepRun) -> bool:
         """Return whether a step is a gang of which a member has no attempt."""
--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -117,8 +117,12 @@
             None if the loss is recorded already, by a former owner maybe, or if no task
             is suspected.
         """
+        recorded = self._lost_by_runner.get(runner.id)
+        incarnation = runner.incarnation or runner.entry.incarnation
+        if recorded is not None and recorded.incarnation == incarnation:
+            return None
         lost = _find_lost(runner)
-        if lost is None or not lost.suspects or self._is_recorded(lost):
+        if lost is None or not lost.suspects:
             return None
         self._lost_by_runner[runner.id] = lost
         return lost
--- a/flamingoweir/policy/_placement.py
+++ b/flamingoweir/policy/_placement.py
@@ -8,7 +8,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence, Set
 
 from ..fleet import RUNNER_LEASE_S, Runner
 from ..jobs import StepRun, StepSpec
@@ -76,7 +76,7 @@
         index: int,
         candidates: Sequence[Runner],
         now_s: float,
-        avoid: frozenset[str] = frozenset(),
+        avoid: Set[str] = frozenset(),
     ) -> Runner | None:
         """Return the best runner with enough resources for a task, or None.
 
@@ -90,7 +90,7 @@
             Runners that `candidates` returned.
         now_s : float
             Time on the owner's clock, in seconds.
-        avoid : frozenset of str
+        avoid : set of str
             Ids of runners that must not be chosen.
         """
         return StepPlacement(self, step, candidates, now_s).choose(index, avoid)
@@ -254,7 +254,7 @@
         self._on_data_rack: bool | None = None
         self._evaluate_all()
 
-    def choose(self, index: int, avoid: frozenset[str] = frozenset()) -> Runner | None:
+    def choose(self, index: int, avoid: Set[str] = frozenset()) -> Runner | None:
         """Return the best runner with enough resources for a task, or None.
 
         `record_placed` must be called once the task was placed.
@@ -263,7 +263,7 @@
         ----------
         index : int
             Index of the task in the step.
-        avoid : frozenset of str
+        avoid : set of str
             Ids of runners that must not be chosen.
         """
         failed_runners = self._step.tasks.view(index).failed_runners
--- a/tests/test_absent_tasks_and_room.py
+++ b/tests/test_absent_tasks_and_room.py
@@ -73,7 +73,7 @@
             now_s = anyio.current_time()
             for attempt in list(self.state.pending_starts):
                 self.state.record_start(attempt)
-            for attempt in list(self.state.pending_stops):
+            for attempt in list(self.state.stops.pending):
                 key = attempt.task, attempt.run
                 stop_s = self.stop_s.get(attempt.runner, 1.0)
                 stop_s += self.stagger_s * (self.evicted % 3)
--- a/tests/test_excluded_attempts.py
+++ b/tests/test_excluded_attempts.py
@@ -102,8 +102,8 @@
         for _ in range(2):
             restore_excluded_attempts(state, rows, jobs, clock.now())
             assert state.customer_usage.used_by(CUSTOMER) == Resources(1000, 0, 0)
-        assert len(state.pending_stops) == 1
-        state.discard_attempt(state.pending_stops[0], "not_listed")
+        assert len(state.stops.pending) == 1
+        state.discard_attempt(state.stops.pending[0], "not_listed")
         assert state.customer_usage.used_by(CUSTOMER) == Resources()
 
     run_virtual(scenario)
@@ -125,7 +125,7 @@
         job = dataclasses.replace(job, value=encode_spec(spec))
         restore_excluded_attempts(state, [broken], [job], clock.now())
         assert not state.runner_by_id
-        assert not state.pending_stops
+        assert not state.stops.pending
 
     try:
         run_virtual(scenario)
--- /dev/null
+++ b/tests/test_large_jobs.py
@@ -0,0 +1,168 @@
+"""A job with very many tasks costs its owner time in proportion, and holds up no other.
+
+Work in the square of a job's tasks, done in one go, makes an instance hang: its leases
+lapse, the next owner comes to the same work, and stops come late (review/12).
+"""
+
+import cProfile
+
+import anyio
+import pytest
+
+from benchmarks.large_job import LargeJob, cancel, fail, lapse, take_over
+from flamingoweir.dispatch import _stop_orders
+from flamingoweir.jobs import Job, JobState, Outcome, TaskId
+from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.virtual_time import run_virtual
+
+TASKS = 300
+#: Most calls of functions by four times as many tasks, as a multiple.
+MAX_GROWTH = 4.5
+
+
+def count_calls(play, tasks: int) -> int:
+    """Return how many functions an owner calls, leaving out the setting-up."""
+    profile = cProfile.Profile()
+    for part in play(tasks):
+        profile.enable()
+        part()
+        profile.disable()
+    return sum(entry.callcount for entry in profile.getstats())
+
+
+@pytest.mark.parametrize("play", [cancel, fail, lapse, take_over])
+def test_time_for_a_task_grows_with_the_tasks_of_its_job(play):
+    """Guards against a walk over all tasks of a job for each end."""
+    assert count_calls(play, 4 * TASKS) < MAX_GROWTH * count_calls(play, TASKS)
+
+
+def make_gang(tasks: int) -> Job:
+    job = Job(make_job(1, make_step(tasks, gang=True, checkpoints=True)))
+    job.start_gang(job.run_by_step[0, 0], tasks * [("runner-0", 1)], 0.0)
+    return job
+
+
+def break_gang(tasks: int):
+    """Yield the parts of the end of a gang whose members are stopped."""
+    job = make_gang(tasks)
+    for index in range(tasks):
+        task = TaskId(job.spec.id, 0, 0, index)
+
+        def end(task=task):
+            job.end(task, 1, Outcome.LAPSED, "")
+            job.find_surplus_after(task, 1)
+
+        yield end
+
+
+def save_gang(tasks: int):
+    """Yield the parts of reports of a checkpoint, which all members share."""
+    job = make_gang(tasks)
+    for attempt in list(job.attempts()):
+        yield lambda attempt=attempt: job.record_checkpoint(attempt, "saved")
+
+
+@pytest.mark.parametrize("play", [break_gang, save_gang])
+def test_time_for_a_member_grows_with_its_gang(play):
+    """Guards against a walk over all members of a gang for each of them."""
+    assert count_calls(play, 4 * TASKS) < MAX_GROWTH * count_calls(play, TASKS)
+
+
+def suspect_all(tasks: int):
+    """Yield the parts of a loss of all runners, of which all tasks are suspected."""
+    large = LargeJob(tasks)
+    for runner in large.runners:
+        runner.record_no_response(large.clock.now())
+    large.clock.now_s += 1.0
+    for runner in large.runners:
+        yield lambda runner=runner: large.state.record_lost(runner, "a test")
+    for attempt in large.attempts:
+        yield lambda attempt=attempt: large.end(attempt, Outcome.STOPPED)
+
+
+def test_time_for_an_end_grows_with_the_suspected_tasks():
+    """Guards against a walk over all suspicions of a job for each end."""
+    few, many = count_calls(suspect_all, TASKS), count_calls(suspect_all, 4 * TASKS)
+    assert many < MAX_GROWTH * few
+
+
+def test_broken_gang_stops_its_other_members_once():
+    """Guards against members that run on, as only the first end looks for them."""
+    job = make_gang(3)
+    ended, *others = job.attempts()
+    job.end(ended.task, 1, Outcome.FAILED, "")
+    assert job.find_surplus_after(ended.task, 1) == others
+    job.end(others[0].task, 1, Outcome.STOPPED, "")
+    assert job.find_surplus_after(others[0].task, 1) == []
+    job.end(others[1].task, 1, Outcome.STOPPED, "")
+    step = job.run_by_step[0, 0]
+    again = job.start_gang(step, 3 * [("runner-0", 1)], 0.0)
+    job.end(again[0].task, 2, Outcome.FAILED, "")
+    assert job.find_surplus_after(again[0].task, 2) == again[1:]
+
+
+@pytest.mark.parametrize("ends", ["cancelled", "failed"])
+def test_job_of_many_tasks_that_ends_holds_up_no_other(ends):
+    """Guards against stops that keep start orders from a runner, and against late ones.
+
+    Each call takes 5 ms, and a runner carries out few at once.
+    """
+
+    async def scenario():
+        async with run_cluster(runners=2, processors=2000) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            for link in owner.link_by_runner.values():
+                link._delay_s = 0.0025
+            others = await cluster.submit(make_job(1, make_step(4, lasting=True)))
+            large = make_job(2, make_step(1200))
+            for index in range(1200):
+                plan = (60.0, Outcome.DONE)
+                if ends == "failed" and index == 1199:
+                    plan = (14.0, Outcome.FAILED)
+                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = plan
+            await cluster.submit(large)
+            await anyio.sleep(12)
+            assert len([r for r in cluster.records("start")]) == 1204
+            if ends == "cancelled":
+                await owner.instance.handler.cancel(large.id, 2.0)
+            else:
+                await cluster.wait_for(large, JobState.FAILED, 90.0)
+            job = await cluster.submit(make_job(3))
+            submitted_s = anyio.current_time()
+            await anyio.sleep(0.4)
+            started_s = [r.at_s for r in cluster.records("start")][-1]
+            assert cluster.starts(f"{job.id}.0.0.0")
+            assert started_s - submitted_s < 0.2
+            await anyio.sleep(3.5)
+            assert sum(len(r.tasks) for r in cluster.runner_by_id.values()) == 4
+            assert await cluster.state(others) is JobState.RUNNING
+            assert len(cluster.starts(f"{others.id}.0.0.0")) == 1
+
+    run_virtual(scenario)
+
+
+def test_few_stop_orders_are_under_way_to_a_runner(monkeypatch):
+    """Guards against a coroutine for each stop of a large job."""
+    most = []
+    send = _stop_orders.StopOrders._send_stop
+
+    async def count(self, *args):
+        most.append(sum(q.senders for q in self._queue_by_runner.values()))
+        return await send(self, *args)
+
+    monkeypatch.setattr(_stop_orders.StopOrders, "_send_stop", count)
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=200) as cluster:
+            owner = await cluster.owner()
+            job = await cluster.submit(make_job(1, make_step(150, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 3.0)
+            await anyio.sleep(2)
+            await owner.instance.handler.cancel(job.id, 2.0)
+            await anyio.sleep(3)
+            assert not cluster.runner_by_id["runner-0"].tasks
+
+    run_virtual(scenario)
+    assert len(most) >= 150
+    assert max(most) <= _stop_orders.MAX_STOPS_AT_ONCE
--- a/tests/test_pace_orders.py
+++ b/tests/test_pace_orders.py
@@ -96,10 +96,10 @@
         orders = OrderSender(context, None, self.term_end, task_group, link_by_runner)
         self._watch = RunnerWatch(context, orders, self.term_end, runner, self.link)
 
-    def restart(self) -> None:
+    async def restart(self) -> None:
         """Let the next incarnation report the runs, which late orders have started."""
         running = [RunningTask(TaskId("web", 0, 0, 0), 1), RunningTask(TASK, 1)]
-        self._watch._begin_incarnation(RunnerReport(2, 0.0, running, []), 7)
+        await self._watch._begin_incarnation(RunnerReport(2, 0.0, running, []), 7)
 
     async def poll(self, percent: int | None = None, ended: bool = False) -> None:
         """Apply a report after the requested pace has become ``percent``."""
@@ -109,7 +109,7 @@
         ends = [EndedTask(1, TASK, 1, Outcome.DONE)] if ended else []
         if not ended:
             running.append(RunningTask(TASK, 1, progress_percent=1.0))
-        self._watch._apply_report(
+        await self._watch._apply_report(
             RunnerReport(1, 0.0, running, ends), anyio.current_time()
         )
         await anyio.sleep(STEP_S)
@@ -198,7 +198,7 @@
     async def scenario(paced: PacedRunner):
         await paced.poll(40)
         await paced.link.answer(0)
-        paced.restart()
+        await paced.restart()
         await paced.poll(40)
         assert paced.link.sent == [40, 40]
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -698,8 +698,8 @@
         await planner.plan()
         await anyio.sleep(EVICT_AFTER_S + 0.1)
         await planner.plan()
-        assert len(owner_state.pending_stops) == 4
-        for attempt in owner_state.pending_stops:
+        assert len(owner_state.stops.pending) == 4
+        for attempt in owner_state.stops.pending:
             stopped = attempt.task, attempt.run, Outcome.STOPPED
             owner_state.end_attempt(runner, *stopped, "")
         await planner.plan()
@@ -754,7 +754,7 @@
         await planner.plan()
         await anyio.sleep(EVICT_AFTER_S + 0.1)
         await planner.plan()
-        stops = {str(attempt.task)[:5] for attempt in owner_state.pending_stops}
+        stops = {str(attempt.task)[:5] for attempt in owner_state.stops.pending}
         assert stops == {"job-2", "job-4"}
         owner_state.cancel_job("job-2")
         owner_state.cancel_job("job-4")
