--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -152,7 +152,10 @@
             await self._runner.poll_wakeup.wait(left_s)
 
     def _withholds_ends(self) -> bool:
-        """Return whether the next poll can't acknowledge all ends yet."""
+        """Return whether the next poll can't acknowledge all ends yet.
+
+        Records it if that is for the sake of start orders, which give way then.
+        """
         runner = self._runner
         now_s = self._clock.now()
         must_withhold = runner.responds and not runner.may_acknowledge(now_s)
@@ -224,9 +227,7 @@
         """
         runner = self._runner
         acknowledged = runner.ends.choose()
-        if not acknowledged or not runner.responds:
-            return 0
-        if not runner.may_acknowledge(now_s):
+        if not acknowledged or not runner.may_acknowledge(now_s):
             return 0
         runner.ends.record_sent()
         runner.call_fence.record_acknowledging()
