--- a/flamingoweir/dispatch/_start_orders.py
+++ b/flamingoweir/dispatch/_start_orders.py
@@ -100,7 +100,8 @@
                 return False
             if not runner.call_fence.allows_start(order.fence):
                 return False
-            if runner.must_defer_start(self._context.clock.now()):
+            now_s = self._context.clock.now()
+            if runner.must_defer_start(allocation.spec, now_s):
                 return False
             return self._gate.is_open(runner)
 
@@ -117,7 +118,7 @@
             if obstacle:
                 self._discard_or_stop(attempt, allocation, obstacle)
                 return
-            if runner.must_defer_start(self._context.clock.now()):
+            if runner.must_defer_start(allocation.spec, self._context.clock.now()):
                 await anyio.sleep(DEFERRAL_CHECK_INTERVAL_S)
                 continue
             if not await self._gate.reach(runner, link):
--- a/flamingoweir/fleet/_end_cursor.py
+++ b/flamingoweir/fleet/_end_cursor.py
@@ -69,6 +69,19 @@
         Ends and orders take turns, so that neither waits for a steady stream of the
         others.
 
+        Parameters
+        ----------
+        now_s : float
+            Time on the owner's clock, in seconds.
+        """
+        since_s = self._withheld_since_s
+        if since_s is not None and now_s < since_s + TURN_S:
+            return True
+        return self.have_long_turn(now_s)
+
+    def have_long_turn(self, now_s: float) -> bool:
+        """Return whether start orders wait as ends have been withheld for long.
+
         Parameters
         ----------
         now_s : float
@@ -77,8 +90,7 @@
         if self._withheld_since_s is None:
             return False
         waited_s = now_s - self._withheld_since_s
-        has_long_turn = WITHHELD_S <= waited_s < WITHHELD_S + LONG_TURN_S
-        return waited_s < TURN_S or has_long_turn
+        return WITHHELD_S <= waited_s < WITHHELD_S + LONG_TURN_S
 
     def record_durable(self, number: int) -> None:
         """Record that the ends up to a number are durable."""
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -406,18 +406,26 @@
         """
         return self.responds and not self.unanswered_starts.may_arrive(now_s)
 
-    def must_defer_start(self, now_s: float) -> bool:
+    def must_defer_start(self, spec: StepSpec, now_s: float) -> bool:
         """Return whether a start order waits until ends have been acknowledged.
 
+        That of a long-running task waits only if ends have been withheld for long:
+        without a response, its task is held open for long if its owner is lost.
+
         Parameters
         ----------
+        spec : StepSpec
+            Step of the task.
         now_s : float
             Time on the owner's clock, in seconds.
         """
         if self.ends.are_many_withheld:
             return True
-        is_lost = now_s < self.unanswered_starts.lost_until_s
-        return not is_lost and self.ends.have_turn(now_s)
+        if now_s < self.unanswered_starts.lost_until_s:
+            return False
+        if spec.lasting:
+            return self.ends.have_long_turn(now_s)
+        return self.ends.have_turn(now_s)
 
     def must_refuse_start(self, now_s: float) -> bool:
         """Return whether a start order would wait for long until ends are acknowledged.
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -4,7 +4,9 @@
 import pytest
 
 from flamingoweir.dispatch._watch import DURABLE_WAIT_S, POLL_WAIT_S
+from flamingoweir.fleet import Runner
 from flamingoweir.jobs import JobState, Outcome
+from flamingoweir.registry import RunnerEntry
 from flamingoweir.standins import MemoryRunnerLink
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
@@ -145,3 +147,17 @@
             assert max(waited_s["noted"]) < 2.0
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("lasting, is_deferred", [(False, True), (True, False)])
+def test_start_of_a_long_running_task_does_not_wait_for_ends(lasting, is_deferred):
+    """Guards against a task that is held open for longer if its owner is lost then."""
+    runner = Runner(RunnerEntry("r", 1, "", "host:1", ""), 10.0)
+    spec = make_step(lasting=lasting)
+    assert not runner.must_defer_start(spec, 0.0)
+    runner.record_withheld(0.0)
+    assert runner.must_defer_start(spec, 0.01) is is_deferred
+    assert not runner.must_defer_start(spec, 0.5)
+    # Neither waits for the other for good.
+    assert runner.must_defer_start(spec, 1.1)
+    assert not runner.must_defer_start(spec, 1.3)
