--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -42,7 +42,7 @@
 SHORT_REPORT = 200
 PAUSE_S_BY_ENTRY = 0.0005
 #: Longest pause between two polls of a runner, in seconds.
-MAX_POLL_PAUSE_S = 0.25
+MAX_POLL_PAUSE_S = 1.0
 
 
 def find_poll_pause_s(report: RunnerReport) -> float:
