--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -46,7 +46,7 @@
 
 
 def find_poll_pause_s(report: RunnerReport) -> float:
-    """Return for how many seconds a runner is not polled after a report.
+    """Return after how many seconds from a poll its runner is polled again.
 
     A runner with ends to report answers at once. If it has many tasks, its reports
     would take all of the owner's time while they end one after another.
@@ -288,7 +288,8 @@
         """Apply a report; that of a runner with many tasks gives way meanwhile."""
         runner = self._runner
         time_slice = TimeSlice(self._clock)
-        self._next_poll_s = self._clock.now() + find_poll_pause_s(report)
+        # Counted from the sending, as each poll renews leases.
+        self._next_poll_s = sent_s + find_poll_pause_s(report)
         running = {(task.task, task.run): task for task in report.running}
         for end in report.ended:
             if end.number <= runner.ends.received:
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from flamingoweir.dispatch import _watch
 from flamingoweir.dispatch._watch import DURABLE_WAIT_S, POLL_WAIT_S
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import JobState, Outcome
@@ -161,3 +162,21 @@
     # Neither waits for the other for good.
     assert runner.must_defer_start(spec, 1.1)
     assert not runner.must_defer_start(spec, 1.3)
+
+
+def test_leases_on_a_leaving_runner_with_long_reports_are_renewed(monkeypatch):
+    """Guards against a pause after each report in which short leases lapse."""
+    monkeypatch.setattr(_watch, "SHORT_REPORT", 10)
+    monkeypatch.setattr(_watch, "PAUSE_S_BY_ENTRY", 0.1)
+
+    async def scenario():
+        async with run_cluster(members=1, runners=1, processors=40) as cluster:
+            job = await cluster.submit(make_job(1, make_step(30, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 3.0)
+            await anyio.sleep(2.0)
+            cluster.list_runner("runner-0", state="draining")
+            await anyio.sleep(8.0)
+            assert len(cluster.records("start")) == 30
+            assert not cluster.records("lapsed")
+
+    run_virtual(scenario)
