--- a/benchmarks/large_job.py
+++ b/benchmarks/large_job.py
@@ -108,7 +108,7 @@
     large.clock.now_s += LONG_S
     for runner in large.runners:
         while runner.has_attempts:
-            yield lambda runner=runner: large.state.end_lapsed_attempts(runner)
+            yield lambda runner=runner: large.state.lapses.end_lapsed(runner)
 
 
 def take_over(tasks: int) -> Iterator[Callable]:
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -21,9 +21,7 @@
 from ..metrics import Metrics
 from ..ownership import EarlierLeases
 from ..policy import (
-    RETURN_WINDOW_S,
     SURVIVAL_S,
-    SUSPECT_WAIT_S,
     ColocationPolicy,
     Crash,
     CrashDetector,
@@ -37,6 +35,7 @@
 from ._customer_load import CustomerLoad
 from ._customer_usage import CustomerUsage
 from ._dropped_runners import DroppedRunners
+from ._lapses import Lapses, find_granter
 from ._late_orders import LateOrders
 from ._late_starts import LateStarts
 from ._missing_runners import MissingRunners
@@ -47,8 +46,6 @@
 
 #: Seconds before a step is tried again after an attempt did not start.
 RETRY_PAUSE_S = 0.05
-#: Number of lapsed attempts of a runner that are ended at once.
-LAPSED_AT_ONCE = 500
 #: Largest number of tasks that a line of the log names.
 MAX_LOGGED_TASKS = 20
 #: Placeholder for the pace of an attempt that an earlier owner may have throttled, or
@@ -104,6 +101,8 @@
         Fencing token of the term; 0 where no runner is called.
     late_orders : LateOrders
         Start orders that the next incarnation of a runner might carry out.
+    lapses : Lapses
+        Ends attempts whose leases have lapsed.
     late_starts : LateStarts
         Attempts whose start order may still be carried out.
     task_ends : TaskEnds
@@ -141,6 +140,7 @@
         self.fence = 0
         self.late_orders = LateOrders()
         self.late_starts = LateStarts()
+        self.lapses = Lapses(self, clock)
         self.task_ends = TaskEnds()
         self.waits = CarriedWaits(clock)
         self.job_by_id: dict[str, Job] = {}
@@ -165,7 +165,6 @@
         self._clock = clock
         self._metrics = metrics
         self._max_lease_s = max_lease_s
-        self._started_s = clock.now()
         self._earlier_leases = earlier_leases or EarlierLeases.none()
 
     def has_job(self, job_id: str) -> bool:
@@ -300,6 +299,10 @@
         del self.runner_by_id[runner.id]
         self._dropped_runners.record(runner, self._clock.now())
 
+    def find_entry(self, runner_id: str) -> RunnerEntry | None:
+        """Return the entry that a runner has announced last; None: it isn't listed."""
+        return self._entry_by_id.get(runner_id)
+
     def record_no_address(self, runner: Runner) -> None:
         """Record that no connection to a runner is possible at its address.
 
@@ -351,7 +354,7 @@
             if self.missing_runners.may_return(runner.id, now_s):
                 continue
             if runner.has_attempts:
-                self.end_lapsed_attempts(runner)
+                self.lapses.end_lapsed(runner)
             if runner.id not in self._entry_by_id and not runner.has_attempts:
                 self._drop_runner(runner)
 
@@ -369,7 +372,7 @@
         is_first = runner.unresponsive_since_s is None
         runner.record_no_response(now_s)
         if now_s - runner.unresponsive_since_s >= LOST_AFTER_S:
-            self._suspect_tasks(runner)
+            self.suspect_tasks(runner)
         if not is_first:
             return
         unheard_s = runner.unheard_s(now_s)
@@ -398,68 +401,16 @@
             runner=runner.id,
             attempts=len(runner.allocation_by_run),
             lapse_in_s=round(max(0.0, runner.lapses_in_s(now_s)), 2),
-            missing_s=self._missing_s(runner, now_s),
-            granted_by=_find_granter(runner),
+            missing_s=self.find_missing_s(runner, now_s),
+            granted_by=find_granter(runner),
             tasks=" ".join(tasks),
         )
 
-    def _missing_s(self, runner: Runner, now_s: float) -> float | None:
+    def find_missing_s(self, runner: Runner, now_s: float) -> float | None:
         """Return for how long a runner is missing from the list, for the log."""
         missing_s = self.missing_runners.missing_s(runner.id, now_s)
         return None if missing_s is None else round(missing_s, 2)
 
-    def end_lapsed_attempts(self, runner: Runner) -> None:
-        """End attempts on a runner whose leases have certainly lapsed.
-
-        If there are many, each call ends some of them. Those that may be given up for
-        the loss of the runner wait a little longer, and
-        those whose start order may reach its next incarnation until that has responded.
-        """
-        now_s = self._clock.now()
-        self._suspect_tasks(runner)
-        attempts = []
-        entry = self._entry_by_id.get(runner.id)
-        # No order has been sent to another address, and none is meanwhile.
-        has_moved = entry is not None and runner.entry.address not in (
-            "",
-            entry.address,
-        )
-        for allocation in runner.allocation_by_run.values():
-            if not has_moved and runner.may_run_unseen(allocation, now_s):
-                continue
-            if not self._waits_for_crash(allocation.attempt, now_s):
-                attempts.append(allocation.attempt)
-            if len(attempts) == LAPSED_AT_ONCE:
-                # The others follow with the next call.
-                break
-        if not attempts:
-            return
-        unheard_s = runner.unheard_s(now_s)
-        log.warning(
-            "leases_lapsed",
-            runner=runner.id,
-            attempts=len(attempts),
-            unheard_s=None if unheard_s is None else round(unheard_s, 2),
-            term_s=round(now_s - self._started_s, 2),
-            missing_s=self._missing_s(runner, now_s),
-            granted_by=_find_granter(runner),
-        )
-        for attempt in attempts:
-            self.end_attempt(runner, attempt.task, attempt.run, Outcome.LAPSED, "")
-
-    def _waits_for_crash(self, attempt: Attempt, now_s: float) -> bool:
-        """Return whether a task is not started elsewhere yet, as it may be given up.
-
-        Leases of a runner that is lost right after a start are short.
-        """
-        job = self.job_by_id.get(attempt.task.job)
-        if job is None:
-            return False
-        suspicion = job.crash_blame.suspicion_by_run.get((attempt.task, attempt.run))
-        if suspicion is None or not job.may_be_given_up(attempt.task):
-            return False
-        return suspicion.until_s - now_s > RETURN_WINDOW_S - SUSPECT_WAIT_S
-
     def record_restart(
         self, runner: Runner, former: int | None, lost: list[Allocation]
     ) -> None:
@@ -628,7 +579,7 @@
             waiting[queue] = waiting.get(queue, 0) + 1
         return waiting
 
-    def _suspect_tasks(self, runner: Runner) -> None:
+    def suspect_tasks(self, runner: Runner) -> None:
         """Record which tasks may have crashed a lost runner, also for later owners."""
         lost = self._crash_detector.record_lost(runner)
         if lost is None:
@@ -767,8 +718,3 @@
         self.changed_job_ids.add(job.spec.id)
         self.write_wakeup.set()
         self.placement_wakeup.set()
-
-
-def _find_granter(runner: Runner) -> str:
-    """Return who may have granted the leases that are awaited, for the log."""
-    return "former_owner" if runner.incarnation is None else "this_owner"
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -282,7 +282,7 @@
         self._owner_state.record_lost(runner, str(error))
         if not runner.has_attempts or not runner.leases_lapsed(self._clock.now()):
             return
-        self._owner_state.end_lapsed_attempts(runner)
+        self._owner_state.lapses.end_lapsed(runner)
 
     async def _apply_report(self, report: RunnerReport, sent_s: float) -> None:
         """Apply a report; that of a runner with many tasks gives way meanwhile."""
--- a/tests/test_customer_usage.py
+++ b/tests/test_customer_usage.py
@@ -104,7 +104,7 @@
         owner_state.restore_allocations(job)
         usage = owner_state.customer_usage
         assert usage.used_by("kaje80") == DEMAND + DEMAND
-        owner_state.end_lapsed_attempts(owner_state.runner_by_id["unlisted"])
+        owner_state.lapses.end_lapsed(owner_state.runner_by_id["unlisted"])
         assert usage.used_by("kaje80") == NOTHING
 
     run_with_owner(check)
