Keep a task where a late start order of an ended run may start it

The first runner is cut off, restarts, and carries the first order out before any call of the owner reaches it.

Cause: the end of a run freed its task for all runners, though an order of that run could still start it on one of them. No token or deadline closes the time until the first call; the next owner knew nothing of it.

Change: the task is bound to that runner until no order of it can arrive there (15 s from when it got no response), for 3 s after its last run if the runner responds but can't take it, and a long-running one for 7.5 s if it doesn't respond. The next run starts there, so that it is gone when the late one begins, which is adopted. Its attempt stays open while the runner's entry tells of a new incarnation. The owner row names bound tasks.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -131,6 +131,7 @@
                 self._context.clock.now()
             )
         )
+        self._writer.list_bound_tasks = self._owner_state.late_runs.list_bound
         self._writer.find_max_job_bytes = self._owner_state.parking.find_max_job_bytes
         await self._wait_for_responses()
         self._writer.grants_leases = True
--- a/flamingoweir/dispatch/_customer_usage.py
+++ b/flamingoweir/dispatch/_customer_usage.py
@@ -3,11 +3,10 @@
 import heapq
 from dataclasses import dataclass
 
-from ..fleet import Allocation, Runner
+from ..fleet import MAX_LATENESS_S, Allocation, Runner
 from ..jobs import Attempt, StepRun, StepSpec, TaskId
 from ..resources import Resources
 from ._cap_changes import CapChanges
-from ._late_orders import MAX_LATENESS_S
 from ._service_usage import ServiceUsage
 
 _NOTHING = Resources()
--- a/flamingoweir/dispatch/_evictions.py
+++ b/flamingoweir/dispatch/_evictions.py
@@ -121,11 +121,19 @@
             promise = self._promises.find(step.task_id(index))
             if promise is not None and now_s < promise.until_s:
                 continue
+            binding = self._owner_state.late_runs.find_binding(step, index)
+            if binding is not None:
+                bound = [r for r in candidates if r.id == binding.runner]
+                self._choices_left -= 1
+                self._evict_for(step, index, bound, list, now_s)
+                continue
             # What is promised to a task already is no room for others.
             if promise is None and self._lack_of_room.covers(step):
                 continue
             self._choices_left -= 1
-            self._evict_for(step, index, candidates, find_others, now_s)
+            if not self._evict_for(step, index, candidates, find_others, now_s):
+                self._futile_choices_left -= 1
+                self._lack_of_room.add(step, now_s)
 
     def _evict_for(
         self,
@@ -134,7 +142,8 @@
         candidates: Sequence[Runner],
         find_others: Callable[[], Sequence[Runner]],
         now_s: float,
-    ) -> None:
+    ) -> bool:
+        """Make room for a task; return whether there is some to be made."""
         task = step.task_id(index)
         self._promises.discard(task)
         promised_by_runner = self._promises.sum_by_runner()
@@ -144,12 +153,10 @@
         if found is None:
             found = choose_evictions(step, find_others(), promised_by_runner, now_s)
         if found is None:
-            self._futile_choices_left -= 1
             log.info("no_room_by_eviction", task=str(task), runners=len(candidates))
-            self._lack_of_room.add(step, now_s)
             # Tried again after the time of a promise.
             self._promises.add(task, Promise("", Resources(), now_s + PROMISE_S))
-            return
+            return False
         runner, allocations = found
         promise = Promise(runner.id, step.spec.reserved, now_s + PROMISE_S)
         self._promises.add(task, promise)
@@ -162,3 +169,4 @@
         )
         for allocation in allocations:
             self._owner_state.stop_attempt(allocation.attempt, "evicted")
+        return True
--- a/flamingoweir/dispatch/_lapses.py
+++ b/flamingoweir/dispatch/_lapses.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING
 
 from ..clock import Clock
-from ..fleet import Runner
+from ..fleet import Allocation, Runner
 from ..jobs import Attempt, Outcome
 from ..logs import get_logger
 from ..policy import RETURN_WINDOW_S, SUSPECT_WAIT_S
@@ -50,7 +50,7 @@
             entry.address,
         )
         for allocation in runner.allocation_by_run.values():
-            if not has_moved and runner.may_run_unseen(allocation, now_s):
+            if not has_moved and self._may_run_unseen(runner, allocation, now_s):
                 continue
             if not self._waits_for_crash(allocation.attempt, now_s):
                 attempts.append(allocation.attempt)
@@ -74,6 +74,15 @@
                 runner, attempt.task, attempt.run, Outcome.LAPSED, ""
             )
 
+    def _may_run_unseen(
+        self, runner: Runner, allocation: Allocation, now_s: float
+    ) -> bool:
+        """Return whether a next incarnation may have started a task."""
+        if runner.may_run_unseen(allocation, now_s):
+            return True
+        late_runs = self._owner_state.late_runs
+        return late_runs.may_run_unseen(runner, allocation, now_s)
+
     def _waits_for_crash(self, attempt: Attempt, now_s: float) -> bool:
         """Return whether a task is not started elsewhere yet, as it may be given up.
 
--- a/flamingoweir/dispatch/_late_orders.py
+++ b/flamingoweir/dispatch/_late_orders.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass, field
 
-from ..fleet import MAX_LATENESS_S
 from ..jobs import TaskId
 
 
@@ -23,11 +22,13 @@
         default_factory=dict
     )
 
-    def record(self, runner: str, task: TaskId, run: int, now_s: float) -> None:
-        """Record that an attempt has ended of which an order got no response."""
+    def record(
+        self, runner: str, task: TaskId, run: int, until_s: float, now_s: float
+    ) -> None:
+        """Record until when an order of an attempt that has ended may arrive."""
         self._expire(now_s)
         until_s_by_run = self.until_s_by_runner.setdefault(runner, {})
-        until_s_by_run[task, run] = now_s + MAX_LATENESS_S
+        until_s_by_run[task, run] = until_s
 
     def find(self, runner: str, now_s: float) -> list[tuple[TaskId, int]]:
         """Return the runs that the next incarnation of a runner must not start."""
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -37,6 +37,7 @@
 from ._dropped_runners import DroppedRunners
 from ._lapses import Lapses, find_granter
 from ._late_orders import LateOrders
+from ._late_runs import LateRuns
 from ._late_starts import LateStarts
 from ._missing_runners import MissingRunners
 from ._parking import JobParking
@@ -103,6 +104,8 @@
         Start orders that the next incarnation of a runner might carry out.
     lapses : Lapses
         Ends attempts whose leases have lapsed.
+    late_runs : LateRuns
+        Ended runs that a late order may start, and where their tasks may be meanwhile.
     late_starts : LateStarts
         Attempts whose start order may still be carried out.
     task_ends : TaskEnds
@@ -166,6 +169,7 @@
         self._metrics = metrics
         self._max_lease_s = max_lease_s
         self._earlier_leases = earlier_leases or EarlierLeases.none()
+        self.late_runs = LateRuns(self, self._earlier_leases, clock)
 
     def has_job(self, job_id: str) -> bool:
         """Return whether a job was added before, has ended or is excluded."""
@@ -320,11 +324,8 @@
         for attempt in attempts:
             runner = self.find_or_add_runner(attempt.runner)
             step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
-            attempt.pace_percent = UNKNOWN_PACE_PERCENT
             attempt.created_s = attempt.last_progress_s = self._clock.now()
-            allocation = self.customer_usage.restore(
-                runner, attempt, step.spec, job.spec.customer
-            )
+            allocation = self.restore_allocation(runner, attempt, step)
             # A poll with the new fencing token lists what earlier owners started.
             allocation.expect_listed_after_s = float("-inf")
             # It may have run for long.
@@ -335,6 +336,15 @@
             self.late_starts.add(allocation)
             self.waits.runs.restore(runner, allocation)
 
+    def restore_allocation(
+        self, runner: Runner, attempt: Attempt, step: StepRun
+    ) -> Allocation:
+        """Allocate resources for an attempt whose run nobody has told of its pace."""
+        attempt.pace_percent = UNKNOWN_PACE_PERCENT
+        return self.customer_usage.restore(
+            runner, attempt, step.spec, step.job.spec.customer
+        )
+
     def finish_restore(self, job: Job) -> None:
         """Go on with a job whose attempts are restored."""
         self._crash_detector.restore(job.crash_blame.suspicion_by_run)
@@ -486,6 +496,8 @@
                 job_state=job.state.value,
             )
         self._metrics.incr(f"attempts_{outcome.value}")
+        if allocation is not None:
+            self.late_runs.record_end(job, runner, allocation)
         self._mark_changed(job)
         self._stop_surplus_after(job, task, run, was_final)
 
@@ -534,6 +546,7 @@
         )
         self._metrics.incr("attempts_void")
         job.discard_attempt(attempt)
+        self.late_runs.record_end(job, runner, allocation)
         step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
         step.retry_at_s = self._clock.now() + RETRY_PAUSE_S
         self._mark_changed(job)
@@ -681,11 +694,13 @@
             )
 
     def _record_late_order(self, runner: Runner, allocation: Allocation) -> None:
-        if allocation.start_unanswered or allocation.order_under_way:
-            attempt, now_s = allocation.attempt, self._clock.now()
-            self.late_orders.record(runner.id, attempt.task, attempt.run, now_s)
-            self.late_starts.add_runner(runner)
-            self.customer_usage.keep_late(runner, allocation, now_s)
+        attempt, now_s = allocation.attempt, self._clock.now()
+        until_s = allocation.find_late_until_s(now_s)
+        if until_s <= now_s:
+            return
+        self.late_orders.record(runner.id, attempt.task, attempt.run, until_s, now_s)
+        self.late_starts.add_runner(runner)
+        self.customer_usage.keep_late(runner, allocation, now_s)
 
     def _stop_surplus(self, job: Job) -> None:
         reason = "job_ended" if job.is_final else "surplus"
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -21,6 +21,7 @@
 from ._fleet_load import FleetLoadLog, measure_load
 from ._job_pauses import JobPauses
 from ._ready_steps import ReadySteps
+from ._task_bindings import Binding
 from ._time_slice import TimeSlice
 from ._unplaced_steps import UnplacedSteps
 
@@ -83,6 +84,7 @@
         self._candidates = CandidateLists(self._placement, [], {}, 0.0)
         self._evictions = Evictions(context.owner_state)
         self._early_probes = EarlyProbes(self._placement, self._evictions)
+        self._late_runs = context.owner_state.late_runs
         self._waits = context.owner_state.waits.steps
         self._headroom = BatchHeadroom()
         self._pauses = JobPauses(context.owner_state)
@@ -194,9 +196,12 @@
     def _shows_lack_of_room(self, step: StepRun) -> bool:
         """Return whether an unplaced step makes it unlikely that others find room.
 
-        One that fits on no runner, even an empty one, says nothing about that.
+        One that fits on no runner, even an empty one, says nothing about that, nor does
+        one that waits for a certain runner.
         """
-        return not step.spec.lasting and self._candidates.has_large_enough(step)
+        if step.spec.lasting or self._late_runs.binds_all(step):
+            return False
+        return self._candidates.has_large_enough(step)
 
     async def _place_or_make_room(self, step: StepRun, unplaced: UnplacedSteps) -> bool:
         """Place the open tasks of a step; return whether all were placed.
@@ -210,11 +215,18 @@
             self._candidates.release(step)
             return True
         # A smaller one had no part in what is promised to this step.
-        is_tried = not unplaced.rules_out(step) or self._evictions.has_promise(step)
+        is_tried = (
+            not unplaced.rules_out(step)
+            or self._evictions.has_promise(step)
+            or self._late_runs.binds_any(step)
+        )
         if is_tried and await self._place(step):
             self._candidates.release(step)
             return True
         first = next(step.placing_order(), None)
+        if first is not None and self._late_runs.binds_all(step):
+            self._evict_for(step)
+            return False
         if first is not None and not self._must_leave_room(step, first):
             unplaced.add(step)
             self._caps.end_wait(step)
@@ -239,6 +251,8 @@
         for index, runner in probes:
             if self._caps.holds(step):
                 return False
+            if self._late_runs.find_binding(step, index) is not None:
+                continue
             log.info(
                 "runner_probed_early", runner=runner.id, task=str(step.task_id(index))
             )
@@ -293,6 +307,12 @@
 
     def _make_room(self, step: StepRun) -> None:
         """Free resources for a step that found too few, and keep them free."""
+        self._evict_for(step)
+        if self._candidates.has_large_enough(step):
+            self._reserve_runner(step)
+
+    def _evict_for(self, step: StepRun) -> None:
+        """Evict batch for tasks of a step that have run before."""
         candidates = self._candidates.find_all(step)
 
         def find_others() -> list[Runner]:
@@ -300,8 +320,6 @@
             return self._placement.early_probes(step, quarantined, self._now_s)
 
         self._evictions.make_room(step, candidates, find_others, self._now_s)
-        if self._candidates.has_large_enough(step):
-            self._reserve_runner(step)
 
     def _reserve_runner(self, step: StepRun) -> None:
         """Reserve a runner for a step that has waited long for enough resources."""
@@ -359,6 +377,7 @@
         places_absent = False
         evaluated_s = 0.0
         placed_on: dict[str, Runner] = {}
+        waits_for_runner = False
         for index in step.placing_order():
             if placement is not None and self._time_slice.is_over(evaluated_s):
                 await self._give_way()
@@ -370,6 +389,16 @@
                 continue
             if self._caps.holds(step):
                 break
+            binding = self._late_runs.find_binding(step, index)
+            if binding is not None:
+                runner = self._choose_bound(step, index, binding)
+                if runner is None:
+                    waits_for_runner = True
+                    continue
+                self._start(step, index, runner)
+                placed_on[runner.id] = runner
+                placement = None
+                continue
             is_absent = step.is_absent(index)
             if placement is None or is_absent != places_absent:
                 places_absent = is_absent
@@ -397,10 +426,36 @@
                 )
             placement.record_placed()
             placed_on[runner.id] = runner
-        step.unplaced_since_s = None
         self._candidates.recheck(step, placed_on.values())
+        if waits_for_runner:
+            if step.unplaced_since_s is None:
+                step.unplaced_since_s = self._now_s
+            return False
+        step.unplaced_since_s = None
         return True
 
+    def _choose_bound(
+        self, step: StepRun, index: int, binding: Binding
+    ) -> Runner | None:
+        """Return the runner that a task waits for, if the task may start there now.
+
+        A batch task doesn't use its last attempt there, as the runner may fail all that
+        it starts.
+        """
+        task, spec = step.tasks.view(index), step.spec
+        left = step.job.spec.policy.max_attempts - task.failures
+        if not spec.lasting and task.failures and left < 2:
+            return None
+        runner = self._owner_state.runner_by_id.get(binding.runner)
+        if runner is None or not self._permit.allows_runner(runner):
+            return None
+        candidates = self._placement.candidates(step, [runner], self._now_s)
+        withheld = self._evictions.promised_to_others(step)
+        placement = StepPlacement(
+            self._placement, step, candidates, self._now_s, withheld
+        )
+        return placement.choose(index)
+
     def _choose(
         self, placement: StepPlacement, step: StepRun, index: int
     ) -> Runner | None:
@@ -438,7 +493,14 @@
         if len(step.open_indexes) < step.spec.count:
             return False
         candidates = self._candidates.find(step, step.is_away)
-        runners = place_gang(step, candidates, self._evictions.promised_to_others(step))
+        bound_runners: dict[int, str] = {}
+        for index in step.open_indexes:
+            binding = self._late_runs.find_binding(step, index)
+            if binding is not None:
+                bound_runners[index] = binding.runner
+        runners = place_gang(
+            step, candidates, self._evictions.promised_to_others(step), bound_runners
+        )
         if runners is None:
             return False
         self._owner_state.add_gang_attempts(step, runners)
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -303,6 +303,9 @@
         listed_count = 0
         for key, task in running.items():
             allocation = runner.allocation_by_run.get(key)
+            if allocation is None:
+                late_runs = self._owner_state.late_runs
+                allocation = late_runs.adopt(runner, task.task, task.run)
             if allocation is None:
                 self._stop_unknown_run(task)
                 continue
@@ -394,7 +397,9 @@
             inherited_s=round(runner.inherited_s(now_s), 2),
         )
         for task, run in self._owner_state.late_orders.find(runner.id, now_s):
-            self._orders.forbid_run(runner, task, run)
+            # Those that run already are stopped one by one, unless they go on.
+            if (task, run) not in running:
+                self._orders.forbid_run(runner, task, run)
         time_slice = TimeSlice(self._clock)
         for allocation in lost:
             await time_slice.give_way_if_over()
--- a/flamingoweir/fleet/_allocation.py
+++ b/flamingoweir/fleet/_allocation.py
@@ -95,6 +95,15 @@
             return True
         return self.start_unanswered and now_s < self.late_start_until_s
 
+    def find_late_until_s(self, now_s: float) -> float:
+        """Return until when a start order may arrive, on the owner's clock, in seconds.
+
+        Minus infinity if each has got a response.
+        """
+        return (
+            now_s + MAX_LATENESS_S if self.order_under_way else self.late_start_until_s
+        )
+
     def has_survived(self, duration_s: float) -> bool:
         """Return whether the runner was up ``duration_s`` after the start."""
         if self.started_s is None or self.listed_s == float("-inf"):
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -288,8 +288,21 @@
             Time on the owner's clock, in seconds.
         """
         late_until_s = self.find_late_until_s(allocation)
+        if late_until_s == float("-inf"):
+            return False
+        return now_s < self.find_unseen_until_s(late_until_s)
+
+    def find_unseen_until_s(self, late_until_s: float) -> float:
+        """Return until when an incarnation that has not responded may have a run.
+
+        Parameters
+        ----------
+        late_until_s : float
+            Until when a start order of the run may arrive.
+        """
+        late_until_s = max(late_until_s, self.granted_s + MAX_LATENESS_S)
         lease_s = self._max_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_MS / 1000
-        return now_s < late_until_s + lease_s
+        return late_until_s + lease_s
 
     def find_late_until_s(self, allocation: Allocation) -> float:
         """Return until when calls may start a run unseen, or extend its lease.
--- a/flamingoweir/jobs/_job.py
+++ b/flamingoweir/jobs/_job.py
@@ -395,6 +395,20 @@
             )
         return attempts
 
+    def adopt(
+        self,
+        step: StepRun,
+        index: int,
+        run_number: int,
+        runner: str,
+        incarnation: int,
+        now_s: float,
+    ) -> Attempt:
+        """Add an attempt for a run that a late start order has begun; see `start`."""
+        attempt = self._add_attempt(step, index, run_number, runner, incarnation, now_s)
+        attempt.state = AttemptState.RUNNING
+        return attempt
+
     def restore_attempt(
         self, step: StepRun, index: int, run_number: int, runner: str, incarnation: int
     ) -> Attempt:
@@ -619,7 +633,7 @@
             step.task_id(index), run_number, runner, incarnation, created_s=now_s
         )
         attempt.last_progress_s = now_s
-        task.last_run = run_number
+        task.last_run = max(task.last_run, run_number)
         task.attempt_by_run[run_number] = attempt
         self._count_attempt(step, 1)
         step.open_indexes.discard(index)
--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -1,7 +1,7 @@
 """Ownership of shards, and the rows that owners write to the store."""
 
 from ._earlier_leases import UNBOUNDED_STARTS_END_IN_S, EarlierLeases
-from ._late_runs import HASH_LENGTH, encode_run_hashes, hash_run
+from ._late_runs import HASH_LENGTH, BoundTask, encode_run_hashes, hash_run
 from ._owner_record import (
     UNBOUNDED_LEASES_END_IN_S,
     Backlog,
@@ -52,6 +52,7 @@
     "UNBOUNDED_LEASES_END_IN_S",
     "UNBOUNDED_STARTS_END_IN_S",
     "Backlog",
+    "BoundTask",
     "EarlierLeases",
     "FencedWriter",
     "OwnerObservation",
--- a/flamingoweir/ownership/_earlier_leases.py
+++ b/flamingoweir/ownership/_earlier_leases.py
@@ -1,9 +1,9 @@
 """When calls of a shard's earlier owners have no effect any more."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 
-from ._late_runs import decode_run_hashes, hash_run
+from ._late_runs import BoundTask, decode_run_hashes, hash_run
 from ._owner_record import UNBOUNDED_LEASES_END_IN_S, OwnerRecord
 from ._store_clock import StoreClock
 
@@ -30,6 +30,8 @@
         id stands for all others.
     late_run_hashes : frozenset of str or None
         Hashes of the runs whose start orders may reach their runner; None: any run.
+    bound_tasks : sequence of BoundTask
+        Tasks of which a start order may arrive, though a later attempt may have begun.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         starts_end_s_by_runner: Mapping[str, float] = MappingProxyType({}),
         unanswered_end_s_by_runner: Mapping[str, float] = MappingProxyType({}),
         late_run_hashes: frozenset[str] | None = None,
+        bound_tasks: Sequence[BoundTask] = (),
     ):
         self.end_s = end_s
         self._end_s_by_runner = end_s_by_runner
@@ -47,6 +50,7 @@
         self._starts_end_s_by_runner = starts_end_s_by_runner
         self._unanswered_end_s_by_runner = unanswered_end_s_by_runner
         self.late_run_hashes = late_run_hashes
+        self.bound_tasks = bound_tasks
 
     @classmethod
     def none(cls) -> "EarlierLeases":
@@ -92,6 +96,11 @@
         late_run_hashes = None
         if record.late_run_hashes is not None:
             late_run_hashes = decode_run_hashes(record.late_run_hashes)
+        bound_tasks = []
+        for runner, rows in record.bound_tasks.items():
+            for task_hash, left_s, ran_ago_s in rows:
+                until_s, ran_s = find_end_s(left_s), find_end_s(-ran_ago_s)
+                bound_tasks.append(BoundTask(task_hash, runner, until_s, ran_s))
         if record.late_starts_end_in_s_by_runner is None:
             starts_end_s = find_end_s(UNBOUNDED_STARTS_END_IN_S)
             return cls(
@@ -100,6 +109,7 @@
                 starts_end_s,
                 unanswered_end_s_by_runner=unanswered_end_s_by_runner,
                 late_run_hashes=late_run_hashes,
+                bound_tasks=bound_tasks,
             )
         starts_end_s_by_runner = {}
         for runner, end_in_s in record.late_starts_end_in_s_by_runner.items():
@@ -110,6 +120,7 @@
             starts_end_s_by_runner=starts_end_s_by_runner,
             unanswered_end_s_by_runner=unanswered_end_s_by_runner,
             late_run_hashes=late_run_hashes,
+            bound_tasks=bound_tasks,
         )
 
     def find_end_s(self, runner: str) -> float:
@@ -161,6 +172,22 @@
                 left_s_by_runner[runner] = end_s - now_s
         return left_s_by_runner
 
+    def list_bound_left(
+        self, now_s: float
+    ) -> dict[str, list[tuple[str, float, float]]]:
+        """Return the bound tasks with the seconds left, as an owner row has them."""
+        bound_by_runner: dict[str, list[tuple[str, float, float]]] = {}
+        for bound in self.bound_tasks:
+            if bound.until_s <= now_s:
+                continue
+            row = (
+                bound.task_hash,
+                bound.until_s - now_s,
+                max(0.0, now_s - bound.ran_s),
+            )
+            bound_by_runner.setdefault(bound.runner, []).append(row)
+        return bound_by_runner
+
     @property
     def latest_end_s(self) -> float:
         """When the last of the leases has lapsed, in seconds."""
--- a/flamingoweir/ownership/_owner_record.py
+++ b/flamingoweir/ownership/_owner_record.py
@@ -79,6 +79,12 @@
         Seconds after the write until no start order without a response can reach a
         runner any more, by runner id, whether or not its attempt has ended. An empty id
         stands for all others; without one, 0 for others.
+    bound_tasks : dict of str to list of (str, float, float)
+        Tasks of which a start order may arrive late, though a later attempt may have
+        begun, by the id of the runner where it may. Each has a hash, the seconds after
+        the write until none can arrive, and those before the write since the task was
+        last known to run. An empty id stands for an unknown runner, an empty hash for
+        any task that has run.
     missing_s_by_runner : dict of str to float
         Seconds for which owners that followed one another have found a runner with
         attempts missing from the list of runners, by its id.
@@ -100,6 +106,7 @@
     late_starts_end_in_s_by_runner: dict[str, float] | None = None
     late_run_hashes: str | None = None
     unanswered_starts_end_in_s_by_runner: dict[str, float] = field(default_factory=dict)
+    bound_tasks: dict[str, list[tuple[str, float, float]]] = field(default_factory=dict)
     missing_s_by_runner: dict[str, float] = field(default_factory=dict)
     max_job_bytes: int | None = None
     waits: Waits = field(default_factory=Waits)
@@ -112,14 +119,16 @@
     """Encode the content of an owner row as JSON.
 
     Late starts, late runs and the field `max_job_bytes` are left out while they are
-    None: former builds can't read the latter. Unanswered starts, missing runners, waits
-    and the limits of customers are left out where there are none.
+    None: former builds can't read the latter. Unanswered starts, bound tasks, missing
+    runners, waits and the limits of customers are left out where there are none.
     """
     fields = _to_fields(record)
     if record.late_run_hashes is None:
         del fields["late_run_hashes"]
     if not record.unanswered_starts_end_in_s_by_runner:
         del fields["unanswered_starts_end_in_s_by_runner"]
+    if not record.bound_tasks:
+        del fields["bound_tasks"]
     if not record.missing_s_by_runner:
         del fields["missing_s_by_runner"]
     if not record.waits:
@@ -173,11 +182,20 @@
     return {"unanswered_starts_end_in_s_by_runner": {"": max(ends, default=0.0)}}
 
 
+def _shorten_bound(record: OwnerRecord) -> dict:
+    """Return a field by which any task that has run waits as long as the last one."""
+    rows = [row for rows in record.bound_tasks.values() for row in rows]
+    left_s = max([row[1] for row in rows], default=0.0)
+    ran_ago_s = min([row[2] for row in rows], default=0.0)
+    return {"bound_tasks": {"": [("", left_s, ran_ago_s)]} if rows else {}}
+
+
 #: Fields that have no room in a full row, in the order in which they are left out, and
 #: what stands in their place.
 SHORTENED_FIELDS = (
     ("waits", lambda record: {"waits": Waits()}),
     ("late_run_hashes", lambda record: {"late_run_hashes": None}),
+    ("bound_tasks", _shorten_bound),
     ("missing_s_by_runner", lambda record: {"missing_s_by_runner": {}}),
     ("unanswered_starts_end_in_s_by_runner", _shorten_unanswered),
     (
@@ -211,6 +229,9 @@
         *record.unanswered_starts_end_in_s_by_runner.values(),
         *record.missing_s_by_runner.values(),
     ]
+    for rows in record.bound_tasks.values():
+        for _, left_s, ran_ago_s in rows:
+            times_s.extend((left_s, ran_ago_s))
     if record.written_s is not None:
         times_s.append(record.written_s)
     for time_s in times_s:
--- a/flamingoweir/ownership/_writer.py
+++ b/flamingoweir/ownership/_writer.py
@@ -141,6 +141,8 @@
         Returns `OwnerRecord.late_run_hashes` to publish, called once a write.
     list_unanswered_starts : callable
         Returns `OwnerRecord.unanswered_starts_end_in_s_by_runner`, called once a write.
+    list_bound_tasks : callable
+        Returns `OwnerRecord.bound_tasks` to publish, called once a write.
     list_missing_runners : callable
         Returns `OwnerRecord.missing_s_by_runner`, called for each transaction.
     list_waits : callable
@@ -186,6 +188,9 @@
         self.list_unanswered_starts = lambda: (
             self.earlier_leases.list_unanswered_left_s(self._clock.now())
         )
+        self.list_bound_tasks = lambda: self.earlier_leases.list_bound_left(
+            self._clock.now()
+        )
         self.list_missing_runners = lambda: self.former_missing_s_by_runner
         self.list_waits = lambda: self.former_waits
         self.find_max_job_bytes: Callable[[], int | None] = lambda: None
@@ -410,6 +415,7 @@
         late_starts = self.list_late_starts()
         late_run_hashes = self.list_late_run_hashes()
         unanswered_starts = self.list_unanswered_starts()
+        bound_tasks = self.list_bound_tasks()
         for runner, end_in_s in named_leases.items():
             valid_s = _named_valid_s(end_in_s)
             known_s = self._named_in_flight.get(runner, valid_s)
@@ -425,6 +431,7 @@
                 late_starts_end_in_s_by_runner=late_starts,
                 late_run_hashes=late_run_hashes,
                 unanswered_starts_end_in_s_by_runner=unanswered_starts,
+                bound_tasks=bound_tasks,
                 missing_s_by_runner=self.list_missing_runners(),
                 max_job_bytes=self.find_max_job_bytes(),
                 waits=self.list_waits(),
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -41,6 +41,7 @@
 from ._health import RunnerHealth
 from ._key_validity import KeyDecision, decide_key
 from ._lack_of_room import LackOfRoom
+from ._late_runs import MAX_SILENT_WAIT_S, find_bound_until_s
 from ._order import AWAY_PRIORITY, MAX_VALUABLE_OBJECTIVES, objective_s, sort_key
 from ._paces import PaceChange
 from ._placement import (
@@ -81,6 +82,7 @@
     "EVICT_AFTER_S",
     "EXCESS",
     "MAX_PLACEMENT_WAIT_S",
+    "MAX_SILENT_WAIT_S",
     "MAX_VALUABLE_OBJECTIVES",
     "RESPONSE_LIMIT_S",
     "RETURN_WINDOW_S",
@@ -125,6 +127,7 @@
     "choose_evictions",
     "choose_published",
     "decide_key",
+    "find_bound_until_s",
     "find_limit",
     "find_open_work",
     "find_oversized_gang",
--- a/flamingoweir/policy/_gangs.py
+++ b/flamingoweir/policy/_gangs.py
@@ -3,7 +3,9 @@
 A gang that is placed in part would hold resources while it waits for the last member.
 """
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 
 from ..fleet import Runner
 from ..jobs import StepRun
@@ -14,6 +16,7 @@
     step: StepRun,
     candidates: Sequence[Runner],
     withheld_by_runner: Mapping[str, Resources] | None = None,
+    bound_runners: Mapping[int, str] = MappingProxyType({}),
 ) -> list[Runner] | None:
     """Return a runner for each member of a gang, or None if not all members fit.
 
@@ -29,8 +32,12 @@
         Runners that suit the step, without regard to free resources.
     withheld_by_runner : mapping of str to Resources, optional
         Resources that the members must leave free, by runner id; left out: none.
+    bound_runners : mapping of int to str, optional
+        Id of the only runner that may get a member, by its index; left out: none.
     """
     withheld_by_runner = withheld_by_runner or {}
+    if bound_runners:
+        return _assign_bound(step, candidates, withheld_by_runner, bound_runners)
     if not step.spec.same_rack:
         return _assign_members(step, candidates, withheld_by_runner)
     fits_when_empty = False
@@ -73,6 +80,46 @@
     return None
 
 
+def _assign_bound(
+    step: StepRun,
+    candidates: Sequence[Runner],
+    withheld_by_runner: Mapping[str, Resources],
+    bound_runners: Mapping[int, str],
+) -> list[Runner] | None:
+    """Assign members of which some may run on one runner only, for some seconds.
+
+    On several racks such a gang is slowed down. It doesn't wait for one rack, which may
+    not have the runners that its members are bound to.
+    """
+    members = _assign_members(step, candidates, withheld_by_runner)
+    if members is None:
+        return None
+    runner_by_id = {runner.id: runner for runner in candidates}
+    count_by_runner = Counter(bound_runners.values())
+    placed: dict[int, Runner] = {}
+    for index, runner_id in bound_runners.items():
+        runner = runner_by_id.get(runner_id)
+        if runner is None:
+            return None
+        free = runner.free_resources
+        if runner.id in withheld_by_runner:
+            free = free.leaving(withheld_by_runner[runner.id])
+        count = _count_fitting(step.spec.reserved, free)
+        if step.spec.max_per_runner:
+            count = min(count, step.spec.max_per_runner)
+        if count < count_by_runner[runner_id]:
+            return None
+        placed[index] = runner
+    # Those that were chosen where bound members go make way for these.
+    others = list(members)
+    for runner in placed.values():
+        others.remove(runner if runner in others else others[-1])
+    for index in range(step.spec.count):
+        if index not in placed:
+            placed[index] = others.pop(0)
+    return [placed[index] for index in range(step.spec.count)]
+
+
 def _fits_when_empty(step: StepRun, runners: Sequence[Runner]) -> bool:
     """Return whether empty runners could hold the whole gang."""
     total = 0
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -12,7 +12,6 @@
 from flamingoweir.customers import Customer
 from flamingoweir.dispatch._cap_withdrawals import may_send_start
 from flamingoweir.dispatch._committer import Committer
-from flamingoweir.dispatch._late_orders import MAX_LATENESS_S
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._planner import (
     COLLECT_INTERVAL_S,
@@ -24,6 +23,7 @@
 from flamingoweir.dispatch._protocols import StartResult
 from flamingoweir.dispatch._unplaced_steps import UnplacedSteps
 from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
+from flamingoweir.fleet import MAX_LATENESS_S
 from flamingoweir.jobs import (
     AttemptState,
     JobSpec,
--- a/tests/test_customer_usage.py
+++ b/tests/test_customer_usage.py
@@ -8,8 +8,8 @@
 import pytest
 
 from flamingoweir.dispatch._customer_usage import CustomerUsage
-from flamingoweir.dispatch._late_orders import MAX_LATENESS_S
 from flamingoweir.dispatch._owner_state import OwnerState
+from flamingoweir.fleet import MAX_LATENESS_S
 from flamingoweir.jobs import JobSpec, Outcome, QueuePolicy, StepSpec
 from flamingoweir.metrics import NoMetrics
 from flamingoweir.registry import RunnerEntry
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -1,5 +1,8 @@
 """Calls that reach a runner's next incarnation, which has the same id."""
 
+import os
+import random
+
 import anyio
 import pytest
 
@@ -7,6 +10,11 @@
 from flamingoweir.jobs import JobState, Outcome, TaskId
 from flamingoweir.ownership import decode_owner_record, owner_row
 from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.late_order_histories import (
+    LateOrder,
+    draw_late_order,
+    play_late_order,
+)
 from tests.utils.loss_histories import MAX_AWAY_S
 from tests.utils.losses import (
     check_runs,
@@ -1108,6 +1116,44 @@
     run_virtual(scenario)
 
 
+@pytest.mark.parametrize(
+    "drawn",
+    [
+        LateOrder(),
+        LateOrder(late_s=3.7),
+        LateOrder(late_s=11.0),
+        LateOrder(late_s=11.0, cut_s=10.0),
+        LateOrder(ran_s=2.0),
+        LateOrder(lasting=False),
+        LateOrder(owner_loss="kill"),
+        LateOrder(owner_loss="kill", owner_lost_s=2.8),
+        LateOrder(owner_loss="stop", owner_lost_s=1.5),
+        LateOrder(down_s=100.0),
+        LateOrder(down_s=100.0, owner_loss="kill"),
+    ],
+)
+def test_late_order_of_a_run_that_has_ended_comes_behind_a_cut(drawn):
+    """Guards against a task that runs elsewhere when a late order starts it."""
+    run_virtual(play_late_order, drawn)
+
+
+def test_late_orders_of_runs_that_have_ended_start_no_task_twice():
+    """Guards against the same with other times, ends and owners."""
+    examples = int(os.environ.get("HISTORY_EXAMPLES", "40"))
+    came_first = 0
+    failed = {}
+    for seed in range(examples):
+        drawn = draw_late_order(random.Random(seed))
+        came_first += drawn.comes_first
+        try:
+            run_virtual(play_late_order, drawn)
+        except Exception as error:
+            failed[seed] = error
+    print(f"an order came before any call in {came_first} of {examples} histories")
+    assert came_first > examples / 4
+    assert not failed
+
+
 def test_late_order_arrives_after_a_call_without_a_response():
     """Guards against a next incarnation that takes late orders until it is heard.
 
