Keep a job that was cancelled before it was stored from being stored

Cause: the cancellation left nothing behind that a later submission would find, and the submission's only precondition was that the job has no row.

Change: a cancellation of a job without a row writes a row on the precondition that there is no job row, and a submission expects neither; both are in one part and one transaction each. The rows go by customer, are kept for 300 s and swept by the owner, which holds none of them in memory. An instance writes 5 a second, 2 for a customer, and refuses what is beyond.

--- a/flamingoweir/daemon/_instance.py
+++ b/flamingoweir/daemon/_instance.py
@@ -116,6 +116,7 @@
                 settings.config_apply_s,
             ),
             settings.memory_mb,
+            wall_ms,
         )
         self._follower = TableFollower(
             links.store,
--- a/flamingoweir/ownership/_rows.py
+++ b/flamingoweir/ownership/_rows.py
@@ -1,12 +1,19 @@
 """Tables, parts and keys of the rows that are kept in the store."""
 
+import orjson
+
 from ..hashing import stable_hash
 from ..jobs import row_key
-from ..storage import RowId
+from ..storage import RowId, VersionedRow
 
 #: Table of accepted jobs and their cancellations. The rows are kept for some time
 #: after the end of a job.
 JOB_TABLE = "jobs"
+#: Table of cancellations that came before their job. Owners don't follow it.
+EARLY_CANCEL_TABLE = "early_cancels"
+#: Seconds for which these are kept: longer than a submission may be late, by a frozen
+#: instance, its deadline of 30 s, a late write of the store and a client's own repeats.
+EARLY_CANCEL_KEPT_S = 300.0
 #: Table of the tasks of accepted jobs.
 TASK_TABLE = "tasks"
 #: Table of the states of jobs that have started or ended.
@@ -45,6 +52,34 @@
     return RowId(JOB_TABLE, _job_part(shard, job), job + CANCEL_SUFFIX)
 
 
+def early_cancel_row(shard: str, job: str, customer: str) -> RowId:
+    """Return the id of the row that keeps a customer's job from being stored.
+
+    It is in the part of the job row, so that a transaction can have both.
+
+    Parameters
+    ----------
+    shard, job : str
+        Name of the shard and id of the job.
+    customer : str
+        Name of the customer; empty if there is none.
+    """
+    key = f"{job}.{stable_hash(customer):016x}"
+    return RowId(EARLY_CANCEL_TABLE, _job_part(shard, job), key)
+
+
+def read_early_cancel_ms(row: VersionedRow) -> float:
+    """Return when an early cancellation was written, in milliseconds since 1970.
+
+    The result is 0 for a row that can't be read.
+    """
+    try:
+        at_ms = orjson.loads(row.value or b"")["at_ms"]
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return 0.0
+    return at_ms if isinstance(at_ms, (int, float)) else 0.0
+
+
 def state_row(shard: str, job: str) -> RowId:
     """Return the id of the row of a job's state."""
     return RowId(STATE_TABLE, shard, job)
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -1,5 +1,6 @@
 """Scheduling policies: order, placement, colocation, health; no input or output."""
 
+from ._cancellation_budget import CancellationBudget
 from ._caps import (
     allows_gang,
     allows_task,
@@ -89,6 +90,7 @@
     "SURVIVAL_S",
     "SUSPECT_WAIT_S",
     "BatchHeadroom",
+    "CancellationBudget",
     "ColocationPolicy",
     "ConnectionBudget",
     "ConnectionLimits",
--- a/flamingoweir/queues/_handler.py
+++ b/flamingoweir/queues/_handler.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import random
+import time
 from collections.abc import Callable
 
 from ..clock import Clock
@@ -22,7 +23,7 @@
 )
 from ..logs import get_logger
 from ..metrics import Metrics
-from ..ownership import Backlog, cancel_row, job_row, shard_name
+from ..ownership import Backlog, cancel_row, early_cancel_row, job_row, shard_name
 from ..registry import OperatorView, Queue
 from ..storage import (
     RowId,
@@ -33,6 +34,7 @@
 from ._authentication import Authentication
 from ._cap_check import find_cap_error
 from ._customer_gate import CustomerGate
+from ._early_cancellations import EarlyCancellations, is_present
 from ._job_states import JobStates, may_access_row
 from ._pending_submissions import PendingSubmissions
 from ._store_calls import StoreCalls
@@ -87,6 +89,8 @@
         Checks the keys of requests. By default, no request is served that needs a key.
     memory_mb : float, optional
         Memory of this instance in megabytes.
+    wall_ms : callable, optional
+        Returns the wall-clock time in milliseconds since 1970.
 
     Attributes
     ----------
@@ -105,6 +109,7 @@
         max_job_bytes: Callable[[], int | None] = lambda: None,
         authentication: Authentication | None = None,
         memory_mb: float = 300.0,
+        wall_ms: Callable[[], float] = lambda: 1000 * time.time(),
     ):
         self.authentication = authentication or Authentication(
             operators, lambda: float("-inf"), clock, metrics
@@ -116,6 +121,9 @@
         )
         self._calls = StoreCalls(store, clock, generator, metrics, self.store_monitor)
         self._job_states = JobStates(self._calls)
+        self._early_cancellations = EarlyCancellations(
+            self._calls, clock, wall_ms, generator, metrics
+        )
         self._customer_gate = CustomerGate(backlog, operators, generator, metrics)
         self._operators = operators
         self._backlog = backlog
@@ -263,12 +271,15 @@
             refuse = functools.partial(self._customer_gate.refuse, limit=limit)
             await self._refuse_unless_stored(spec, row, until_s, refuse)
             return
-        transaction = Transaction([(row, 0)], [(row, value)], ())
+        cancelled = early_cancel_row(shard_name(0), spec.id, spec.customer)
+        transaction = Transaction([(row, 0), (cancelled, 0)], [(row, value)], ())
         try:
             timeout_s = until_s - self._clock.now()
             version = await self._calls.transact(transaction, timeout_s)
         except RowVersionConflict as conflict:
             stored = conflict.row_by_id.get(row)
+            if not is_present(stored) and is_present(conflict.row_by_id.get(cancelled)):
+                raise self._early_cancellations.refuse_submission(spec) from conflict
             await self._job_states.require_same_customer(spec, stored, until_s)
             log.info("job_already_accepted", job=spec.id, queue=spec.queue)
             self._metrics.incr("jobs_known")
@@ -361,7 +372,7 @@
         customer: str | None = None,
         policy: QueuePolicy | None = None,
     ) -> bool:
-        """Cancel a job durably.
+        """Cancel a job durably, also one that is not stored yet.
 
         Parameters
         ----------
@@ -391,7 +402,12 @@
         while True:
             row = await self._calls.read_row(job_row(shard, job_id), until_s)
             if row is None:
-                return await self._job_states.has_ended(job_id, customer, until_s)
+                ended = await self._job_states.has_ended(job_id, customer, until_s)
+                if not await self._early_cancellations.record(
+                    job_id, customer or "", until_s
+                ):
+                    continue
+                return ended
             if not may_access_row(row, customer):
                 return False
             transaction = Transaction(
--- a/tests/test_submitting.py
+++ b/tests/test_submitting.py
@@ -1,21 +1,33 @@
 """Tests of job submission: duplicates, refusals, waiting counts and retention."""
 
+import os
+import random
+
 import anyio
 import orjson
 import pytest
 
 from flamingoweir.dispatch import _retention
-from flamingoweir.errors import FlamingoweirError, Verdict
+from flamingoweir.errors import ErrorCode, FlamingoweirError, Verdict
 from flamingoweir.jobs import (
     JobState,
     StateRecord,
     encode_spec,
     encode_state,
 )
-from flamingoweir.ownership import job_row, state_row, tasks_row
+from flamingoweir.ownership import (
+    EARLY_CANCEL_KEPT_S,
+    EARLY_CANCEL_TABLE,
+    early_cancel_row,
+    job_row,
+    state_row,
+    tasks_row,
+)
+from flamingoweir.policy import CancellationBudget
 from flamingoweir.queues._handler import MAX_BACKLOG_AGE_S
-from tests.utils.cluster import QUEUE, make_job, make_step, run_cluster
-from tests.utils.virtual_time import run_virtual
+from flamingoweir.storage import RowId, StoreRefused
+from tests.utils.cluster import QUEUE, Cluster, make_job, make_step, run_cluster
+from tests.utils.virtual_time import current_process, run_virtual
 
 
 def test_repeated_submission_is_one_job():
@@ -271,3 +283,314 @@
             await cluster.submit(make_job(1))
 
     run_virtual(scenario)
+
+
+def find_early_rows(cluster: Cluster) -> set[RowId]:
+    """Return the ids of the cancellations of jobs that aren't stored."""
+    return {row for row in cluster.rows.row_by_id if row.table == EARLY_CANCEL_TABLE}
+
+
+async def freeze(cluster: Cluster, job, hold_s: float) -> FlamingoweirError | None:
+    """Submit a job to an instance that is frozen; return the error, if any."""
+    member = cluster.add_member("late")
+    await anyio.sleep(1)
+    current_process.set(member.process)
+    cluster.tasks.start_soon(resume_after, member, hold_s)
+    member.process.paused = True
+    try:
+        await cluster.submit(job, member)
+    except FlamingoweirError as error:
+        return error
+    return None
+
+
+async def resume_after(member, pause_s: float) -> None:
+    current_process.set(None)
+    await anyio.sleep(pause_s)
+    member.process.resume()
+
+
+async def write_late(cluster: Cluster, job, hold_s: float) -> None:
+    """Submit a job whose write gets no answer and takes effect later."""
+    member = cluster.add_member("late")
+    await anyio.sleep(1)
+    member.store.lose_answers, member.store.delivery_delay_s = 10, hold_s
+    with pytest.raises(FlamingoweirError):
+        await cluster.submit(job, member)
+    await anyio.sleep(hold_s)
+    member.store.lose_answers = 0
+    await member.instance.handler.find_state("f" * 16, 2.0)
+
+
+async def repeat(cluster: Cluster, job, hold_s: float) -> FlamingoweirError | None:
+    """Submit a job late, as the first time; return the error, if any."""
+    await anyio.sleep(hold_s)
+    try:
+        await cluster.submit(job, list(cluster.member_by_name.values())[-1])
+    except FlamingoweirError as error:
+        return error
+    return None
+
+
+@pytest.mark.parametrize("submit_late", [freeze, write_late, repeat])
+@pytest.mark.parametrize("hold_s", [3.0, 8.0])
+@pytest.mark.parametrize("owner_lost", [False, True])
+def test_submission_is_stored_after_its_cancellation(submit_late, hold_s, owner_lost):
+    """Guards against a job that runs though its cancellation was acknowledged."""
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            job = make_job(1, make_step(2, lasting=True))
+            errors = []
+
+            async def submit() -> None:
+                errors.append(await submit_late(cluster, job, hold_s))
+
+            cluster.tasks.start_soon(submit)
+            await anyio.sleep(1.5)
+            handler = list(cluster.member_by_name.values())[1].instance.handler
+            assert await handler.cancel(job.id, 2.0) is False
+            if owner_lost:
+                cluster.kill_member(owner)
+            await anyio.sleep(hold_s + 4)
+            if submit_late is repeat:
+                assert errors[0].code is ErrorCode.CONFLICT
+                assert errors[0].verdict is Verdict.NOT_RUN
+            assert not cluster.records("start")
+            assert await cluster.state(job) is None
+
+    run_virtual(scenario)
+
+
+async def refuse_write(transaction) -> int:
+    raise StoreRefused("the store can only be read")
+
+
+@pytest.mark.parametrize("fault", ["not written", "written late"])
+def test_early_cancellation_without_an_answer(fault):
+    """Guards against cancellations that are acknowledged without having been stored.
+
+    One that the store carries out late doesn't cancel what was submitted meanwhile.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            await cluster.owner()
+            job = make_job(1, make_step(1, lasting=True))
+            member = cluster.add_member("far")
+            await anyio.sleep(1)
+            if fault == "not written":
+                member.store.transact = refuse_write
+                with pytest.raises(FlamingoweirError) as caught:
+                    await member.instance.handler.cancel(job.id, 2.0)
+                assert caught.value.verdict is Verdict.NOT_RUN
+            else:
+                member.store.lose_answers, member.store.delivery_delay_s = 10, 3.0
+                with pytest.raises(FlamingoweirError) as caught:
+                    await member.instance.handler.cancel(job.id, 2.0)
+                assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+            await cluster.submit(job)
+            await anyio.sleep(4)
+            if fault == "written late":
+                await member.instance.handler.find_state(job.id, 2.0)
+            await anyio.sleep(2)
+            assert await cluster.state(job) is JobState.RUNNING
+
+    run_virtual(scenario)
+
+
+def test_early_cancellation_keeps_out_jobs_of_its_customer_only():
+    """Guards against customers who keep out each other's submissions."""
+
+    async def scenario():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            handler = next(iter(cluster.member_by_name.values())).instance.handler
+            assert not await handler.cancel(make_job(1).id, 2.0, "kaje80")
+            await cluster.submit(make_job(1, customer="lume22"))
+            assert not await handler.cancel(make_job(2).id, 2.0, "kaje80")
+            with pytest.raises(FlamingoweirError):
+                await cluster.submit(make_job(2, customer="kaje80"))
+
+    run_virtual(scenario)
+
+
+def test_crowd_of_early_cancellations_is_bounded():
+    """Guards against cancellations of unknown ids that take the store's writes.
+
+    Nothing is acknowledged without a row, a repeat takes no write, and an ordinary
+    submission is stored meanwhile.
+    """
+
+    async def scenario():
+        async with run_cluster(members=1) as cluster:
+            await cluster.owner()
+            handler = next(iter(cluster.member_by_name.values())).instance.handler
+            acknowledged, waits_s = [], []
+
+            async def cancel(job_id: str, customer: str) -> None:
+                try:
+                    await handler.cancel(job_id, 2.0, customer)
+                except FlamingoweirError as error:
+                    assert error.code is ErrorCode.OVERLOADED
+                    waits_s.append(error.retry_after_s)
+                else:
+                    acknowledged.append(early_cancel_row("s0", job_id, customer))
+
+            async with anyio.create_task_group() as tasks:
+                for number in range(300):
+                    job_id = make_job(10 + number).id
+                    tasks.start_soon(cancel, job_id, ("kaje80", "lume22")[number % 2])
+                await cluster.submit(make_job(1))
+            assert 15 <= len(acknowledged) <= 25
+            assert len(waits_s) == 300 - len(acknowledged)
+            assert min(waits_s) >= 1
+            stored = find_early_rows(cluster)
+            assert stored == set(acknowledged)
+            job_id = acknowledged[0].key.partition(".")[0]
+            version = cluster.rows.row_by_id[acknowledged[0]].version
+            for customer in ("kaje80", "lume22"):
+                if early_cancel_row("s0", job_id, customer) == acknowledged[0]:
+                    assert not await handler.cancel(job_id, 2.0, customer)
+            assert cluster.rows.row_by_id[acknowledged[0]].version == version
+
+    run_virtual(scenario)
+
+
+def test_cancellation_budget_counts_a_bounded_number_of_customers():
+    """Guards against memory that grows with the names of customers."""
+    budget = CancellationBudget()
+    admitted = 0
+    for second in range(10_000):
+        admitted += not budget.admit(f"customer-{second}", second / 100)
+    assert 500 <= admitted <= 520
+    assert len(budget._by_customer) <= 1001
+
+
+def test_early_cancellations_are_deleted():
+    """Guards against rows that nobody deletes, also after changes of owner.
+
+    One that is repeated is kept for as long again.
+    """
+
+    async def scenario():
+        async with run_cluster(members=3) as cluster:
+            owner = await cluster.owner()
+            first, second = make_job(1), make_job(2)
+            for job in (first, second):
+                await owner.instance.handler.cancel(job.id, 2.0)
+            await anyio.sleep(EARLY_CANCEL_KEPT_S - 80)
+            cluster.kill_member(owner)
+            owner = await cluster.owner()
+            await owner.instance.handler.cancel(second.id, 2.0)
+            await anyio.sleep(70)
+            for job in (first, second):
+                with pytest.raises(FlamingoweirError):
+                    await cluster.submit(job)
+            await anyio.sleep(90)
+            stored = find_early_rows(cluster)
+            assert stored == {early_cancel_row("s0", second.id, "")}
+            await cluster.submit(first)
+            await anyio.sleep(EARLY_CANCEL_KEPT_S)
+            assert not find_early_rows(cluster)
+
+    run_virtual(scenario)
+
+
+def test_job_without_a_job_row_that_has_ended_is_cancelled_for_good():
+    """Guards against a repeat that is stored while the rows of its job are deleted."""
+
+    async def scenario():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            job = make_job(1)
+            state = encode_state(StateRecord(JobState.DONE))
+            cluster.rows.put(state_row("s0", job.id), state)
+            handler = next(iter(cluster.member_by_name.values())).instance.handler
+            assert await handler.cancel(job.id, 2.0) is True
+            with pytest.raises(FlamingoweirError):
+                await cluster.submit(job)
+
+    run_virtual(scenario)
+
+
+async def play_cancellation(generator: random.Random) -> str:
+    """Submit a job and cancel it, each at an instance of its own; return the order.
+
+    One of the instances is frozen meanwhile, or its writes are carried out late.
+    """
+    async with run_cluster(members=4, seed=generator.randrange(1000)) as cluster:
+        owner = await cluster.owner()
+        others = [m for m in cluster.member_by_name.values() if m is not owner]
+        submitter, canceller = generator.sample(others, 2)
+        job = make_job(1, make_step(2, lasting=True))
+        done_s: dict[str, float] = {}
+
+        async def submit() -> None:
+            await anyio.sleep(generator.uniform(0, 1))
+            current_process.set(submitter.process)
+            cluster.spec_by_id[job.id] = job
+            for _ in range(generator.choice((1, 2))):
+                try:
+                    await submitter.instance.handler.submit(job, 2.0)
+                    done_s["accepted"] = anyio.current_time()
+                    return
+                except FlamingoweirError as error:
+                    done_s["refused"] = anyio.current_time()
+                    if error.verdict is Verdict.NOT_RUN:
+                        return
+
+        async def cancel() -> None:
+            await anyio.sleep(generator.uniform(0, 1))
+            current_process.set(canceller.process)
+            try:
+                await canceller.instance.handler.cancel(job.id, 2.0)
+            except FlamingoweirError:
+                return
+            done_s["cancelled"] = anyio.current_time()
+
+        async def disturb() -> None:
+            member = generator.choice((submitter, submitter, canceller))
+            await anyio.sleep(generator.uniform(0, 1))
+            if generator.random() < 0.5:
+                member.process.paused = True
+                await anyio.sleep(generator.uniform(0.2, 3))
+                member.process.resume()
+                return
+            member.store.lose_answers = generator.choice((1, 2, 10))
+            member.store.delivery_delay_s = generator.uniform(0, 4)
+            await anyio.sleep(4)
+            member.store.lose_answers = 0
+
+        async with anyio.create_task_group() as tasks:
+            for step in (submit, cancel, disturb):
+                tasks.start_soon(step)
+        if generator.random() < 0.3:
+            cluster.kill_member(await cluster.owner())
+        await anyio.sleep(2)
+        # The store carries out what is late with the next call.
+        for member in (submitter, canceller):
+            await member.instance.handler.find_state(job.id, 2.0)
+        await anyio.sleep(5)
+        running = [r.id for r in cluster.runner_by_id.values() if r.tasks]
+        if "cancelled" in done_s:
+            assert not running
+            assert await cluster.state(job) in (None, JobState.CANCELLED)
+        elif "accepted" in done_s:
+            assert await cluster.state(job) is not None
+        if "cancelled" not in done_s:
+            return "none"
+        accepted_s = done_s.get("accepted", float("inf"))
+        return "before" if done_s["cancelled"] < accepted_s else "after"
+
+
+def test_cancelled_jobs_do_not_run_whenever_they_are_cancelled():
+    """Guards against jobs that run after a cancellation before, during or after it."""
+    examples = int(os.environ.get("HISTORY_EXAMPLES", "40"))
+    count_by_order = {"before": 0, "after": 0, "none": 0}
+    for seed in range(examples):
+        count_by_order[run_virtual(play_cancellation, random.Random(seed))] += 1
+    print(f"cancelled before or after the accept, or not: {count_by_order}")
+    assert count_by_order["before"] > examples / 8
+    assert count_by_order["after"] > examples / 8
