--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -1,5 +1,6 @@
 """Scheduling policies: order, placement, colocation, health; no input or output."""
 
+from ._bound_waits import MAX_SILENT_WAIT_S, find_bound_until_s
 from ._cancellation_budget import CancellationBudget
 from ._caps import (
     allows_gang,
@@ -42,7 +43,6 @@
 from ._health import RunnerHealth
 from ._key_validity import KeyDecision, decide_key
 from ._lack_of_room import LackOfRoom
-from ._late_runs import MAX_SILENT_WAIT_S, find_bound_until_s
 from ._order import AWAY_PRIORITY, MAX_VALUABLE_OBJECTIVES, objective_s, sort_key
 from ._paces import PaceChange
 from ._placement import (
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -576,6 +576,26 @@
     assert place_gang(step, [runner]) is None
 
 
+@pytest.mark.parametrize(
+    ("bound_runners", "expected"),
+    [
+        ({}, "aaab"),
+        ({0: "b", 3: "b"}, "baab"),
+        ({1: "a"}, "aaab"),
+        ({0: "b", 1: "b", 2: "b", 3: "b"}, None),
+        ({2: ""}, None),
+    ],
+)
+def test_members_of_a_gang_are_placed_where_they_are_bound(bound_runners, expected):
+    """Guards against a member beside a late run of it, and against too many on one."""
+    runners = []
+    for name, processors in (("a", 3), ("b", 2)):
+        runners.append(make_runner(Resources(1000 * processors, 9999, 0), name))
+    step = make_step_run(count=4, processors=1.0, gang=True)
+    found = place_gang(step, runners, None, bound_runners)
+    assert (found and "".join(runner.id for runner in found)) == expected
+
+
 @pytest.mark.parametrize("kind", KINDS)
 @pytest.mark.parametrize("capacity", [Resources(), Resources(1000, 1000, 0)])
 def test_decisions_bear_a_runner_that_is_far_over_its_capacity(capacity, kind):
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -4,11 +4,13 @@
 import random
 
 import anyio
+import orjson
 import pytest
 
+from flamingoweir.dispatch._task_bindings import Binding, TaskBindings
 from flamingoweir.fleet import MAX_LATENESS_S
-from flamingoweir.jobs import JobState, Outcome, TaskId
-from flamingoweir.ownership import decode_owner_record, owner_row
+from flamingoweir.jobs import Job, JobState, Outcome, TaskId
+from flamingoweir.ownership import BoundTask, decode_owner_record, owner_row
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.late_order_histories import (
     LateOrder,
@@ -1154,6 +1156,32 @@
     assert not failed
 
 
+def test_many_bound_tasks_are_known_to_the_next_owners():
+    """Guards against a row that leaves bound tasks out, or grows with their number."""
+    jobs = [Job(make_job(number)) for number in range(1000)]
+    bindings = TaskBindings()
+    for number, job in enumerate(jobs):
+        task = TaskId(job.spec.id, 0, 0, 0)
+        bindings.bind(task, Binding(f"r{number % 7}", "a:1", 20.0 + number / 100, 4.0))
+    job_by_id = {job.spec.id: job for job in jobs}
+    for now_s in (5.0, 7.0):
+        bound_by_runner = bindings.list_bound(job_by_id, now_s)
+        assert len(orjson.dumps(bound_by_runner)) < 8_100
+        former = []
+        for runner, rows in bound_by_runner.items():
+            for name, left_s, ran_ago_s in rows:
+                times_s = now_s + left_s, now_s - ran_ago_s
+                former.append(BoundTask(name, runner, *times_s))
+        bindings = TaskBindings(former)
+        for number, job in enumerate(jobs):
+            task = TaskId(job.spec.id, 0, 0, 0)
+            found = {b.runner: b for b in bindings.find_all(task)}
+            assert found.keys() <= {"", f"r{number % 7}"}
+            assert max(b.until_s for b in found.values()) > 20.0 + number / 100 - 0.01
+            assert bindings.find_on(task, f"r{number % 7}", now_s)
+    assert not bindings.list_bound(job_by_id, 31.0)
+
+
 def test_late_order_arrives_after_a_call_without_a_response():
     """Guards against a next incarnation that takes late orders until it is heard.
 
--- a/tests/test_row_sizes.py
+++ b/tests/test_row_sizes.py
@@ -216,6 +216,7 @@
         late_starts_end_in_s_by_runner=dict.fromkeys(names[:20], 9.5),
         late_run_hashes="x" * 4000,
         unanswered_starts_end_in_s_by_runner=dict.fromkeys(names[:20], 14.5),
+        bound_tasks=dict.fromkeys(names[:20], [("hash", 14.0, 2.5)]),
         missing_s_by_runner=dict.fromkeys(names[:40], 1.5),
     )
     value, left_out = fit_owner_record(record, DEFAULT_MAX_ROW_BYTES)
@@ -225,6 +226,7 @@
     assert found.leases_end_in_s == 21.5
     assert found.late_starts_end_in_s_by_runner is None
     assert found.unanswered_starts_end_in_s_by_runner == {"": 14.5}
+    assert found.bound_tasks == {"": [("", 14.0, 2.5)]}
     assert "backlog" not in left_out
     small = OwnerRecord("one", "one/1", 7, late_run_hashes="x")
     value, left_out = fit_owner_record(small, DEFAULT_MAX_ROW_BYTES)
