Leave a runner that has failed a bound task twice

Seen in a trial in virtual time: a task that is bound to a runner which fails all that it starts is started there again and again until no order of it can arrive any more, for up to 15 s; a single job's failures quarantine no runner.

Change: after two failures there the task isn't tried there again, so that it runs elsewhere 3 s after the second one.

Evidence: test_runner_of_a_late_order_fails_all_that_it_starts passes.

--- a/flamingoweir/dispatch/_late_runs.py
+++ b/flamingoweir/dispatch/_late_runs.py
@@ -47,10 +47,23 @@
         job_by_id = self._owner_state.job_by_id
         return self._bindings.list_bound(job_by_id, self._clock.now())
 
-    def record_end(self, job: Job, runner: Runner, allocation: Allocation) -> None:
+    def record_end(
+        self, job: Job, runner: Runner, allocation: Allocation, failed: bool
+    ) -> None:
         """Bind the task of an attempt that has ended, if an order may arrive late.
 
         That may be an order of an earlier attempt on the same runner.
+
+        Parameters
+        ----------
+        job : Job
+            The job.
+        runner : Runner
+            Runner of the attempt.
+        allocation : Allocation
+            Its allocation, which was released.
+        failed : bool
+            Whether it has failed.
         """
         task = allocation.attempt.task
         state = job.find(task)
@@ -69,7 +82,8 @@
         ran_s = _find_last_run_s(allocation)
         if ran_s == float("-inf"):
             ran_s = now_s if known is None else known.ran_s
-        binding = Binding(runner.id, runner.entry.address, until_s, ran_s)
+        failures = failed + (0 if known is None else known.failures)
+        binding = Binding(runner.id, runner.entry.address, until_s, ran_s, failures)
         self._bindings.bind(task, binding)
         log.info(
             "task_bound",
--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -497,7 +497,8 @@
             )
         self._metrics.incr(f"attempts_{outcome.value}")
         if allocation is not None:
-            self.late_runs.record_end(job, runner, allocation)
+            failed = outcome is Outcome.FAILED
+            self.late_runs.record_end(job, runner, allocation, failed)
         self._mark_changed(job)
         self._stop_surplus_after(job, task, run, was_final)
 
@@ -546,7 +547,7 @@
         )
         self._metrics.incr("attempts_void")
         job.discard_attempt(attempt)
-        self.late_runs.record_end(job, runner, allocation)
+        self.late_runs.record_end(job, runner, allocation, failed=False)
         step = job.run_by_step[attempt.task.occurrence, attempt.task.step]
         step.retry_at_s = self._clock.now() + RETRY_PAUSE_S
         self._mark_changed(job)
--- a/flamingoweir/dispatch/_planner.py
+++ b/flamingoweir/dispatch/_planner.py
@@ -48,6 +48,9 @@
 #: Number of unplaced steps after which a pass ends, as the remaining steps are unlikely
 #: to find resources. Steps with long-running tasks, which come first, don't count.
 MAX_UNPLACED_STEPS = 40
+#: Number of failures after which a task waits no longer for a start on the only runner
+#: that it may run on, but for that restriction to end.
+MAX_BOUND_FAILURES = 2
 #: Seconds after which a pass looks for steps that have become ready meanwhile, so that
 #: the next step of a job, or an urgent one, need not wait for the end of the pass.
 COLLECT_INTERVAL_S = 0.1
@@ -225,6 +228,7 @@
             return True
         first = next(step.placing_order(), None)
         if first is not None and self._late_runs.binds_all(step):
+            self._caps.end_wait(step)
             self._evict_for(step)
             return False
         if first is not None and not self._must_leave_room(step, first):
@@ -439,9 +443,11 @@
     ) -> Runner | None:
         """Return the runner that a task waits for, if the task may start there now.
 
-        A batch task doesn't use its last attempt there, as the runner may fail all that
-        it starts.
+        The runner may fail all that it starts. So a task that has failed there twice is
+        not tried there again, nor a batch task with one attempt left.
         """
+        if binding.failures >= MAX_BOUND_FAILURES:
+            return None
         task, spec = step.tasks.view(index), step.spec
         left = step.job.spec.policy.max_attempts - task.failures
         if not spec.lasting and task.failures and left < 2:
--- a/flamingoweir/dispatch/_task_bindings.py
+++ b/flamingoweir/dispatch/_task_bindings.py
@@ -26,12 +26,16 @@
         When none of them can arrive any more, on the owner's clock, in seconds.
     ran_s : float
         When the task was last known to run, on the owner's clock, in seconds.
+    failures : int
+        How often the task has failed there, from the end that bound it on; the next
+        owner doesn't know.
     """
 
     runner: str
     address: str
     until_s: float
     ran_s: float
+    failures: int = 0
 
 
 class TaskBindings:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -1156,6 +1156,34 @@
     assert not failed
 
 
+@pytest.mark.parametrize("lasting", [True, False])
+def test_runner_of_a_late_order_fails_all_that_it_starts(lasting):
+    """Guards against a task that fails again and again where a late order binds it."""
+
+    async def scenario():
+        async with run_cluster(runners=1) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(FORMER_LIFE_S)
+            link = owner.link_by_runner["runner-0"]
+            link.lose_starts, link.delivery_delay_s = 1, 30.0
+            job = make_job(1, make_step(1, lasting=lasting))
+            cluster.plan_by_task[f"{job.id}.0.0.0"] = 60.0, Outcome.DONE
+            await cluster.submit(job)
+            for count in (1, 2):
+                await wait_for_starts(cluster, job, count)
+                if count == 1:
+                    cluster.add_runner("runner-1")
+                await anyio.sleep(0.2)
+                cluster.runner_by_id["runner-0"].fail(TaskId(job.id, 0, 0, 0))
+            await wait_for_starts(cluster, job, 3)
+            runners = ["runner-0", "runner-0", "runner-1"]
+            assert cluster.starts(f"{job.id}.0.0.0") == runners
+            starts_s = [record.at_s for record in cluster.records("start")]
+            assert starts_s[2] - starts_s[1] < 4.0
+
+    run_virtual(scenario)
+
+
 def test_many_bound_tasks_are_known_to_the_next_owners():
     """Guards against a row that leaves bound tasks out, or grows with their number."""
     jobs = [Job(make_job(number)) for number in range(1000)]
