--- a/flamingoweir/dispatch/_early_cancellation_sweeper.py
+++ b/flamingoweir/dispatch/_early_cancellation_sweeper.py
@@ -1,7 +1,5 @@
 """Deletes cancellations of jobs that were never stored."""
 
-import anyio
-
 from ..logs import get_logger
 from ..ownership import (
     EARLY_CANCEL_KEPT_S,
@@ -21,8 +19,6 @@
 
 log = get_logger()
 
-#: Seconds between sweeps, which read all of these rows.
-SWEEP_INTERVAL_S = 60.0
 #: Rows deleted in a transaction, which holds at most 100 entries; each row takes two.
 ROWS_PER_TRANSACTION = 50
 
@@ -44,17 +40,15 @@
         self._context = context
         self._store = store
 
-    async def run(self) -> None:
-        """Delete expired rows periodically until cancelled."""
-        while True:
-            await anyio.sleep(SWEEP_INTERVAL_S)
-            for part in job_parts(self._context.writer.shard):
-                try:
-                    await self._sweep(part)
-                except (RowVersionConflict, StoreRefused, StoreOutcomeUnknown) as error:
-                    log.info("early_cancel_sweep_put_off", part=part, detail=str(error))
+    async def sweep(self) -> None:
+        """Read all of these rows, and delete those that have expired."""
+        for part in job_parts(self._context.writer.shard):
+            try:
+                await self._sweep_part(part)
+            except (RowVersionConflict, StoreRefused, StoreOutcomeUnknown) as error:
+                log.info("early_cancel_sweep_put_off", part=part, detail=str(error))
 
-    async def _sweep(self, part: str) -> None:
+    async def _sweep_part(self, part: str) -> None:
         oldest_ms = self._context.wall_ms() - 1000 * EARLY_CANCEL_KEPT_S
         first, more = "", True
         while more:
--- a/flamingoweir/dispatch/_retention.py
+++ b/flamingoweir/dispatch/_retention.py
@@ -1,5 +1,7 @@
 """Deletes the rows of jobs after a retention time."""
 
+import itertools
+
 import anyio
 
 from ..logs import get_logger
@@ -13,6 +15,7 @@
     Transaction,
 )
 from ._context import TermContext
+from ._early_cancellation_sweeper import EarlyCancellationSweeper
 
 log = get_logger()
 
@@ -21,6 +24,8 @@
 RETENTION_S = 900.0
 #: Seconds between sweeps.
 SWEEP_INTERVAL_S = 20.0
+#: Number of sweeps for each one of early cancellations, which reads all of them.
+SWEEPS_BY_EARLY_SWEEP = 3
 #: Largest number of jobs deleted in a sweep, to keep sweeps small beside other writes.
 MAX_JOBS_PER_SWEEP = 200
 #: Jobs deleted in a transaction, which holds at most 100 entries; each job takes two.
@@ -45,12 +50,15 @@
         self._context = context
         self._owner_state = context.owner_state
         self._store = store
+        self._early_cancellations = EarlyCancellationSweeper(context, store)
 
     async def run(self) -> None:
-        """Delete expired jobs periodically until cancelled."""
-        while True:
+        """Delete expired jobs and early cancellations until cancelled."""
+        for number in itertools.count(1):
             await anyio.sleep(SWEEP_INTERVAL_S)
             await self._sweep()
+            if number % SWEEPS_BY_EARLY_SWEEP == 0:
+                await self._early_cancellations.sweep()
 
     async def _sweep(self) -> None:
         oldest_ms = self._context.wall_ms() - 1000 * RETENTION_S
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -37,7 +37,6 @@
 from ._committer import RENEW_INTERVAL_S, Committer
 from ._context import Permit, TermContext, TermEnd
 from ._customer_report import CustomerReporter
-from ._early_cancellation_sweeper import EarlyCancellationSweeper
 from ._effect_store import EffectStore
 from ._excluded_attempts import restore_excluded_attempts
 from ._load_report import LoadReporter
@@ -218,9 +217,6 @@
                 task_group.start_soon(Planner(self._context, self._permit).run)
                 task_group.start_soon(self._send_stops)
                 task_group.start_soon(RetentionSweeper(self._context, self._store).run)
-                task_group.start_soon(
-                    EarlyCancellationSweeper(self._context, self._store).run
-                )
                 parked_jobs = ParkedJobLoader(self._context, self._store, self._loader)
                 task_group.start_soon(parked_jobs.run)
                 task_group.start_soon(
