Pass the policy of the queue as such to a cancellation in a test

test_cancellation_is_refused_for_queues_with_an_objective_only gave it in the place of the customer, whose name is hashed since cancellations of jobs without a row are kept. What it checks is unchanged.

--- a/tests/test_store_availability.py
+++ b/tests/test_store_availability.py
@@ -611,6 +611,6 @@
             handler.store_monitor._unavailable_since_s = anyio.current_time()
             assert await delete_job(cluster, member, f"{1:016x}") == 503
             policy = replace(make_job(0).policy, objective_s=0.0)
-            assert not await handler.cancel(f"{1:016x}", 1.0, policy)
+            assert not await handler.cancel(f"{1:016x}", 1.0, policy=policy)
 
     run_virtual(scenario)
