Make rows of bound tasks in one place, rounded

What a former owner has published was passed on with all digits, so that it could take twice its share of the row.

--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -339,7 +339,10 @@
     def restore_allocation(
         self, runner: Runner, attempt: Attempt, step: StepRun
     ) -> Allocation:
-        """Allocate resources for an attempt whose run nobody has told of its pace."""
+        """Allocate resources for a run that this owner has not started.
+
+        Its pace is not known.
+        """
         attempt.pace_percent = UNKNOWN_PACE_PERCENT
         return self.customer_usage.restore(
             runner, attempt, step.spec, step.job.spec.customer
--- a/flamingoweir/dispatch/_task_bindings.py
+++ b/flamingoweir/dispatch/_task_bindings.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..jobs import Job, TaskId
-from ..ownership import BoundTask, hash_run
+from ..ownership import BoundTask, hash_run, make_bound_row
 
 #: Largest total length of the bound tasks that the owner row names.
 MAX_PUBLISHED_BYTES = 8_000
@@ -66,13 +66,13 @@
 
     def find_on(self, task: TaskId, runner: str, now_s: float) -> Binding | None:
         """Return the binding of a task to a runner, or None."""
-        binding_by_runner = self._find_all(task)
+        binding_by_runner = self._find_by_runner(task)
         binding = binding_by_runner.get(runner) or binding_by_runner.get("")
         return None if binding is None or binding.until_s <= now_s else binding
 
     def find_all(self, task: TaskId) -> list[Binding]:
         """Return the bindings of a task, one for each runner; some may have expired."""
-        return list(self._find_all(task).values())
+        return list(self._find_by_runner(task).values())
 
     def list_bound(
         self, job_by_id: Mapping[str, Job], now_s: float
@@ -116,7 +116,10 @@
                     continue
                 task_hash = hash_run(str(task))
                 own.add((task_hash, runner))
-                yield runner, _make_row(task_hash, binding, now_s)
+                yield (
+                    runner,
+                    make_bound_row(task_hash, binding.until_s, binding.ran_s, now_s),
+                )
             if not binding_by_runner:
                 del self._by_task[task]
         for task_hash, former in list(self._former_by_hash.items()):
@@ -124,11 +127,14 @@
             self._former_by_hash[task_hash] = former
             for bound in former:
                 if (task_hash, bound.runner) not in own:
-                    yield bound.runner, _make_row(task_hash, bound, now_s)
+                    yield (
+                        bound.runner,
+                        make_bound_row(task_hash, bound.until_s, bound.ran_s, now_s),
+                    )
             if not former:
                 del self._former_by_hash[task_hash]
 
-    def _find_all(self, task: TaskId) -> Mapping[str, Binding]:
+    def _find_by_runner(self, task: TaskId) -> Mapping[str, Binding]:
         """Return the bindings of a task by runner; some may have expired."""
         own = self._by_task.get(task, {})
         if not self._former_by_hash:
@@ -141,11 +147,3 @@
                     bound.runner, "", bound.until_s, bound.ran_s
                 )
         return {**found, **own}
-
-
-def _make_row(
-    task_hash: str, bound: Binding | BoundTask, now_s: float
-) -> tuple[str, float, float]:
-    """Return what the owner row says of a bound task."""
-    left_s, ran_ago_s = bound.until_s - now_s, max(0.0, now_s - bound.ran_s)
-    return task_hash, round(left_s, 2), round(ran_ago_s, 2)
--- a/flamingoweir/fleet/_allocation.py
+++ b/flamingoweir/fleet/_allocation.py
@@ -100,9 +100,9 @@
 
         Minus infinity if each has got a response.
         """
-        return (
-            now_s + MAX_LATENESS_S if self.order_under_way else self.late_start_until_s
-        )
+        if self.order_under_way:
+            return now_s + MAX_LATENESS_S
+        return self.late_start_until_s
 
     def has_survived(self, duration_s: float) -> bool:
         """Return whether the runner was up ``duration_s`` after the start."""
--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -1,7 +1,13 @@
 """Ownership of shards, and the rows that owners write to the store."""
 
 from ._earlier_leases import UNBOUNDED_STARTS_END_IN_S, EarlierLeases
-from ._late_runs import HASH_LENGTH, BoundTask, encode_run_hashes, hash_run
+from ._late_runs import (
+    HASH_LENGTH,
+    BoundTask,
+    encode_run_hashes,
+    hash_run,
+    make_bound_row,
+)
 from ._owner_record import (
     UNBOUNDED_LEASES_END_IN_S,
     Backlog,
@@ -81,6 +87,7 @@
     "job_parts",
     "job_row",
     "longest_lease_s",
+    "make_bound_row",
     "owner_row",
     "read_early_cancel_ms",
     "shard_name",
--- a/flamingoweir/ownership/_earlier_leases.py
+++ b/flamingoweir/ownership/_earlier_leases.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 
-from ._late_runs import BoundTask, decode_run_hashes, hash_run
+from ._late_runs import BoundTask, decode_run_hashes, hash_run, make_bound_row
 from ._owner_record import UNBOUNDED_LEASES_END_IN_S, OwnerRecord
 from ._store_clock import StoreClock
 
@@ -180,11 +180,7 @@
         for bound in self.bound_tasks:
             if bound.until_s <= now_s:
                 continue
-            row = (
-                bound.task_hash,
-                bound.until_s - now_s,
-                max(0.0, now_s - bound.ran_s),
-            )
+            row = make_bound_row(bound.task_hash, bound.until_s, bound.ran_s, now_s)
             bound_by_runner.setdefault(bound.runner, []).append(row)
         return bound_by_runner
 
--- a/flamingoweir/ownership/_late_runs.py
+++ b/flamingoweir/ownership/_late_runs.py
@@ -32,6 +32,22 @@
     ran_s: float
 
 
+def make_bound_row(
+    task_hash: str, until_s: float, ran_s: float, now_s: float
+) -> tuple[str, float, float]:
+    """Return what an owner row says of a bound task; see `OwnerRecord.bound_tasks`.
+
+    Parameters
+    ----------
+    task_hash : str
+        Hash of the task.
+    until_s, ran_s, now_s : float
+        As of `BoundTask`, and the current time, on the owner's clock, in seconds.
+    """
+    left_s, ran_ago_s = until_s - now_s, max(0.0, now_s - ran_s)
+    return task_hash, round(left_s, 2), round(ran_ago_s, 2)
+
+
 def hash_run(run: str) -> str:
     """Return a hash of a run, ``TASK#RUN``, or of a task.
 
