Test that a batch task keeps its last attempt from a runner that fails it

Without that rule the test passed, as with three attempts the limit of two failures is reached at the same time. With two attempts it fails without the rule; with nine it shows the limit alone.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+from dataclasses import replace
 
 import anyio
 import orjson
@@ -1156,8 +1157,13 @@
     assert not failed
 
 
-@pytest.mark.parametrize("lasting", [True, False])
-def test_runner_of_a_late_order_fails_all_that_it_starts(lasting):
+@pytest.mark.parametrize(
+    ("lasting", "max_attempts", "failures"),
+    [(True, 3, 2), (False, 9, 2), (False, 2, 1)],
+)
+def test_runner_of_a_late_order_fails_all_that_it_starts(
+    lasting, max_attempts, failures
+):
     """Guards against a task that fails again and again where a late order binds it."""
 
     async def scenario():
@@ -1166,20 +1172,21 @@
             await anyio.sleep(FORMER_LIFE_S)
             link = owner.link_by_runner["runner-0"]
             link.lose_starts, link.delivery_delay_s = 1, 30.0
-            job = make_job(1, make_step(1, lasting=lasting))
+            policy = replace(make_job(0).policy, max_attempts=max_attempts)
+            job = make_job(1, make_step(1, lasting=lasting), policy=policy)
             cluster.plan_by_task[f"{job.id}.0.0.0"] = 60.0, Outcome.DONE
             await cluster.submit(job)
-            for count in (1, 2):
+            for count in range(1, failures + 1):
                 await wait_for_starts(cluster, job, count)
                 if count == 1:
                     cluster.add_runner("runner-1")
                 await anyio.sleep(0.2)
                 cluster.runner_by_id["runner-0"].fail(TaskId(job.id, 0, 0, 0))
-            await wait_for_starts(cluster, job, 3)
-            runners = ["runner-0", "runner-0", "runner-1"]
+            await wait_for_starts(cluster, job, failures + 1)
+            runners = [*["runner-0"] * failures, "runner-1"]
             assert cluster.starts(f"{job.id}.0.0.0") == runners
             starts_s = [record.at_s for record in cluster.records("start")]
-            assert starts_s[2] - starts_s[1] < 4.0
+            assert starts_s[-1] - starts_s[-2] < 4.0
 
     run_virtual(scenario)
 
