Hold a later run open for as long as a late run of its task may live

Seen in virtual time, LateOrder(late_s=11.0, cut_s=20.0): two runs at once. The later run is lost with its runner, which restarts behind a cut; the late order starts the first run there at 11.0 s, and at 15.9 s the task is started elsewhere.

Cause: the binding was forgotten, and its hold ended, when no order could arrive any more. A run that the last order has started lives on for its lease, which calls that come late extend.

Change: a binding is kept for 26 s longer, for the hold only, and in the owner row.

--- a/flamingoweir/dispatch/_late_runs.py
+++ b/flamingoweir/dispatch/_late_runs.py
@@ -74,7 +74,7 @@
             return
         now_s = self._clock.now()
         until_s = allocation.find_late_until_s(now_s)
-        known = self._bindings.find_on(task, runner.id, now_s)
+        known = self._bindings.find_on(task, runner.id)
         if known is not None:
             until_s = max(until_s, known.until_s)
         if until_s <= now_s:
@@ -165,12 +165,16 @@
         if not self._bindings:
             return False
         attempt = allocation.attempt
-        binding = self._bindings.find_on(attempt.task, runner.id, now_s)
+        binding = self._bindings.find_on(attempt.task, runner.id)
         if binding is None:
             return False
         entry = self._owner_state.find_entry(runner.id)
         if entry is None or entry.incarnation in (0, attempt.incarnation):
-            return now_s < runner.last_response_s + MAX_SILENT_WAIT_S
+            until_s = runner.last_response_s + MAX_SILENT_WAIT_S
+            return now_s < min(until_s, binding.until_s)
+        if runner.last_response_s >= binding.until_s:
+            # The next incarnation has begun after the last order could arrive.
+            return False
         return now_s < runner.find_unseen_until_s(binding.until_s)
 
     def adopt(self, runner: Runner, task: TaskId, run: int) -> Allocation | None:
--- a/flamingoweir/dispatch/_task_bindings.py
+++ b/flamingoweir/dispatch/_task_bindings.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..jobs import Job, TaskId
-from ..ownership import BoundTask, hash_run, make_bound_row
+from ..ownership import BOUND_KEPT_S, BoundTask, hash_run, make_bound_row
 
 #: Largest total length of the bound tasks that the owner row names.
 MAX_PUBLISHED_BYTES = 8_000
@@ -64,11 +64,10 @@
         """Forget the bindings of a task that is done."""
         self._by_task.pop(task, None)
 
-    def find_on(self, task: TaskId, runner: str, now_s: float) -> Binding | None:
-        """Return the binding of a task to a runner, or None."""
+    def find_on(self, task: TaskId, runner: str) -> Binding | None:
+        """Return the binding of a task to a runner, or None; it may have expired."""
         binding_by_runner = self._find_by_runner(task)
-        binding = binding_by_runner.get(runner) or binding_by_runner.get("")
-        return None if binding is None or binding.until_s <= now_s else binding
+        return binding_by_runner.get(runner) or binding_by_runner.get("")
 
     def find_all(self, task: TaskId) -> list[Binding]:
         """Return the bindings of a task, one for each runner; some may have expired."""
@@ -111,7 +110,8 @@
         for task, binding_by_runner in list(self._by_task.items()):
             job = job_by_id.get(task.job)
             for runner, binding in list(binding_by_runner.items()):
-                if binding.until_s <= now_s or job is None or job.is_final:
+                is_over = binding.until_s + BOUND_KEPT_S <= now_s
+                if is_over or job is None or job.is_final:
                     del binding_by_runner[runner]
                     continue
                 task_hash = hash_run(str(task))
@@ -123,7 +123,7 @@
             if not binding_by_runner:
                 del self._by_task[task]
         for task_hash, former in list(self._former_by_hash.items()):
-            former = [bound for bound in former if now_s < bound.until_s]
+            former = [b for b in former if now_s < b.until_s + BOUND_KEPT_S]
             self._former_by_hash[task_hash] = former
             for bound in former:
                 if (task_hash, bound.runner) not in own:
--- a/flamingoweir/ownership/__init__.py
+++ b/flamingoweir/ownership/__init__.py
@@ -2,6 +2,7 @@
 
 from ._earlier_leases import UNBOUNDED_STARTS_END_IN_S, EarlierLeases
 from ._late_runs import (
+    BOUND_KEPT_S,
     HASH_LENGTH,
     BoundTask,
     encode_run_hashes,
@@ -49,6 +50,7 @@
 )
 
 __all__ = [
+    "BOUND_KEPT_S",
     "CANCEL_SUFFIX",
     "EARLY_CANCEL_KEPT_S",
     "EARLY_CANCEL_TABLE",
--- a/flamingoweir/ownership/_earlier_leases.py
+++ b/flamingoweir/ownership/_earlier_leases.py
@@ -3,7 +3,13 @@
 from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 
-from ._late_runs import BoundTask, decode_run_hashes, hash_run, make_bound_row
+from ._late_runs import (
+    BOUND_KEPT_S,
+    BoundTask,
+    decode_run_hashes,
+    hash_run,
+    make_bound_row,
+)
 from ._owner_record import UNBOUNDED_LEASES_END_IN_S, OwnerRecord
 from ._store_clock import StoreClock
 
@@ -178,7 +184,7 @@
         """Return the bound tasks with the seconds left, as an owner row has them."""
         bound_by_runner: dict[str, list[tuple[str, float, float]]] = {}
         for bound in self.bound_tasks:
-            if bound.until_s <= now_s:
+            if bound.until_s + BOUND_KEPT_S <= now_s:
                 continue
             row = make_bound_row(bound.task_hash, bound.until_s, bound.ran_s, now_s)
             bound_by_runner.setdefault(bound.runner, []).append(row)
--- a/flamingoweir/ownership/_late_runs.py
+++ b/flamingoweir/ownership/_late_runs.py
@@ -8,6 +8,10 @@
 
 #: Length of the hash of a run in the owner row.
 HASH_LENGTH = 4
+#: Seconds for which a bound task is remembered once no order of it can arrive: a run
+#: that one has started may live on, as calls that come up to 15 s late extend its lease
+#: of at most 10.3 s.
+BOUND_KEPT_S = 26.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +48,7 @@
     until_s, ran_s, now_s : float
         As of `BoundTask`, and the current time, on the owner's clock, in seconds.
     """
-    left_s, ran_ago_s = until_s - now_s, max(0.0, now_s - ran_s)
+    left_s, ran_ago_s = max(0.0, until_s - now_s), max(0.0, now_s - ran_s)
     return task_hash, round(left_s, 2), round(ran_ago_s, 2)
 
 
