--- a/flamingoweir/dispatch/_late_runs.py
+++ b/flamingoweir/dispatch/_late_runs.py
@@ -191,7 +191,9 @@
         job = owner_state.job_by_id.get(task.job)
         if job is None or job.is_final:
             return None
-        if (task, run) not in owner_state.late_orders.find(runner.id, now_s):
+        is_late = (task, run) in owner_state.late_orders.find(runner.id, now_s)
+        # A former owner's orders are known by the binding alone.
+        if not is_late and self._bindings.find_on(task, runner.id) is None:
             return None
         state = job.find(task)
         if state is None or state.done or state.attempt_by_run:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -1148,6 +1148,15 @@
     run_virtual(play_late_order, drawn)
 
 
+@pytest.mark.parametrize("owner_lost_s", [None, 1.5, 2.8, 3.0])
+def test_run_that_a_late_order_has_begun_goes_on(owner_lost_s):
+    """Guards against a task that runs elsewhere while its late run is being stopped."""
+    drawn = LateOrder()
+    if owner_lost_s is not None:
+        drawn = LateOrder(owner_loss="kill", owner_lost_s=owner_lost_s)
+    run_virtual(play_late_order, drawn, True)
+
+
 def test_late_orders_of_runs_that_have_ended_start_no_task_twice(capsys):
     """Guards against the same with other times, ends and owners."""
     examples = int(os.environ.get("HISTORY_EXAMPLES", "40"))
--- a/tests/test_submitting.py
+++ b/tests/test_submitting.py
@@ -400,6 +400,29 @@
     run_virtual(scenario)
 
 
+def test_job_is_stored_while_its_cancellation_is_written():
+    """Guards against a cancellation that is acknowledged for a job that goes on."""
+
+    async def scenario():
+        async with run_cluster() as cluster:
+            await cluster.owner()
+            job = make_job(1, make_step(1, lasting=True))
+            member = cluster.add_member("far")
+            await anyio.sleep(1)
+            transact = member.store.transact
+
+            async def submit_before(transaction) -> int:
+                member.store.transact = transact
+                await cluster.submit(job)
+                return await transact(transaction)
+
+            member.store.transact = submit_before
+            assert await member.instance.handler.cancel(job.id, 2.0) is True
+            await cluster.wait_for(job, JobState.CANCELLED, 2.0)
+
+    run_virtual(scenario)
+
+
 def test_early_cancellation_keeps_out_jobs_of_its_customer_only():
     """Guards against customers who keep out each other's submissions."""
 
--- a/tests/utils/late_order_histories.py
+++ b/tests/utils/late_order_histories.py
@@ -114,7 +114,7 @@
     )
 
 
-async def play_late_order(drawn: LateOrder) -> bool:
+async def play_late_order(drawn: LateOrder, goes_on: bool = False) -> bool:
     """Play one history; check that no task runs twice, and that it runs again in time.
 
     Returns
@@ -173,6 +173,10 @@
         if drawn.lasting:
             away_s = find_longest_absence_s(cluster)
             assert away_s < drawn.longest_away_s, f"away for {away_s:.2f} s"
+        if goes_on:
+            # A stop takes time, in which the task may run elsewhere.
+            stopped = [r for r in cluster.records("stopped") if r.at_s > up_s]
+            assert not stopped
         for record in cluster.records("start"):
             if record.runner == runner.id and record.at_s >= up_s and record.run == 1:
                 return True
