--- a/flamingoweir/fleet/_allocation.py
+++ b/flamingoweir/fleet/_allocation.py
@@ -47,8 +47,9 @@
         #: Since when the requested pace has been low, on the owner's clock, in seconds;
         #: None while it is not.
         self.throttled_since_s: float | None = None
-        #: Time from which progress is expected: when the attempt was created, its pace
-        #: last changed or its runner responded again.
+        #: Time from which progress is expected: when the start was confirmed, or before
+        #: that when the attempt was created; when its pace last changed, or its runner
+        #: responded again.
         self.unthrottled_since_s = attempt.created_s
         #: Whether this owner has sent a start order.
         self.start_sent = False
@@ -77,6 +78,8 @@
         """Record that the start is confirmed; only the first call counts."""
         if self.started_s is None:
             self.started_s = now_s
+            # Its order may have waited for long.
+            self.unthrottled_since_s = max(self.unthrottled_since_s, now_s)
 
     def record_unanswered_start(self, now_s: float) -> None:
         """Record that a start order got no response, so that it may come late."""
--- a/tests/test_long_tasks.py
+++ b/tests/test_long_tasks.py
@@ -4,9 +4,11 @@
 import pytest
 
 from flamingoweir.dispatch import RunnerReport
-from flamingoweir.fleet import Allocation
-from flamingoweir.jobs import Attempt, Outcome, TaskId
+from flamingoweir.fleet import Allocation, Runner
+from flamingoweir.jobs import Attempt, AttemptState, Outcome, TaskId
+from flamingoweir.policy import find_stalled
 from flamingoweir.policy._stragglers import MAX_DOUBLINGS, STALL_S, stall_s
+from flamingoweir.registry import RunnerEntry
 from flamingoweir.standins import MemoryRunnerLink
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
@@ -71,6 +73,19 @@
     raise AssertionError(f"a percent of {percent_s} s is never waited for")
 
 
+def test_time_to_a_stall_begins_with_the_start():
+    """Guards against a run that is stopped as hung since its start order has waited."""
+    runner = Runner(RunnerEntry("r", 1, "s", "host:1", "zone"), 10.0)
+    attempt = Attempt(TaskId("job", 0, 0, 0), 1, "r", 1, created_s=100.0)
+    attempt.last_progress_s = attempt.created_s
+    attempt.state = AttemptState.RUNNING
+    allocation = runner.add(attempt, make_step(estimate_s=1.0))
+    allocation.record_start(110.0)
+    allocation.record_start(115.0)
+    assert not find_stalled(runner, 110.0 + STALL_S - 0.1)
+    assert find_stalled(runner, 110.0 + STALL_S + 0.1)
+
+
 def test_slow_task_quarantines_one_runner_at_most():
     """Guards against sound runners that get nothing, as one task is slow on them."""
 
