--- a/flamingoweir/dispatch/__init__.py
+++ b/flamingoweir/dispatch/__init__.py
@@ -4,6 +4,7 @@
 from ._protocols import (
     EndedTask,
     Fenced,
+    OrderRank,
     RunnerLink,
     RunnerReport,
     RunnerUnreachable,
@@ -16,6 +17,7 @@
 __all__ = [
     "EndedTask",
     "Fenced",
+    "OrderRank",
     "OwnerState",
     "RunnerLink",
     "RunnerReport",
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -45,14 +45,14 @@
         self._owner_state = context.owner_state
         self._task_group = task_group
         self._calls = RunnerCalls(context, term_end, link_by_runner)
-        self._start_orders = StartOrders(context, permit, self._calls)
+        self._start_orders = StartOrders(context, permit, self._calls, task_group)
         self._stop_orders = StopOrders(context, self._calls, task_group)
         #: Attempts with a pace order in flight.
         self._pacing_attempts: set[Attempt] = set()
 
     def start(self, attempt: Attempt) -> None:
         """Send the start order of a durable attempt."""
-        self._task_group.start_soon(self._start_orders.send, attempt)
+        self._start_orders.add(attempt)
 
     def stop(self, attempt: Attempt) -> None:
         """Send stop orders for an attempt until its runner responds."""
--- a/flamingoweir/dispatch/_protocols.py
+++ b/flamingoweir/dispatch/_protocols.py
@@ -33,6 +33,16 @@
     UNKNOWN = "unknown"
 
 
+class OrderRank(enum.IntEnum):
+    """Which of the calls that wait for a connection to a runner go first."""
+
+    STOP = 0
+    #: Probes and renewals of leases.
+    PROBE = 1
+    PACE = 2
+    START = 3
+
+
 class Fenced(Exception):
     """The runner has received a higher fencing token."""
 
--- a/flamingoweir/dispatch/_start_gate.py
+++ b/flamingoweir/dispatch/_start_gate.py
@@ -37,15 +37,17 @@
         self._owner_state = context.owner_state
         #: Set when the probe of a runner has ended.
         self._probe_end_by_runner: dict[str, anyio.Event] = {}
+        #: When a runner was last found silent, on the owner's clock, in seconds.
+        self._silent_s_by_runner: dict[str, float] = {}
 
     def is_open(self, runner: Runner) -> bool:
         """Return whether a runner has responded so recently that an order may go."""
         return self._clock.now() - runner.heard_s <= HEARD_AT_SENDING_S
 
-    async def reach(self, runner: Runner, link: RunnerLink) -> bool:
+    async def reach(self, runner: Runner, link: RunnerLink, since_s: float) -> bool:
         """Return whether a runner responds; probe it if it hasn't just done so.
 
-        Orders to one runner share a probe.
+        Orders to one runner share a probe, also those that waited for others meanwhile.
 
         Parameters
         ----------
@@ -53,9 +55,15 @@
             The runner.
         link : RunnerLink
             Connection to it.
+        since_s : float
+            Since when the order has waited, on the owner's clock, in seconds. A runner
+            that was found silent since then, and not heard again, isn't probed for it.
         """
         if self._clock.now() - runner.heard_s <= HEARD_S:
             return True
+        silent_s = self._silent_s_by_runner.get(runner.id, float("-inf"))
+        if silent_s >= max(since_s, runner.heard_s):
+            return False
         probe_end = self._probe_end_by_runner.get(runner.id)
         if probe_end is not None:
             await probe_end.wait()
@@ -66,7 +74,11 @@
         finally:
             del self._probe_end_by_runner[runner.id]
             probe_end.set()
-        return self.is_open(runner)
+        if self.is_open(runner):
+            self._silent_s_by_runner.pop(runner.id, None)
+            return True
+        self._silent_s_by_runner[runner.id] = self._clock.now()
+        return False
 
     async def _probe(self, runner: Runner, link: RunnerLink) -> None:
         for _ in range(MAX_PROBES):
--- a/flamingoweir/platform/_runners.py
+++ b/flamingoweir/platform/_runners.py
@@ -11,6 +11,7 @@
 from ..dispatch import (
     EndedTask,
     Fenced,
+    OrderRank,
     RunnerReport,
     RunnerUnreachable,
     RunningTask,
@@ -28,8 +29,9 @@
 ORDER_TIMEOUT_S = 0.5
 #: Seconds after the end of the requested wait at which a poll times out.
 POLL_SLACK_S = 0.6
-#: Largest number of orders that are sent to one runner at once.
-ORDER_CONNECTIONS = 3
+#: Largest number of orders that are sent to one runner at once. An owner sends fewer
+#: start orders, so that probes and stops find a connection beside them.
+ORDER_CONNECTIONS = 4
 
 JSON_HEADER = (b"Content-Type", b"application/json")
 
@@ -116,7 +118,9 @@
         if order.ticket:
             message["Ticket"] = order.ticket
         try:
-            response = await self._send_order("/-/run-start", message, may_send)
+            response = await self._send_order(
+                "/-/run-start", message, OrderRank.START, may_send
+            )
         except RequestNotSent:
             return StartResult.UNSENT, None
         except ResponseLost:
@@ -143,7 +147,7 @@
             If the runner has received a higher fencing token.
         """
         message = {"Task": str(task), "Run": run, "FenceToken": fence}
-        await self._send_checked_order("/-/run-stop", message)
+        await self._send_checked_order("/-/run-stop", message, OrderRank.STOP)
 
     async def set_pace(self, task: TaskId, run: int, percent: int, fence: int) -> None:
         """Order the runner to limit the pace of a run.
@@ -166,8 +170,13 @@
         Fenced
             If the runner has received a higher fencing token.
         """
-        message = {"Task": str(task), "Run": run, "Percent": percent}
-        await self._send_checked_order("/-/pace", {**message, "FenceToken": fence})
+        message = {
+            "Task": str(task),
+            "Run": run,
+            "Percent": percent,
+            "FenceToken": fence,
+        }
+        await self._send_checked_order("/-/pace", message, OrderRank.PACE)
 
     async def renew(self, fence: int, deadline_ms: int) -> None:
         """Renew the runner's lease on another connection than that of polls.
@@ -188,8 +197,8 @@
         Fenced
             If the runner has received a higher fencing token.
         """
-        message = {"AckCursor": 0, "DueMs": deadline_ms}
-        await self._send_checked_order("/-/hold", {**message, "FenceToken": fence})
+        message = {"AckCursor": 0, "DueMs": deadline_ms, "FenceToken": fence}
+        await self._send_checked_order("/-/hold", message, OrderRank.PROBE)
 
     async def probe(self, fence: int) -> float | None:
         """Call the runner without any effect but that of the fencing token.
@@ -212,7 +221,7 @@
             If the runner has received a higher fencing token.
         """
         message = {"AckCursor": 0, "FenceToken": fence}
-        response = await self._send_checked_order("/-/hold", message)
+        response = await self._send_checked_order("/-/hold", message, OrderRank.PROBE)
         try:
             return OrderResponse.model_validate_json(response.body).clock_ms
         except pydantic.ValidationError:
@@ -269,17 +278,23 @@
         self,
         path: str,
         message: dict[str, object],
+        rank: OrderRank,
         may_send: Callable[[], bool] | None = None,
     ) -> Response:
         return await self._order_client.call(
-            "POST", path, orjson.dumps(message), self._headers, may_send=may_send
+            "POST",
+            path,
+            orjson.dumps(message),
+            self._headers,
+            may_send=may_send,
+            rank=rank,
         )
 
     async def _send_checked_order(
-        self, path: str, message: dict[str, object]
+        self, path: str, message: dict[str, object], rank: OrderRank
     ) -> Response:
         try:
-            response = await self._send_order(path, message)
+            response = await self._send_order(path, message, rank)
         except (RequestNotSent, ResponseLost) as error:
             raise RunnerUnreachable(f"runner {self._runner_id}: {error}") from error
         self._raise_for_status(response)
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -1,13 +1,16 @@
 """A task runner in memory that records the starts and ends of its runs."""
 
 from collections.abc import Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import anyio
 
+from .._call_limit import CallLimit
 from ..dispatch import (
     EndedTask,
     Fenced,
+    OrderRank,
     RunnerLink,
     RunnerReport,
     RunnerUnreachable,
@@ -22,7 +25,7 @@
 #: Seconds between checks for new ends in a poll that waits.
 POLL_CHECK_INTERVAL_S = 0.01
 #: Largest number of orders that an instance sends to one runner at once.
-ORDER_CONNECTIONS = 3
+ORDER_CONNECTIONS = 4
 #: Seconds for which a call waits in vain for a response.
 LOST_RESPONSE_S = 0.5
 
@@ -499,13 +502,13 @@
         self.acknowledgement_delay_s: float | None = None
         self.unanswered_starts: list[tuple[float, TaskId, int]] = []
         self._delay_s = delay_s
-        self._order_limit = anyio.Semaphore(ORDER_CONNECTIONS)
+        self._order_limit = CallLimit(ORDER_CONNECTIONS)
 
     async def start(
         self, order: StartOrder, may_send: Callable[[], bool] | None = None
     ) -> tuple[StartResult, float | None]:
         """See `RunnerLink.start`."""
-        async with self._order_limit:
+        async with self._hold_connection(OrderRank.START):
             if may_send is not None and not may_send():
                 return StartResult.UNSENT, None
             sent = anyio.current_time(), order.task, order.run
@@ -531,14 +534,14 @@
 
     async def stop(self, task: TaskId, run: int, fence: int) -> None:
         """See `RunnerLink.stop`."""
-        async with self._order_limit:
+        async with self._hold_connection(OrderRank.STOP):
             await self._reach_or_fail()
             self.runner.stop(task, run, fence)
             await self._return_or_fail()
 
     async def set_pace(self, task: TaskId, run: int, percent: int, fence: int) -> None:
         """See `RunnerLink.set_pace`."""
-        async with self._order_limit:
+        async with self._hold_connection(OrderRank.PACE):
             await self._reach_or_fail()
             self.runner.set_pace(task, run, percent, fence)
             await self._return_or_fail()
@@ -571,7 +574,7 @@
 
     async def renew(self, fence: int, deadline_ms: int) -> None:
         """See `RunnerLink.renew`."""
-        async with self._order_limit:
+        async with self._hold_connection(OrderRank.PROBE):
             await self._reach_or_fail()
             await self._lose_renewal(fence, 0, deadline_ms)
             self.runner.poll(fence, 0, deadline_ms)
@@ -579,7 +582,7 @@
 
     async def probe(self, fence: int) -> float | None:
         """See `RunnerLink.probe`."""
-        async with self._order_limit:
+        async with self._hold_connection(OrderRank.PROBE):
             await self._reach_or_fail()
             clock_ms = self.runner.poll(fence, 0, None).clock_ms
             await self._return_or_fail()
@@ -588,6 +591,14 @@
     async def aclose(self) -> None:
         """See `RunnerLink.aclose`."""
 
+    @asynccontextmanager
+    async def _hold_connection(self, rank: OrderRank):
+        await self._order_limit.acquire(rank)
+        try:
+            yield
+        finally:
+            self._order_limit.release()
+
     async def _lose(self, call: Call, delay_s: float | None = None) -> None:
         """Deliver a call late, or at once, and wait in vain for its response."""
         delay_s = self.delivery_delay_s if delay_s is None else delay_s
--- a/flamingoweir/transport.py
+++ b/flamingoweir/transport.py
@@ -8,6 +8,7 @@
 import anyio
 import httpcore
 
+from ._call_limit import CallLimit
 from ._http_connection import HttpConnection, MalformedResponse
 
 #: Timeout of an attempt to connect, in seconds.
@@ -111,7 +112,7 @@
         self._host_line = b"Host: " + address.encode()
         self._timeout_s = timeout_s
         self._idle_connections = deque[HttpConnection]()
-        self._call_limit = anyio.Semaphore(connections, fast_acquire=True)
+        self._call_limit = CallLimit(connections)
 
     async def call(
         self,
@@ -122,6 +123,7 @@
         timeout_s: float | None = None,
         transfer_s: float = 0.0,
         may_send: Callable[[], bool] | None = None,
+        rank: int = 0,
     ) -> Response:
         """Send a request and return the response.
 
@@ -141,6 +143,8 @@
         may_send : callable, optional
             Asked once there is a connection, for which the call may have waited;
             nothing is sent if it returns False.
+        rank : int
+            Calls with a lower rank get a connection first.
 
         Raises
         ------
@@ -150,7 +154,8 @@
             If the request was sent and no complete response arrived in time.
         """
         request = self._encode_request(method, path, body, headers)
-        async with self._call_limit:
+        await self._call_limit.acquire(rank)
+        try:
             connection = None
             try:
                 with anyio.fail_after(timeout_s or self._timeout_s) as scope:
@@ -175,6 +180,8 @@
             if connection.reusable:
                 self._idle_connections.append(connection)
             return Response(status, content)
+        finally:
+            self._call_limit.release()
 
     async def aclose(self) -> None:
         """Close all idle connections."""
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -11,6 +11,8 @@
 
 from benchmarks.large_job import LargeJob, cancel, fail, lapse, take_over
 from flamingoweir.dispatch import _stop_orders
+from flamingoweir.dispatch._owner_state import OwnerState
+from flamingoweir.dispatch._start_orders import MAX_STARTS_AT_ONCE
 from flamingoweir.jobs import Job, JobState, Outcome, TaskId
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
@@ -166,3 +168,100 @@
     run_virtual(scenario)
     assert len(most) >= 150
     assert max(most) <= _stop_orders.MAX_STOPS_AT_ONCE
+
+
+def test_start_orders_dont_wait_for_each_other_until_they_expire(monkeypatch):
+    """Guards against an owner that takes its own queue for its runners' silence.
+
+    Probes and orders that waited for a connection expired there, so that attempts were
+    void, and runners lost, though each call was answered (review/12).
+    """
+    tasks = 4 * TASKS
+    void, lost, placed = [], [], []
+    discard_attempt, record_lost = OwnerState.discard_attempt, OwnerState.record_lost
+    add_attempt = OwnerState.add_attempt
+
+    def count_void(self, attempt, reason):
+        void.append(reason)
+        discard_attempt(self, attempt, reason)
+
+    def count_lost(self, runner, detail):
+        lost.append(detail)
+        record_lost(self, runner, detail)
+
+    def count_placed(self, *args):
+        placed.append(args)
+        return add_attempt(self, *args)
+
+    monkeypatch.setattr(OwnerState, "discard_attempt", count_void)
+    monkeypatch.setattr(OwnerState, "record_lost", count_lost)
+    monkeypatch.setattr(OwnerState, "add_attempt", count_placed)
+
+    async def scenario():
+        async with run_cluster(runners=2, processors=650) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            for link in owner.link_by_runner.values():
+                link._delay_s = 0.01
+            lasting = await cluster.submit(make_job(1, make_step(4, lasting=True)))
+            large = await cluster.submit(make_job(2, make_step(tasks, estimate_s=60)))
+            for index in range(tasks):
+                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
+            await anyio.sleep(6)
+            assert len(cluster.records("start")) == tasks + 4
+            assert await cluster.state(lasting) is JobState.RUNNING
+
+    run_virtual(scenario)
+    assert (void, lost, len(placed)) == ([], [], tasks + 4)
+
+
+@pytest.mark.parametrize("event", ["cut", "drain", "restart", "cancel", "owner_killed"])
+def test_start_orders_that_wait_follow_what_happens_to_their_runner(event):
+    """Guards against tasks that are kept behind orders that can't be sent any more."""
+
+    async def scenario():
+        async with run_cluster(members=2, runners=2, processors=400) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            links = owner.link_by_runner
+            for link in links.values():
+                link._delay_s = 0.01
+            large = make_job(2, make_step(380, estimate_s=60))
+            for index in range(380):
+                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
+            await cluster.submit(large, owner)
+            await anyio.sleep(0.6)
+            [first] = {record.runner for record in cluster.records("start")}
+            [other] = cluster.runner_by_id.keys() - {first}
+            begun = len(cluster.records("start"))
+            assert 20 < begun < 200
+            happened_s = anyio.current_time()
+            if event == "cut":
+                links[first].disconnected = True
+            elif event == "drain":
+                cluster.list_runner(first, state="draining")
+            elif event == "restart":
+                cluster.runner_by_id[first].restart()
+                cluster.list_runner(first)
+            elif event == "cancel":
+                await owner.instance.handler.cancel(large.id, 2.0)
+            else:
+                cluster.kill_member(owner)
+            await anyio.sleep(6)
+            for runner in cluster.runner_by_id.values():
+                # One that is cut off records that its leases have lapsed.
+                runner.advance()
+            assert not cluster.find_overlaps()
+            if event == "cancel":
+                later = [r for r in cluster.records("start") if r.at_s > happened_s]
+                assert len(later) < 30
+                assert not any(r.tasks for r in cluster.runner_by_id.values())
+                return
+            tasks = {r.task for r in cluster.records("start")}
+            # The orders that the cut has met may be carried out late (design 0021).
+            unanswered = MAX_STARTS_AT_ONCE if event == "cut" else 0
+            assert len(tasks) >= 380 - unanswered
+            if event != "owner_killed":
+                assert cluster.runner_by_id[other].tasks
+
+    run_virtual(scenario)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -8,7 +8,9 @@
 import pytest
 
 from flamingoweir import transport
+from flamingoweir._call_limit import CallLimit
 from flamingoweir.transport import HttpClient, RequestNotSent, ResponseLost
+from tests.utils.virtual_time import run_virtual
 
 HOST = "127.0.0.1"
 #: Timeout of calls that get a response, in seconds.
@@ -583,3 +585,31 @@
             assert used.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
     run(scenario)
+
+
+def test_urgent_calls_overtake_those_that_wait():
+    """Guards against a probe that waits behind start orders until it expires."""
+
+    async def scenario():
+        limit = CallLimit(1)
+        order = []
+
+        async def call(name, rank):
+            await limit.acquire(rank)
+            order.append(name)
+            await anyio.sleep(1)
+            limit.release()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call, "first", 3)
+            await anyio.sleep(0.1)
+            for name, rank in (("start", 3), ("probe", 1), ("late start", 3)):
+                tasks.start_soon(call, name, rank)
+            with anyio.move_on_after(0.1):
+                await limit.acquire(0)
+            tasks.start_soon(call, "stop", 0)
+        assert order == ["first", "stop", "probe", "start", "late start"]
+        await limit.acquire()
+        limit.release()
+
+    run_virtual(scenario)
