--- a/flamingoweir/_http_connection.py
+++ b/flamingoweir/_http_connection.py
@@ -92,6 +92,53 @@
         self._idle_since_s = time.monotonic()
         return response.status, body
 
+    async def exchange_all(
+        self, requests: bytes, count: int, on_response: Callable[[int, bytes], None]
+    ) -> None:
+        """Send several requests in one write, and receive their responses in order.
+
+        Parameters
+        ----------
+        requests : bytes
+            The whole requests, none of them a HEAD.
+        count : int
+            Number of the requests.
+        on_response : callable
+            Called with status and body of each response.
+
+        Raises
+        ------
+        MalformedResponse
+            If a response is malformed, truncated or without a length, or if the server
+            ends the connection before the last one.
+        OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError
+            If the connection fails.
+        """
+        self.reusable = False
+        await self._stream.send(requests)
+        received = b""
+        keeps_alive = True
+        for _ in range(count):
+            if not keeps_alive:
+                raise MalformedResponse("the server has closed the connection")
+            while True:
+                response, received = await self._receive_head(received)
+                if response.status >= 200:
+                    break
+            length = response.content_length
+            if response.status in BODILESS_STATUSES:
+                length = 0
+            if length is None or response.transfer_encoding is not None:
+                raise MalformedResponse("the response has no length")
+            while len(received) < length:
+                received += await self._stream.receive(READ_BYTES)
+            keeps_alive = response.keeps_alive
+            response.release()
+            on_response(response.status, received[:length])
+            received = received[length:]
+        self.reusable = keeps_alive and not received
+        self._idle_since_s = time.monotonic()
+
     async def aclose(self) -> None:
         """Close the connection; what was not sent is lost."""
         self.reusable = False
--- a/flamingoweir/dispatch/_protocols.py
+++ b/flamingoweir/dispatch/_protocols.py
@@ -1,7 +1,7 @@
 """Interface between a shard's owner and runners, independent of the wire format."""
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -196,6 +196,25 @@
         """
         ...
 
+    async def stop_runs(self, runs: Sequence[tuple[TaskId, int]], fence: int) -> int:
+        """Send stop orders for several runs, without a wait between them.
+
+        Any of the orders behind a missing response may be carried out.
+
+        Returns
+        -------
+        int
+            How many of the first orders got a usable response.
+
+        Raises
+        ------
+        RunnerUnreachable
+            If none did.
+        Fenced
+            If the runner has received a higher fencing token.
+        """
+        ...
+
     async def set_pace(self, task: TaskId, run: int, percent: int, fence: int) -> None:
         """Set a run's speed to ``percent`` of full speed.
 
--- a/flamingoweir/dispatch/_stop_orders.py
+++ b/flamingoweir/dispatch/_stop_orders.py
@@ -1,35 +1,27 @@
 """Sends stop orders to runners."""
 
-from dataclasses import dataclass, field
-
 import anyio
 from anyio.abc import TaskGroup
 
 from ..fleet import Allocation, Runner
 from ..jobs import Attempt
+from ..policy import StopBatch
 from ._context import TermContext
-from ._protocols import Fenced, RunnerUnreachable
+from ._order_queues import OrderQueue, OrderQueues
+from ._protocols import Fenced, RunnerLink, RunnerUnreachable
 from ._runner_calls import RunnerCalls
 from ._start_orders import RESEND_PAUSE_S
 
-#: Largest number of stop orders that are under way to one runner, so that a start order
-#: finds a connection while a large job is stopped.
+#: Largest number of calls with stop orders that are under way to one runner, so that a
+#: start order finds a connection while a large job is stopped.
 MAX_STOPS_AT_ONCE = 2
 
 
-@dataclass(slots=True, eq=False)
-class _StopQueue:
-    """Attempts on one runner to be stopped, and how many senders work on them."""
-
-    attempts: dict[Attempt, None] = field(default_factory=dict)
-    senders: int = 0
-
-
 class StopOrders:
     """Sends a stop order for each attempt, repeatedly if need be.
 
     The orders to a runner are sent in turn, by a few senders that end when all are
-    sent.
+    sent. If there are many, a sender writes several at once.
 
     Parameters
     ----------
@@ -44,55 +36,67 @@
     def __init__(self, context: TermContext, calls: RunnerCalls, task_group: TaskGroup):
         self._context = context
         self._calls = calls
-        self._task_group = task_group
-        self._queue_by_runner: dict[str, _StopQueue] = {}
+        self._queues = OrderQueues(task_group, MAX_STOPS_AT_ONCE, self._send_all)
 
     def add(self, attempt: Attempt) -> None:
         """Send stop orders for an attempt until its runner responds."""
-        queue = self._queue_by_runner.setdefault(attempt.runner, _StopQueue())
-        queue.attempts[attempt] = None
-        if queue.senders < MAX_STOPS_AT_ONCE:
-            queue.senders += 1
-            self._task_group.start_soon(self._send_all, attempt.runner, queue)
-
-    async def _send_all(self, runner_id: str, queue: _StopQueue) -> None:
-        try:
-            while queue.attempts:
-                attempt = next(iter(queue.attempts))
-                del queue.attempts[attempt]
-                if not await self._stop(attempt):
-                    queue.attempts[attempt] = None
-                    await anyio.sleep(RESEND_PAUSE_S)
-        finally:
-            queue.senders -= 1
-            if not queue.senders and not queue.attempts:
-                self._queue_by_runner.pop(runner_id, None)
-
-    async def _stop(self, attempt: Attempt) -> bool:
-        """Send one stop order; return whether no other one is needed."""
-        found = self._calls.find_allocation(attempt)
-        if found is None:
-            return True
-        runner, allocation = found
-        with self._calls.contain("stop", runner.id):
-            return await self._send_stop(attempt, runner, allocation)
-        return False
-
-    async def _send_stop(
-        self, attempt: Attempt, runner: Runner, allocation: Allocation
-    ) -> bool:
-        link = self._calls.find_link(runner.id)
-        if link is None:
+        self._queues.add(attempt.runner, attempt)
+
+    async def _send_all(self, queue: OrderQueue[Attempt]) -> None:
+        batch = StopBatch()
+        while True:
+            allocations = self._take(queue, batch.size)
+            if not allocations:
+                return
+            confirmed = 0
+            with self._calls.contain("stop", queue.runner_id):
+                confirmed = await self._send(queue.runner_id, allocations)
+            batch.record(len(allocations), confirmed)
+            for allocation in allocations[confirmed:]:
+                queue.add(allocation.attempt)
+            if not confirmed:
+                await anyio.sleep(RESEND_PAUSE_S)
+
+    def _take(self, queue: OrderQueue[Attempt], most: int) -> list[Allocation]:
+        """Take the allocations of the next attempts; those that have ended are left."""
+        taken = []
+        while len(taken) < most and (attempt := queue.take()) is not None:
+            found = self._calls.find_allocation(attempt)
+            if found is not None:
+                taken.append(found[1])
+        return taken
+
+    async def _send(self, runner_id: str, allocations: list[Allocation]) -> int:
+        """Send a stop order for each; return how many of the first are confirmed."""
+        found = self._calls.find_allocation(allocations[0].attempt)
+        link = self._calls.find_link(runner_id)
+        if found is None or link is None:
             # A new owner has not read the table of runners yet.
-            return False
+            return 0
+        runner, _ = found
         fence = runner.call_fence.token
         try:
-            await link.stop(attempt.task, attempt.run, fence)
+            confirmed = await self._call(link, allocations, fence)
         except Fenced:
-            return self._calls.end_if_replaced(runner, fence)
+            replaced = self._calls.end_if_replaced(runner, fence)
+            return len(allocations) if replaced else 0
         except RunnerUnreachable:
-            return False
-        # The run can't start there any more; the next poll reports its end.
-        allocation.expect_listed_after_s = self._context.clock.now()
+            return 0
+        self._record_confirmed(runner, allocations[:confirmed])
+        return confirmed
+
+    async def _call(
+        self, link: RunnerLink, allocations: list[Allocation], fence: int
+    ) -> int:
+        runs = [(item.attempt.task, item.attempt.run) for item in allocations]
+        if len(runs) > 1:
+            return await link.stop_runs(runs, fence)
+        await link.stop(*runs[0], fence)
+        return 1
+
+    def _record_confirmed(self, runner: Runner, allocations: list[Allocation]) -> None:
+        """Record that runs can't start there any more; the next poll has their ends."""
+        now_s = self._context.clock.now()
+        for allocation in allocations:
+            allocation.expect_listed_after_s = now_s
         runner.poll_wakeup.set()
-        return True
--- a/flamingoweir/platform/_runners.py
+++ b/flamingoweir/platform/_runners.py
@@ -1,7 +1,7 @@
 """HTTP client of the platform's runners."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import orjson
@@ -146,9 +146,50 @@
         Fenced
             If the runner has received a higher fencing token.
         """
-        message = {"Task": str(task), "Run": run, "FenceToken": fence}
+        message = _encode_stop(task, run, fence)
         await self._send_checked_order("/-/run-stop", message, OrderRank.STOP)
 
+    async def stop_runs(self, runs: Sequence[tuple[TaskId, int]], fence: int) -> int:
+        """Order the runner to stop several runs, in one write.
+
+        Parameters
+        ----------
+        runs : sequence of (TaskId, int)
+            Task and number of each run.
+        fence : int
+            The owner's fencing token.
+
+        Returns
+        -------
+        int
+            How many of the first orders got a valid response; those behind may have
+            been carried out.
+
+        Raises
+        ------
+        RunnerUnreachable
+            If none did.
+        Fenced
+            If the runner has received a higher fencing token.
+        """
+        bodies = [orjson.dumps(_encode_stop(task, run, fence)) for task, run in runs]
+        confirmed = 0
+        try:
+            responses = await self._order_client.call_all(
+                "/-/run-stop", bodies, self._headers, OrderRank.STOP
+            )
+            for response in responses:
+                self._raise_for_status(response)
+                confirmed += 1
+        except RequestNotSent as error:
+            raise RunnerUnreachable(f"runner {self._runner_id}: {error}") from error
+        except RunnerUnreachable:
+            if not confirmed:
+                raise
+        if not confirmed:
+            raise RunnerUnreachable(f"runner {self._runner_id}: no response")
+        return confirmed
+
     async def set_pace(self, task: TaskId, run: int, percent: int, fence: int) -> None:
         """Order the runner to limit the pace of a run.
 
@@ -390,6 +431,10 @@
         return running
 
 
+def _encode_stop(task: TaskId, run: int, fence: int) -> dict[str, object]:
+    return {"Task": str(task), "Run": run, "FenceToken": fence}
+
+
 def _decode_ended(row: list[Any]) -> EndedTask:
     """Decode ``[number, task, run, outcome, checkpoint]``."""
     number, task, run, outcome, checkpoint = row[:5]
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -1,6 +1,6 @@
 """A task runner in memory that records the starts and ends of its runs."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -485,6 +485,8 @@
         Seconds after which these calls reach the runner; 0 delivers them at once.
     acknowledgement_delay_s : float or None
         The same for polls that acknowledge ends; None: as for the others.
+    answered_stops : int
+        How many of several stop orders in one write get a response.
     unanswered_starts : list of (float, TaskId, int)
         Time of sending, task and run of each start order without a response, also if
         its caller ended before that.
@@ -500,6 +502,7 @@
         self.lose_acknowledgements = 0
         self.delivery_delay_s = 0.0
         self.acknowledgement_delay_s: float | None = None
+        self.answered_stops = 1_000
         self.unanswered_starts: list[tuple[float, TaskId, int]] = []
         self._delay_s = delay_s
         self._order_limit = CallLimit(ORDER_CONNECTIONS)
@@ -539,6 +542,17 @@
             self.runner.stop(task, run, fence)
             await self._return_or_fail()
 
+    async def stop_runs(self, runs: Sequence[tuple[TaskId, int]], fence: int) -> int:
+        """See `RunnerLink.stop_runs`."""
+        async with self._hold_connection(OrderRank.STOP):
+            await self._reach_or_fail()
+            answered = min(len(runs), self.answered_stops)
+            for task, run in runs[: answered + 1]:
+                # The one behind the last response is carried out as well.
+                self.runner.stop(task, run, fence)
+            await self._return_or_fail()
+            return answered
+
     async def set_pace(self, task: TaskId, run: int, percent: int, fence: int) -> None:
         """See `RunnerLink.set_pace`."""
         async with self._hold_connection(OrderRank.PACE):
--- a/flamingoweir/transport.py
+++ b/flamingoweir/transport.py
@@ -1,9 +1,11 @@
 """HTTP calls over connections that each serve one call at a time."""
 
+import contextlib
 import re
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 import anyio
 import httpcore
@@ -24,6 +26,7 @@
 #: Printable characters, with spaces and tabs in between.
 HEADER_VALUE = re.compile(rb"([!-~\x80-\xff]([\t -~\x80-\xff]*[!-~\x80-\xff])?)?")
 
+Result = TypeVar("Result")
 #: Errors of a call on a connection.
 CALL_ERRORS = (
     OSError,
@@ -154,19 +157,82 @@
             If the request was sent and no complete response arrived in time.
         """
         request = self._encode_request(method, path, body, headers)
+
+        async def exchange(
+            connection: HttpConnection, scope: anyio.CancelScope
+        ) -> Response:
+            if may_send is not None and not may_send():
+                raise RequestNotSent("the request is not wanted any more")
+            on_part = self._extender(scope, transfer_s) if transfer_s else None
+            is_head = method == "HEAD"
+            return Response(*await connection.exchange(request, is_head, on_part))
+
+        return await self._run_on_connection(exchange, timeout_s, rank)
+
+    async def call_all(
+        self,
+        path: str,
+        bodies: Sequence[bytes],
+        headers: Sequence[tuple[bytes, bytes]] = (),
+        rank: int = 0,
+    ) -> list[Response]:
+        """Send POST requests in one write over one connection; return the responses.
+
+        Parameters
+        ----------
+        path : str
+            Path of the requests.
+        bodies : sequence of bytes
+            Body of each request.
+        headers : sequence of (bytes, bytes)
+            Headers of each, in addition to those that every call has.
+        rank : int
+            Calls with a lower rank get a connection first.
+
+        Returns
+        -------
+        list of Response
+            Responses to the first of the requests. If some are missing, any of the
+            requests behind them may have been executed.
+
+        Raises
+        ------
+        RequestNotSent
+            If no request was sent.
+        """
+        requests = []
+        for body in bodies:
+            requests.append(self._encode_request("POST", path, body, headers))
+        responses: list[Response] = []
+
+        async def exchange(
+            connection: HttpConnection, scope: anyio.CancelScope
+        ) -> None:
+            def record(status: int, body: bytes) -> None:
+                responses.append(Response(status, body))
+                # The timeout is that of each response.
+                scope.deadline = anyio.current_time() + self._timeout_s
+
+            await connection.exchange_all(b"".join(requests), len(requests), record)
+
+        with contextlib.suppress(ResponseLost):
+            await self._run_on_connection(exchange, None, rank)
+        return responses
+
+    async def _run_on_connection(
+        self,
+        exchange: Callable[[HttpConnection, anyio.CancelScope], Awaitable[Result]],
+        timeout_s: float | None,
+        rank: int,
+    ) -> Result:
+        """Run an exchange on a connection, once there is one; see `call`."""
         await self._call_limit.acquire(rank)
         try:
             connection = None
             try:
                 with anyio.fail_after(timeout_s or self._timeout_s) as scope:
-                    on_part = self._extender(scope, transfer_s) if transfer_s else None
                     connection = await self._acquire_connection()
-                    if may_send is not None and not may_send():
-                        self._idle_connections.append(connection)
-                        raise RequestNotSent("the request is not wanted any more")
-                    status, content = await connection.exchange(
-                        request, method == "HEAD", on_part
-                    )
+                    result = await exchange(connection, scope)
             except TimeoutError as error:
                 # Other connections of the same age are likely to be unresponsive too.
                 await self.aclose()
@@ -174,15 +240,20 @@
             except CALL_ERRORS as error:
                 raise _classify(connection, error) from error
             finally:
-                if connection is not None and not connection.reusable:
-                    with anyio.CancelScope(shield=True):
-                        await connection.aclose()
-            if connection.reusable:
-                self._idle_connections.append(connection)
-            return Response(status, content)
+                if connection is not None:
+                    await self._give_back(connection)
+            return result
         finally:
             self._call_limit.release()
 
+    async def _give_back(self, connection: HttpConnection) -> None:
+        """Keep a connection for another call, or close it."""
+        if connection.reusable:
+            self._idle_connections.append(connection)
+            return
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
+
     async def aclose(self) -> None:
         """Close all idle connections."""
         while self._idle_connections:
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -10,10 +10,12 @@
 import pytest
 
 from benchmarks.large_job import LargeJob, cancel, fail, lapse, take_over
-from flamingoweir.dispatch import _stop_orders
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._start_orders import MAX_STARTS_AT_ONCE
+from flamingoweir.dispatch._stop_orders import MAX_STOPS_AT_ONCE
 from flamingoweir.jobs import Job, JobState, Outcome, TaskId
+from flamingoweir.policy import MAX_STOPS_IN_A_WRITE
+from flamingoweir.standins import MemoryRunnerLink
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
 
@@ -144,16 +146,35 @@
     run_virtual(scenario)
 
 
-def test_few_stop_orders_are_under_way_to_a_runner(monkeypatch):
-    """Guards against a coroutine for each stop of a large job."""
-    most = []
-    send = _stop_orders.StopOrders._send_stop
+class StopCalls:
+    """Counts calls with stop orders, and those that are under way to a runner."""
+
+    def __init__(self, monkeypatch):
+        self.stopped_runs = 0
+        self.calls = 0
+        self.most = 0
+        self._under_way: dict[MemoryRunnerLink, int] = {}
+        for name in ("stop", "stop_runs"):
+            call = self._wrap(getattr(MemoryRunnerLink, name), name == "stop")
+            monkeypatch.setattr(MemoryRunnerLink, name, call)
+
+    def _wrap(self, call, is_single):
+        async def count(link, runs, *args):
+            self.calls += 1
+            self.stopped_runs += 1 if is_single else len(runs)
+            under_way = self._under_way[link] = self._under_way.get(link, 0) + 1
+            self.most = max(self.most, under_way)
+            try:
+                return await call(link, runs, *args)
+            finally:
+                self._under_way[link] -= 1
+
+        return count
 
-    async def count(self, *args):
-        most.append(sum(q.senders for q in self._queue_by_runner.values()))
-        return await send(self, *args)
 
-    monkeypatch.setattr(_stop_orders.StopOrders, "_send_stop", count)
+def test_few_stop_orders_are_under_way_to_a_runner(monkeypatch):
+    """Guards against a coroutine for each stop of a large job."""
+    stops = StopCalls(monkeypatch)
 
     async def scenario():
         async with run_cluster(runners=1, processors=200) as cluster:
@@ -166,8 +187,47 @@
             assert not cluster.runner_by_id["runner-0"].tasks
 
     run_virtual(scenario)
-    assert len(most) >= 150
-    assert max(most) <= _stop_orders.MAX_STOPS_AT_ONCE
+    assert stops.stopped_runs >= 150
+    assert stops.most <= MAX_STOPS_AT_ONCE
+
+
+@pytest.mark.parametrize(
+    ("answered", "max_runs_a_call"),
+    [(1_000, MAX_STOPS_IN_A_WRITE), (10, 20), (1, 2)],
+    ids=["all_answered", "ten_answered", "one_answered"],
+)
+def test_many_stops_take_few_calls(monkeypatch, answered, max_runs_a_call):
+    """Guards against stops of a large job that are late, as each takes a call.
+
+    A runner that takes 20 ms a call, and leaves some orders of a write unanswered, is
+    sent these again, and fewer at once (review/12).
+    """
+    stops = StopCalls(monkeypatch)
+    tasks = 2 * TASKS
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=tasks) as cluster:
+            owner = await cluster.owner()
+            large = make_job(1, make_step(tasks, estimate_s=60))
+            for index in range(tasks):
+                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
+            await cluster.submit(large)
+            await anyio.sleep(4)
+            assert len(cluster.records("start")) == tasks
+            [link] = owner.link_by_runner.values()
+            link._delay_s = 0.02
+            link.answered_stops = answered
+            await owner.instance.handler.cancel(large.id, 2.0)
+            await anyio.sleep(3.5 if answered > 1 else 7.5)
+            assert not cluster.runner_by_id["runner-0"].tasks
+
+    run_virtual(scenario)
+    assert stops.stopped_runs >= tasks
+    assert stops.most <= MAX_STOPS_AT_ONCE
+    if answered > 1:
+        assert stops.calls <= tasks / 4
+    if answered == 1_000:
+        assert stops.calls <= 2 * tasks / MAX_STOPS_IN_A_WRITE + 20
 
 
 def test_start_orders_dont_wait_for_each_other_until_they_expire(monkeypatch):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -5,10 +5,14 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import orjson
 import pytest
 
 from flamingoweir import transport
 from flamingoweir._call_limit import CallLimit
+from flamingoweir.dispatch import Fenced, RunnerUnreachable
+from flamingoweir.jobs import TaskId
+from flamingoweir.platform import PlatformRunnerLink
 from flamingoweir.transport import HttpClient, RequestNotSent, ResponseLost
 from tests.utils.virtual_time import run_virtual
 
@@ -613,3 +617,80 @@
         limit.release()
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize(
+    ("script", "answered"),
+    [
+        ([respond(b"1"), respond(b"2"), respond(b"3")], 3),
+        ([respond(b"1") + respond(b"2") + respond(b"3"), b"", b""], 3),
+        ([[respond(b"1")[:20], respond(b"1")[20:]], respond(b"2"), respond(b"3")], 3),
+        ([respond(b"1"), SILENCE, SILENCE], 1),
+        ([SILENCE, SILENCE, SILENCE], 0),
+        ([respond(b"1"), respond(b"2", b"Connection: close"), SILENCE], 2),
+        ([respond(b"1"), respond_chunked(b"2"), SILENCE], 1),
+        ([respond(b"1"), b"nonsense\r\n\r\n", SILENCE], 1),
+    ],
+)
+def test_requests_of_one_write_are_answered_in_order(script, answered):
+    """Guards against an answer that is taken for that of another request."""
+
+    async def scenario():
+        bodies = [b"a", b"b", b"c"]
+        timeout_s = LONG_S if answered == 3 else SHORT_S
+        async with serve(script, [respond(b"4")], timeout_s=timeout_s) as found:
+            server, client = found
+            responses = await client.call_all("/stop", bodies)
+            expected = [b"1", b"2", b"3"][:answered]
+            assert [response.body for response in responses] == expected
+            assert server.first_reads[0].endswith(b"\r\n\r\nc")
+            sent = [request.rpartition(b"\r\n")[2] for _, request in server.requests]
+            assert sent == bodies[: len(sent)]
+            if answered < 3:
+                # The connection isn't used again.
+                assert (await client.call("GET", "/")).body == b"4"
+                assert connection_numbers(server)[-1] == 1
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("second", "expected"),
+    [
+        (respond(b"{}"), 3),
+        (respond(b"{}").replace(b"200 OK", b"503 Busy"), 1),
+        (respond(b'{"Reason":"old"}').replace(b"200 OK", b"409 Conflict"), 3),
+        (respond(b'{"Reason":"fence"}').replace(b"200 OK", b"409 Conflict"), Fenced),
+    ],
+)
+def test_stops_of_one_write_are_confirmed_up_to_the_first_failure(second, expected):
+    """Guards against a stop that counts as carried out though its runner refused it."""
+
+    async def scenario():
+        runs = [(TaskId("ab", 0, 0, index), 1) for index in range(3)]
+        async with serve([respond(b"{}"), second, respond(b"{}")]) as (server, client):
+            link = PlatformRunnerLink("i-1", client.address)
+            if expected is Fenced:
+                with pytest.raises(Fenced):
+                    await link.stop_runs(runs, 7)
+            else:
+                assert await link.stop_runs(runs, 7) == expected
+            messages = [
+                orjson.loads(r.rpartition(b"\n")[2]) for _, r in server.requests
+            ]
+            assert [message["Task"] for message in messages] == [
+                str(t) for t, _ in runs
+            ]
+            await link.aclose()
+
+    run(scenario)
+
+
+def test_no_answer_to_any_of_several_stops_is_an_error():
+    async def scenario():
+        async with serve([SILENCE], keep_open=False) as (_, client):
+            link = PlatformRunnerLink("i-1", client.address)
+            with pytest.raises(RunnerUnreachable):
+                await link.stop_runs([(TaskId("ab", 0, 0, 0), 1)] * 2, 7)
+
+    run(scenario)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -95,6 +95,9 @@
     async def stop(self, task, run, fence) -> None:
         raise RunnerUnreachable("nothing listens")
 
+    async def stop_runs(self, runs, fence) -> int:
+        raise RunnerUnreachable("nothing listens")
+
     async def set_pace(self, task, run, percent, fence) -> None:
         raise RunnerUnreachable("nothing listens")
 
