--- a/flamingoweir/dispatch/_customer_usage.py
+++ b/flamingoweir/dispatch/_customer_usage.py
@@ -53,6 +53,7 @@
         """Allocate resources of a runner for an attempt, and count them."""
         customer = step.job.spec.customer
         allocation = self.restore(runner, attempt, step.spec, customer)
+        allocation.awaits_order = True
         if customer:
             unsent = self._unsent_by_customer.setdefault(customer, {})
             unsent[attempt.task, attempt.run] = allocation
@@ -80,6 +81,7 @@
     def record_sent(self, allocation: Allocation) -> None:
         """Record that the start order of an allocation is being sent."""
         allocation.start_sent = True
+        allocation.awaits_order = False
         self._remove_unsent(allocation)
 
     def used_before(self, allocation: Allocation) -> Resources:
--- a/flamingoweir/dispatch/_stop_orders.py
+++ b/flamingoweir/dispatch/_stop_orders.py
@@ -39,7 +39,14 @@
         self._queues = OrderQueues(task_group, MAX_STOPS_AT_ONCE, self._send_all)
 
     def add(self, attempt: Attempt) -> None:
-        """Send stop orders for an attempt until its runner responds."""
+        """Send stop orders for an attempt until its runner responds.
+
+        One whose start order was never sent ends at once.
+        """
+        found = self._calls.find_allocation(attempt)
+        if found is not None and found[1].awaits_order:
+            self._context.owner_state.discard_attempt(attempt, "not_ordered")
+            return
         self._queues.add(attempt.runner, attempt)
 
     async def _send_all(self, queue: OrderQueue[Attempt]) -> None:
--- a/flamingoweir/fleet/_allocation.py
+++ b/flamingoweir/fleet/_allocation.py
@@ -9,6 +9,7 @@
 
     __slots__ = (
         "attempt",
+        "awaits_order",
         "customer",
         "earlier_stalls",
         "expect_listed_after_s",
@@ -53,6 +54,8 @@
         self.unthrottled_since_s = attempt.created_s
         #: Whether this owner has sent a start order.
         self.start_sent = False
+        #: Whether nobody has sent a start order yet, so that there is nothing to stop.
+        self.awaits_order = False
         #: Whether the runner has restarted since a start order without a response.
         self.has_restarted = False
         #: Whether a start order was sent that has no result yet.
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -276,8 +276,12 @@
 
 
 @pytest.mark.parametrize("event", ["cut", "drain", "restart", "cancel", "owner_killed"])
-def test_start_orders_that_wait_follow_what_happens_to_their_runner(event):
-    """Guards against tasks that are kept behind orders that can't be sent any more."""
+def test_start_orders_that_wait_follow_what_happens_to_their_runner(monkeypatch, event):
+    """Guards against tasks that are kept behind orders that can't be sent any more.
+
+    What was never ordered needs no stop.
+    """
+    stops = StopCalls(monkeypatch)
 
     async def scenario():
         async with run_cluster(members=2, runners=2, processors=400) as cluster:
@@ -315,6 +319,7 @@
             if event == "cancel":
                 later = [r for r in cluster.records("start") if r.at_s > happened_s]
                 assert len(later) < 30
+                assert stops.stopped_runs <= len(cluster.records("start"))
                 assert not any(r.tasks for r in cluster.runner_by_id.values())
                 return
             tasks = {r.task for r in cluster.records("start")}
