--- a/flamingoweir/dispatch/_start_gate.py
+++ b/flamingoweir/dispatch/_start_gate.py
@@ -18,6 +18,11 @@
 MAX_PROBES = 3
 #: Seconds after which a probe is followed by another one.
 PROBE_TIMEOUT_S = 0.2
+#: Turns of the event loop that a probe may take on the owner's side, with a connection
+#: to be opened. Their time isn't the runner's.
+TURNS_OF_A_PROBE = 8
+#: Longest such time for a probe, in seconds.
+MAX_OWN_TIME_S = 0.8
 
 
 class StartGate:
@@ -82,12 +87,19 @@
 
     async def _probe(self, runner: Runner, link: RunnerLink) -> None:
         for _ in range(MAX_PROBES):
-            with anyio.move_on_after(PROBE_TIMEOUT_S):
+            own_s = min(MAX_OWN_TIME_S, TURNS_OF_A_PROBE * await self._measure_turn_s())
+            with anyio.move_on_after(PROBE_TIMEOUT_S + own_s):
                 await self._probe_once(runner, link)
                 return
         self._owner_state.record_lost(runner, f"{MAX_PROBES} probes got no response")
         runner.poll_wakeup.set()
 
+    async def _measure_turn_s(self) -> float:
+        """Return how long the event loop takes for a turn, in seconds."""
+        began_s = self._clock.now()
+        await anyio.sleep(0)
+        return self._clock.now() - began_s
+
     async def _probe_once(self, runner: Runner, link: RunnerLink) -> None:
         sent_s = self._clock.now()
         try:
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -5,16 +5,22 @@
 """
 
 import cProfile
+import time
+from types import SimpleNamespace
 
 import anyio
 import pytest
 
 from benchmarks.large_job import LargeJob, cancel, fail, lapse, take_over
+from flamingoweir.clock import BootClock
 from flamingoweir.dispatch._owner_state import OwnerState
+from flamingoweir.dispatch._start_gate import StartGate
 from flamingoweir.dispatch._start_orders import MAX_STARTS_AT_ONCE
 from flamingoweir.dispatch._stop_orders import MAX_STOPS_AT_ONCE
+from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Job, JobState, Outcome, TaskId
 from flamingoweir.policy import MAX_STOPS_IN_A_WRITE
+from flamingoweir.registry import RunnerEntry
 from flamingoweir.standins import MemoryRunnerLink
 from tests.utils.cluster import make_job, make_step, run_cluster
 from tests.utils.virtual_time import run_virtual
@@ -330,3 +336,37 @@
                 assert cluster.runner_by_id[other].tasks
 
     run_virtual(scenario)
+
+
+def test_probe_has_time_beside_a_busy_event_loop():
+    """Guards against an owner that takes its own lag for a runner's silence."""
+    runner = Runner(RunnerEntry("a", 1, "s", "host:1", "zone"), 10.0)
+    clock, lost = BootClock(), []
+    runner.begin_incarnation(1, clock.now())
+    runner.incarnation_clock.record(0.0, clock.now())
+
+    class Link:
+        async def probe(self, fence):
+            for _ in range(3):
+                # Each takes two turns.
+                await anyio.sleep(0.001)
+            return runner.incarnation_clock.estimate_ms(clock.now())
+
+    async def scenario():
+        state = SimpleNamespace(record_lost=lambda *args: lost.append(args))
+        gate = StartGate(SimpleNamespace(clock=clock, owner_state=state))
+        reached = None
+
+        async def hold_the_loop():
+            while reached is None:
+                time.sleep(0.06)
+                await anyio.sleep(0)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(hold_the_loop)
+            await anyio.sleep(0)
+            reached = await gate.reach(runner, Link(), clock.now())
+        assert reached
+        assert not lost
+
+    anyio.run(scenario)
