--- a/benchmarks/http_calls.py
+++ b/benchmarks/http_calls.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from flamingoweir.dispatch._stop_orders import MAX_STOPS_AT_ONCE
 from flamingoweir.transport import HttpClient
 
 HOST = "127.0.0.1"
@@ -30,17 +31,18 @@
         self._received = b""
 
     def data_received(self, data: bytes) -> None:
-        """Answer a request once it is complete."""
+        """Answer each request once it is complete."""
         self._received += data
-        head, end, body = self._received.partition(b"\r\n\r\n")
-        if not end or len(body) < len(REQUEST_BODY):
-            return
-        self._received = b""
-        size = int(head.split(b" ", 2)[1][1:])
-        self._transport.write(
-            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-            b"Content-Length: %d\r\n\r\n" % size + b"y" * size
-        )
+        while True:
+            head, end, body = self._received.partition(b"\r\n\r\n")
+            if not end or len(body) < len(REQUEST_BODY):
+                return
+            self._received = body[len(REQUEST_BODY) :]
+            size = int(head.split(b" ", 2)[1][1:])
+            self._transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                b"Content-Length: %d\r\n\r\n" % size + b"y" * size
+            )
 
 
 async def serve() -> None:
@@ -52,8 +54,10 @@
     server.close()
 
 
-async def measure(port: int, size: int, calls: int, at_once: int) -> None:
-    """Print the processor time of a call, averaged over `calls` calls.
+async def measure(
+    port: int, size: int, calls: int, at_once: int, in_a_write: int = 1
+) -> None:
+    """Print the processor time of a request, averaged over `calls` requests.
 
     Parameters
     ----------
@@ -62,14 +66,22 @@
     size : int
         Size of a response's body in bytes.
     calls : int
-        Number of calls.
+        Number of requests.
     at_once : int
         Number of calls in progress at a time.
+    in_a_write : int
+        Number of requests in a call.
     """
     client = HttpClient(f"{HOST}:{port}", at_once, 30.0)
 
     async def call_repeatedly(count: int) -> None:
-        for _ in range(count):
+        for _ in range(count // in_a_write):
+            if in_a_write > 1:
+                bodies = in_a_write * [REQUEST_BODY]
+                responses = await client.call_all(f"/{size}", bodies, HEADERS)
+                if len(responses) != in_a_write:
+                    raise RuntimeError(f"{len(responses)} of {in_a_write} responses")
+                continue
             response = await client.call("POST", f"/{size}", REQUEST_BODY, HEADERS)
             if len(response.body) != size:
                 raise RuntimeError(f"{len(response.body)} bytes received, not {size}")
@@ -86,8 +98,8 @@
     elapsed_us = (time.perf_counter() - started_s) / calls * 1e6
     await client.aclose()
     print(
-        f"{size:5d} bytes, {at_once:2d} at once: {cpu_us:5.0f} us of processor time a "
-        f"call, {elapsed_us:5.0f} us elapsed"
+        f"{size:5d} bytes, {at_once:2d} at once, {in_a_write:2d} in a write: "
+        f"{cpu_us:5.0f} us of processor time a request, {elapsed_us:5.0f} us elapsed"
     )
 
 
@@ -97,6 +109,9 @@
         for size in arguments.sizes:
             for at_once in (1, arguments.at_once):
                 await measure(port, size, arguments.calls, at_once)
+        for in_a_write in arguments.in_a_write:
+            at_once = MAX_STOPS_AT_ONCE
+            await measure(port, 20, arguments.calls, at_once, in_a_write)
 
 
 def parse_arguments() -> argparse.Namespace:
@@ -106,6 +121,7 @@
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--sizes", type=int, nargs="+", default=[200, 3000])
     parser.add_argument("--at-once", type=int, default=20)
+    parser.add_argument("--in-a-write", type=int, nargs="+", default=[1, 8, 64])
     parser.add_argument("--serve", action="store_true", help="serve the calls")
     return parser.parse_args()
 
