--- a/flamingoweir/dispatch/_stop_orders.py
+++ b/flamingoweir/dispatch/_stop_orders.py
@@ -5,6 +5,7 @@
 
 from ..fleet import Allocation, Runner
 from ..jobs import Attempt
+from ..logs import get_logger
 from ..policy import StopBatch
 from ._context import TermContext
 from ._order_queues import OrderQueue, OrderQueues
@@ -12,6 +13,8 @@
 from ._runner_calls import RunnerCalls
 from ._start_orders import RESEND_PAUSE_S
 
+log = get_logger()
+
 #: Largest number of calls with stop orders that are under way to one runner, so that a
 #: start order finds a connection while a large job is stopped.
 MAX_STOPS_AT_ONCE = 2
@@ -59,6 +62,14 @@
             with self._calls.contain("stop", queue.runner_id):
                 confirmed = await self._send(queue.runner_id, allocations)
             batch.record(len(allocations), confirmed)
+            if confirmed < len(allocations):
+                log.info(
+                    "stops_unanswered",
+                    runner=queue.runner_id,
+                    sent=len(allocations),
+                    answered=confirmed,
+                    next_size=batch.size,
+                )
             for allocation in allocations[confirmed:]:
                 queue.add(allocation.attempt)
             if not confirmed:
