--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -214,7 +214,11 @@
         runner.record_response(report.clock_ms, self._clock.now(), sent_s)
         if report.incarnation != runner.incarnation:
             await self._begin_incarnation(report, fence)
+            # This poll has renewed no lease.
+            self._next_poll_s = sent_s
         else:
+            # Counted from the sending, as such a poll renews leases.
+            self._next_poll_s = sent_s + find_poll_pause_s(report)
             runner.ends.record_acknowledged(acknowledged)
             if runner.record_fenced(fence, self._clock.now()):
                 self._log_fenced(fence)
@@ -288,8 +292,6 @@
         """Apply a report; that of a runner with many tasks gives way meanwhile."""
         runner = self._runner
         time_slice = TimeSlice(self._clock)
-        # Counted from the sending, as each poll renews leases.
-        self._next_poll_s = sent_s + find_poll_pause_s(report)
         running = {(task.task, task.run): task for task in report.running}
         for end in report.ended:
             if end.number <= runner.ends.received:
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -180,3 +180,40 @@
             assert not cluster.records("lapsed")
 
     run_virtual(scenario)
+
+
+def test_next_owner_renews_leases_soon_after_a_long_report(monkeypatch):
+    """Guards against leases that lapse in the pause that follows its first poll.
+
+    The owner that is lost has renewed them up to 1 s before, and the next one has read
+    a large shard meanwhile.
+    """
+    monkeypatch.setattr(_watch, "SHORT_REPORT", 10)
+    monkeypatch.setattr(_watch, "PAUSE_S_BY_ENTRY", 0.1)
+    polled_s, renewed_s = {}, {}
+    poll, renew = MemoryRunnerLink.poll, MemoryRunnerLink.renew
+
+    async def note_poll(link, fence, acknowledged, deadline_ms, wait_s):
+        polled_s.setdefault(link, anyio.current_time())
+        if deadline_ms is not None:
+            renewed_s.setdefault(link, anyio.current_time())
+        return await poll(link, fence, acknowledged, deadline_ms, wait_s)
+
+    async def note_renewal(link, fence, deadline_ms):
+        renewed_s.setdefault(link, anyio.current_time())
+        await renew(link, fence, deadline_ms)
+
+    monkeypatch.setattr(MemoryRunnerLink, "poll", note_poll)
+    monkeypatch.setattr(MemoryRunnerLink, "renew", note_renewal)
+
+    async def scenario():
+        async with run_cluster(members=2, runners=1, processors=40) as cluster:
+            job = await cluster.submit(make_job(1, make_step(30, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 3.0)
+            await anyio.sleep(3.0)
+            cluster.kill_member(await cluster.owner())
+            await anyio.sleep(4.0)
+            [link] = (await cluster.owner()).link_by_runner.values()
+            assert renewed_s[link] - polled_s[link] < 0.3
+
+    run_virtual(scenario)
