--- a/flamingoweir/policy/_crashes.py
+++ b/flamingoweir/policy/_crashes.py
@@ -290,7 +290,7 @@
     """
     suspects = []
     for allocation in allocations:
-        if allocation.has_survived(SURVIVAL_S):
+        if allocation.awaits_order or allocation.has_survived(SURVIVAL_S):
             continue
         if allocation.has_restarted and allocation.listed_s == float("-inf"):
             # Only a late order would start it on this incarnation.
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -149,3 +149,23 @@
             assert await cluster.state(job) is JobState.RUNNING
 
     run_virtual(scenario)
+
+
+def test_task_whose_start_order_waits_is_not_suspected_of_a_crash():
+    """Guards against tasks that are given up for crashes before they were ordered."""
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=300) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            link = owner.link_by_runner["runner-0"]
+            link._delay_s = 0.01
+            job = await cluster.submit(make_job(1, make_step(300)))
+            await anyio.sleep(0.5)
+            cluster.runner_by_id["runner-0"].crash()
+            ordered = len(cluster.records("start")) + len(link.unanswered_starts)
+            await anyio.sleep(1.5)
+            job = owner.instance.term.owner_state.job_by_id[job.id]
+            assert 0 < len(job.crash_blame.suspicion_by_run) <= ordered < 100
+
+    run_virtual(scenario)
