--- a/flamingoweir/dispatch/_order_queues.py
+++ b/flamingoweir/dispatch/_order_queues.py
@@ -53,6 +53,11 @@
         Largest number of senders for one runner.
     send_all : callable
         Takes the orders of a queue and sends them, until none is left.
+
+    Attributes
+    ----------
+    sender_count : int
+        Number of senders for all runners.
     """
 
     def __init__(
@@ -61,6 +66,7 @@
         most_senders: int,
         send_all: Callable[[OrderQueue[Order]], Awaitable[None]],
     ):
+        self.sender_count = 0
         self._task_group = task_group
         self._most_senders = most_senders
         self._send_all = send_all
@@ -74,6 +80,7 @@
         queue.add(order, rank)
         if queue.senders < self._most_senders:
             queue.senders += 1
+            self.sender_count += 1
             self._task_group.start_soon(self._run_sender, queue)
 
     async def _run_sender(self, queue: OrderQueue[Order]) -> None:
@@ -81,5 +88,6 @@
             await self._send_all(queue)
         finally:
             queue.senders -= 1
+            self.sender_count -= 1
             if not queue.senders and not queue:
                 del self._queue_by_runner[queue.runner_id]
--- a/flamingoweir/dispatch/_stop_orders.py
+++ b/flamingoweir/dispatch/_stop_orders.py
@@ -55,7 +55,7 @@
     async def _send_all(self, queue: OrderQueue[Attempt]) -> None:
         batch = StopBatch()
         while True:
-            allocations = self._take(queue, batch.size)
+            allocations = self._take(queue, batch.choose(self._queues.sender_count))
             if not allocations:
                 return
             confirmed = 0
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -60,7 +60,7 @@
     weighted_share,
 )
 from ._size_classes import SizeClasses
-from ._stop_batches import MAX_STOPS_IN_A_WRITE, StopBatch
+from ._stop_batches import MAX_STOPS_IN_A_WRITE, MAX_STOPS_UNDER_WAY, StopBatch
 from ._store_availability import RESPONSE_LIMIT_S, StoreAvailability
 from ._stragglers import find_stalled, progress_expected_since_s, stall_s
 from ._submission_budget import SubmissionBudget
@@ -86,6 +86,7 @@
     "MAX_PLACEMENT_WAIT_S",
     "MAX_SILENT_WAIT_S",
     "MAX_STOPS_IN_A_WRITE",
+    "MAX_STOPS_UNDER_WAY",
     "MAX_VALUABLE_OBJECTIVES",
     "RESPONSE_LIMIT_S",
     "RETURN_WINDOW_S",
--- a/flamingoweir/policy/_stop_batches.py
+++ b/flamingoweir/policy/_stop_batches.py
@@ -3,6 +3,9 @@
 #: Largest number of orders in one write. A runner takes 0.2 ms for each, and carries
 #: out those of a write in turn.
 MAX_STOPS_IN_A_WRITE = 256
+#: Largest number of orders that all senders together have under way. An owner takes
+#: 40 us for each response, so that a turn of its event loop stays below 50 ms.
+MAX_STOPS_UNDER_WAY = 1_000
 #: Factor by which the size rises with each write that is answered whole. A write takes
 #: several turns of the event loop, which are long on a busy instance.
 GROWTH = 8
@@ -20,13 +23,23 @@
     Attributes
     ----------
     size : int
-        Largest number of orders in the next write.
+        Largest number of orders in the next write to the runner.
     """
 
     def __init__(self) -> None:
         self.size = 1
         self._most = MAX_STOPS_IN_A_WRITE
 
+    def choose(self, senders: int) -> int:
+        """Return the largest number of orders in the next write.
+
+        Parameters
+        ----------
+        senders : int
+            Number of senders to all runners, this one included.
+        """
+        return min(self.size, max(1, MAX_STOPS_UNDER_WAY // senders))
+
     def record(self, sent: int, answered: int) -> None:
         """Record how many of the orders of a write got a response."""
         if answered == sent:
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -20,7 +20,11 @@
 from flamingoweir.dispatch._term import Term
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Job, JobState, Outcome, TaskId
-from flamingoweir.policy import MAX_STOPS_IN_A_WRITE
+from flamingoweir.policy import (
+    MAX_STOPS_IN_A_WRITE,
+    MAX_STOPS_UNDER_WAY,
+    StopBatch,
+)
 from flamingoweir.registry import RunnerEntry
 from flamingoweir.standins import MemoryRunnerLink
 from tests.utils.cluster import make_job, make_step, run_cluster
@@ -237,6 +241,20 @@
         assert stops.calls <= 12
 
 
+@pytest.mark.parametrize("senders", [1, 4, 24, 40, 5_600])
+def test_stops_to_all_runners_fit_into_a_turn_of_the_event_loop(senders):
+    """Guards against large writes to many runners that hold up their own responses."""
+    batches = [StopBatch() for _ in range(senders)]
+    sent = []
+    for batch in batches:
+        for _ in range(5):
+            size = batch.choose(senders)
+            batch.record(size, size)
+        sent.append(batch.choose(senders))
+    assert sum(sent) <= max(MAX_STOPS_UNDER_WAY, senders)
+    assert sum(sent) >= min(senders * MAX_STOPS_IN_A_WRITE, MAX_STOPS_UNDER_WAY / 2)
+
+
 def test_stops_of_a_large_job_are_requested_in_few_turns_of_the_event_loop():
     """Guards against stops that are late as a busy instance has long turns."""
     large = LargeJob(40 * TASKS)
