--- a/flamingoweir/dispatch/_owner_state.py
+++ b/flamingoweir/dispatch/_owner_state.py
@@ -507,9 +507,7 @@
 
     def record_listed(self, allocation: Allocation, now_s: float) -> None:
         """Record that a poll lists an attempt as running."""
-        allocation.record_start(now_s)
-        allocation.listed_s = now_s
-        allocation.unseen_start_s = float("-inf")
+        allocation.record_listed(now_s)
         attempt = allocation.attempt
         self.record_start(attempt)
         job = self.job_by_id.get(attempt.task.job)
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -446,9 +446,13 @@
         attempt = allocation.attempt
         allocation.load = task.load
         now_s = self._clock.now()
-        self._owner_state.record_listed(allocation, now_s)
         allocation.expect_listed_after_s = min(allocation.expect_listed_after_s, now_s)
         job = self._owner_state.job_by_id.get(attempt.task.job)
+        if attempt.state is AttemptState.STOPPING and (job is None or job.is_final):
+            # Only its end matters to the job any more.
+            allocation.record_listed(now_s)
+            return
+        self._owner_state.record_listed(allocation, now_s)
         if job is not None:
             self._owner_state.waits.runs.take_over(allocation, job, now_s)
         if task.progress_percent >= attempt.progress_percent + MIN_PROGRESS_PERCENT:
--- a/flamingoweir/fleet/_allocation.py
+++ b/flamingoweir/fleet/_allocation.py
@@ -84,6 +84,12 @@
             # Its order may have waited for long.
             self.unthrottled_since_s = max(self.unthrottled_since_s, now_s)
 
+    def record_listed(self, now_s: float) -> None:
+        """Record that a poll lists the attempt as running."""
+        self.record_start(now_s)
+        self.listed_s = now_s
+        self.unseen_start_s = float("-inf")
+
     def record_unanswered_start(self, now_s: float) -> None:
         """Record that a start order got no response, so that it may come late."""
         self.start_unanswered = True
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -4,6 +4,7 @@
 import pytest
 
 from flamingoweir.dispatch import _watch
+from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._watch import DURABLE_WAIT_S, POLL_WAIT_S
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import JobState, Outcome
@@ -217,3 +218,32 @@
             assert renewed_s[link] - polled_s[link] < 0.3
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("is_cancelled", [True, False])
+def test_reports_of_runs_that_are_being_stopped_cost_little(monkeypatch, is_cancelled):
+    """Guards against reports of stopped runs that take an owner's time for stops."""
+    listed = []
+    record_listed = OwnerState.record_listed
+
+    def count(self, allocation, now_s):
+        listed.append(allocation)
+        record_listed(self, allocation, now_s)
+
+    async def scenario():
+        async with run_cluster(members=1, runners=1, processors=40) as cluster:
+            runner = cluster.runner_by_id["runner-0"]
+            runner.stop_s = 5.0
+            owner = await cluster.owner()
+            job = await cluster.submit(make_job(1, make_step(30, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 3.0)
+            await anyio.sleep(2.0)
+            if is_cancelled:
+                await owner.instance.handler.cancel(job.id, 2.0)
+                await anyio.sleep(0.5)
+            monkeypatch.setattr(OwnerState, "record_listed", count)
+            await anyio.sleep(3.0)
+            assert len(runner.tasks) == 30
+
+    run_virtual(scenario)
+    assert bool(listed) is not is_cancelled
