--- a/flamingoweir/dispatch/_context.py
+++ b/flamingoweir/dispatch/_context.py
@@ -1,7 +1,7 @@
 """Objects shared within a term, the time in which an instance owns a shard."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -45,6 +45,8 @@
         Returns the wall-clock time in milliseconds since 1970.
     metrics : Metrics
         Receives counters.
+    long_report_turn : anyio.Lock
+        Held while a runner's long report is applied.
     """
 
     writer: FencedWriter
@@ -56,6 +58,7 @@
     clock: Clock
     wall_ms: Callable[[], float]
     metrics: Metrics
+    long_report_turn: anyio.Lock = field(default_factory=anyio.Lock)
 
     def renew_lease(self, runner: Runner) -> int | None:
         """Renew a lease; return its end in ms on the runner's clock.
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -289,7 +289,18 @@
         self._owner_state.lapses.end_lapsed(runner)
 
     async def _apply_report(self, report: RunnerReport, sent_s: float) -> None:
-        """Apply a report; that of a runner with many tasks gives way meanwhile."""
+        """Apply a report; long ones are applied one after another.
+
+        Each gives way after a slice, so that together they hold up other work by one
+        slice at a time.
+        """
+        if len(report.running) + len(report.ended) <= SHORT_REPORT:
+            await self._apply(report, sent_s)
+            return
+        async with self._context.long_report_turn:
+            await self._apply(report, sent_s)
+
+    async def _apply(self, report: RunnerReport, sent_s: float) -> None:
         runner = self._runner
         time_slice = TimeSlice(self._clock)
         running = {(task.task, task.run): task for task in report.running}
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -5,7 +5,7 @@
 
 from flamingoweir.dispatch import _watch
 from flamingoweir.dispatch._owner_state import OwnerState
-from flamingoweir.dispatch._watch import DURABLE_WAIT_S, POLL_WAIT_S
+from flamingoweir.dispatch._watch import DURABLE_WAIT_S, POLL_WAIT_S, RunnerWatch
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import JobState, Outcome
 from flamingoweir.registry import RunnerEntry
@@ -220,6 +220,34 @@
     run_virtual(scenario)
 
 
+def test_long_reports_are_applied_one_after_another(monkeypatch):
+    """Guards against many reports that hold up the event loop by a slice each."""
+    monkeypatch.setattr(_watch, "SHORT_REPORT", 10)
+    under_way, most = [], []
+    apply = RunnerWatch._apply
+
+    async def count(self, report, sent_s):
+        is_long = len(report.running) > 10
+        under_way.extend([self] * is_long)
+        most.append(len(under_way))
+        await anyio.sleep(0.02)
+        await apply(self, report, sent_s)
+        if is_long:
+            under_way.remove(self)
+
+    monkeypatch.setattr(RunnerWatch, "_apply", count)
+
+    async def scenario():
+        async with run_cluster(members=1, runners=5, processors=20) as cluster:
+            job = await cluster.submit(make_job(1, make_step(80, lasting=True)))
+            await cluster.wait_for(job, JobState.RUNNING, 3.0)
+            await anyio.sleep(4.0)
+            assert len(cluster.records("start")) == 80
+
+    run_virtual(scenario)
+    assert max(most) == 1
+
+
 @pytest.mark.parametrize("is_cancelled", [True, False])
 def test_reports_of_runs_that_are_being_stopped_cost_little(monkeypatch, is_cancelled):
     """Guards against reports of stopped runs that take an owner's time for stops."""
