--- a/flamingoweir/dispatch/_order_queues.py
+++ b/flamingoweir/dispatch/_order_queues.py
@@ -28,7 +28,7 @@
         self.runner_id = runner_id
         self.senders = 0
         self._orders: list[tuple[int, int, Order]] = []
-        self._numbers = itertools.count()
+        self._numbers = itertools.count(1)
 
     def __len__(self) -> int:
         return len(self._orders)
@@ -37,6 +37,10 @@
         """Add an order behind all of the same rank, and before those of higher ones."""
         heapq.heappush(self._orders, (rank, next(self._numbers), order))
 
+    def put_back(self, order: Order, rank: int = 0) -> None:
+        """Add an order that was taken, before all of the same rank."""
+        heapq.heappush(self._orders, (rank, -next(self._numbers), order))
+
     def take(self) -> Order | None:
         """Remove and return the first order, or None."""
         return heapq.heappop(self._orders)[2] if self._orders else None
--- a/flamingoweir/dispatch/_start_orders.py
+++ b/flamingoweir/dispatch/_start_orders.py
@@ -49,7 +49,7 @@
     ENDED = enum.auto()
     #: It is made and sent anew at once.
     AGAIN = enum.auto()
-    #: It takes another turn, as orders to its runner wait for something else.
+    #: It goes on after a moment, as orders to its runner wait for something else.
     DEFERRED = enum.auto()
     #: It is sent again after a pause, as it got no response.
     UNANSWERED = enum.auto()
@@ -112,19 +112,17 @@
 
     def add(self, attempt: Attempt) -> None:
         """Send the start order of a durable attempt in its turn."""
-        self._enqueue(_StartOrder(attempt, self._context.clock.now()))
+        order = _StartOrder(attempt, self._context.clock.now())
+        self._queues.add(attempt.runner, order, self._find_rank(attempt))
 
-    def _enqueue(self, order: _StartOrder) -> None:
-        attempt = order.attempt
-        rank = _Rank.OTHER
+    def _find_rank(self, attempt: Attempt) -> _Rank:
         found = self._calls.find_allocation(attempt)
-        if found is not None:
-            _, allocation = found
-            if allocation.start_unanswered:
-                rank = _Rank.UNANSWERED
-            elif allocation.spec.lasting:
-                rank = _Rank.LASTING
-        self._queues.add(attempt.runner, order, rank)
+        if found is None:
+            return _Rank.OTHER
+        _, allocation = found
+        if allocation.start_unanswered:
+            return _Rank.UNANSWERED
+        return _Rank.LASTING if allocation.spec.lasting else _Rank.OTHER
 
     async def _send_all(self, queue: OrderQueue[_StartOrder]) -> None:
         dropped = 0
@@ -136,7 +134,7 @@
             if progress is _Progress.UNANSWERED:
                 self._task_group.start_soon(self._resend, order)
             if progress is _Progress.DEFERRED:
-                self._enqueue(order)
+                queue.put_back(order, self._find_rank(order.attempt))
                 await anyio.sleep(CHECK_INTERVAL_S)
             dropped = dropped + 1 if order.sent_count == made else 0
             if dropped == DROPPED_AT_ONCE:
@@ -146,8 +144,9 @@
     async def _resend(self, order: _StartOrder) -> None:
         """Queue an order without a response anew, after a pause."""
         await anyio.sleep(RESEND_PAUSE_S)
+        attempt = order.attempt
         order.queued_s = self._context.clock.now()
-        self._enqueue(order)
+        self._queues.add(attempt.runner, order, self._find_rank(attempt))
 
     async def _send(self, order: _StartOrder) -> _Progress:
         """Send a start order once; after an unexpected error, stop the attempt."""
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -13,6 +13,7 @@
 
 from benchmarks.large_job import LargeJob, cancel, fail, lapse, take_over
 from flamingoweir.clock import BootClock
+from flamingoweir.dispatch._order_queues import OrderQueue
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._start_gate import StartGate
 from flamingoweir.dispatch._start_orders import MAX_STARTS_AT_ONCE
@@ -407,3 +408,55 @@
         assert not lost
 
     anyio.run(scenario)
+
+
+def test_start_order_that_gives_way_to_ends_keeps_its_turn():
+    """Guards against an order that expires behind those that were queued after it."""
+    queue = OrderQueue("runner-0")
+    for name in ("first", "second", "third"):
+        queue.add(name, 2)
+    queue.add("lasting", 1)
+    assert queue.take() == "lasting"
+    order = queue.take()
+    queue.put_back(order, 2)
+    queue.add("late lasting", 1)
+    assert [queue.take() for _ in range(5)] == [
+        "late lasting",
+        "first",
+        "second",
+        "third",
+        None,
+    ]
+
+
+def test_start_orders_beside_many_ends_are_not_void(monkeypatch):
+    """Guards against orders that expire as those before them give way to ends."""
+    void = []
+    discard_attempt = OwnerState.discard_attempt
+
+    def count(self, attempt, reason):
+        void.append(reason)
+        discard_attempt(self, attempt, reason)
+
+    monkeypatch.setattr(OwnerState, "discard_attempt", count)
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=1300) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            [link] = owner.link_by_runner.values()
+            link._delay_s = 0.01
+            short = make_job(1, make_step(200, estimate_s=1))
+            for index in range(200):
+                plan = (1.0 + index / 40, Outcome.DONE)
+                cluster.plan_by_task[f"{short.id}.0.0.{index}"] = plan
+            large = make_job(2, make_step(900, estimate_s=60))
+            for index in range(900):
+                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
+            await cluster.submit(short)
+            await cluster.submit(large)
+            await anyio.sleep(10)
+            assert len({r.task for r in cluster.records("start")}) == 1100
+
+    run_virtual(scenario)
+    assert not void
