--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -458,3 +458,26 @@
 
     run_virtual(scenario)
     assert not void
+
+
+def test_start_orders_of_long_running_tasks_overtake_those_of_batch():
+    """Guards against an absent task that waits behind hundreds of others."""
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=700) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            [link] = owner.link_by_runner.values()
+            link._delay_s = 0.01
+            large = make_job(1, make_step(600, estimate_s=60))
+            for index in range(600):
+                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
+            await cluster.submit(large)
+            await anyio.sleep(0.5)
+            lasting = await cluster.submit(make_job(2, make_step(4, lasting=True)))
+            await anyio.sleep(0.5)
+            assert len(cluster.records("start")) < 300
+            for index in range(4):
+                assert cluster.starts(f"{lasting.id}.0.0.{index}")
+
+    run_virtual(scenario)
