--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -26,6 +26,8 @@
 POLL_CHECK_INTERVAL_S = 0.01
 #: Largest number of orders that an instance sends to one runner at once.
 ORDER_CONNECTIONS = 4
+#: Time of an order that follows another one in a write, as a share of a call's.
+FOLLOWING_SHARE = 0.05
 #: Seconds for which a call waits in vain for a response.
 LOST_RESPONSE_S = 0.5
 
@@ -546,11 +548,20 @@
         """See `RunnerLink.stop_runs`."""
         async with self._hold_connection(OrderRank.STOP):
             await self._reach_or_fail()
-            answered = min(len(runs), self.answered_stops)
-            for task, run in runs[: answered + 1]:
-                # The one behind the last response is carried out as well.
+            answered = 0
+            for task, run in runs:
+                if answered:
+                    await anyio.sleep(self._delay_s * FOLLOWING_SHARE)
+                if self.disconnected or not self.runner.up:
+                    break
                 self.runner.stop(task, run, fence)
+                if answered == self.answered_stops:
+                    # It is carried out without a response.
+                    break
+                answered += 1
             await self._return_or_fail()
+            if not answered:
+                raise RunnerUnreachable(self.runner.id)
             return answered
 
     async def set_pace(self, task: TaskId, run: int, percent: int, fence: int) -> None:
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -481,3 +481,35 @@
                 assert cluster.starts(f"{lasting.id}.0.0.{index}")
 
     run_virtual(scenario)
+
+
+@pytest.mark.parametrize("event", ["cut", "restart"])
+def test_runner_is_lost_while_it_carries_out_a_write_of_stops(event):
+    """Guards against stops that are forgotten behind a lost response."""
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=400) as cluster:
+            owner = await cluster.owner()
+            large = make_job(1, make_step(400, estimate_s=60))
+            for index in range(400):
+                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
+            await cluster.submit(large)
+            await anyio.sleep(4)
+            runner = cluster.runner_by_id["runner-0"]
+            link = owner.link_by_runner["runner-0"]
+            assert len(runner.tasks) == 400
+            link._delay_s = 0.05
+            await owner.instance.handler.cancel(large.id, 2.0)
+            await anyio.sleep(0.4)
+            assert 0 < len(runner.tasks) < 400
+            if event == "restart":
+                runner.restart()
+            link.disconnected = True
+            await anyio.sleep(1.0)
+            link.disconnected = False
+            await anyio.sleep(3.0)
+            assert not runner.tasks
+            owner_state = owner.instance.term.owner_state
+            assert not owner_state.runner_by_id["runner-0"].has_attempts
+
+    run_virtual(scenario)
