Renew leases by a schedule of their own, whatever polls wait for

Cause: a lease of 4 s was renewed by the next poll alone. That follows the report before, which waits until those of all other runners are applied, slice by slice, each followed by a turn of the event loop. Start orders extend leases, and hid it.

A renewal without a response isn't followed by another until a later poll has got one, so that the lease of a silent runner lapses as before.

--- a/flamingoweir/dispatch/_committer.py
+++ b/flamingoweir/dispatch/_committer.py
@@ -145,7 +145,7 @@
             was_away = self._writer.confirmed_s - confirmed_s > FULL_LEASES_S
             if was_away or self._owner_state.renewal_awaits_write:
                 self._owner_state.renewal_awaits_write = False
-                self._orders.renew_leases()
+                self._orders.leases.renew_all()
             self._set_aside_rejected(batch, rejected)
             self._apply_committed(batch)
 
--- a/flamingoweir/dispatch/_context.py
+++ b/flamingoweir/dispatch/_context.py
@@ -72,7 +72,10 @@
         if end_s < now_s + min(runner.lease_s, LEAVING_LEASE_S):
             self.owner_state.renewal_awaits_write = True
             self.owner_state.write_wakeup.set()
-        return runner.grant_lease(end_s, now_s) if end_s > now_s else None
+        if end_s <= now_s:
+            return None
+        runner.renewed_s = now_s
+        return runner.grant_lease(end_s, now_s)
 
 
 class PermitWithdrawn(Exception):
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -7,6 +7,7 @@
 from ..jobs import Attempt, AttemptState, TaskId
 from ..logs import get_logger
 from ._context import Permit, TermContext, TermEnd
+from ._lease_keeper import LeaseKeeper
 from ._owner_state import UNKNOWN_PACE_PERCENT
 from ._protocols import Fenced, RunnerLink, RunnerUnreachable
 from ._runner_calls import RunnerCalls
@@ -31,6 +32,11 @@
         Runs one coroutine for each order.
     link_by_runner : dict of str to RunnerLink
         Links to the runners, by runner id.
+
+    Attributes
+    ----------
+    leases : LeaseKeeper
+        Renews leases apart from polls.
     """
 
     def __init__(
@@ -47,6 +53,7 @@
         self._calls = RunnerCalls(context, term_end, link_by_runner)
         self._start_orders = StartOrders(context, permit, self._calls, task_group)
         self._stop_orders = StopOrders(context, self._calls, task_group)
+        self.leases = LeaseKeeper(context, self._calls, task_group)
         #: Attempts with a pace order in flight.
         self._pacing_attempts: set[Attempt] = set()
 
@@ -77,12 +84,6 @@
         """Send stop orders until an incarnation of a runner will not start a run."""
         self._task_group.start_soon(self._forbid_run, runner, task, run)
 
-    def renew_leases(self) -> None:
-        """Renew the leases of all runners that respond, without waiting for polls."""
-        for runner in self._owner_state.runner_by_id.values():
-            if runner.responds and runner.has_attempts:
-                self._task_group.start_soon(self._renew_lease, runner)
-
     async def _forbid_run(self, runner: Runner, task: TaskId, run: int) -> None:
         incarnation = runner.incarnation
         while runner.incarnation == incarnation:
@@ -119,21 +120,6 @@
         except RunnerUnreachable as error:
             log.info("stop_unanswered", runner=runner_id, detail=str(error))
 
-    async def _renew_lease(self, runner: Runner) -> None:
-        """Renew the lease on one runner once; its polls renew it later."""
-        link = self._calls.find_link(runner.id)
-        deadline_ms = self._context.renew_lease(runner)
-        if link is None or deadline_ms is None:
-            return
-        fence = runner.call_fence.token
-        with self._calls.contain("renew", runner.id):
-            try:
-                await link.renew(fence, deadline_ms)
-            except Fenced:
-                self._calls.end_if_replaced(runner, fence)
-            except RunnerUnreachable as error:
-                log.info("renewal_unanswered", runner=runner.id, detail=str(error))
-
     async def _set_pace(self, attempt: Attempt) -> None:
         try:
             with self._calls.contain("pace", attempt.runner):
--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -215,6 +215,7 @@
                 task_group.start_soon(self._runner_follower.run)
                 task_group.start_soon(self._job_follower.run)
                 task_group.start_soon(Planner(self._context, self._permit).run)
+                task_group.start_soon(self._orders.leases.run)
                 task_group.start_soon(self._send_stops)
                 task_group.start_soon(RetentionSweeper(self._context, self._store).run)
                 parked_jobs = ParkedJobLoader(self._context, self._store, self._loader)
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -85,6 +85,7 @@
         self._fault_log = context.owner_state.fault_log
         self._clock = context.clock
         self._orders = orders
+        self._leases = orders.leases
         self._term_end = term_end
         self._runner = runner
         self._link = link
@@ -106,8 +107,11 @@
                 return
             pause_s = self._next_poll_s - self._clock.now()
             if pause_s > 0:
+                self._leases.begin_wait(runner, "pause")
                 await anyio.sleep(pause_s)
+            self._leases.begin_wait(runner, "acknowledgement")
             await self._wait_until_acknowledged()
+            self._leases.begin_wait(runner, "fence")
             await self._raise_fence()
             try:
                 await self._poll()
@@ -115,6 +119,7 @@
                 self._fault_log.record("runner_watch_failed", error, runner=runner.id)
                 self._record_no_response(error)
                 await anyio.sleep(UNRESPONSIVE_PAUSE_S)
+        self._leases.end_wait(runner)
         await self._link.aclose()
 
     async def _wait_while_idle(self) -> bool:
@@ -184,6 +189,7 @@
             # It may have restarted.
             runner.call_fence.advance(self._context.writer.latest_fence)
         fence = runner.call_fence.token
+        self._leases.end_wait(runner)
         sent_s = self._clock.now()
         # Repeated renewals without a response would keep the lease from ever lapsing.
         deadline_ms = None
@@ -222,6 +228,7 @@
             runner.ends.record_acknowledged(acknowledged)
             if runner.record_fenced(fence, self._clock.now()):
                 self._log_fenced(fence)
+        self._leases.begin_wait(runner, "report")
         await self._apply_report(report, sent_s)
 
     def _choose_acknowledged(self, now_s: float) -> int:
--- a/flamingoweir/fleet/_runner.py
+++ b/flamingoweir/fleet/_runner.py
@@ -109,6 +109,9 @@
     granted_s : float
         When the latest call was made that grants a lease, on the owner's clock, in
         seconds; minus infinity: there was none.
+    renewed_s : float
+        When the latest call was made that renews the lease in full, or for as long as
+        the owner may, on the owner's clock, in seconds; minus infinity: there was none.
     no_room_until_s : float
         Until when the runner gets no task because it rejected one for want of room, on
         the owner's clock, in seconds.
@@ -164,7 +167,7 @@
         self._leases_end_ms = 0
         #: End of leases that calls to former incarnations may have extended.
         self._inherited_end_ms = 0
-        self.granted_s = float("-inf")
+        self.granted_s = self.renewed_s = float("-inf")
         self._may_get_late_calls = may_get_late_calls
         self.leases_left_ms = float("inf")
 
--- a/flamingoweir/platform/_runners.py
+++ b/flamingoweir/platform/_runners.py
@@ -27,6 +27,9 @@
 
 #: Timeout of an order to a runner, in seconds. An unloaded runner responds in 5 ms.
 ORDER_TIMEOUT_S = 0.5
+#: Timeout of a renewal that no poll makes, in seconds: a busy owner may take several
+#: turns of its event loop to read the response. Polls tell whether a runner is silent.
+RENEWAL_TIMEOUT_S = 1.5
 #: Seconds after the end of the requested wait at which a poll times out.
 POLL_SLACK_S = 0.6
 #: Largest number of orders that are sent to one runner at once. An owner sends fewer
@@ -239,7 +242,9 @@
             If the runner has received a higher fencing token.
         """
         message = {"AckCursor": 0, "DueMs": deadline_ms, "FenceToken": fence}
-        await self._send_checked_order("/-/hold", message, OrderRank.PROBE)
+        await self._send_checked_order(
+            "/-/hold", message, OrderRank.PROBE, RENEWAL_TIMEOUT_S
+        )
 
     async def probe(self, fence: int) -> float | None:
         """Call the runner without any effect but that of the fencing token.
@@ -321,21 +326,27 @@
         message: dict[str, object],
         rank: OrderRank,
         may_send: Callable[[], bool] | None = None,
+        timeout_s: float | None = None,
     ) -> Response:
         return await self._order_client.call(
             "POST",
             path,
             orjson.dumps(message),
             self._headers,
+            timeout_s,
             may_send=may_send,
             rank=rank,
         )
 
     async def _send_checked_order(
-        self, path: str, message: dict[str, object], rank: OrderRank
+        self,
+        path: str,
+        message: dict[str, object],
+        rank: OrderRank,
+        timeout_s: float | None = None,
     ) -> Response:
         try:
-            response = await self._send_order(path, message, rank)
+            response = await self._send_order(path, message, rank, None, timeout_s)
         except (RequestNotSent, ResponseLost) as error:
             raise RunnerUnreachable(f"runner {self._runner_id}: {error}") from error
         self._raise_for_status(response)
--- /dev/null
+++ b/tests/test_lease_keeping.py
@@ -0,0 +1,186 @@
+"""An owner that is short of processor time keeps the leases of well runners alive.
+
+A poll that waits until a report is applied renewed leases too late, so that runs of
+submissions that nothing had happened to lapsed (review/12 on a fifth of a core).
+"""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from flamingoweir.dispatch._context import TermContext
+from flamingoweir.dispatch._lease_keeper import RENEW_AFTER, LeaseKeeper
+from flamingoweir.dispatch._protocols import RunnerUnreachable
+from flamingoweir.dispatch._watch import RunnerWatch
+from flamingoweir.fleet import RUNNER_LEASE_S, Runner
+from flamingoweir.jobs import Outcome
+from flamingoweir.registry import RunnerEntry
+from flamingoweir.standins import MemoryRunnerLink
+from tests.utils.cluster import make_job, make_step, run_cluster
+from tests.utils.virtual_time import (
+    VirtualClock,
+    charge_calls,
+    run_virtual,
+    take_turns,
+)
+
+RUNNERS = 12
+TASKS = 12_000
+OTHER_TASKS = 42
+#: Seconds that an owner takes to apply a run of a report, on a fifth of a core.
+RUN_S = 0.000_05
+
+
+class RenewalTimes:
+    """Measures how long runners with attempts wait for a renewal."""
+
+    def __init__(self, monkeypatch):
+        self.longest_s = 0.0
+        self._renewed_s: dict[str, float] = {}
+        renew_lease = TermContext.renew_lease
+
+        def record(context, runner):
+            now_s = anyio.current_time()
+            waited_s = now_s - self._renewed_s.get(runner.id, now_s)
+            self.longest_s = max(self.longest_s, waited_s)
+            self._renewed_s[runner.id] = now_s
+            return renew_lease(context, runner)
+
+        monkeypatch.setattr(TermContext, "renew_lease", record)
+
+
+async def start_all(cluster):
+    """Start a large job beside a long-running one; return both."""
+    others = make_job(1, make_step(OTHER_TASKS, 0.5, lasting=True))
+    large = make_job(2, make_step(TASKS, 0.05, estimate_s=1_000))
+    for index in range(TASKS):
+        cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (1_000.0, Outcome.DONE)
+    await cluster.submit(others)
+    await cluster.submit(large)
+    with anyio.fail_after(60):
+        while len(cluster.records("start")) < TASKS + OTHER_TASKS:
+            await anyio.sleep(0.5)
+    return others, large
+
+
+def count(cluster, kind: str) -> int:
+    """Return how many records of a kind there are by now."""
+    for runner in cluster.runner_by_id.values():
+        runner.advance()
+    return len(cluster.records(kind))
+
+
+@pytest.mark.parametrize("turn_s", [0.02, 0.1])
+def test_leases_hold_while_reports_wait_for_each_other(monkeypatch, turn_s):
+    """Guards against runs that lapse behind a well owner once start orders cease."""
+    renewals = RenewalTimes(monkeypatch)
+
+    async def scenario():
+        async with run_cluster(runners=RUNNERS, processors=60) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            _, large = await start_all(cluster)
+            charge_calls(monkeypatch, RunnerWatch, "_update_running", RUN_S)
+            cluster.tasks.start_soon(take_turns, turn_s)
+            await anyio.sleep(8)
+            assert count(cluster, "lapsed") == 0
+            await owner.instance.handler.cancel(large.id, 2.0)
+            await anyio.sleep(8)
+            assert count(cluster, "lapsed") == 0
+
+    run_virtual(scenario)
+    print(f"the longest renewal waited for {renewals.longest_s:.2f} s")
+    assert renewals.longest_s < RUNNER_LEASE_S
+
+
+class RenewedLink:
+    """Counts renewals; each gets a response or not."""
+
+    def __init__(self):
+        self.answers = True
+        self.renewals = 0
+
+    async def renew(self, fence, deadline_ms):
+        self.renewals += 1
+        await anyio.sleep(0.01)
+        if not self.answers:
+            raise RunnerUnreachable("a test")
+
+
+def test_renewal_without_a_response_is_not_followed_by_another():
+    """Guards against the lease of a silent runner that never lapses."""
+
+    async def scenario():
+        clock = VirtualClock()
+        runner = Runner(RunnerEntry("a", 1, "s", "host:1", "zone"), 10.0)
+        runner.begin_incarnation(1, clock.now())
+        runner.record_response(0.0, clock.now())
+        runner.allocation_by_run = {"task": SimpleNamespace()}
+        state = SimpleNamespace(runner_by_id={"a": runner})
+        context = SimpleNamespace(clock=clock, owner_state=state)
+
+        def renew_lease(runner):
+            runner.renewed_s = clock.now()
+            return 1
+
+        context.renew_lease = renew_lease
+        link = RenewedLink()
+        calls = SimpleNamespace(
+            find_link=lambda _: link, contain=lambda *_: anyio.CancelScope()
+        )
+        async with anyio.create_task_group() as tasks:
+            keeper = LeaseKeeper(context, calls, tasks)
+            tasks.start_soon(keeper.run)
+            renew_lease(runner)
+            await anyio.sleep(5)
+            # A poll is under way.
+            assert link.renewals == 0
+            keeper.begin_wait(runner, "report")
+            await anyio.sleep(10 * RENEW_AFTER * RUNNER_LEASE_S)
+            assert link.renewals >= 7
+            link.answers = False
+            await anyio.sleep(3 * RUNNER_LEASE_S)
+            unanswered = link.renewals
+            keeper.renew_all()
+            await anyio.sleep(3 * RUNNER_LEASE_S)
+            assert link.renewals == unanswered
+            link.answers = True
+            runner.record_response(0.0, clock.now())
+            await anyio.sleep(RUNNER_LEASE_S)
+            assert link.renewals > unanswered
+            runner.record_no_response(clock.now())
+            lost = link.renewals
+            await anyio.sleep(3 * RUNNER_LEASE_S)
+            assert link.renewals == lost
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
+def test_leases_hold_without_renewals_apart_from_polls_on_a_calm_day(monkeypatch):
+    """Guards against calls that a busy day doesn't need."""
+    renewed = []
+    renew = MemoryRunnerLink.renew
+
+    async def record(link, *args):
+        renewed.append(link)
+        await renew(link, *args)
+
+    monkeypatch.setattr(MemoryRunnerLink, "renew", record)
+
+    async def scenario():
+        async with run_cluster(runners=4, processors=60) as cluster:
+            await cluster.owner()
+            await anyio.sleep(1)
+            renewed.clear()
+            for number in range(40):
+                step = make_step(5, 0.5, estimate_s=2)
+                await cluster.submit(make_job(1 + number, step))
+                await anyio.sleep(0.2)
+            await cluster.submit(make_job(99, make_step(8, lasting=True)))
+            await anyio.sleep(12)
+            assert count(cluster, "lapsed") == 0
+
+    run_virtual(scenario)
+    assert not renewed
--- a/tests/utils/virtual_time.py
+++ b/tests/utils/virtual_time.py
@@ -86,6 +86,13 @@
     return anyio.run(function, *args, backend_options={"loop_factory": VirtualTimeLoop})
 
 
+async def take_turns(cost_s: float) -> None:
+    """Let each turn of the event loop take virtual time, as on a busy machine."""
+    while True:
+        asyncio.get_running_loop().virtual_s += cost_s
+        await anyio.sleep(0)
+
+
 def charge_calls(monkeypatch, owner, name: str, cost_s: float) -> None:
     """Let each call of a method take virtual time, like computing does.
 
