Look at few of the attempts that wait for their orders at each write

Cause: each write walked over all attempts that were placed and not confirmed, for the time in which an order can reach a runner, and over all runs without progress. Thousands wait there since orders are sent in turn, so that their starts took time in the square.

Why it works: an order that is yet to be sent has the longest time, so that the latest one of a runner tells as much as all behind it. Up to as many as the row has hashes for, all are looked at as before. Of the runs without progress, no more than are passed on are kept for each runner.

--- a/flamingoweir/dispatch/_late_starts.py
+++ b/flamingoweir/dispatch/_late_starts.py
@@ -8,33 +8,49 @@
 
 #: Largest total length of each thing that the owner row says of them.
 MAX_PUBLISHED_BYTES = 4_000
+#: Largest number of runs of which the owner row has hashes.
+MAX_HASHED_RUNS = MAX_PUBLISHED_BYTES // HASH_LENGTH
+#: Seconds between two walks over all allocations, if there are more than that.
+WALK_INTERVAL_S = 1.0
+#: Longest time in seconds in which a start order can reach a runner: that of an order
+#: that is yet to be sent.
+LONGEST_LEFT_S = START_VALID_S + MAX_LATENESS_S
 
 
 class LateStarts:
     """Allocations whose start order is under way or got no response.
 
-    Only these are looked at with each write, as a fleet has tens of thousands.
+    Only these are looked at with each write, as a fleet has tens of thousands. If
+    thousands of orders wait to be sent, one for each runner tells as much as all.
     """
 
     def __init__(self) -> None:
-        self._allocations: dict[Allocation, None] = {}
+        self._allocations_by_runner: dict[str, dict[Allocation, None]] = {}
+        self._walked_s = float("-inf")
         self._runners: dict[Runner, None] = {}
 
     def add(self, allocation: Allocation) -> None:
         """Add an allocation whose order is to be sent, or got no response."""
-        self._allocations[allocation] = None
+        runner_id = allocation.attempt.runner
+        allocations = self._allocations_by_runner.setdefault(runner_id, {})
+        allocations[allocation] = None
+
+    @property
+    def _count(self) -> int:
+        return sum(len(some) for some in self._allocations_by_runner.values())
 
     def list_run_hashes(self) -> str | None:
         """Return hashes of the runs of the latest `list_left_s`.
 
         None if there are too many for the owner row.
         """
-        if HASH_LENGTH * len(self._allocations) > MAX_PUBLISHED_BYTES:
+        if self._count > MAX_HASHED_RUNS:
             return None
         hashes = []
-        for allocation in self._allocations:
-            attempt = allocation.attempt
-            hashes.append(hash_run(f"{attempt.task}#{attempt.run}"))
+        for allocations in self._allocations_by_runner.values():
+            for allocation in allocations:
+                attempt = allocation.attempt
+                hashes.append(hash_run(f"{attempt.task}#{attempt.run}"))
         return encode_run_hashes(hashes)
 
     def add_runner(self, runner: Runner) -> None:
@@ -74,7 +90,7 @@
 
         Counts orders that the next write allows to be sent, and those without a
         response. Allocations that have ended, or whose order can't come any more, are
-        dropped.
+        dropped, now or, if there are many, within a second.
 
         Parameters
         ----------
@@ -88,29 +104,54 @@
         dict of str to float, or None
             Seconds by the id of a runner with such orders; None if there are too many.
         """
+        walks = self._count <= MAX_HASHED_RUNS
+        if now_s - self._walked_s >= WALK_INTERVAL_S:
+            walks = True
+        if walks:
+            self._walked_s = now_s
         left_s_by_runner: dict[str, float] = {}
-        for allocation in list(self._allocations):
-            attempt = allocation.attempt
-            runner = runner_by_id.get(attempt.runner)
-            if (
-                runner is None
-                or runner.find(attempt.task, attempt.run) is not allocation
-            ):
-                del self._allocations[allocation]
-                continue
-            left_s = _find_left_s(allocation, runner, now_s)
-            if left_s <= 0:
-                del self._allocations[allocation]
-                continue
-            longest_s = max(left_s_by_runner.get(runner.id, 0.0), left_s)
-            left_s_by_runner[runner.id] = round(longest_s, 3)
+        for runner_id, allocations in list(self._allocations_by_runner.items()):
+            runner = runner_by_id.get(runner_id)
+            longest_s = 0.0
+            if runner is not None:
+                longest_s = _find_longest_left_s(allocations, runner, now_s, walks)
+            if longest_s > 0:
+                left_s_by_runner[runner_id] = round(longest_s, 3)
+            else:
+                del self._allocations_by_runner[runner_id]
         published_bytes = 0
         for runner_id in left_s_by_runner:
             published_bytes += len(runner_id.encode()) + ENTRY_BYTES
         return left_s_by_runner if published_bytes <= MAX_PUBLISHED_BYTES else None
 
 
+def _find_longest_left_s(
+    allocations: dict[Allocation, None], runner: Runner, now_s: float, walks: bool
+) -> float:
+    """Return in how many seconds no start order of some can reach their runner.
+
+    Drops those of which none can. Looks at all if `walks`, else at the latest ones up
+    to the first whose order is yet to be sent.
+    """
+    longest_s = 0.0
+    dropped = []
+    for allocation in reversed(allocations):
+        attempt = allocation.attempt
+        left_s = 0.0
+        if runner.find(attempt.task, attempt.run) is allocation:
+            left_s = _find_left_s(allocation, runner, now_s)
+        if left_s <= 0:
+            dropped.append(allocation)
+            continue
+        longest_s = max(longest_s, left_s)
+        if longest_s >= LONGEST_LEFT_S and not walks:
+            break
+    for allocation in dropped:
+        del allocations[allocation]
+    return longest_s
+
+
 def _find_left_s(allocation: Allocation, runner: Runner, now_s: float) -> float:
     if allocation.started_s is None and not allocation.has_restarted:
-        return START_VALID_S + MAX_LATENESS_S
+        return LONGEST_LEFT_S
     return runner.find_late_until_s(allocation) - now_s
--- a/flamingoweir/dispatch/_run_waits.py
+++ b/flamingoweir/dispatch/_run_waits.py
@@ -80,6 +80,10 @@
         """
         self._former_by_run.clear()
         waiting = find_stalled(runner, now_s, PASSED_ON_FRACTION)
+        if len(waiting) > MAX_PASSED_ON:
+            waiting = heapq.nlargest(
+                MAX_PASSED_ON, waiting, key=lambda a: _find_wait(runner, a)
+            )
         if waiting:
             self._waiting_by_runner[runner] = waiting
         else:
@@ -102,9 +106,9 @@
             if not held:
                 del self._waiting_by_runner[runner]
             for allocation in held:
-                still_s = runner.last_response_s - progress_expected_since_s(allocation)
+                share, still_s = _find_wait(runner, allocation)
                 if still_s > 0:
-                    found.append((still_s / stall_s(allocation), still_s, allocation))
+                    found.append((share, still_s, allocation))
         for _, still_s, allocation in heapq.nlargest(
             MAX_PASSED_ON, found, key=lambda entry: entry[0]
         ):
@@ -124,6 +128,12 @@
     return f"{allocation.attempt.task}#{allocation.attempt.run}"
 
 
+def _find_wait(runner: Runner, allocation: Allocation) -> tuple[float, float]:
+    """Return the time without progress, as a share of the longest and in seconds."""
+    still_s = runner.last_response_s - progress_expected_since_s(allocation)
+    return still_s / stall_s(allocation), still_s
+
+
 def _is_held(runner: Runner, allocation: Allocation) -> bool:
     attempt = allocation.attempt
     return runner.find(attempt.task, attempt.run) is allocation
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -13,6 +13,7 @@
 
 from benchmarks.large_job import LargeJob, cancel, fail, lapse, take_over
 from flamingoweir.clock import BootClock
+from flamingoweir.dispatch._late_starts import LONGEST_LEFT_S
 from flamingoweir.dispatch._order_queues import OrderQueue
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._start_gate import StartGate
@@ -513,3 +514,55 @@
             assert not owner_state.runner_by_id["runner-0"].has_attempts
 
     run_virtual(scenario)
+
+
+def write_owner_row(tasks: int):
+    """Yield what a write says of attempts whose orders wait, after a first write."""
+    large = LargeJob(tasks)
+    for attempt in large.attempts:
+        runner = large.state.runner_by_id[attempt.runner]
+        large.state.late_starts.add(runner.find(attempt.task, attempt.run))
+    for runner in large.runners:
+        runner.last_response_s = large.clock.now() + 100
+        large.state.waits.runs.record_report(runner, runner.last_response_s)
+    late_starts, runner_by_id = large.state.late_starts, large.state.runner_by_id
+
+    def write():
+        large.clock.now_s += 0.02
+        late_starts.list_left_s(runner_by_id, large.clock.now())
+        list(large.state.waits.runs.list_waits())
+
+    # Once a second, a write walks over all of them.
+    write()
+    yield write
+
+
+def test_time_for_a_write_does_not_grow_with_the_orders_that_wait():
+    """Guards against walks over all attempts that wait, at each write."""
+    few, many = (count_calls(write_owner_row, tasks) for tasks in (4_000, 16_000))
+    assert many < 1.1 * few
+
+
+def test_owner_row_names_the_latest_order_that_waits_behind_many():
+    """Guards against a next owner that takes no heed of an order that is yet to go."""
+    large = LargeJob(4_000)
+    late_starts, now_s = large.state.late_starts, large.clock.now()
+    allocations = []
+    for attempt in large.attempts:
+        runner = large.state.runner_by_id[attempt.runner]
+        allocations.append(runner.find(attempt.task, attempt.run))
+        late_starts.add(allocations[-1])
+    runner_by_id = large.state.runner_by_id
+    everywhere = dict.fromkeys(runner_by_id, LONGEST_LEFT_S)
+    assert late_starts.list_left_s(runner_by_id, now_s) == everywhere
+    assert late_starts.list_run_hashes() is None
+    for allocation in allocations[1:]:
+        allocation.record_start(now_s)
+    first = allocations[0].attempt.runner
+    for runner in large.runners:
+        runner.record_response(0.0, now_s + 0.1)
+    left_s = late_starts.list_left_s(runner_by_id, now_s + 0.1)
+    assert left_s == {first: LONGEST_LEFT_S}
+    assert len(late_starts.list_run_hashes()) > 0
+    allocations[0].record_start(now_s + 0.1)
+    assert late_starts.list_left_s(runner_by_id, now_s + 0.2) == {}
