Renew leases of attempts that were placed while a report waits

Cause: whether a runner has attempts was asked as its report arrived only. Those that were placed while the report waited for its turn had no renewal until the next poll.

Why it works: it is asked as a renewal is due. A runner that is idle is left out until its next poll, so that its first attempts cost no further call.

--- a/flamingoweir/dispatch/_lease_keeper.py
+++ b/flamingoweir/dispatch/_lease_keeper.py
@@ -53,11 +53,10 @@
 
     def begin_wait(self, runner: Runner, cause: str) -> None:
         """Record that no poll of a runner is under way, and why, for the log."""
-        if runner.has_attempts:
-            self._cause_by_runner[runner] = cause
+        self._cause_by_runner[runner] = cause
 
     def end_wait(self, runner: Runner) -> None:
-        """Record that a runner is polled now, or not watched any more."""
+        """Record that a runner is polled now, is idle, or isn't watched any more."""
         self._cause_by_runner.pop(runner, None)
 
     def renew_all(self) -> None:
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -140,6 +140,7 @@
         idle_s = runner.last_response_s + IDLE_POLL_INTERVAL_S - self._clock.now()
         if idle_s <= 0:
             return False
+        self._leases.end_wait(runner)
         await runner.poll_wakeup.wait(idle_s)
         return True
 
--- a/tests/test_lease_keeping.py
+++ b/tests/test_lease_keeping.py
@@ -136,7 +136,12 @@
             await anyio.sleep(5)
             # A poll is under way.
             assert link.renewals == 0
+            attempts, runner.allocation_by_run = runner.allocation_by_run, {}
             keeper.begin_wait(runner, "report")
+            await anyio.sleep(5)
+            assert link.renewals == 0
+            # They were placed while the report waited.
+            runner.allocation_by_run = attempts
             await anyio.sleep(10 * RENEW_AFTER * RUNNER_LEASE_S)
             assert link.renewals >= 7
             link.answers = False
