Work on a least number of items in each turn of the event loop

Cause: long work gives way after 10 ms of time that passes. On a tenth of a core these are 1 ms of work, each followed by a whole turn of the event loop of 0.1 s and more, so that handing over stops, and applying reports, took most of their time in waiting.

Why it works: a slice has at least 250 entries of a report, or 2,000 stops, some 4 ms of work; where processors are free that is less than 10 ms, and nothing changes. The stand-in carries out the stops of a write at its own pace, whatever turns the owner's loop takes.

--- a/flamingoweir/dispatch/_term.py
+++ b/flamingoweir/dispatch/_term.py
@@ -64,6 +64,8 @@
 MAX_RESTORE_S = 8.0
 #: Number of attempts of a job that are restored before the restoring gives way.
 RESTORED_AT_ONCE = 500
+#: Least number of stop orders that are handed over in a turn of the event loop.
+STOPS_IN_A_TURN = 2_000
 
 
 class Term:
@@ -470,7 +472,7 @@
     async def _send_stops(self) -> None:
         stops = self.owner_state.stops
         while True:
-            time_slice = TimeSlice(self._clock)
+            time_slice = TimeSlice(self._clock, STOPS_IN_A_TURN)
             while stops.mark_more() or stops.pending:
                 for attempt in stops.take():
                     self._orders.stop(attempt)
--- a/flamingoweir/dispatch/_time_slice.py
+++ b/flamingoweir/dispatch/_time_slice.py
@@ -20,6 +20,10 @@
     ----------
     clock : Clock
         The owner's clock.
+    least_items : int
+        Number of items that are worked on before `give_way_if_over` gives way. Where
+        many processes share a processor, a slice has little time of its own, and each
+        is followed by a whole turn of the event loop.
 
     Attributes
     ----------
@@ -28,9 +32,11 @@
         call of `give_way`.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, least_items: int = 1):
         self.busy_s = 0.0
         self._clock = clock
+        self._least_items = least_items
+        self._items = 0
         self._resumed_s = clock.now()
 
     def is_over(self, since_s: float | None = None) -> bool:
@@ -54,10 +60,12 @@
     async def give_way(self) -> None:
         """Let other coroutines run; anything may have changed afterwards."""
         self.stop()
+        self._items = 0
         await anyio.sleep(GIVE_WAY_S)
         self._resumed_s = self._clock.now()
 
     async def give_way_if_over(self) -> None:
-        """Let other coroutines run if the slice is over."""
-        if self.is_over():
+        """Let other coroutines run after an item, if the slice is over."""
+        self._items += 1
+        if self._items >= self._least_items and self.is_over():
             await self.give_way()
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -41,6 +41,8 @@
 #: seconds of pause for each one beyond it. An entry takes about 10 us.
 SHORT_REPORT = 200
 PAUSE_S_BY_ENTRY = 0.0005
+#: Least number of entries of a report that are applied in a turn of the event loop.
+ENTRIES_IN_A_TURN = 250
 #: Longest pause between two polls of a runner, in seconds.
 MAX_POLL_PAUSE_S = 1.0
 
@@ -310,7 +312,7 @@
 
     async def _apply(self, report: RunnerReport, sent_s: float) -> None:
         runner = self._runner
-        time_slice = TimeSlice(self._clock)
+        time_slice = TimeSlice(self._clock, ENTRIES_IN_A_TURN)
         running = {(task.task, task.run): task for task in report.running}
         for end in report.ended:
             if end.number <= runner.ends.received:
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -549,9 +549,12 @@
         async with self._hold_connection(OrderRank.STOP):
             await self._reach_or_fail()
             answered = 0
+            begun_s = anyio.current_time()
             for task, run in runs:
-                if answered:
-                    await anyio.sleep(self._delay_s * FOLLOWING_SHARE)
+                # A runner doesn't wait for the owner's event loop in between.
+                due_s = begun_s + answered * self._delay_s * FOLLOWING_SHARE
+                if due_s > anyio.current_time():
+                    await anyio.sleep(due_s - anyio.current_time())
                 if self.disconnected or not self.runner.up:
                     break
                 self.runner.stop(task, run, fence)
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -4,6 +4,7 @@
 lapse, the next owner comes to the same work, and stops come late (review/12).
 """
 
+import asyncio
 import cProfile
 import time
 from types import SimpleNamespace
@@ -20,6 +21,7 @@
 from flamingoweir.dispatch._start_orders import MAX_STARTS_AT_ONCE
 from flamingoweir.dispatch._stop_orders import MAX_STOPS_AT_ONCE
 from flamingoweir.dispatch._term import Term
+from flamingoweir.dispatch._time_slice import TimeSlice
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Job, JobState, Outcome, TaskId
 from flamingoweir.policy import (
@@ -566,3 +568,30 @@
     assert len(late_starts.list_run_hashes()) > 0
     allocations[0].record_start(now_s + 0.1)
     assert late_starts.list_left_s(runner_by_id, now_s + 0.2) == {}
+
+
+@pytest.mark.parametrize(("least", "most_turns"), [(250, 4), (1, 1_000)])
+def test_slice_has_a_least_number_of_items(least, most_turns):
+    """Guards against work that takes a turn for each item where turns are long."""
+    turns = 0
+
+    async def scenario():
+        nonlocal turns
+
+        async def count_turns():
+            nonlocal turns
+            while True:
+                turns += 1
+                await anyio.sleep(0.005)
+
+        async with anyio.create_task_group() as tasks:
+            time_slice = TimeSlice(VirtualClock(), least)
+            tasks.start_soon(count_turns)
+            for _ in range(1_000):
+                # A processor that many processes share.
+                asyncio.get_running_loop().virtual_s += 0.02
+                await time_slice.give_way_if_over()
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
+    assert most_turns / 2 <= turns <= most_turns + 2
