--- a/flamingoweir/_http_connection.py
+++ b/flamingoweir/_http_connection.py
@@ -2,7 +2,7 @@
 
 import select
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import httptools
@@ -93,7 +93,10 @@
         return response.status, body
 
     async def exchange_all(
-        self, requests: bytes, count: int, on_response: Callable[[int, bytes], None]
+        self,
+        requests: bytes,
+        count: int,
+        on_response: Callable[[int, bytes], Awaitable[None]],
     ) -> None:
         """Send several requests in one write, and receive their responses in order.
 
@@ -104,7 +107,7 @@
         count : int
             Number of the requests.
         on_response : callable
-            Called with status and body of each response.
+            Awaited with status and body of each response.
 
         Raises
         ------
@@ -134,7 +137,7 @@
                 received += await self._stream.receive(READ_BYTES)
             keeps_alive = response.keeps_alive
             response.release()
-            on_response(response.status, received[:length])
+            await on_response(response.status, received[:length])
             received = received[length:]
         self.reusable = keeps_alive and not received
         self._idle_since_s = time.monotonic()
--- a/flamingoweir/dispatch/_protocols.py
+++ b/flamingoweir/dispatch/_protocols.py
@@ -196,10 +196,13 @@
         """
         ...
 
-    async def stop_runs(self, runs: Sequence[tuple[TaskId, int]], fence: int) -> int:
+    async def stop_runs(
+        self, runs: Sequence[tuple[TaskId, int]], fence: int, in_a_turn: int
+    ) -> int:
         """Send stop orders for several runs, without a wait between them.
 
-        Any of the orders behind a missing response may be carried out.
+        Any of the orders behind a missing response may be carried out. Other coroutines
+        run after each ``in_a_turn`` responses.
 
         Returns
         -------
--- a/flamingoweir/dispatch/_stop_orders.py
+++ b/flamingoweir/dispatch/_stop_orders.py
@@ -108,7 +108,8 @@
     ) -> int:
         runs = [(item.attempt.task, item.attempt.run) for item in allocations]
         if len(runs) > 1:
-            return await link.stop_runs(runs, fence)
+            in_a_turn = StopBatch.responses_in_a_turn(self._queues.sender_count)
+            return await link.stop_runs(runs, fence, in_a_turn)
         await link.stop(*runs[0], fence)
         return 1
 
--- a/flamingoweir/platform/_runners.py
+++ b/flamingoweir/platform/_runners.py
@@ -152,7 +152,9 @@
         message = _encode_stop(task, run, fence)
         await self._send_checked_order("/-/run-stop", message, OrderRank.STOP)
 
-    async def stop_runs(self, runs: Sequence[tuple[TaskId, int]], fence: int) -> int:
+    async def stop_runs(
+        self, runs: Sequence[tuple[TaskId, int]], fence: int, in_a_turn: int
+    ) -> int:
         """Order the runner to stop several runs, in one write.
 
         Parameters
@@ -161,6 +163,8 @@
             Task and number of each run.
         fence : int
             The owner's fencing token.
+        in_a_turn : int
+            Number of responses after which other coroutines run.
 
         Returns
         -------
@@ -179,7 +183,7 @@
         confirmed = 0
         try:
             responses = await self._order_client.call_all(
-                "/-/run-stop", bodies, self._headers, OrderRank.STOP
+                "/-/run-stop", bodies, self._headers, OrderRank.STOP, in_a_turn
             )
             for response in responses:
                 self._raise_for_status(response)
--- a/flamingoweir/policy/__init__.py
+++ b/flamingoweir/policy/__init__.py
@@ -60,7 +60,12 @@
     weighted_share,
 )
 from ._size_classes import SizeClasses
-from ._stop_batches import MAX_STOPS_IN_A_WRITE, MAX_STOPS_UNDER_WAY, StopBatch
+from ._stop_batches import (
+    MAX_RESPONSES_IN_A_TURN,
+    MAX_STOPS_IN_A_WRITE,
+    MAX_STOPS_UNDER_WAY,
+    StopBatch,
+)
 from ._store_availability import RESPONSE_LIMIT_S, StoreAvailability
 from ._stragglers import find_stalled, progress_expected_since_s, stall_s
 from ._submission_budget import SubmissionBudget
@@ -84,6 +89,7 @@
     "EVICT_AFTER_S",
     "EXCESS",
     "MAX_PLACEMENT_WAIT_S",
+    "MAX_RESPONSES_IN_A_TURN",
     "MAX_SILENT_WAIT_S",
     "MAX_STOPS_IN_A_WRITE",
     "MAX_STOPS_UNDER_WAY",
--- a/flamingoweir/standins/_memory_runner.py
+++ b/flamingoweir/standins/_memory_runner.py
@@ -544,7 +544,9 @@
             self.runner.stop(task, run, fence)
             await self._return_or_fail()
 
-    async def stop_runs(self, runs: Sequence[tuple[TaskId, int]], fence: int) -> int:
+    async def stop_runs(
+        self, runs: Sequence[tuple[TaskId, int]], fence: int, in_a_turn: int
+    ) -> int:
         """See `RunnerLink.stop_runs`."""
         async with self._hold_connection(OrderRank.STOP):
             await self._reach_or_fail()
@@ -562,6 +564,8 @@
                     # It is carried out without a response.
                     break
                 answered += 1
+                if answered % in_a_turn == 0:
+                    await anyio.sleep(0)
             await self._return_or_fail()
             if not answered:
                 raise RunnerUnreachable(self.runner.id)
--- a/flamingoweir/transport.py
+++ b/flamingoweir/transport.py
@@ -175,6 +175,7 @@
         bodies: Sequence[bytes],
         headers: Sequence[tuple[bytes, bytes]] = (),
         rank: int = 0,
+        in_a_turn: int = 32,
     ) -> list[Response]:
         """Send POST requests in one write over one connection; return the responses.
 
@@ -188,6 +189,8 @@
             Headers of each, in addition to those that every call has.
         rank : int
             Calls with a lower rank get a connection first.
+        in_a_turn : int
+            Number of responses after which other coroutines run.
 
         Returns
         -------
@@ -208,8 +211,12 @@
         async def exchange(
             connection: HttpConnection, scope: anyio.CancelScope
         ) -> None:
-            def record(status: int, body: bytes) -> None:
+            async def record(status: int, body: bytes) -> None:
                 responses.append(Response(status, body))
+                if len(responses) % in_a_turn == 0:
+                    # The next response may have arrived.
+                    scope.deadline = float("inf")
+                    await anyio.sleep(0)
                 # The timeout is that of each response.
                 scope.deadline = anyio.current_time() + self._timeout_s
 
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -25,6 +25,7 @@
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Job, JobState, Outcome, TaskId
 from flamingoweir.policy import (
+    MAX_RESPONSES_IN_A_TURN,
     MAX_STOPS_IN_A_WRITE,
     MAX_STOPS_UNDER_WAY,
     StopBatch,
@@ -245,7 +246,11 @@
 
 @pytest.mark.parametrize("senders", [1, 4, 24, 40, 5_600])
 def test_stops_to_all_runners_fit_into_a_turn_of_the_event_loop(senders):
-    """Guards against large writes to many runners that hold up their own responses."""
+    """Guards against large writes to many runners that hold up their own responses.
+
+    Few senders write as much as a runner takes at once, as each write takes several
+    turns.
+    """
     batches = [StopBatch() for _ in range(senders)]
     sent = []
     for batch in batches:
@@ -255,6 +260,9 @@
         sent.append(batch.choose(senders))
     assert sum(sent) <= max(MAX_STOPS_UNDER_WAY, senders)
     assert sum(sent) >= min(senders * MAX_STOPS_IN_A_WRITE, MAX_STOPS_UNDER_WAY / 2)
+    in_a_turn = senders * StopBatch.responses_in_a_turn(senders)
+    assert in_a_turn <= max(MAX_RESPONSES_IN_A_TURN, senders)
+    assert in_a_turn >= MAX_RESPONSES_IN_A_TURN / 2
 
 
 def test_stops_of_a_large_job_are_requested_in_few_turns_of_the_event_loop():
--- a/tests/test_lease_keeping.py
+++ b/tests/test_lease_keeping.py
@@ -11,6 +11,8 @@
 
 from flamingoweir.dispatch._context import TermContext
 from flamingoweir.dispatch._lease_keeper import RENEW_AFTER, LeaseKeeper
+from flamingoweir.dispatch._orders import OrderSender
+from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._protocols import RunnerUnreachable
 from flamingoweir.dispatch._watch import RunnerWatch
 from flamingoweir.fleet import RUNNER_LEASE_S, Runner
@@ -28,6 +30,9 @@
 RUNNERS = 12
 TASKS = 12_000
 OTHER_TASKS = 42
+#: Seconds within which a cancelled task is stopped, and that a stop may take.
+CANCEL_S = 3.0
+STOP_S = 0.9
 #: Seconds that an owner takes to apply a run of a report, on a fifth of a core.
 RUN_S = 0.000_05
 
@@ -94,6 +99,27 @@
     assert renewals.longest_s < RUNNER_LEASE_S
 
 
+def test_stops_are_in_time_on_a_short_processor(monkeypatch):
+    """Guards against stops that wait for many turns of a slow event loop."""
+
+    async def scenario():
+        async with run_cluster(runners=RUNNERS, processors=60) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            _, large = await start_all(cluster)
+            charge_calls(monkeypatch, RunnerWatch, "_update_running", RUN_S)
+            charge_calls(monkeypatch, OrderSender, "stop", RUN_S)
+            charge_calls(monkeypatch, OwnerState, "end_attempt", RUN_S)
+            cluster.tasks.start_soon(take_turns, 0.05)
+            await anyio.sleep(2)
+            await owner.instance.handler.cancel(large.id, 2.0)
+            await anyio.sleep(CANCEL_S + STOP_S)
+            assert count(cluster, "stopped") == TASKS
+            assert count(cluster, "lapsed") == 0
+
+    run_virtual(scenario)
+
+
 class RenewedLink:
     """Counts renewals; each gets a response or not."""
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -14,7 +14,7 @@
 from flamingoweir.jobs import TaskId
 from flamingoweir.platform import PlatformRunnerLink
 from flamingoweir.transport import HttpClient, RequestNotSent, ResponseLost
-from tests.utils.virtual_time import run_virtual
+from tests.utils.virtual_time import run_virtual, take_turns
 
 HOST = "127.0.0.1"
 #: Timeout of calls that get a response, in seconds.
@@ -654,6 +654,46 @@
     run(scenario)
 
 
+class BufferedConnection:
+    """A connection on which all responses have arrived."""
+
+    reusable = False
+
+    async def exchange_all(self, requests, count, on_response):
+        for _ in range(count):
+            await on_response(200, b"")
+
+    async def aclose(self):
+        return
+
+
+@pytest.mark.parametrize(("in_a_turn", "turns"), [(1, 4), (2, 2), (4, 1), (9, 0)])
+def test_responses_of_one_write_let_other_coroutines_run(in_a_turn, turns):
+    """Guards against hundreds of responses that hold up the renewal of a lease.
+
+    The time in which others run isn't the server's.
+    """
+
+    async def scenario():
+        client = HttpClient(f"{HOST}:1", 1, timeout_s=SHORT_S)
+
+        async def connect():
+            return BufferedConnection()
+
+        client._acquire_connection = connect
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(take_turns, 2 * SHORT_S)
+            await anyio.sleep(0)
+            began_s = anyio.current_time()
+            responses = await client.call_all("/stop", 4 * [b""], in_a_turn=in_a_turn)
+            assert len(responses) == 4
+            took_s = anyio.current_time() - began_s
+            assert took_s == pytest.approx(turns * 2 * SHORT_S)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize(
     ("second", "expected"),
     [
@@ -672,9 +712,9 @@
             link = PlatformRunnerLink("i-1", client.address)
             if expected is Fenced:
                 with pytest.raises(Fenced):
-                    await link.stop_runs(runs, 7)
+                    await link.stop_runs(runs, 7, 10)
             else:
-                assert await link.stop_runs(runs, 7) == expected
+                assert await link.stop_runs(runs, 7, 10) == expected
             messages = [
                 orjson.loads(r.rpartition(b"\n")[2]) for _, r in server.requests
             ]
@@ -691,6 +731,6 @@
         async with serve([SILENCE], keep_open=False) as (_, client):
             link = PlatformRunnerLink("i-1", client.address)
             with pytest.raises(RunnerUnreachable):
-                await link.stop_runs([(TaskId("ab", 0, 0, 0), 1)] * 2, 7)
+                await link.stop_runs([(TaskId("ab", 0, 0, 0), 1)] * 2, 7, 10)
 
     run(scenario)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -95,7 +95,7 @@
     async def stop(self, task, run, fence) -> None:
         raise RunnerUnreachable("nothing listens")
 
-    async def stop_runs(self, runs, fence) -> int:
+    async def stop_runs(self, runs, fence, in_a_turn) -> int:
         raise RunnerUnreachable("nothing listens")
 
     async def set_pace(self, task, run, percent, fence) -> None:
