Let long reports wait for stops

Cause: as its runs end, a runner answers each poll at once, with up to 500 ends and all that runs. Decoding and applying that took a fifth of the owner's time while stops, which have to be carried out within seconds, waited for theirs.

Why it works: while more than 200 stops to runners that respond have no result, a long report, and the poll that brings the next one, wait for up to a second. Leases are renewed apart from polls meanwhile. Short reports, and stops of silent runners, hold nothing up.

--- a/flamingoweir/dispatch/_attempt_stops.py
+++ b/flamingoweir/dispatch/_attempt_stops.py
@@ -81,6 +81,11 @@
             left -= 1
         return bool(self._unmarked)
 
+    @property
+    def has_more(self) -> bool:
+        """Whether there are attempts to stop that were not taken yet."""
+        return bool(self._unmarked or self.pending)
+
     def take(self) -> list[Attempt]:
         """Remove and return the attempts to stop."""
         taken, self.pending = self.pending, []
--- a/flamingoweir/dispatch/_order_queues.py
+++ b/flamingoweir/dispatch/_order_queues.py
@@ -22,11 +22,17 @@
     ----------
     senders : int
         Number of senders that work on the queue.
+    under_way : int
+        Number of orders that its senders have taken and that have no result yet.
+    is_answered : bool
+        Whether the latest call got a response.
     """
 
     def __init__(self, runner_id: str):
         self.runner_id = runner_id
         self.senders = 0
+        self.under_way = 0
+        self.is_answered = True
         self._orders: list[tuple[int, int, Order]] = []
         self._numbers = itertools.count(1)
 
@@ -76,6 +82,14 @@
         self._send_all = send_all
         self._queue_by_runner: dict[str, OrderQueue[Order]] = {}
 
+    def count_answered(self) -> int:
+        """Return the number of orders without a result for runners that respond."""
+        count = 0
+        for queue in self._queue_by_runner.values():
+            if queue.is_answered:
+                count += len(queue) + queue.under_way
+        return count
+
     def add(self, runner_id: str, order: Order, rank: int = 0) -> None:
         """Add an order for a runner; see `OrderQueue.add`."""
         queue = self._queue_by_runner.get(runner_id)
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -65,6 +65,10 @@
         """Send stop orders for an attempt until its runner responds."""
         self._stop_orders.add(attempt)
 
+    async def wait_for_stops(self, max_wait_s: float) -> None:
+        """Wait until few stop orders are left; see `StopOrders.wait_while_many`."""
+        await self._stop_orders.wait_while_many(max_wait_s)
+
     def set_pace(self, attempt: Attempt) -> None:
         """Bring an attempt to its requested pace.
 
--- a/flamingoweir/dispatch/_stop_orders.py
+++ b/flamingoweir/dispatch/_stop_orders.py
@@ -18,6 +18,10 @@
 #: Largest number of calls with stop orders that are under way to one runner, so that a
 #: start order finds a connection while a large job is stopped.
 MAX_STOPS_AT_ONCE = 2
+#: Number of stops without a result from which on reports wait for them.
+MANY_STOPS = 200
+#: Seconds between checks whether there are fewer.
+CHECK_INTERVAL_S = 0.05
 
 
 class StopOrders:
@@ -52,6 +56,25 @@
             return
         self._queues.add(attempt.runner, attempt)
 
+    @property
+    def are_many(self) -> bool:
+        """Whether there are many stops without a result on runners that respond."""
+        stops = self._context.owner_state.stops
+        return stops.has_more or self._queues.count_answered() > MANY_STOPS
+
+    async def wait_while_many(self, max_wait_s: float) -> None:
+        """Wait until few stops are left, so that they have the owner's time.
+
+        Parameters
+        ----------
+        max_wait_s : float
+            Longest wait in seconds.
+        """
+        clock = self._context.clock
+        until_s = clock.now() + max_wait_s
+        while self.are_many and clock.now() < until_s:
+            await anyio.sleep(CHECK_INTERVAL_S)
+
     async def _send_all(self, queue: OrderQueue[Attempt]) -> None:
         batch = StopBatch()
         while True:
@@ -59,8 +82,13 @@
             if not allocations:
                 return
             confirmed = 0
-            with self._calls.contain("stop", queue.runner_id):
-                confirmed = await self._send(queue.runner_id, allocations)
+            queue.under_way += len(allocations)
+            try:
+                with self._calls.contain("stop", queue.runner_id):
+                    confirmed = await self._send(queue.runner_id, allocations)
+            finally:
+                queue.under_way -= len(allocations)
+            queue.is_answered = confirmed > 0
             batch.record(len(allocations), confirmed)
             if confirmed < len(allocations):
                 log.info(
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -45,6 +45,9 @@
 ENTRIES_IN_A_TURN = 250
 #: Longest pause between two polls of a runner, in seconds.
 MAX_POLL_PAUSE_S = 1.0
+#: Longest time in seconds for which a long report, or the poll that brings the next
+#: one, waits for stop orders. Leases are renewed meanwhile.
+MAX_STOPS_WAIT_S = 1.0
 
 
 def find_poll_pause_s(report: RunnerReport) -> float:
@@ -91,6 +94,8 @@
         self._term_end = term_end
         self._runner = runner
         self._link = link
+        #: Whether the latest report was long.
+        self._has_long_reports = False
         #: Earliest time of the next poll, on the owner's clock, in seconds.
         self._next_poll_s = float("-inf")
 
@@ -111,6 +116,9 @@
             if pause_s > 0:
                 self._leases.begin_wait(runner, "pause")
                 await anyio.sleep(pause_s)
+            if self._has_long_reports:
+                self._leases.begin_wait(runner, "stops")
+                await self._orders.wait_for_stops(MAX_STOPS_WAIT_S)
             self._leases.begin_wait(runner, "acknowledgement")
             await self._wait_until_acknowledged()
             self._leases.begin_wait(runner, "fence")
@@ -299,14 +307,18 @@
         self._owner_state.lapses.end_lapsed(runner)
 
     async def _apply_report(self, report: RunnerReport, sent_s: float) -> None:
-        """Apply a report; long ones are applied one after another.
+        """Apply a report; long ones are applied one after another, and after stops.
 
         Each gives way after a slice, so that together they hold up other work by one
-        slice at a time.
+        slice at a time. A stop has to be carried out within seconds, and the end that
+        it brings may be known later.
         """
-        if len(report.running) + len(report.ended) <= SHORT_REPORT:
+        entries = len(report.running) + len(report.ended)
+        self._has_long_reports = entries > SHORT_REPORT
+        if not self._has_long_reports:
             await self._apply(report, sent_s)
             return
+        await self._orders.wait_for_stops(MAX_STOPS_WAIT_S)
         async with self._context.long_report_turn:
             await self._apply(report, sent_s)
 
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -19,7 +19,7 @@
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._start_gate import StartGate
 from flamingoweir.dispatch._start_orders import MAX_STARTS_AT_ONCE
-from flamingoweir.dispatch._stop_orders import MAX_STOPS_AT_ONCE
+from flamingoweir.dispatch._stop_orders import MANY_STOPS, MAX_STOPS_AT_ONCE
 from flamingoweir.dispatch._term import Term
 from flamingoweir.dispatch._time_slice import TimeSlice
 from flamingoweir.fleet import Runner
@@ -603,3 +603,49 @@
 
     run_virtual(scenario)
     assert most_turns / 2 <= turns <= most_turns + 2
+
+
+@pytest.mark.parametrize("silent", [False, True], ids=["all_answer", "one_is_silent"])
+def test_long_reports_wait_for_stops(monkeypatch, silent):
+    """Guards against stops that lack the time that reports of ends take.
+
+    Stops of a silent runner hold up no report of another one.
+    """
+    polled = []
+    poll = MemoryRunnerLink.poll
+
+    async def record(link, *args):
+        polled.append((anyio.current_time(), link.runner.id, len(link.runner.tasks)))
+        return await poll(link, *args)
+
+    monkeypatch.setattr(MemoryRunnerLink, "poll", record)
+
+    async def scenario():
+        async with run_cluster(runners=2, processors=700) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            large = make_job(1, make_step(1_300, estimate_s=60))
+            for index in range(1_300):
+                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
+            await cluster.submit(large)
+            await anyio.sleep(8)
+            assert len(cluster.records("start")) == 1_300
+            for link in owner.link_by_runner.values():
+                link._delay_s = 0.02
+            await owner.instance.handler.cancel(large.id, 2.0)
+            cancelled_s = anyio.current_time()
+            if silent:
+                owner.link_by_runner["runner-0"].disconnected = True
+            await anyio.sleep(3.5)
+            later = [p for p in polled if p[0] > cancelled_s and p[1] == "runner-1"]
+            if silent:
+                assert not cluster.runner_by_id["runner-1"].tasks
+                assert later[0][0] - cancelled_s < 2.5
+                return
+            assert not any(r.tasks for r in cluster.runner_by_id.values())
+            assert max(tasks for _, _, tasks in later) <= MANY_STOPS
+            await anyio.sleep(1.5)
+            state = owner.instance.term.owner_state
+            assert not any(r.has_attempts for r in state.runner_by_id.values())
+
+    run_virtual(scenario)
