Renew the lease of a runner before it has many stops to carry out

Cause: a runner carries out the stops of a write, up to 512, before it reads another call. On little processor time that takes seconds, so that a renewal that was sent after the stops came too late for a lease with half of its time left.

Why it works: before the first of many stops, and while they go out, a lease is renewed once 15% of its time are over, unless a poll that renews it is under way (test_lease_is_renewed_before_many_stops).

--- a/flamingoweir/dispatch/_lease_keeper.py
+++ b/flamingoweir/dispatch/_lease_keeper.py
@@ -16,8 +16,13 @@
 #: Fraction of a lease after which it is renewed apart from polls. Polls that follow
 #: each other renew a lease of 4 s before that, so that this costs no call.
 RENEW_AFTER = 0.35
+#: The same while stop orders go to a runner, which carries out hundreds of them before
+#: the next call.
+RENEW_AFTER_BESIDE_STOPS = 0.15
 #: Fraction of a lease after which its renewal counts as late.
 LATE_AFTER = 0.6
+#: What a poll waits for while many stop orders go out.
+STOPS = "stops"
 
 
 class LeaseKeeper:
@@ -55,6 +60,11 @@
         """Record that no poll of a runner is under way, and why, for the log."""
         self._cause_by_runner[runner] = cause
 
+    def renew_before_stops(self, runner: Runner) -> None:
+        """Renew a lease before many stops, unless that was just done."""
+        if runner in self._cause_by_runner:
+            self._renew_if_due(runner, STOPS, RENEW_AFTER_BESIDE_STOPS)
+
     def end_wait(self, runner: Runner) -> None:
         """Record that a runner is polled now, is idle, or isn't watched any more."""
         self._cause_by_runner.pop(runner, None)
@@ -69,15 +79,18 @@
         """Renew leases that are due, until cancelled."""
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
-            now_s = self._clock.now()
             for runner, cause in list(self._cause_by_runner.items()):
-                since_s = now_s - runner.renewed_s
-                if since_s < RENEW_AFTER * runner.lease_s:
-                    continue
-                if not runner.responds or not runner.has_attempts:
-                    continue
-                if self._begin_renewal(runner):
-                    self._log_renewal(runner, cause, since_s)
+                share = RENEW_AFTER_BESIDE_STOPS if cause == STOPS else RENEW_AFTER
+                self._renew_if_due(runner, cause, share)
+
+    def _renew_if_due(self, runner: Runner, cause: str, share: float) -> None:
+        since_s = self._clock.now() - runner.renewed_s
+        if since_s < share * runner.lease_s:
+            return
+        if not runner.responds or not runner.has_attempts:
+            return
+        if self._begin_renewal(runner):
+            self._log_renewal(runner, cause, since_s)
 
     def _log_renewal(self, runner: Runner, cause: str, since_s: float) -> None:
         is_known = since_s < float("inf")
--- a/flamingoweir/dispatch/_orders.py
+++ b/flamingoweir/dispatch/_orders.py
@@ -7,7 +7,7 @@
 from ..jobs import Attempt, AttemptState, TaskId
 from ..logs import get_logger
 from ._context import Permit, TermContext, TermEnd
-from ._lease_keeper import LeaseKeeper
+from ._lease_keeper import STOPS, LeaseKeeper
 from ._owner_state import UNKNOWN_PACE_PERCENT
 from ._protocols import Fenced, RunnerLink, RunnerUnreachable
 from ._runner_calls import RunnerCalls
@@ -52,8 +52,8 @@
         self._task_group = task_group
         self._calls = RunnerCalls(context, term_end, link_by_runner)
         self._start_orders = StartOrders(context, permit, self._calls, task_group)
-        self._stop_orders = StopOrders(context, self._calls, task_group)
         self.leases = LeaseKeeper(context, self._calls, task_group)
+        self._stop_orders = StopOrders(context, self._calls, task_group, self.leases)
         #: Attempts with a pace order in flight.
         self._pacing_attempts: set[Attempt] = set()
 
@@ -65,8 +65,12 @@
         """Send stop orders for an attempt until its runner responds."""
         self._stop_orders.add(attempt)
 
-    async def wait_for_stops(self, max_wait_s: float) -> None:
-        """Wait until few stop orders are left; see `StopOrders.wait_while_many`."""
+    async def wait_for_stops(self, runner: Runner, max_wait_s: float) -> None:
+        """Let the next poll of a runner, or its report, wait until few stops are left.
+
+        See `StopOrders.wait_while_many`.
+        """
+        self.leases.begin_wait(runner, STOPS)
         await self._stop_orders.wait_while_many(max_wait_s)
 
     def set_pace(self, attempt: Attempt) -> None:
--- a/flamingoweir/dispatch/_stop_orders.py
+++ b/flamingoweir/dispatch/_stop_orders.py
@@ -10,6 +10,7 @@
 from ..logs import get_logger
 from ..policy import StopBatch
 from ._context import TermContext
+from ._lease_keeper import LeaseKeeper
 from ._order_queues import OrderQueue, OrderQueues
 from ._protocols import Fenced, RunnerLink, RunnerUnreachable
 from ._runner_calls import RunnerCalls
@@ -23,6 +24,8 @@
 MAX_STOPS_AT_ONCE = 2
 #: Number of stops without a result from which on reports wait for them.
 MANY_STOPS = 200
+#: The same for one runner, before which its lease is renewed.
+MANY_STOPS_OF_A_RUNNER = 100
 #: Seconds between checks whether there are fewer.
 CHECK_INTERVAL_S = 0.05
 #: Longest time in seconds for which attempts that were never ordered wait for stops.
@@ -46,12 +49,21 @@
         Finds the attempts and their links.
     task_group : TaskGroup
         Runs the senders.
+    leases : LeaseKeeper
+        Renews the lease of a runner before it has many stops to carry out.
     """
 
-    def __init__(self, context: TermContext, calls: RunnerCalls, task_group: TaskGroup):
+    def __init__(
+        self,
+        context: TermContext,
+        calls: RunnerCalls,
+        task_group: TaskGroup,
+        leases: LeaseKeeper,
+    ):
         self._context = context
         self._calls = calls
         self._task_group = task_group
+        self._leases = leases
         self._queues = OrderQueues(task_group, MAX_STOPS_AT_ONCE, self._send_all)
         #: Attempts without an order, to be discarded after stops.
         self._unsent: deque[Attempt] = deque()
@@ -107,6 +119,10 @@
             allocations = self._take(queue, batch.choose(self._queues.sender_count))
             if not allocations:
                 return
+            if len(queue) > MANY_STOPS_OF_A_RUNNER:
+                runner = self._context.owner_state.runner_by_id.get(queue.runner_id)
+                if runner is not None:
+                    self._leases.renew_before_stops(runner)
             confirmed = 0
             queue.under_way += len(allocations)
             try:
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -117,8 +117,7 @@
                 self._leases.begin_wait(runner, "pause")
                 await anyio.sleep(pause_s)
             if self._has_long_reports:
-                self._leases.begin_wait(runner, "stops")
-                await self._orders.wait_for_stops(MAX_STOPS_WAIT_S)
+                await self._orders.wait_for_stops(runner, MAX_STOPS_WAIT_S)
             self._leases.begin_wait(runner, "acknowledgement")
             await self._wait_until_acknowledged()
             self._leases.begin_wait(runner, "fence")
@@ -318,7 +317,8 @@
         if not self._has_long_reports:
             await self._apply(report, sent_s)
             return
-        await self._orders.wait_for_stops(MAX_STOPS_WAIT_S)
+        await self._orders.wait_for_stops(self._runner, MAX_STOPS_WAIT_S)
+        self._leases.begin_wait(self._runner, "report")
         async with self._context.long_report_turn:
             await self._apply(report, sent_s)
 
--- a/tests/test_lease_keeping.py
+++ b/tests/test_lease_keeping.py
@@ -10,7 +10,7 @@
 import pytest
 
 from flamingoweir.dispatch._context import TermContext
-from flamingoweir.dispatch._lease_keeper import RENEW_AFTER, LeaseKeeper
+from flamingoweir.dispatch._lease_keeper import RENEW_AFTER, STOPS, LeaseKeeper
 from flamingoweir.dispatch._orders import OrderSender
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._protocols import RunnerUnreachable
@@ -134,31 +134,79 @@
             raise RunnerUnreachable("a test")
 
 
+class KeptRunner:
+    """A runner with an attempt, and what keeps its lease.
+
+    Attributes
+    ----------
+    runner : Runner
+        The runner; its lease was just renewed.
+    link : RenewedLink
+        Its link.
+    keeper : LeaseKeeper
+        Renews its lease.
+    """
+
+    def __init__(self, tasks):
+        self.clock = VirtualClock()
+        self.runner = Runner(RunnerEntry("a", 1, "s", "host:1", "zone"), 10.0)
+        self.runner.begin_incarnation(1, self.clock.now())
+        self.runner.record_response(0.0, self.clock.now())
+        self.runner.allocation_by_run = {"task": SimpleNamespace()}
+        self.link = RenewedLink()
+        state = SimpleNamespace(runner_by_id={"a": self.runner})
+        context = SimpleNamespace(
+            clock=self.clock, owner_state=state, renew_lease=self._renew_lease
+        )
+        calls = SimpleNamespace(
+            find_link=lambda _: self.link, contain=lambda *_: anyio.CancelScope()
+        )
+        self.keeper = LeaseKeeper(context, calls, tasks)
+        tasks.start_soon(self.keeper.run)
+        self._renew_lease(self.runner)
+
+    def _renew_lease(self, runner):
+        runner.renewed_s = self.clock.now()
+        return 1
+
+
+@pytest.mark.parametrize(
+    ("age_s", "polled", "renewals"),
+    [(0.5, False, 0), (0.7, False, 1), (0.7, True, 0)],
+)
+def test_lease_is_renewed_before_many_stops(age_s, polled, renewals):
+    """Guards against a lease that lapses while a runner carries out stops.
+
+    On a short processor it reads no other call for seconds. The poll that is under way
+    has renewed the lease, and its response comes with the first end.
+    """
+
+    async def scenario():
+        async with anyio.create_task_group() as tasks:
+            kept = KeptRunner(tasks)
+            if not polled:
+                kept.keeper.begin_wait(kept.runner, "pause")
+            await anyio.sleep(age_s)
+            kept.keeper.renew_before_stops(kept.runner)
+            kept.keeper.renew_before_stops(kept.runner)
+            await anyio.sleep(0.05)
+            assert kept.link.renewals == renewals
+            if not polled:
+                kept.keeper.begin_wait(kept.runner, STOPS)
+                await anyio.sleep(RUNNER_LEASE_S)
+                assert kept.link.renewals >= renewals + 4
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
 def test_renewal_without_a_response_is_not_followed_by_another():
     """Guards against the lease of a silent runner that never lapses."""
 
     async def scenario():
-        clock = VirtualClock()
-        runner = Runner(RunnerEntry("a", 1, "s", "host:1", "zone"), 10.0)
-        runner.begin_incarnation(1, clock.now())
-        runner.record_response(0.0, clock.now())
-        runner.allocation_by_run = {"task": SimpleNamespace()}
-        state = SimpleNamespace(runner_by_id={"a": runner})
-        context = SimpleNamespace(clock=clock, owner_state=state)
-
-        def renew_lease(runner):
-            runner.renewed_s = clock.now()
-            return 1
-
-        context.renew_lease = renew_lease
-        link = RenewedLink()
-        calls = SimpleNamespace(
-            find_link=lambda _: link, contain=lambda *_: anyio.CancelScope()
-        )
         async with anyio.create_task_group() as tasks:
-            keeper = LeaseKeeper(context, calls, tasks)
-            tasks.start_soon(keeper.run)
-            renew_lease(runner)
+            kept = KeptRunner(tasks)
+            keeper, runner, link = kept.keeper, kept.runner, kept.link
             await anyio.sleep(5)
             # A poll is under way.
             assert link.renewals == 0
@@ -177,10 +225,10 @@
             await anyio.sleep(3 * RUNNER_LEASE_S)
             assert link.renewals == unanswered
             link.answers = True
-            runner.record_response(0.0, clock.now())
+            runner.record_response(0.0, kept.clock.now())
             await anyio.sleep(RUNNER_LEASE_S)
             assert link.renewals > unanswered
-            runner.record_no_response(clock.now())
+            runner.record_no_response(kept.clock.now())
             lost = link.renewals
             await anyio.sleep(3 * RUNNER_LEASE_S)
             assert link.renewals == lost
