Leave the owner's late event loop out of the timeouts of its calls

Cause: the timeout of a call includes the turns that the event loop takes before it sends the request and reads the response. If all of them are late, a response that has arrived counts as missing.

Evidence: test_time_of_the_own_event_loop_is_not_the_servers[0.2-2-True] failed before.

On a loop that isn't late nothing changes.

--- a/flamingoweir/transport.py
+++ b/flamingoweir/transport.py
@@ -11,6 +11,7 @@
 import httpcore
 
 from ._call_limit import CallLimit
+from ._call_timeout import CallTimeout, fail_after_own_time
 from ._http_connection import HttpConnection, MalformedResponse
 
 #: Timeout of an attempt to connect, in seconds.
@@ -158,9 +159,7 @@
         """
         request = self._encode_request(method, path, body, headers)
 
-        async def exchange(
-            connection: HttpConnection, scope: anyio.CancelScope
-        ) -> Response:
+        async def exchange(connection: HttpConnection, scope: CallTimeout) -> Response:
             if may_send is not None and not may_send():
                 raise RequestNotSent("the request is not wanted any more")
             on_part = self._extender(scope, transfer_s) if transfer_s else None
@@ -208,9 +207,7 @@
             requests.append(self._encode_request("POST", path, body, headers))
         responses: list[Response] = []
 
-        async def exchange(
-            connection: HttpConnection, scope: anyio.CancelScope
-        ) -> None:
+        async def exchange(connection: HttpConnection, scope: CallTimeout) -> None:
             async def record(status: int, body: bytes) -> None:
                 responses.append(Response(status, body))
                 if len(responses) % in_a_turn == 0:
@@ -228,7 +225,7 @@
 
     async def _run_on_connection(
         self,
-        exchange: Callable[[HttpConnection, anyio.CancelScope], Awaitable[Result]],
+        exchange: Callable[[HttpConnection, CallTimeout], Awaitable[Result]],
         timeout_s: float | None,
         rank: int,
     ) -> Result:
@@ -237,7 +234,7 @@
         try:
             connection = None
             try:
-                with anyio.fail_after(timeout_s or self._timeout_s) as scope:
+                with fail_after_own_time(timeout_s or self._timeout_s) as scope:
                     connection = await self._acquire_connection()
                     result = await exchange(connection, scope)
             except TimeoutError as error:
@@ -266,9 +263,7 @@
         while self._idle_connections:
             await self._idle_connections.popleft().aclose()
 
-    def _extender(
-        self, scope: anyio.CancelScope, transfer_s: float
-    ) -> Callable[[], None]:
+    def _extender(self, scope: CallTimeout, transfer_s: float) -> Callable[[], None]:
         """Return a function that gives a call time for the next part of a response."""
         longest_until_s = anyio.current_time() + transfer_s
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -10,6 +10,7 @@
 
 from flamingoweir import transport
 from flamingoweir._call_limit import CallLimit
+from flamingoweir._call_timeout import MAX_OWN_TIME_S
 from flamingoweir.dispatch import Fenced, RunnerUnreachable
 from flamingoweir.jobs import TaskId
 from flamingoweir.platform import PlatformRunnerLink
@@ -654,6 +655,57 @@
     run(scenario)
 
 
+class SlowConnection:
+    """A connection whose response takes some turns of the event loop to read."""
+
+    reusable = False
+
+    def __init__(self, turns):
+        self._turns = turns
+
+    async def exchange(self, request, is_head, on_part):
+        for _ in range(self._turns):
+            await anyio.sleep(0.001)
+        return 200, b""
+
+    async def aclose(self):
+        return
+
+
+@pytest.mark.parametrize(
+    ("turn_s", "turns", "answered"),
+    [(0.0, 20, True), (0.0, 10_000, False), (0.2, 2, True), (0.2, 200, False)],
+)
+def test_time_of_the_own_event_loop_is_not_the_servers(turn_s, turns, answered):
+    """Guards against a runner that counts as silent as its owner is late to read."""
+    timeout_s = 0.5
+
+    async def scenario():
+        client = HttpClient(f"{HOST}:1", 1, timeout_s=timeout_s)
+
+        async def connect():
+            return SlowConnection(turns)
+
+        client._acquire_connection = connect
+        async with anyio.create_task_group() as tasks:
+            if turn_s:
+                tasks.start_soon(take_turns, turn_s)
+            await anyio.sleep(0)
+            began_s = anyio.current_time()
+            if answered:
+                assert (await client.call("GET", "/")).status == 200
+            else:
+                with pytest.raises(ResponseLost, match="TimeoutError"):
+                    await client.call("GET", "/")
+                longest_s = timeout_s + (
+                    MAX_OWN_TIME_S + 4 * turn_s if turn_s else 0.01
+                )
+                assert anyio.current_time() - began_s <= longest_s
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
 class BufferedConnection:
     """A connection on which all responses have arrived."""
 
