Let start orders wait while the owner's feeds are too old

Cause: an order that had waited in its queue was thrown away if the copies of the operators' or runners' rows were older than 1.3 s at its turn. That is the owner's state, not its runner's.

Why it works: an order that nobody was told of stays in its queue until the owner may send orders again, and its time to be sent begins then. All else is checked at its turn as before. One that may have been sent is stopped as before.

--- a/flamingoweir/dispatch/_start_orders.py
+++ b/flamingoweir/dispatch/_start_orders.py
@@ -29,6 +29,8 @@
 #: Seconds between checks whether ends have been acknowledged, or a write has given the
 #: owner a higher token.
 CHECK_INTERVAL_S = 0.005
+#: Seconds between checks whether the owner may send orders again.
+PERMIT_INTERVAL_S = 0.05
 #: Number of orders that are dropped in turn before other coroutines run.
 DROPPED_AT_ONCE = 100
 
@@ -51,6 +53,8 @@
     AGAIN = enum.auto()
     #: It goes on after a moment, as orders to its runner wait for something else.
     DEFERRED = enum.auto()
+    #: It goes on once the owner may send orders again.
+    WITHHELD = enum.auto()
     #: It is sent again after a pause, as it got no response.
     UNANSWERED = enum.auto()
 
@@ -133,9 +137,12 @@
                 progress = await self._send(order)
             if progress is _Progress.UNANSWERED:
                 self._task_group.start_soon(self._resend, order)
-            if progress is _Progress.DEFERRED:
+            if progress in (_Progress.DEFERRED, _Progress.WITHHELD):
                 queue.put_back(order, self._find_rank(order.attempt))
-                await anyio.sleep(CHECK_INTERVAL_S)
+                is_deferred = progress is _Progress.DEFERRED
+                await anyio.sleep(
+                    CHECK_INTERVAL_S if is_deferred else PERMIT_INTERVAL_S
+                )
             dropped = dropped + 1 if order.sent_count == made else 0
             if dropped == DROPPED_AT_ONCE:
                 dropped = 0
@@ -190,6 +197,9 @@
         if attempt.state is not AttemptState.ORDERED or job.is_final:
             return _Progress.ENDED
         now_s = self._context.clock.now()
+        if allocation.awaits_order and not self._permit.is_valid():
+            # Nobody has been told of it, so that it may wait.
+            return _Progress.WITHHELD
         if order.until_s is None:
             order.until_s = now_s + SENDING_S
         obstacle = self._find_obstacle(runner, allocation)
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -14,11 +14,12 @@
 
 from benchmarks.large_job import LargeJob, cancel, fail, lapse, take_over
 from flamingoweir.clock import BootClock
+from flamingoweir.dispatch._context import Permit
 from flamingoweir.dispatch._late_starts import LONGEST_LEFT_S
 from flamingoweir.dispatch._order_queues import OrderQueue
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._start_gate import StartGate
-from flamingoweir.dispatch._start_orders import MAX_STARTS_AT_ONCE
+from flamingoweir.dispatch._start_orders import MAX_STARTS_AT_ONCE, SENDING_S
 from flamingoweir.dispatch._stop_orders import MANY_STOPS, MAX_STOPS_AT_ONCE
 from flamingoweir.dispatch._term import Term
 from flamingoweir.dispatch._time_slice import TimeSlice
@@ -691,3 +692,40 @@
     assert len(stopped_s) > 850
     assert len(discarded_s) > 850
     assert discarded_s[0] > stopped_s[600]
+
+
+def test_start_orders_wait_while_the_feeds_of_the_owner_are_old(monkeypatch):
+    """Guards against thousands of attempts that are void, and placed anew, at once."""
+    void, old = [], []
+    discard_attempt, is_valid = OwnerState.discard_attempt, Permit.is_valid
+
+    def count(self, attempt, reason):
+        void.append(reason)
+        discard_attempt(self, attempt, reason)
+
+    monkeypatch.setattr(OwnerState, "discard_attempt", count)
+    monkeypatch.setattr(Permit, "is_valid", lambda p: not old and is_valid(p))
+
+    async def scenario():
+        async with run_cluster(runners=1, processors=700) as cluster:
+            owner = await cluster.owner()
+            await anyio.sleep(1)
+            [link] = owner.link_by_runner.values()
+            link._delay_s = 0.01
+            large = make_job(1, make_step(600, estimate_s=60))
+            for index in range(600):
+                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
+            await cluster.submit(large)
+            await anyio.sleep(0.6)
+            assert 20 < len(cluster.records("start")) < 300
+            old.append(True)
+            # Longer than an order is sent for.
+            await anyio.sleep(SENDING_S + 1)
+            begun = len(cluster.records("start"))
+            assert begun < 300
+            old.clear()
+            await anyio.sleep(5)
+            assert len(cluster.records("start")) == 600
+
+    run_virtual(scenario)
+    assert len(void) <= MAX_STARTS_AT_ONCE
