--- a/flamingoweir/dispatch/_context.py
+++ b/flamingoweir/dispatch/_context.py
@@ -13,6 +13,7 @@
 from ..registry import OperatorView, RunnerEntry, RunnerView, TableFollower
 from ._owner_state import OwnerState
 from ._protocols import RunnerLink
+from ._report_turns import ReportTurns
 
 log = get_logger()
 
@@ -45,8 +46,8 @@
         Returns the wall-clock time in milliseconds since 1970.
     metrics : Metrics
         Receives counters.
-    long_report_turn : anyio.Lock
-        Held while a runner's long report is applied.
+    report_turns : ReportTurns
+        Turns in which long reports are applied.
     """
 
     writer: FencedWriter
@@ -58,7 +59,7 @@
     clock: Clock
     wall_ms: Callable[[], float]
     metrics: Metrics
-    long_report_turn: anyio.Lock = field(default_factory=anyio.Lock)
+    report_turns: ReportTurns = field(default_factory=ReportTurns)
 
     def renew_lease(self, runner: Runner) -> int | None:
         """Renew a lease; return its end in ms on the runner's clock.
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -45,13 +45,6 @@
 ENTRIES_IN_A_TURN = 250
 #: Longest pause between two polls of a runner, in seconds.
 MAX_POLL_PAUSE_S = 1.0
-#: Pause after a long report before another runner's is applied, as a multiple of the
-#: time that it held the event loop, and its longest time in seconds: such reports take
-#: a third of the owner's time.
-REPORT_REST = 2.0
-MAX_REPORT_REST_S = 0.5
-#: Seconds between checks whether a runner responds whose report waits for its turn.
-RESPONSE_CHECK_INTERVAL_S = 0.2
 #: Longest time in seconds for which a long report, or the poll that brings the next
 #: one, waits for stop orders. Leases are renewed meanwhile.
 MAX_STOPS_WAIT_S = 1.0
@@ -327,32 +320,15 @@
             return
         await self._orders.wait_for_stops(self._runner, MAX_STOPS_WAIT_S)
         self._leases.begin_wait(self._runner, "report")
-        turn = self._context.long_report_turn
-        if not await self._take_turn(turn):
+        turns = self._context.report_turns
+        if not await turns.take(self._runner):
             # The next poll finds out, and brings a report anew.
             self._next_poll_s = float("-inf")
             return
         try:
-            busy_s = await self._apply(report, sent_s)
-            await anyio.sleep(min(MAX_REPORT_REST_S, REPORT_REST * busy_s))
+            await turns.rest(await self._apply(report, sent_s))
         finally:
-            turn.release()
-
-    async def _take_turn(self, turn: anyio.Lock) -> bool:
-        """Wait for a turn; return False, without it, once the runner is lost."""
-        is_taken = False
-
-        async def end_if_lost() -> None:
-            while self._runner.responds:
-                await anyio.sleep(RESPONSE_CHECK_INTERVAL_S)
-            tasks.cancel_scope.cancel()
-
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(end_if_lost)
-            await turn.acquire()
-            is_taken = True
-            tasks.cancel_scope.cancel()
-        return is_taken
+            turns.give_back()
 
     async def _apply(self, report: RunnerReport, sent_s: float) -> float:
         """Apply a report; return for how many seconds it held the event loop."""
