--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -24,7 +24,7 @@
 from flamingoweir.dispatch._term import Term
 from flamingoweir.dispatch._time_slice import TimeSlice
 from flamingoweir.fleet import Runner
-from flamingoweir.jobs import Job, JobState, Outcome, TaskId
+from flamingoweir.jobs import Job, JobSpec, JobState, Outcome, TaskId
 from flamingoweir.policy import (
     MAX_RESPONSES_IN_A_TURN,
     MAX_STOPS_IN_A_WRITE,
@@ -41,6 +41,27 @@
 MAX_GROWTH = 4.5
 
 
+def record_calls(monkeypatch, name: str) -> list[tuple[float, tuple]]:
+    """Return a list to which calls of an `OwnerState` add their time and arguments."""
+    calls = []
+    method = getattr(OwnerState, name)
+
+    def record(*args):
+        calls.append((anyio.current_time(), args))
+        return method(*args)
+
+    monkeypatch.setattr(OwnerState, name, record)
+    return calls
+
+
+async def submit_large(cluster, number: int, tasks: int, owner=None) -> JobSpec:
+    """Submit a job of tasks that run for a minute; return it."""
+    large = make_job(number, make_step(tasks, estimate_s=60))
+    for index in range(tasks):
+        cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
+    return await cluster.submit(large, owner)
+
+
 def count_calls(play, tasks: int) -> int:
     """Return how many functions an owner calls, leaving out the setting-up."""
     profile = cProfile.Profile()
@@ -223,10 +244,7 @@
     async def scenario():
         async with run_cluster(runners=1, processors=tasks) as cluster:
             owner = await cluster.owner()
-            large = make_job(1, make_step(tasks, estimate_s=60))
-            for index in range(tasks):
-                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
-            await cluster.submit(large)
+            large = await submit_large(cluster, 1, tasks)
             await anyio.sleep(4)
             assert len(cluster.records("start")) == tasks
             [link] = owner.link_by_runner.values()
@@ -291,25 +309,9 @@
     void, and runners lost, though each call was answered (review/12).
     """
     tasks = 4 * TASKS
-    void, lost, placed = [], [], []
-    discard_attempt, record_lost = OwnerState.discard_attempt, OwnerState.record_lost
-    add_attempt = OwnerState.add_attempt
-
-    def count_void(self, attempt, reason):
-        void.append(reason)
-        discard_attempt(self, attempt, reason)
-
-    def count_lost(self, runner, detail):
-        lost.append(detail)
-        record_lost(self, runner, detail)
-
-    def count_placed(self, *args):
-        placed.append(args)
-        return add_attempt(self, *args)
-
-    monkeypatch.setattr(OwnerState, "discard_attempt", count_void)
-    monkeypatch.setattr(OwnerState, "record_lost", count_lost)
-    monkeypatch.setattr(OwnerState, "add_attempt", count_placed)
+    void = record_calls(monkeypatch, "discard_attempt")
+    lost = record_calls(monkeypatch, "record_lost")
+    placed = record_calls(monkeypatch, "add_attempt")
 
     async def scenario():
         async with run_cluster(runners=2, processors=650) as cluster:
@@ -318,15 +320,14 @@
             for link in owner.link_by_runner.values():
                 link._delay_s = 0.01
             lasting = await cluster.submit(make_job(1, make_step(4, lasting=True)))
-            large = await cluster.submit(make_job(2, make_step(tasks, estimate_s=60)))
-            for index in range(tasks):
-                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
+            await submit_large(cluster, 2, tasks)
             await anyio.sleep(6)
             assert len(cluster.records("start")) == tasks + 4
             assert await cluster.state(lasting) is JobState.RUNNING
 
     run_virtual(scenario)
-    assert (void, lost, len(placed)) == ([], [], tasks + 4)
+    assert (void, lost) == ([], [])
+    assert len(placed) == tasks + 4
 
 
 @pytest.mark.parametrize("event", ["cut", "drain", "restart", "cancel", "owner_killed"])
@@ -344,10 +345,7 @@
             links = owner.link_by_runner
             for link in links.values():
                 link._delay_s = 0.01
-            large = make_job(2, make_step(380, estimate_s=60))
-            for index in range(380):
-                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
-            await cluster.submit(large, owner)
+            large = await submit_large(cluster, 2, 380, owner)
             await anyio.sleep(0.6)
             [first] = {record.runner for record in cluster.records("start")}
             [other] = cluster.runner_by_id.keys() - {first}
@@ -441,14 +439,7 @@
 
 def test_start_orders_beside_many_ends_are_not_void(monkeypatch):
     """Guards against orders that expire as those before them give way to ends."""
-    void = []
-    discard_attempt = OwnerState.discard_attempt
-
-    def count(self, attempt, reason):
-        void.append(reason)
-        discard_attempt(self, attempt, reason)
-
-    monkeypatch.setattr(OwnerState, "discard_attempt", count)
+    void = record_calls(monkeypatch, "discard_attempt")
 
     async def scenario():
         async with run_cluster(runners=1, processors=1300) as cluster:
@@ -460,11 +451,8 @@
             for index in range(200):
                 plan = (1.0 + index / 40, Outcome.DONE)
                 cluster.plan_by_task[f"{short.id}.0.0.{index}"] = plan
-            large = make_job(2, make_step(900, estimate_s=60))
-            for index in range(900):
-                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
             await cluster.submit(short)
-            await cluster.submit(large)
+            await submit_large(cluster, 2, 900)
             await anyio.sleep(10)
             assert len({r.task for r in cluster.records("start")}) == 1100
 
@@ -481,10 +469,7 @@
             await anyio.sleep(1)
             [link] = owner.link_by_runner.values()
             link._delay_s = 0.01
-            large = make_job(1, make_step(600, estimate_s=60))
-            for index in range(600):
-                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
-            await cluster.submit(large)
+            await submit_large(cluster, 1, 600)
             await anyio.sleep(0.5)
             lasting = await cluster.submit(make_job(2, make_step(4, lasting=True)))
             await anyio.sleep(0.5)
@@ -502,10 +487,7 @@
     async def scenario():
         async with run_cluster(runners=1, processors=400) as cluster:
             owner = await cluster.owner()
-            large = make_job(1, make_step(400, estimate_s=60))
-            for index in range(400):
-                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
-            await cluster.submit(large)
+            large = await submit_large(cluster, 1, 400)
             await anyio.sleep(4)
             runner = cluster.runner_by_id["runner-0"]
             link = owner.link_by_runner["runner-0"]
@@ -625,10 +607,7 @@
         async with run_cluster(runners=2, processors=700) as cluster:
             owner = await cluster.owner()
             await anyio.sleep(1)
-            large = make_job(1, make_step(1_300, estimate_s=60))
-            for index in range(1_300):
-                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
-            await cluster.submit(large)
+            large = await submit_large(cluster, 1, 1_300)
             await anyio.sleep(8)
             assert len(cluster.records("start")) == 1_300
             for link in owner.link_by_runner.values():
@@ -654,20 +633,14 @@
 
 def test_attempts_without_an_order_are_discarded_after_stops(monkeypatch):
     """Guards against stops that wait until what doesn't run is tidied up."""
-    discarded_s, stopped_s = [], []
-    discard_attempt, stop_runs = OwnerState.discard_attempt, MemoryRunnerLink.stop_runs
-
-    def record_discarded(self, attempt, reason):
-        if reason == "not_ordered":
-            discarded_s.append(anyio.current_time())
-        discard_attempt(self, attempt, reason)
+    stopped_s, stop_runs = [], MemoryRunnerLink.stop_runs
+    discarded = record_calls(monkeypatch, "discard_attempt")
 
     async def record_stopped(link, runs, *args):
         answered = await stop_runs(link, runs, *args)
         stopped_s.extend(answered * [anyio.current_time()])
         return answered
 
-    monkeypatch.setattr(OwnerState, "discard_attempt", record_discarded)
     monkeypatch.setattr(MemoryRunnerLink, "stop_runs", record_stopped)
 
     async def scenario():
@@ -676,10 +649,7 @@
             await anyio.sleep(1)
             [link] = owner.link_by_runner.values()
             link._delay_s = 0.005
-            large = make_job(1, make_step(1_900, estimate_s=60))
-            for index in range(1_900):
-                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
-            await cluster.submit(large)
+            large = await submit_large(cluster, 1, 1_900)
             while len(cluster.records("start")) < 900:
                 await anyio.sleep(0.1)
             await owner.instance.handler.cancel(large.id, 2.0)
@@ -690,20 +660,15 @@
 
     run_virtual(scenario)
     assert len(stopped_s) > 850
+    discarded_s = [at_s for at_s, args in discarded if args[-1] == "not_ordered"]
     assert len(discarded_s) > 850
     assert discarded_s[0] > stopped_s[600]
 
 
 def test_start_orders_wait_while_the_feeds_of_the_owner_are_old(monkeypatch):
     """Guards against thousands of attempts that are void, and placed anew, at once."""
-    void, old = [], []
-    discard_attempt, is_valid = OwnerState.discard_attempt, Permit.is_valid
-
-    def count(self, attempt, reason):
-        void.append(reason)
-        discard_attempt(self, attempt, reason)
-
-    monkeypatch.setattr(OwnerState, "discard_attempt", count)
+    old, is_valid = [], Permit.is_valid
+    void = record_calls(monkeypatch, "discard_attempt")
     monkeypatch.setattr(Permit, "is_valid", lambda p: not old and is_valid(p))
 
     async def scenario():
@@ -712,17 +677,13 @@
             await anyio.sleep(1)
             [link] = owner.link_by_runner.values()
             link._delay_s = 0.01
-            large = make_job(1, make_step(600, estimate_s=60))
-            for index in range(600):
-                cluster.plan_by_task[f"{large.id}.0.0.{index}"] = (60.0, Outcome.DONE)
-            await cluster.submit(large)
+            await submit_large(cluster, 1, 600)
             await anyio.sleep(0.6)
             assert 20 < len(cluster.records("start")) < 300
             old.append(True)
             # Longer than an order is sent for.
             await anyio.sleep(SENDING_S + 1)
-            begun = len(cluster.records("start"))
-            assert begun < 300
+            assert len(cluster.records("start")) < 300
             old.clear()
             await anyio.sleep(5)
             assert len(cluster.records("start")) == 600
