--- a/flamingoweir/dispatch/_lease_keeper.py
+++ b/flamingoweir/dispatch/_lease_keeper.py
@@ -68,9 +68,14 @@
             self._renew_if_due(runner, STOPS)
 
     def end_wait(self, runner: Runner) -> None:
-        """Record that a runner is polled now, is idle, or isn't watched any more."""
+        """Record that a runner is polled now, or is idle."""
         self._cause_by_runner.pop(runner, None)
 
+    def forget(self, runner: Runner) -> None:
+        """Forget a runner that isn't watched any more."""
+        self._cause_by_runner.pop(runner, None)
+        self._unanswered_s_by_runner.pop(runner, None)
+
     def renew_all(self) -> None:
         """Renew the leases of all runners that respond, without waiting for polls."""
         for runner in self._owner_state.runner_by_id.values():
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -129,7 +129,7 @@
                 self._fault_log.record("runner_watch_failed", error, runner=runner.id)
                 self._record_no_response(error)
                 await anyio.sleep(UNRESPONSIVE_PAUSE_S)
-        self._leases.end_wait(runner)
+        self._leases.forget(runner)
         await self._link.aclose()
 
     async def _wait_while_idle(self) -> bool:
