Drop confirmed starts from the owner row at once unless thousands wait

Cause, likely: from 1,000 orders that waited on, a write looked at the latest one of each runner, and left those that were confirmed meanwhile for up to a second. So many kept the hashes of the runs out of the row, and the next owner took each run of a runner with an order under way for one that may start late.

Why it works: up to 3,000 allocations each write walks over all of them, as before; the bound is three times what the row has hashes for.

--- a/flamingoweir/dispatch/_late_starts.py
+++ b/flamingoweir/dispatch/_late_starts.py
@@ -10,6 +10,10 @@
 MAX_PUBLISHED_BYTES = 4_000
 #: Largest number of runs of which the owner row has hashes.
 MAX_HASHED_RUNS = MAX_PUBLISHED_BYTES // HASH_LENGTH
+#: Number of allocations up to which each write walks over all of them. It has to exceed
+#: `MAX_HASHED_RUNS` by far: those that aren't dropped at once would keep the hashes of
+#: the others out of the row, and the next owner would wait for all runs.
+MAX_WALKED = 3_000
 #: Seconds between two walks over all allocations, if there are more than that.
 WALK_INTERVAL_S = 1.0
 #: Longest time in seconds in which a start order can reach a runner: that of an order
@@ -104,7 +108,7 @@
         dict of str to float, or None
             Seconds by the id of a runner with such orders; None if there are too many.
         """
-        walks = self._count <= MAX_HASHED_RUNS
+        walks = self._count <= MAX_WALKED
         if now_s - self._walked_s >= WALK_INTERVAL_S:
             walks = True
         if walks:
