Name what a poll waits for, and say what each bound of stops is about

No change of what is done: the causes of a wait were partly literals, comments leant on the constants before them, a renewal looked for its link twice, and a timeout was called a scope.

--- a/flamingoweir/dispatch/_lease_keeper.py
+++ b/flamingoweir/dispatch/_lease_keeper.py
@@ -6,7 +6,7 @@
 from ..fleet import Runner
 from ..logs import get_logger
 from ._context import TermContext
-from ._protocols import Fenced, RunnerUnreachable
+from ._protocols import Fenced, RunnerLink, RunnerUnreachable
 from ._runner_calls import RunnerCalls
 
 log = get_logger()
@@ -16,12 +16,15 @@
 #: Fraction of a lease after which it is renewed apart from polls. Polls that follow
 #: each other renew a lease of 4 s before that, so that this costs no call.
 RENEW_AFTER = 0.35
-#: What a poll waits for after a long report, and while many stop orders go out.
-PAUSE = "pause"
+#: What the next poll of a runner may wait for, as the log names it: its report or the
+#: pause after a long one, many stop orders, the write of ends, a higher token.
 REPORT = "report"
+PAUSE = "pause"
 STOPS = "stops"
-#: Other fractions by what the poll waits for. These waits may be long, and a runner
-#: carries out hundreds of stops before the next call.
+ACKNOWLEDGEMENT = "acknowledgement"
+FENCE = "fence"
+#: Fraction of a lease after which it is renewed during waits that may be long. A runner
+#: carries out hundreds of stops before it reads another call.
 RENEW_AFTER_BY_CAUSE = {PAUSE: 0.25, REPORT: 0.25, STOPS: 0.15}
 #: Fraction of a lease after which its renewal counts as late.
 LATE_AFTER = 0.6
@@ -122,13 +125,10 @@
             return False
         # Until its response.
         self._unanswered_s_by_runner[runner] = self._clock.now()
-        self._task_group.start_soon(self._renew, runner, deadline_ms)
+        self._task_group.start_soon(self._renew, runner, link, deadline_ms)
         return True
 
-    async def _renew(self, runner: Runner, deadline_ms: int) -> None:
-        link = self._calls.find_link(runner.id)
-        if link is None:
-            return
+    async def _renew(self, runner: Runner, link: RunnerLink, deadline_ms: int) -> None:
         fence = runner.call_fence.token
         with self._calls.contain("renew", runner.id):
             try:
--- a/flamingoweir/dispatch/_stop_orders.py
+++ b/flamingoweir/dispatch/_stop_orders.py
@@ -22,16 +22,16 @@
 #: Largest number of calls with stop orders that are under way to one runner, so that a
 #: start order finds a connection while a large job is stopped.
 MAX_STOPS_AT_ONCE = 2
-#: Number of stops without a result from which on reports wait for them.
+#: Number of stops without a result, on all runners, from which on reports wait.
 MANY_STOPS = 200
-#: The same for one runner, before which its lease is renewed.
+#: Number of stops that wait for one runner from which on its lease is renewed first.
 MANY_STOPS_OF_A_RUNNER = 100
-#: Seconds between checks whether there are fewer.
+#: Seconds between checks whether `MANY_STOPS` are without a result.
 CHECK_INTERVAL_S = 0.05
 #: Longest time in seconds for which attempts that were never ordered wait for stops.
 #: They keep room from other tasks.
 MAX_DISCARD_WAIT_S = 2.0
-#: Least number of them that are discarded in a turn of the event loop.
+#: Least number of attempts that are discarded in a turn of the event loop.
 DISCARDS_IN_A_TURN = 250
 
 
--- a/flamingoweir/dispatch/_watch.py
+++ b/flamingoweir/dispatch/_watch.py
@@ -7,7 +7,7 @@
 from ..logs import get_logger
 from ..policy import PaceChange, find_stalled
 from ._context import TermContext, TermEnd
-from ._lease_keeper import PAUSE, REPORT
+from ._lease_keeper import ACKNOWLEDGEMENT, FENCE, PAUSE, REPORT
 from ._orders import OrderSender
 from ._owner_state import UNKNOWN_PACE_PERCENT
 from ._protocols import (
@@ -119,9 +119,9 @@
                 await anyio.sleep(pause_s)
             if self._has_long_reports:
                 await self._orders.wait_for_stops(runner, MAX_STOPS_WAIT_S)
-            self._leases.begin_wait(runner, "acknowledgement")
+            self._leases.begin_wait(runner, ACKNOWLEDGEMENT)
             await self._wait_until_acknowledged()
-            self._leases.begin_wait(runner, "fence")
+            self._leases.begin_wait(runner, FENCE)
             await self._raise_fence()
             try:
                 await self._poll()
--- a/flamingoweir/transport.py
+++ b/flamingoweir/transport.py
@@ -159,10 +159,12 @@
         """
         request = self._encode_request(method, path, body, headers)
 
-        async def exchange(connection: HttpConnection, scope: CallTimeout) -> Response:
+        async def exchange(
+            connection: HttpConnection, timeout: CallTimeout
+        ) -> Response:
             if may_send is not None and not may_send():
                 raise RequestNotSent("the request is not wanted any more")
-            on_part = self._extender(scope, transfer_s) if transfer_s else None
+            on_part = self._extender(timeout, transfer_s) if transfer_s else None
             is_head = method == "HEAD"
             return Response(*await connection.exchange(request, is_head, on_part))
 
@@ -207,15 +209,15 @@
             requests.append(self._encode_request("POST", path, body, headers))
         responses: list[Response] = []
 
-        async def exchange(connection: HttpConnection, scope: CallTimeout) -> None:
+        async def exchange(connection: HttpConnection, timeout: CallTimeout) -> None:
             async def record(status: int, body: bytes) -> None:
                 responses.append(Response(status, body))
                 if len(responses) % in_a_turn == 0:
                     # The next response may have arrived.
-                    scope.deadline = float("inf")
+                    timeout.deadline = float("inf")
                     await anyio.sleep(0)
                 # The timeout is that of each response.
-                scope.deadline = anyio.current_time() + self._timeout_s
+                timeout.deadline = anyio.current_time() + self._timeout_s
 
             await connection.exchange_all(b"".join(requests), len(requests), record)
 
@@ -234,9 +236,9 @@
         try:
             connection = None
             try:
-                with fail_after_own_time(timeout_s or self._timeout_s) as scope:
+                with fail_after_own_time(timeout_s or self._timeout_s) as timeout:
                     connection = await self._acquire_connection()
-                    result = await exchange(connection, scope)
+                    result = await exchange(connection, timeout)
             except TimeoutError as error:
                 # Other connections of the same age are likely to be unresponsive too.
                 await self.aclose()
@@ -263,13 +265,13 @@
         while self._idle_connections:
             await self._idle_connections.popleft().aclose()
 
-    def _extender(self, scope: CallTimeout, transfer_s: float) -> Callable[[], None]:
+    def _extender(self, timeout: CallTimeout, transfer_s: float) -> Callable[[], None]:
         """Return a function that gives a call time for the next part of a response."""
         longest_until_s = anyio.current_time() + transfer_s
 
         def extend() -> None:
             until_s = min(anyio.current_time() + self._timeout_s, longest_until_s)
-            scope.deadline = max(scope.deadline, until_s)
+            timeout.deadline = max(timeout.deadline, until_s)
 
         return extend
 
