--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -23,6 +23,7 @@
 from flamingoweir.dispatch._stop_orders import MANY_STOPS, MAX_STOPS_AT_ONCE
 from flamingoweir.dispatch._term import Term
 from flamingoweir.dispatch._time_slice import TimeSlice
+from flamingoweir.dispatch._watch import RunnerWatch
 from flamingoweir.fleet import Runner
 from flamingoweir.jobs import Job, JobSpec, JobState, Outcome, TaskId
 from flamingoweir.policy import (
@@ -588,20 +589,26 @@
     assert most_turns / 2 <= turns <= most_turns + 2
 
 
-@pytest.mark.parametrize("silent", [False, True], ids=["all_answer", "one_is_silent"])
-def test_long_reports_wait_for_stops(monkeypatch, silent):
+@pytest.mark.parametrize("case", ["quick", "slow", "one_is_silent"])
+def test_long_reports_wait_for_stops(monkeypatch, case):
     """Guards against stops that lack the time that reports of ends take.
 
-    Stops of a silent runner hold up no report of another one.
+    Neither are reports applied, nor, where stops take longer than a report waits, are
+    runners polled meanwhile. Stops of a silent runner hold up no report of another one.
     """
-    polled = []
-    poll = MemoryRunnerLink.poll
+    polled, applied = [], []
+    poll, update_running = MemoryRunnerLink.poll, RunnerWatch._update_running
 
-    async def record(link, *args):
+    async def record_poll(link, *args):
         polled.append((anyio.current_time(), link.runner.id, len(link.runner.tasks)))
         return await poll(link, *args)
 
-    monkeypatch.setattr(MemoryRunnerLink, "poll", record)
+    def record_applied(watch, *args):
+        applied.append((anyio.current_time(), watch._runner.id))
+        update_running(watch, *args)
+
+    monkeypatch.setattr(MemoryRunnerLink, "poll", record_poll)
+    monkeypatch.setattr(RunnerWatch, "_update_running", record_applied)
 
     async def scenario():
         async with run_cluster(runners=2, processors=700) as cluster:
@@ -611,14 +618,20 @@
             await anyio.sleep(8)
             assert len(cluster.records("start")) == 1_300
             for link in owner.link_by_runner.values():
-                link._delay_s = 0.02
+                link._delay_s = 0.06 if case == "slow" else 0.02
             await owner.instance.handler.cancel(large.id, 2.0)
             cancelled_s = anyio.current_time()
-            if silent:
+            if case == "one_is_silent":
                 owner.link_by_runner["runner-0"].disconnected = True
             await anyio.sleep(3.5)
             later = [p for p in polled if p[0] > cancelled_s and p[1] == "runner-1"]
-            if silent:
+            stopped_s = max(r.at_s for r in cluster.records("stopped"))
+            applied_s = min(
+                s for s, name in applied if s > cancelled_s and name == "runner-1"
+            )
+            if case != "slow":
+                assert stopped_s <= applied_s < stopped_s + 0.2
+            if case == "one_is_silent":
                 assert not cluster.runner_by_id["runner-1"].tasks
                 assert later[0][0] - cancelled_s < 2.5
                 return
--- a/tests/test_lease_keeping.py
+++ b/tests/test_lease_keeping.py
@@ -10,10 +10,19 @@
 import pytest
 
 from flamingoweir.dispatch._context import TermContext
-from flamingoweir.dispatch._lease_keeper import RENEW_AFTER, STOPS, LeaseKeeper
+from flamingoweir.dispatch._lease_keeper import (
+    ACKNOWLEDGEMENT,
+    FENCE,
+    PAUSE,
+    RENEW_AFTER,
+    REPORT,
+    STOPS,
+    LeaseKeeper,
+)
 from flamingoweir.dispatch._orders import OrderSender
 from flamingoweir.dispatch._owner_state import OwnerState
 from flamingoweir.dispatch._protocols import RunnerUnreachable
+from flamingoweir.dispatch._report_turns import ReportTurns
 from flamingoweir.dispatch._watch import RunnerWatch
 from flamingoweir.fleet import RUNNER_LEASE_S, Runner
 from flamingoweir.jobs import Outcome
@@ -248,6 +257,77 @@
         return 1
 
 
+@pytest.mark.parametrize(
+    ("cause", "due_s"),
+    [(REPORT, 1.0), (PAUSE, 1.0), (STOPS, 0.6), (ACKNOWLEDGEMENT, 1.4), (FENCE, 1.4)],
+)
+def test_lease_is_renewed_in_time_whatever_its_poll_waits_for(cause, due_s):
+    """Guards against a margin of less than 2.6 s for an owner or a runner that stops.
+
+    Each wait but that for a write or a token may be long.
+    """
+
+    async def scenario():
+        async with anyio.create_task_group() as tasks:
+            kept = KeptRunner(tasks)
+            kept.keeper.begin_wait(kept.runner, cause)
+            await anyio.sleep(due_s - 0.05)
+            assert kept.link.renewals == 0
+            await anyio.sleep(0.2)
+            assert kept.link.renewals == 1
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
+def test_runner_that_is_gone_is_forgotten():
+    """Guards against runners that a term keeps in memory for their unanswered calls."""
+
+    async def scenario():
+        async with anyio.create_task_group() as tasks:
+            kept = KeptRunner(tasks)
+            kept.link.answers = False
+            kept.keeper.begin_wait(kept.runner, REPORT)
+            await anyio.sleep(2)
+            assert kept.link.renewals == 1
+            kept.keeper.forget(kept.runner)
+            # Without its former call, it is renewed again.
+            kept.keeper.begin_wait(kept.runner, REPORT)
+            await anyio.sleep(0.2)
+            assert kept.link.renewals == 2
+            tasks.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
+def test_report_of_a_lost_runner_gives_up_its_turn():
+    """Guards against a runner that isn't polled until others have had their turn."""
+
+    async def scenario():
+        turns = ReportTurns()
+        first, lost, last = (SimpleNamespace(responds=True) for _ in range(3))
+        taken = []
+
+        async def take(name, runner):
+            taken.append((name, await turns.take(runner)))
+
+        async with anyio.create_task_group() as tasks:
+            assert await turns.take(first)
+            tasks.start_soon(take, "lost", lost)
+            await anyio.sleep(0.01)
+            tasks.start_soon(take, "last", last)
+            await anyio.sleep(1)
+            assert taken == []
+            lost.responds = False
+            await anyio.sleep(0.3)
+            assert taken == [("lost", False)]
+            turns.give_back()
+            await anyio.sleep(0.01)
+            assert taken == [("lost", False), ("last", True)]
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize(
     ("age_s", "polled", "renewals"),
     [(0.5, False, 0), (0.7, False, 1), (0.7, True, 0)],
@@ -263,7 +343,7 @@
         async with anyio.create_task_group() as tasks:
             kept = KeptRunner(tasks)
             if not polled:
-                kept.keeper.begin_wait(kept.runner, "pause")
+                kept.keeper.begin_wait(kept.runner, PAUSE)
             await anyio.sleep(age_s)
             kept.keeper.renew_before_stops(kept.runner)
             kept.keeper.renew_before_stops(kept.runner)
@@ -317,7 +397,10 @@
 
 
 def test_leases_hold_without_renewals_apart_from_polls_on_a_calm_day(monkeypatch):
-    """Guards against calls that a busy day doesn't need."""
+    """Guards against calls that a day without a shortage doesn't need.
+
+    Polls wait for writes of 0.2 s, and a call takes 0.1 s.
+    """
     renewed = []
     renew = MemoryRunnerLink.renew
 
@@ -329,8 +412,11 @@
 
     async def scenario():
         async with run_cluster(runners=4, processors=60) as cluster:
-            await cluster.owner()
+            owner = await cluster.owner()
             await anyio.sleep(1)
+            owner.store.response_delay_s = 0.2
+            for link in owner.link_by_runner.values():
+                link._delay_s = 0.05
             renewed.clear()
             for number in range(40):
                 step = make_step(5, 0.5, estimate_s=2)
